--- /dev/null
+++ b/apps/corianderwalk/callers.c
@@ -0,0 +1,335 @@
+/* What callers send: checked, turned into a job, answered. */
+#include "daemon.h"
+#include "job.h"
+#include "cw_counters.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define SERVICES_PREFIX "/services/"
+#define BEARER		"Bearer "
+#define KEY_MAX		256
+#define PREFIX_BYTES	512 /* of the first message that make a prompt's prefix */
+#define BYTES_A_TOKEN	4
+#define MAX_TOKENS_MAX	10000000
+#define DEADLINE_MAX_MS 86400000LL
+
+static void handle_chat(struct daemon *daemon, const struct cw_http_in *in,
+			struct cw_http_out *out);
+static void handle_service(struct daemon *daemon, const struct cw_http_in *in,
+			   struct cw_http_out *out);
+static void handle_models(struct daemon *daemon, const struct cw_http_in *in,
+			  struct cw_http_out *out);
+static int read_key(const struct cw_http_in *in, char key_sha256[CW_SHA256_HEX],
+		    struct cw_http_out *out);
+static int read_headers(const struct cw_http_in *in, struct cw_request_in *request,
+			struct cw_http_out *out);
+static int read_header(const struct cw_http_in *in, const char *name, const char *extra, char *text,
+		       size_t size, struct cw_http_out *out);
+static int read_deadline(const struct cw_http_in *in, struct cw_request_in *request,
+			 struct cw_http_out *out);
+static int read_priority(const struct cw_http_in *in, struct cw_request_in *request,
+			 struct cw_http_out *out);
+static int read_completion(const struct cw_http_in *in, struct job_in *job,
+			   struct cw_http_out *out);
+static const char *check_completion(struct json_object *body, struct cw_request_in *request);
+static uint64_t prefix_of(struct json_object *messages);
+static void new_request_id(char *id, size_t size);
+static int is_idempotent(const struct cw_http_in *in);
+static void bad_request(struct cw_http_out *out, const char *format, ...)
+	__attribute__((format(printf, 2, 3)));
+
+void callers_handle(void *context, const struct cw_http_in *in, struct cw_http_out *out)
+{
+	struct daemon *daemon = context;
+
+	cw_count("requests_total", "", 1);
+	if (operators_health(daemon, in->path, out))
+		return;
+	if (g_str_has_prefix(in->path, SERVICES_PREFIX)) {
+		handle_service(daemon, in, out);
+	} else if (!strcmp(in->path, "/v1/chat/completions")) {
+		if (!strcmp(in->method, "POST"))
+			handle_chat(daemon, in, out);
+		else
+			callers_refusal(out, CW_CODE_BAD_REQUEST, CW_RUN_NOT, 0,
+					"only POST is understood here");
+	} else if (!strcmp(in->path, "/v1/models")) {
+		handle_models(daemon, in, out);
+	} else {
+		callers_refusal(out, CW_CODE_BAD_REQUEST, CW_RUN_NOT, 0, "no such path");
+		out->status = 404;
+	}
+}
+
+void callers_refusal(struct cw_http_out *out, enum cw_code code, enum cw_run run,
+		     int64_t retry_after_ms, const char *message)
+{
+	struct json_object *body = json_object_new_object();
+	struct json_object *error = json_object_new_object();
+	char seconds[32];
+
+	json_object_object_add(error, "code", json_object_new_string(cw_code_name(code)));
+	json_object_object_add(error, "message", json_object_new_string(message));
+	json_object_object_add(error, "run", json_object_new_string(cw_run_name(run)));
+	json_object_object_add(error, "retry_after_ms", json_object_new_int64(retry_after_ms));
+	json_object_object_add(body, "error", error);
+	cw_http_out_json(out, cw_code_http(code),
+			 g_strdup(json_object_to_json_string_ext(body, JSON_C_TO_STRING_PLAIN)));
+	json_object_put(body);
+	if (retry_after_ms <= 0)
+		return;
+	g_snprintf(seconds, sizeof(seconds), "%" G_GINT64_FORMAT, (retry_after_ms + 999) / 1000);
+	cw_http_out_header(out, "Retry-After", seconds);
+}
+
+static void handle_chat(struct daemon *daemon, const struct cw_http_in *in, struct cw_http_out *out)
+{
+	struct job_in job = {0};
+
+	if (!read_key(in, job.request.key_sha256, out) || !read_headers(in, &job.request, out) ||
+	    !read_completion(in, &job, out))
+		return;
+	job.request.flags |= CW_REQUEST_IDEMPOTENT;
+	job.request.body = cw_hash(in->body, in->body_size, 9);
+	job_answer(job_create(daemon, &job), out);
+}
+
+static void handle_service(struct daemon *daemon, const struct cw_http_in *in,
+			   struct cw_http_out *out)
+{
+	const char *name = in->path + strlen(SERVICES_PREFIX);
+	size_t length = strcspn(name, "/?");
+	const char *content_type = cw_http_header(in, "Content-Type");
+	struct job_in job = {0};
+
+	if (length == 0 || length >= CW_NAME_MAX - strlen(CW_SERVICE_PREFIX)) {
+		bad_request(out, "the path names no service");
+		return;
+	}
+	if (!read_key(in, job.request.key_sha256, out) || !read_headers(in, &job.request, out))
+		return;
+	memcpy(job.request.target, name, length);
+	job.request.flags |= CW_REQUEST_SERVICE;
+	if (is_idempotent(in))
+		job.request.flags |= CW_REQUEST_IDEMPOTENT;
+	job.request.body = cw_hash(in->body, in->body_size, cw_hash_text(in->path, 9));
+	job.method = g_strdup(in->method);
+	job.path = g_strdup_printf("%s%s", name[length] == '/' ? "" : "/", name + length);
+	job.content_type = g_strdup(content_type ? content_type : "application/octet-stream");
+	job.body = g_malloc(in->body_size + 1);
+	memcpy(job.body, in->body, in->body_size);
+	job.body_size = in->body_size;
+	job_answer(job_create(daemon, &job), out);
+}
+
+static void handle_models(struct daemon *daemon, const struct cw_http_in *in,
+			  struct cw_http_out *out)
+{
+	char key_sha256[CW_SHA256_HEX];
+	int status;
+	char *answer;
+
+	if (!read_key(in, key_sha256, out))
+		return;
+	answer = job_query(daemon, CW_QUERY_MODELS, key_sha256, &status);
+	if (answer)
+		cw_http_out_json(out, status, answer);
+	else if (status == 401)
+		callers_refusal(out, CW_CODE_UNAUTHORISED, CW_RUN_NOT, 0,
+				"no organisation has this key");
+	else
+		callers_refusal(out, CW_CODE_OVERLOADED, CW_RUN_NOT, 1000,
+				"this instance is behind");
+}
+
+static int read_key(const struct cw_http_in *in, char key_sha256[CW_SHA256_HEX],
+		    struct cw_http_out *out)
+{
+	const char *value = cw_http_header(in, "Authorization");
+
+	if (!value || !g_str_has_prefix(value, BEARER) || strlen(value) > KEY_MAX) {
+		callers_refusal(out, CW_CODE_UNAUTHORISED, CW_RUN_NOT, 0,
+				"Authorization: Bearer KEY is missing");
+		return 0;
+	}
+	value += strlen(BEARER);
+	cw_sha256_hex(value, strlen(value), key_sha256);
+	return 1;
+}
+
+static int read_headers(const struct cw_http_in *in, struct cw_request_in *request,
+			struct cw_http_out *out)
+{
+	const char *token = cw_http_header(in, "X-Session-Token");
+
+	if (!read_header(in, "X-Request-Id", "-_.:", request->request_id,
+			 sizeof(request->request_id), out) ||
+	    !read_header(in, "Idempotency-Key", NULL, request->idempotency_key,
+			 sizeof(request->idempotency_key), out) ||
+	    !read_header(in, "X-Session-Id", NULL, request->session_id, sizeof(request->session_id),
+			 out) ||
+	    !read_header(in, "X-Task", "-_.", request->task, sizeof(request->task), out) ||
+	    !read_deadline(in, request, out) || !read_priority(in, request, out))
+		return 0;
+	/* A token that is not ours, or no more since a key was changed, counts as none. */
+	if (token && strlen(token) < sizeof(request->session_token))
+		g_strlcpy(request->session_token, token, sizeof(request->session_token));
+	if (!*request->request_id)
+		new_request_id(request->request_id, sizeof(request->request_id));
+	return 1;
+}
+
+/* extra: what is allowed beside letters and digits; NULL: all that prints. */
+static int read_header(const struct cw_http_in *in, const char *name, const char *extra, char *text,
+		       size_t size, struct cw_http_out *out)
+{
+	const char *value = cw_http_header(in, name);
+
+	if (!value || !*value)
+		return 1;
+	if (strlen(value) >= size) {
+		bad_request(out, "%s is longer than %zu bytes", name, size - 1);
+		return 0;
+	}
+	for (const char *at = value; *at; at++) {
+		if (extra ? g_ascii_isalnum(*at) || strchr(extra, *at)
+			  : g_ascii_isprint(*at) && *at != '"')
+			continue;
+		bad_request(out, "%s has a character that is not allowed", name);
+		return 0;
+	}
+	g_strlcpy(text, value, size);
+	return 1;
+}
+
+static int read_deadline(const struct cw_http_in *in, struct cw_request_in *request,
+			 struct cw_http_out *out)
+{
+	const char *value = cw_http_header(in, "X-Deadline-Ms");
+	char *end;
+	int64_t span_ms;
+
+	if (!value)
+		return 1;
+	span_ms = g_ascii_strtoll(value, &end, 10);
+	if (!*value || *end || span_ms < 1 || span_ms > DEADLINE_MAX_MS) {
+		bad_request(out, "X-Deadline-Ms must be 1 to %lld", DEADLINE_MAX_MS);
+		return 0;
+	}
+	request->deadline_ms = g_get_monotonic_time() / 1000 + span_ms;
+	return 1;
+}
+
+static int read_priority(const struct cw_http_in *in, struct cw_request_in *request,
+			 struct cw_http_out *out)
+{
+	const char *value = cw_http_header(in, "X-Priority");
+
+	if (!value || !strcmp(value, "interactive"))
+		return 1;
+	if (strcmp(value, "batch") != 0) {
+		bad_request(out, "X-Priority must be interactive or batch");
+		return 0;
+	}
+	request->flags |= CW_REQUEST_BATCH;
+	return 1;
+}
+
+static int read_completion(const struct cw_http_in *in, struct job_in *job, struct cw_http_out *out)
+{
+	struct json_tokener *tokener = json_tokener_new();
+	struct json_object *body = NULL;
+	const char *fault = "the body is empty";
+
+	if (in->body_size > 0) {
+		body = json_tokener_parse_ex(tokener, in->body, (int)in->body_size);
+		fault = json_tokener_get_error(tokener) == json_tokener_success
+				? check_completion(body, &job->request)
+				: "the body is not JSON";
+	}
+	json_tokener_free(tokener);
+	if (!fault) {
+		job->completion = body;
+		job->request.prompt_tokens = (unsigned int)(in->body_size / BYTES_A_TOKEN);
+		return 1;
+	}
+	json_object_put(body);
+	bad_request(out, "%s", fault);
+	return 0;
+}
+
+/* Returns what is wrong, NULL when nothing is. */
+static const char *check_completion(struct json_object *body, struct cw_request_in *request)
+{
+	struct json_object *value;
+	int64_t max_tokens;
+
+	if (!json_object_is_type(body, json_type_object))
+		return "the body must be a JSON object";
+	if (!json_object_object_get_ex(body, "model", &value) ||
+	    !json_object_is_type(value, json_type_string) || !*json_object_get_string(value) ||
+	    strlen(json_object_get_string(value)) >= CW_NAME_MAX)
+		return "model must name a model, or be auto";
+	g_strlcpy(request->target, json_object_get_string(value), CW_NAME_MAX);
+	if (json_object_object_get_ex(body, "stream", &value)) {
+		if (!json_object_is_type(value, json_type_boolean))
+			return "stream must be true or false";
+		if (json_object_get_boolean(value))
+			request->flags |= CW_REQUEST_STREAM;
+	}
+	if (json_object_object_get_ex(body, "max_tokens", &value)) {
+		max_tokens = json_object_get_int64(value);
+		if (!json_object_is_type(value, json_type_int) || max_tokens < 1 ||
+		    max_tokens > MAX_TOKENS_MAX)
+			return "max_tokens must be a whole number of 1 to 10000000";
+		request->max_tokens = (unsigned int)max_tokens;
+	}
+	if (!json_object_object_get_ex(body, "messages", &value) ||
+	    !json_object_is_type(value, json_type_array) || json_object_array_length(value) == 0)
+		return "messages must be a list with a message or more";
+	for (size_t i = 0; i < json_object_array_length(value); i++)
+		if (!json_object_is_type(json_object_array_get_idx(value, i), json_type_object))
+			return "each of messages must be an object";
+	request->prefix = prefix_of(value);
+	return NULL;
+}
+
+/* Requests whose prompts begin alike share an engine's cache. */
+static uint64_t prefix_of(struct json_object *messages)
+{
+	const char *first = json_object_to_json_string_ext(json_object_array_get_idx(messages, 0),
+							   JSON_C_TO_STRING_PLAIN);
+
+	return cw_hash(first, MIN(strlen(first), PREFIX_BYTES), 10) | 1;
+}
+
+static void new_request_id(char *id, size_t size)
+{
+	uint64_t random[2];
+
+	cw_random_bytes(random, sizeof(random));
+	g_snprintf(id, size, "%016" G_GINT64_MODIFIER "x%016" G_GINT64_MODIFIER "x", random[0],
+		   random[1]);
+}
+
+static int is_idempotent(const struct cw_http_in *in)
+{
+	const char *marked = cw_http_header(in, "X-Idempotent");
+
+	if (!strcmp(in->method, "GET") || !strcmp(in->method, "HEAD") ||
+	    !strcmp(in->method, "PUT") || !strcmp(in->method, "DELETE"))
+		return 1;
+	return marked && !strcmp(marked, "true");
+}
+
+static void bad_request(struct cw_http_out *out, const char *format, ...)
+{
+	char message[CW_MESSAGE_MAX];
+	va_list args;
+
+	va_start(args, format);
+	g_vsnprintf(message, sizeof(message), format, args);
+	va_end(args);
+	callers_refusal(out, CW_CODE_BAD_REQUEST, CW_RUN_NOT, 0, message);
+}
--- /dev/null
+++ b/apps/corianderwalk/core.c
@@ -0,0 +1,195 @@
+#include "daemon.h"
+#include "job.h"
+#include "cw_counters.h"
+#include "cw_timeline.h"
+
+#include <string.h>
+
+#define TICK_MS 10
+
+static void *core_run(void *data);
+static void step(struct daemon *daemon, struct cw_event *event);
+static void carry_out(struct daemon *daemon, struct cw_effect *effect);
+static void to_job(struct daemon *daemon, struct cw_effect *effect, int final);
+static void forget_job(struct daemon *daemon, uint64_t handle);
+static void count_effect(const struct cw_effect *effect);
+
+void core_start(struct daemon *daemon, const struct cw_node_config *config)
+{
+	daemon->core_ring = cw_ring_create(CW_RING_CORE);
+	daemon->jobs = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	daemon->node = cw_node_create(config);
+	daemon->duties = duties_start(daemon);
+	pthread_create(&daemon->core_thread, NULL, core_run, daemon);
+}
+
+void core_stop(struct daemon *daemon)
+{
+	struct message *message;
+
+	__atomic_store_n(&daemon->core_stopping, 1, __ATOMIC_RELEASE);
+	pthread_join(daemon->core_thread, NULL);
+	/* Duties may still be posting: a closed ring turns them away. */
+	cw_ring_close(daemon->core_ring);
+	duties_stop(daemon->duties);
+	while ((message = cw_ring_pop(daemon->core_ring, 0)))
+		message_destroy(message);
+	cw_node_destroy(daemon->node);
+	g_hash_table_destroy(daemon->jobs);
+	cw_ring_destroy(daemon->core_ring);
+}
+
+struct message *message_create(enum cw_event_kind kind)
+{
+	struct message *message = g_new0(struct message, 1);
+
+	message->event.kind = kind;
+	return message;
+}
+
+void message_destroy(struct message *message)
+{
+	cw_platform_read_clear(&message->read);
+	g_free(message->record_list);
+	g_free(message->listed);
+	g_strfreev(message->versions);
+	g_free(message->text);
+	g_free(message);
+}
+
+void core_post(struct daemon *daemon, struct message *message)
+{
+	if (cw_ring_push(daemon->core_ring, message, -1) != CW_OK)
+		message_destroy(message);
+}
+
+enum cw_status core_try_post(struct daemon *daemon, struct message *message)
+{
+	return cw_ring_push(daemon->core_ring, message, 0);
+}
+
+uint64_t core_handle(struct daemon *daemon)
+{
+	return __atomic_add_fetch(&daemon->next_handle, 1, __ATOMIC_RELAXED);
+}
+
+static void *core_run(void *data)
+{
+	struct daemon *daemon = data;
+	int64_t tick_due_us = 0;
+
+	while (!__atomic_load_n(&daemon->core_stopping, __ATOMIC_ACQUIRE)) {
+		struct message *message = cw_ring_pop(daemon->core_ring, TICK_MS);
+
+		if (message) {
+			if (message->job) {
+				uint64_t *handle = g_new(uint64_t, 1);
+
+				*handle = job_handle(message->job);
+				g_hash_table_insert(daemon->jobs, handle, message->job);
+			}
+			step(daemon, &message->event);
+			message_destroy(message);
+		}
+		if (g_get_monotonic_time() >= tick_due_us) {
+			struct cw_event tick = {.kind = CW_EVENT_TICK};
+
+			step(daemon, &tick);
+			tick_due_us = g_get_monotonic_time() + TICK_MS * 1000;
+		}
+	}
+	return NULL;
+}
+
+static void step(struct daemon *daemon, struct cw_event *event)
+{
+	struct cw_effects effects;
+	struct cw_effect *effect;
+
+	event->now_ms = g_get_monotonic_time() / 1000;
+	event->wall_ms = g_get_real_time() / 1000;
+	cw_effects_open(&effects);
+	cw_node_step(daemon->node, event, &effects);
+	__atomic_store_n(&daemon->ready, cw_node_is_ready(daemon->node), __ATOMIC_RELEASE);
+	while ((effect = cw_effects_pop(&effects)))
+		carry_out(daemon, effect);
+}
+
+static void carry_out(struct daemon *daemon, struct cw_effect *effect)
+{
+	count_effect(effect);
+	switch (effect->kind) {
+	case CW_EFFECT_DISPATCH:
+		to_job(daemon, effect, 0);
+		break;
+	case CW_EFFECT_REFUSE:
+	case CW_EFFECT_RELEASE:
+	case CW_EFFECT_REPLAY:
+	case CW_EFFECT_REPLY:
+		to_job(daemon, effect, 1);
+		break;
+	case CW_EFFECT_EVENT:
+		cw_event(effect->event.module, effect->event.event, "%s", effect->event.detail);
+		cw_effect_destroy(effect);
+		break;
+	case CW_EFFECT_STOPPED:
+		__atomic_store_n(&daemon->stopped, 1, __ATOMIC_RELEASE);
+		cw_effect_destroy(effect);
+		break;
+	default:
+		duties_take(daemon->duties, effect);
+		break;
+	}
+}
+
+/* A job's mailbox has room for all that one request can be told before it answers. */
+static void to_job(struct daemon *daemon, struct cw_effect *effect, int final)
+{
+	struct job *job = g_hash_table_lookup(daemon->jobs, &effect->handle);
+
+	if (!job) {
+		cw_effect_destroy(effect);
+		return;
+	}
+	if (final)
+		forget_job(daemon, effect->handle);
+	job_tell(job, effect);
+}
+
+static void forget_job(struct daemon *daemon, uint64_t handle)
+{
+	g_hash_table_remove(daemon->jobs, &handle);
+}
+
+static void count_effect(const struct cw_effect *effect)
+{
+	char label[64];
+
+	switch (effect->kind) {
+	case CW_EFFECT_DISPATCH:
+		cw_count("dispatches_total", "", 1);
+		break;
+	case CW_EFFECT_RELEASE:
+		cw_count("answers_total", "", 1);
+		break;
+	case CW_EFFECT_REPLAY:
+		cw_count("replays_total", "", 1);
+		break;
+	case CW_EFFECT_REFUSE:
+		g_snprintf(label, sizeof(label), "code=\"%s\",run=\"%s\"",
+			   cw_code_name(effect->refuse.code), cw_run_name(effect->refuse.run));
+		cw_count("refusals_total", label, 1);
+		break;
+	case CW_EFFECT_SEND:
+		cw_count("peer_messages_total", "", 1);
+		cw_count("peer_bytes_total", "", effect->send.bytes.size);
+		break;
+	case CW_EFFECT_APPEND:
+		g_snprintf(label, sizeof(label), "stream=\"%s\"",
+			   cw_stream_name(effect->append.stream));
+		cw_count("appends_total", label, 1);
+		break;
+	default:
+		break;
+	}
+}
--- /dev/null
+++ b/apps/corianderwalk/main.c
@@ -0,0 +1,244 @@
+/* corianderwalk: the entry instance. */
+#include "daemon.h"
+#include "cw_http_client.h"
+#include "cw_timeline.h"
+
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <unistd.h>
+
+#define EXIT_USAGE    2
+#define EXIT_LISTEN   3
+#define OPERATOR_BODY 4096
+#define POLL_US	      20000
+#define DRAIN_MS      2000 /* after the last answer, for connections to close */
+#define GUARD_MS      250  /* between the last request and the end, for one that is just arriving */
+
+static volatile sig_atomic_t stop_asked;
+
+static void on_signal(int number);
+static int check_settings(const char *file, int only_check, struct cw_settings **settings);
+static void fill_config(const struct cw_settings *settings, struct cw_node_config *config,
+			struct cw_node_peer *peers, struct cw_node_server *servers);
+static int start_listeners(struct daemon *daemon);
+static void wait_for_stop(struct daemon *daemon);
+static void drain(struct daemon *daemon);
+static void on_peer(void *context, const void *data, size_t size);
+static int run(const struct cw_settings *settings);
+
+int main(int argc, char **argv)
+{
+	struct arg_file *file =
+		arg_file0(NULL, "settings", "FILE", "the settings of this instance");
+	struct arg_lit *check = arg_lit0(NULL, "check", "check the settings and exit");
+	struct arg_lit *version = arg_lit0(NULL, "version", "print the version and exit");
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this help and exit");
+	struct arg_end *end = arg_end(20);
+	void *table[] = {file, check, version, help, end};
+	struct cw_settings *settings = NULL;
+	int errors = arg_parse(argc, argv, table);
+	int code = 0;
+
+	if (help->count) {
+		printf("corianderwalk: a model-aware router for versions and cascades\nusage: "
+		       "corianderwalk");
+		arg_print_syntax(stdout, table, "\n");
+		arg_print_glossary(stdout, table, "  %-20s %s\n");
+	} else if (version->count) {
+		printf("corianderwalk %s\n", CW_VERSION);
+	} else if (errors || !file->count) {
+		arg_print_errors(stderr, end, "corianderwalk");
+		fprintf(stderr, "corianderwalk: --settings FILE is needed; --help tells more\n");
+		code = EXIT_USAGE;
+	} else {
+		code = check_settings(file->filename[0], check->count, &settings);
+		if (settings && !check->count)
+			code = run(settings);
+		cw_settings_destroy(settings);
+	}
+	arg_freetable(table, sizeof(table) / sizeof(table[0]));
+	return code;
+}
+
+static int check_settings(const char *file, int only_check, struct cw_settings **settings)
+{
+	char *faults;
+
+	*settings = cw_settings_load(file, &faults);
+	if (!*settings) {
+		fprintf(stderr, "%s", faults);
+		g_free(faults);
+		return EXIT_USAGE;
+	}
+	if (only_check)
+		printf("%s: ok\n", file);
+	return 0;
+}
+
+static int run(const struct cw_settings *settings)
+{
+	struct daemon daemon = {.settings = settings};
+	struct cw_node_config config = {0};
+	struct cw_node_peer *peers = g_new0(struct cw_node_peer, settings->peer_count + 1);
+	struct cw_node_server *servers = g_new0(struct cw_node_server, settings->server_count + 1);
+	int code = 0;
+
+	signal(SIGPIPE, SIG_IGN);
+	signal(SIGTERM, on_signal);
+	signal(SIGINT, on_signal);
+	cw_timeline_open(settings->instance, settings->log_level);
+	cw_http_open();
+	fill_config(settings, &config, peers, servers);
+	core_start(&daemon, &config);
+	if (start_listeners(&daemon) == 0) {
+		cw_event("node", "started", "failure_domain=%s version=%s",
+			 settings->failure_domain, CW_VERSION);
+		wait_for_stop(&daemon);
+		drain(&daemon);
+	} else {
+		code = EXIT_LISTEN;
+	}
+	cw_http_interrupt();
+	cw_http_server_destroy(daemon.callers);
+	cw_http_server_destroy(daemon.operators);
+	cw_peer_server_destroy(daemon.peers);
+	core_stop(&daemon);
+	cw_event("node", "exit", "code=%d", code);
+	cw_http_close();
+	cw_timeline_close();
+	g_free(peers);
+	g_free(servers);
+	return code;
+}
+
+static void on_signal(int number)
+{
+	stop_asked = 1;
+}
+
+static void fill_config(const struct cw_settings *settings, struct cw_node_config *config,
+			struct cw_node_peer *peers, struct cw_node_server *servers)
+{
+	cw_node_defaults(config);
+	config->instance = settings->instance;
+	config->failure_domain = settings->failure_domain;
+	config->peer_address = settings->peer_address;
+	memcpy(config->peer_key, settings->peer_key, CW_KEY_BYTES);
+	cw_random_bytes(&config->boot, sizeof(config->boot));
+	config->seed = (uint64_t)settings->seed;
+	if (!config->seed)
+		cw_random_bytes(&config->seed, sizeof(config->seed));
+	for (size_t i = 0; i < settings->peer_count; i++) {
+		peers[i].instance = settings->peers[i].instance;
+		peers[i].failure_domain = settings->peers[i].failure_domain;
+		peers[i].address = settings->peers[i].address;
+	}
+	for (size_t i = 0; i < settings->server_count; i++) {
+		servers[i].name = settings->backend_servers[i].name;
+		servers[i].service = settings->backend_servers[i].service;
+		servers[i].address = settings->backend_servers[i].address;
+		servers[i].failure_domain = settings->backend_servers[i].failure_domain;
+		servers[i].checks_fencing = settings->backend_servers[i].checks_fencing;
+	}
+	config->peers = peers;
+	config->peer_count = settings->peer_count;
+	config->servers = servers;
+	config->server_count = settings->server_count;
+	config->choice = cw_choice_policy_find(settings->choice_policy);
+	config->health = cw_health_policy_find(settings->health_policy);
+	config->cascade = cw_cascade_policy_find(settings->cascade_policy);
+	config->heartbeat_ms = settings->heartbeat_ms;
+	config->silent_ms = settings->silent_ms;
+	config->claim_timeout_ms = settings->claim_timeout_ms;
+	config->claim_window_ms = settings->claim_window_ms;
+	config->bill_flush_ms = settings->bill_flush_ms;
+	config->bill_hold_ms = settings->bill_hold_ms;
+	config->session_idle_ms = settings->session_idle_ms;
+	config->session_ask_ms = settings->session_ask_ms;
+	config->request_timeout_ms = settings->request_timeout_ms;
+	config->first_wait_ms = settings->first_wait_ms;
+	config->stop_grace_ms = settings->stop_grace_ms;
+	config->log_retention_ms = settings->log_retention_ms;
+	config->lease_ms = settings->lease_ms;
+	config->load_poll_ms = settings->load_poll_ms;
+}
+
+static int start_listeners(struct daemon *daemon)
+{
+	const struct cw_settings *settings = daemon->settings;
+	struct cw_http_server_options callers = {
+		.address = settings->listen,
+		.max_body = (size_t)settings->max_body_bytes,
+		.max_connections = (unsigned int)settings->max_connections,
+		.idle_s = (unsigned int)settings->idle_s,
+		.tls_cert = *settings->tls_cert ? settings->tls_cert : NULL,
+		.tls_key = *settings->tls_cert ? settings->tls_key : NULL,
+		.handle = callers_handle,
+		.context = daemon,
+	};
+	struct cw_http_server_options operators = {
+		.address = settings->operator_listen,
+		.max_body = OPERATOR_BODY,
+		.max_connections = (unsigned int)settings->max_connections,
+		.idle_s = (unsigned int)settings->idle_s,
+		.handle = operators_handle,
+		.context = daemon,
+	};
+	struct cw_error error = {0};
+
+	daemon->peers = cw_peer_serve(settings->peer_listen, on_peer, daemon, &error);
+	if (daemon->peers)
+		daemon->operators = cw_http_server_create(&operators, &error);
+	if (daemon->operators)
+		daemon->callers = cw_http_server_create(&callers, &error);
+	if (daemon->callers)
+		return 0;
+	fprintf(stderr, "corianderwalk: %s: %s: %s\n", error.step, error.peer, error.message);
+	return -1;
+}
+
+static void wait_for_stop(struct daemon *daemon)
+{
+	while (!stop_asked)
+		usleep(POLL_US);
+	core_post(daemon, message_create(CW_EVENT_STOP));
+}
+
+/*
+ * A planned stop cuts nothing off: the node says when its last request and bill are done. A request
+ * that arrives on a kept connection at that very moment is still answered ("leaving"), so the
+ * listener closes first and the connections get a moment to end.
+ */
+static void drain(struct daemon *daemon)
+{
+	int64_t limit_us = g_get_monotonic_time() + daemon->settings->stop_limit_ms * 1000;
+	int64_t quiet_us;
+
+	while (!__atomic_load_n(&daemon->stopped, __ATOMIC_ACQUIRE) &&
+	       g_get_monotonic_time() < limit_us)
+		usleep(POLL_US);
+	cw_http_server_quiet(daemon->callers);
+	quiet_us = g_get_monotonic_time() + DRAIN_MS * 1000;
+	while (cw_http_server_connections(daemon->callers) > 0 && g_get_monotonic_time() < quiet_us)
+		usleep(POLL_US);
+	usleep(GUARD_MS * 1000);
+	while (__atomic_load_n(&daemon->jobs_running, __ATOMIC_RELAXED) > 0 &&
+	       g_get_monotonic_time() < limit_us)
+		usleep(POLL_US);
+}
+
+static void on_peer(void *context, const void *data, size_t size)
+{
+	struct daemon *daemon = context;
+	struct message *message = message_create(CW_EVENT_PEER);
+
+	message->text = g_malloc(size);
+	memcpy(message->text, data, size);
+	message->event.peer.data = message->text;
+	message->event.peer.size = size;
+	/* A core that is behind drops messages rather than hold every peer up: they come again. */
+	if (core_try_post(daemon, message) != CW_OK)
+		message_destroy(message);
+}
--- /dev/null
+++ b/apps/corianderwalk/operators.c
@@ -0,0 +1,62 @@
+/* What operators and the balancer ask: health, counters, events, status. */
+#include "daemon.h"
+#include "job.h"
+#include "cw_counters.h"
+#include "cw_timeline.h"
+
+#include <string.h>
+
+static void gauges(struct daemon *daemon);
+
+void operators_handle(void *context, const struct cw_http_in *in, struct cw_http_out *out)
+{
+	struct daemon *daemon = context;
+	const char *after;
+	int status;
+
+	if (operators_health(daemon, in->path, out))
+		return;
+	if (!strcmp(in->path, "/counters")) {
+		gauges(daemon);
+		out->status = 200;
+		out->body = cw_counters_text();
+		out->body_size = strlen(out->body);
+		g_strlcpy(out->content_type, "text/plain; version=0.0.4",
+			  sizeof(out->content_type));
+	} else if (g_str_has_prefix(in->path, "/events")) {
+		after = strstr(in->path, "after=");
+		out->status = 200;
+		out->body = cw_timeline_after(
+			after ? g_ascii_strtoull(after + strlen("after="), NULL, 10) : 0);
+		out->body_size = strlen(out->body);
+		g_strlcpy(out->content_type, "application/x-ndjson", sizeof(out->content_type));
+	} else if (!strcmp(in->path, "/status")) {
+		out->body = job_query(daemon, CW_QUERY_STATUS, NULL, &status);
+		cw_http_out_json(out, status, out->body);
+	} else {
+		callers_refusal(out, CW_CODE_BAD_REQUEST, CW_RUN_NOT, 0, "no such path");
+		out->status = 404;
+	}
+}
+
+int operators_health(struct daemon *daemon, const char *path, struct cw_http_out *out)
+{
+	int ready = __atomic_load_n(&daemon->ready, __ATOMIC_ACQUIRE);
+
+	if (!strcmp(path, "/live"))
+		cw_http_out_json(out, 200, g_strdup("{\"live\":true}"));
+	else if (!strcmp(path, "/ready"))
+		cw_http_out_json(out, ready ? 200 : 503,
+				 g_strdup(ready ? "{\"ready\":true}" : "{\"ready\":false}"));
+	else
+		return 0;
+	return 1;
+}
+
+static void gauges(struct daemon *daemon)
+{
+	cw_gauge("requests_running", "",
+		 (uint64_t)__atomic_load_n(&daemon->jobs_running, __ATOMIC_RELAXED));
+	cw_gauge("core_ring_length", "", cw_ring_length(daemon->core_ring));
+	cw_gauge("ready", "", (uint64_t)__atomic_load_n(&daemon->ready, __ATOMIC_ACQUIRE));
+}
--- /dev/null
+++ b/apps/cwctl/reports.c
@@ -0,0 +1,249 @@
+/* cwctl timeline, counters, bills, status. */
+#include "cwctl.h"
+#include "cw_http_client.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#define CALL_MS	   3000
+#define ANSWER_MAX (64 * 1024 * 1024)
+
+struct bills {
+	GHashTable *seen; /* organisation/bill */
+	const struct options *options;
+	struct grid *grid;
+	double cost;
+	int64_t count;
+	int64_t repeats;
+};
+
+static char *ask(const char *address, const char *path);
+static gint by_time(gconstpointer a, gconstpointer b);
+static void add_lines(GPtrArray *lines, const char *answer, const char *request);
+static void show_bill(void *context, uint64_t offset, const char *data);
+static void show_one_bill(struct bills *bills, struct json_object *bill);
+static const char *text_of(struct json_object *object, const char *key);
+
+enum exit_code show_timeline(const struct options *options)
+{
+	GPtrArray *lines = g_ptr_array_new_with_free_func(g_free);
+	int reached = 0;
+
+	for (size_t i = 0; options->operators[i]; i++) {
+		char *answer = ask(options->operators[i], "/events?after=0");
+
+		if (!answer)
+			continue;
+		reached++;
+		add_lines(lines, answer, options->request);
+		g_free(answer);
+	}
+	g_ptr_array_sort(lines, by_time);
+	for (guint i = 0; i < lines->len; i++) {
+		if (options->json) {
+			struct json_object *line = json_object_new_object();
+
+			json_object_object_add(line, "line",
+					       json_object_new_string(g_ptr_array_index(lines, i)));
+			print_json(line);
+		} else {
+			printf("%s\n", (char *)g_ptr_array_index(lines, i));
+		}
+	}
+	g_ptr_array_unref(lines);
+	return reached ? EXIT_DONE : EXIT_UNREACHABLE;
+}
+
+enum exit_code show_counters(const struct options *options)
+{
+	int reached = 0;
+
+	for (size_t i = 0; options->operators[i]; i++) {
+		char *answer = ask(options->operators[i], "/counters");
+		char **lines = g_strsplit(answer ? answer : "", "\n", -1);
+
+		reached += answer != NULL;
+		for (size_t j = 0; lines[j] && *lines[j]; j++) {
+			if (options->json) {
+				struct json_object *line = json_object_new_object();
+				char *value = strrchr(lines[j], ' ');
+
+				*value++ = '\0';
+				json_object_object_add(
+					line, "operators",
+					json_object_new_string(options->operators[i]));
+				json_object_object_add(line, "name",
+						       json_object_new_string(lines[j]));
+				json_object_object_add(
+					line, "value",
+					json_object_new_int64(g_ascii_strtoll(value, NULL, 10)));
+				print_json(line);
+			} else {
+				printf("%s %s\n", options->operators[i], lines[j]);
+			}
+		}
+		g_strfreev(lines);
+		g_free(answer);
+	}
+	return reached ? EXIT_DONE : EXIT_UNREACHABLE;
+}
+
+/* Folded by id: a record that was appended twice is one bill. */
+enum exit_code show_bills(const struct options *options)
+{
+	static const char *const titles[] = {"organisation", "bill",	   "model", "version",
+					     "prompt",	     "completion", "cost"};
+	struct bills bills = {.options = options};
+	struct log_visit visit = {show_bill, &bills};
+	struct cw_error error = {0};
+	enum cw_status status;
+
+	bills.seen = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	bills.grid = options->json ? NULL : grid_create(titles, G_N_ELEMENTS(titles));
+	status = log_walk(options->platform, "bills", 1, &visit, &error);
+	if (bills.grid) {
+		grid_print(bills.grid);
+		printf("%" G_GINT64_FORMAT " bills, cost %.6f, %" G_GINT64_FORMAT
+		       " repeats folded\n",
+		       bills.count, bills.cost, bills.repeats);
+	}
+	g_hash_table_destroy(bills.seen);
+	return status == CW_OK ? EXIT_DONE : fail(&error);
+}
+
+enum exit_code show_status(const struct options *options)
+{
+	static const char *const titles[] = {"instance", "failure domain", "ready",
+					     "table",	 "running",	   "bills held",
+					     "sessions", "platform",	   "peers live"};
+	struct grid *grid = options->json ? NULL : grid_create(titles, G_N_ELEMENTS(titles));
+	int reached = 0;
+
+	for (size_t i = 0; options->operators[i]; i++) {
+		char *answer = ask(options->operators[i], "/status");
+		struct json_object *status = answer ? json_tokener_parse(answer) : NULL;
+		struct json_object *peers;
+		char live[32];
+		size_t count = 0;
+
+		g_free(answer);
+		if (!status) {
+			fprintf(stderr, "cwctl: %s cannot be reached\n", options->operators[i]);
+			continue;
+		}
+		reached++;
+		if (options->json) {
+			print_json(status);
+			continue;
+		}
+		json_object_object_get_ex(status, "peers", &peers);
+		for (size_t j = 0; j < json_object_array_length(peers); j++)
+			count += !strcmp(text_of(json_object_array_get_idx(peers, j), "state"),
+					 "live");
+		g_snprintf(live, sizeof(live), "%zu of %zu", count,
+			   json_object_array_length(peers));
+		grid_row(grid,
+			 (const char *const[]){
+				 text_of(status, "instance"), text_of(status, "failure_domain"),
+				 text_of(status, "ready"), text_of(status, "table_offset"),
+				 text_of(status, "running"), text_of(status, "bills_held"),
+				 text_of(status, "sessions"), text_of(status, "platform"), live});
+		json_object_put(status);
+	}
+	if (grid)
+		grid_print(grid);
+	return reached ? EXIT_DONE : EXIT_UNREACHABLE;
+}
+
+static char *ask(const char *address, const char *path)
+{
+	struct cw_http_call call = {
+		.method = "GET",
+		.address = address,
+		.path = path,
+		.connect_ms = CALL_MS,
+		.total_ms = CALL_MS,
+		.max_size = ANSWER_MAX,
+	};
+	struct cw_http_answer answer;
+	char *body = NULL;
+
+	if (cw_http_perform(&call, &answer, NULL) == CW_OK && answer.status == 200)
+		body = g_steal_pointer(&answer.body);
+	cw_http_answer_clear(&answer);
+	return body;
+}
+
+/* Lines begin "time=SECONDS.MICROSECONDS": of one length, so their text sorts by time. */
+static gint by_time(gconstpointer a, gconstpointer b)
+{
+	return strcmp(*(const char *const *)a, *(const char *const *)b);
+}
+
+static void add_lines(GPtrArray *lines, const char *answer, const char *request)
+{
+	char **parts = g_strsplit(answer, "\n", -1);
+	char *wanted = request ? g_strdup_printf("request=%s ", request) : NULL;
+
+	for (size_t i = 0; parts[i]; i++) {
+		struct json_object *parsed = *parts[i] ? json_tokener_parse(parts[i]) : NULL;
+		char *line = parsed ? g_strconcat(text_of(parsed, "line"), " ", NULL) : NULL;
+
+		if (line && (!wanted || strstr(line, wanted)))
+			g_ptr_array_add(lines, g_strdup(g_strchomp(line)));
+		g_free(line);
+		json_object_put(parsed);
+	}
+	g_free(wanted);
+	g_strfreev(parts);
+}
+
+static void show_bill(void *context, uint64_t offset, const char *data)
+{
+	struct json_object *parsed = json_tokener_parse(data);
+	struct json_object *list;
+
+	if (json_object_object_get_ex(parsed, "bills", &list) &&
+	    json_object_is_type(list, json_type_array))
+		for (size_t i = 0; i < json_object_array_length(list); i++)
+			show_one_bill(context, json_object_array_get_idx(list, i));
+	json_object_put(parsed);
+}
+
+static void show_one_bill(struct bills *bills, struct json_object *bill)
+{
+	const char *organisation = text_of(bill, "organisation");
+	char *id = g_strdup_printf("%s/%s", organisation, text_of(bill, "bill"));
+	char cost[32];
+
+	if (bills->options->organisation &&
+	    strcmp(organisation, bills->options->organisation) != 0) {
+		g_free(id);
+		return;
+	}
+	if (!g_hash_table_add(bills->seen, id)) {
+		bills->repeats++;
+		return;
+	}
+	bills->count++;
+	bills->cost += g_ascii_strtod(text_of(bill, "cost"), NULL);
+	g_snprintf(cost, sizeof(cost), "%.6f", g_ascii_strtod(text_of(bill, "cost"), NULL));
+	if (bills->grid)
+		grid_row(bills->grid,
+			 (const char *const[]){organisation, text_of(bill, "bill"),
+					       text_of(bill, "model"), text_of(bill, "version"),
+					       text_of(bill, "prompt_tokens"),
+					       text_of(bill, "completion_tokens"), cost});
+	else
+		print_json(json_object_get(bill));
+}
+
+static const char *text_of(struct json_object *object, const char *key)
+{
+	struct json_object *value;
+
+	return json_object_object_get_ex(object, key, &value) && value
+		       ? json_object_get_string(value)
+		       : "";
+}
--- /dev/null
+++ b/packages/base/src/ring.c
@@ -0,0 +1,146 @@
+#include "cw_ring.h"
+
+#include <glib.h>
+#include <pthread.h>
+#include <time.h>
+
+struct cw_ring {
+	pthread_mutex_t mutex;
+	pthread_cond_t not_empty;
+	pthread_cond_t not_full;
+	size_t capacity;
+	size_t head;
+	size_t length;
+	int closed;
+	void *items[];
+};
+
+static int ring_wait(pthread_cond_t *cond, pthread_mutex_t *mutex, const struct timespec *until);
+static void ring_deadline(struct timespec *until, int wait_ms);
+
+struct cw_ring *cw_ring_create(size_t capacity)
+{
+	struct cw_ring *ring = g_malloc0(sizeof(*ring) + capacity * sizeof(void *));
+	pthread_condattr_t attr;
+
+	pthread_condattr_init(&attr);
+	pthread_condattr_setclock(&attr, CLOCK_MONOTONIC);
+	pthread_mutex_init(&ring->mutex, NULL);
+	pthread_cond_init(&ring->not_empty, &attr);
+	pthread_cond_init(&ring->not_full, &attr);
+	pthread_condattr_destroy(&attr);
+	ring->capacity = capacity;
+	return ring;
+}
+
+void cw_ring_destroy(struct cw_ring *ring)
+{
+	if (!ring)
+		return;
+	pthread_cond_destroy(&ring->not_empty);
+	pthread_cond_destroy(&ring->not_full);
+	pthread_mutex_destroy(&ring->mutex);
+	g_free(ring);
+}
+
+enum cw_status cw_ring_push(struct cw_ring *ring, void *item, int wait_ms)
+{
+	enum cw_status status = CW_OK;
+	struct timespec until;
+
+	ring_deadline(&until, wait_ms);
+	pthread_mutex_lock(&ring->mutex);
+	while (!ring->closed && ring->length == ring->capacity)
+		if (wait_ms == 0 ||
+		    ring_wait(&ring->not_full, &ring->mutex, wait_ms < 0 ? NULL : &until))
+			break;
+	if (ring->closed) {
+		status = CW_CLOSED;
+	} else if (ring->length == ring->capacity) {
+		status = CW_FULL;
+	} else {
+		ring->items[(ring->head + ring->length) % ring->capacity] = item;
+		ring->length++;
+		pthread_cond_signal(&ring->not_empty);
+	}
+	pthread_mutex_unlock(&ring->mutex);
+	return status;
+}
+
+void *cw_ring_pop(struct cw_ring *ring, int wait_ms)
+{
+	struct timespec until;
+	void *item = NULL;
+
+	ring_deadline(&until, wait_ms);
+	pthread_mutex_lock(&ring->mutex);
+	while (!ring->closed && ring->length == 0)
+		if (wait_ms == 0 ||
+		    ring_wait(&ring->not_empty, &ring->mutex, wait_ms < 0 ? NULL : &until))
+			break;
+	if (ring->length > 0) {
+		item = ring->items[ring->head];
+		ring->head = (ring->head + 1) % ring->capacity;
+		ring->length--;
+		pthread_cond_signal(&ring->not_full);
+	}
+	pthread_mutex_unlock(&ring->mutex);
+	return item;
+}
+
+void cw_ring_close(struct cw_ring *ring)
+{
+	pthread_mutex_lock(&ring->mutex);
+	ring->closed = 1;
+	pthread_cond_broadcast(&ring->not_empty);
+	pthread_cond_broadcast(&ring->not_full);
+	pthread_mutex_unlock(&ring->mutex);
+}
+
+int cw_ring_is_closed(struct cw_ring *ring)
+{
+	int closed;
+
+	pthread_mutex_lock(&ring->mutex);
+	closed = ring->closed && ring->length == 0;
+	pthread_mutex_unlock(&ring->mutex);
+	return closed;
+}
+
+int cw_ring_is_shut(struct cw_ring *ring)
+{
+	int closed;
+
+	pthread_mutex_lock(&ring->mutex);
+	closed = ring->closed;
+	pthread_mutex_unlock(&ring->mutex);
+	return closed;
+}
+
+size_t cw_ring_length(struct cw_ring *ring)
+{
+	size_t length;
+
+	pthread_mutex_lock(&ring->mutex);
+	length = ring->length;
+	pthread_mutex_unlock(&ring->mutex);
+	return length;
+}
+
+static int ring_wait(pthread_cond_t *cond, pthread_mutex_t *mutex, const struct timespec *until)
+{
+	return until ? pthread_cond_timedwait(cond, mutex, until) : pthread_cond_wait(cond, mutex);
+}
+
+static void ring_deadline(struct timespec *until, int wait_ms)
+{
+	clock_gettime(CLOCK_MONOTONIC, until);
+	if (wait_ms <= 0)
+		return;
+	until->tv_sec += wait_ms / 1000;
+	until->tv_nsec += (wait_ms % 1000) * 1000000L;
+	if (until->tv_nsec >= 1000000000L) {
+		until->tv_sec++;
+		until->tv_nsec -= 1000000000L;
+	}
+}
--- /dev/null
+++ b/packages/health/include/cw_health.h
@@ -0,0 +1,67 @@
+/*
+ * Is a version bad? Evidence is counted per version and instance, pooled over instances by gossip,
+ * and tested sequentially: a CUSUM on failures, one on ratings, one on slowness, each against the
+ * version's own past, else against its siblings, else against a cautious prior. A trip takes the
+ * version out of new choices; after a hold it comes back by probes and in steps.
+ */
+#ifndef CW_HEALTH_H
+#define CW_HEALTH_H
+
+#include "cw_status.h"
+
+#include <stddef.h>
+#include <stdint.h>
+
+struct cw_evidence {
+	uint64_t version; /* cw_pool_version of (model, version) */
+	uint32_t good;	  /* answers that were whole */
+	uint32_t bad;	  /* errors and broken answers */
+	uint32_t slow;	  /* first token later than the siblings' usual */
+	uint32_t rated;
+	double rating_sum;
+	double rating_squares;
+};
+
+enum cw_health_state {
+	CW_HEALTH_GOOD,
+	CW_HEALTH_TRIPPED,
+	CW_HEALTH_PROBING,
+};
+
+/* Which evidence is weighed, and how it is tested. */
+struct cw_health_policy {
+	const char *name;
+	int pooled;
+	int (*is_bad)(const void *version); /* internal: struct health_version */
+};
+
+extern const struct cw_health_policy cw_health_pooled_cusum;
+extern const struct cw_health_policy
+	cw_health_own_threshold; /* baseline: per instance, 5 of the last 10 bad */
+const struct cw_health_policy *cw_health_policy_find(const char *name); /* NULL: unknown */
+
+struct cw_health;
+
+struct cw_health *cw_health_create(const struct cw_health_policy *policy);
+void cw_health_destroy(struct cw_health *health);
+void cw_health_sibling(struct cw_health *health, uint64_t version,
+		       uint64_t model); /* versions of one model are siblings */
+int cw_health_answered(struct cw_health *health, uint64_t version, int good, double first_ms,
+		       int64_t now_ms); /* 1: this tripped the version */
+int cw_health_rated(struct cw_health *health, uint64_t version, double score,
+		    int64_t now_ms); /* 1: tripped */
+int cw_health_pool(struct cw_health *health, uint64_t instance, uint64_t boot,
+		   const struct cw_evidence *evidence,
+		   int64_t now_ms); /* totals of another instance; 1: tripped */
+int cw_health_trip(struct cw_health *health, uint64_t version,
+		   int64_t now_ms); /* told by a peer or a notice; 1: news */
+void cw_health_clear(struct cw_health *health, uint64_t version); /* an operator's edit overrides */
+enum cw_health_state cw_health_state(struct cw_health *health, uint64_t version, int64_t now_ms);
+double cw_health_factor(struct cw_health *health, uint64_t version,
+			int64_t now_ms); /* of its weight, 0 to 1 */
+int cw_health_disturbed(struct cw_health *health, uint64_t model,
+			int64_t now_ms); /* some version of the model is not good */
+size_t cw_health_own(struct cw_health *health, struct cw_evidence *evidence, uint32_t *tripped,
+		     size_t max); /* own totals, for gossip */
+
+#endif
--- /dev/null
+++ b/packages/http/src/client.c
@@ -0,0 +1,283 @@
+#include "cw_http_client.h"
+#include "cw_counters.h"
+
+#include <curl/curl.h>
+#include <glib.h>
+#include <pthread.h>
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+#define HANDLES_KEPT  64 /* idle handles, and so connections, kept */
+#define CONNECTS_KEPT 32 /* connections one handle keeps */
+#define STEP	      "http.call"
+
+struct transfer {
+	const struct cw_http_call *call;
+	struct cw_http_answer *answer;
+	CURL *curl;
+	GString *body;
+	size_t received;
+	int head_told;
+	int ended; /* by a callback */
+	int too_long;
+	int64_t start_us;
+	int64_t last_us;
+};
+
+static pthread_mutex_t handles_mutex = PTHREAD_MUTEX_INITIALIZER;
+static CURL *handles[HANDLES_KEPT];
+static size_t handle_count;
+static int interrupted;
+
+static enum cw_status pooled_perform(const struct cw_http_call *call, struct cw_http_answer *answer,
+				     struct cw_error *error);
+static CURL *take_handle(void);
+static void give_handle(CURL *curl);
+static void set_options(struct transfer *transfer, struct curl_slist *headers, const char *url);
+static struct curl_slist *header_list(const struct cw_http_call *call);
+static size_t on_header(char *data, size_t unit, size_t count, void *context);
+static size_t on_body(char *data, size_t unit, size_t count, void *context);
+static int on_progress(void *context, curl_off_t a, curl_off_t b, curl_off_t c, curl_off_t d);
+static int tell_head(struct transfer *transfer);
+static enum cw_status judge(const struct transfer *transfer, CURLcode code, struct cw_error *error);
+
+const struct cw_http_transport cw_http_pooled = {"pooled", pooled_perform};
+
+void cw_http_open(void)
+{
+	curl_global_init(CURL_GLOBAL_ALL);
+}
+
+void cw_http_interrupt(void)
+{
+	__atomic_store_n(&interrupted, 1, __ATOMIC_RELEASE);
+}
+
+void cw_http_close(void)
+{
+	pthread_mutex_lock(&handles_mutex);
+	while (handle_count > 0)
+		curl_easy_cleanup(handles[--handle_count]);
+	pthread_mutex_unlock(&handles_mutex);
+	curl_global_cleanup();
+}
+
+enum cw_status cw_http_perform(const struct cw_http_call *call, struct cw_http_answer *answer,
+			       struct cw_error *error)
+{
+	return cw_http_pooled.perform(call, answer, error);
+}
+
+void cw_http_answer_clear(struct cw_http_answer *answer)
+{
+	g_clear_pointer(&answer->body, g_free);
+}
+
+static enum cw_status pooled_perform(const struct cw_http_call *call, struct cw_http_answer *answer,
+				     struct cw_error *error)
+{
+	struct transfer transfer = {.call = call, .answer = answer};
+	char *url = g_strdup_printf("http://%s%s", call->address, call->path);
+	struct curl_slist *headers = header_list(call);
+	enum cw_status status;
+	CURLcode code;
+	long http = 0;
+
+	memset(answer, 0, sizeof(*answer));
+	answer->first_ms = -1;
+	transfer.curl = take_handle();
+	transfer.body = call->on_data ? NULL : g_string_new(NULL);
+	transfer.start_us = g_get_monotonic_time();
+	transfer.last_us = transfer.start_us;
+	set_options(&transfer, headers, url);
+	code = curl_easy_perform(transfer.curl);
+	if (code == CURLE_OK && !transfer.head_told && tell_head(&transfer))
+		code = CURLE_WRITE_ERROR;
+	curl_easy_getinfo(transfer.curl, CURLINFO_RESPONSE_CODE, &http);
+	answer->status = (int)http;
+	answer->total_ms = (double)(g_get_monotonic_time() - transfer.start_us) / 1000;
+	status = judge(&transfer, code, error);
+	if (transfer.body) {
+		answer->size = transfer.body->len;
+		answer->body = g_string_free(transfer.body, FALSE);
+	}
+	curl_slist_free_all(headers);
+	give_handle(transfer.curl);
+	g_free(url);
+	return status;
+}
+
+static CURL *take_handle(void)
+{
+	CURL *curl = NULL;
+
+	pthread_mutex_lock(&handles_mutex);
+	if (handle_count > 0)
+		curl = handles[--handle_count];
+	pthread_mutex_unlock(&handles_mutex);
+	return curl ? curl : curl_easy_init();
+}
+
+static void give_handle(CURL *curl)
+{
+	curl_easy_reset(curl);
+	pthread_mutex_lock(&handles_mutex);
+	if (handle_count < HANDLES_KEPT) {
+		handles[handle_count++] = curl;
+		curl = NULL;
+	}
+	pthread_mutex_unlock(&handles_mutex);
+	if (curl)
+		curl_easy_cleanup(curl);
+}
+
+static void set_options(struct transfer *transfer, struct curl_slist *headers, const char *url)
+{
+	const struct cw_http_call *call = transfer->call;
+	CURL *curl = transfer->curl;
+
+	curl_easy_setopt(curl, CURLOPT_URL, url);
+	curl_easy_setopt(curl, CURLOPT_NOSIGNAL, 1L);
+	curl_easy_setopt(curl, CURLOPT_NOPROXY, "*");
+	curl_easy_setopt(curl, CURLOPT_PROTOCOLS_STR, "http");
+	curl_easy_setopt(curl, CURLOPT_HTTP_VERSION, (long)CURL_HTTP_VERSION_1_1);
+	curl_easy_setopt(curl, CURLOPT_MAXCONNECTS, (long)CONNECTS_KEPT);
+	curl_easy_setopt(curl, CURLOPT_TCP_NODELAY, 1L);
+	curl_easy_setopt(curl, CURLOPT_CUSTOMREQUEST, call->method);
+	curl_easy_setopt(curl, CURLOPT_HTTPHEADER, headers);
+	curl_easy_setopt(curl, CURLOPT_CONNECTTIMEOUT_MS, (long)call->connect_ms);
+	curl_easy_setopt(curl, CURLOPT_TIMEOUT_MS, (long)MAX(call->total_ms, 1));
+	curl_easy_setopt(curl, CURLOPT_HEADERFUNCTION, on_header);
+	curl_easy_setopt(curl, CURLOPT_HEADERDATA, transfer);
+	curl_easy_setopt(curl, CURLOPT_WRITEFUNCTION, on_body);
+	curl_easy_setopt(curl, CURLOPT_WRITEDATA, transfer);
+	if (!strcmp(call->method, "HEAD"))
+		curl_easy_setopt(curl, CURLOPT_NOBODY, 1L);
+	if (call->body || !strcmp(call->method, "POST") || !strcmp(call->method, "PUT")) {
+		curl_easy_setopt(curl, CURLOPT_POSTFIELDS, call->body ? call->body : "");
+		curl_easy_setopt(curl, CURLOPT_POSTFIELDSIZE, (long)call->body_size);
+	}
+	/*
+	 * On a kept connection that dies without an answer libcurl sends the request again by
+	 * itself. The server may have taken the first one; it shows as an order run twice. A fresh
+	 * connection is never repeated.
+	 */
+	if (call->once) {
+		curl_easy_setopt(curl, CURLOPT_FRESH_CONNECT, 1L);
+		curl_easy_setopt(curl, CURLOPT_FORBID_REUSE, 1L);
+	}
+	curl_easy_setopt(curl, CURLOPT_NOPROGRESS, 0L);
+	curl_easy_setopt(curl, CURLOPT_XFERINFOFUNCTION, on_progress);
+	curl_easy_setopt(curl, CURLOPT_XFERINFODATA, transfer);
+}
+
+static struct curl_slist *header_list(const struct cw_http_call *call)
+{
+	struct curl_slist *list = curl_slist_append(NULL, "Expect:");
+
+	for (size_t i = 0; call->headers && call->headers[i]; i++)
+		list = curl_slist_append(list, call->headers[i]);
+	return list;
+}
+
+static size_t on_header(char *data, size_t unit, size_t count, void *context)
+{
+	struct transfer *transfer = context;
+	char *line = g_strndup(data, unit * count);
+	char *value = strchr(line, ':');
+
+	if (value) {
+		*value++ = '\0';
+		g_strstrip(value);
+		if (!strcasecmp(line, "Content-Type"))
+			g_strlcpy(transfer->answer->content_type, value,
+				  sizeof(transfer->answer->content_type));
+		else if (!strcasecmp(line, "X-Request-Id"))
+			g_strlcpy(transfer->answer->request_id, value, CW_ID_MAX);
+		else if (!strcasecmp(line, "Retry-After"))
+			transfer->answer->retry_after_ms =
+				(int64_t)(g_ascii_strtod(value, NULL) * 1000);
+	}
+	g_free(line);
+	return unit * count;
+}
+
+static size_t on_body(char *data, size_t unit, size_t count, void *context)
+{
+	struct transfer *transfer = context;
+	size_t size = unit * count;
+
+	transfer->last_us = g_get_monotonic_time();
+	if (transfer->answer->first_ms < 0)
+		transfer->answer->first_ms =
+			(double)(transfer->last_us - transfer->start_us) / 1000;
+	if (tell_head(transfer))
+		return 0;
+	transfer->received += size;
+	if (transfer->call->max_size && transfer->received > transfer->call->max_size) {
+		transfer->too_long = 1;
+		return 0;
+	}
+	if (!transfer->call->on_data) {
+		g_string_append_len(transfer->body, data, (gssize)size);
+		return size;
+	}
+	if (transfer->call->on_data(transfer->call->context, data, size)) {
+		transfer->ended = 1;
+		return 0;
+	}
+	return size;
+}
+
+static int on_progress(void *context, curl_off_t a, curl_off_t b, curl_off_t c, curl_off_t d)
+{
+	struct transfer *transfer = context;
+	int64_t idle_us = g_get_monotonic_time() - transfer->last_us;
+	int limit_ms;
+
+	if (__atomic_load_n(&interrupted, __ATOMIC_ACQUIRE))
+		return 1;
+	if (transfer->call->is_cancelled && transfer->call->is_cancelled(transfer->call->context)) {
+		transfer->ended = 1;
+		return 1;
+	}
+	limit_ms =
+		transfer->answer->first_ms < 0 ? transfer->call->first_ms : transfer->call->idle_ms;
+	return limit_ms > 0 && idle_us > (int64_t)limit_ms * 1000;
+}
+
+static int tell_head(struct transfer *transfer)
+{
+	long status = 0;
+
+	if (transfer->head_told || !transfer->call->on_head)
+		return 0;
+	transfer->head_told = 1;
+	curl_easy_getinfo(transfer->curl, CURLINFO_RESPONSE_CODE, &status);
+	if (!transfer->call->on_head(transfer->call->context, (int)status,
+				     transfer->answer->request_id, transfer->answer->content_type))
+		return 0;
+	transfer->ended = 1;
+	return 1;
+}
+
+static enum cw_status judge(const struct transfer *transfer, CURLcode code, struct cw_error *error)
+{
+	const char *peer = transfer->call->address;
+	long sent = 0;
+
+	if (code == CURLE_OK)
+		return CW_OK;
+	if (transfer->too_long)
+		return cw_error_set(error, CW_FULL, STEP, peer,
+				    "the answer is longer than %zu bytes",
+				    transfer->call->max_size);
+	if (transfer->ended)
+		return cw_error_set(error, CW_CLOSED, STEP, peer, "ended here");
+	curl_easy_getinfo(transfer->curl, CURLINFO_REQUEST_SIZE, &sent);
+	if (sent == 0)
+		return cw_error_set(error, CW_UNREACHABLE, STEP, peer, "%s",
+				    curl_easy_strerror(code));
+	return cw_error_set(error, CW_UNKNOWN, STEP, peer, "%s", curl_easy_strerror(code));
+}
--- /dev/null
+++ b/packages/membership/src/membership.c
@@ -0,0 +1,226 @@
+#include "cw_membership.h"
+#include "cw_hash.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define GONE_FACTOR 4 /* silences after which a member counts as gone */
+
+struct cw_membership {
+	char instance[CW_NAME_MAX];
+	char failure_domain[CW_NAME_MAX];
+	uint64_t id;
+	int64_t silent_ms;
+	struct cw_member_list members;
+	GHashTable *by_name;
+	size_t size;
+};
+
+static struct cw_member *best_home(const struct cw_membership *membership, uint64_t key,
+				   int64_t now_ms, const struct cw_member *other_than,
+				   const char *avoid_domain);
+
+struct cw_membership *cw_membership_create(const char *instance, const char *failure_domain,
+					   int64_t silent_ms)
+{
+	struct cw_membership *membership = g_new0(struct cw_membership, 1);
+
+	g_strlcpy(membership->instance, instance, CW_NAME_MAX);
+	g_strlcpy(membership->failure_domain, failure_domain, CW_NAME_MAX);
+	membership->id = cw_hash_text(instance, 0);
+	membership->silent_ms = silent_ms;
+	membership->by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	TAILQ_INIT(&membership->members);
+	return membership;
+}
+
+void cw_membership_destroy(struct cw_membership *membership)
+{
+	struct cw_member *member;
+
+	if (!membership)
+		return;
+	while ((member = TAILQ_FIRST(&membership->members))) {
+		TAILQ_REMOVE(&membership->members, member, link);
+		g_free(member);
+	}
+	g_hash_table_destroy(membership->by_name);
+	g_free(membership);
+}
+
+struct cw_member *cw_membership_learn(struct cw_membership *membership, const char *instance,
+				      const char *failure_domain, const char *address)
+{
+	struct cw_member *member;
+
+	if (!*instance || !strcmp(instance, membership->instance))
+		return NULL;
+	member = cw_membership_find(membership, instance);
+	if (!member) {
+		if (membership->size + 1 >= CW_MAX_INSTANCES)
+			return NULL;
+		member = g_new0(struct cw_member, 1);
+		g_strlcpy(member->instance, instance, CW_NAME_MAX);
+		member->id = cw_hash_text(instance, 0);
+		member->heard_ms = -1;
+		member->listed_ms = -1;
+		TAILQ_INSERT_TAIL(&membership->members, member, link);
+		g_hash_table_insert(membership->by_name, member->instance, member);
+		membership->size++;
+	}
+	if (*failure_domain)
+		g_strlcpy(member->failure_domain, failure_domain, CW_NAME_MAX);
+	if (*address)
+		g_strlcpy(member->address, address, CW_ADDRESS_MAX);
+	return member;
+}
+
+struct cw_member *cw_membership_find(struct cw_membership *membership, const char *instance)
+{
+	return g_hash_table_lookup(membership->by_name, instance);
+}
+
+void cw_membership_heard(struct cw_member *member, uint64_t boot, int leaving, int64_t now_ms)
+{
+	member->boot = boot;
+	member->leaving = leaving;
+	member->heard_ms = now_ms;
+}
+
+void cw_membership_listed(struct cw_member *member, int leaving, int64_t now_ms)
+{
+	member->listed_ms = now_ms;
+	if (leaving)
+		member->leaving = 1;
+}
+
+void cw_membership_forget(struct cw_membership *membership, int64_t now_ms, int64_t keep_ms)
+{
+	struct cw_member *member = TAILQ_FIRST(&membership->members);
+
+	while (member) {
+		struct cw_member *next = TAILQ_NEXT(member, link);
+		int64_t seen = MAX(member->heard_ms, member->listed_ms);
+
+		if (!member->configured && now_ms - seen > keep_ms) {
+			TAILQ_REMOVE(&membership->members, member, link);
+			g_hash_table_remove(membership->by_name, member->instance);
+			membership->size--;
+			g_free(member);
+		}
+		member = next;
+	}
+}
+
+int cw_membership_is_live(const struct cw_membership *membership, const struct cw_member *member,
+			  int64_t now_ms)
+{
+	return !member->leaving && member->heard_ms >= 0 &&
+	       now_ms - member->heard_ms <= membership->silent_ms;
+}
+
+int cw_membership_is_gone(const struct cw_membership *membership, const struct cw_member *member,
+			  int64_t now_ms)
+{
+	return member->heard_ms < 0 ||
+	       now_ms - member->heard_ms > membership->silent_ms * GONE_FACTOR;
+}
+
+size_t cw_membership_homes(const struct cw_membership *membership, uint64_t key, int64_t now_ms,
+			   struct cw_member **homes, size_t count)
+{
+	size_t found = 0;
+
+	if (count > 0)
+		homes[found] = best_home(membership, key, now_ms, NULL, NULL);
+	if (count == 0 || !homes[0])
+		return 0;
+	found++;
+	if (count > 1) {
+		homes[1] = best_home(membership, key, now_ms, homes[0], homes[0]->failure_domain);
+		if (!homes[1])
+			homes[1] = best_home(membership, key, now_ms, homes[0], NULL);
+		found += homes[1] != NULL;
+	}
+	return found;
+}
+
+size_t cw_membership_sample(const struct cw_membership *membership, uint64_t random,
+			    struct cw_member **members, size_t count)
+{
+	size_t known = membership->size;
+	size_t found = 0;
+	size_t start;
+	struct cw_member *member = TAILQ_FIRST(&membership->members);
+
+	if (known == 0)
+		return 0;
+	start = random % known;
+	for (size_t i = 0; i < start; i++)
+		member = TAILQ_NEXT(member, link);
+	for (size_t i = 0; i < known && found < count; i++) {
+		if (*member->address)
+			members[found++] = member;
+		member = TAILQ_NEXT(member, link);
+		if (!member)
+			member = TAILQ_FIRST(&membership->members);
+	}
+	return found;
+}
+
+size_t cw_membership_rank(const struct cw_membership *membership, uint64_t key, int64_t now_ms)
+{
+	double own = cw_rendezvous(key, membership->id, 1);
+	const struct cw_member *member;
+	size_t rank = 0;
+
+	TAILQ_FOREACH(member, &membership->members, link) {
+		if (cw_membership_is_live(membership, member, now_ms) &&
+		    cw_rendezvous(key, member->id, 1) > own)
+			rank++;
+	}
+	return rank;
+}
+
+size_t cw_membership_size(const struct cw_membership *membership)
+{
+	return membership->size + 1;
+}
+
+size_t cw_membership_live(const struct cw_membership *membership, int64_t now_ms)
+{
+	const struct cw_member *member;
+	size_t live = 1;
+
+	TAILQ_FOREACH(member, &membership->members, link)
+		live += cw_membership_is_live(membership, member, now_ms);
+	return live;
+}
+
+const struct cw_member_list *cw_membership_members(const struct cw_membership *membership)
+{
+	return &membership->members;
+}
+
+static struct cw_member *best_home(const struct cw_membership *membership, uint64_t key,
+				   int64_t now_ms, const struct cw_member *other_than,
+				   const char *avoid_domain)
+{
+	struct cw_member *best = NULL;
+	struct cw_member *member;
+	double best_score = -1;
+
+	TAILQ_FOREACH(member, &membership->members, link) {
+		double score = cw_rendezvous(key, member->id, 1);
+
+		if (member == other_than || !cw_membership_is_live(membership, member, now_ms))
+			continue;
+		if (avoid_domain && !strcmp(member->failure_domain, avoid_domain))
+			continue;
+		if (score > best_score) {
+			best_score = score;
+			best = member;
+		}
+	}
+	return best;
+}
--- /dev/null
+++ b/packages/node/src/node_bills.c
@@ -0,0 +1,318 @@
+/* Bills: mirrored before the answer ends, appended in batches, read back before any repeat. */
+#include "node_internal.h"
+
+#include <string.h>
+
+#define MIRROR_CHECK_MS	 1000
+#define BILLS_RETRY_MS	 100
+#define BILL_HOMES	 2
+#define STOP_PATIENCE_MS 10000
+#define READ_BACK_LIMIT	 0 /* no wait: only what is there */
+
+static char *bill_text(struct request *request, const char *id);
+static void send_bills(struct cw_node *node);
+static void read_back(struct cw_node *node, uint64_t from);
+static void take_over(struct cw_node *node);
+static int origin_is_gone(struct cw_node *node, const char *origin);
+static void tell_settled(struct cw_node *node, struct cw_bill_list *settled);
+static void bills_retry(struct cw_node *node);
+
+void bills_add(struct cw_node *node, struct request *request)
+{
+	struct cw_member *homes[BILL_HOMES];
+	char id[CW_NAME_MAX + CW_ID_MAX + 2];
+	char *text = bill_text(request, request->in.request_id);
+	struct peer_message message = {0};
+	struct peer_bill item;
+	size_t count;
+
+	g_snprintf(id, sizeof(id), "%s/%s", request->organisation, request->in.request_id);
+	cw_ledger_add(node->ledger, id, text, "", node->bills_end, node->now_ms);
+	if (node->bills_due_ms == 0)
+		node->bills_due_ms = node->now_ms + node->config.bill_flush_ms;
+	item.id = id;
+	item.text = text;
+	message.body.kind = PEER_BILLS;
+	message.body.peer_body_u.bills.noted = node->bills_end;
+	message.body.peer_body_u.bills.list.list_len = 1;
+	message.body.peer_body_u.bills.list.list_val = &item;
+	count = cw_membership_homes(node->membership, cw_hash_text(id, 8), node->now_ms, homes,
+				    BILL_HOMES);
+	for (size_t i = 0; i < count; i++)
+		gossip_send(node, homes[i], &message);
+	g_free(text);
+	/* Nobody is there to hold it: waiting would help nobody. */
+	if (count == 0)
+		request_bill_safe(node, id);
+}
+
+/* Held for its origin, whose run the name carries: a restarted origin knows its old bills no more.
+ */
+void bills_mirrored(struct cw_node *node, const char *from, uint64_t boot,
+		    const struct peer_bills *bills)
+{
+	struct cw_member *member = cw_membership_find(node->membership, from);
+	char *origin = g_strdup_printf("%s#%" G_GUINT64_FORMAT, from, boot);
+	struct peer_message message = {0};
+
+	for (u_int i = 0; i < bills->list.list_len; i++)
+		cw_ledger_add(node->ledger, bills->list.list_val[i].id,
+			      bills->list.list_val[i].text, origin, bills->noted, node->now_ms);
+	g_free(origin);
+	if (!member)
+		return;
+	message.body.kind = PEER_BILLS_HELD;
+	message.body.peer_body_u.held = *bills;
+	gossip_send(node, member, &message);
+}
+
+void bills_held(struct cw_node *node, const struct peer_bills *bills)
+{
+	for (u_int i = 0; i < bills->list.list_len; i++) {
+		struct cw_bill *bill = cw_ledger_find(node->ledger, bills->list.list_val[i].id);
+
+		if (bill)
+			bill->mirrored = 1;
+		request_bill_safe(node, bills->list.list_val[i].id);
+	}
+}
+
+void bills_settled(struct cw_node *node, const struct peer_bills *bills)
+{
+	for (u_int i = 0; i < bills->list.list_len; i++) {
+		struct cw_bill *bill = cw_ledger_find(node->ledger, bills->list.list_val[i].id);
+
+		if (bill && *bill->origin && bill->append == 0)
+			cw_ledger_settle(node->ledger, bills->list.list_val[i].id);
+	}
+}
+
+void bills_appended(struct cw_node *node, const struct cw_appended *appended)
+{
+	struct cw_bill_list settled = TAILQ_HEAD_INITIALIZER(settled);
+
+	if (node->bills_state != BILLS_APPENDING || appended->ticket != node->bills_ticket)
+		return;
+	node->bills_state = BILLS_IDLE;
+	if (appended->status == CW_OK) {
+		node->bills_end = MAX(node->bills_end, appended->offset + 1);
+		cw_ledger_append_done(node->ledger, appended->ticket, &settled);
+		tell_settled(node, &settled);
+		node->bills_due_ms = 0;
+		return;
+	}
+	cw_ledger_append_failed(node->ledger, appended->ticket);
+	/*
+	 * The answer can be lost after the record was kept. Appending again would bill twice; it
+	 * shows as two offsets with one id. So read back first, from the end noted before the try.
+	 */
+	if (appended->status == CW_UNKNOWN)
+		node->bills_uncertain = 1;
+	bills_retry(node);
+}
+
+void bills_records(struct cw_node *node, const struct cw_records *records)
+{
+	if (node->bills_state != BILLS_READING_BACK || records->ticket != node->bills_ticket)
+		return;
+	if (records->status == CW_EXPIRED && records->first > node->bills_from) {
+		read_back(node, records->first);
+		return;
+	}
+	if (records->status != CW_OK) {
+		node->bills_state = BILLS_IDLE;
+		bills_retry(node);
+		return;
+	}
+	for (size_t i = 0; i < records->count; i++) {
+		cw_ledger_settle_record(node->ledger, records->list[i].data);
+		node->bills_from = MAX(node->bills_from, records->list[i].offset + 1);
+	}
+	if (records->count > 0) {
+		read_back(node, node->bills_from);
+		return;
+	}
+	/* The end: what is still held was not kept. */
+	node->bills_end = MAX(node->bills_end, node->bills_from);
+	node->bills_uncertain = 0;
+	node->bills_state = BILLS_IDLE;
+	send_bills(node);
+}
+
+void bills_tick(struct cw_node *node)
+{
+	if (node->bills_state != BILLS_IDLE)
+		return;
+	if (node->now_ms >= node->mirror_due_ms) {
+		node->mirror_due_ms = node->now_ms + MIRROR_CHECK_MS +
+				      (int64_t)(node_random(node) % MIRROR_CHECK_MS);
+		take_over(node);
+		if (node->bills_state != BILLS_IDLE)
+			return;
+	}
+	if (node->bills_due_ms == 0 && cw_ledger_count(node->ledger, "") > 0)
+		node->bills_due_ms = node->now_ms + node->config.bill_flush_ms;
+	if (node->bills_due_ms == 0 || (node->now_ms < node->bills_due_ms && !node->stopping))
+		return;
+	/* A stopping instance flushes without waiting, but never faster than a failing log allows.
+	 */
+	if (node->stopping && node->bills_due_ms > node->now_ms + node->config.bill_flush_ms)
+		return;
+	g_free(node->bills_origin);
+	node->bills_origin = g_strdup("");
+	if (node->bills_uncertain)
+		read_back(node, cw_ledger_oldest_noted(node->ledger, ""));
+	else
+		send_bills(node);
+}
+
+/*
+ * A stopping instance waits for its bills to stand in the log. While the log is out for long it may
+ * go all the same once every bill is held by a peer, which appends them when this instance is gone.
+ */
+int bills_are_done(const struct cw_node *node)
+{
+	const struct cw_bill *bill;
+
+	if (cw_ledger_count(node->ledger, "") == 0)
+		return node->bills_state == BILLS_IDLE;
+	if (node->now_ms - node->stop_ms < node->config.stop_grace_ms + STOP_PATIENCE_MS)
+		return 0;
+	TAILQ_FOREACH(bill, cw_ledger_bills(node->ledger), link) {
+		if (!*bill->origin && !bill->mirrored)
+			return 0;
+	}
+	return 1;
+}
+
+/* Mirrors of an origin that is gone: what the log lacks is appended here. */
+static void take_over(struct cw_node *node)
+{
+	const struct cw_bill *bill;
+
+	TAILQ_FOREACH(bill, cw_ledger_bills(node->ledger), link) {
+		if (!*bill->origin || !origin_is_gone(node, bill->origin))
+			continue;
+		g_free(node->bills_origin);
+		node->bills_origin = g_strdup(bill->origin);
+		node_event(node, "bills", "take_over", "origin=%s held=%zu", node->bills_origin,
+			   cw_ledger_count(node->ledger, node->bills_origin));
+		read_back(node, cw_ledger_oldest_noted(node->ledger, node->bills_origin));
+		return;
+	}
+}
+
+static int origin_is_gone(struct cw_node *node, const char *origin)
+{
+	char **parts = g_strsplit(origin, "#", 2);
+	const struct cw_member *member = cw_membership_find(node->membership, parts[0]);
+	uint64_t boot = g_ascii_strtoull(parts[1], NULL, 10);
+	int gone = !member || member->boot != boot ||
+		   cw_membership_is_gone(node->membership, member, node->now_ms);
+
+	g_strfreev(parts);
+	return gone;
+}
+
+static void send_bills(struct cw_node *node)
+{
+	char *record;
+	uint64_t ticket;
+
+	/* The ticket must be known before the bills are marked with it: it is the next one given.
+	 */
+	ticket = node->next_ticket;
+	if (cw_ledger_take(node->ledger, ticket, node->bills_origin, CW_BILL_BATCH, &record) == 0) {
+		g_free(record);
+		node->bills_due_ms = 0;
+		return;
+	}
+	node->bills_ticket = log_append(node, CW_STREAM_BILLS, record);
+	node->bills_state = BILLS_APPENDING;
+}
+
+static void read_back(struct cw_node *node, uint64_t from)
+{
+	if (from == UINT64_MAX) {
+		node->bills_uncertain = 0;
+		node->bills_state = BILLS_IDLE;
+		return;
+	}
+	node->bills_from = MAX(from, 1);
+	node->bills_ticket = node_ticket(node);
+	node->bills_state = BILLS_READING_BACK;
+	log_read(node, CW_STREAM_BILLS, node->bills_ticket, node->bills_from, READ_BACK_LIMIT);
+}
+
+static void bills_retry(struct cw_node *node)
+{
+	node->bills_due_ms =
+		node->now_ms + BILLS_RETRY_MS + (int64_t)(node_random(node) % BILLS_RETRY_MS);
+}
+
+static void tell_settled(struct cw_node *node, struct cw_bill_list *settled)
+{
+	const struct cw_member *member;
+	struct peer_message message = {0};
+	struct peer_bill items[CW_BILL_BATCH];
+	struct cw_bill *bill;
+	u_int count = 0;
+
+	TAILQ_FOREACH(bill, settled, link) {
+		items[count].id = bill->id;
+		items[count].text = (char *)"";
+		count++;
+	}
+	message.body.kind = PEER_BILLS_SETTLED;
+	message.body.peer_body_u.settled.list.list_len = count;
+	message.body.peer_body_u.settled.list.list_val = items;
+	TAILQ_FOREACH(member, cw_membership_members(node->membership), link) {
+		if (count > 0 && cw_membership_is_live(node->membership, member, node->now_ms))
+			gossip_send(node, member, &message);
+	}
+	while ((bill = TAILQ_FIRST(settled))) {
+		TAILQ_REMOVE(settled, bill, link);
+		request_bill_safe(node, bill->id);
+		cw_bill_destroy(bill);
+	}
+}
+
+static char *bill_text(struct request *request, const char *id)
+{
+	struct json_object *bill = json_object_new_object();
+	struct json_object *attempts = json_object_new_array();
+	unsigned int prompt = 0;
+	unsigned int completion = 0;
+	double cost = request->in.flags & CW_REQUEST_SERVICE ? request->cost_per_1k / 1000 : 0;
+	char *text;
+
+	for (unsigned int i = 0; i < request->attempt_count; i++) {
+		const struct attempt *attempt = &request->attempts[i];
+		struct json_object *item = json_object_new_object();
+		/* A broken attempt counts for what the caller was shown of it, not for its prompt
+		 * again. */
+		unsigned int asked =
+			attempt->result == CW_ATTEMPT_ANSWERED ? attempt->prompt_tokens : 0;
+
+		prompt += asked;
+		completion += attempt->completion_tokens;
+		cost += (asked + attempt->completion_tokens) * attempt->cost_per_1k / 1000;
+		json_object_object_add(item, "attempt", json_object_new_int((int)i + 1));
+		json_object_object_add(item, "model", json_object_new_string(attempt->model));
+		json_object_object_add(item, "version", json_object_new_string(attempt->version));
+		json_object_object_add(item, "completion_tokens",
+				       json_object_new_int((int)attempt->completion_tokens));
+		json_object_array_add(attempts, item);
+	}
+	json_object_object_add(bill, "bill", json_object_new_string(id));
+	json_object_object_add(bill, "organisation", json_object_new_string(request->organisation));
+	json_object_object_add(bill, "model", json_object_new_string(request->model));
+	json_object_object_add(bill, "version", json_object_new_string(request->version));
+	json_object_object_add(bill, "prompt_tokens", json_object_new_int((int)prompt));
+	json_object_object_add(bill, "completion_tokens", json_object_new_int((int)completion));
+	json_object_object_add(bill, "cost", json_object_new_double(cost));
+	json_object_object_add(bill, "attempts", attempts);
+	text = g_strdup(json_object_to_json_string_ext(bill, JSON_C_TO_STRING_PLAIN));
+	json_object_put(bill);
+	return text;
+}
--- /dev/null
+++ b/packages/node/src/node_rollout.c
@@ -0,0 +1,225 @@
+/*
+ * Orders to engines: a version that has a share of traffic and is loaded nowhere in this domain is
+ * ordered loaded, by the one instance that holds the lease of the domain. The lease is a claim in
+ * the notices; its fencing number is the claim's offset, so it only grows.
+ */
+#include "node_internal.h"
+
+#include <math.h>
+#include <string.h>
+
+#define CHECK_MS       1000
+#define MARGIN_DIVISOR 4    /* of the lease's term: no order is sent in the last quarter */
+#define ORDER_MS       2000 /* an order is not sent, and not waited for, longer */
+#define LEASE_IDLE_MS  30000
+#define REPORT_WAIT_MS 2000 /* before trusting that a version is loaded nowhere */
+
+static int lease_is_own(const struct cw_node *node);
+static int lease_is_free(const struct cw_node *node);
+static void claim_lease(struct cw_node *node);
+static struct cw_server *place_for(struct cw_node *node, const struct cw_row *row);
+static const struct cw_row *missing_version(struct cw_node *node);
+static void give_order(struct cw_node *node, const struct cw_row *row);
+static void take_trip(struct cw_node *node, struct json_object *trip);
+
+void rollout_tick(struct cw_node *node)
+{
+	const struct cw_row *row;
+
+	if (node->now_ms < node->lease_check_ms)
+		return;
+	node->lease_check_ms = node->now_ms + CHECK_MS;
+	if (node->stopping || node->order_ticket ||
+	    node->now_ms - node->started_ms < REPORT_WAIT_MS)
+		return;
+	row = missing_version(node);
+	if (!row)
+		return;
+	if (lease_is_own(node))
+		give_order(node, row);
+	else if (lease_is_free(node))
+		claim_lease(node);
+}
+
+void rollout_notice(struct cw_node *node, uint64_t offset, int64_t time_ms, const char *data)
+{
+	struct json_object *parsed = json_tokener_parse(data);
+	struct json_object *value;
+	struct json_object *lease;
+
+	if (json_object_object_get_ex(parsed, "trip", &value))
+		take_trip(node, value);
+	if (json_object_object_get_ex(parsed, "lease", &lease)) {
+		const char *name = json_object_object_get_ex(lease, "name", &value)
+					   ? json_object_get_string(value)
+					   : "";
+		uint64_t token = json_object_object_get_ex(lease, "token", &value)
+					 ? g_ascii_strtoull(json_object_get_string(value), NULL, 16)
+					 : 0;
+		const char *holder = json_object_object_get_ex(lease, "holder", &value)
+					     ? json_object_get_string(value)
+					     : "";
+
+		/*
+		 * Decided by the log's own clock, alike on every instance: a claim counts only when
+		 * the one before it has run out. The fencing number is its offset.
+		 */
+		if (!strcmp(name, node->failure_domain) &&
+		    (!node->lease.fencing ||
+		     time_ms - node->lease.claimed_ms > node->config.lease_ms)) {
+			node->lease.token = token;
+			node->lease.fencing = offset;
+			node->lease.claimed_ms = time_ms;
+			node->lease.seen_ms = node->now_ms;
+			g_strlcpy(node->lease.holder, holder, CW_NAME_MAX);
+			node_event(node, "rollout", "lease", "holder=%s fencing=%" G_GUINT64_FORMAT,
+				   holder, offset);
+		}
+	}
+	json_object_put(parsed);
+}
+
+void rollout_appended(struct cw_node *node, const struct cw_appended *appended)
+{
+	if (appended->ticket == node->lease_ticket)
+		node->lease_ticket = 0;
+}
+
+void rollout_ordered(struct cw_node *node, uint64_t ticket, enum cw_status status)
+{
+	if (ticket != node->order_ticket)
+		return;
+	node->order_ticket = 0;
+	node_event(node, "rollout", "ordered", "status=%s fencing=%" G_GUINT64_FORMAT,
+		   cw_status_name(status), node->lease.fencing);
+}
+
+/*
+ * The term counts from before the claim was sent, so this instance stops before anyone else may
+ * start, whatever the claim's answer took; a pause shows in the clock before the next order.
+ */
+static int lease_is_own(const struct cw_node *node)
+{
+	int64_t usable_ms = node->config.lease_ms - node->config.lease_ms / MARGIN_DIVISOR;
+
+	return node->lease.token && node->lease.token == node->lease_token &&
+	       node->now_ms - node->lease_asked_ms < usable_ms;
+}
+
+/* One margin behind the term: a server that ignores fencing may still be handling the last order.
+ */
+static int lease_is_free(const struct cw_node *node)
+{
+	if (node->lease_ticket || !log_is_up(node, CW_STREAM_NOTICES))
+		return 0;
+	if (!node->lease.fencing)
+		return 1;
+	return node->now_ms - node->lease.seen_ms >
+	       node->config.lease_ms + node->config.lease_ms / MARGIN_DIVISOR + ORDER_MS;
+}
+
+static void claim_lease(struct cw_node *node)
+{
+	char *record;
+
+	/* By turns of rendezvous, so that not every instance of the domain claims at once. */
+	if (cw_membership_rank(
+		    node->membership,
+		    cw_hash_text(node->failure_domain, (uint64_t)node->now_ms / LEASE_IDLE_MS),
+		    node->now_ms) > 2)
+		return;
+	node->lease_token = node_random(node) | 1;
+	node->lease_asked_ms = node->now_ms;
+	record = g_strdup_printf(
+		"{\"lease\":{\"name\":\"%s\",\"holder\":\"%s\",\"token\":\"%016" G_GINT64_MODIFIER
+		"x\"}}",
+		node->failure_domain, node->instance, node->lease_token);
+	node->lease_ticket = log_append(node, CW_STREAM_NOTICES, record);
+}
+
+/* An allowed version with a weight that no engine of this domain has loaded. */
+static const struct cw_row *missing_version(struct cw_node *node)
+{
+	const struct cw_row *row;
+
+	TAILQ_FOREACH(row, cw_table_rows(node->table), link) {
+		const struct cw_server *server;
+		int loaded = 0;
+		int engines = 0;
+
+		if (!*row->version || !cw_table_allows(row) || !(row->cell[CW_COLUMN_WEIGHT] > 0))
+			continue;
+		TAILQ_FOREACH(server, cw_pool_servers(node->pool), link) {
+			if (strcmp(server->service, "llm") != 0 ||
+			    strcmp(server->failure_domain, node->failure_domain) != 0 ||
+			    server->leaving)
+				continue;
+			/* What is not known to be missing is not ordered. */
+			engines += server->versions_known;
+			loaded |= cw_pool_serves(server, cw_pool_version(row->model, row->version));
+		}
+		if (engines > 0 && !loaded)
+			return row;
+	}
+	return NULL;
+}
+
+/* The order states the end wanted and is harmless twice or late: loading what is loaded changes
+ * nothing. */
+static void give_order(struct cw_node *node, const struct cw_row *row)
+{
+	struct cw_server *server = place_for(node, row);
+	struct cw_effect *effect;
+
+	if (!server)
+		return;
+	effect = node_effect(node, CW_EFFECT_ORDER, 0);
+	node->order_ticket = node_ticket(node);
+	node->order_server = server->id;
+	node->order_sent_ms = node->now_ms;
+	effect->order.ticket = node->order_ticket;
+	effect->order.order = "load_version";
+	effect->order.fencing = node->lease.fencing;
+	effect->order.table_offset = cw_table_offset(node->table);
+	effect->order.timeout_ms = ORDER_MS;
+	g_strlcpy(effect->order.address, server->address, CW_ADDRESS_MAX);
+	g_snprintf(effect->order.target, sizeof(effect->order.target), "%s/%s", row->model,
+		   row->version);
+	node_event(node, "rollout", "order",
+		   "order=load_version target=%s/%s server=%s fencing=%" G_GUINT64_FORMAT,
+		   row->model, row->version, server->name, node->lease.fencing);
+}
+
+/* The engine of the domain with the fewest versions, then the least load. */
+static struct cw_server *place_for(struct cw_node *node, const struct cw_row *row)
+{
+	struct cw_server *best = NULL;
+	struct cw_server *server;
+
+	TAILQ_FOREACH(server, cw_pool_servers(node->pool), link) {
+		if (strcmp(server->service, "llm") != 0 ||
+		    strcmp(server->failure_domain, node->failure_domain) != 0)
+			continue;
+		if (!cw_pool_is_usable(server, node->now_ms) || !server->versions_known)
+			continue;
+		if (!best || server->version_count < best->version_count ||
+		    (server->version_count == best->version_count &&
+		     cw_pool_load(server, node->now_ms) < cw_pool_load(best, node->now_ms)))
+			best = server;
+	}
+	return best;
+}
+
+static void take_trip(struct cw_node *node, struct json_object *trip)
+{
+	struct json_object *value;
+	uint64_t version;
+
+	if (!node->config.health->pooled || !node->feeds[CW_STREAM_NOTICES].caught_up ||
+	    !json_object_object_get_ex(trip, "version_id", &value))
+		return;
+	version = g_ascii_strtoull(json_object_get_string(value), NULL, 16);
+	if (cw_health_trip(node->health, version, node->now_ms))
+		node_event(node, "health", "trip_read", "version_id=%s",
+			   json_object_get_string(value));
+}
--- /dev/null
+++ b/packages/peer/peer.x
@@ -0,0 +1,129 @@
+/* Messages between instances. One call carries one signed message; the answer only says "received". */
+
+const PEER_TEXT_MAX = 1048576;
+const PEER_LIST_MAX = 1024;
+
+enum peer_kind {
+	PEER_HEARTBEAT = 1,
+	PEER_RECORDS = 2,
+	PEER_SNAPSHOT = 3,
+	PEER_BILLS = 4,
+	PEER_BILLS_HELD = 5,
+	PEER_BILLS_SETTLED = 6,
+	PEER_BIND = 7,
+	PEER_ASK_BINDING = 8,
+	PEER_BINDING = 9,
+	PEER_GRANTS = 10
+};
+
+struct peer_record {
+	unsigned hyper offset;
+	string data<PEER_TEXT_MAX>;
+};
+
+struct peer_evidence {
+	unsigned hyper model_version; /* hash of both; counts are totals of one instance's run */
+	unsigned int good;
+	unsigned int bad;
+	unsigned int slow;
+	unsigned int rated;
+	unsigned int rating_sum;    /* thousandths */
+	unsigned int rating_squares; /* thousandths of squares */
+	unsigned int tripped;
+};
+
+struct peer_load {
+	unsigned hyper server;      /* hash of its name */
+	unsigned int running;       /* this instance's own dispatches in progress */
+};
+
+struct peer_rating {
+	unsigned hyper task;        /* hash of organisation and task */
+	unsigned hyper model_version;
+	unsigned int score;         /* thousandths */
+	unsigned int tokens;
+};
+
+struct peer_want {
+	unsigned hyper row;
+	unsigned int parts;         /* of a million of the limit */
+};
+
+struct peer_heartbeat {
+	unsigned int leaving;
+	unsigned int reply;         /* 1: the receiver answers with its own heartbeat */
+	unsigned hyper table_offset;
+	unsigned hyper claims_offset;
+	peer_evidence evidence<PEER_LIST_MAX>;
+	peer_load loads<PEER_LIST_MAX>;
+	hyper asked_ms;             /* the asker's clock, echoed by grants */
+	peer_want wants<PEER_LIST_MAX>;
+	unsigned hyper first_rating; /* sequence number of the first rating below */
+	peer_rating ratings<PEER_LIST_MAX>;
+};
+
+struct peer_grants {
+	hyper asked_ms;
+	peer_want list<PEER_LIST_MAX>;
+};
+
+struct peer_bill {
+	string id<512>;             /* organisation and request id */
+	string text<65536>;         /* the bill as JSON */
+};
+
+struct peer_bills {
+	unsigned hyper noted;       /* offset of the bills stream known when the bills were made */
+	peer_bill list<PEER_LIST_MAX>;
+};
+
+struct peer_binding {
+	unsigned hyper key;
+	unsigned hyper bound_at;    /* 0: none held */
+	unsigned hyper asker;       /* handle of the asker's request */
+	string model<64>;
+	string model_version<64>;
+};
+
+union peer_body switch (peer_kind kind) {
+case PEER_HEARTBEAT:
+	peer_heartbeat heartbeat;
+case PEER_RECORDS:
+	peer_record records<PEER_LIST_MAX>;
+case PEER_SNAPSHOT:
+	string snapshot<PEER_TEXT_MAX>;
+case PEER_BILLS:
+	peer_bills bills;
+case PEER_BILLS_HELD:
+	peer_bills held;
+case PEER_BILLS_SETTLED:
+	peer_bills settled;
+case PEER_BIND:
+	peer_binding bind;
+case PEER_ASK_BINDING:
+	peer_binding ask;
+case PEER_BINDING:
+	peer_binding binding;
+case PEER_GRANTS:
+	peer_grants grants;
+};
+
+struct peer_message {
+	string from<64>;
+	string failure_domain<64>;
+	string address<64>;
+	unsigned hyper boot;        /* differs at every start of the instance */
+	unsigned hyper sequence;
+	peer_body body;
+};
+
+struct peer_envelope {
+	opaque mac[32];
+	opaque message<PEER_TEXT_MAX>;
+};
+
+program PEER_PROGRAM {
+	version PEER_VERSION {
+		int PEER_DELIVER(peer_envelope) = 1;
+	} = 1;
+} = 0x20c0ffee;
--- /dev/null
+++ b/packages/platform/include/cw_platform.h
@@ -0,0 +1,67 @@
+/* The platform's services, each behind a table of function pointers; HTTP is one of their kinds. */
+#ifndef CW_PLATFORM_H
+#define CW_PLATFORM_H
+
+#include "cw_status.h"
+
+#include <stddef.h>
+#include <stdint.h>
+
+struct cw_platform_record {
+	uint64_t offset;
+	int64_t time_ms;
+	char *data; /* JSON text */
+};
+
+struct cw_platform_read {
+	uint64_t first; /* oldest offset kept; 0: not said */
+	struct cw_platform_record *list;
+	size_t count;
+};
+
+struct cw_platform_member {
+	char name[CW_NAME_MAX];
+	int is_instance;
+	char address[CW_ADDRESS_MAX];
+	char peer_address[CW_ADDRESS_MAX];
+	char failure_domain[CW_NAME_MAX];
+	char service[CW_NAME_MAX];
+	int leaving;
+	int checks_fencing;
+};
+
+struct cw_rating_request {
+	const char *request_id;
+	const char *organisation;
+	const char *model;
+	const char *version;
+	const char *task;
+	const char *answer;
+};
+
+struct cw_log_ops {
+	/* CW_REFUSED, CW_UNREACHABLE: not kept. CW_UNKNOWN: no answer, it may have been kept. */
+	enum cw_status (*append)(const char *platform, const char *stream, const char *data,
+				 uint64_t *offset, struct cw_error *error);
+	/* CW_EXPIRED: from is older than read->first. */
+	enum cw_status (*read)(const char *platform, const char *stream, uint64_t from, size_t max,
+			       int wait_ms, struct cw_platform_read *read, struct cw_error *error);
+};
+
+struct cw_list_ops {
+	enum cw_status (*list)(const char *platform, struct cw_platform_member **members,
+			       size_t *count, struct cw_error *error); /* g_free(members) */
+};
+
+struct cw_rating_ops {
+	enum cw_status (*rate)(const char *platform, const struct cw_rating_request *request,
+			       double *score, struct cw_error *error);
+};
+
+extern const struct cw_log_ops cw_log_http;
+extern const struct cw_list_ops cw_list_http;
+extern const struct cw_rating_ops cw_rating_http;
+
+void cw_platform_read_clear(struct cw_platform_read *read);
+
+#endif
--- /dev/null
+++ b/packages/platform/src/platform_http.c
@@ -0,0 +1,235 @@
+#include "cw_platform.h"
+#include "cw_http_client.h"
+
+#include <glib.h>
+#include <json-c/json.h>
+#include <stdio.h>
+#include <string.h>
+
+#define CONNECT_MS    500
+#define ANSWER_MS     1500 /* beyond what the call itself waits */
+#define RATING_MS     2500
+#define READ_SIZE_MAX (16 * 1024 * 1024)
+
+static enum cw_status http_append(const char *platform, const char *stream, const char *data,
+				  uint64_t *offset, struct cw_error *error);
+static enum cw_status http_read(const char *platform, const char *stream, uint64_t from, size_t max,
+				int wait_ms, struct cw_platform_read *read, struct cw_error *error);
+static enum cw_status http_list(const char *platform, struct cw_platform_member **members,
+				size_t *count, struct cw_error *error);
+static enum cw_status http_rate(const char *platform, const struct cw_rating_request *request,
+				double *score, struct cw_error *error);
+static enum cw_status call(const char *method, const char *platform, const char *path,
+			   const char *body, int total_ms, int once, struct json_object **answer,
+			   int *http, struct cw_error *error);
+static void fill_read(struct json_object *answer, struct cw_platform_read *read);
+static int fill_member(struct json_object *source, struct cw_platform_member *member);
+static void copy_text(struct json_object *object, const char *key, char *text, size_t size);
+static uint64_t number_of(struct json_object *object, const char *key);
+
+const struct cw_log_ops cw_log_http = {http_append, http_read};
+const struct cw_list_ops cw_list_http = {http_list};
+const struct cw_rating_ops cw_rating_http = {http_rate};
+
+void cw_platform_read_clear(struct cw_platform_read *read)
+{
+	for (size_t i = 0; i < read->count; i++)
+		g_free(read->list[i].data);
+	g_clear_pointer(&read->list, g_free);
+	read->count = 0;
+}
+
+static enum cw_status http_append(const char *platform, const char *stream, const char *data,
+				  uint64_t *offset, struct cw_error *error)
+{
+	char *path = g_strdup_printf("/log/%s", stream);
+	struct json_object *answer = NULL;
+	int http = 0;
+	enum cw_status status =
+		call("POST", platform, path, data, ANSWER_MS, 1, &answer, &http, error);
+
+	g_free(path);
+	if (status == CW_OK) {
+		*offset = number_of(answer, "offset");
+		if (http == 429 || http == 503)
+			status = cw_error_set(error, CW_REFUSED, "log.append", platform,
+					      "status %d", http);
+		else if (http != 201 || *offset == 0)
+			status = cw_error_set(error, CW_UNKNOWN, "log.append", platform,
+					      "status %d", http);
+	}
+	json_object_put(answer);
+	return status;
+}
+
+static enum cw_status http_read(const char *platform, const char *stream, uint64_t from, size_t max,
+				int wait_ms, struct cw_platform_read *read, struct cw_error *error)
+{
+	char *path = g_strdup_printf("/log/%s?from=%" G_GUINT64_FORMAT "&max=%zu&wait_ms=%d",
+				     stream, from, max, wait_ms);
+	struct json_object *answer = NULL;
+	int http = 0;
+	enum cw_status status =
+		call("GET", platform, path, NULL, wait_ms + ANSWER_MS, 0, &answer, &http, error);
+
+	g_free(path);
+	memset(read, 0, sizeof(*read));
+	if (status == CW_OK) {
+		read->first = number_of(answer, "first");
+		if (http == 410)
+			status = CW_EXPIRED;
+		else if (http != 200)
+			status = cw_error_set(error, CW_REFUSED, "log.read", platform, "status %d",
+					      http);
+		else
+			fill_read(answer, read);
+	}
+	json_object_put(answer);
+	return status;
+}
+
+static enum cw_status http_list(const char *platform, struct cw_platform_member **members,
+				size_t *count, struct cw_error *error)
+{
+	struct json_object *answer = NULL;
+	struct json_object *list;
+	int http = 0;
+	enum cw_status status =
+		call("GET", platform, "/list", NULL, ANSWER_MS, 0, &answer, &http, error);
+
+	*members = NULL;
+	*count = 0;
+	if (status == CW_OK && http != 200)
+		status = cw_error_set(error, CW_REFUSED, "list.read", platform, "status %d", http);
+	if (status == CW_OK && json_object_object_get_ex(answer, "members", &list) &&
+	    json_object_is_type(list, json_type_array)) {
+		*members = g_new0(struct cw_platform_member, json_object_array_length(list) + 1);
+		for (size_t i = 0; i < json_object_array_length(list); i++)
+			*count += (size_t)fill_member(json_object_array_get_idx(list, i),
+						      &(*members)[*count]);
+	}
+	json_object_put(answer);
+	return status;
+}
+
+static enum cw_status http_rate(const char *platform, const struct cw_rating_request *request,
+				double *score, struct cw_error *error)
+{
+	struct json_object *body = json_object_new_object();
+	struct json_object *answer = NULL;
+	struct json_object *value;
+	int http = 0;
+	enum cw_status status;
+
+	json_object_object_add(body, "request_id", json_object_new_string(request->request_id));
+	json_object_object_add(body, "organisation", json_object_new_string(request->organisation));
+	json_object_object_add(body, "model", json_object_new_string(request->model));
+	json_object_object_add(body, "version", json_object_new_string(request->version));
+	json_object_object_add(body, "task", json_object_new_string(request->task));
+	json_object_object_add(body, "answer", json_object_new_string(request->answer));
+	status = call("POST", platform, "/ratings", json_object_to_json_string(body), RATING_MS, 0,
+		      &answer, &http, error);
+	json_object_put(body);
+	if (status == CW_OK) {
+		if (http == 200 && json_object_object_get_ex(answer, "score", &value))
+			*score = CLAMP(json_object_get_double(value), 0, 1);
+		else
+			status = cw_error_set(error, CW_REFUSED, "rating", platform, "status %d",
+					      http);
+	}
+	json_object_put(answer);
+	return status;
+}
+
+static enum cw_status call(const char *method, const char *platform, const char *path,
+			   const char *body, int total_ms, int once, struct json_object **answer,
+			   int *http, struct cw_error *error)
+{
+	static const char *const headers[] = {"Content-Type: application/json", NULL};
+	struct cw_http_call request = {
+		.method = method,
+		.address = platform,
+		.path = path,
+		.headers = headers,
+		.body = body,
+		.body_size = body ? strlen(body) : 0,
+		.connect_ms = CONNECT_MS,
+		.total_ms = total_ms,
+		.once = once,
+		.max_size = READ_SIZE_MAX,
+	};
+	struct cw_http_answer got;
+	enum cw_status status = cw_http_perform(&request, &got, error);
+
+	*http = got.status;
+	if (status == CW_OK)
+		*answer = got.body ? json_tokener_parse(got.body) : NULL;
+	cw_http_answer_clear(&got);
+	return status;
+}
+
+static void fill_read(struct json_object *answer, struct cw_platform_read *read)
+{
+	struct json_object *records;
+
+	if (!json_object_object_get_ex(answer, "records", &records) ||
+	    !json_object_is_type(records, json_type_array))
+		return;
+	read->list = g_new0(struct cw_platform_record, json_object_array_length(records) + 1);
+	for (size_t i = 0; i < json_object_array_length(records); i++) {
+		struct json_object *record = json_object_array_get_idx(records, i);
+		struct cw_platform_record *out = &read->list[read->count];
+		struct json_object *data;
+
+		if (!json_object_object_get_ex(record, "data", &data))
+			data = NULL;
+		out->offset = number_of(record, "offset");
+		out->time_ms = (int64_t)number_of(record, "time_ms");
+		/* A record may come as JSON or as the text that was appended. */
+		if (json_object_is_type(data, json_type_string))
+			out->data = g_strdup(json_object_get_string(data));
+		else
+			out->data = g_strdup(
+				json_object_to_json_string_ext(data, JSON_C_TO_STRING_PLAIN));
+		read->count++;
+	}
+}
+
+static int fill_member(struct json_object *source, struct cw_platform_member *member)
+{
+	char kind[32] = "";
+	char state[32] = "";
+	struct json_object *value;
+
+	memset(member, 0, sizeof(*member));
+	copy_text(source, "kind", kind, sizeof(kind));
+	copy_text(source, "state", state, sizeof(state));
+	copy_text(source, "name", member->name, CW_NAME_MAX);
+	copy_text(source, "address", member->address, CW_ADDRESS_MAX);
+	copy_text(source, "peer_address", member->peer_address, CW_ADDRESS_MAX);
+	copy_text(source, "failure_domain", member->failure_domain, CW_NAME_MAX);
+	copy_text(source, "service", member->service, CW_NAME_MAX);
+	member->is_instance = !strcmp(kind, "instance");
+	member->leaving = !strcmp(state, "leaving");
+	member->checks_fencing = json_object_object_get_ex(source, "checks_fencing", &value) &&
+				 json_object_get_boolean(value);
+	return *member->name && (member->is_instance || !strcmp(kind, "backend_server"));
+}
+
+static void copy_text(struct json_object *object, const char *key, char *text, size_t size)
+{
+	struct json_object *value;
+
+	if (json_object_object_get_ex(object, key, &value) &&
+	    json_object_is_type(value, json_type_string))
+		g_strlcpy(text, json_object_get_string(value), size);
+}
+
+static uint64_t number_of(struct json_object *object, const char *key)
+{
+	struct json_object *value;
+
+	return json_object_object_get_ex(object, key, &value)
+		       ? (uint64_t)json_object_get_int64(value)
+		       : 0;
+}
--- /dev/null
+++ b/packages/pool/include/cw_pool.h
@@ -0,0 +1,123 @@
+/*
+ * Backend servers of every service: what is known of their load, their breakers, and which one a
+ * request goes to. Reports lag; a node corrects each with what it sent and got back since the
+ * report's own time.
+ */
+#ifndef CW_POOL_H
+#define CW_POOL_H
+
+#include "cw_status.h"
+
+#include <stddef.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+#define CW_POOL_HISTORY 64 /* own dispatches and answers remembered per server */
+
+struct cw_load {
+	unsigned int running;
+	unsigned int queued;
+	unsigned int slots;
+	double kv_used; /* 0 to 1 */
+	unsigned int age_ms;
+	const char *const
+		*versions; /* "MODEL/VERSION", NULL-terminated; NULL for a plain service */
+};
+
+struct cw_server {
+	TAILQ_ENTRY(cw_server) link;
+	char name[CW_NAME_MAX];
+	char service[CW_NAME_MAX];
+	char address[CW_ADDRESS_MAX];
+	char failure_domain[CW_NAME_MAX];
+	uint64_t id; /* hash of the name */
+	int checks_fencing;
+	int configured;
+	int leaving;
+	int64_t listed_ms;
+	int64_t poll_due_ms;
+
+	unsigned int running, queued, slots; /* as last reported */
+	int64_t sampled_ms;		     /* when the report was true, -1 never */
+	uint64_t *versions;		     /* hashes of the loaded versions */
+	size_t version_count;
+	int versions_known;
+
+	unsigned int own_running;
+	unsigned int peers_running; /* dispatched by other instances, from gossip */
+	int64_t peers_ms;
+	struct {
+		int64_t ms;
+		int change; /* 1 dispatched, -1 ended */
+	} history[CW_POOL_HISTORY];
+	size_t history_next;
+	double service_ms; /* smoothed time of one request */
+
+	unsigned int failures; /* in a row */
+	int64_t open_until_ms; /* breaker: no request before */
+	int64_t backoff_ms;
+	int probing;	     /* half open: one request is out */
+	int64_t restored_ms; /* slow start counts from here, -1 none */
+	uint64_t turn;	     /* round robin */
+};
+
+TAILQ_HEAD(cw_server_list, cw_server);
+
+struct cw_pool;
+
+struct cw_choice {
+	const char *service;
+	uint64_t version;	    /* cw_pool_version of "MODEL/VERSION"; 0 for a plain service */
+	uint64_t prefix;	    /* hash of the prompt's start, 0 none */
+	const char *failure_domain; /* the asking instance's */
+	const uint64_t *tried;	    /* servers this request is not sent to again */
+	size_t tried_count;
+	int64_t now_ms;
+	uint64_t random;
+};
+
+/* How a server is chosen among those that may serve. */
+struct cw_choice_policy {
+	const char *name;
+	struct cw_server *(*choose)(struct cw_server **candidates, size_t count,
+				    const struct cw_choice *choice);
+};
+
+extern const struct cw_choice_policy
+	cw_choice_affinity; /* prefix affinity, two choices, spill between domains */
+extern const struct cw_choice_policy cw_choice_two;	    /* the same without prefix affinity */
+extern const struct cw_choice_policy cw_choice_round_robin; /* baseline */
+extern const struct cw_choice_policy
+	cw_choice_least_reported;		       /* baseline: the smallest lagged report */
+extern const struct cw_choice_policy cw_choice_random; /* baseline */
+const struct cw_choice_policy *cw_choice_policy_find(const char *name); /* NULL: unknown */
+
+struct cw_pool *cw_pool_create(const struct cw_choice_policy *policy);
+void cw_pool_destroy(struct cw_pool *pool); /* frees its servers */
+struct cw_server *cw_pool_learn(struct cw_pool *pool, const char *name, const char *service,
+				const char *address, const char *failure_domain,
+				int checks_fencing);		   /* NULL: full */
+struct cw_server *cw_pool_find(struct cw_pool *pool, uint64_t id); /* NULL: unknown */
+void cw_pool_forget(struct cw_pool *pool,
+		    struct cw_server *server); /* only without requests of its own */
+uint64_t cw_pool_version(const char *model, const char *version);
+struct cw_server *cw_pool_choose(struct cw_pool *pool,
+				 const struct cw_choice *choice); /* NULL: none may serve */
+int cw_pool_serves(const struct cw_server *server,
+		   uint64_t version); /* loaded there, or not known */
+void cw_pool_dispatched(struct cw_server *server, int64_t now_ms);
+void cw_pool_ended(struct cw_server *server, int64_t now_ms,
+		   double service_ms); /* service_ms < 0: no answer */
+void cw_pool_succeeded(struct cw_server *server, int64_t now_ms);
+void cw_pool_failed(struct cw_server *server, int64_t now_ms,
+		    uint64_t random); /* may open the breaker */
+void cw_pool_reported(struct cw_server *server, const struct cw_load *load, int64_t now_ms);
+double cw_pool_load(const struct cw_server *server,
+		    int64_t now_ms); /* requests there now, estimated */
+double cw_pool_wait_ms(const struct cw_server *server,
+		       int64_t now_ms); /* predicted wait of one more request */
+int cw_pool_is_usable(const struct cw_server *server,
+		      int64_t now_ms); /* not leaving, breaker lets one through */
+const struct cw_server_list *cw_pool_servers(const struct cw_pool *pool);
+
+#endif
--- /dev/null
+++ b/packages/pool/src/pool.c
@@ -0,0 +1,245 @@
+#include "cw_pool.h"
+#include "cw_hash.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define BREAKER_FAILURES   3 /* in a row that open the breaker */
+#define BREAKER_FIRST_MS   500
+#define BREAKER_MAX_MS	   15000
+#define REPORT_FRESH_MS	   3000 /* an older report is no better than none */
+#define SLOTS_UNKNOWN	   8
+#define SERVICE_MS_UNKNOWN 500.0
+#define SERVICE_SMOOTHING  0.1
+
+struct cw_pool {
+	const struct cw_choice_policy *policy;
+	struct cw_server_list servers;
+	GHashTable *by_id;
+};
+
+static void remember(struct cw_server *server, int64_t now_ms, int change);
+static int is_tried(const struct cw_choice *choice, uint64_t id);
+
+struct cw_pool *cw_pool_create(const struct cw_choice_policy *policy)
+{
+	struct cw_pool *pool = g_new0(struct cw_pool, 1);
+
+	pool->policy = policy;
+	TAILQ_INIT(&pool->servers);
+	pool->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
+	return pool;
+}
+
+void cw_pool_destroy(struct cw_pool *pool)
+{
+	struct cw_server *server;
+
+	if (!pool)
+		return;
+	while ((server = TAILQ_FIRST(&pool->servers)))
+		cw_pool_forget(pool, server);
+	g_hash_table_destroy(pool->by_id);
+	g_free(pool);
+}
+
+struct cw_server *cw_pool_learn(struct cw_pool *pool, const char *name, const char *service,
+				const char *address, const char *failure_domain, int checks_fencing)
+{
+	uint64_t id = cw_hash_text(name, 4);
+	struct cw_server *server = cw_pool_find(pool, id);
+
+	if (!server) {
+		if (g_hash_table_size(pool->by_id) >= CW_MAX_SERVERS)
+			return NULL;
+		server = g_new0(struct cw_server, 1);
+		server->id = id;
+		server->sampled_ms = -1;
+		server->restored_ms = -1;
+		server->listed_ms = -1;
+		g_strlcpy(server->name, name, CW_NAME_MAX);
+		TAILQ_INSERT_TAIL(&pool->servers, server, link);
+		g_hash_table_insert(pool->by_id, &server->id, server);
+	}
+	g_strlcpy(server->service, service, CW_NAME_MAX);
+	g_strlcpy(server->address, address, CW_ADDRESS_MAX);
+	g_strlcpy(server->failure_domain, failure_domain, CW_NAME_MAX);
+	server->checks_fencing = checks_fencing;
+	return server;
+}
+
+struct cw_server *cw_pool_find(struct cw_pool *pool, uint64_t id)
+{
+	return g_hash_table_lookup(pool->by_id, &id);
+}
+
+void cw_pool_forget(struct cw_pool *pool, struct cw_server *server)
+{
+	TAILQ_REMOVE(&pool->servers, server, link);
+	g_hash_table_remove(pool->by_id, &server->id);
+	g_free(server->versions);
+	g_free(server);
+}
+
+uint64_t cw_pool_version(const char *model, const char *version)
+{
+	return cw_hash_text(version, cw_hash_text(model, 5));
+}
+
+struct cw_server *cw_pool_choose(struct cw_pool *pool, const struct cw_choice *choice)
+{
+	struct cw_server *candidates[CW_MAX_SERVERS];
+	struct cw_server *server;
+	size_t count = 0;
+
+	TAILQ_FOREACH(server, &pool->servers, link) {
+		if (strcmp(server->service, choice->service) != 0)
+			continue;
+		if (!cw_pool_is_usable(server, choice->now_ms) || is_tried(choice, server->id))
+			continue;
+		if (choice->version && !cw_pool_serves(server, choice->version))
+			continue;
+		candidates[count++] = server;
+	}
+	return count ? pool->policy->choose(candidates, count, choice) : NULL;
+}
+
+int cw_pool_serves(const struct cw_server *server, uint64_t version)
+{
+	if (!server->versions_known)
+		return 1;
+	for (size_t i = 0; i < server->version_count; i++)
+		if (server->versions[i] == version)
+			return 1;
+	return 0;
+}
+
+void cw_pool_dispatched(struct cw_server *server, int64_t now_ms)
+{
+	server->own_running++;
+	if (server->open_until_ms && now_ms >= server->open_until_ms)
+		server->probing = 1;
+	remember(server, now_ms, 1);
+}
+
+void cw_pool_ended(struct cw_server *server, int64_t now_ms, double service_ms)
+{
+	if (server->own_running > 0)
+		server->own_running--;
+	remember(server, now_ms, -1);
+	if (service_ms < 0)
+		return;
+	if (server->service_ms <= 0)
+		server->service_ms = service_ms;
+	else
+		server->service_ms += SERVICE_SMOOTHING * (service_ms - server->service_ms);
+}
+
+void cw_pool_succeeded(struct cw_server *server, int64_t now_ms)
+{
+	if (server->open_until_ms)
+		server->restored_ms = now_ms;
+	server->failures = 0;
+	server->open_until_ms = 0;
+	server->backoff_ms = 0;
+	server->probing = 0;
+}
+
+void cw_pool_failed(struct cw_server *server, int64_t now_ms, uint64_t random)
+{
+	int was_probe = server->probing;
+
+	server->probing = 0;
+	server->failures++;
+	if (server->failures < BREAKER_FAILURES && !was_probe)
+		return;
+	if (server->open_until_ms > now_ms)
+		return;
+	server->backoff_ms =
+		server->backoff_ms ? MIN(server->backoff_ms * 2, BREAKER_MAX_MS) : BREAKER_FIRST_MS;
+	/* Jitter: instances that saw the same failure would else all probe in the same moment. */
+	server->open_until_ms =
+		now_ms + server->backoff_ms / 2 + (int64_t)(random % (uint64_t)server->backoff_ms);
+}
+
+void cw_pool_reported(struct cw_server *server, const struct cw_load *load, int64_t now_ms)
+{
+	int64_t sampled_ms = now_ms - load->age_ms;
+
+	/* Reports may overtake each other: an older one must not undo a newer one. */
+	if (sampled_ms < server->sampled_ms)
+		return;
+	server->running = load->running;
+	server->queued = load->queued;
+	server->slots = load->slots;
+	server->sampled_ms = sampled_ms;
+	if (!load->versions)
+		return;
+	g_free(server->versions);
+	server->version_count = 0;
+	while (load->versions[server->version_count])
+		server->version_count++;
+	server->versions = g_new(uint64_t, server->version_count + 1);
+	for (size_t i = 0; i < server->version_count; i++) {
+		char **names = g_strsplit(load->versions[i], "/", 2);
+
+		server->versions[i] =
+			names[0] && names[1] ? cw_pool_version(names[0], names[1]) : 0;
+		g_strfreev(names);
+	}
+	server->versions_known = 1;
+}
+
+double cw_pool_load(const struct cw_server *server, int64_t now_ms)
+{
+	double load = server->own_running;
+
+	if (server->sampled_ms >= 0 && now_ms - server->sampled_ms <= REPORT_FRESH_MS) {
+		load = server->running + server->queued;
+		for (size_t i = 0; i < CW_POOL_HISTORY; i++)
+			if (server->history[i].ms > server->sampled_ms)
+				load += server->history[i].change;
+		return MAX(load, (double)server->own_running);
+	}
+	if (now_ms - server->peers_ms <= REPORT_FRESH_MS)
+		load += server->peers_running;
+	return load;
+}
+
+double cw_pool_wait_ms(const struct cw_server *server, int64_t now_ms)
+{
+	double slots = server->slots ? server->slots : SLOTS_UNKNOWN;
+	double service_ms = server->service_ms > 0 ? server->service_ms : SERVICE_MS_UNKNOWN;
+	double ahead = cw_pool_load(server, now_ms) + 1 - slots;
+
+	return ahead > 0 ? ahead / slots * service_ms : 0;
+}
+
+int cw_pool_is_usable(const struct cw_server *server, int64_t now_ms)
+{
+	if (server->leaving)
+		return 0;
+	if (!server->open_until_ms)
+		return 1;
+	return now_ms >= server->open_until_ms && !server->probing;
+}
+
+const struct cw_server_list *cw_pool_servers(const struct cw_pool *pool)
+{
+	return &pool->servers;
+}
+
+static void remember(struct cw_server *server, int64_t now_ms, int change)
+{
+	server->history[server->history_next].ms = now_ms;
+	server->history[server->history_next].change = change;
+	server->history_next = (server->history_next + 1) % CW_POOL_HISTORY;
+}
+
+static int is_tried(const struct cw_choice *choice, uint64_t id)
+{
+	for (size_t i = 0; i < choice->tried_count; i++)
+		if (choice->tried[i] == id)
+			return 1;
+	return 0;
+}
--- /dev/null
+++ b/packages/session/include/cw_session.h
@@ -0,0 +1,42 @@
+/*
+ * Which version a session holds. A binding is (session key, table offset at its start, version);
+ * of two bindings the one with the smaller offset stands, so merging is commutative and idempotent
+ * and instances agree in whatever order they learn of them.
+ */
+#ifndef CW_SESSION_H
+#define CW_SESSION_H
+
+#include "cw_hash.h"
+#include "cw_status.h"
+
+#include <stddef.h>
+#include <stdint.h>
+
+struct cw_binding {
+	uint64_t key; /* hash of organisation, session id and model asked for */
+	uint64_t bound_at;
+	char model[CW_NAME_MAX];
+	char version[CW_NAME_MAX];
+	int64_t pushed_ms; /* when its homes were last told, 0 never */
+};
+
+struct cw_session_store;
+
+uint64_t cw_session_key(const char *organisation, const char *session_id, const char *model);
+struct cw_session_store *cw_session_create(size_t max_sessions);
+void cw_session_destroy(struct cw_session_store *store);
+int cw_session_merge(struct cw_session_store *store, const struct cw_binding *binding,
+		     int64_t now_ms); /* 1: the store's binding changed */
+const struct cw_binding *cw_session_find(struct cw_session_store *store, uint64_t key,
+					 int64_t now_ms); /* NULL: none; keeps it fresh */
+void cw_session_pushed(struct cw_session_store *store, uint64_t key, int64_t now_ms);
+void cw_session_end(struct cw_session_store *store, uint64_t key); /* its version was withdrawn */
+void cw_session_expire(struct cw_session_store *store, int64_t now_ms, int64_t idle_ms);
+size_t cw_session_count(const struct cw_session_store *store);
+
+void cw_token_make(const uint8_t key[CW_KEY_BYTES], const struct cw_binding *binding,
+		   char token[CW_TOKEN_MAX]);
+enum cw_status cw_token_read(const uint8_t key[CW_KEY_BYTES], const char *token,
+			     struct cw_binding *binding); /* CW_INVALID: not ours */
+
+#endif
--- /dev/null
+++ b/packages/table/include/cw_table.h
@@ -0,0 +1,90 @@
+/*
+ * The operators' table: rows of (organisation, model, version), each cell with the log offset that
+ * last set it. The table is a fold over the `table` stream, so every instance that has read the
+ * same offsets holds the same table, and a table never goes back.
+ */
+#ifndef CW_TABLE_H
+#define CW_TABLE_H
+
+#include "cw_hash.h"
+#include "cw_status.h"
+
+#include <stddef.h>
+#include <stdint.h>
+#include <sys/queue.h>
+
+#define CW_SERVICE_PREFIX "service:" /* model names of plain services start so */
+
+enum cw_column {
+	CW_COLUMN_WEIGHT,
+	CW_COLUMN_REQUESTS_PER_S,
+	CW_COLUMN_TOKENS_PER_S,
+	CW_COLUMN_CONCURRENT,
+	CW_COLUMN_COST,
+	CW_COLUMN_QUALITY,
+	CW_COLUMN_STATE, /* 1 allowed, 0 withdrawn */
+	CW_COLUMNS,
+};
+
+struct cw_row {
+	TAILQ_ENTRY(cw_row) link;
+	TAILQ_ENTRY(cw_row) organisation_link;
+	char organisation[CW_NAME_MAX];
+	char model[CW_NAME_MAX];
+	char version[CW_NAME_MAX];     /* "" for a plain service */
+	double cell[CW_COLUMNS];       /* NAN: empty, no limit */
+	uint64_t revision[CW_COLUMNS]; /* offset that last set the cell, 0 never */
+	uint64_t withdrawn_at; /* last offset at which the row stopped being allowed, 0 never */
+	uint64_t id;	       /* hash of the three names; the same everywhere */
+};
+
+TAILQ_HEAD(cw_row_list, cw_row);
+
+enum cw_fold {
+	CW_FOLD_APPLIED,
+	CW_FOLD_DUPLICATE, /* the edit's id was applied before: nothing changed */
+	CW_FOLD_CONFLICT,  /* a cell's revision was not the one the edit saw */
+	CW_FOLD_MALFORMED,
+	CW_FOLD_SNAPSHOT, /* a snapshot record: no change to a table that is up to date */
+};
+
+struct cw_table;
+
+struct cw_table *cw_table_create(void);	       /* empty, at offset 0 */
+void cw_table_destroy(struct cw_table *table); /* frees its rows */
+enum cw_status cw_table_fold(struct cw_table *table, uint64_t offset, const char *record,
+			     enum cw_fold *fold,
+			     struct cw_error *error); /* CW_INVALID: not the next offset */
+enum cw_status cw_table_load(struct cw_table *table, const char *record,
+			     struct cw_error *error);	/* a snapshot; CW_REFUSED: older */
+char *cw_table_snapshot(const struct cw_table *table);	/* a record for the log; g_free */
+uint64_t cw_table_offset(const struct cw_table *table); /* last folded offset */
+uint64_t cw_table_changed(const struct cw_table *table, const char *organisation,
+			  const char *model); /* offset of the last change of routing; 0 never */
+const char *cw_table_organisation(const struct cw_table *table,
+				  const char *key_sha256); /* NULL: unknown key */
+const struct cw_row *cw_table_row(const struct cw_table *table, const char *organisation,
+				  const char *model, const char *version); /* NULL: missing */
+const struct cw_row *cw_table_row_by_id(const struct cw_table *table,
+					uint64_t id); /* NULL: missing */
+int cw_table_allows(const struct cw_row *row);	      /* 0 for NULL, withdrawn or never set */
+int cw_table_binding_holds(const struct cw_row *row,
+			   uint64_t bound_at); /* allowed, and not withdrawn since */
+const struct cw_row_list *cw_table_rows(const struct cw_table *table);
+const struct cw_row_list *
+cw_table_organisation_rows(const struct cw_table *table,
+			   const char *organisation); /* by organisation_link; NULL: none */
+size_t cw_table_bytes(const struct cw_table *table);  /* estimate of memory held */
+
+const char *cw_column_name(enum cw_column column);
+enum cw_status cw_column_find(const char *name, enum cw_column *column); /* CW_NOT_FOUND */
+enum cw_status cw_cell_parse(enum cw_column column, const char *text,
+			     double *value); /* CW_INVALID */
+void cw_cell_print(enum cw_column column, double value, char *text, size_t size);
+
+enum cw_status
+cw_table_edit_from_csv(const char *csv, const char *edit_id, const char *by, char **record,
+		       struct cw_error *error);	     /* whole file or nothing; g_free(record) */
+char *cw_table_to_csv(const struct cw_table *table); /* g_free */
+
+#endif
--- /dev/null
+++ b/packages/table/src/table.c
@@ -0,0 +1,464 @@
+#include "cw_table.h"
+
+#include <glib.h>
+#include <json-c/json.h>
+#include <math.h>
+#include <string.h>
+
+#define EDITS_KEPT 4096 /* edit ids remembered against appends that were repeated */
+#define STEP	   "table.fold"
+
+struct cw_table {
+	uint64_t offset;
+	struct cw_row_list rows;
+	GHashTable *by_id;	     /* row id -> row */
+	GHashTable *by_organisation; /* name -> struct cw_row_list */
+	GHashTable *keys;	     /* SHA-256 of a caller's key -> organisation */
+	GHashTable *routed; /* hash of (organisation, model) -> offset of the last routing change */
+	GHashTable *edits;  /* hash of an applied edit's id */
+	uint64_t edit_order[EDITS_KEPT];
+	size_t edit_count;
+};
+
+struct cell_edit {
+	const char *organisation;
+	const char *model;
+	const char *version;
+	enum cw_column column;
+	double value;
+};
+
+static enum cw_fold fold_record(struct cw_table *table, uint64_t offset, struct json_object *record,
+				struct cw_error *error);
+static enum cw_fold fold_edit(struct cw_table *table, uint64_t offset, struct json_object *record,
+			      struct json_object *cells, struct cw_error *error);
+static enum cw_fold fold_key(struct cw_table *table, struct json_object *record,
+			     struct cw_error *error);
+static enum cw_fold check_cell(const struct cw_table *table, struct json_object *cell,
+			       struct cell_edit *edit, struct cw_error *error);
+static void apply_cell(struct cw_table *table, uint64_t offset, const struct cell_edit *edit);
+static struct cw_row *row_create(struct cw_table *table, const char *organisation,
+				 const char *model, const char *version);
+static uint64_t row_id(const char *organisation, const char *model, const char *version);
+static void remember_edit(struct cw_table *table, uint64_t id);
+static void load_row(struct cw_table *table, struct json_object *source);
+static void clear(struct cw_table *table);
+static const char *text_of(struct json_object *object, const char *key);
+static uint64_t number_of(struct json_object *object, const char *key);
+static uint64_t *new_u64(uint64_t value);
+
+struct cw_table *cw_table_create(void)
+{
+	struct cw_table *table = g_new0(struct cw_table, 1);
+
+	TAILQ_INIT(&table->rows);
+	table->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
+	table->by_organisation = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	table->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	table->routed = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	table->edits = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	return table;
+}
+
+void cw_table_destroy(struct cw_table *table)
+{
+	if (!table)
+		return;
+	clear(table);
+	g_hash_table_destroy(table->by_id);
+	g_hash_table_destroy(table->by_organisation);
+	g_hash_table_destroy(table->keys);
+	g_hash_table_destroy(table->routed);
+	g_hash_table_destroy(table->edits);
+	g_free(table);
+}
+
+enum cw_status cw_table_fold(struct cw_table *table, uint64_t offset, const char *record,
+			     enum cw_fold *fold, struct cw_error *error)
+{
+	struct json_object *parsed;
+
+	/* A gap or a repeat would make two instances differ for ever: only the next offset counts.
+	 */
+	if (offset != table->offset + 1)
+		return cw_error_set(error, CW_INVALID, STEP, "",
+				    "offset %" G_GUINT64_FORMAT " after %" G_GUINT64_FORMAT, offset,
+				    table->offset);
+	parsed = json_tokener_parse(record);
+	*fold = fold_record(table, offset, parsed, error);
+	json_object_put(parsed);
+	table->offset = offset;
+	return CW_OK;
+}
+
+enum cw_status cw_table_load(struct cw_table *table, const char *record, struct cw_error *error)
+{
+	struct json_object *parsed = json_tokener_parse(record);
+	struct json_object *snapshot;
+	struct json_object *list;
+	enum cw_status status = CW_OK;
+
+	if (!json_object_object_get_ex(parsed, "snapshot", &snapshot)) {
+		status = cw_error_set(error, CW_INVALID, "table.load", "", "not a snapshot");
+	} else if (number_of(snapshot, "offset") <= table->offset) {
+		status = cw_error_set(error, CW_REFUSED, "table.load", "",
+				      "the snapshot is older than the table");
+	} else {
+		clear(table);
+		table->offset = number_of(snapshot, "offset");
+		json_object_object_get_ex(snapshot, "rows", &list);
+		for (size_t i = 0; i < json_object_array_length(list); i++)
+			load_row(table, json_object_array_get_idx(list, i));
+		json_object_object_get_ex(snapshot, "keys", &list);
+		for (size_t i = 0; i < json_object_array_length(list); i++)
+			fold_key(table, json_object_array_get_idx(list, i), NULL);
+		json_object_object_get_ex(snapshot, "edits", &list);
+		for (size_t i = 0; i < json_object_array_length(list); i++)
+			remember_edit(table, (uint64_t)json_object_get_int64(
+						     json_object_array_get_idx(list, i)));
+	}
+	json_object_put(parsed);
+	return status;
+}
+
+char *cw_table_snapshot(const struct cw_table *table)
+{
+	struct json_object *record = json_object_new_object();
+	struct json_object *snapshot = json_object_new_object();
+	struct json_object *rows = json_object_new_array();
+	struct json_object *keys = json_object_new_array();
+	struct json_object *edits = json_object_new_array();
+	const struct cw_row *row;
+	GHashTableIter iter;
+	gpointer key, organisation;
+	size_t first = table->edit_count > EDITS_KEPT ? table->edit_count - EDITS_KEPT : 0;
+	char *text;
+
+	TAILQ_FOREACH(row, &table->rows, link) {
+		struct json_object *out = json_object_new_object();
+		struct json_object *cells = json_object_new_array();
+
+		json_object_object_add(out, "organisation",
+				       json_object_new_string(row->organisation));
+		json_object_object_add(out, "model", json_object_new_string(row->model));
+		json_object_object_add(out, "version", json_object_new_string(row->version));
+		json_object_object_add(out, "withdrawn_at",
+				       json_object_new_int64((int64_t)row->withdrawn_at));
+		for (int column = 0; column < CW_COLUMNS; column++) {
+			char value[64];
+
+			cw_cell_print(column, row->cell[column], value, sizeof(value));
+			json_object_array_add(cells, json_object_new_string(value));
+			json_object_array_add(
+				cells, json_object_new_int64((int64_t)row->revision[column]));
+		}
+		json_object_object_add(out, "cells", cells);
+		json_object_array_add(rows, out);
+	}
+	g_hash_table_iter_init(&iter, table->keys);
+	while (g_hash_table_iter_next(&iter, &key, &organisation)) {
+		struct json_object *out = json_object_new_object();
+
+		json_object_object_add(out, "organisation", json_object_new_string(organisation));
+		json_object_object_add(out, "key_sha256", json_object_new_string(key));
+		json_object_array_add(keys, out);
+	}
+	for (size_t i = first; i < table->edit_count; i++)
+		json_object_array_add(
+			edits, json_object_new_int64((int64_t)table->edit_order[i % EDITS_KEPT]));
+	json_object_object_add(snapshot, "offset", json_object_new_int64((int64_t)table->offset));
+	json_object_object_add(snapshot, "rows", rows);
+	json_object_object_add(snapshot, "keys", keys);
+	json_object_object_add(snapshot, "edits", edits);
+	json_object_object_add(record, "snapshot", snapshot);
+	text = g_strdup(json_object_to_json_string_ext(record, JSON_C_TO_STRING_PLAIN));
+	json_object_put(record);
+	return text;
+}
+
+uint64_t cw_table_offset(const struct cw_table *table)
+{
+	return table->offset;
+}
+
+uint64_t cw_table_changed(const struct cw_table *table, const char *organisation, const char *model)
+{
+	uint64_t id = row_id(organisation, model, "");
+	uint64_t *offset = g_hash_table_lookup(table->routed, &id);
+
+	return offset ? *offset : 0;
+}
+
+const char *cw_table_organisation(const struct cw_table *table, const char *key_sha256)
+{
+	return g_hash_table_lookup(table->keys, key_sha256);
+}
+
+const struct cw_row *cw_table_row(const struct cw_table *table, const char *organisation,
+				  const char *model, const char *version)
+{
+	uint64_t id = row_id(organisation, model, version);
+
+	return g_hash_table_lookup(table->by_id, &id);
+}
+
+const struct cw_row *cw_table_row_by_id(const struct cw_table *table, uint64_t id)
+{
+	return g_hash_table_lookup(table->by_id, &id);
+}
+
+int cw_table_allows(const struct cw_row *row)
+{
+	return row && row->cell[CW_COLUMN_STATE] == 1;
+}
+
+int cw_table_binding_holds(const struct cw_row *row, uint64_t bound_at)
+{
+	return cw_table_allows(row) && row->withdrawn_at <= bound_at;
+}
+
+const struct cw_row_list *cw_table_rows(const struct cw_table *table)
+{
+	return &table->rows;
+}
+
+const struct cw_row_list *cw_table_organisation_rows(const struct cw_table *table,
+						     const char *organisation)
+{
+	return g_hash_table_lookup(table->by_organisation, organisation);
+}
+
+size_t cw_table_bytes(const struct cw_table *table)
+{
+	size_t rows = g_hash_table_size(table->by_id);
+
+	return sizeof(*table) + rows * (sizeof(struct cw_row) + 32) +
+	       g_hash_table_size(table->keys) * 160;
+}
+
+static enum cw_fold fold_record(struct cw_table *table, uint64_t offset, struct json_object *record,
+				struct cw_error *error)
+{
+	struct json_object *cells;
+
+	if (json_object_object_get_ex(record, "snapshot", NULL))
+		return CW_FOLD_SNAPSHOT;
+	if (json_object_object_get_ex(record, "key_sha256", NULL))
+		return fold_key(table, record, error);
+	if (json_object_object_get_ex(record, "cells", &cells))
+		return fold_edit(table, offset, record, cells, error);
+	cw_error_set(error, CW_INVALID, STEP, "", "neither cells, a key nor a snapshot");
+	return CW_FOLD_MALFORMED;
+}
+
+static enum cw_fold fold_edit(struct cw_table *table, uint64_t offset, struct json_object *record,
+			      struct json_object *cells, struct cw_error *error)
+{
+	const char *id = text_of(record, "edit");
+	size_t count =
+		json_object_is_type(cells, json_type_array) ? json_object_array_length(cells) : 0;
+	uint64_t id_hash = cw_hash_text(id, 0);
+	struct cell_edit *edits;
+	enum cw_fold fold = CW_FOLD_APPLIED;
+
+	/*
+	 * An append whose answer was lost is appended again. Applied twice, the second would undo
+	 * what another operator set between the two; it shows as a cell that reverts.
+	 */
+	if (*id && g_hash_table_contains(table->edits, &id_hash))
+		return CW_FOLD_DUPLICATE;
+	if (!*id || count == 0) {
+		cw_error_set(error, CW_INVALID, STEP, "", "an edit needs an id and cells");
+		return CW_FOLD_MALFORMED;
+	}
+	edits = g_new0(struct cell_edit, count);
+	for (size_t i = 0; fold == CW_FOLD_APPLIED && i < count; i++)
+		fold = check_cell(table, json_object_array_get_idx(cells, i), &edits[i], error);
+	for (size_t i = 0; fold == CW_FOLD_APPLIED && i < count; i++)
+		apply_cell(table, offset, &edits[i]);
+	if (fold == CW_FOLD_APPLIED)
+		remember_edit(table, id_hash);
+	g_free(edits);
+	return fold;
+}
+
+static enum cw_fold fold_key(struct cw_table *table, struct json_object *record,
+			     struct cw_error *error)
+{
+	const char *organisation = text_of(record, "organisation");
+	const char *key = text_of(record, "key_sha256");
+	GHashTableIter iter;
+	gpointer held;
+
+	if (!*organisation || strlen(organisation) >= CW_NAME_MAX ||
+	    strlen(key) != CW_SHA256_HEX - 1) {
+		cw_error_set(error, CW_INVALID, STEP, "",
+			     "a key needs an organisation and 64 hex digits");
+		return CW_FOLD_MALFORMED;
+	}
+	g_hash_table_iter_init(&iter, table->keys);
+	while (g_hash_table_iter_next(&iter, NULL, &held))
+		if (!strcmp(held, organisation))
+			g_hash_table_iter_remove(&iter);
+	g_hash_table_insert(table->keys, g_ascii_strdown(key, -1), g_strdup(organisation));
+	return CW_FOLD_APPLIED;
+}
+
+static enum cw_fold check_cell(const struct cw_table *table, struct json_object *cell,
+			       struct cell_edit *edit, struct cw_error *error)
+{
+	const struct cw_row *row;
+	struct json_object *seen;
+	uint64_t revision;
+
+	edit->organisation = text_of(cell, "organisation");
+	edit->model = text_of(cell, "model");
+	edit->version = text_of(cell, "version");
+	if (!*edit->organisation || !*edit->model || strlen(edit->organisation) >= CW_NAME_MAX ||
+	    strlen(edit->model) >= CW_NAME_MAX || strlen(edit->version) >= CW_NAME_MAX ||
+	    cw_column_find(text_of(cell, "column"), &edit->column) != CW_OK ||
+	    cw_cell_parse(edit->column, text_of(cell, "value"), &edit->value) != CW_OK) {
+		cw_error_set(error, CW_INVALID, STEP, "", "%s/%s/%s: %s cannot be '%s'",
+			     edit->organisation, edit->model, edit->version,
+			     text_of(cell, "column"), text_of(cell, "value"));
+		return CW_FOLD_MALFORMED;
+	}
+	if (!json_object_object_get_ex(cell, "if_revision", &seen))
+		return CW_FOLD_APPLIED;
+	row = cw_table_row(table, edit->organisation, edit->model, edit->version);
+	revision = row ? row->revision[edit->column] : 0;
+	if (revision == (uint64_t)json_object_get_int64(seen))
+		return CW_FOLD_APPLIED;
+	cw_error_set(error, CW_REFUSED, STEP, "", "%s/%s/%s %s is at revision %" G_GUINT64_FORMAT,
+		     edit->organisation, edit->model, edit->version, cw_column_name(edit->column),
+		     revision);
+	return CW_FOLD_CONFLICT;
+}
+
+static void apply_cell(struct cw_table *table, uint64_t offset, const struct cell_edit *edit)
+{
+	uint64_t id = row_id(edit->organisation, edit->model, edit->version);
+	struct cw_row *row = g_hash_table_lookup(table->by_id, &id);
+	uint64_t route;
+
+	if (!row)
+		row = row_create(table, edit->organisation, edit->model, edit->version);
+	if (edit->column == CW_COLUMN_STATE && row->cell[CW_COLUMN_STATE] == 1 && edit->value != 1)
+		row->withdrawn_at = offset;
+	row->cell[edit->column] = edit->value;
+	row->revision[edit->column] = offset;
+	if (edit->column == CW_COLUMN_STATE || edit->column == CW_COLUMN_WEIGHT) {
+		route = row_id(edit->organisation, edit->model, "");
+		g_hash_table_replace(table->routed, new_u64(route), new_u64(offset));
+	}
+}
+
+static struct cw_row *row_create(struct cw_table *table, const char *organisation,
+				 const char *model, const char *version)
+{
+	struct cw_row_list *siblings = g_hash_table_lookup(table->by_organisation, organisation);
+	struct cw_row *row = g_new0(struct cw_row, 1);
+
+	if (!siblings) {
+		siblings = g_new0(struct cw_row_list, 1);
+		TAILQ_INIT(siblings);
+		g_hash_table_insert(table->by_organisation, g_strdup(organisation), siblings);
+	}
+	TAILQ_INSERT_TAIL(siblings, row, organisation_link);
+	g_strlcpy(row->organisation, organisation, CW_NAME_MAX);
+	g_strlcpy(row->model, model, CW_NAME_MAX);
+	g_strlcpy(row->version, version, CW_NAME_MAX);
+	for (int column = CW_COLUMN_REQUESTS_PER_S; column < CW_COLUMN_STATE; column++)
+		row->cell[column] = NAN;
+	row->id = row_id(organisation, model, version);
+	TAILQ_INSERT_TAIL(&table->rows, row, link);
+	g_hash_table_insert(table->by_id, &row->id, row);
+	return row;
+}
+
+static uint64_t row_id(const char *organisation, const char *model, const char *version)
+{
+	uint64_t id = cw_hash_text(organisation, 1);
+
+	id = cw_hash_text(model, id);
+	return cw_hash_text(version, id);
+}
+
+static void remember_edit(struct cw_table *table, uint64_t id)
+{
+	size_t slot = table->edit_count % EDITS_KEPT;
+
+	if (table->edit_count >= EDITS_KEPT)
+		g_hash_table_remove(table->edits, &table->edit_order[slot]);
+	table->edit_order[slot] = id;
+	table->edit_count++;
+	g_hash_table_add(table->edits, new_u64(id));
+}
+
+static void load_row(struct cw_table *table, struct json_object *source)
+{
+	struct cw_row *row = row_create(table, text_of(source, "organisation"),
+					text_of(source, "model"), text_of(source, "version"));
+	uint64_t route = row_id(row->organisation, row->model, "");
+	uint64_t *routed = g_hash_table_lookup(table->routed, &route);
+	uint64_t changed = routed ? *routed : 0;
+	struct json_object *cells;
+
+	row->withdrawn_at = number_of(source, "withdrawn_at");
+	json_object_object_get_ex(source, "cells", &cells);
+	for (int column = 0; column < CW_COLUMNS; column++) {
+		struct json_object *value = json_object_array_get_idx(cells, (size_t)column * 2);
+		struct json_object *revision =
+			json_object_array_get_idx(cells, (size_t)column * 2 + 1);
+
+		if (!value || cw_cell_parse(column, json_object_get_string(value),
+					    &row->cell[column]) != CW_OK)
+			continue;
+		row->revision[column] = (uint64_t)json_object_get_int64(revision);
+	}
+	changed = MAX(changed, row->revision[CW_COLUMN_STATE]);
+	changed = MAX(changed, row->revision[CW_COLUMN_WEIGHT]);
+	g_hash_table_replace(table->routed, new_u64(route), new_u64(changed));
+}
+
+static void clear(struct cw_table *table)
+{
+	struct cw_row *row;
+
+	while ((row = TAILQ_FIRST(&table->rows))) {
+		TAILQ_REMOVE(&table->rows, row, link);
+		g_free(row);
+	}
+	g_hash_table_remove_all(table->by_id);
+	g_hash_table_remove_all(table->by_organisation);
+	g_hash_table_remove_all(table->keys);
+	g_hash_table_remove_all(table->routed);
+	g_hash_table_remove_all(table->edits);
+	table->edit_count = 0;
+}
+
+static const char *text_of(struct json_object *object, const char *key)
+{
+	struct json_object *value;
+
+	if (!json_object_object_get_ex(object, key, &value) || !value)
+		return "";
+	return json_object_get_string(value);
+}
+
+static uint64_t number_of(struct json_object *object, const char *key)
+{
+	struct json_object *value;
+
+	return json_object_object_get_ex(object, key, &value)
+		       ? (uint64_t)json_object_get_int64(value)
+		       : 0;
+}
+
+static uint64_t *new_u64(uint64_t value)
+{
+	uint64_t *copy = g_new(uint64_t, 1);
+
+	*copy = value;
+	return copy;
+}
