Several nodes in virtual time under a stateful fuzzer with an oracle of the promises

Cause: scripted runs try the orders of events somebody thought of. Change: tests/fake (a log, a list, servers and the ways between them, in virtual time), tests/fuzz/oracle.c (knows only the promises), a libFuzzer target and test_schedules (saved corpus, then random schedules from a fixed seed).

Ruled out as faults of the oracle: all instances gone, or the platform out, for a whole retention; an append in the last instant of the run.

--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -128,8 +128,6 @@
 	if (node->started_ms < 0) {
 		node->started_ms = node->now_ms;
 		node->routing_changed_ms = node->now_ms;
-		node->kept_wall_ms = node->wall_ms;
-		node->table_snapshot_wall_ms = node->wall_ms;
 	}
 	switch (event->kind) {
 	case CW_EVENT_TICK:
--- a/packages/node/src/node_claims.c
+++ b/packages/node/src/node_claims.c
@@ -147,7 +147,6 @@
 	node->kept_due_ms = 0;
 	node->kept_after = 0;
 	node->kept_floor = cw_claims_offset(node->claims) + 1;
-	node->kept_wall_ms = node->wall_ms;
 	send_kept(node);
 }
 
@@ -163,7 +162,8 @@
 	/* Nothing new stands behind the floor: what it covers ages all the same. */
 	if (cw_claims_count(node->claims) == 0)
 		return 0;
-	return node->wall_ms - node->kept_wall_ms > node->config.log_retention_ms / 2;
+	return node->kept_wall_ms &&
+	       node->wall_ms - node->kept_wall_ms > node->config.log_retention_ms / 2;
 }
 
 static void send_kept(struct cw_node *node)
--- a/packages/node/src/node_gossip.c
+++ b/packages/node/src/node_gossip.c
@@ -58,10 +58,11 @@
 		break;
 	case PEER_RECORDS:
 		for (u_int i = 0; i < message.body.peer_body_u.records.records_len; i++) {
-			const struct peer_record *record =
+			const struct peer_record *peer =
 				&message.body.peer_body_u.records.records_val[i];
+			struct cw_log_record record = {peer->offset, peer->time_ms, peer->data};
 
-			log_fold_table(node, record->offset, record->data);
+			log_fold_table(node, &record);
 		}
 		break;
 	case PEER_SNAPSHOT:
@@ -149,6 +150,7 @@
 	message.body.kind = PEER_BIND;
 	message.body.peer_body_u.bind.key = binding->key;
 	message.body.peer_body_u.bind.bound_at = binding->bound_at;
+	message.body.peer_body_u.bind.row = binding->row;
 	message.body.peer_body_u.bind.model = (char *)binding->model;
 	message.body.peer_body_u.bind.model_version = (char *)binding->version;
 	for (size_t i = 0; i < count; i++)
@@ -440,6 +442,7 @@
 		if (count == CW_PEER_RECORDS || (count > 0 && bytes > RECORDS_BYTES_MAX))
 			break;
 		records[count].offset = kept->offset;
+		records[count].time_ms = kept->time_ms;
 		records[count++].data = kept->data;
 	}
 	message.body.kind = PEER_RECORDS;
@@ -450,7 +453,8 @@
 
 static void take_bind(struct cw_node *node, const struct peer_binding *bind, uint64_t handle)
 {
-	struct cw_binding binding = {.key = bind->key, .bound_at = bind->bound_at};
+	struct cw_binding binding = {
+		.key = bind->key, .bound_at = bind->bound_at, .row = bind->row};
 
 	g_strlcpy(binding.model, bind->model, CW_NAME_MAX);
 	g_strlcpy(binding.version, bind->model_version, CW_NAME_MAX);
@@ -468,6 +472,7 @@
 	answer->key = ask->key;
 	answer->asker = ask->asker;
 	answer->bound_at = held ? held->bound_at : 0;
+	answer->row = held ? held->row : 0;
 	answer->model = (char *)(held ? held->model : "");
 	answer->model_version = (char *)(held ? held->version : "");
 	gossip_send(node, member, &message);
--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -101,6 +101,7 @@
 struct kept_record {
 	STAILQ_ENTRY(kept_record) link;
 	uint64_t offset;
+	int64_t time_ms;
 	char *data;
 };
 
@@ -228,8 +229,9 @@
 void request_tick(struct cw_node *node);
 
 /* request_choice.c */
-enum choice_result { CHOICE_OK, CHOICE_NOT_ALLOWED, CHOICE_NO_WEIGHT };
+enum choice_result { CHOICE_OK, CHOICE_NOT_ALLOWED, CHOICE_NO_WEIGHT, CHOICE_BEHIND };
 enum choice_result choice_version(struct cw_node *node, struct request *request);
+void choice_merge_binding(struct cw_node *node, const struct cw_binding *binding);
 void choice_take_option(struct request *request, size_t index);
 int choice_holds(struct cw_node *node,
 		 const struct request *request); /* its version is still allowed */
@@ -241,7 +243,7 @@
 void log_appended(struct cw_node *node, const struct cw_appended *appended);
 void log_tick(struct cw_node *node);
 int log_is_up(const struct cw_node *node, enum cw_stream stream);
-void log_fold_table(struct cw_node *node, uint64_t offset, const char *data);
+void log_fold_table(struct cw_node *node, const struct cw_log_record *record);
 void log_load_table(struct cw_node *node, const char *snapshot);
 void log_line(struct cw_node *node, const struct cw_claim *claim, int kind, int status,
 	      const char *answer);
--- a/packages/node/src/node_log.c
+++ b/packages/node/src/node_log.c
@@ -10,12 +10,14 @@
 #define SNAPSHOT_STEP_MS 500  /* between the turns of live instances to write one */
 #define SNAPSHOT_RECORDS 2000 /* a tail longer than this is worth a snapshot */
 
+static void rejoin_table(struct cw_node *node);
 static void feed_failed(struct cw_node *node, struct feed *feed);
 static void feed_expired(struct cw_node *node, struct feed *feed, uint64_t first);
 static void fold_record(struct cw_node *node, struct feed *feed,
 			const struct cw_log_record *record);
-static void keep_table_record(struct cw_node *node, uint64_t offset, const char *data);
-static void table_changed(struct cw_node *node, uint64_t offset, const char *data);
+static void keep_table_record(struct cw_node *node, const struct cw_log_record *from);
+static void table_changed(struct cw_node *node, uint64_t offset);
+static void note_age(struct cw_node *node, const struct cw_log_record *record);
 static void note_snapshot(struct cw_node *node, const struct cw_log_record *record);
 static void plan_snapshot(struct cw_node *node);
 static int wants_snapshot(const struct cw_node *node);
@@ -134,19 +136,21 @@
 	       node->now_ms - feed->ok_ms <= TAIL_WAIT_MS + READ_TIMEOUT_MS;
 }
 
-void log_fold_table(struct cw_node *node, uint64_t offset, const char *data)
+void log_fold_table(struct cw_node *node, const struct cw_log_record *record)
 {
+	uint64_t offset = record->offset;
 	struct cw_error error = {0};
 	enum cw_fold fold;
 
 	if (offset != cw_table_offset(node->table) + 1)
 		return;
-	cw_table_fold(node->table, offset, data, &fold, &error);
-	keep_table_record(node, offset, data);
-	node->feeds[CW_STREAM_TABLE].next = offset + 1;
+	cw_table_fold(node->table, offset, record->data, &fold, &error);
+	note_age(node, record);
+	keep_table_record(node, record);
+	rejoin_table(node);
 	switch (fold) {
 	case CW_FOLD_APPLIED:
-		table_changed(node, offset, data);
+		table_changed(node, offset);
 		break;
 	case CW_FOLD_SNAPSHOT:
 		break;
@@ -160,10 +164,16 @@
 
 void log_load_table(struct cw_node *node, const char *snapshot)
 {
-	struct feed *feed = &node->feeds[CW_STREAM_TABLE];
 	struct kept_record *record;
 
-	if (cw_table_load(node->table, snapshot, NULL) != CW_OK)
+	enum cw_status status = cw_table_load(node->table, snapshot, NULL);
+
+	/* Peers may have been quicker: then the table is at the snapshot's offset or past it
+	 * already. */
+	if (status == CW_REFUSED &&
+	    cw_table_offset(node->table) + 1 >= node->feeds[CW_STREAM_TABLE].first)
+		rejoin_table(node);
+	if (status != CW_OK)
 		return;
 	/* The tail must join the table without a gap: what stood before the snapshot goes. */
 	while ((record = STAILQ_FIRST(&node->table_tail))) {
@@ -172,14 +182,32 @@
 		g_free(record);
 	}
 	node->table_tail_length = 0;
-	feed->next = cw_table_offset(node->table) + 1;
-	feed->needs_snapshot = 0;
-	feed->ticket = 0;
+	rejoin_table(node);
+	/* Its records' ages are not known: unless the log shows a snapshot, one is due. */
+	if (!node->table_snapshot_wall_ms)
+		node->table_snapshot_wall_ms = 1;
 	node->routing_changed_ms = node->now_ms;
 	node_event(node, "table", "snapshot_loaded", "offset=%" G_GUINT64_FORMAT,
 		   cw_table_offset(node->table));
 }
 
+/*
+ * The table moved on, by the log or by a peer: the log is read on from there. A feed that had asked
+ * for older records, or waits for a snapshot, would else skip what the table needs next and never
+ * know; it shows as a table that stands still while the log is read.
+ */
+static void rejoin_table(struct cw_node *node)
+{
+	struct feed *feed = &node->feeds[CW_STREAM_TABLE];
+
+	if (cw_table_offset(node->table) == 0)
+		return;
+	if (feed->next != cw_table_offset(node->table) + 1)
+		feed->ticket = 0;
+	feed->next = cw_table_offset(node->table) + 1;
+	feed->needs_snapshot = 0;
+}
+
 static void feed_failed(struct cw_node *node, struct feed *feed)
 {
 	feed->ticket = 0;
@@ -212,8 +240,12 @@
 
 static void fold_record(struct cw_node *node, struct feed *feed, const struct cw_log_record *record)
 {
-	if (feed->stream == CW_STREAM_TABLE && strstr(record->data, "\"snapshot\""))
-		note_snapshot(node, record);
+	uint64_t floor = cw_claims_floor(node->claims);
+
+	if (feed->stream == CW_STREAM_TABLE)
+		note_age(node, record);
+	if (feed->stream == CW_STREAM_CLAIMS && !node->kept_wall_ms)
+		node->kept_wall_ms = record->time_ms;
 	if (record->offset != feed->next)
 		return;
 	feed->next = record->offset + 1;
@@ -222,10 +254,12 @@
 		if (feed->needs_snapshot)
 			log_load_table(node, record->data);
 		else
-			log_fold_table(node, record->offset, record->data);
+			log_fold_table(node, record);
 		break;
 	case CW_STREAM_CLAIMS:
 		cw_claims_fold(node->claims, record->offset, record->time_ms, record->data, NULL);
+		if (cw_claims_floor(node->claims) > floor)
+			node->kept_wall_ms = record->time_ms;
 		break;
 	default:
 		rollout_notice(node, record->offset, record->time_ms, record->data);
@@ -233,12 +267,13 @@
 	}
 }
 
-static void keep_table_record(struct cw_node *node, uint64_t offset, const char *data)
+static void keep_table_record(struct cw_node *node, const struct cw_log_record *from)
 {
 	struct kept_record *record = g_new0(struct kept_record, 1);
 
-	record->offset = offset;
-	record->data = g_strdup(data);
+	record->offset = from->offset;
+	record->time_ms = from->time_ms;
+	record->data = g_strdup(from->data);
 	STAILQ_INSERT_TAIL(&node->table_tail, record, link);
 	node->table_tail_length++;
 	if (node->table_tail_length <= CW_TABLE_WINDOW)
@@ -250,7 +285,7 @@
 	node->table_tail_length--;
 }
 
-static void table_changed(struct cw_node *node, uint64_t offset, const char *data)
+static void table_changed(struct cw_node *node, uint64_t offset)
 {
 	const struct cw_row *row;
 
@@ -265,6 +300,19 @@
 	}
 }
 
+/*
+ * What must be written anew, and how old it is. Age counts from the record, not from this
+ * instance's start, and whoever brought it: instances that are restarted often, or learn from peers
+ * alone, would else put the snapshot off until the table has expired.
+ */
+static void note_age(struct cw_node *node, const struct cw_log_record *record)
+{
+	if (!node->table_snapshot_wall_ms)
+		node->table_snapshot_wall_ms = record->time_ms;
+	if (record->offset > node->table_snapshot_record && strstr(record->data, "\"snapshot\""))
+		note_snapshot(node, record);
+}
+
 static void note_snapshot(struct cw_node *node, const struct cw_log_record *record)
 {
 	struct json_object *parsed = json_tokener_parse(record->data);
@@ -325,10 +373,12 @@
 	/* Nothing but the snapshot itself stands behind what it folds: only its own age counts. */
 	if (node->table_snapshot_record && node->table_snapshot_record + 1 == end &&
 	    folded + 1 == node->table_snapshot_record)
-		return node->wall_ms - node->table_snapshot_wall_ms > half_life_ms;
+		return node->table_snapshot_wall_ms &&
+		       node->wall_ms - node->table_snapshot_wall_ms > half_life_ms;
 	if (feed->first > 1 && folded + 1 < feed->first + (end - feed->first) / 2)
 		return 1;
 	if (end - folded > SNAPSHOT_RECORDS)
 		return 1;
-	return node->wall_ms - node->table_snapshot_wall_ms > half_life_ms;
+	return node->table_snapshot_wall_ms &&
+	       node->wall_ms - node->table_snapshot_wall_ms > half_life_ms;
 }
--- a/packages/node/src/node_request.c
+++ b/packages/node/src/node_request.c
@@ -155,7 +155,7 @@
 	struct request *request = request_find(node, handle);
 
 	if (binding->bound_at)
-		cw_session_merge(node->sessions, binding, node->now_ms);
+		choice_merge_binding(node, binding);
 	if (!request || request->state != REQUEST_BINDING || request->binding.key != binding->key)
 		return;
 	if (request->answers_awaited > 0)
@@ -326,7 +326,7 @@
 	    cw_token_read(node->config.peer_key, request->in.session_token, &carried) == CW_OK &&
 	    (!request->binding.key || request->binding.key == carried.key)) {
 		request->binding.key = carried.key;
-		cw_session_merge(node->sessions, &carried, node->now_ms);
+		choice_merge_binding(node, &carried);
 	}
 	if (!request->binding.key) {
 		admit(node, request);
@@ -372,11 +372,12 @@
 		g_strlcpy(request->binding.model, request->model, CW_NAME_MAX);
 		g_strlcpy(request->binding.version, request->version, CW_NAME_MAX);
 		request->binding.bound_at = cw_table_offset(node->table);
+		request->binding.row = request->row;
 		request->binding.pushed_ms = 0;
 	}
-	cw_session_merge(node->sessions, &request->binding, node->now_ms);
+	choice_merge_binding(node, &request->binding);
 	held = cw_session_find(node->sessions, request->binding.key, node->now_ms);
-	if (held->pushed_ms && node->now_ms - held->pushed_ms < BINDING_FRESH_MS)
+	if (!held || (held->pushed_ms && node->now_ms - held->pushed_ms < BINDING_FRESH_MS))
 		return;
 	gossip_push_binding(node, held);
 	cw_session_pushed(node->sessions, request->binding.key, node->now_ms);
@@ -396,6 +397,10 @@
 			refuse(node, request, CW_CODE_NO_BACKEND_SERVER, PLATFORM_RETRY_MS,
 			       "no version of %s has a weight", request->in.target);
 			return;
+		case CHOICE_BEHIND:
+			refuse(node, request, CW_CODE_PLATFORM_UNAVAILABLE, PLATFORM_RETRY_MS,
+			       "the session's version is newer than this instance's table");
+			return;
 		case CHOICE_OK:
 			break;
 		}
--- a/packages/node/src/request_choice.c
+++ b/packages/node/src/request_choice.c
@@ -27,6 +27,13 @@
 			take_row(request, row);
 			return CHOICE_OK;
 		}
+		/*
+		 * Bound by an instance that knows a later table: what it allows is not known here.
+		 * Choosing anew would move the session; another instance can serve it.
+		 */
+		if (!cw_table_allows(row) &&
+		    request->binding.bound_at > cw_table_offset(node->table))
+			return CHOICE_BEHIND;
 		/* The version was withdrawn: the session goes on, on another version, and the
 		 * answer says so. */
 		cw_session_end(node->sessions, request->binding.key);
@@ -38,6 +45,26 @@
 	return choose_of_model(node, request, request->in.target);
 }
 
+/*
+ * The smaller offset stands, but only among bindings that hold: one that a withdrawal has ended
+ * must not come back by its smaller offset. It shows as a session that moves twice. Where this
+ * table is behind the newer binding's, its making tells that the older one had ended.
+ */
+void choice_merge_binding(struct cw_node *node, const struct cw_binding *binding)
+{
+	const struct cw_binding *held = cw_session_find(node->sessions, binding->key, node->now_ms);
+	const struct cw_row *row = cw_table_row_by_id(node->table, binding->row);
+	int is_newer = binding->bound_at > cw_table_offset(node->table);
+
+	if (!is_newer && !cw_table_binding_holds(row, binding->bound_at))
+		return;
+	if (held && held->bound_at < binding->bound_at &&
+	    (is_newer ||
+	     !cw_table_binding_holds(cw_table_row_by_id(node->table, held->row), held->bound_at)))
+		cw_session_end(node->sessions, binding->key);
+	cw_session_merge(node->sessions, binding, node->now_ms);
+}
+
 void choice_take_option(struct request *request, size_t index)
 {
 	g_strlcpy(request->model, request->option_model[index], CW_NAME_MAX);
--- a/packages/peer/include/peer.h
+++ b/packages/peer/include/peer.h
@@ -33,6 +33,7 @@
 
 struct peer_record {
 	u_quad_t offset;
+	quad_t time_ms;
 	char *data;
 };
 typedef struct peer_record peer_record;
@@ -123,6 +124,7 @@
 	u_quad_t key;
 	u_quad_t bound_at;
 	u_quad_t asker;
+	u_quad_t row;
 	char *model;
 	char *model_version;
 };
--- a/packages/peer/peer.x
+++ b/packages/peer/peer.x
@@ -18,6 +18,7 @@
 
 struct peer_record {
 	unsigned hyper offset;
+	hyper time_ms;              /* by the log's clock */
 	string data<PEER_TEXT_MAX>;
 };
 
@@ -81,6 +82,7 @@
 	unsigned hyper key;
 	unsigned hyper bound_at;    /* 0: none held */
 	unsigned hyper asker;       /* handle of the asker's request */
+	unsigned hyper row;         /* hash of organisation, model and version */
 	string model<64>;
 	string model_version<64>;
 };
--- a/packages/peer/src/peer_xdr.c
+++ b/packages/peer/src/peer_xdr.c
@@ -22,6 +22,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->offset))
 		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->time_ms))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->data, PEER_TEXT_MAX))
 		 return FALSE;
 	return TRUE;
@@ -233,6 +235,8 @@
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->asker))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->row))
+		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->model, 64))
 		 return FALSE;
 	 if (!xdr_string (xdrs, &objp->model_version, 64))
--- a/packages/session/include/cw_session.h
+++ b/packages/session/include/cw_session.h
@@ -15,6 +15,7 @@
 struct cw_binding {
 	uint64_t key; /* hash of organisation, session id and model asked for */
 	uint64_t bound_at;
+	uint64_t row; /* cw_row.id of the version: tells whether the binding still holds */
 	char model[CW_NAME_MAX];
 	char version[CW_NAME_MAX];
 	int64_t pushed_ms; /* when its homes were last told, 0 never */
--- a/packages/session/src/session.c
+++ b/packages/session/src/session.c
@@ -114,14 +114,15 @@
 	return g_hash_table_size(store->by_key);
 }
 
-/* "key.offset.model/version.signature", the signature over all before it. */
+/* "key.offset.row.model/version.signature", the signature over all before it. */
 void cw_token_make(const uint8_t key[CW_KEY_BYTES], const struct cw_binding *binding,
 		   char token[CW_TOKEN_MAX])
 {
 	uint8_t mac[32];
-	int length = snprintf(token, CW_TOKEN_MAX,
-			      "%016" G_GINT64_MODIFIER "x.%" G_GUINT64_FORMAT ".%s/%s",
-			      binding->key, binding->bound_at, binding->model, binding->version);
+	int length = snprintf(
+		token, CW_TOKEN_MAX,
+		"%016" G_GINT64_MODIFIER "x.%" G_GUINT64_FORMAT ".%016" G_GINT64_MODIFIER "x.%s/%s",
+		binding->key, binding->bound_at, binding->row, binding->model, binding->version);
 
 	cw_sign(key, token, (size_t)length, mac);
 	token[length++] = '.';
@@ -146,11 +147,12 @@
 		return CW_INVALID;
 	memset(binding, 0, sizeof(*binding));
 	signed_text = g_strndup(token, (gsize)(mac_text - token));
-	parts = g_strsplit(signed_text, ".", 3);
-	names = g_strsplit(parts[0] && parts[1] && parts[2] ? parts[2] : "", "/", 2);
+	parts = g_strsplit(signed_text, ".", 4);
+	names = g_strsplit(g_strv_length(parts) == 4 ? parts[3] : "", "/", 2);
 	if (names[0] && names[1]) {
 		binding->key = g_ascii_strtoull(parts[0], NULL, 16);
 		binding->bound_at = g_ascii_strtoull(parts[1], NULL, 10);
+		binding->row = g_ascii_strtoull(parts[2], NULL, 16);
 		g_strlcpy(binding->model, names[0], CW_NAME_MAX);
 		g_strlcpy(binding->version, names[1], CW_NAME_MAX);
 		status = CW_OK;
--- /dev/null
+++ b/tests/fake/world.c
@@ -0,0 +1,620 @@
+#include "world.h"
+#include "world_internal.h"
+
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+
+#define LATE_MS	 700 /* a late append takes effect so long after its caller gave up */
+#define LIST_MS	 1000
+#define READ_MAX 256
+
+static void deliver(struct world *world, struct event *event);
+static void carry_out(struct world *world, int node, struct cw_effect *effect);
+static void do_read(struct world *world, int node, const struct cw_effect *effect);
+static void answer_read(struct world *world, int node, const struct cw_effect *effect, int waited);
+static void wake_readers(struct world *world, enum cw_stream stream);
+static void do_append(struct world *world, int node, struct cw_effect *effect);
+static void do_send(struct world *world, int node, const struct cw_effect *effect);
+static void do_rate(struct world *world, int node, const struct cw_effect *effect);
+static void do_order(struct world *world, int node, const struct cw_effect *effect);
+static void end_request(struct world *world, const struct cw_effect *effect);
+static int is_cut(const struct world *world, int from, int to);
+static int platform_is_out(const struct world *world, int node);
+static gint by_time(gconstpointer a, gconstpointer b, gpointer unused);
+
+struct world *world_create(const struct world_config *config)
+{
+	struct world *world = g_new0(struct world, 1);
+
+	world->config = *config;
+	world->random = g_rand_new_with_seed((guint32)(config->seed * 2654435761U + 1));
+	world->events = g_sequence_new(NULL);
+	world->requests = g_ptr_array_new();
+	world->by_handle = g_hash_table_new(g_int64_hash, g_int64_equal);
+	world->profiles = g_ptr_array_new_with_free_func(g_free);
+	world->readers = g_ptr_array_new();
+	for (int stream = 0; stream < CW_STREAMS; stream++) {
+		world->log[stream] = g_ptr_array_new();
+		world->first[stream] = 1;
+	}
+	servers_create(world);
+	for (int i = 0; i < config->nodes; i++) {
+		world->nodes[i].domain = i % config->domains;
+		world->nodes[i].stop_asked_ms = -1;
+		g_snprintf(world->names[i], CW_NAME_MAX, "e%d", i);
+	}
+	world->now_ms = 1000;
+	return world;
+}
+
+void world_destroy(struct world *world)
+{
+	GSequenceIter *iter = g_sequence_get_begin_iter(world->events);
+
+	for (; !g_sequence_iter_is_end(iter); iter = g_sequence_iter_next(iter))
+		event_destroy(g_sequence_get(iter));
+	g_sequence_free(world->events);
+	for (int i = 0; i < world->config.nodes; i++)
+		cw_node_destroy(world->nodes[i].node);
+	for (int stream = 0; stream < CW_STREAMS; stream++) {
+		for (guint i = 0; i < world->log[stream]->len; i++) {
+			struct world_record *record = g_ptr_array_index(world->log[stream], i);
+
+			g_free(record->data);
+			g_free(record);
+		}
+		g_ptr_array_unref(world->log[stream]);
+	}
+	for (guint i = 0; i < world->requests->len; i++)
+		g_free(g_ptr_array_index(world->requests, i));
+	for (guint i = 0; i < world->readers->len; i++)
+		event_destroy(g_ptr_array_index(world->readers, i));
+	g_ptr_array_unref(world->readers);
+	servers_destroy(world);
+	g_ptr_array_unref(world->requests);
+	g_ptr_array_unref(world->profiles);
+	g_hash_table_destroy(world->by_handle);
+	g_rand_free(world->random);
+	g_free(world);
+}
+
+void world_start(struct world *world, int index)
+{
+	struct world_node *node = &world->nodes[index];
+	struct cw_node_config config = world->config.node;
+	struct cw_node_peer *peers = g_new0(struct cw_node_peer, (gsize)world->config.nodes);
+	struct cw_node_server *servers =
+		g_new0(struct cw_node_server, (gsize)world->server_count + 1);
+	struct event *tick;
+
+	for (int i = 0; i < world->config.nodes; i++) {
+		if (i == index)
+			continue;
+		peers[config.peer_count].instance = world->names[i];
+		peers[config.peer_count].failure_domain = domain_name(world->nodes[i].domain);
+		peers[config.peer_count++].address = world->names[i];
+	}
+	for (int i = 0; i < world->server_count; i++) {
+		servers[i].name = world->servers[i].name;
+		servers[i].service = world->servers[i].service;
+		servers[i].address = world->servers[i].name;
+		servers[i].failure_domain = domain_name(world->servers[i].domain);
+		servers[i].checks_fencing = world->servers[i].checks_fencing;
+	}
+	config.peers = peers;
+	config.servers = servers;
+	config.server_count = (size_t)world->server_count;
+	config.instance = world->names[index];
+	config.failure_domain = domain_name(node->domain);
+	config.peer_address = world->names[index];
+	node->boot++;
+	node->stopped = 0;
+	node->paused = 0;
+	node->stop_asked_ms = -1;
+	config.boot = (uint64_t)node->boot * 1000 + (uint64_t)index;
+	config.seed = world->config.seed * 977 + config.boot;
+	node->node = cw_node_create(&config);
+	g_free(peers);
+	g_free(servers);
+	tick = event_create(world, EVENT_TICK, index, 1 + index % (int)world->config.tick_ms);
+	event_post(world, tick);
+}
+
+void world_crash(struct world *world, int index)
+{
+	cw_node_destroy(world->nodes[index].node);
+	world->nodes[index].node = NULL;
+	world->nodes[index].boot++;
+	world->nodes[index].paused = 0;
+}
+
+void world_stop(struct world *world, int index)
+{
+	struct cw_event event = {.kind = CW_EVENT_STOP};
+
+	if (!world->nodes[index].node || world->nodes[index].stop_asked_ms >= 0)
+		return;
+	world->nodes[index].stop_asked_ms = world->now_ms;
+	step(world, index, &event);
+}
+
+void world_pause(struct world *world, int index, int paused)
+{
+	if (world->nodes[index].paused && !paused)
+		world->nodes[index].resumed_ms = world->now_ms;
+	world->nodes[index].paused = paused;
+}
+
+void world_cut(struct world *world, int domain, int cut)
+{
+	world->cut[domain] = cut;
+}
+
+void world_cut_platform(struct world *world, int node, int cut)
+{
+	world->nodes[node].cut_platform = cut;
+}
+
+void world_outage(struct world *world, int outage)
+{
+	world->outage = outage;
+}
+
+void world_lose_appends(struct world *world, int count, int late)
+{
+	world->lose_appends = count;
+	world->lose_late = late;
+}
+
+void world_drop(struct world *world, int per_mille, int twice_per_mille)
+{
+	world->drop = per_mille;
+	world->twice = twice_per_mille;
+}
+
+void world_expire(struct world *world)
+{
+	for (int stream = 0; world->config.retention_ms && stream < CW_STREAMS; stream++) {
+		while (world->first[stream] <= world->log[stream]->len) {
+			struct world_record *record =
+				g_ptr_array_index(world->log[stream], world->first[stream] - 1);
+
+			if (record->time_ms >= world->now_ms - world->config.retention_ms)
+				break;
+			world->first[stream]++;
+		}
+	}
+}
+
+uint64_t world_append(struct world *world, enum cw_stream stream, const char *data)
+{
+	struct world_record *record = g_new0(struct world_record, 1);
+
+	record->time_ms = world->now_ms;
+	record->data = g_strdup(data);
+	g_ptr_array_add(world->log[stream], record);
+	wake_readers(world, stream);
+	return world->log[stream]->len;
+}
+
+struct world_request *world_send(struct world *world, int node, const struct cw_request_in *in,
+				 unsigned int tokens)
+{
+	struct world_request *request = g_new0(struct world_request, 1);
+	struct cw_event event = {.kind = CW_EVENT_REQUEST};
+
+	request->in = *in;
+	request->in.handle = world->requests->len + 1;
+	if (!*request->in.request_id)
+		g_snprintf(request->in.request_id, CW_ID_MAX, "q%u", world->requests->len + 1);
+	request->node = node;
+	request->boot = world->nodes[node].boot;
+	request->began_ms = world->now_ms;
+	request->first_ms = -1;
+	request->ended_ms = -1;
+	request->quality = -1;
+	request->tokens = tokens;
+	g_ptr_array_add(world->requests, request);
+	g_hash_table_insert(world->by_handle, &request->in.handle, request);
+	event.request = &request->in;
+	if (world->nodes[node].node)
+		step(world, node, &event);
+	return request;
+}
+
+void world_run(struct world *world, int64_t ms)
+{
+	int64_t until_ms = world->now_ms + ms;
+
+	for (;;) {
+		GSequenceIter *first = g_sequence_get_begin_iter(world->events);
+		struct event *event;
+
+		if (g_sequence_iter_is_end(first))
+			break;
+		event = g_sequence_get(first);
+		if (event->at_ms > until_ms)
+			break;
+		g_sequence_remove(first);
+		world->now_ms = MAX(world->now_ms, event->at_ms);
+		deliver(world, event);
+	}
+	world->now_ms = until_ms;
+}
+
+int64_t world_now(const struct world *world)
+{
+	return world->now_ms;
+}
+
+struct world_node *world_node(struct world *world, int node)
+{
+	return &world->nodes[node];
+}
+
+const GPtrArray *world_log(const struct world *world, enum cw_stream stream)
+{
+	return world->log[stream];
+}
+
+const GPtrArray *world_requests(const struct world *world)
+{
+	return world->requests;
+}
+
+struct cw_node *world_any_node(struct world *world)
+{
+	for (int i = 0; i < world->config.nodes; i++)
+		if (world->nodes[i].node)
+			return world->nodes[i].node;
+	return NULL;
+}
+
+double world_random(struct world *world)
+{
+	return g_rand_double(world->random);
+}
+
+struct event *event_create(struct world *world, enum event_kind kind, int node, int64_t delay_ms)
+{
+	struct event *event = g_new0(struct event, 1);
+
+	event->kind = kind;
+	event->node = node;
+	event->boot = node >= 0 ? world->nodes[node].boot : 0;
+	event->at_ms = world->now_ms + delay_ms;
+	event->order = world->next_order++;
+	return event;
+}
+
+void event_post(struct world *world, struct event *event)
+{
+	g_sequence_insert_sorted(world->events, event, by_time, NULL);
+}
+
+void event_destroy(struct event *event)
+{
+	g_free(event->data);
+	if (event->effect)
+		cw_effect_destroy(event->effect);
+	g_free(event);
+}
+
+void step(struct world *world, int index, struct cw_event *event)
+{
+	struct world_node *node = &world->nodes[index];
+	struct cw_effects effects;
+	struct cw_effect *effect;
+	unsigned int boot = node->boot;
+
+	event->now_ms = world->now_ms;
+	event->wall_ms = world->now_ms;
+	cw_effects_open(&effects);
+	cw_node_step(node->node, event, &effects);
+	while ((effect = cw_effects_pop(&effects))) {
+		if (node->boot == boot)
+			carry_out(world, index, effect);
+		else
+			cw_effect_destroy(effect);
+	}
+}
+
+static void deliver(struct world *world, struct event *event)
+{
+	struct world_node *node = event->node >= 0 ? &world->nodes[event->node] : NULL;
+	struct cw_event out = {0};
+
+	if (node && (!node->node || event->boot != node->boot)) {
+		/* Addressed to an incarnation that is gone; a server's run of it goes on all the
+		 * same. */
+		if (event->kind == EVENT_RUN)
+			servers_deliver(world, event);
+		event_destroy(event);
+		return;
+	}
+	if (node && node->paused) {
+		event->at_ms = world->now_ms + world->config.tick_ms;
+		event_post(world, event);
+		return;
+	}
+	switch (event->kind) {
+	case EVENT_TICK:
+		out.kind = CW_EVENT_TICK;
+		event->at_ms = world->now_ms + world->config.tick_ms;
+		event_post(world, event);
+		step(world, event->node, &out);
+		return;
+	case EVENT_PEER:
+		if (world->config.on_peer)
+			world->config.on_peer(world->config.context, world, event->node,
+					      event->data, event->size);
+		out.kind = CW_EVENT_PEER;
+		out.peer.data = event->data;
+		out.peer.size = event->size;
+		step(world, event->node, &out);
+		break;
+	case EVENT_READ:
+		answer_read(world, event->node, event->effect, event->waited);
+		break;
+	case EVENT_APPENDED: {
+		struct cw_appended appended = {event->ticket, event->status, event->offset};
+
+		out.kind = CW_EVENT_APPENDED;
+		out.appended = &appended;
+		step(world, event->node, &out);
+		break;
+	}
+	case EVENT_LATE_APPEND:
+		world_append(world, (enum cw_stream)event->ticket, (char *)event->data);
+		break;
+	case EVENT_RATED:
+		out.kind = CW_EVENT_RATED;
+		out.rated.handle = event->ticket;
+		out.rated.task = event->task;
+		out.rated.version = event->version;
+		out.rated.score = event->score;
+		out.rated.tokens = (unsigned int)event->offset;
+		step(world, event->node, &out);
+		break;
+	case EVENT_ORDERED:
+		out.kind = CW_EVENT_ORDERED;
+		out.ordered.ticket = event->ticket;
+		out.ordered.status = event->status;
+		step(world, event->node, &out);
+		break;
+	default:
+		servers_deliver(world, event);
+		break;
+	}
+	event_destroy(event);
+}
+
+static void carry_out(struct world *world, int index, struct cw_effect *effect)
+{
+	struct world_node *node = &world->nodes[index];
+
+	switch (effect->kind) {
+	case CW_EFFECT_READ:
+		do_read(world, index, effect);
+		return;
+	case CW_EFFECT_APPEND:
+		node->appends++;
+		do_append(world, index, effect);
+		break;
+	case CW_EFFECT_SEND:
+		node->messages++;
+		node->bytes += effect->send.bytes.size;
+		do_send(world, index, effect);
+		break;
+	case CW_EFFECT_DISPATCH:
+		servers_dispatch(world, index, effect);
+		break;
+	case CW_EFFECT_POLL:
+		servers_poll(world, index, effect);
+		break;
+	case CW_EFFECT_RATE:
+		do_rate(world, index, effect);
+		break;
+	case CW_EFFECT_ORDER:
+		do_order(world, index, effect);
+		break;
+	case CW_EFFECT_REFUSE:
+	case CW_EFFECT_RELEASE:
+	case CW_EFFECT_REPLAY:
+		end_request(world, effect);
+		break;
+	case CW_EFFECT_STOPPED:
+		node->stopped = 1;
+		break;
+	case CW_EFFECT_EVENT:
+		if (world->config.trace)
+			printf("time=%" G_GINT64_FORMAT " instance=e%d module=%s event=%s %s\n",
+			       world->now_ms, index, effect->event.module, effect->event.event,
+			       effect->event.detail);
+		break;
+	default:
+		break;
+	}
+	cw_effect_destroy(effect);
+}
+
+static void do_read(struct world *world, int index, const struct cw_effect *effect)
+{
+	struct event *event = event_create(world, EVENT_READ, index, world->config.platform_ms);
+
+	world->nodes[index].reads++;
+	event->effect = (struct cw_effect *)effect;
+	event_post(world, event);
+}
+
+/* A read that may wait goes among the readers until an append or its time wakes it. */
+static void answer_read(struct world *world, int index, const struct cw_effect *effect, int waited)
+{
+	enum cw_stream stream = effect->read.stream;
+	GPtrArray *log = world->log[stream];
+	struct cw_log_record list[READ_MAX];
+	struct cw_records records = {.stream = stream, .ticket = effect->read.ticket, .list = list};
+	struct cw_event out = {.kind = CW_EVENT_RECORDS, .records = &records};
+
+	records.first = world->first[stream];
+	if (platform_is_out(world, index)) {
+		records.status = CW_UNREACHABLE;
+	} else if (effect->read.from < world->first[stream]) {
+		records.status = CW_EXPIRED;
+	} else {
+		for (uint64_t offset = effect->read.from;
+		     offset <= log->len && records.count < READ_MAX; offset++) {
+			struct world_record *record = g_ptr_array_index(log, offset - 1);
+
+			list[records.count].offset = offset;
+			list[records.count].time_ms = record->time_ms;
+			list[records.count++].data = record->data;
+			world->nodes[index].read_bytes += strlen(record->data);
+		}
+		if (records.count == 0 && !waited && effect->read.wait_ms > 0) {
+			struct event *reader = event_create(world, EVENT_READ, index, 0);
+			struct event *timer =
+				event_create(world, EVENT_READ, index, effect->read.wait_ms);
+
+			reader->effect = g_new0(struct cw_effect, 1);
+			*reader->effect = *effect;
+			timer->effect = g_new0(struct cw_effect, 1);
+			*timer->effect = *effect;
+			timer->waited = 1;
+			g_ptr_array_add(world->readers, reader);
+			event_post(world, timer);
+			return;
+		}
+	}
+	step(world, index, &out);
+}
+
+/* The timer's answer comes too: the node drops what carries an old ticket. */
+static void wake_readers(struct world *world, enum cw_stream stream)
+{
+	for (guint i = 0; i < world->readers->len;) {
+		struct event *reader = g_ptr_array_index(world->readers, i);
+
+		if (reader->effect->read.stream != stream) {
+			i++;
+			continue;
+		}
+		g_ptr_array_remove_index_fast(world->readers, i);
+		reader->at_ms = world->now_ms + world->config.platform_ms;
+		reader->waited = 1;
+		event_post(world, reader);
+	}
+}
+
+static void do_append(struct world *world, int index, struct cw_effect *effect)
+{
+	struct event *answer =
+		event_create(world, EVENT_APPENDED, index, 2 * world->config.platform_ms);
+
+	answer->ticket = effect->append.ticket;
+	if (platform_is_out(world, index)) {
+		answer->status = CW_REFUSED;
+	} else if (world->lose_appends > 0) {
+		world->lose_appends--;
+		answer->status = CW_UNKNOWN;
+		answer->at_ms += 100;
+		if (world->lose_late) {
+			struct event *late = event_create(world, EVENT_LATE_APPEND, -1, LATE_MS);
+
+			late->ticket = effect->append.stream;
+			late->data = (uint8_t *)g_strdup(effect->append.data);
+			event_post(world, late);
+		} else {
+			world_append(world, effect->append.stream, effect->append.data);
+		}
+	} else {
+		answer->status = CW_OK;
+		answer->offset = world_append(world, effect->append.stream, effect->append.data);
+	}
+	event_post(world, answer);
+}
+
+static void do_send(struct world *world, int index, const struct cw_effect *effect)
+{
+	int to = (int)g_ascii_strtoll(effect->send.address + 1, NULL, 10);
+	int copies = g_rand_int_range(world->random, 0, 1000) < world->twice ? 2 : 1;
+
+	if (is_cut(world, index, to) || g_rand_int_range(world->random, 0, 1000) < world->drop)
+		return;
+	for (int i = 0; i < copies; i++) {
+		int64_t jitter =
+			world->drop || world->twice ? g_rand_int_range(world->random, 0, 50) : 0;
+		struct event *event =
+			event_create(world, EVENT_PEER, to, world->config.latency_ms + jitter);
+
+		event->data = g_memdup2(effect->send.bytes.data, effect->send.bytes.size);
+		event->size = effect->send.bytes.size;
+		event_post(world, event);
+	}
+}
+
+static void do_rate(struct world *world, int index, const struct cw_effect *effect)
+{
+	struct event *event =
+		event_create(world, EVENT_RATED, index, world->config.platform_ms + 20);
+	struct world_request *request = g_hash_table_lookup(world->by_handle, &effect->handle);
+
+	event->ticket = effect->rate.checked ? effect->handle : 0;
+	event->task = effect->rate.task;
+	event->version = effect->rate.version_id;
+	event->offset = effect->rate.tokens;
+	event->score = platform_is_out(world, index) || !request ? -1 : request->quality;
+	event_post(world, event);
+}
+
+static void do_order(struct world *world, int index, const struct cw_effect *effect)
+{
+	struct event *event =
+		event_create(world, EVENT_ORDERED, index, 2 * world->config.latency_ms);
+
+	event->ticket = effect->order.ticket;
+	event->status = servers_order(world, effect) ? CW_OK : CW_REFUSED;
+	event_post(world, event);
+}
+
+static void end_request(struct world *world, const struct cw_effect *effect)
+{
+	struct world_request *request = g_hash_table_lookup(world->by_handle, &effect->handle);
+
+	request->finals++;
+	if (request->finals > 1)
+		return;
+	request->end = effect->kind;
+	request->ended_ms = world->now_ms;
+	if (effect->kind == CW_EFFECT_REFUSE) {
+		request->code = effect->refuse.code;
+		request->run = effect->refuse.run;
+		request->retry_after_ms = effect->refuse.retry_after_ms;
+	}
+	if (world->config.on_end)
+		world->config.on_end(world->config.context, world, request);
+}
+
+static int is_cut(const struct world *world, int from, int to)
+{
+	int a = world->nodes[from].domain;
+	int b = world->nodes[to].domain;
+
+	return a != b && (world->cut[a] || world->cut[b]);
+}
+
+static int platform_is_out(const struct world *world, int node)
+{
+	return world->outage || world->nodes[node].cut_platform;
+}
+
+static gint by_time(gconstpointer a, gconstpointer b, gpointer unused)
+{
+	const struct event *left = a;
+	const struct event *right = b;
+
+	if (left->at_ms != right->at_ms)
+		return left->at_ms < right->at_ms ? -1 : 1;
+	return left->order < right->order ? -1 : left->order > right->order;
+}
