Unit tests of the aggregates; the trip level set by its false alarms

Cause: a good version that fails once in a hundred answers was tripped within 20,000 answers at a level of 6.5, and at 9 too (test_health, seen failing at both). A CUSUM's mean time to a false alarm is at least e^level answers, so 6.5 means 665 at worst. Change: level 16, 9 million; and the smoothing of the first token's time follows a common rush within two answers (a busy hour tripped a version before). Cost: an outright failing version trips after 8 pooled failures instead of 3.

--- a/packages/health/src/health.c
+++ b/packages/health/src/health.c
@@ -13,12 +13,12 @@
 #define SLOW_FLOOR	 0.05
 #define SLOW_FACTOR	 3.0 /* times the usual first token */
 #define SLOW_SLACK_MS	 100.0
-#define FIRST_SMOOTHING	 0.05
+#define FIRST_SMOOTHING	 0.2 /* quick: a sibling must not lag behind a common rush */
 #define RATING_MIN	 20  /* ratings of a past before ratings can trip */
 #define RATING_STEP	 0.8 /* drop of the mean worth a trip, in standard deviations */
 #define RATING_SIGMA_MIN 0.05
 #define RATING_CLAMP	 2.0 /* a single rating counts at most so many deviations */
-#define TRIP_LEVEL	 6.5 /* log likelihood ratio; exp(6.5) = 665 to one */
+#define TRIP_LEVEL	 16.0 /* log likelihood ratio; a good version is tripped once in e^16 = 9 million answers at most */
 #define HOLD_FIRST_MS	 20000
 #define HOLD_MAX_MS	 600000
 #define STEP_MS		 5000 /* a probing version's share grows every step */
--- /dev/null
+++ b/tests/unit/test_pool.c
@@ -0,0 +1,107 @@
+#include "unit.h"
+
+#include "cw_pool.h"
+
+#include <stdio.h>
+
+static struct cw_server *add(struct cw_pool *pool, int number, const char *domain)
+{
+	char name[16];
+
+	snprintf(name, sizeof(name), "s%d", number);
+	return cw_pool_learn(pool, name, "llm", "127.0.0.1:1", domain, 1);
+}
+
+static void a_report_is_corrected_by_what_was_sent_since(void **state)
+{
+	static const char *const none[] = {NULL};
+	struct cw_pool *pool = cw_pool_create(&cw_choice_two);
+	struct cw_server *server = add(pool, 1, "d1");
+	struct cw_load load = {.running = 3, .queued = 1, .slots = 8, .age_ms = 200, .versions = none};
+	struct cw_load older = {.running = 9, .slots = 8, .age_ms = 900, .versions = none};
+
+	cw_pool_dispatched(server, 700);
+	cw_pool_dispatched(server, 900);
+	cw_pool_reported(server, &load, 1000);
+	assert_true(cw_pool_load(server, 1000) == 5);
+	cw_pool_ended(server, 1050, 100);
+	assert_true(cw_pool_load(server, 1060) == 4);
+	cw_pool_reported(server, &older, 1100);
+	assert_true(cw_pool_load(server, 1100) == 4);
+	assert_false(cw_pool_serves(server, cw_pool_version("m", "1")));
+	cw_pool_destroy(pool);
+}
+
+static void the_breaker_opens_and_lets_one_probe_through(void **state)
+{
+	struct cw_pool *pool = cw_pool_create(&cw_choice_two);
+	struct cw_server *server = add(pool, 1, "d1");
+	struct cw_choice choice = {.service = "llm", .failure_domain = "d1", .now_ms = 1000};
+
+	for (int i = 0; i < 3; i++) {
+		assert_ptr_equal(cw_pool_choose(pool, &choice), server);
+		cw_pool_dispatched(server, 1000);
+		cw_pool_ended(server, 1000, -1);
+		cw_pool_failed(server, 1000, 0);
+	}
+	assert_null(cw_pool_choose(pool, &choice));
+	choice.now_ms = 2000;
+	assert_ptr_equal(cw_pool_choose(pool, &choice), server);
+	cw_pool_dispatched(server, 2000);
+	assert_null(cw_pool_choose(pool, &choice));
+	cw_pool_failed(server, 2000, 0);
+	assert_null(cw_pool_choose(pool, &choice));
+	choice.now_ms = 4000;
+	cw_pool_dispatched(server, 4000);
+	cw_pool_succeeded(server, 4000);
+	assert_ptr_equal(cw_pool_choose(pool, &choice), server);
+	cw_pool_destroy(pool);
+}
+
+static void a_prefix_stays_until_its_server_is_full(void **state)
+{
+	struct cw_pool *pool = cw_pool_create(&cw_choice_affinity);
+	struct cw_choice choice = {.service = "llm", .prefix = 99, .failure_domain = "d1", .now_ms = 1000};
+	struct cw_server *home;
+
+	for (int i = 0; i < 4; i++)
+		add(pool, i, "d1");
+	home = cw_pool_choose(pool, &choice);
+	for (uint64_t i = 0; i < 20; i++) {
+		choice.random = i * 0x9e3779b97f4a7c15ULL;
+		assert_ptr_equal(cw_pool_choose(pool, &choice), home);
+	}
+	for (int i = 0; i < 6; i++)
+		cw_pool_dispatched(home, 1000);
+	assert_ptr_not_equal(cw_pool_choose(pool, &choice), home);
+	cw_pool_destroy(pool);
+}
+
+static void another_domain_only_when_it_is_sooner(void **state)
+{
+	struct cw_pool *pool = cw_pool_create(&cw_choice_affinity);
+	struct cw_server *near = add(pool, 1, "d1");
+	struct cw_server *far = add(pool, 2, "d2");
+	struct cw_choice choice = {.service = "llm", .failure_domain = "d1", .now_ms = 1000};
+
+	assert_ptr_equal(cw_pool_choose(pool, &choice), near);
+	for (int i = 0; i < 20; i++)
+		cw_pool_dispatched(near, 1000);
+	assert_ptr_equal(cw_pool_choose(pool, &choice), far);
+	near->leaving = 1;
+	far->leaving = 1;
+	assert_null(cw_pool_choose(pool, &choice));
+	cw_pool_destroy(pool);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_report_is_corrected_by_what_was_sent_since),
+		cmocka_unit_test(the_breaker_opens_and_lets_one_probe_through),
+		cmocka_unit_test(a_prefix_stays_until_its_server_is_full),
+		cmocka_unit_test(another_domain_only_when_it_is_sooner),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test_session.c
@@ -0,0 +1,96 @@
+#include "unit.h"
+
+#include "cw_session.h"
+
+#include <string.h>
+
+static const uint8_t key[CW_KEY_BYTES] = {1, 2, 3};
+
+static struct cw_binding binding_of(uint64_t session, uint64_t bound_at, const char *version)
+{
+	struct cw_binding binding = {.key = session, .bound_at = bound_at, .row = 42};
+
+	strcpy(binding.model, "m.x");
+	strcpy(binding.version, version);
+	return binding;
+}
+
+static void merging_is_the_same_in_any_order(void **state)
+{
+	const struct cw_binding bindings[] = {binding_of(1, 5, "a"), binding_of(1, 3, "b"), binding_of(1, 9, "c")};
+	static const int orders[][3] = {{0, 1, 2}, {0, 2, 1}, {1, 0, 2}, {1, 2, 0}, {2, 0, 1}, {2, 1, 0}};
+
+	for (size_t i = 0; i < 6; i++) {
+		struct cw_session_store *store = cw_session_create(10);
+
+		for (size_t j = 0; j < 3; j++) {
+			cw_session_merge(store, &bindings[orders[i][j]], 1000);
+			assert_false(cw_session_merge(store, &bindings[orders[i][j]], 1000));
+		}
+		assert_string_equal(cw_session_find(store, 1, 1000)->version, "b");
+		cw_session_destroy(store);
+	}
+}
+
+static void the_store_is_bounded_and_forgets_the_idle(void **state)
+{
+	struct cw_session_store *store = cw_session_create(3);
+
+	for (uint64_t session = 1; session <= 4; session++) {
+		struct cw_binding binding = binding_of(session, 1, "a");
+
+		cw_session_merge(store, &binding, (int64_t)session * 1000);
+	}
+	assert_int_equal(cw_session_count(store), 3);
+	assert_null(cw_session_find(store, 1, 5000));
+	assert_non_null(cw_session_find(store, 2, 9000));
+	cw_session_expire(store, 10000, 5000);
+	assert_int_equal(cw_session_count(store), 1);
+	cw_session_destroy(store);
+}
+
+static void a_token_tells_what_was_bound(void **state)
+{
+	struct cw_binding bound = binding_of(77, 12, "v-1");
+	struct cw_binding read;
+	char token[CW_TOKEN_MAX];
+
+	cw_token_make(key, &bound, token);
+	assert_int_equal(cw_token_read(key, token, &read), CW_OK);
+	assert_int_equal(read.key, 77);
+	assert_int_equal(read.bound_at, 12);
+	assert_int_equal(read.row, 42);
+	assert_string_equal(read.model, "m.x");
+	assert_string_equal(read.version, "v-1");
+}
+
+static void a_forged_token_is_none(void **state)
+{
+	static const char *const rubbish[] = {"", ".", "a.b", "0000.1.m/v", "...", "x.y.z.zz"};
+	struct cw_binding bound = binding_of(77, 12, "v1");
+	struct cw_binding read;
+	char token[CW_TOKEN_MAX];
+
+	cw_token_make(key, &bound, token);
+	for (size_t i = 0; i < strlen(token); i++) {
+		char kept = token[i];
+
+		token[i] = kept == '1' ? '2' : '1';
+		assert_int_equal(cw_token_read(key, token, &read), CW_INVALID);
+		token[i] = kept;
+	}
+	for (size_t i = 0; i < sizeof(rubbish) / sizeof(rubbish[0]); i++)
+		assert_int_equal(cw_token_read(key, rubbish[i], &read), CW_INVALID);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(merging_is_the_same_in_any_order),
+		cmocka_unit_test(the_store_is_bounded_and_forgets_the_idle),
+		cmocka_unit_test(a_token_tells_what_was_bound),
+		cmocka_unit_test(a_forged_token_is_none),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
