Lint clean; the request path measured; idle duties sleep

Cause: an idle instance used 1.4 % of a core, of 2.3 % allowed for all control at full size: duty threads woke ten times a second each to look for their end. Change: a closed ring wakes its reader, so they wait without a limit; the core's tick is 20 ms instead of 10.

--- a/apps/corianderwalk/core.c
+++ b/apps/corianderwalk/core.c
@@ -5,7 +5,7 @@
 
 #include <string.h>
 
-#define TICK_MS 10
+#define TICK_MS 20
 
 static void *core_run(void *data);
 static void step(struct daemon *daemon, struct cw_event *event);
--- a/apps/corianderwalk/duties.c
+++ b/apps/corianderwalk/duties.c
@@ -15,7 +15,7 @@
 #define LOAD_SIZE_MAX	 65536
 #define RATING_THREADS	 4
 #define ORDER_CONNECT_MS 500
-#define WAIT_MS		 100
+#define WAIT_MS		 (-1) /* a closed ring ends every wait */
 
 enum duty_kind {
 	DUTY_READ_TABLE,
--- a/packages/health/src/health.c
+++ b/packages/health/src/health.c
@@ -18,12 +18,14 @@
 #define RATING_STEP	 0.8 /* drop of the mean worth a trip, in standard deviations */
 #define RATING_SIGMA_MIN 0.05
 #define RATING_CLAMP	 2.0 /* a single rating counts at most so many deviations */
-#define TRIP_LEVEL	 16.0 /* log likelihood ratio; a good version is tripped once in e^16 = 9 million answers at most */
-#define HOLD_FIRST_MS	 20000
-#define HOLD_MAX_MS	 600000
-#define STEP_MS		 5000 /* a probing version's share grows every step */
-#define OWN_WINDOW	 10
-#define OWN_BAD		 5
+#define TRIP_LEVEL                                                                                 \
+	16.0 /* log likelihood ratio; a good version is tripped once in e^16 = 9 million answers   \
+		at most */
+#define HOLD_FIRST_MS 20000
+#define HOLD_MAX_MS   600000
+#define STEP_MS	      5000 /* a probing version's share grows every step */
+#define OWN_WINDOW    10
+#define OWN_BAD	      5
 
 struct health_version {
 	uint64_t version;
--- a/packages/http/include/cw_http_server.h
+++ b/packages/http/include/cw_http_server.h
@@ -26,8 +26,8 @@
 	char data[];
 };
 
-#define CW_PULL_END -1 /* the answer is whole */
-#define CW_PULL_CUT -2 /* the connection is cut */
+#define CW_PULL_END (-1) /* the answer is whole */
+#define CW_PULL_CUT (-2) /* the connection is cut */
 
 struct cw_http_out {
 	int status;
--- a/packages/peer/src/rpc.c
+++ b/packages/peer/src/rpc.c
@@ -153,7 +153,9 @@
 	enum clnt_stat answer;
 	int received = 0;
 
-	if (!client->rpc && client_connect(client, error) != CW_OK)
+	if (!client->rpc)
+		client_connect(client, error);
+	if (!client->rpc)
 		return CW_UNREACHABLE;
 	memcpy(envelope.mac, data, mac_size);
 	envelope.message.message_val = (char *)data + mac_size;
--- a/tests/tools/loadgen.c
+++ b/tests/tools/loadgen.c
@@ -108,6 +108,7 @@
 		pthread_create(&threads[i], NULL, worker, &load);
 	for (int i = 0; i < load.concurrency; i++)
 		pthread_join(threads[i], NULL);
+	g_free(threads);
 	g_array_sort(load.first_ms, compare);
 	g_array_sort(load.total_ms, compare);
 	printf("requests=%d whole=%d cut=%d foreign=%d refused=%d unreachable=%d", load.next,
