--- a/apps/corianderwalk/duties.c
+++ b/apps/corianderwalk/duties.c
@@ -298,6 +298,7 @@
 		score = -1;
 	message->event.rated.handle = effect->rate.checked ? effect->handle : 0;
 	message->event.rated.task = effect->rate.task;
+	message->event.rated.common = effect->rate.common;
 	message->event.rated.version = effect->rate.version_id;
 	message->event.rated.score = score;
 	message->event.rated.tokens = effect->rate.tokens;
--- a/packages/cascade/include/cw_cascade.h
+++ b/packages/cascade/include/cw_cascade.h
@@ -1,5 +1,6 @@
 /*
- * Which version answers a request that names none ("auto"). Per (organisation, task) the expected
+ * Which version answers a request that names none ("auto"). Per (organisation, task), and per task
+ * over all organisations while one has few ratings of its own, the expected
  * quality and cost of each version are learned from ratings; the plan is the cheapest one whose
  * lower confidence bound meets the target: a version directly, or a cheap one whose answer is
  * rated before it is shown and replaced by a costlier version's when it falls short.
@@ -27,7 +28,9 @@
 };
 
 struct cw_cascade_in {
-	uint64_t task; /* hash of organisation and task */
+	uint64_t task;	 /* hash of organisation and task */
+	uint64_t common; /* hash of the task alone: stands in while the organisation has few ratings
+			  */
 	const struct cw_option *options;
 	size_t count;
 	double target; /* quality 0 to 1 */
@@ -52,8 +55,10 @@
 uint64_t cw_cascade_task(const char *organisation, const char *task);
 void cw_cascade_plan(const struct cw_cascade *cascade, const struct cw_cascade_in *in,
 		     struct cw_plan *plan);
-void cw_cascade_rated(struct cw_cascade *cascade, uint64_t task, uint64_t version, double score);
-void cw_cascade_cost(struct cw_cascade *cascade, uint64_t task, uint64_t version, double tokens);
+void cw_cascade_rated(struct cw_cascade *cascade, uint64_t task, uint64_t common, uint64_t version,
+		      double score);
+void cw_cascade_cost(struct cw_cascade *cascade, uint64_t task, uint64_t common, uint64_t version,
+		     double tokens);
 int cw_cascade_falls_short(const struct cw_cascade_in *in, double score); /* 1: escalate */
 double cw_cascade_sample_rate(const struct cw_cascade *cascade, uint64_t task,
 			      uint64_t version); /* of answers worth rating afterwards */
--- a/packages/cascade/src/cascade.c
+++ b/packages/cascade/src/cascade.c
@@ -5,11 +5,14 @@
 #include <math.h>
 #include <string.h>
 
-#define CONFIDENCE_Z   1.64 /* one-sided 95 in 100 */
-#define RATED_MIN      20   /* ratings before a bound is believed */
-#define SIGMA_MIN      0.02
-#define EXPLORE_SHARE  0.02 /* of requests, for versions whose bound is still open */
-#define EXPLORE_START  0.25 /* while a cheaper version has no bound at all */
+#define CONFIDENCE_Z  1.64 /* one-sided 95 in 100 */
+#define RATED_MIN     20   /* ratings before a bound is believed */
+#define SIGMA_MIN     0.02
+#define EXPLORE_SHARE 0.02 /* of requests, for versions whose bound is still open */
+#define EXPLORE_START                                                                              \
+	0.25		    /* while a cheaper version has no bound at all: checked, so not shown  \
+			     */
+#define EXPLORE_UNSEEN 0.08 /* the same where no check is possible */
 #define TOKENS_UNKNOWN 500.0
 #define SCORE_BINS     20   /* histogram of ratings, for what a check would pass */
 #define PASS_MARGIN    0.05 /* a checked answer passes a little below the target */
@@ -31,10 +34,14 @@
 static void plan_learned(const void *data, const struct cw_cascade_in *in, struct cw_plan *plan);
 static void plan_costly(const void *data, const struct cw_cascade_in *in, struct cw_plan *plan);
 static void plan_cheap(const void *data, const struct cw_cascade_in *in, struct cw_plan *plan);
+static void add_rating(struct estimate *estimate, double score);
+static void add_cost(struct estimate *estimate, double tokens);
 static uint64_t estimate_key(uint64_t task, uint64_t version);
 static struct estimate *estimate_of(struct cw_cascade *cascade, uint64_t task, uint64_t version);
 static const struct estimate *find(const struct cw_cascade *cascade, uint64_t task,
 				   uint64_t version);
+static const struct estimate *estimate_for(const struct cw_cascade *cascade,
+					   const struct cw_cascade_in *in, size_t index);
 static double lower_bound(const struct estimate *estimate);
 static double mean(const struct estimate *estimate);
 static double cost_of(const struct estimate *estimate, double cost_per_1k);
@@ -91,9 +98,36 @@
 	cascade->policy->plan(cascade, in, plan);
 }
 
-void cw_cascade_rated(struct cw_cascade *cascade, uint64_t task, uint64_t version, double score)
+void cw_cascade_rated(struct cw_cascade *cascade, uint64_t task, uint64_t common, uint64_t version,
+		      double score)
+{
+	add_rating(estimate_of(cascade, task, version), score);
+	add_rating(estimate_of(cascade, common, version), score);
+}
+
+void cw_cascade_cost(struct cw_cascade *cascade, uint64_t task, uint64_t common, uint64_t version,
+		     double tokens)
+{
+	add_cost(estimate_of(cascade, task, version), tokens);
+	add_cost(estimate_of(cascade, common, version), tokens);
+}
+
+int cw_cascade_falls_short(const struct cw_cascade_in *in, double score)
+{
+	return score < in->target - PASS_MARGIN;
+}
+
+double cw_cascade_sample_rate(const struct cw_cascade *cascade, uint64_t task, uint64_t version)
+{
+	const struct estimate *estimate = find(cascade, task, version);
+
+	if (!estimate || estimate->rated < 2 * RATED_MIN)
+		return 1;
+	return estimate->rated < 10 * RATED_MIN ? 0.25 : 0.05;
+}
+
+static void add_rating(struct estimate *estimate, double score)
 {
-	struct estimate *estimate = estimate_of(cascade, task, version);
 	int bin = (int)CLAMP(score * SCORE_BINS, 0, SCORE_BINS - 1);
 
 	if (estimate->rated >= MEMORY) {
@@ -114,28 +148,12 @@
 	estimate->bin_sums[bin] += score;
 }
 
-void cw_cascade_cost(struct cw_cascade *cascade, uint64_t task, uint64_t version, double tokens)
+static void add_cost(struct estimate *estimate, double tokens)
 {
-	struct estimate *estimate = estimate_of(cascade, task, version);
-
 	estimate->answers += 1;
 	estimate->tokens += tokens;
 }
 
-int cw_cascade_falls_short(const struct cw_cascade_in *in, double score)
-{
-	return score < in->target - PASS_MARGIN;
-}
-
-double cw_cascade_sample_rate(const struct cw_cascade *cascade, uint64_t task, uint64_t version)
-{
-	const struct estimate *estimate = find(cascade, task, version);
-
-	if (!estimate || estimate->rated < 2 * RATED_MIN)
-		return 1;
-	return estimate->rated < 10 * RATED_MIN ? 0.25 : 0.05;
-}
-
 static void plan_learned(const void *data, const struct cw_cascade_in *in, struct cw_plan *plan)
 {
 	const struct cw_cascade *cascade = data;
@@ -184,14 +202,13 @@
 	double share = EXPLORE_SHARE;
 
 	for (size_t i = 0; i < in->count; i++) {
-		const struct estimate *estimate = find(cascade, in->task, in->options[i].version);
+		const struct estimate *estimate = estimate_for(cascade, in, i);
 
 		if (i == top)
 			continue;
 		if (!estimate || estimate->rated < RATED_MIN) {
 			open[count++] = i;
-			if (in->may_check)
-				share = EXPLORE_START;
+			share = in->may_check ? EXPLORE_START : EXPLORE_UNSEEN;
 		} else if (mean(estimate) >= in->target - 2 * PASS_MARGIN &&
 			   lower_bound(estimate) < in->target) {
 			open[count++] = i;
@@ -209,7 +226,7 @@
 static void consider_direct(const struct cw_cascade *cascade, const struct cw_cascade_in *in,
 			    size_t index, struct cw_plan *best)
 {
-	const struct estimate *estimate = find(cascade, in->task, in->options[index].version);
+	const struct estimate *estimate = estimate_for(cascade, in, index);
 	double cost = cost_of(estimate, in->options[index].cost_per_1k);
 	int is_fallback = index == costliest(in);
 
@@ -229,8 +246,8 @@
 static void consider_checked(const struct cw_cascade *cascade, const struct cw_cascade_in *in,
 			     size_t first, size_t then, struct cw_plan *best)
 {
-	const struct estimate *cheap = find(cascade, in->task, in->options[first].version);
-	const struct estimate *costly = find(cascade, in->task, in->options[then].version);
+	const struct estimate *cheap = estimate_for(cascade, in, first);
+	const struct estimate *costly = estimate_for(cascade, in, then);
 	double passed_mean;
 	double passed;
 	double cost;
@@ -278,6 +295,17 @@
 	return g_hash_table_lookup(cascade->estimates, &key);
 }
 
+/* The organisation's own ratings once there are enough; until then those of all organisations. */
+static const struct estimate *estimate_for(const struct cw_cascade *cascade,
+					   const struct cw_cascade_in *in, size_t index)
+{
+	const struct estimate *own = find(cascade, in->task, in->options[index].version);
+
+	if (own && own->rated >= RATED_MIN)
+		return own;
+	return find(cascade, in->common, in->options[index].version);
+}
+
 static double lower_bound(const struct estimate *estimate)
 {
 	double variance;
--- a/packages/health/include/cw_health.h
+++ b/packages/health/include/cw_health.h
@@ -47,6 +47,7 @@
 void cw_health_sibling(struct cw_health *health, uint64_t version,
 		       uint64_t model); /* versions of one model are siblings */
 int cw_health_answered(struct cw_health *health, uint64_t version, int good, double first_ms,
+		       unsigned int prompt_tokens,
 		       int64_t now_ms); /* 1: this tripped the version */
 int cw_health_rated(struct cw_health *health, uint64_t version, double score,
 		    int64_t now_ms); /* 1: tripped */
--- a/packages/health/src/health.c
+++ b/packages/health/src/health.c
@@ -9,10 +9,12 @@
 #define PRIOR_BAD	 1.0  /* and this many bad */
 #define BAD_FLOOR	 0.01
 #define BAD_STEP	 0.08 /* failure rate worth a trip, above the usual one */
+#define BAD_OUTRIGHT	 0.5 /* a second test, quicker for a version that fails half its requests */
 #define SLOW_STEP	 0.3
 #define SLOW_FLOOR	 0.05
 #define SLOW_FACTOR	 3.0 /* times the usual first token */
-#define SLOW_SLACK_MS	 100.0
+#define SLOW_SLACK_MS	 50.0
+#define LENGTH_CLASSES	 16  /* of prompts, each twice as long as the last */
 #define FIRST_SMOOTHING	 0.2 /* quick: a sibling must not lag behind a common rush */
 #define RATING_MIN	 20  /* ratings of a past before ratings can trip */
 #define RATING_STEP	 0.8 /* drop of the mean worth a trip, in standard deviations */
@@ -26,6 +28,8 @@
 #define STEP_MS	      5000 /* a probing version's share grows every step */
 #define OWN_WINDOW    10
 #define OWN_BAD	      5
+#define OWN_RATING    0.6
+#define OWN_SLOW_MS   1000.0
 
 struct health_version {
 	uint64_t version;
@@ -35,8 +39,8 @@
 	double good, bad;  /* pooled past, for the baseline */
 	double slow;
 	double rated, rating_sum, rating_squares;
-	double failure_cusum, slow_cusum, rating_cusum;
-	double first_ms; /* smoothed, of good answers */
+	double failure_cusum, outright_cusum, slow_cusum, rating_cusum;
+	double first_ms[LENGTH_CLASSES]; /* smoothed; prompts of like length wait alike */
 	double base_bad, base_slow;
 	enum cw_health_state state;
 	int64_t since_ms;
@@ -59,6 +63,7 @@
 static int own_is_bad(const void *version);
 static struct health_version *version_of(struct cw_health *health, uint64_t version);
 static void version_destroy(gpointer data);
+static void note_recent(struct health_version *version, int bad);
 static void weigh(struct cw_health *health, struct health_version *version, double good, double bad,
 		  double slow);
 static void weigh_ratings(struct cw_health *health, struct health_version *version, double count,
@@ -68,7 +73,9 @@
 static const struct health_version *best_sibling(const struct cw_health *health,
 						 const struct health_version *version);
 static double cusum(double level, double good, double bad, double usual, double worse);
-static int is_slow(struct cw_health *health, struct health_version *version, double first_ms);
+static int is_slow(struct cw_health *health, struct health_version *version, double first_ms,
+		   unsigned int length);
+static unsigned int length_class(unsigned int prompt_tokens);
 static void advance(struct health_version *version, int64_t now_ms);
 static void reset_tests(struct health_version *version);
 
@@ -106,16 +113,15 @@
 }
 
 int cw_health_answered(struct cw_health *health, uint64_t id, int good, double first_ms,
-		       int64_t now_ms)
+		       unsigned int prompt_tokens, int64_t now_ms)
 {
 	struct health_version *version = version_of(health, id);
-	int slow = good && is_slow(health, version, first_ms);
+	int slow = good && is_slow(health, version, first_ms, length_class(prompt_tokens));
 
 	version->own.good += good != 0;
 	version->own.bad += good == 0;
 	version->own.slow += slow;
-	version->recent = version->recent << 1 | (good == 0);
-	version->recent_count++;
+	note_recent(version, !good || first_ms > OWN_SLOW_MS);
 	weigh(health, version, good, !good, slow);
 	return decide(health, version, now_ms);
 }
@@ -124,6 +130,8 @@
 {
 	struct health_version *version = version_of(health, id);
 
+	if (score < OWN_RATING)
+		note_recent(version, 1);
 	version->own.rated++;
 	version->own.rating_sum += score;
 	version->own.rating_squares += score * score;
@@ -260,8 +268,14 @@
 {
 	const struct health_version *version = data;
 
-	return version->failure_cusum > TRIP_LEVEL || version->slow_cusum > TRIP_LEVEL ||
-	       version->rating_cusum > TRIP_LEVEL;
+	return version->failure_cusum > TRIP_LEVEL || version->outright_cusum > TRIP_LEVEL ||
+	       version->slow_cusum > TRIP_LEVEL || version->rating_cusum > TRIP_LEVEL;
+}
+
+static void note_recent(struct health_version *version, int bad)
+{
+	version->recent = version->recent << 1 | (unsigned int)bad;
+	version->recent_count++;
 }
 
 static int own_is_bad(const void *data)
@@ -304,6 +318,8 @@
 	double slower = MIN(version->base_slow + SLOW_STEP, 0.95);
 
 	version->failure_cusum = cusum(version->failure_cusum, good, bad, version->base_bad, worse);
+	version->outright_cusum = cusum(version->outright_cusum, good, bad, version->base_bad,
+					MAX(BAD_OUTRIGHT, worse));
 	version->slow_cusum =
 		cusum(version->slow_cusum, MAX(good - slow, 0), slow, version->base_slow, slower);
 	version->good += good;
@@ -395,19 +411,32 @@
  * Slow only against siblings, which see the same load: against its own past every busy hour would
  * look like a fault. It shows as a trip of all versions at once.
  */
-static int is_slow(struct cw_health *health, struct health_version *version, double first_ms)
+static int is_slow(struct cw_health *health, struct health_version *version, double first_ms,
+		   unsigned int length)
 {
 	const struct health_version *sibling = best_sibling(health, version);
 
 	if (first_ms < 0)
 		return 0;
-	if (version->first_ms <= 0)
-		version->first_ms = first_ms;
+	if (version->first_ms[length] <= 0)
+		version->first_ms[length] = first_ms;
 	else
-		version->first_ms += FIRST_SMOOTHING * (first_ms - version->first_ms);
-	if (!sibling || sibling->first_ms <= 0)
+		version->first_ms[length] +=
+			FIRST_SMOOTHING * (first_ms - version->first_ms[length]);
+	if (!sibling || sibling->first_ms[length] <= 0)
 		return 0;
-	return first_ms > sibling->first_ms * SLOW_FACTOR + SLOW_SLACK_MS;
+	return first_ms > sibling->first_ms[length] * SLOW_FACTOR + SLOW_SLACK_MS;
+}
+
+static unsigned int length_class(unsigned int prompt_tokens)
+{
+	unsigned int length = 0;
+
+	while (prompt_tokens > 1 && length < LENGTH_CLASSES - 1) {
+		prompt_tokens /= 2;
+		length++;
+	}
+	return length;
 }
 
 static void advance(struct health_version *version, int64_t now_ms)
@@ -431,6 +460,7 @@
 static void reset_tests(struct health_version *version)
 {
 	version->failure_cusum = 0;
+	version->outright_cusum = 0;
 	version->slow_cusum = 0;
 	version->rating_cusum = 0;
 	version->recent = 0;
--- a/packages/limits/src/limits.c
+++ b/packages/limits/src/limits.c
@@ -8,8 +8,9 @@
 #define BURST_S		   1.0 /* a bucket holds this many seconds of its rate */
 #define DEMAND_WINDOW_MS   1000
 #define WANTED_MS	   2000 /* a refusal asks for loans this long */
-#define KEEP_FACTOR	   1.3	/* a lender keeps its own demand and a third more */
-#define RETRY_FILL	   0.1	/* of a retry per success */
+#define KEEP_FACTOR	   1.05 /* a lender keeps its own usual demand and a little more */
+#define DEMAND_SMOOTHING   0.3
+#define RETRY_FILL	   0.1 /* of a retry per success */
 #define RETRY_MAX	   20.0
 #define RETRY_AFTER_MAX_MS 5000
 
@@ -33,7 +34,7 @@
 	int64_t refused_ms; /* -1 never */
 	int64_t window_ms;  /* start of the window in which demand is counted */
 	double window_use;  /* parts' worth of use in the window: the largest of the three limits */
-	double demand;	    /* of the last whole window, in parts */
+	double demand;	    /* smoothed over windows, in parts */
 };
 
 struct cw_limits {
@@ -151,10 +152,9 @@
 {
 	struct row_share *share = share_of(limits, limit->row);
 	double base = limits->instances ? (double)CW_LIMIT_WHOLE / (double)limits->instances : 0;
-	double idle = now_ms - share->window_ms > 2 * DEMAND_WINDOW_MS
-			      ? 0
-			      : MAX(share->demand, share->window_use);
+	double idle = now_ms - share->window_ms > 2 * DEMAND_WINDOW_MS ? 0 : share->demand;
 	double spare = base - idle * KEEP_FACTOR;
+	uint32_t bound = 0;
 	struct loan *loan;
 
 	/* Slots are whole: no part of a slot may be lent that this instance does not hold. */
@@ -162,12 +162,17 @@
 		spare = MIN(spare, base_slots(limits, limit->concurrent) * CW_LIMIT_WHOLE /
 					   limit->concurrent);
 	loans_out(&share->lent, now_ms);
-	/* What this borrower holds already is lent once, not twice: the new grant takes its place.
+	/*
+	 * A new grant takes the place of the borrower's last one, but the lender stays bound by the
+	 * largest until its term ends: granting less than that would leave the rest to nobody.
 	 */
 	LIST_FOREACH(loan, &share->lent, link) {
-		if (loan->peer != borrower)
+		if (loan->peer == borrower)
+			bound = MAX(bound, loan->parts);
+		else
 			spare -= loan->parts;
 	}
+	spare = MAX(spare, bound);
 	/* What is borrowed must not be lent on: its term is another's. */
 	if (spare <= 0 || wanted == 0)
 		return 0;
@@ -356,8 +361,12 @@
 	double use = 0;
 
 	if (now_ms - share->window_ms >= DEMAND_WINDOW_MS) {
-		share->demand =
-			now_ms - share->window_ms < 2 * DEMAND_WINDOW_MS ? share->window_use : 0;
+		/* One second's peak is noise: held back for it, every share would stand idle in
+		 * part. */
+		if (now_ms - share->window_ms < 2 * DEMAND_WINDOW_MS)
+			share->demand += DEMAND_SMOOTHING * (share->window_use - share->demand);
+		else
+			share->demand = 0;
 		share->window_use = 0;
 		share->window_ms = now_ms;
 	}
--- a/packages/node/include/cw_node.h
+++ b/packages/node/include/cw_node.h
@@ -181,6 +181,7 @@
 		struct {
 			uint64_t handle; /* of a checked answer, else 0 */
 			uint64_t task;
+			uint64_t common;
 			uint64_t version;
 			double score; /* < 0: no rating was to be had */
 			unsigned int tokens;
@@ -266,7 +267,8 @@
 			char model[CW_NAME_MAX];
 			char version[CW_NAME_MAX];
 			char task_name[CW_NAME_MAX];
-			uint64_t task;
+			uint64_t task;	 /* hash of organisation and task */
+			uint64_t common; /* hash of the task alone */
 			uint64_t version_id;
 			unsigned int tokens;
 			int checked; /* the request waits for it */
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -27,6 +27,7 @@
 
 void cw_node_defaults(struct cw_node_config *config)
 {
+	memset(config, 0, sizeof(*config));
 	config->choice = &cw_choice_affinity;
 	config->health = &cw_health_pooled_cusum;
 	config->cascade = &cw_cascade_learned;
@@ -39,7 +40,7 @@
 	config->session_idle_ms = 30 * 60 * 1000LL;
 	config->session_ask_ms = 100;
 	config->request_timeout_ms = 120000;
-	config->first_wait_ms = 2000;
+	config->first_wait_ms = 400;
 	config->stop_grace_ms = 2000;
 	config->log_retention_ms = 3600 * 1000LL;
 	config->lease_ms = 10000;
@@ -158,8 +159,9 @@
 		break;
 	case CW_EVENT_RATED:
 		if (event->rated.score >= 0)
-			gossip_rating(node, event->rated.task, event->rated.version,
-				      event->rated.score, event->rated.tokens);
+			gossip_rating(node, event->rated.task, event->rated.common,
+				      event->rated.version, event->rated.score,
+				      event->rated.tokens);
 		request_rated(node, event->rated.handle, event->rated.score);
 		break;
 	case CW_EVENT_ORDERED:
--- a/packages/node/src/node_gossip.c
+++ b/packages/node/src/node_gossip.c
@@ -175,17 +175,18 @@
 	return count;
 }
 
-void gossip_rating(struct cw_node *node, uint64_t task, uint64_t version, double score,
-		   unsigned int tokens)
+void gossip_rating(struct cw_node *node, uint64_t task, uint64_t common, uint64_t version,
+		   double score, unsigned int tokens)
 {
 	struct rating *rating = &node->ratings[node->next_rating % RATINGS_KEPT];
 
 	rating->task = task;
+	rating->common = common;
 	rating->version = version;
 	rating->score = (unsigned int)lround(CLAMP(score, 0, 1) * THOUSAND);
 	rating->tokens = tokens;
 	node->next_rating++;
-	cw_cascade_rated(node->cascade, task, version, score);
+	cw_cascade_rated(node->cascade, task, common, version, score);
 	if (cw_health_rated(node->health, version, score, node->now_ms))
 		gossip_tripped(node, version, "ratings");
 }
@@ -288,6 +289,7 @@
 		const struct rating *rating = &node->ratings[*sent % RATINGS_KEPT];
 
 		ratings[count].task = rating->task;
+		ratings[count].common = rating->common;
 		ratings[count].model_version = rating->version;
 		ratings[count].score = rating->score;
 		ratings[count].tokens = rating->tokens;
@@ -361,9 +363,10 @@
 		if (beat->first_rating + i < seen->next)
 			continue;
 		seen->next = beat->first_rating + i + 1;
-		cw_cascade_rated(node->cascade, rating->task, rating->model_version,
+		cw_cascade_rated(node->cascade, rating->task, rating->common, rating->model_version,
 				 rating->score / THOUSAND);
-		cw_cascade_cost(node->cascade, rating->task, rating->model_version, rating->tokens);
+		cw_cascade_cost(node->cascade, rating->task, rating->common, rating->model_version,
+				rating->tokens);
 	}
 }
 
--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -48,6 +48,7 @@
 
 	struct cw_binding binding; /* key 0: no session */
 	size_t answers_awaited;	   /* of homes */
+	uint64_t avoid;		   /* a version that failed this request, 0 none */
 	int rebound;		   /* its session's version was withdrawn */
 
 	struct cw_claim claim; /* claim 0: none */
@@ -109,6 +110,7 @@
 
 struct rating {
 	uint64_t task;
+	uint64_t common;
 	uint64_t version;
 	unsigned int score;
 	unsigned int tokens;
@@ -228,6 +230,21 @@
 void request_bill_safe(struct cw_node *node, const char *bill_id);
 void request_tick(struct cw_node *node);
 
+/* node_request.c, for request_attempt.c */
+struct request *request_find(struct cw_node *node, uint64_t handle); /* NULL: ended */
+void request_destroy(struct cw_node *node, struct request *request);
+void request_abandon(struct cw_node *node, struct request *request);
+void request_keep_binding(struct cw_node *node, struct request *request);
+void request_refuse(struct cw_node *node, struct request *request, enum cw_code code,
+		    int64_t retry_after_ms, const char *format, ...)
+	__attribute__((format(printf, 5, 6)));
+
+/* request_attempt.c */
+void request_dispatch(struct cw_node *node, struct request *request, enum cw_dispatch_mode mode);
+void request_finish(struct cw_node *node, struct request *request);
+void request_release(struct cw_node *node, struct request *request);
+int64_t request_busy_ms(struct cw_node *node, double wait_ms); /* when to come back, with jitter */
+
 /* request_choice.c */
 enum choice_result { CHOICE_OK, CHOICE_NOT_ALLOWED, CHOICE_NO_WEIGHT, CHOICE_BEHIND };
 enum choice_result choice_version(struct cw_node *node, struct request *request);
@@ -277,8 +294,8 @@
 void gossip_heartbeats(struct cw_node *node); /* to everyone, now */
 size_t gossip_push_binding(struct cw_node *node, const struct cw_binding *binding);
 size_t gossip_ask_binding(struct cw_node *node, uint64_t key, uint64_t handle);
-void gossip_rating(struct cw_node *node, uint64_t task, uint64_t version, double score,
-		   unsigned int tokens);
+void gossip_rating(struct cw_node *node, uint64_t task, uint64_t common, uint64_t version,
+		   double score, unsigned int tokens);
 void gossip_tripped(struct cw_node *node, uint64_t version, const char *how);
 
 /* node_rollout.c */
--- /dev/null
+++ b/packages/node/src/request_attempt.c
@@ -0,0 +1,380 @@
+/* One attempt after another: sent, judged, tried again, resumed or continued, finished. */
+#include "node_internal.h"
+
+#include <string.h>
+
+#define BATCH_WAIT_FACTOR 5
+#define RATE_TIMEOUT_MS	  3000
+#define HURRY_MS	  50 /* a failure is told to peers sooner than the next beat */
+
+static void send_attempt(struct cw_node *node, struct request *request, struct cw_server *server,
+			 enum cw_dispatch_mode mode);
+static struct cw_server *choose_server(struct cw_node *node, struct request *request);
+static void learn_from_attempt(struct cw_node *node, struct request *request,
+			       const struct cw_attempt_end *end);
+static void attempt_answered(struct cw_node *node, struct request *request,
+			     const struct cw_attempt_end *end);
+static void attempt_failed(struct cw_node *node, struct request *request,
+			   const struct cw_attempt_end *end);
+static void try_again(struct cw_node *node, struct request *request,
+		      const struct cw_attempt_end *end);
+static void choose_sibling(struct cw_node *node, struct request *request,
+			   const struct cw_attempt_end *end);
+static void rate(struct cw_node *node, struct request *request, const char *answer, int checked);
+
+void request_attempt_end(struct cw_node *node, const struct cw_attempt_end *end)
+{
+	struct request *request = request_find(node, end->handle);
+
+	/* A late end of an attempt that was given up must not end the one that took its place. */
+	if (!request || request->state != REQUEST_RUNNING || end->attempt != request->attempt_count)
+		return;
+	learn_from_attempt(node, request, end);
+	request->shown = MAX(request->shown, end->shown);
+	switch (end->result) {
+	case CW_ATTEMPT_ANSWERED:
+		attempt_answered(node, request, end);
+		break;
+	case CW_ATTEMPT_PASSED:
+		request->http_status = end->http_status;
+		request->answer = g_strdup(end->answer);
+		request_release(node, request);
+		break;
+	case CW_ATTEMPT_CANCELLED:
+		request_abandon(node, request);
+		break;
+	default:
+		attempt_failed(node, request, end);
+		break;
+	}
+}
+
+void request_rated(struct cw_node *node, uint64_t handle, double score)
+{
+	struct request *request = request_find(node, handle);
+	size_t then;
+
+	if (!request || request->state != REQUEST_RATING)
+		return;
+	then = request->plan.then;
+	/* Without a rating the cheap answer is not known to be good enough: the costly one is. */
+	if (score >= 0 && !cw_cascade_falls_short(&request->choice, score)) {
+		request_finish(node, request);
+		return;
+	}
+	choice_take_option(request, then);
+	request->escalated = 1;
+	request->tried_count = 0;
+	node_event(node, "cascade", "escalate", "request=%s score=%.3f model=%s version=%s",
+		   request->in.request_id, score, request->model, request->version);
+	if (!choice_holds(node, request) || request->attempt_count >= CW_MAX_ATTEMPTS) {
+		const struct attempt *last = &request->attempts[request->attempt_count - 1];
+
+		g_strlcpy(request->model, last->model, CW_NAME_MAX);
+		g_strlcpy(request->version, last->version, CW_NAME_MAX);
+		request_finish(node, request);
+		return;
+	}
+	request_dispatch(node, request, CW_DISPATCH_FRESH);
+}
+
+/* Allowed and withdrawn are looked up again right before every dispatch: the table moves meanwhile.
+ */
+void request_dispatch(struct cw_node *node, struct request *request, enum cw_dispatch_mode mode)
+{
+	struct cw_server *server;
+	double limit_ms = (double)node->config.first_wait_ms;
+	double wait_ms;
+
+	if (node->now_ms >= request->deadline_ms) {
+		request_refuse(node, request, CW_CODE_DEADLINE, 0, "the deadline has passed");
+		return;
+	}
+	if (!choice_holds(node, request)) {
+		if (request->shown || request->in.flags & CW_REQUEST_SERVICE ||
+		    choice_version(node, request) != CHOICE_OK) {
+			request_refuse(node, request, CW_CODE_NOT_ALLOWED, 0, "%s/%s was withdrawn",
+				       request->model, request->version);
+			return;
+		}
+		request->tried_count = 0;
+		if (request->binding.key)
+			request_keep_binding(node, request);
+	}
+	server = mode == CW_DISPATCH_RESUME ? cw_pool_find(node->pool, request->server)
+					    : choose_server(node, request);
+	if (!server) {
+		request_refuse(node, request, CW_CODE_NO_BACKEND_SERVER, request_busy_ms(node, 500),
+			       "no backend server can take %s%s%s", request->model,
+			       *request->version ? "/" : "", request->version);
+		return;
+	}
+	if (request->in.flags & CW_REQUEST_BATCH)
+		limit_ms *= BATCH_WAIT_FACTOR;
+	limit_ms = MIN(limit_ms, (double)(request->deadline_ms - node->now_ms));
+	wait_ms = cw_pool_wait_ms(server, node->now_ms);
+	if (mode == CW_DISPATCH_FRESH && request->attempt_count == 0 && wait_ms > limit_ms) {
+		request_refuse(node, request, CW_CODE_OVERLOADED,
+			       request_busy_ms(node, wait_ms - limit_ms),
+			       "the predicted wait is %.0f ms", wait_ms);
+		return;
+	}
+	send_attempt(node, request, server, mode);
+}
+
+static void send_attempt(struct cw_node *node, struct request *request, struct cw_server *server,
+			 enum cw_dispatch_mode mode)
+{
+	struct cw_effect *effect = node_effect(node, CW_EFFECT_DISPATCH, request->in.handle);
+	struct attempt *attempt = &request->attempts[request->attempt_count++];
+
+	memset(attempt, 0, sizeof(*attempt));
+	attempt->server = server->id;
+	attempt->cost_per_1k = request->cost_per_1k;
+	g_strlcpy(attempt->model, request->model, CW_NAME_MAX);
+	g_strlcpy(attempt->version, request->version, CW_NAME_MAX);
+	request->state = REQUEST_RUNNING;
+	request->server = server->id;
+	request->tried[request->tried_count++] = server->id; /* never more than attempts */
+	cw_pool_dispatched(server, node->now_ms);
+	effect->dispatch.mode = mode;
+	effect->dispatch.attempt = request->attempt_count;
+	effect->dispatch.server = server->id;
+	effect->dispatch.hold = request->planned && request->plan.check && !request->escalated;
+	effect->dispatch.timeout_ms = request->deadline_ms - node->now_ms;
+	g_strlcpy(effect->dispatch.address, server->address, CW_ADDRESS_MAX);
+	g_strlcpy(effect->dispatch.model, request->model, CW_NAME_MAX);
+	g_strlcpy(effect->dispatch.version, request->version, CW_NAME_MAX);
+	if (request->binding.key)
+		cw_token_make(node->config.peer_key, &request->binding,
+			      effect->dispatch.session_token);
+	node_event(node, "request",
+		   mode == CW_DISPATCH_FRESH	? "dispatch"
+		   : mode == CW_DISPATCH_RESUME ? "resume"
+						: "continue",
+		   "request=%s organisation=%s model=%s version=%s server=%s attempt=%u%s",
+		   request->in.request_id, request->organisation, request->model, request->version,
+		   server->name, request->attempt_count,
+		   request->rebound ? " session=rebound" : "");
+}
+
+static struct cw_server *choose_server(struct cw_node *node, struct request *request)
+{
+	struct cw_choice choice = {
+		.service = request->in.flags & CW_REQUEST_SERVICE ? request->in.target : "llm",
+		.version = request->in.flags & CW_REQUEST_SERVICE ? 0 : request->version_id,
+		.prefix = request->in.prefix,
+		.failure_domain = node->failure_domain,
+		.tried = request->tried,
+		.tried_count = request->tried_count,
+		.now_ms = node->now_ms,
+		.random = node_random(node),
+	};
+
+	struct cw_server *server = cw_pool_choose(node->pool, &choice);
+
+	if (server || request->attempt_count == 0)
+		return server;
+	/* Every other server is out: the budget of retries bounds how often the same one is asked
+	 * again. */
+	choice.tried_count = 0;
+	request->tried_count = 0;
+	return cw_pool_choose(node->pool, &choice);
+}
+
+int64_t request_busy_ms(struct cw_node *node, double wait_ms)
+{
+	int64_t base = (int64_t)CLAMP(wait_ms, 100, 10000);
+
+	/* Jitter, so that callers refused together do not come back together. */
+	return base / 2 + (int64_t)(node_random(node) % (uint64_t)base) + 1;
+}
+
+static void learn_from_attempt(struct cw_node *node, struct request *request,
+			       const struct cw_attempt_end *end)
+{
+	struct attempt *attempt = &request->attempts[request->attempt_count - 1];
+	struct cw_server *server = cw_pool_find(node->pool, attempt->server);
+	double first_ms = -1;
+	int answered = end->result == CW_ATTEMPT_ANSWERED || end->result == CW_ATTEMPT_PASSED;
+	int failed = end->result == CW_ATTEMPT_UNSENT || end->result == CW_ATTEMPT_FAILED ||
+		     end->result == CW_ATTEMPT_BROKEN;
+
+	/* A whole answer comes with its last token: only a stream tells when the first one came. */
+	if (request->in.flags & CW_REQUEST_STREAM)
+		first_ms = end->first_ms;
+	attempt->result = end->result;
+	attempt->prompt_tokens = end->prompt_tokens;
+	attempt->completion_tokens = answered || end->shown ? end->completion_tokens : 0;
+	/* A 429 before anything ran leaves "not run" true; whatever else was sent may have run. */
+	if (end->result != CW_ATTEMPT_UNSENT &&
+	    !(end->result == CW_ATTEMPT_BUSY && end->http_status == 429))
+		request->sent = 1;
+	if (server) {
+		cw_pool_ended(server, node->now_ms, answered ? end->total_ms : -1);
+		if (answered)
+			cw_pool_succeeded(server, node->now_ms);
+		else if (failed)
+			cw_pool_failed(server, node->now_ms, node_random(node));
+	}
+	if (answered)
+		cw_retry_budget_success(&node->retry_budget);
+	/* A connection that failed says nothing of the version; a server that sends rubbish does.
+	 */
+	if (request->version_id &&
+	    (end->result == CW_ATTEMPT_ANSWERED || end->result == CW_ATTEMPT_FAILED ||
+	     end->result == CW_ATTEMPT_BROKEN) &&
+	    cw_health_answered(node->health, request->version_id, answered, first_ms,
+			       end->prompt_tokens, node->now_ms))
+		gossip_tripped(node, request->version_id, "failures");
+	if (request->version_id && failed)
+		node->heartbeat_due_ms = MIN(node->heartbeat_due_ms, node->now_ms + HURRY_MS);
+	if (!answered)
+		node_event(node, "request", "attempt_failed",
+			   "request=%s server=%s attempt=%u result=%d status=%d shown=%u",
+			   request->in.request_id, server ? server->name : "",
+			   request->attempt_count, end->result, end->http_status, end->shown);
+}
+
+static void attempt_answered(struct cw_node *node, struct request *request,
+			     const struct cw_attempt_end *end)
+{
+	uint64_t task = cw_cascade_task(request->organisation, request->in.task);
+	double draw;
+
+	request->http_status = end->http_status;
+	if (request->in.flags & CW_REQUEST_SERVICE) {
+		request->answer = g_strdup(end->answer);
+		request_finish(node, request);
+		return;
+	}
+	cw_cascade_cost(node->cascade, task, cw_cascade_task("", request->in.task),
+			request->version_id, end->prompt_tokens + end->completion_tokens);
+	if (request->planned && request->plan.check && !request->escalated) {
+		request->state = REQUEST_RATING;
+		request->wait_until_ms = MIN(node->now_ms + RATE_TIMEOUT_MS, request->deadline_ms);
+		rate(node, request, end->answer, 1);
+		return;
+	}
+	draw = (double)(node_random(node) >> 11) / 9007199254740992.0;
+	if (end->answer && draw < cw_cascade_sample_rate(node->cascade, task, request->version_id))
+		rate(node, request, end->answer, 0);
+	request_finish(node, request);
+}
+
+static void attempt_failed(struct cw_node *node, struct request *request,
+			   const struct cw_attempt_end *end)
+{
+	int service = request->in.flags & CW_REQUEST_SERVICE;
+
+	if (service && !(request->in.flags & CW_REQUEST_IDEMPOTENT) && request->sent) {
+		/*
+		 * Some byte of a non-idempotent request was sent. Sending it again could cut the
+		 * moquette twice; it shows as two orders with one key. So the outcome is unknown.
+		 */
+		request_refuse(node, request, CW_CODE_UPSTREAM_FAILED, 0,
+			       "the backend server did not answer; it may have run");
+		return;
+	}
+	if (request->attempt_count >= CW_MAX_ATTEMPTS) {
+		request_refuse(node, request,
+			       request->sent ? CW_CODE_UPSTREAM_FAILED : CW_CODE_NO_BACKEND_SERVER,
+			       request_busy_ms(node, 500), "%u attempts failed",
+			       request->attempt_count);
+		return;
+	}
+	try_again(node, request, end);
+}
+
+static void try_again(struct cw_node *node, struct request *request,
+		      const struct cw_attempt_end *end)
+{
+	int64_t retry_ms = request_busy_ms(node, 500);
+
+	if (!cw_retry_budget_take(&node->retry_budget)) {
+		request_refuse(node, request,
+			       request->sent ? CW_CODE_UPSTREAM_FAILED : CW_CODE_NO_BACKEND_SERVER,
+			       retry_ms, "the budget of retries is spent");
+		return;
+	}
+	if (end->shown == 0 && request->shown == 0) {
+		request->resumed = 0;
+		choose_sibling(node, request, end);
+		request_dispatch(node, request, CW_DISPATCH_FRESH);
+		return;
+	}
+	/* Resumed once where it broke; if that brings nothing, another server goes on from the text
+	 * shown. */
+	if (end->result == CW_ATTEMPT_BROKEN && !request->resumed) {
+		request->resumed = 1;
+		request->tried_count--;
+		request_dispatch(node, request, CW_DISPATCH_RESUME);
+		return;
+	}
+	request->resumed = 0;
+	request_dispatch(node, request, CW_DISPATCH_CONTINUE);
+}
+
+/*
+ * The version itself failed, and nothing was shown: where no session and no plan holds the request
+ * to it, a sibling answers. A version that has turned bad would else fail it on every server.
+ */
+static void choose_sibling(struct cw_node *node, struct request *request,
+			   const struct cw_attempt_end *end)
+{
+	if (end->result != CW_ATTEMPT_FAILED || !request->version_id || request->binding.key ||
+	    request->planned)
+		return;
+	request->avoid = request->version_id;
+	if (choice_version(node, request) == CHOICE_OK && request->version_id != request->avoid)
+		request->tried_count = 0;
+}
+
+static void rate(struct cw_node *node, struct request *request, const char *answer, int checked)
+{
+	const struct attempt *last = &request->attempts[request->attempt_count - 1];
+	struct cw_effect *effect = node_effect(node, CW_EFFECT_RATE, request->in.handle);
+
+	g_strlcpy(effect->rate.request_id, request->in.request_id, CW_ID_MAX);
+	g_strlcpy(effect->rate.organisation, request->organisation, CW_NAME_MAX);
+	g_strlcpy(effect->rate.model, request->model, CW_NAME_MAX);
+	g_strlcpy(effect->rate.version, request->version, CW_NAME_MAX);
+	g_strlcpy(effect->rate.task_name, request->in.task, CW_NAME_MAX);
+	effect->rate.task = cw_cascade_task(request->organisation, request->in.task);
+	effect->rate.common = cw_cascade_task("", request->in.task);
+	effect->rate.version_id = request->version_id;
+	effect->rate.tokens = last->prompt_tokens + last->completion_tokens;
+	effect->rate.checked = checked;
+	effect->rate.answer = g_strdup(answer ? answer : "");
+}
+
+/*
+ * The answer is whole. Its bill goes to two peers before the caller sees the end, so that the death
+ * of this instance between answer and log loses no bill; it shows as an answer without a bill.
+ */
+void request_finish(struct cw_node *node, struct request *request)
+{
+	request->state = REQUEST_BILLING;
+	request->wait_until_ms = node->now_ms + node->config.bill_hold_ms;
+	if (request->claim.claim)
+		log_line(node, &request->claim, LINE_OUTCOME, request->http_status,
+			 request->answer);
+	bills_add(node, request);
+}
+
+void request_release(struct cw_node *node, struct request *request)
+{
+	const struct attempt *last = &request->attempts[request->attempt_count - 1];
+
+	if (request->claim.claim && request->state == REQUEST_RUNNING)
+		log_line(node, &request->claim, LINE_OUTCOME, request->http_status,
+			 request->answer);
+	node_effect(node, CW_EFFECT_RELEASE, request->in.handle);
+	node_event(node, "request", "answer",
+		   "request=%s organisation=%s model=%s version=%s attempts=%u tokens=%u "
+		   "took_ms=%" G_GINT64_FORMAT,
+		   request->in.request_id, request->organisation, request->model, request->version,
+		   request->attempt_count, last->completion_tokens,
+		   node->now_ms - request->started_ms);
+	request_destroy(node, request);
+}
--- a/packages/node/src/request_choice.c
+++ b/packages/node/src/request_choice.c
@@ -124,6 +124,7 @@
 	if (request->choice.count == 0)
 		return allowed ? CHOICE_NO_WEIGHT : CHOICE_NOT_ALLOWED;
 	request->choice.task = cw_cascade_task(request->organisation, request->in.task);
+	request->choice.common = cw_cascade_task("", request->in.task);
 	/* A session stays on one version, so it is not sent to a second one; nor can a stream be
 	 * taken back. */
 	request->choice.may_check =
@@ -167,6 +168,10 @@
 		if (isnan(weight) || weight <= 0)
 			continue;
 		cw_health_sibling(node->health, id, cw_pool_version(row->model, ""));
+		/* What failed this request once is its last resort: a sibling may answer it well.
+		 */
+		if (id == request->avoid)
+			factor = 0;
 		score = cw_rendezvous(key, id, weight * factor);
 		if (factor > 0 && score > best_score) {
 			best = row;
--- a/packages/peer/include/peer.h
+++ b/packages/peer/include/peer.h
@@ -58,6 +58,7 @@
 
 struct peer_rating {
 	u_quad_t task;
+	u_quad_t common;
 	u_quad_t model_version;
 	u_int score;
 	u_int tokens;
--- a/packages/peer/peer.x
+++ b/packages/peer/peer.x
@@ -40,6 +40,7 @@
 
 struct peer_rating {
 	unsigned hyper task;        /* hash of organisation and task */
+	unsigned hyper common;      /* hash of the task alone */
 	unsigned hyper model_version;
 	unsigned int score;         /* thousandths */
 	unsigned int tokens;
--- a/packages/peer/src/peer_xdr.c
+++ b/packages/peer/src/peer_xdr.c
@@ -133,6 +133,8 @@
 
 	 if (!xdr_u_quad_t (xdrs, &objp->task))
 		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->common))
+		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->model_version))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->score))
--- a/tests/fake/servers.c
+++ b/tests/fake/servers.c
@@ -24,10 +24,13 @@
 static int cached(struct world_server *server, uint64_t prefix);
 static const struct world_profile *profile_of(const struct world *world, const char *model,
 					      const char *version);
+static double quality_of(const struct world_profile *profile, int bad, const char *task);
 static double normal(struct world *world);
 static int find_server(const struct world *world, const char *name);
 static int is_bad(const struct world *world, const struct world_profile *profile);
 
+const char *const world_task_names[TASKS] = {"tag", "enquiry", "report", "circular"};
+
 const char *domain_name(int domain)
 {
 	static const char *const names[WORLD_DOMAINS] = {"d0", "d1", "d2", "d3",
@@ -242,7 +245,7 @@
 		profile_of(world, run->effect->dispatch.model, run->effect->dispatch.version);
 	int bad = is_bad(world, profile);
 	double failure = profile ? (bad ? profile->bad_failure : profile->failure) : 0;
-	double quality = profile ? (bad ? profile->bad_quality : profile->quality) : 1;
+	double quality = quality_of(profile, bad, request->in.task);
 	struct event *next;
 
 	server->running--;
@@ -332,6 +335,18 @@
 	return NULL;
 }
 
+static double quality_of(const struct world_profile *profile, int bad, const char *task)
+{
+	if (!profile)
+		return 1;
+	if (bad)
+		return profile->bad_quality;
+	for (int i = 0; i < TASKS; i++)
+		if (!strcmp(task, world_task_names[i]) && profile->task_quality[i] > 0)
+			return profile->task_quality[i];
+	return profile->quality;
+}
+
 static double normal(struct world *world)
 {
 	double u = MAX(world_random(world), 1e-12);
--- a/tests/fake/world.c
+++ b/tests/fake/world.c
@@ -372,6 +372,7 @@
 		out.kind = CW_EVENT_RATED;
 		out.rated.handle = event->ticket;
 		out.rated.task = event->task;
+		out.rated.common = event->common;
 		out.rated.version = event->version;
 		out.rated.score = event->score;
 		out.rated.tokens = (unsigned int)event->offset;
@@ -562,6 +563,7 @@
 
 	event->ticket = effect->rate.checked ? effect->handle : 0;
 	event->task = effect->rate.task;
+	event->common = effect->rate.common;
 	event->version = effect->rate.version_id;
 	event->offset = effect->rate.tokens;
 	event->score = platform_is_out(world, index) || !request ? -1 : request->quality;
--- a/tests/fake/world.h
+++ b/tests/fake/world.h
@@ -40,12 +40,17 @@
 	void *user;
 };
 
+enum world_task { TASK_TAG, TASK_ENQUIRY, TASK_REPORT, TASK_CIRCULAR, TASKS };
+
+extern const char *const world_task_names[TASKS];
+
 struct world_profile { /* how one version behaves */
 	char model[CW_NAME_MAX];
 	char version[CW_NAME_MAX];
 	double quality, quality_sigma;
-	double failure; /* share of requests that fail */
-	double slow;	/* factor on its times */
+	double task_quality[4]; /* by world_task; 0: as quality says */
+	double failure;		/* share of requests that fail */
+	double slow;		/* factor on its times */
 	double cost_per_1k;
 	double first_ms; /* prefill of one request alone */
 	double token_ms;
--- a/tests/fake/world_internal.h
+++ b/tests/fake/world_internal.h
@@ -30,7 +30,7 @@
 	uint64_t ticket;
 	enum cw_status status;
 	uint64_t offset;
-	uint64_t task, version;
+	uint64_t task, common, version;
 	double score;
 	int server;
 	struct cw_attempt_end end;
--- a/tests/unit/test_health.c
+++ b/tests/unit/test_health.c
@@ -21,7 +21,7 @@
 	struct cw_health *health = create();
 	int answers = 0;
 
-	while (!cw_health_answered(health, BAD, 0, -1, 1000))
+	while (!cw_health_answered(health, BAD, 0, -1, 100, 1000))
 		answers++;
 	assert_in_range(answers, 1, 8);
 	assert_int_equal(cw_health_state(health, BAD, 1000), CW_HEALTH_TRIPPED);
@@ -40,7 +40,8 @@
 	int trips = 0;
 
 	for (int i = 0; i < 20000; i++)
-		trips += cw_health_answered(health, GOOD, g_rand_double(random) >= 0.01, 100, 1000);
+		trips += cw_health_answered(health, GOOD, g_rand_double(random) >= 0.01, 100, 100,
+					    1000);
 	assert_int_equal(trips, 0);
 	g_rand_free(random);
 	cw_health_destroy(health);
@@ -93,12 +94,12 @@
 	for (int i = 0; i < 500; i++) {
 		double first_ms = i < 250 ? 100 : 2000;
 
-		trips += cw_health_answered(health, BAD, 1, first_ms, 1000);
-		trips += cw_health_answered(health, GOOD, 1, first_ms, 1000);
+		trips += cw_health_answered(health, BAD, 1, first_ms, 100, 1000);
+		trips += cw_health_answered(health, GOOD, 1, first_ms, 100, 1000);
 	}
 	assert_int_equal(trips, 0);
 	for (int i = 0; i < 100 && !trips; i++)
-		trips = cw_health_answered(health, BAD, 1, 20000, 1000);
+		trips = cw_health_answered(health, BAD, 1, 20000, 100, 1000);
 	assert_int_equal(trips, 1);
 	cw_health_destroy(health);
 }
