--- a/Makefile
+++ b/Makefile
@@ -41,6 +41,18 @@
 check-thread: $(BUILD_TSAN)/.built
 	@TSAN_OPTIONS="suppressions=$(CURDIR)/tests/tsan.supp" tests/check $(BUILD_TSAN)
 
+# Longer than CI's fixed budget: FUZZ_SECONDS on each of FUZZ_JOBS processors, from the saved corpus.
+FUZZ_SECONDS ?= 150
+FUZZ_JOBS ?= 4
+fuzz: $(BUILD_FUZZ)/.built
+	@tests/fuzz/run $(BUILD_FUZZ) $(FUZZ_SECONDS) $(FUZZ_JOBS)
+
+bench: $(BUILD)/.built
+	@tests/bench/run $(BUILD)
+
+plots: $(BUILD)/.built
+	@tests/bench/plots $(BUILD)
+
 promises:
 	@tools/check-promises
 
--- a/apps/corianderwalk/main.c
+++ b/apps/corianderwalk/main.c
@@ -150,6 +150,7 @@
 	config->health = cw_health_policy_find(settings->health_policy);
 	config->cascade = cw_cascade_policy_find(settings->cascade_policy);
 	config->heartbeat_ms = settings->heartbeat_ms;
+	config->gossip_bytes_per_s = settings->gossip_bytes_per_s;
 	config->silent_ms = settings->silent_ms;
 	config->claim_timeout_ms = settings->claim_timeout_ms;
 	config->claim_window_ms = settings->claim_window_ms;
--- a/apps/cwctl/main.c
+++ b/apps/cwctl/main.c
@@ -19,6 +19,7 @@
 };
 
 static enum exit_code check_file(const struct options *options);
+static enum exit_code describe_settings(const struct options *options);
 static const struct command *find_command(char **words, size_t *used);
 static int run_command(const struct command *command, const struct options *options);
 static int read_settings(const char *file, struct options *options, struct cw_settings **settings);
@@ -26,6 +27,7 @@
 
 static const struct command commands[] = {
 	{"check", NULL, "check FILE", 0, 0, check_file},
+	{"settings", NULL, "settings", 0, 0, describe_settings},
 	{"table", "publish", "table publish FILE.csv", 1, 0, table_publish},
 	{"table", "set", "table set ORGANISATION MODEL VERSION COLUMN VALUE [--if-revision N]", 1,
 	 0, table_set},
@@ -133,6 +135,15 @@
 	return EXIT_WRONG_USE;
 }
 
+static enum exit_code describe_settings(const struct options *options)
+{
+	char *text = cw_settings_describe();
+
+	printf("%s", text);
+	g_free(text);
+	return EXIT_DONE;
+}
+
 static const struct command *find_command(char **words, size_t *used)
 {
 	for (size_t i = 0; words[0] && i < G_N_ELEMENTS(commands); i++) {
--- a/packages/cascade/src/cascade.c
+++ b/packages/cascade/src/cascade.c
@@ -13,6 +13,8 @@
 	0.25		    /* while a cheaper version has no bound at all: checked, so not shown  \
 			     */
 #define EXPLORE_UNSEEN 0.08 /* the same where no check is possible */
+#define EXPLORE_LOSS   0.5  /* of quality, by an answer of an unknown version */
+#define EXPLORE_LEAST  0.005
 #define TOKENS_UNKNOWN 500.0
 #define SCORE_BINS     20   /* histogram of ratings, for what a check would pass */
 #define PASS_MARGIN    0.05 /* a checked answer passes a little below the target */
@@ -36,6 +38,7 @@
 static void plan_cheap(const void *data, const struct cw_cascade_in *in, struct cw_plan *plan);
 static void add_rating(struct estimate *estimate, double score);
 static void add_cost(struct estimate *estimate, double tokens);
+static double affordable_share(const struct estimate *best, double target);
 static uint64_t estimate_key(uint64_t task, uint64_t version);
 static struct estimate *estimate_of(struct cw_cascade *cascade, uint64_t task, uint64_t version);
 static const struct estimate *find(const struct cw_cascade *cascade, uint64_t task,
@@ -214,6 +217,8 @@
 			open[count++] = i;
 		}
 	}
+	if (!in->may_check)
+		share = MIN(share, affordable_share(estimate_for(cascade, in, top), in->target));
 	if (count == 0 || draw >= share)
 		return 0;
 	plan->first = open[in->random % count];
@@ -223,6 +228,18 @@
 	return 1;
 }
 
+/*
+ * What is explored unchecked is shown, and may fall short by EXPLORE_LOSS: no larger share than the
+ * best version's margin above the target pays for. A rare task would else stay below its target for
+ * as long as it is being learned.
+ */
+static double affordable_share(const struct estimate *best, double target)
+{
+	double margin = best && best->rated >= RATED_MIN ? mean(best) - target : 0;
+
+	return MAX(margin / EXPLORE_LOSS, EXPLORE_LEAST);
+}
+
 static void consider_direct(const struct cw_cascade *cascade, const struct cw_cascade_in *in,
 			    size_t index, struct cw_plan *best)
 {
--- a/packages/membership/include/cw_membership.h
+++ b/packages/membership/include/cw_membership.h
@@ -29,6 +29,8 @@
 struct cw_membership *cw_membership_create(const char *instance, const char *failure_domain,
 					   int64_t silent_ms);
 void cw_membership_destroy(struct cw_membership *membership); /* frees its members */
+void cw_membership_set_silent(struct cw_membership *membership,
+			      int64_t silent_ms); /* unheard longer: not live */
 struct cw_member *cw_membership_learn(struct cw_membership *membership, const char *instance,
 				      const char *failure_domain,
 				      const char *address); /* NULL: itself, or full */
--- a/packages/membership/src/membership.c
+++ b/packages/membership/src/membership.c
@@ -48,6 +48,11 @@
 	g_free(membership);
 }
 
+void cw_membership_set_silent(struct cw_membership *membership, int64_t silent_ms)
+{
+	membership->silent_ms = silent_ms;
+}
+
 struct cw_member *cw_membership_learn(struct cw_membership *membership, const char *instance,
 				      const char *failure_domain, const char *address)
 {
--- a/packages/node/include/cw_node.h
+++ b/packages/node/include/cw_node.h
@@ -330,7 +330,8 @@
 	const struct cw_health_policy *health;
 	const struct cw_cascade_policy *cascade;
 	int64_t heartbeat_ms;
-	int64_t silent_ms; /* a peer unheard this long is not live */
+	int64_t gossip_bytes_per_s; /* heartbeats slow down beyond it */
+	int64_t silent_ms;	    /* a peer unheard this long is not live */
 	int64_t claim_timeout_ms;
 	int64_t claim_window_ms; /* idempotency keys are guarded this long */
 	int64_t bill_flush_ms;
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -32,6 +32,7 @@
 	config->health = &cw_health_pooled_cusum;
 	config->cascade = &cw_cascade_learned;
 	config->heartbeat_ms = 250;
+	config->gossip_bytes_per_s = 12000;
 	config->silent_ms = 1500;
 	config->claim_timeout_ms = 2000;
 	config->claim_window_ms = 24 * 3600 * 1000LL;
@@ -277,6 +278,7 @@
 		if (server)
 			server->configured = 1;
 	}
+	cw_pool_track(node->pool, node->id, node->failure_domain);
 }
 
 static void node_list(struct cw_node *node, const struct cw_listed *members, size_t count)
@@ -287,6 +289,7 @@
 		else
 			list_server(node, &members[i]);
 	}
+	cw_pool_track(node->pool, node->id, node->failure_domain);
 }
 
 static void list_instance(struct cw_node *node, const struct cw_listed *listed)
@@ -330,7 +333,7 @@
 	TAILQ_FOREACH(server, cw_pool_servers(node->pool), link) {
 		struct cw_effect *effect;
 
-		if (node->now_ms < server->poll_due_ms)
+		if (!server->tracked || node->now_ms < server->poll_due_ms)
 			continue;
 		server->poll_due_ms = node->now_ms + node->config.load_poll_ms * 3 / 4 +
 				      (int64_t)(node_random(node) %
--- a/packages/node/src/node_gossip.c
+++ b/packages/node/src/node_gossip.c
@@ -5,8 +5,11 @@
 #include <string.h>
 
 #define FANOUT		  8 /* heartbeats sent a period */
+#define SILENT_ROUNDS	  3 /* rounds of beats missed before a member counts as silent */
+#define HURRY_MS	  50
 #define EVIDENCE_MAX	  128
 #define WANTS_MAX	  32
+#define LOADS_MAX	  128
 #define RATINGS_A_MESSAGE 64
 #define RECORDS_BYTES_MAX (256 * 1024)
 #define THOUSAND	  1000.0
@@ -100,19 +103,40 @@
 	cw_peer_release(&message);
 }
 
+/*
+ * Beats go to a few members in turns, and no faster than the budget of bytes allows: with many
+ * members or versions each is heard less often, so the silence that counts as death grows with the
+ * time a whole round takes.
+ */
 void gossip_tick(struct cw_node *node)
 {
 	struct cw_member *members[FANOUT];
+	uint64_t before = node->gossip_bytes;
+	int64_t period_ms;
+	int64_t round_ms;
 	size_t count;
 
 	if (node->now_ms < node->heartbeat_due_ms)
 		return;
-	node->heartbeat_due_ms = node->now_ms + node->config.heartbeat_ms;
-	/* In turns rather than at random: every member is reached within size / FANOUT periods. */
 	count = cw_membership_sample(node->membership, node->heartbeat_turn, members, FANOUT);
 	node->heartbeat_turn += count;
 	for (size_t i = 0; i < count; i++)
 		send_heartbeat(node, members[i], 0);
+	period_ms = (int64_t)(node->gossip_bytes - before) * 1000 / node->config.gossip_bytes_per_s;
+	period_ms = MAX(period_ms, node->config.heartbeat_ms);
+	round_ms =
+		period_ms * (int64_t)((cw_membership_size(node->membership) + FANOUT - 1) / FANOUT);
+	node->heartbeat_due_ms = node->now_ms + period_ms;
+	node->heartbeat_spare = period_ms == node->config.heartbeat_ms;
+	cw_membership_set_silent(node->membership,
+				 MAX(node->config.silent_ms, SILENT_ROUNDS * round_ms));
+}
+
+/* Something a peer should hear sooner than the next beat, where the budget allows it. */
+void gossip_hurry(struct cw_node *node)
+{
+	if (node->heartbeat_spare)
+		node->heartbeat_due_ms = MIN(node->heartbeat_due_ms, node->now_ms + HURRY_MS);
 }
 
 void gossip_heartbeats(struct cw_node *node)
@@ -138,6 +162,7 @@
 	effect = node_effect(node, CW_EFFECT_SEND, 0);
 	g_strlcpy(effect->send.address, member->address, CW_ADDRESS_MAX);
 	effect->send.bytes = bytes;
+	node->gossip_bytes += bytes.size;
 }
 
 size_t gossip_push_binding(struct cw_node *node, const struct cw_binding *binding)
@@ -216,7 +241,7 @@
 	log_append(node, CW_STREAM_NOTICES,
 		   g_strdup(json_object_to_json_string_ext(record, JSON_C_TO_STRING_PLAIN)));
 	json_object_put(record);
-	node->heartbeat_due_ms = node->now_ms;
+	gossip_hurry(node);
 }
 
 static void send_heartbeat(struct cw_node *node, const struct cw_member *member, int reply)
@@ -224,7 +249,7 @@
 	struct cw_evidence own[EVIDENCE_MAX];
 	uint32_t tripped[EVIDENCE_MAX];
 	struct peer_evidence evidence[EVIDENCE_MAX];
-	struct peer_load loads[CW_MAX_SERVERS];
+	struct peer_load loads[LOADS_MAX];
 	struct peer_want wants[WANTS_MAX];
 	struct peer_rating ratings[RATINGS_A_MESSAGE];
 	uint64_t rows[WANTS_MAX];
@@ -252,7 +277,7 @@
 	beat->evidence.evidence_len = (u_int)count;
 	beat->evidence.evidence_val = evidence;
 	TAILQ_FOREACH(server, cw_pool_servers(node->pool), link) {
-		if (!server->own_running)
+		if (!server->own_running || beat->loads.loads_len == LOADS_MAX)
 			continue;
 		loads[beat->loads.loads_len].server = server->id;
 		loads[beat->loads.loads_len++].running = server->own_running;
--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -194,6 +194,8 @@
 	GHashTable *ratings_sent; /* member -> next rating to send */
 	GHashTable *ratings_seen; /* member -> struct seen_ratings */
 	int64_t heartbeat_due_ms;
+	int heartbeat_spare;   /* the last beat was within the budget of bytes */
+	uint64_t gossip_bytes; /* sent so far */
 	uint64_t heartbeat_turn;
 	uint64_t sequence;
 	int64_t expire_due_ms;
@@ -289,6 +291,7 @@
 /* node_gossip.c */
 void gossip_message(struct cw_node *node, const void *data, size_t size);
 void gossip_tick(struct cw_node *node);
+void gossip_hurry(struct cw_node *node);
 void gossip_send(struct cw_node *node, const struct cw_member *member,
 		 struct peer_message *message);
 void gossip_heartbeats(struct cw_node *node); /* to everyone, now */
--- a/packages/node/src/request_attempt.c
+++ b/packages/node/src/request_attempt.c
@@ -5,8 +5,6 @@
 
 #define BATCH_WAIT_FACTOR 5
 #define RATE_TIMEOUT_MS	  3000
-#define HURRY_MS	  50 /* a failure is told to peers sooner than the next beat */
-
 static void send_attempt(struct cw_node *node, struct request *request, struct cw_server *server,
 			 enum cw_dispatch_mode mode);
 static struct cw_server *choose_server(struct cw_node *node, struct request *request);
@@ -228,7 +226,7 @@
 			       end->prompt_tokens, node->now_ms))
 		gossip_tripped(node, request->version_id, "failures");
 	if (request->version_id && failed)
-		node->heartbeat_due_ms = MIN(node->heartbeat_due_ms, node->now_ms + HURRY_MS);
+		gossip_hurry(node);
 	if (!answered)
 		node_event(node, "request", "attempt_failed",
 			   "request=%s server=%s attempt=%u result=%d status=%d shown=%u",
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -34,6 +34,8 @@
 	int checks_fencing;
 	int configured;
 	int leaving;
+	double track_score;
+	int tracked; /* among those this node sends to */
 	int64_t listed_ms;
 	int64_t poll_due_ms;
 
@@ -100,6 +102,8 @@
 struct cw_server *cw_pool_find(struct cw_pool *pool, uint64_t id); /* NULL: unknown */
 void cw_pool_forget(struct cw_pool *pool,
 		    struct cw_server *server); /* only without requests of its own */
+void cw_pool_track(struct cw_pool *pool, uint64_t owner,
+		   const char *failure_domain); /* chooses anew which are tracked */
 uint64_t cw_pool_version(const char *model, const char *version);
 struct cw_server *cw_pool_choose(struct cw_pool *pool,
 				 const struct cw_choice *choice); /* NULL: none may serve */
--- a/packages/pool/src/pool.c
+++ b/packages/pool/src/pool.c
@@ -11,6 +11,8 @@
 #define SLOTS_UNKNOWN	   8
 #define SERVICE_MS_UNKNOWN 500.0
 #define SERVICE_SMOOTHING  0.1
+#define OWN_DOMAIN_WEIGHT  8
+#define MAX_CANDIDATES	   256
 
 struct cw_pool {
 	const struct cw_choice_policy *policy;
@@ -19,6 +21,8 @@
 };
 
 static void remember(struct cw_server *server, int64_t now_ms, int change);
+static gint by_track_score(gconstpointer a, gconstpointer b);
+static void free_array(gpointer array);
 static int is_tried(const struct cw_choice *choice, uint64_t id);
 
 struct cw_pool *cw_pool_create(const struct cw_choice_policy *policy)
@@ -57,6 +61,7 @@
 		server->sampled_ms = -1;
 		server->restored_ms = -1;
 		server->listed_ms = -1;
+		server->tracked = 1;
 		g_strlcpy(server->name, name, CW_NAME_MAX);
 		TAILQ_INSERT_TAIL(&pool->servers, server, link);
 		g_hash_table_insert(pool->by_id, &server->id, server);
@@ -81,6 +86,42 @@
 	g_free(server);
 }
 
+/*
+ * Of many servers each node uses a few: by rendezvous, so that all are used alike, and those of its
+ * own domain first. Reports of thousands would cost more than all other control.
+ */
+void cw_pool_track(struct cw_pool *pool, uint64_t owner, const char *failure_domain)
+{
+	GHashTable *by_service = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_array);
+	GHashTableIter iter;
+	struct cw_server *server;
+	gpointer list;
+
+	TAILQ_FOREACH(server, &pool->servers, link) {
+		int is_own = !strcmp(server->failure_domain, failure_domain);
+
+		server->track_score =
+			cw_rendezvous(owner, server->id, is_own ? OWN_DOMAIN_WEIGHT : 1);
+		list = g_hash_table_lookup(by_service, server->service);
+		if (!list) {
+			list = g_ptr_array_new();
+			g_hash_table_insert(by_service, server->service, list);
+		}
+		g_ptr_array_add(list, server);
+	}
+	g_hash_table_iter_init(&iter, by_service);
+	while (g_hash_table_iter_next(&iter, NULL, &list)) {
+		GPtrArray *servers = list;
+
+		g_ptr_array_sort(servers, by_track_score);
+		for (guint i = 0; i < servers->len; i++) {
+			server = g_ptr_array_index(servers, i);
+			server->tracked = i < CW_TRACKED_SERVERS;
+		}
+	}
+	g_hash_table_destroy(by_service);
+}
+
 uint64_t cw_pool_version(const char *model, const char *version)
 {
 	return cw_hash_text(version, cw_hash_text(model, 5));
@@ -88,18 +129,20 @@
 
 struct cw_server *cw_pool_choose(struct cw_pool *pool, const struct cw_choice *choice)
 {
-	struct cw_server *candidates[CW_MAX_SERVERS];
+	struct cw_server *candidates[MAX_CANDIDATES];
 	struct cw_server *server;
 	size_t count = 0;
 
 	TAILQ_FOREACH(server, &pool->servers, link) {
-		if (strcmp(server->service, choice->service) != 0)
+		if (!server->tracked || strcmp(server->service, choice->service) != 0)
 			continue;
 		if (!cw_pool_is_usable(server, choice->now_ms) || is_tried(choice, server->id))
 			continue;
 		if (choice->version && !cw_pool_serves(server, choice->version))
 			continue;
 		candidates[count++] = server;
+		if (count == MAX_CANDIDATES)
+			break;
 	}
 	return count ? pool->policy->choose(candidates, count, choice) : NULL;
 }
@@ -236,6 +279,19 @@
 	server->history_next = (server->history_next + 1) % CW_POOL_HISTORY;
 }
 
+static gint by_track_score(gconstpointer a, gconstpointer b)
+{
+	const struct cw_server *left = *(struct cw_server *const *)a;
+	const struct cw_server *right = *(struct cw_server *const *)b;
+
+	return left->track_score > right->track_score ? -1 : left->track_score < right->track_score;
+}
+
+static void free_array(gpointer array)
+{
+	g_ptr_array_unref(array);
+}
+
 static int is_tried(const struct cw_choice *choice, uint64_t id)
 {
 	for (size_t i = 0; i < choice->tried_count; i++)
--- a/packages/settings/include/cw_settings.h
+++ b/packages/settings/include/cw_settings.h
@@ -52,6 +52,7 @@
 	int64_t request_timeout_ms;
 	int64_t first_wait_ms;
 	int64_t heartbeat_ms;
+	int64_t gossip_bytes_per_s;
 	int64_t silent_ms;
 	int64_t claim_timeout_ms;
 	int64_t claim_window_ms;
--- a/packages/settings/src/settings.c
+++ b/packages/settings/src/settings.c
@@ -84,6 +84,7 @@
 	NUMBER(request_timeout_ms, 10, DAY_MS, 120000),
 	NUMBER(first_wait_ms, 1, 600000, 400),
 	NUMBER(heartbeat_ms, 10, 60000, 250),
+	NUMBER(gossip_bytes_per_s, 1000, 100000000, 12000),
 	NUMBER(silent_ms, 50, 600000, 1500),
 	NUMBER(claim_timeout_ms, 10, 600000, 2000),
 	NUMBER(claim_window_ms, 1000, 30 * DAY_MS, DAY_MS),
--- a/tests/bench/capacity.c
+++ b/tests/bench/capacity.c
@@ -304,34 +304,50 @@
 	fit("appends/s", &bills, "requests/s");
 }
 
-/* A backend server's view, and a node's: load reports by servers tracked. */
+/* Load reports: a node asks those it tracks; what it merely knows of costs memory. */
 static void loads(void)
 {
-	static const int sizes[] = {12, 25, 50, 100, 200};
+	static const int tracked[] = {4, 8, 16, 32};
+	static const int known[] = {64, 128, 256, 512};
 	struct line cpu = {0}, memory = {0};
 
 	printf("\n## load reports: one instance, by servers tracked (each asked every 200 ms)\n");
-	for (size_t i = 0; i < G_N_ELEMENTS(sizes); i++) {
+	for (size_t i = 0; i < G_N_ELEMENTS(tracked); i++) {
 		struct cw_node_config node;
-		double heap = heap_bytes();
 		struct world *world;
 		double began;
 
 		cw_node_defaults(&node);
-		world = start(1, sizes[i], &node);
+		world = start(1, tracked[i], &node);
 		world_load_everywhere(world, "m", "1");
 		world_run(world, 2000);
 		began = cpu_ms();
 		world_run(world, SPAN_MS);
 		began = (cpu_ms() - began) / (SPAN_MS / 1000.0);
-		printf("  servers %3d: processor %.3f ms/s, %.0f polls/s, heap %.0f kB\n", sizes[i],
-		       began, sizes[i] * 5.0, (heap_bytes() - heap) / 1024);
-		add(&cpu, sizes[i], began);
-		add(&memory, sizes[i], (heap_bytes() - heap) / 1024);
+		printf("  servers %2d: processor %.3f ms/s, %.0f polls/s\n", tracked[i], began,
+		       tracked[i] * 5.0);
+		add(&cpu, tracked[i], began);
 		world_destroy(world);
 	}
-	fit("processor ms/s", &cpu, "servers");
-	fit("heap kB", &memory, "servers");
+	fit("processor ms/s", &cpu, "servers tracked");
+	for (size_t i = 0; i < G_N_ELEMENTS(known); i++) {
+		struct cw_pool *pool = cw_pool_create(&cw_choice_affinity);
+		double heap = heap_bytes();
+
+		for (int j = 0; j < known[i]; j++) {
+			char *name = g_strdup_printf("runner-%d", j);
+
+			cw_pool_learn(pool, name, "llm", "10.0.0.1:8000", j % 8 ? "other" : "own",
+				      1);
+			g_free(name);
+		}
+		cw_pool_track(pool, 7, "own");
+		printf("  servers known %3d: heap %.0f kB\n", known[i],
+		       (heap_bytes() - heap) / 1024);
+		add(&memory, known[i], (heap_bytes() - heap) / 1024);
+		cw_pool_destroy(pool);
+	}
+	fit("heap kB", &memory, "servers known");
 }
 
 /* A changed cell until it is in force on every instance, all of them reading the log. */
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -3,6 +3,7 @@
 #include "cw_pool.h"
 
 #include <stdio.h>
+#include <stdlib.h>
 
 static struct cw_server *add(struct cw_pool *pool, int number, const char *domain)
 {
@@ -96,6 +97,33 @@
 	cw_pool_destroy(pool);
 }
 
+static void of_many_servers_a_few_are_used_and_no_near_one_by_nobody(void **state)
+{
+	int used[400] = {0};
+
+	for (uint64_t owner = 1; owner <= 100; owner++) {
+		struct cw_pool *pool = cw_pool_create(&cw_choice_two);
+		const struct cw_server *server;
+		int tracked = 0;
+		int own = 0;
+
+		for (int i = 0; i < 400; i++)
+			add(pool, i, i % 4 ? "far" : "near");
+		cw_pool_track(pool, owner * 7919, "near");
+		TAILQ_FOREACH(server, cw_pool_servers(pool), link) {
+			tracked += server->tracked;
+			own += server->tracked && server->failure_domain[0] == 'n';
+			used[atoi(server->name + 1)] += server->tracked; /* NOLINT(cert-err34-c) */
+		}
+		assert_int_equal(tracked, CW_TRACKED_SERVERS);
+		assert_true(own > tracked / 2);
+		cw_pool_destroy(pool);
+	}
+	/* The far ones are their own domain's instances' to use. */
+	for (int i = 0; i < 400; i += 4)
+		assert_true(used[i] > 0);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -103,6 +131,7 @@
 		cmocka_unit_test(the_breaker_opens_and_lets_one_probe_through),
 		cmocka_unit_test(a_prefix_stays_until_its_server_is_full),
 		cmocka_unit_test(another_domain_only_when_it_is_sooner),
+		cmocka_unit_test(of_many_servers_a_few_are_used_and_no_near_one_by_nobody),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
