Cross-check with real processes; loans of one borrower kept to one; small clean-ups

Cause: a lender's list held every grant of the last 3.5 s and was walked squared at each admission; a grant that a newer one covers is dropped. Removed: a heartbeat's reply flag and lease fields nobody read.

--- a/packages/limits/src/limits.c
+++ b/packages/limits/src/limits.c
@@ -47,6 +47,9 @@
 static void share_destroy(gpointer share);
 static uint32_t loans_out(struct loan_list *loans, int64_t now_ms);
 static uint32_t loans_in(struct loan_list *loans, int64_t now_ms);
+static void drop_expired(struct loan_list *loans, int64_t now_ms);
+static int is_largest(struct loan_list *loans, const struct loan *loan);
+static void drop_covered(struct loan_list *loans, uint64_t peer, uint32_t parts);
 static double fraction(struct cw_limits *limits, struct row_share *share, int64_t now_ms);
 static void refill(struct row_share *share, const struct cw_limit *limit, double part,
 		   int64_t now_ms);
@@ -177,6 +180,7 @@
 	if (spare <= 0 || wanted == 0)
 		return 0;
 	wanted = MIN(wanted, (uint32_t)spare);
+	drop_covered(&share->lent, borrower, wanted);
 	loan = g_new0(struct loan, 1);
 	loan->peer = borrower;
 	loan->parts = wanted;
@@ -257,13 +261,35 @@
 	g_free(share);
 }
 
-/* Parts lent now: of one borrower only its largest loan counts, since each new grant replaces the
- * last. */
+/* Parts lent now: of one borrower only its largest loan, since each new grant replaces the last. */
 static uint32_t loans_out(struct loan_list *loans, int64_t now_ms)
 {
-	struct loan *loan = LIST_FIRST(loans);
+	const struct loan *loan;
 	uint32_t parts = 0;
 
+	drop_expired(loans, now_ms);
+	LIST_FOREACH(loan, loans, link) {
+		if (is_largest(loans, loan))
+			parts += loan->parts;
+	}
+	return parts;
+}
+
+static uint32_t loans_in(struct loan_list *loans, int64_t now_ms)
+{
+	const struct loan *loan;
+	uint32_t parts = 0;
+
+	drop_expired(loans, now_ms);
+	LIST_FOREACH(loan, loans, link)
+		parts += loan->parts;
+	return parts;
+}
+
+static void drop_expired(struct loan_list *loans, int64_t now_ms)
+{
+	struct loan *loan = LIST_FIRST(loans);
+
 	while (loan) {
 		struct loan *next = LIST_NEXT(loan, link);
 
@@ -273,39 +299,34 @@
 		}
 		loan = next;
 	}
-	LIST_FOREACH(loan, loans, link) {
-		struct loan *other;
-		int counted = 0;
+}
 
-		LIST_FOREACH(other, loans, link) {
-			if (other->peer != loan->peer || other == loan)
-				continue;
-			if (other->parts > loan->parts ||
-			    (other->parts == loan->parts && other->until_ms > loan->until_ms))
-				counted = 1;
-		}
-		parts += counted ? 0 : loan->parts;
+/* Loans of one peer differ in their parts: cw_limits_lend drops what a new one covers. */
+static int is_largest(struct loan_list *loans, const struct loan *loan)
+{
+	const struct loan *other;
+
+	LIST_FOREACH(other, loans, link) {
+		if (other->peer == loan->peer && other->parts > loan->parts)
+			return 0;
 	}
-	return parts;
+	return 1;
 }
 
-static uint32_t loans_in(struct loan_list *loans, int64_t now_ms)
+/* A new loan lasts longer: one to the same borrower that is no larger says nothing more. */
+static void drop_covered(struct loan_list *loans, uint64_t peer, uint32_t parts)
 {
 	struct loan *loan = LIST_FIRST(loans);
-	uint32_t parts = 0;
 
 	while (loan) {
 		struct loan *next = LIST_NEXT(loan, link);
 
-		if (loan->until_ms <= now_ms) {
+		if (loan->peer == peer && loan->parts <= parts) {
 			LIST_REMOVE(loan, link);
 			g_free(loan);
-		} else {
-			parts += loan->parts;
 		}
 		loan = next;
 	}
-	return parts;
 }
 
 static double fraction(struct cw_limits *limits, struct row_share *share, int64_t now_ms)
--- a/packages/node/src/node_gossip.c
+++ b/packages/node/src/node_gossip.c
@@ -21,7 +21,7 @@
 	uint64_t next;
 };
 
-static void send_heartbeat(struct cw_node *node, const struct cw_member *member, int reply);
+static void send_heartbeat(struct cw_node *node, const struct cw_member *member);
 static size_t fill_ratings(struct cw_node *node, const struct cw_member *member,
 			   struct peer_rating *ratings, uint64_t *first);
 static void take_heartbeat(struct cw_node *node, struct cw_member *member,
@@ -121,7 +121,7 @@
 	count = cw_membership_sample(node->membership, node->heartbeat_turn, members, FANOUT);
 	node->heartbeat_turn += count;
 	for (size_t i = 0; i < count; i++)
-		send_heartbeat(node, members[i], 0);
+		send_heartbeat(node, members[i]);
 	period_ms = (int64_t)(node->gossip_bytes - before) * 1000 / node->config.gossip_bytes_per_s;
 	period_ms = MAX(period_ms, node->config.heartbeat_ms);
 	round_ms =
@@ -144,7 +144,7 @@
 	const struct cw_member *member;
 
 	TAILQ_FOREACH(member, cw_membership_members(node->membership), link)
-		send_heartbeat(node, member, 0);
+		send_heartbeat(node, member);
 }
 
 void gossip_send(struct cw_node *node, const struct cw_member *member, struct peer_message *message)
@@ -244,7 +244,7 @@
 	gossip_hurry(node);
 }
 
-static void send_heartbeat(struct cw_node *node, const struct cw_member *member, int reply)
+static void send_heartbeat(struct cw_node *node, const struct cw_member *member)
 {
 	struct cw_evidence own[EVIDENCE_MAX];
 	uint32_t tripped[EVIDENCE_MAX];
@@ -261,7 +261,6 @@
 
 	message.body.kind = PEER_HEARTBEAT;
 	beat->leaving = (u_int)node->stopping;
-	beat->reply = (u_int)reply;
 	beat->table_offset = cw_table_offset(node->table);
 	beat->claims_offset = cw_claims_offset(node->claims);
 	for (size_t i = 0; i < count; i++) {
--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -116,8 +116,7 @@
 	unsigned int tokens;
 };
 
-#define RATINGS_KEPT   512
-#define TABLE_TAIL_MIN 64
+#define RATINGS_KEPT 512
 
 enum bills_state { BILLS_IDLE, BILLS_APPENDING, BILLS_READING_BACK };
 
@@ -206,8 +205,6 @@
 	int64_t lease_asked_ms; /* before the own claim was sent: the term counts from here */
 	int64_t lease_check_ms;
 	uint64_t order_ticket;
-	uint64_t order_server;
-	int64_t order_sent_ms;
 
 	int stopping;
 	int64_t stop_ms;
--- a/packages/node/src/node_rollout.c
+++ b/packages/node/src/node_rollout.c
@@ -17,7 +17,7 @@
 static int lease_is_own(const struct cw_node *node);
 static int lease_is_free(const struct cw_node *node);
 static void claim_lease(struct cw_node *node);
-static struct cw_server *place_for(struct cw_node *node, const struct cw_row *row);
+static struct cw_server *place_for(struct cw_node *node);
 static const struct cw_row *missing_version(struct cw_node *node);
 static void give_order(struct cw_node *node, const struct cw_row *row);
 static void take_trip(struct cw_node *node, struct json_object *trip);
@@ -170,15 +170,13 @@
  * nothing. */
 static void give_order(struct cw_node *node, const struct cw_row *row)
 {
-	struct cw_server *server = place_for(node, row);
+	struct cw_server *server = place_for(node);
 	struct cw_effect *effect;
 
 	if (!server)
 		return;
 	effect = node_effect(node, CW_EFFECT_ORDER, 0);
 	node->order_ticket = node_ticket(node);
-	node->order_server = server->id;
-	node->order_sent_ms = node->now_ms;
 	effect->order.ticket = node->order_ticket;
 	effect->order.order = "load_version";
 	effect->order.fencing = node->lease.fencing;
@@ -193,7 +191,7 @@
 }
 
 /* The engine of the domain with the fewest versions, then the least load. */
-static struct cw_server *place_for(struct cw_node *node, const struct cw_row *row)
+static struct cw_server *place_for(struct cw_node *node)
 {
 	struct cw_server *best = NULL;
 	struct cw_server *server;
--- a/packages/peer/include/peer.h
+++ b/packages/peer/include/peer.h
@@ -73,7 +73,6 @@
 
 struct peer_heartbeat {
 	u_int leaving;
-	u_int reply;
 	u_quad_t table_offset;
 	u_quad_t claims_offset;
 	struct {
--- a/packages/peer/peer.x
+++ b/packages/peer/peer.x
@@ -53,7 +53,6 @@
 
 struct peer_heartbeat {
 	unsigned int leaving;
-	unsigned int reply;         /* 1: the receiver answers with its own heartbeat */
 	unsigned hyper table_offset;
 	unsigned hyper claims_offset;
 	peer_evidence evidence<PEER_LIST_MAX>;
--- a/packages/peer/src/peer_xdr.c
+++ b/packages/peer/src/peer_xdr.c
@@ -163,8 +163,6 @@
 
 	 if (!xdr_u_int (xdrs, &objp->leaving))
 		 return FALSE;
-	 if (!xdr_u_int (xdrs, &objp->reply))
-		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->table_offset))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->claims_offset))
--- a/tests/fuzz/oracle.c
+++ b/tests/fuzz/oracle.c
@@ -40,7 +40,6 @@
 };
 
 struct order {
-	unsigned int ran;
 	GPtrArray *requests;
 };
 
--- a/tests/standins/backend.c
+++ b/tests/standins/backend.c
@@ -1,7 +1,8 @@
 /*
  * standin-backend: a model engine that streams, or a plain service. Every run is remembered for
  * GET /runs. POST /control takes {"fault":NAME,"after":CHUNKS,"count":REQUESTS,"token_ms":N,
- * "first_ms":N}, where NAME is none, error, busy, rubbish, cut, freeze, foreign, huge or hang.
+ * "first_ms":N,"version":"M/V"}, where NAME is none, error, busy, rubbish, cut, freeze, foreign,
+ * huge or hang.
  */
 #include "standin.h"
 
@@ -68,6 +69,7 @@
 	struct json_object *orders;
 	enum fault fault;
 	int after, count;
+	char fault_version[128]; /* only its requests fail; empty: all */
 	int64_t orders_made;
 };
 
@@ -86,7 +88,7 @@
 static void handle_control(struct backend *backend, const struct cw_http_in *in,
 			   struct cw_http_out *out);
 static int fail_at_once(struct backend *backend, enum fault fault, struct cw_http_out *out);
-static enum fault take_fault(struct backend *backend);
+static enum fault take_fault(struct backend *backend, const char *model);
 static void hang(struct backend *backend);
 static void note_run(struct backend *backend, const struct cw_http_in *in, const char *model);
 static struct generation *generate(struct backend *backend, const char *id, int first, int tokens,
@@ -199,7 +201,7 @@
 		json_object_put(body);
 		return;
 	}
-	fault = take_fault(backend);
+	fault = take_fault(backend, model);
 	if (fault == FAULT_BUSY) {
 		fail_at_once(backend, fault, out);
 		json_object_put(body);
@@ -320,7 +322,7 @@
 static void handle_service(struct backend *backend, const struct cw_http_in *in,
 			   struct cw_http_out *out)
 {
-	enum fault fault = take_fault(backend);
+	enum fault fault = take_fault(backend, "");
 	struct json_object *body;
 
 	if (fault == FAULT_BUSY) {
@@ -350,6 +352,8 @@
 		if (!strcmp(fault, fault_names[i]))
 			backend->fault = i;
 	backend->after = (int)standin_number(body, "after", 0);
+	g_strlcpy(backend->fault_version, standin_text(body, "version", ""),
+		  sizeof(backend->fault_version));
 	backend->count = (int)standin_number(body, "count", 1000000);
 	backend->token_ms = (int)standin_number(body, "token_ms", backend->token_ms);
 	backend->first_ms = (int)standin_number(body, "first_ms", backend->first_ms);
@@ -384,9 +388,10 @@
 	}
 }
 
-static enum fault take_fault(struct backend *backend)
+static enum fault take_fault(struct backend *backend, const char *model)
 {
-	if (backend->fault == FAULT_NONE || backend->count <= 0)
+	if (backend->fault == FAULT_NONE || backend->count <= 0 ||
+	    (*backend->fault_version && strcmp(backend->fault_version, model) != 0))
 		return FAULT_NONE;
 	backend->count--;
 	return backend->fault;
--- a/tests/tools/loadgen.c
+++ b/tests/tools/loadgen.c
@@ -26,6 +26,7 @@
 	pthread_mutex_t mutex;
 	GArray *first_ms;
 	GArray *total_ms;
+	GArray *refused_ms;
 	GHashTable *refusals;
 	int whole, cut, foreign, refused, unreachable;
 };
@@ -102,6 +103,7 @@
 		seconds->ival[0] ? g_get_monotonic_time() + seconds->ival[0] * G_USEC_PER_SEC : 0;
 	load.first_ms = g_array_new(FALSE, FALSE, sizeof(double));
 	load.total_ms = g_array_new(FALSE, FALSE, sizeof(double));
+	load.refused_ms = g_array_new(FALSE, FALSE, sizeof(double));
 	load.refusals = g_hash_table_new(g_str_hash, g_str_equal);
 	threads = g_new(pthread_t, (gsize)load.concurrency);
 	for (int i = 0; i < load.concurrency; i++)
@@ -111,16 +113,17 @@
 	g_free(threads);
 	g_array_sort(load.first_ms, compare);
 	g_array_sort(load.total_ms, compare);
+	g_array_sort(load.refused_ms, compare);
 	printf("requests=%d whole=%d cut=%d foreign=%d refused=%d unreachable=%d", load.next,
 	       load.whole, load.cut, load.foreign, load.refused, load.unreachable);
 	g_hash_table_iter_init(&iter, load.refusals);
 	while (g_hash_table_iter_next(&iter, &code, &count))
 		printf(" %s=%d", (char *)code, GPOINTER_TO_INT(count));
 	printf(" first_ms_50=%.3f first_ms_95=%.3f first_ms_99=%.3f total_ms_50=%.3f "
-	       "total_ms_99=%.3f\n",
+	       "total_ms_99=%.3f refused_ms_99=%.3f\n",
 	       percentile(load.first_ms, 0.5), percentile(load.first_ms, 0.95),
 	       percentile(load.first_ms, 0.99), percentile(load.total_ms, 0.5),
-	       percentile(load.total_ms, 0.99));
+	       percentile(load.total_ms, 0.99), percentile(load.refused_ms, 0.99));
 	cw_http_close();
 	return load.cut + load.foreign > 0;
 }
@@ -200,6 +203,7 @@
 		g_array_append_val(load->total_ms, answer.total_ms);
 	} else if (one.status >= 400 && *code && strstr(one.pending->str, "\"run\":\"not_run\"")) {
 		again = try < load->retries;
+		g_array_append_val(load->refused_ms, answer.total_ms);
 		if (!again) {
 			load->refused++;
 			g_hash_table_insert(load->refusals, g_strdup(code),
