--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -41,7 +41,7 @@
 	config->session_idle_ms = 30 * 60 * 1000LL;
 	config->session_ask_ms = 100;
 	config->request_timeout_ms = 120000;
-	config->first_wait_ms = 400;
+	config->first_wait_ms = 200;
 	config->stop_grace_ms = 2000;
 	config->log_retention_ms = 3600 * 1000LL;
 	config->lease_ms = 10000;
--- a/packages/settings/src/settings.c
+++ b/packages/settings/src/settings.c
@@ -82,7 +82,7 @@
 	NUMBER(first_chunk_ms, 10, 600000, 15000),
 	NUMBER(idle_chunk_ms, 10, 600000, 5000),
 	NUMBER(request_timeout_ms, 10, DAY_MS, 120000),
-	NUMBER(first_wait_ms, 1, 600000, 400),
+	NUMBER(first_wait_ms, 1, 600000, 200),
 	NUMBER(heartbeat_ms, 10, 60000, 250),
 	NUMBER(gossip_bytes_per_s, 1000, 100000000, 12000),
 	NUMBER(silent_ms, 50, 600000, 1500),
