--- a/Makefile
+++ b/Makefile
@@ -16,21 +16,21 @@
 
 $(BUILD)/.built: packages
 	@cmake -S . -B $(BUILD) -DCMAKE_BUILD_TYPE=RelWithDebInfo >/dev/null
-	@cmake --build $(BUILD) -j$(JOBS) -- --no-print-directory -s
+	@cmake --build $(BUILD) -j$(JOBS) -- --no-print-directory -s >/dev/null
 
 .PHONY: $(BUILD)/.built $(BUILD_ASAN)/.built $(BUILD_TSAN)/.built $(BUILD_FUZZ)/.built
 
 $(BUILD_ASAN)/.built: packages
 	@cmake -S . -B $(BUILD_ASAN) -DCMAKE_BUILD_TYPE=Debug -DCW_SANITIZE=address >/dev/null
-	@cmake --build $(BUILD_ASAN) -j$(JOBS) -- --no-print-directory -s
+	@cmake --build $(BUILD_ASAN) -j$(JOBS) -- --no-print-directory -s >/dev/null
 
 $(BUILD_TSAN)/.built: packages
 	@cmake -S . -B $(BUILD_TSAN) -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCW_SANITIZE=thread >/dev/null
-	@cmake --build $(BUILD_TSAN) -j$(JOBS) -- --no-print-directory -s
+	@cmake --build $(BUILD_TSAN) -j$(JOBS) -- --no-print-directory -s >/dev/null
 
 $(BUILD_FUZZ)/.built: packages
 	@CC=clang cmake -S . -B $(BUILD_FUZZ) -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCW_SANITIZE=fuzzer >/dev/null
-	@cmake --build $(BUILD_FUZZ) -j$(JOBS) --target fuzz_node -- --no-print-directory -s
+	@cmake --build $(BUILD_FUZZ) -j$(JOBS) --target fuzz_node -- --no-print-directory -s >/dev/null
 
 demo: $(BUILD)/.built
 	@tests/demo $(BUILD)
