--- a/apps/corianderwalk/callers.c
+++ b/apps/corianderwalk/callers.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#define FULL_RETRY_MS	500
 #define SERVICES_PREFIX "/services/"
 #define BEARER		"Bearer "
 #define KEY_MAX		256
@@ -46,6 +47,14 @@
 	cw_count("requests_total", "", 1);
 	if (operators_health(daemon, in->path, out))
 		return;
+	/* Each request holds a thread or two: past this number more would only slow those in
+	 * progress. */
+	if (__atomic_load_n(&daemon->jobs_running, __ATOMIC_RELAXED) >=
+	    daemon->settings->max_requests) {
+		callers_refusal(out, CW_CODE_OVERLOADED, CW_RUN_NOT, FULL_RETRY_MS,
+				"this instance has all the requests it takes");
+		return;
+	}
 	if (g_str_has_prefix(in->path, SERVICES_PREFIX)) {
 		handle_service(daemon, in, out);
 	} else if (!strcmp(in->path, "/v1/chat/completions")) {
--- a/apps/corianderwalk/main.c
+++ b/apps/corianderwalk/main.c
@@ -172,7 +172,6 @@
 	struct cw_http_server_options callers = {
 		.address = settings->listen,
 		.max_body = (size_t)settings->max_body_bytes,
-		.max_connections = (unsigned int)settings->max_connections,
 		.idle_s = (unsigned int)settings->idle_s,
 		.tls_cert = *settings->tls_cert ? settings->tls_cert : NULL,
 		.tls_key = *settings->tls_cert ? settings->tls_key : NULL,
@@ -182,7 +181,6 @@
 	struct cw_http_server_options operators = {
 		.address = settings->operator_listen,
 		.max_body = OPERATOR_BODY,
-		.max_connections = (unsigned int)settings->max_connections,
 		.idle_s = (unsigned int)settings->idle_s,
 		.handle = operators_handle,
 		.context = daemon,
--- a/packages/http/include/cw_http_server.h
+++ b/packages/http/include/cw_http_server.h
@@ -46,9 +46,8 @@
 };
 
 struct cw_http_server_options {
-	const char *address; /* "IP:PORT"; port 0 lets the kernel choose */
-	size_t max_body;     /* bytes; larger is answered 413 */
-	unsigned int max_connections;
+	const char *address;  /* "IP:PORT"; port 0 lets the kernel choose */
+	size_t max_body;      /* bytes; larger is answered 413 */
 	unsigned int idle_s;  /* a connection without traffic is closed */
 	const char *tls_cert; /* PEM files; NULL: plain HTTP */
 	const char *tls_key;
--- a/packages/settings/include/cw_settings.h
+++ b/packages/settings/include/cw_settings.h
@@ -44,7 +44,7 @@
 	size_t server_count;
 	int64_t max_body_bytes;
 	int64_t max_answer_bytes;
-	int64_t max_connections;
+	int64_t max_requests;
 	int64_t idle_s;
 	int64_t connect_ms;
 	int64_t first_chunk_ms;
--- a/packages/settings/src/settings.c
+++ b/packages/settings/src/settings.c
@@ -76,7 +76,7 @@
 	CHOICE(cascade_policy, "learned", cascades),
 	NUMBER(max_body_bytes, 1024, 1 << 30, 8 << 20),
 	NUMBER(max_answer_bytes, 1024, 1 << 30, 8 << 20),
-	NUMBER(max_connections, 1, 65536, 4096),
+	NUMBER(max_requests, 1, 65536, 1000),
 	NUMBER(idle_s, 1, 3600, 60),
 	NUMBER(connect_ms, 1, 60000, 500),
 	NUMBER(first_chunk_ms, 10, 600000, 15000),
--- a/tests/bench/experiment.c
+++ b/tests/bench/experiment.c
@@ -3,65 +3,13 @@
  * virtual time, for several seeds, and prints median and range beside the baselines.
  * NAME: cost, latency, exposure, limits, cells.
  */
-#include "world.h"
+#include "experiment.h"
 
-#include <glib.h>
 #include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-#define SEEDS	      5
-#define NODES	      8
-#define DOMAINS	      4
-#define SERVERS	      12
-#define SLOTS	      8
-#define ORGANISATIONS 10
-#define PREFIXES      40
-#define RETRIES	      3
-#define WARM_MS	      5000
-#define COLUMNS_MAX   8
-
-struct later { /* a caller that was told when to come back */
-	int64_t at_ms;
-	struct world_request *request;
-	int tries;
-};
-
-struct driver {
-	struct world *world;
-	GRand *random;
-	GSequence *later;
-	GHashTable *tries; /* request -> tries so far */
-	double next_ms;
-	int64_t measure_from_ms;
-	int stream;
-	int callers_return;
-	double node_skew; /* share of requests that go to the first instance; < 0 even */
-	const char *target;
-};
-
-struct figures {
-	double values[COLUMNS_MAX][SEEDS];
-};
-
-static const double organisation_shares[ORGANISATIONS] = {0.3,	0.2,  0.15, 0.08, 0.07,
-							  0.06, 0.05, 0.04, 0.03, 0.02};
-
-static struct world *make_world(uint64_t seed, const struct cw_node_config *node,
-				struct driver *driver);
-static void destroy(struct driver *driver);
-static void drive(struct driver *driver, double per_s, int64_t ms);
-static void send_one(struct driver *driver);
-static void on_end(void *context, struct world *world, struct world_request *request);
-static void publish(struct world *world, const char *const *model_rows, double target);
-static double capacity_per_s(void);
-static double percentile(GArray *values, double share);
-static void print_row(const char *label, const struct figures *figures, const char *const *columns,
-		      size_t count);
-static gint compare(gconstpointer a, gconstpointer b);
-static gint by_time(gconstpointer a, gconstpointer b, gpointer unused);
-
 /* ---- cost at the quality target ---- */
 
 static void add_models(struct world *world)
@@ -119,11 +67,11 @@
 
 	cw_node_defaults(&node);
 	node.cascade = policy;
-	make_world(seed, &node, &driver);
+	driver_world(seed, &node, &driver);
 	add_models(driver.world);
-	publish(driver.world, rows, target);
+	driver_publish(driver.world, rows, target);
 	world_run(driver.world, 2000);
-	drive(&driver, 20, 400000);
+	driver_run(&driver, 20, 400000);
 	requests = world_requests(driver.world);
 	for (guint i = 0; i < requests->len; i++) {
 		const struct world_request *request = g_ptr_array_index(requests, i);
@@ -145,7 +93,7 @@
 	figures->values[1][seed] = quality / count;
 	figures->values[2][seed] = worst;
 	figures->values[3][seed] = 100.0 * count / requests->len;
-	destroy(&driver);
+	driver_destroy(&driver);
 }
 
 static void experiment_cost(void)
@@ -170,7 +118,7 @@
 					cost_run(policies[p], targets[t], stream, seed, &figures);
 				g_snprintf(label, sizeof(label), "%s%s%.2f", policies[p]->name,
 					   p ? ", any target " : ", target ", p ? 0.0 : targets[t]);
-				print_row(label, &figures, columns, G_N_ELEMENTS(columns));
+				driver_print(label, &figures, columns, G_N_ELEMENTS(columns));
 			}
 		}
 	}
@@ -202,13 +150,13 @@
 
 	cw_node_defaults(&node);
 	node.choice = policy;
-	make_world(seed, &node, &driver);
+	driver_world(seed, &node, &driver);
 	world_profile(driver.world, &profile);
 	world_load_everywhere(driver.world, "m", "1");
-	publish(driver.world, rows, 0.8);
+	driver_publish(driver.world, rows, 0.8);
 	world_run(driver.world, 2000);
 	driver.measure_from_ms = world_now(driver.world) + WARM_MS;
-	drive(&driver, load * capacity_per_s(), 40000);
+	driver_run(&driver, load * capacity_per_s(), 40000);
 	span_ms = world_now(driver.world) - driver.measure_from_ms;
 	requests = world_requests(driver.world);
 	for (guint i = 0; i < requests->len; i++) {
@@ -232,19 +180,19 @@
 		value = (double)(request->ended_ms - request->began_ms);
 		g_array_append_val(total, value);
 	}
-	g_array_sort(first, compare);
-	g_array_sort(total, compare);
-	figures->values[0][seed] = percentile(first, 0.5);
-	figures->values[1][seed] = percentile(first, 0.95);
-	figures->values[2][seed] = percentile(first, 0.99);
-	figures->values[3][seed] = percentile(total, 0.5);
-	figures->values[4][seed] = percentile(total, 0.99);
+	g_array_sort(first, driver_compare);
+	g_array_sort(total, driver_compare);
+	figures->values[0][seed] = driver_percentile(first, 0.5);
+	figures->values[1][seed] = driver_percentile(first, 0.95);
+	figures->values[2][seed] = driver_percentile(first, 0.99);
+	figures->values[3][seed] = driver_percentile(total, 0.5);
+	figures->values[4][seed] = driver_percentile(total, 0.99);
 	figures->values[5][seed] = 100.0 * answered / ((double)span_ms / 1000) / capacity_per_s();
 	figures->values[6][seed] = 100.0 * refused / sent;
 	figures->values[7][seed] = dispatched / MAX(answered, 1);
 	g_array_unref(first);
 	g_array_unref(total);
-	destroy(&driver);
+	driver_destroy(&driver);
 }
 
 static void experiment_latency(void)
@@ -266,7 +214,7 @@
 
 			for (uint64_t seed = 0; seed < SEEDS; seed++)
 				latency_run(policies[p], loads[l], seed, &figures);
-			print_row(policies[p]->name, &figures, columns, G_N_ELEMENTS(columns));
+			driver_print(policies[p]->name, &figures, columns, G_N_ELEMENTS(columns));
 		}
 	}
 }
@@ -303,7 +251,7 @@
 
 	cw_node_defaults(&node);
 	node.health = policy;
-	make_world(seed, &node, &driver);
+	driver_world(seed, &node, &driver);
 	g_snprintf(other, sizeof(other), "m,1,%g,1", 100 - g_ascii_strtod(share, NULL));
 	g_snprintf(row, sizeof(row), "m,2,%s,1", share);
 	world_profile(driver.world, &profile);
@@ -316,11 +264,11 @@
 	profile.bad_quality = fault == FAULT_DEGRADES ? 0.76 : 0.88;
 	profile.bad_slow = fault == FAULT_SLOW ? 8 : 1;
 	world_profile(driver.world, &profile);
-	publish(driver.world, rows, 0.8);
+	driver_publish(driver.world, rows, 0.8);
 	world_run(driver.world, 2000);
 	/* The hold after a trip is 20 s: what is measured ends before a tripped version is probed.
 	 */
-	drive(&driver, 60, fault == FAULT_NONE ? 300000 : 60000 + 19000);
+	driver_run(&driver, 60, fault == FAULT_NONE ? 300000 : 60000 + 19000);
 	requests = world_requests(driver.world);
 	for (guint i = 0; i < requests->len; i++) {
 		const struct world_request *request = g_ptr_array_index(requests, i);
@@ -336,7 +284,7 @@
 	figures->values[0][seed] = fault == FAULT_NONE ? 0 : exposed;
 	figures->values[1][seed] = trips;
 	figures->values[2][seed] = requests->len;
-	destroy(&driver);
+	driver_destroy(&driver);
 }
 
 static void experiment_exposure(void)
@@ -358,8 +306,8 @@
 
 				for (uint64_t seed = 0; seed < SEEDS; seed++)
 					exposure_run(policies[p], fault, shares[s], seed, &figures);
-				print_row(policies[p]->name, &figures, columns,
-					  G_N_ELEMENTS(columns));
+				driver_print(policies[p]->name, &figures, columns,
+					     G_N_ELEMENTS(columns));
 			}
 		}
 	}
@@ -393,10 +341,10 @@
 	int spans = 0;
 
 	cw_node_defaults(&node);
-	make_world(seed, &node, &driver);
+	driver_world(seed, &node, &driver);
 	world_profile(driver.world, &profile);
 	world_load_everywhere(driver.world, "m", "1");
-	publish(driver.world, rows, 0.8);
+	driver_publish(driver.world, rows, 0.8);
 	for (int i = 0; i < ORGANISATIONS; i++) {
 		char name[8];
 
@@ -405,13 +353,13 @@
 	}
 	world_run(driver.world, 4000);
 	/* The largest organisation asks for 0.3 of it: 150 a second against a limit of 100. */
-	drive(&driver, 500, 10000);
+	driver_run(&driver, 500, 10000);
 	from_ms = world_now(driver.world);
 	if (which == LIMITS_PARTITION)
 		world_cut(driver.world, 1, 1);
 	if (which == LIMITS_DEATH)
 		world_crash(driver.world, 1);
-	drive(&driver, 500, 20000);
+	driver_run(&driver, 500, 20000);
 	requests = world_requests(driver.world);
 	for (guint i = 0; i < requests->len; i++) {
 		const struct world_request *request = g_ptr_array_index(requests, i);
@@ -435,7 +383,7 @@
 	figures->values[1][seed] = MAX(0, limit * spans - used) / (limit * spans) * 100;
 	figures->values[2][seed] = used / spans;
 	g_hash_table_destroy(seconds);
-	destroy(&driver);
+	driver_destroy(&driver);
 }
 
 static void experiment_limits(void)
@@ -452,7 +400,7 @@
 
 		for (uint64_t seed = 0; seed < SEEDS; seed++)
 			limits_run(which, seed, &figures);
-		print_row(names[which], &figures, columns, G_N_ELEMENTS(columns));
+		driver_print(names[which], &figures, columns, G_N_ELEMENTS(columns));
 	}
 }
 
@@ -466,8 +414,8 @@
 	GArray *times = g_array_new(FALSE, FALSE, sizeof(double));
 
 	cw_node_defaults(&node);
-	make_world(seed, &node, &driver);
-	publish(driver.world, rows, 0.8);
+	driver_world(seed, &node, &driver);
+	driver_publish(driver.world, rows, 0.8);
 	world_run(driver.world, 3000);
 	for (int i = 0; i < cut_nodes; i++)
 		world_cut_platform(driver.world, i, 1);
@@ -491,12 +439,12 @@
 		g_array_append_val(times, took_ms);
 		world_run(driver.world, 100 + (int64_t)(world_random(driver.world) * 400));
 	}
-	g_array_sort(times, compare);
-	figures->values[0][seed] = percentile(times, 0.5);
-	figures->values[1][seed] = percentile(times, 0.99);
-	figures->values[2][seed] = percentile(times, 1);
+	g_array_sort(times, driver_compare);
+	figures->values[0][seed] = driver_percentile(times, 0.5);
+	figures->values[1][seed] = driver_percentile(times, 0.99);
+	figures->values[2][seed] = driver_percentile(times, 1);
 	g_array_unref(times);
-	destroy(&driver);
+	driver_destroy(&driver);
 }
 
 static void experiment_cells(void)
@@ -512,7 +460,7 @@
 		for (uint64_t seed = 0; seed < SEEDS; seed++)
 			cells_run(cuts[i], seed, &figures);
 		g_snprintf(label, sizeof(label), "%d of 8 cut from the platform", cuts[i]);
-		print_row(label, &figures, columns, G_N_ELEMENTS(columns));
+		driver_print(label, &figures, columns, G_N_ELEMENTS(columns));
 	}
 }
 
@@ -538,197 +486,3 @@
 	fprintf(stderr, "usage: experiment cost|latency|exposure|limits|cells\n");
 	return 2;
 }
-
-static struct world *make_world(uint64_t seed, const struct cw_node_config *node,
-				struct driver *driver)
-{
-	struct world_config config = {
-		.nodes = NODES,
-		.domains = DOMAINS,
-		.servers = SERVERS,
-		.slots = SLOTS,
-		.seed = seed + 1,
-		.latency_ms = 1,
-		.platform_ms = 3,
-		.report_lag_ms = 200,
-		.tick_ms = 10,
-		.node = *node,
-		.on_end = on_end,
-		.context = driver,
-	};
-
-	config.node.events = 0;
-	driver->world = world_create(&config);
-	driver->random = g_rand_new_with_seed((guint32)(seed * 31 + 7));
-	driver->later = g_sequence_new(g_free);
-	driver->tries = g_hash_table_new(NULL, NULL);
-	for (int i = 0; i < NODES; i++)
-		world_start(driver->world, i);
-	return driver->world;
-}
-
-static void destroy(struct driver *driver)
-{
-	g_sequence_free(driver->later);
-	g_hash_table_destroy(driver->tries);
-	g_rand_free(driver->random);
-	world_destroy(driver->world);
-}
-
-/* Arrivals are Poisson; callers that were refused come back when they were told to. */
-static void drive(struct driver *driver, double per_s, int64_t ms)
-{
-	int64_t until_ms = world_now(driver->world) + ms;
-
-	driver->next_ms = (double)world_now(driver->world);
-	while (world_now(driver->world) < until_ms) {
-		GSequenceIter *first = g_sequence_get_begin_iter(driver->later);
-		struct later *later = g_sequence_iter_is_end(first) ? NULL : g_sequence_get(first);
-		int64_t at_ms = (int64_t)driver->next_ms;
-
-		if (later && later->at_ms <= at_ms) {
-			struct cw_request_in in = later->request->in;
-			struct world_request *again;
-
-			world_run(driver->world, MAX(later->at_ms - world_now(driver->world), 0));
-			in.request_id[0] = '\0';
-			again = world_send(driver->world,
-					   g_rand_int_range(driver->random, 0, NODES), &in,
-					   later->request->tokens);
-			g_hash_table_insert(driver->tries, again, GINT_TO_POINTER(later->tries));
-			g_sequence_remove(first);
-			continue;
-		}
-		world_run(driver->world, MAX(at_ms - world_now(driver->world), 0));
-		send_one(driver);
-		driver->next_ms += -log(1 - g_rand_double(driver->random)) / per_s * 1000;
-	}
-}
-
-/* Tags are many and short, reports few and long; a few organisations are large, prompts repeat. */
-static void send_one(struct driver *driver)
-{
-	static const double task_shares[TASKS] = {0.5, 0.3, 0.15, 0.05};
-	static const unsigned int task_tokens[TASKS] = {20, 80, 300, 400};
-	static const unsigned int task_prompts[TASKS] = {150, 250, 600, 4000};
-	double draw = g_rand_double(driver->random);
-	double which = g_rand_double(driver->random);
-	int organisation = 0;
-	int task = 0;
-	int node = g_rand_int_range(driver->random, 0, NODES);
-	struct cw_request_in in;
-	struct world_request *request;
-	char name[8];
-
-	while (organisation < ORGANISATIONS - 1 && draw >= organisation_shares[organisation])
-		draw -= organisation_shares[organisation++];
-	while (task < TASKS - 1 && which >= task_shares[task])
-		which -= task_shares[task++];
-	if (driver->node_skew >= 0 && g_rand_double(driver->random) < driver->node_skew)
-		node = 0;
-	if (!world_node(driver->world, node)->node)
-		node = (node + 1) % NODES;
-	g_snprintf(name, sizeof(name), "o%d", organisation);
-	world_request_init(&in, name, driver->target,
-			   CW_REQUEST_IDEMPOTENT | (driver->stream ? CW_REQUEST_STREAM : 0));
-	g_strlcpy(in.task, world_task_names[task], CW_NAME_MAX);
-	in.prompt_tokens = task_prompts[task];
-	in.prefix = 1 + (uint64_t)(PREFIXES * pow(g_rand_double(driver->random), 2));
-	in.deadline_ms = world_now(driver->world) + 30000;
-	request = world_send(driver->world, node, &in,
-			     task_tokens[task] / 2 +
-				     (unsigned int)g_rand_int_range(driver->random, 0,
-								    (gint32)task_tokens[task]));
-	/* The largest organisation's requests are marked: the limits are measured on them. */
-	request->user = organisation ? NULL : driver->random;
-}
-
-static void on_end(void *context, struct world *world, struct world_request *request)
-{
-	struct driver *driver = context;
-	int tries = GPOINTER_TO_INT(g_hash_table_lookup(driver->tries, request));
-	struct later *later;
-
-	if (!driver->callers_return || request->end != CW_EFFECT_REFUSE ||
-	    !request->retry_after_ms || tries >= RETRIES)
-		return;
-	later = g_new0(struct later, 1);
-	later->at_ms = world_now(world) + request->retry_after_ms;
-	later->request = request;
-	later->tries = tries + 1;
-	g_sequence_insert_sorted(driver->later, later, by_time, NULL);
-}
-
-static void publish(struct world *world, const char *const *model_rows, double target)
-{
-	char *rows[64] = {0};
-	size_t count = 0;
-
-	for (int i = 0; i < ORGANISATIONS; i++) {
-		char name[8];
-
-		g_snprintf(name, sizeof(name), "o%d", i);
-		for (size_t j = 0; model_rows[j]; j++)
-			rows[count++] =
-				g_strdup_printf("%s,%s,%.2f,allowed", name, model_rows[j], target);
-		world_key(world, name);
-	}
-	world_publish(world, (const char *const *)rows);
-	for (size_t i = 0; i < count; i++)
-		g_free(rows[i]);
-}
-
-/* Of the latency experiment's pool, with every slot busy: from the fake's own formula. */
-static double capacity_per_s(void)
-{
-	static const double shares[TASKS] = {0.5, 0.3, 0.15, 0.05};
-	static const double tokens[TASKS] = {20, 80, 300, 400};
-	static const double prompts[TASKS] = {150, 250, 600, 4000};
-	const double crowd = 1.5;
-	const double cached = 0.5; /* of the prefill that a usual share of cache hits leaves */
-	double mean_ms = 0;
-
-	for (int task = 0; task < TASKS; task++)
-		mean_ms += shares[task] * (150 * (0.3 + prompts[task] / 1000) * crowd * cached +
-					   tokens[task] * 4 * crowd);
-	return SERVERS * SLOTS / (mean_ms / 1000);
-}
-
-static double percentile(GArray *values, double share)
-{
-	if (values->len == 0)
-		return 0;
-	return g_array_index(values, double, MIN((guint)(share * values->len), values->len - 1));
-}
-
-static void print_row(const char *label, const struct figures *figures, const char *const *columns,
-		      size_t count)
-{
-	printf("%-38s", label);
-	for (size_t i = 0; i < count; i++) {
-		double sorted[SEEDS];
-
-		memcpy(sorted, figures->values[i], sizeof(sorted));
-		qsort(sorted, SEEDS, sizeof(double), compare);
-		printf("  %s %.4g (%.4g to %.4g)", columns[i], sorted[SEEDS / 2], sorted[0],
-		       sorted[SEEDS - 1]);
-	}
-	printf("\n");
-	fflush(stdout);
-}
-
-static gint compare(gconstpointer a, gconstpointer b)
-{
-	double left = *(const double *)a;
-	double right = *(const double *)b;
-
-	return left < right ? -1 : left > right;
-}
-
-static gint by_time(gconstpointer a, gconstpointer b, gpointer unused)
-{
-	const struct later *left = a;
-	const struct later *right = b;
-
-	return left->at_ms < right->at_ms ? -1 : left->at_ms > right->at_ms;
-}
--- /dev/null
+++ b/tests/fake/controls.c
@@ -0,0 +1,143 @@
+/* What is done to the world from outside: starts, crashes, cuts, outages; and looking at it. */
+#include "world_internal.h"
+
+void world_start(struct world *world, int index)
+{
+	struct world_node *node = &world->nodes[index];
+	struct cw_node_config config = world->config.node;
+	struct cw_node_peer *peers = g_new0(struct cw_node_peer, (gsize)world->config.nodes);
+	struct cw_node_server *servers =
+		g_new0(struct cw_node_server, (gsize)world->server_count + 1);
+	struct event *tick;
+
+	for (int i = 0; i < world->config.nodes; i++) {
+		if (i == index)
+			continue;
+		peers[config.peer_count].instance = world->names[i];
+		peers[config.peer_count].failure_domain = domain_name(world->nodes[i].domain);
+		peers[config.peer_count++].address = world->names[i];
+	}
+	for (int i = 0; i < world->server_count; i++) {
+		servers[i].name = world->servers[i].name;
+		servers[i].service = world->servers[i].service;
+		servers[i].address = world->servers[i].name;
+		servers[i].failure_domain = domain_name(world->servers[i].domain);
+		servers[i].checks_fencing = world->servers[i].checks_fencing;
+	}
+	config.peers = peers;
+	config.servers = servers;
+	config.server_count = (size_t)world->server_count;
+	config.instance = world->names[index];
+	config.failure_domain = domain_name(node->domain);
+	config.peer_address = world->names[index];
+	node->boot++;
+	node->stopped = 0;
+	node->paused = 0;
+	node->stop_asked_ms = -1;
+	config.boot = (uint64_t)node->boot * 1000 + (uint64_t)index;
+	config.seed = world->config.seed * 977 + config.boot;
+	node->node = cw_node_create(&config);
+	g_free(peers);
+	g_free(servers);
+	tick = event_create(world, EVENT_TICK, index, 1 + index % (int)world->config.tick_ms);
+	event_post(world, tick);
+}
+
+void world_crash(struct world *world, int index)
+{
+	cw_node_destroy(world->nodes[index].node);
+	world->nodes[index].node = NULL;
+	world->nodes[index].boot++;
+	world->nodes[index].paused = 0;
+}
+
+void world_stop(struct world *world, int index)
+{
+	struct cw_event event = {.kind = CW_EVENT_STOP};
+
+	if (!world->nodes[index].node || world->nodes[index].stop_asked_ms >= 0)
+		return;
+	world->nodes[index].stop_asked_ms = world->now_ms;
+	step(world, index, &event);
+}
+
+void world_pause(struct world *world, int index, int paused)
+{
+	if (world->nodes[index].paused && !paused)
+		world->nodes[index].resumed_ms = world->now_ms;
+	world->nodes[index].paused = paused;
+}
+
+void world_cut(struct world *world, int domain, int cut)
+{
+	world->cut[domain] = cut;
+}
+
+void world_cut_platform(struct world *world, int node, int cut)
+{
+	world->nodes[node].cut_platform = cut;
+}
+
+void world_outage(struct world *world, int outage)
+{
+	world->outage = outage;
+}
+
+void world_lose_appends(struct world *world, int count, int late)
+{
+	world->lose_appends = count;
+	world->lose_late = late;
+}
+
+void world_drop(struct world *world, int per_mille, int twice_per_mille)
+{
+	world->drop = per_mille;
+	world->twice = twice_per_mille;
+}
+
+void world_expire(struct world *world)
+{
+	for (int stream = 0; world->config.retention_ms && stream < CW_STREAMS; stream++) {
+		while (world->first[stream] <= world->log[stream]->len) {
+			struct world_record *record =
+				g_ptr_array_index(world->log[stream], world->first[stream] - 1);
+
+			if (record->time_ms >= world->now_ms - world->config.retention_ms)
+				break;
+			world->first[stream]++;
+		}
+	}
+}
+
+int64_t world_now(const struct world *world)
+{
+	return world->now_ms;
+}
+
+struct world_node *world_node(struct world *world, int node)
+{
+	return &world->nodes[node];
+}
+
+const GPtrArray *world_log(const struct world *world, enum cw_stream stream)
+{
+	return world->log[stream];
+}
+
+const GPtrArray *world_requests(const struct world *world)
+{
+	return world->requests;
+}
+
+struct cw_node *world_any_node(struct world *world)
+{
+	for (int i = 0; i < world->config.nodes; i++)
+		if (world->nodes[i].node)
+			return world->nodes[i].node;
+	return NULL;
+}
+
+double world_random(struct world *world)
+{
+	return g_rand_double(world->random);
+}
--- a/tests/fuzz/oracle.c
+++ b/tests/fuzz/oracle.c
@@ -1,73 +1,13 @@
 #include "oracle.h"
-#include "world.h"
-
-#include "cw_peer.h"
+#include "oracle_internal.h"
 
 #include <stdio.h>
 #include <string.h>
 
-#define NODES	       3
-#define ENGINES	       3
-#define SERVICES       2
-#define OPS_MAX	       60
-#define SESSIONS       4
-#define KEYS	       3
-#define VERSIONS       3
-#define HEAL_MS	       45000 /* within that all must have come right again */
-#define IN_FORCE_MS    6000  /* an accepted edit, on an instance that can learn of it */
-#define EXPIRE_STEP_MS 5000
-#define HANG_MS	       3000 /* beyond a request's deadline */
-#define DEADLINE_MS    8000
-#define GRACE_MS       500
-#define RETENTION_MS   60000
-#define REPLACED_MS    4000 /* the platform replaces what died */
 /* Well under the retention: a table that nobody could write anew for all of it is lost by design.
  */
-#define OUTAGE_MAX_MS 10000
-#define OUTAGE_GAP_MS 15000
-
-struct edit { /* the oracle's own fold: when each version was allowed */
-	uint64_t offset;
-	int64_t at_ms;
-	int version;
-	int allowed;
-};
-
-struct session {
-	char version[CW_NAME_MAX];
-	char token[CW_TOKEN_MAX];
-	uint64_t since; /* table offset at which its version was first seen */
-};
-
-struct order {
-	GPtrArray *requests;
-};
-
-struct mirror { /* a bill that reached a peer */
-	char id[CW_ID_MAX + CW_NAME_MAX];
-	int node;
-	unsigned int boot;
-};
 
-struct oracle {
-	struct world *world;
-	const char *broken;
-	char text[256];
-	struct edit edits[OPS_MAX + 8];
-	size_t edit_count;
-	int64_t connected_ms[NODES]; /* since when it has been able to learn of edits; -1: it is not
-				      */
-	struct session sessions[SESSIONS];
-	struct order orders[KEYS];
-	GArray *mirrors;
-	uint8_t key[CW_KEY_BYTES];
-	int64_t crashed_ms[NODES];
-	int64_t outage_ms;
-	int64_t cut_ms[NODES];
-	int platform_trouble;
-};
-
-static struct oracle oracle;
+struct oracle oracle;
 static uint64_t requests_sent;
 
 static void set_up(uint64_t seed);
@@ -78,20 +18,6 @@
 static void edit_table(uint8_t argument);
 static void heal(void);
 static void keep_links(void);
-static void check_at_end(void);
-static void check_tables(void);
-static void check_bills(void);
-static void check_requests(void);
-static void check_orders(void);
-static int bill_is_due(const struct world_request *request);
-static int allowed_at(int version, uint64_t offset);
-static int withdrawn_between(int version, uint64_t from, uint64_t to);
-static void on_dispatch(void *context, struct world *world, struct world_request *request, int node,
-			const struct cw_effect *effect);
-static void on_end(void *context, struct world *world, struct world_request *request);
-static void on_peer(void *context, struct world *world, int to, const void *data, size_t size);
-static void broke(const char *promise, const char *format, ...)
-	__attribute__((format(printf, 2, 3)));
 
 const char *schedule_run(const uint8_t *data, size_t size)
 {
@@ -104,7 +30,7 @@
 		play(data[i], data[i + 1]);
 	if (!oracle.broken) {
 		heal();
-		check_at_end();
+		oracle_check_at_end();
 	}
 	tear_down();
 	return oracle.broken;
@@ -132,9 +58,9 @@
 		.report_lag_ms = 50,
 		.tick_ms = 25,
 		.retention_ms = RETENTION_MS,
-		.on_dispatch = on_dispatch,
-		.on_end = on_end,
-		.on_peer = on_peer,
+		.on_dispatch = oracle_on_dispatch,
+		.on_end = oracle_on_end,
+		.on_peer = oracle_on_peer,
 	};
 	struct world_profile profile = {.model = "m",
 					.quality = 0.9,
@@ -270,7 +196,8 @@
 	for (int i = 0; i < NODES; i++) {
 		if (world_node(world, i)->node && world_node(world, i)->stopped) {
 			if (cw_node_running(world_node(world, i)->node) > 0)
-				broke("graceful stop", "e%d stopped with requests in progress", i);
+				oracle_broke("graceful stop",
+					     "e%d stopped with requests in progress", i);
 			world_crash(world, i);
 			world_start(world, i);
 			oracle.connected_ms[i] = -1;
@@ -330,7 +257,7 @@
 	edit->version = 1 + argument % VERSIONS;
 	edit->allowed = argument & 0x80 ? 1 : 0;
 	for (int i = 1; i <= VERSIONS; i++)
-		others += i != edit->version && allowed_at(i, UINT64_MAX);
+		others += i != edit->version && oracle_allowed_at(i, UINT64_MAX);
 	if (!others)
 		return;
 	g_snprintf(version, sizeof(version), "%d", edit->version);
@@ -377,249 +304,3 @@
 		world_run(world, EXPIRE_STEP_MS);
 	}
 }
-
-static void check_at_end(void)
-{
-	check_requests();
-	check_orders();
-	check_bills();
-	check_tables();
-}
-
-static void check_tables(void)
-{
-	const GPtrArray *log = world_log(oracle.world, CW_STREAM_TABLE);
-	guint due = log->len;
-
-	/* What was appended a moment ago may still be on its way. */
-	while (due > 0 &&
-	       world_now(oracle.world) -
-			       ((struct world_record *)g_ptr_array_index(log, due - 1))->time_ms <
-		       IN_FORCE_MS)
-		due--;
-	for (int i = 0; i < NODES; i++) {
-		struct world_node *node = world_node(oracle.world, i);
-		const struct cw_table *table;
-
-		if (!node->node || node->stopped)
-			continue;
-		table = cw_node_table(node->node);
-		if (cw_table_offset(table) < due)
-			broke("convergence", "e%d is at table offset %lu of %u", i,
-			      (unsigned long)cw_table_offset(table), due);
-		for (int version = 1; version <= VERSIONS; version++) {
-			char name[8];
-
-			g_snprintf(name, sizeof(name), "%d", version);
-			if (cw_table_allows(cw_table_row(table, "a", "m", name)) !=
-			    allowed_at(version, UINT64_MAX))
-				broke("convergence", "e%d has version %d the wrong way", i,
-				      version);
-		}
-	}
-}
-
-/* Every answer that was given is billed once, and nothing else is. */
-static void check_bills(void)
-{
-	const GPtrArray *log = world_log(oracle.world, CW_STREAM_BILLS);
-	const GPtrArray *requests = world_requests(oracle.world);
-	GHashTable *billed = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-
-	for (guint i = 0; i < log->len; i++) {
-		const struct world_record *record = g_ptr_array_index(log, i);
-		const char *at = record->data;
-
-		while ((at = strstr(at, "\"bill\":\""))) {
-			at += strlen("\"bill\":\"");
-			g_hash_table_add(billed, g_strndup(at, strcspn(at, "\"")));
-		}
-	}
-	for (guint i = 0; i < requests->len; i++) {
-		const struct world_request *request = g_ptr_array_index(requests, i);
-		int is_billed = g_hash_table_contains(billed, request->in.request_id);
-
-		if (!is_billed && request->end == CW_EFFECT_RELEASE && request->ended_ms >= 0 &&
-		    bill_is_due(request))
-			broke("billed once", "%s was answered and has no bill",
-			      request->in.request_id);
-		if (is_billed && request->ended_ms >= 0 && request->end == CW_EFFECT_REFUSE)
-			broke("billed once", "%s was refused and has a bill",
-			      request->in.request_id);
-		if (is_billed && request->ended_ms >= 0 && request->end == CW_EFFECT_REPLAY)
-			broke("billed once", "%s was replayed and has a bill of its own",
-			      request->in.request_id);
-	}
-	g_hash_table_destroy(billed);
-}
-
-/* The origin lives on, or a peer that holds the bill does. */
-static int bill_is_due(const struct world_request *request)
-{
-	const struct world_node *origin = world_node(oracle.world, request->node);
-
-	if (origin->boot == request->boot)
-		return 1;
-	for (guint i = 0; i < oracle.mirrors->len; i++) {
-		const struct mirror *mirror = &g_array_index(oracle.mirrors, struct mirror, i);
-
-		if (!strcmp(mirror->id, request->in.request_id) &&
-		    world_node(oracle.world, mirror->node)->boot == mirror->boot)
-			return 1;
-	}
-	return 0;
-}
-
-static void check_requests(void)
-{
-	const GPtrArray *requests = world_requests(oracle.world);
-
-	for (guint i = 0; i < requests->len; i++) {
-		const struct world_request *request = g_ptr_array_index(requests, i);
-		int alive = world_node(oracle.world, request->node)->boot == request->boot;
-
-		if (request->finals > 1)
-			broke("one whole answer", "%s got %u final answers", request->in.request_id,
-			      request->finals);
-		if (alive && request->finals == 0)
-			broke("one whole answer", "%s never got a final answer",
-			      request->in.request_id);
-		if (request->finals == 1 && request->end == CW_EFFECT_REFUSE &&
-		    request->run == CW_RUN_NOT && request->ran > 0)
-			broke("not run", "%s was refused as not run and ran %u times",
-			      request->in.request_id, request->ran);
-		if (request->finals == 1 && request->end == CW_EFFECT_RELEASE && request->ran == 0)
-			broke("one whole answer", "%s was answered and never ran",
-			      request->in.request_id);
-		if (request->in.flags & CW_REQUEST_SERVICE && request->ran > 1)
-			broke("at most once", "%s ran %u times", request->in.request_id,
-			      request->ran);
-	}
-}
-
-static void check_orders(void)
-{
-	for (int key = 0; key < KEYS; key++) {
-		unsigned int ran = 0;
-		int answered = 0;
-
-		for (guint i = 0; i < oracle.orders[key].requests->len; i++) {
-			const struct world_request *request =
-				g_ptr_array_index(oracle.orders[key].requests, i);
-
-			ran += request->ran;
-			answered |= request->ended_ms >= 0 && request->end != CW_EFFECT_REFUSE;
-		}
-		if (ran > 1)
-			broke("at most once", "orders with key k%d ran %u times", key, ran);
-		if (answered && ran == 0)
-			broke("one whole answer", "an order with key k%d was answered and none ran",
-			      key);
-	}
-}
-
-static int allowed_at(int version, uint64_t offset)
-{
-	int allowed = 0;
-
-	for (size_t i = 0; i < oracle.edit_count; i++)
-		if (oracle.edits[i].version == version && oracle.edits[i].offset <= offset)
-			allowed = oracle.edits[i].allowed;
-	return allowed;
-}
-
-static int withdrawn_between(int version, uint64_t from, uint64_t to)
-{
-	for (size_t i = 0; i < oracle.edit_count; i++)
-		if (oracle.edits[i].version == version && !oracle.edits[i].allowed &&
-		    oracle.edits[i].offset > from && oracle.edits[i].offset <= to)
-			return 1;
-	return 0;
-}
-
-static void on_dispatch(void *context, struct world *world, struct world_request *request,
-			int index, const struct cw_effect *effect)
-{
-	const struct world_node *node = world_node(world, index);
-	uint64_t offset = cw_table_offset(cw_node_table(node->node));
-	int version = (int)g_ascii_strtoll(effect->dispatch.version, NULL, 10);
-	struct session *session;
-
-	if (node->stop_asked_ms >= 0 && request->began_ms > node->stop_asked_ms + GRACE_MS + 100)
-		broke("leaving", "e%d dispatched %s that came after its grace", index,
-		      request->in.request_id);
-	if (request->in.flags & CW_REQUEST_SERVICE)
-		return;
-	if (!allowed_at(version, offset))
-		broke("allowed only", "%s went to version %d, not allowed at offset %lu",
-		      request->in.request_id, version, (unsigned long)offset);
-	/* Whoever could read the log for so long must know of a withdrawal. */
-	for (size_t i = 0; i < oracle.edit_count; i++) {
-		const struct edit *edit = &oracle.edits[i];
-
-		if (edit->offset > offset && oracle.connected_ms[index] >= 0 &&
-		    world_now(world) - MAX(edit->at_ms, oracle.connected_ms[index]) > IN_FORCE_MS)
-			broke("withdrawn", "e%d does not know of edit %lu after %d ms", index,
-			      (unsigned long)edit->offset, IN_FORCE_MS);
-	}
-	if (!*request->in.session_id)
-		return;
-	session = &oracle.sessions[request->in.session_id[1] - '0'];
-	/* Only a request that carried the session's newest token is held to it. */
-	if (*session->token && !strcmp(session->token, request->in.session_token) &&
-	    strcmp(session->version, effect->dispatch.version) != 0 &&
-	    !withdrawn_between((int)g_ascii_strtoll(session->version, NULL, 10), session->since,
-			       offset))
-		broke("session", "session %s moved from version %s to %s", request->in.session_id,
-		      session->version, effect->dispatch.version);
-	if (!*session->token || strcmp(session->version, effect->dispatch.version) != 0)
-		session->since = offset;
-	g_strlcpy(session->version, effect->dispatch.version, CW_NAME_MAX);
-	g_strlcpy(session->token, effect->dispatch.session_token, CW_TOKEN_MAX);
-}
-
-static void on_end(void *context, struct world *world, struct world_request *request)
-{
-	int64_t due_ms =
-		MAX(request->in.deadline_ms, world_node(world, request->node)->resumed_ms) +
-		HANG_MS;
-
-	if (request->ended_ms > due_ms)
-		broke("one whole answer", "%s ended %ld ms behind its deadline",
-		      request->in.request_id, (long)(request->ended_ms - request->in.deadline_ms));
-	if (request->end == CW_EFFECT_REFUSE && request->run == CW_RUN_NOT && request->ran > 0)
-		broke("not run", "%s was refused as not run and had run %u times",
-		      request->in.request_id, request->ran);
-}
-
-static void on_peer(void *context, struct world *world, int to, const void *data, size_t size)
-{
-	struct peer_message message;
-
-	if (!world_node(world, to)->node || cw_peer_open(oracle.key, data, size, &message) != CW_OK)
-		return;
-	if (message.body.kind == PEER_BILLS)
-		for (u_int i = 0; i < message.body.peer_body_u.bills.list.list_len; i++) {
-			struct mirror mirror = {.node = to, .boot = world_node(world, to)->boot};
-			const char *id =
-				strchr(message.body.peer_body_u.bills.list.list_val[i].id, '/');
-
-			g_strlcpy(mirror.id, id ? id + 1 : "", sizeof(mirror.id));
-			g_array_append_val(oracle.mirrors, mirror);
-		}
-	cw_peer_release(&message);
-}
-
-static void broke(const char *promise, const char *format, ...)
-{
-	char detail[200];
-	va_list args;
-
-	if (oracle.broken)
-		return;
-	va_start(args, format);
-	vsnprintf(detail, sizeof(detail), format, args);
-	va_end(args);
-	snprintf(oracle.text, sizeof(oracle.text), "%s: %s", promise, detail);
-	oracle.broken = oracle.text;
-}
