Chunks numbered from nought, or not at all, are taken whole

Cause: id 0 was read as "not numbered", so an engine that counts from 0 lost its second chunk as a repeat; and an end marker that skipped a chunk passed for the end. Removed: a dispatch's hold flag, which the shell never read.

--- a/packages/node/include/cw_node.h
+++ b/packages/node/include/cw_node.h
@@ -233,7 +233,6 @@
 			char model[CW_NAME_MAX];
 			char version[CW_NAME_MAX];
 			char session_token[CW_TOKEN_MAX];
-			int hold;	    /* show nothing yet: the answer is to be rated first */
 			int64_t timeout_ms; /* until the deadline */
 		} dispatch;
 		struct {
--- a/packages/node/src/request_attempt.c
+++ b/packages/node/src/request_attempt.c
@@ -138,7 +138,6 @@
 	effect->dispatch.mode = mode;
 	effect->dispatch.attempt = request->attempt_count;
 	effect->dispatch.server = server->id;
-	effect->dispatch.hold = request->planned && request->plan.check && !request->escalated;
 	effect->dispatch.timeout_ms = request->deadline_ms - node->now_ms;
 	g_strlcpy(effect->dispatch.address, server->address, CW_ADDRESS_MAX);
 	g_strlcpy(effect->dispatch.model, request->model, CW_NAME_MAX);
--- a/packages/request/src/answer.c
+++ b/packages/request/src/answer.c
@@ -11,7 +11,7 @@
 	size_t max_bytes;
 	GString *pending; /* bytes of an event that is not whole yet */
 	GString *text;
-	uint64_t sequence;
+	int64_t sequence; /* of the last chunk taken of this server's stream, -1 none */
 	unsigned int shown;
 	unsigned int dropped;
 	unsigned int prompt_tokens;
@@ -22,6 +22,9 @@
 static enum cw_answer_state take_event(struct cw_answer *answer, const char *event,
 				       void (*show)(void *context, const char *event, size_t size),
 				       void *context);
+static enum cw_answer_state take_chunk(struct cw_answer *answer, int64_t sequence, const char *data,
+				       void (*show)(void *context, const char *event, size_t size),
+				       void *context);
 static enum cw_answer_state take_data(struct cw_answer *answer, const char *data);
 static void count_usage(struct cw_answer *answer, struct json_object *chunk);
 static const char *content_of(struct json_object *chunk, const char *part);
@@ -34,6 +37,7 @@
 	answer->max_bytes = max_bytes;
 	answer->pending = g_string_new(NULL);
 	answer->text = g_string_new(NULL);
+	answer->sequence = -1;
 	return answer;
 }
 
@@ -52,7 +56,7 @@
 	answer->stream_tokens = resumed ? answer->stream_tokens + answer->attempt_tokens : 0;
 	answer->attempt_tokens = 0;
 	if (!resumed)
-		answer->sequence = 0;
+		answer->sequence = -1;
 }
 
 enum cw_answer_state cw_answer_feed(struct cw_answer *answer, const char *data, size_t size,
@@ -76,7 +80,7 @@
 
 uint64_t cw_answer_sequence(const struct cw_answer *answer)
 {
-	return answer->sequence;
+	return answer->sequence < 0 ? 0 : (uint64_t)answer->sequence;
 }
 
 unsigned int cw_answer_shown(const struct cw_answer *answer)
@@ -134,46 +138,55 @@
 	char **lines = g_strsplit(event, "\n", -1);
 	enum cw_answer_state state = CW_ANSWER_MORE;
 	const char *data = NULL;
-	uint64_t sequence = 0;
+	int64_t sequence = -1;
 	int known = 0;
 
 	for (size_t i = 0; lines[i]; i++) {
 		g_strchomp(lines[i]);
+		if (!*lines[i] || *lines[i] == ':')
+			continue;
+		known = 1;
 		if (g_str_has_prefix(lines[i], "id:"))
-			sequence = g_ascii_strtoull(g_strstrip(lines[i] + 3), NULL, 10);
+			sequence = g_ascii_strtoll(g_strstrip(lines[i] + 3), NULL, 10);
 		else if (g_str_has_prefix(lines[i], "data:"))
 			data = g_strstrip(lines[i] + 5);
-		else if (g_str_has_prefix(lines[i], "event:") && strstr(lines[i], "error"))
-			state = CW_ANSWER_RUBBISH;
-		else if (!*lines[i] || *lines[i] == ':')
-			continue;
 		else
 			state = CW_ANSWER_RUBBISH;
-		known = 1;
-	}
-	if (state == CW_ANSWER_MORE && data && !strcmp(data, END_MARK)) {
-		state = CW_ANSWER_DONE;
-	} else if (state == CW_ANSWER_MORE && known) {
-		if (!data || (sequence && sequence > answer->sequence + 1)) {
-			state = CW_ANSWER_RUBBISH;
-		} else if (sequence && sequence <= answer->sequence) {
-			answer->dropped++;
-		} else {
-			state = take_data(answer, data);
-			answer->sequence = sequence ? sequence : answer->sequence + 1;
-			if (state == CW_ANSWER_MORE) {
-				char *shown = g_strdup_printf("id: %u\ndata: %s\n\n",
-							      ++answer->shown, data);
-
-				show(context, shown, strlen(shown));
-				g_free(shown);
-			}
-		}
 	}
+	if (known && state == CW_ANSWER_MORE)
+		state = data ? take_chunk(answer, sequence, data, show, context)
+			     : CW_ANSWER_RUBBISH;
 	g_strfreev(lines);
 	return state;
 }
 
+static enum cw_answer_state take_chunk(struct cw_answer *answer, int64_t sequence, const char *data,
+				       void (*show)(void *context, const char *event, size_t size),
+				       void *context)
+{
+	/* Engines count from 0 or from 1; one that does not number its chunks is counted here. */
+	int64_t next = answer->sequence < 0 ? 1 : answer->sequence + 1;
+	enum cw_answer_state state;
+	char *shown;
+
+	if (sequence > next)
+		return CW_ANSWER_RUBBISH;
+	if (!strcmp(data, END_MARK))
+		return CW_ANSWER_DONE;
+	if (sequence >= 0 && sequence <= answer->sequence) {
+		answer->dropped++;
+		return CW_ANSWER_MORE;
+	}
+	state = take_data(answer, data);
+	answer->sequence = sequence >= 0 ? sequence : next;
+	if (state != CW_ANSWER_MORE)
+		return state;
+	shown = g_strdup_printf("id: %u\ndata: %s\n\n", ++answer->shown, data);
+	show(context, shown, strlen(shown));
+	g_free(shown);
+	return CW_ANSWER_MORE;
+}
+
 static enum cw_answer_state take_data(struct cw_answer *answer, const char *data)
 {
 	struct json_object *chunk = json_tokener_parse(data);
--- a/tests/unit/test_answer.c
+++ b/tests/unit/test_answer.c
@@ -79,6 +79,44 @@
 	cw_answer_destroy(answer);
 }
 
+/*
+ * Symptom: a report lacked its second word.
+ * Sequence: an engine numbers its chunks from 0; another does not number them at all.
+ * Cause: 0 was taken for "not numbered", so the next chunk, 1, looked like a repeat.
+ */
+static void chunks_may_count_from_nought_or_not_at_all(void **state)
+{
+	static const char *const streams[] = {
+		CHUNK("0", "a ") CHUNK("1", "b ") CHUNK("2", "c ") "id: 3\ndata: [DONE]\n\n",
+		CHUNK("1", "a ") CHUNK("2", "b ") CHUNK("3", "c ") "data: [DONE]\n\n",
+		"data: {\"choices\":[{\"delta\":{\"content\":\"a b c \"}}]}\n\ndata: [DONE]\n\n",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(streams); i++) {
+		struct cw_answer *answer = cw_answer_create(10000);
+		GString *shown = g_string_new(NULL);
+
+		cw_answer_begin(answer, 0);
+		assert_int_equal(feed(answer, shown, streams[i]), CW_ANSWER_DONE);
+		assert_string_equal(cw_answer_text(answer), "a b c ");
+		assert_int_equal(cw_answer_dropped(answer), 0);
+		g_string_free(shown, TRUE);
+		cw_answer_destroy(answer);
+	}
+}
+
+static void an_end_that_skips_a_chunk_is_no_end(void **state)
+{
+	struct cw_answer *answer = cw_answer_create(10000);
+	GString *shown = g_string_new(NULL);
+
+	cw_answer_begin(answer, 0);
+	assert_int_equal(feed(answer, shown, CHUNK("1", "a ") "id: 3\ndata: [DONE]\n\n"),
+			 CW_ANSWER_RUBBISH);
+	g_string_free(shown, TRUE);
+	cw_answer_destroy(answer);
+}
+
 static void another_server_goes_on_from_the_text(void **state)
 {
 	struct cw_answer *answer = cw_answer_create(10000);
@@ -156,6 +194,8 @@
 		cmocka_unit_test(events_are_cut_at_any_byte),
 		cmocka_unit_test(a_resumed_chunk_is_shown_once),
 		cmocka_unit_test(a_missing_chunk_is_no_answer),
+		cmocka_unit_test(chunks_may_count_from_nought_or_not_at_all),
+		cmocka_unit_test(an_end_that_skips_a_chunk_is_no_end),
 		cmocka_unit_test(another_server_goes_on_from_the_text),
 		cmocka_unit_test(rubbish_is_told),
 		cmocka_unit_test(too_much_is_cut),
