Mirrors of bills learn that they stand, from the run that made them

Cause: the word that a bill had settled was sent once, to every live peer; lost, or come before the bill itself, it left a mirror for ever, which would bill again when the origin died after the record had expired. Change: a mirror asks its origin again every 5 s, the origin answers what has settled; only the run that made a bill is believed, and only who was sent it is told (349 peers at full size before).

--- a/packages/node/src/node_bills.c
+++ b/packages/node/src/node_bills.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #define MIRROR_CHECK_MS	 1000
+#define ASK_ORIGIN_MS	 5000
 #define BILLS_RETRY_MS	 100
 #define BILL_HOMES	 2
 #define STOP_PATIENCE_MS 10000
@@ -12,9 +13,13 @@
 static char *bill_text(struct request *request, const char *id);
 static void send_bills(struct cw_node *node);
 static void read_back(struct cw_node *node, uint64_t from);
+static void ask_origins(struct cw_node *node);
 static void take_over(struct cw_node *node);
+static char *origin_name(const char *instance, uint64_t boot); /* g_free */
 static int origin_is_gone(struct cw_node *node, const char *origin);
 static void tell_settled(struct cw_node *node, struct cw_bill_list *settled);
+static void tell_home(struct cw_node *node, const struct cw_member *member,
+		      const struct cw_bill_list *settled);
 static void bills_retry(struct cw_node *node);
 
 void bills_add(struct cw_node *node, struct request *request)
@@ -24,10 +29,11 @@
 	char *text = bill_text(request, request->in.request_id);
 	struct peer_message message = {0};
 	struct peer_bill item;
+	struct cw_bill *bill;
 	size_t count;
 
 	g_snprintf(id, sizeof(id), "%s/%s", request->organisation, request->in.request_id);
-	cw_ledger_add(node->ledger, id, text, "", node->bills_end, node->now_ms);
+	bill = cw_ledger_add(node->ledger, id, text, "", node->bills_end, node->now_ms);
 	if (node->bills_due_ms == 0)
 		node->bills_due_ms = node->now_ms + node->config.bill_flush_ms;
 	item.id = id;
@@ -38,8 +44,10 @@
 	message.body.peer_body_u.bills.list.list_val = &item;
 	count = cw_membership_homes(node->membership, cw_hash_text(id, 8), node->now_ms, homes,
 				    BILL_HOMES);
-	for (size_t i = 0; i < count; i++)
+	for (size_t i = 0; i < count; i++) {
+		bill->homes[i] = homes[i]->id;
 		gossip_send(node, homes[i], &message);
+	}
 	g_free(text);
 	/* Nobody is there to hold it: waiting would help nobody. */
 	if (count == 0)
@@ -52,7 +60,7 @@
 		    const struct peer_bills *bills)
 {
 	struct cw_member *member = cw_membership_find(node->membership, from);
-	char *origin = g_strdup_printf("%s#%" G_GUINT64_FORMAT, from, boot);
+	char *origin = origin_name(from, boot);
 	struct peer_message message = {0};
 
 	for (u_int i = 0; i < bills->list.list_len; i++)
@@ -66,25 +74,47 @@
 	gossip_send(node, member, &message);
 }
 
-void bills_held(struct cw_node *node, const struct peer_bills *bills)
+/*
+ * A peer holds these. One that stands in the log already is told back: the word that it had settled
+ * may have been lost, or have come before the bill itself. The mirror would else hold it for ever,
+ * and append it when this instance is gone.
+ */
+void bills_held(struct cw_node *node, const struct cw_member *from, const struct peer_bills *bills)
 {
+	struct peer_message message = {0};
+	struct peer_bill settled[CW_BILL_BATCH];
+	u_int count = 0;
+
 	for (u_int i = 0; i < bills->list.list_len; i++) {
 		struct cw_bill *bill = cw_ledger_find(node->ledger, bills->list.list_val[i].id);
 
 		if (bill)
 			bill->mirrored = 1;
+		else if (count < CW_BILL_BATCH)
+			settled[count++] = bills->list.list_val[i];
 		request_bill_safe(node, bills->list.list_val[i].id);
 	}
+	if (count == 0)
+		return;
+	message.body.kind = PEER_BILLS_SETTLED;
+	message.body.peer_body_u.settled.list.list_len = count;
+	message.body.peer_body_u.settled.list.list_val = settled;
+	gossip_send(node, from, &message);
 }
 
-void bills_settled(struct cw_node *node, const struct peer_bills *bills)
+/* Only the run that made a bill can know that it stands: a restarted origin knows none of them. */
+void bills_settled(struct cw_node *node, const char *from, uint64_t boot,
+		   const struct peer_bills *bills)
 {
+	char *origin = origin_name(from, boot);
+
 	for (u_int i = 0; i < bills->list.list_len; i++) {
 		struct cw_bill *bill = cw_ledger_find(node->ledger, bills->list.list_val[i].id);
 
-		if (bill && *bill->origin && bill->append == 0)
+		if (bill && !strcmp(bill->origin, origin) && bill->append == 0)
 			cw_ledger_settle(node->ledger, bills->list.list_val[i].id);
 	}
+	g_free(origin);
 }
 
 void bills_appended(struct cw_node *node, const struct cw_appended *appended)
@@ -146,6 +176,7 @@
 	if (node->now_ms >= node->mirror_due_ms) {
 		node->mirror_due_ms = node->now_ms + MIRROR_CHECK_MS +
 				      (int64_t)(node_random(node) % MIRROR_CHECK_MS);
+		ask_origins(node);
 		take_over(node);
 		if (node->bills_state != BILLS_IDLE)
 			return;
@@ -185,6 +216,34 @@
 	return 1;
 }
 
+/* Mirrors held for long: their origin is told again that they are held, and says what has settled.
+ */
+static void ask_origins(struct cw_node *node)
+{
+	struct cw_bill *bill;
+
+	TAILQ_FOREACH(bill, cw_ledger_bills(node->ledger), link) {
+		struct peer_message message = {0};
+		struct peer_bill item = {.id = bill->id, .text = (char *)""};
+		struct cw_member *origin;
+		char **parts;
+
+		if (!*bill->origin || origin_is_gone(node, bill->origin) ||
+		    node->now_ms - MAX(bill->asked_ms, bill->made_ms) < ASK_ORIGIN_MS)
+			continue;
+		bill->asked_ms = node->now_ms;
+		parts = g_strsplit(bill->origin, "#", 2);
+		origin = cw_membership_find(node->membership, parts[0]);
+		g_strfreev(parts);
+		if (!origin)
+			continue;
+		message.body.kind = PEER_BILLS_HELD;
+		message.body.peer_body_u.held.list.list_len = 1;
+		message.body.peer_body_u.held.list.list_val = &item;
+		gossip_send(node, origin, &message);
+	}
+}
+
 /* Mirrors of an origin that is gone: what the log lacks is appended here. */
 static void take_over(struct cw_node *node)
 {
@@ -202,6 +261,11 @@
 	}
 }
 
+static char *origin_name(const char *instance, uint64_t boot)
+{
+	return g_strdup_printf("%s#%" G_GUINT64_FORMAT, instance, boot);
+}
+
 static int origin_is_gone(struct cw_node *node, const char *origin)
 {
 	char **parts = g_strsplit(origin, "#", 2);
@@ -253,28 +317,38 @@
 static void tell_settled(struct cw_node *node, struct cw_bill_list *settled)
 {
 	const struct cw_member *member;
+	struct cw_bill *bill;
+
+	TAILQ_FOREACH(member, cw_membership_members(node->membership), link)
+		tell_home(node, member, settled);
+	while ((bill = TAILQ_FIRST(settled))) {
+		TAILQ_REMOVE(settled, bill, link);
+		request_bill_safe(node, bill->id);
+		cw_bill_destroy(bill);
+	}
+}
+
+/* Only who was sent a bill need hear that it stands: at full size the others are hundreds. */
+static void tell_home(struct cw_node *node, const struct cw_member *member,
+		      const struct cw_bill_list *settled)
+{
 	struct peer_message message = {0};
 	struct peer_bill items[CW_BILL_BATCH];
-	struct cw_bill *bill;
+	const struct cw_bill *bill;
 	u_int count = 0;
 
 	TAILQ_FOREACH(bill, settled, link) {
+		if (bill->homes[0] != member->id && bill->homes[1] != member->id)
+			continue;
 		items[count].id = bill->id;
-		items[count].text = (char *)"";
-		count++;
+		items[count++].text = (char *)"";
 	}
+	if (count == 0)
+		return;
 	message.body.kind = PEER_BILLS_SETTLED;
 	message.body.peer_body_u.settled.list.list_len = count;
 	message.body.peer_body_u.settled.list.list_val = items;
-	TAILQ_FOREACH(member, cw_membership_members(node->membership), link) {
-		if (count > 0 && cw_membership_is_live(node->membership, member, node->now_ms))
-			gossip_send(node, member, &message);
-	}
-	while ((bill = TAILQ_FIRST(settled))) {
-		TAILQ_REMOVE(settled, bill, link);
-		request_bill_safe(node, bill->id);
-		cw_bill_destroy(bill);
-	}
+	gossip_send(node, member, &message);
 }
 
 static char *bill_text(struct request *request, const char *id)
--- a/packages/node/src/node_gossip.c
+++ b/packages/node/src/node_gossip.c
@@ -75,10 +75,10 @@
 		bills_mirrored(node, message.from, message.boot, &message.body.peer_body_u.bills);
 		break;
 	case PEER_BILLS_HELD:
-		bills_held(node, &message.body.peer_body_u.held);
+		bills_held(node, member, &message.body.peer_body_u.held);
 		break;
 	case PEER_BILLS_SETTLED:
-		bills_settled(node, &message.body.peer_body_u.settled);
+		bills_settled(node, message.from, message.boot, &message.body.peer_body_u.settled);
 		break;
 	case PEER_BIND:
 		take_bind(node, &message.body.peer_body_u.bind, 0);
--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -278,8 +278,9 @@
 void bills_add(struct cw_node *node, struct request *request);
 void bills_mirrored(struct cw_node *node, const char *from, uint64_t boot,
 		    const struct peer_bills *bills);
-void bills_held(struct cw_node *node, const struct peer_bills *bills);
-void bills_settled(struct cw_node *node, const struct peer_bills *bills);
+void bills_held(struct cw_node *node, const struct cw_member *from, const struct peer_bills *bills);
+void bills_settled(struct cw_node *node, const char *from, uint64_t boot,
+		   const struct peer_bills *bills);
 void bills_appended(struct cw_node *node, const struct cw_appended *appended);
 void bills_records(struct cw_node *node, const struct cw_records *records);
 void bills_tick(struct cw_node *node);
--- a/packages/request/include/cw_ledger.h
+++ b/packages/request/include/cw_ledger.h
@@ -20,7 +20,9 @@
 			 */
 	uint64_t append; /* tag of the append that carries it, 0 none */
 	int64_t made_ms;
-	int mirrored; /* a peer holds it too */
+	int mirrored;	   /* a peer holds it too */
+	uint64_t homes[2]; /* members it was sent to, 0 none */
+	int64_t asked_ms;  /* of a mirror: when its origin was last asked about it */
 };
 
 TAILQ_HEAD(cw_bill_list, cw_bill);
--- a/tests/fuzz/oracle_checks.c
+++ b/tests/fuzz/oracle_checks.c
@@ -86,6 +86,15 @@
 				     request->in.request_id);
 	}
 	g_hash_table_destroy(billed);
+	for (int i = 0; i < NODES; i++) {
+		struct world_node *node = world_node(oracle.world, i);
+
+		/* A mirror that never learns that its bill stands would bill again when its origin
+		 * dies. */
+		if (node->node && !node->stopped && cw_node_bills_held(node->node) > 0)
+			oracle_broke("billed once", "e%d still holds %zu bills", i,
+				     cw_node_bills_held(node->node));
+	}
 }
 
 /* The origin lives on, or a peer that holds the bill does. */
