Two races the thread sanitizer found; what stands proved

Cause: the stop flag was a volatile written by the signal in whichever thread took it, and faultproxy read its byte count outside its lock. Both seen in make check-thread (23 passed, 2 failed). Change: atomic loads and stores; the count is read under the lock. Measured: make check-thread, 25 passed, 0 failed, 2 min 30 s.

--- a/apps/corianderwalk/main.c
+++ b/apps/corianderwalk/main.c
@@ -16,7 +16,8 @@
 #define DRAIN_MS      2000 /* after the last answer, for connections to close */
 #define GUARD_MS      250  /* between the last request and the end, for one that is just arriving */
 
-static volatile sig_atomic_t stop_asked;
+/* Any thread may be the one that takes the signal. */
+static int stop_asked;
 
 static void on_signal(int number);
 static int check_settings(const char *file, int only_check, struct cw_settings **settings);
@@ -115,7 +116,7 @@
 
 static void on_signal(int number)
 {
-	stop_asked = 1;
+	__atomic_store_n(&stop_asked, 1, __ATOMIC_RELEASE);
 }
 
 static void fill_config(const struct cw_settings *settings, struct cw_node_config *config,
@@ -200,7 +201,7 @@
 
 static void wait_for_stop(struct daemon *daemon)
 {
-	while (!stop_asked)
+	while (!__atomic_load_n(&stop_asked, __ATOMIC_ACQUIRE))
 		usleep(POLL_US);
 	core_post(daemon, message_create(CW_EVENT_STOP));
 }
--- a/tests/standins/standin.c
+++ b/tests/standins/standin.c
@@ -9,11 +9,12 @@
 
 #define MAX_BODY (64 * 1024 * 1024)
 
-static volatile sig_atomic_t stop_asked;
+/* Any thread may be the one that takes the signal. */
+static int stop_asked;
 
 static void on_signal(int number)
 {
-	stop_asked = 1;
+	__atomic_store_n(&stop_asked, 1, __ATOMIC_RELEASE);
 }
 
 struct cw_http_server *standin_listen(int port,
@@ -48,7 +49,7 @@
 
 void standin_wait(void)
 {
-	while (!stop_asked)
+	while (!__atomic_load_n(&stop_asked, __ATOMIC_ACQUIRE))
 		usleep(20000);
 }
 
--- a/tests/tools/faultproxy.c
+++ b/tests/tools/faultproxy.c
@@ -61,7 +61,8 @@
 static void *accept_loop(void *data);
 static void *serve(void *data);
 static int forward(struct connection *connection, int from, int to, int is_answer, enum mode mode);
-static int breaks_answer(struct connection *connection, enum mode mode, ssize_t size);
+static int breaks_answer(struct connection *connection, enum mode mode, ssize_t size,
+			 int64_t *left);
 static enum mode mode_of(struct proxy *proxy, int *delay_ms);
 static int connect_to(const struct sockaddr_in *target);
 static int listen_at(const char *host, int *port);
@@ -208,6 +209,7 @@
 {
 	char buffer[BUFFER];
 	int delay_ms;
+	int64_t left = 0;
 	ssize_t size = recv(from, buffer, sizeof(buffer), 0);
 
 	if (size <= 0)
@@ -215,10 +217,7 @@
 	mode_of(connection->proxy, &delay_ms);
 	if (delay_ms > 0)
 		usleep((useconds_t)delay_ms * 1000);
-	if (is_answer && breaks_answer(connection, mode, size)) {
-		int64_t left =
-			mode == MODE_CUT ? connection->proxy->after - connection->answered : 0;
-
+	if (is_answer && breaks_answer(connection, mode, size, &left)) {
 		if (left > 0)
 			send(to, buffer, (size_t)left, MSG_NOSIGNAL);
 		return 0;
@@ -235,7 +234,7 @@
 	return 1;
 }
 
-static int breaks_answer(struct connection *connection, enum mode mode, ssize_t size)
+static int breaks_answer(struct connection *connection, enum mode mode, ssize_t size, int64_t *left)
 {
 	struct proxy *proxy = connection->proxy;
 	int breaks;
@@ -246,6 +245,7 @@
 	breaks = proxy->count > 0 &&
 		 (mode == MODE_DROP_ANSWER || connection->answered + size > proxy->after);
 	proxy->count -= breaks;
+	*left = mode == MODE_CUT ? proxy->after - connection->answered : 0;
 	pthread_mutex_unlock(&proxy->mutex);
 	return breaks;
 }
