Cuts are found by probes, pressure lowers the trust asked for, a status read first counts

Causes: silence tells a cut and a long prompt apart only by trying a connection; patience did not count the queue; escalations went on when their answers could only be late; a roll-out's status that was read before its order was dropped, so it began anew and barred the only servers left. Ruled out for the last: the store's history (expired reads recovered), the servers' list (complete).

--- a/apps/corianderwalk/entry.c
+++ b/apps/corianderwalk/entry.c
@@ -9,7 +9,8 @@
 
 #define EXIT_SETTINGS 2
 #define EXIT_LISTEN   3
-#define TICK_MS	      250 /* housekeeping and hand-over of log lines */
+#define TICK_MS	      100 /* housekeeping: a server that fell silent is probed within it */
+#define FLUSH_TICKS   3	  /* log lines are handed over every so many */
 #define STOP_QUIET_MS                                                                              \
 	2500		   /* after SIGTERM: two missed readiness calls, 1 s apart, and a margin   \
 			    */
@@ -104,6 +105,7 @@
 		.repeat_window_ms = settings->repeat_window_ms,
 		.session_ms = settings->session_ms,
 		.escalate_below = 60,
+		.escalate_below_late = 25,
 	};
 
 	entry->gate = cw_gate_create(&options);
@@ -220,7 +222,9 @@
 			 entry->relay_count);
 	entry->was_ready = is_ready;
 	feed_tick(entry->feed, now_ms);
-	cw_timeline_flush();
+	relay_watch(entry, now_ms);
+	if (entry->ticks++ % FLUSH_TICKS == 0)
+		cw_timeline_flush();
 	if (!entry->stop_asked_ms)
 		return;
 	/* A request that comes later could not be finished before the process is killed. */
--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -34,6 +34,7 @@
 	int64_t stop_asked_ms; /* 0: not asked */
 	int64_t last_request_ms;
 	int was_ready;
+	unsigned int ticks;
 };
 
 int entry_run(const char *settings_file); /* an exit code */
@@ -45,6 +46,8 @@
 void relay_start(struct entry *entry, struct cw_caller *caller, struct cw_message *request);
 void relay_gone(void *relay);
 void relay_room(void *relay);
+void relay_watch(struct entry *entry,
+		 int64_t now_ms); /* looks whether servers that fell silent can be reached */
 void relay_stop_all(struct entry *entry); /* ends what is left, as a last resort */
 
 /* entry_feed.c: what the store tells */
--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -5,6 +5,8 @@
 
 #include <string.h>
 
+#define PROBES		 2   /* at once: one opening packet may be lost by chance */
+#define PROBE_MS	 150 /* for a connection: ways of 1 ms, and a busy server's accept */
 #define ANSWER_BYTES_MAX (4 * 1024 * 1024) /* of an answer that is passed on whole */
 
 struct relay {
@@ -27,14 +29,25 @@
 	int64_t first_ms; /* when the first byte was shown, -1 not yet */
 };
 
+/* A probe under way; the server may be forgotten before its answer. */
+struct watch {
+	struct entry *entry;
+	uint64_t server;
+	int64_t probed_ms;
+};
+
 static void on_head(void *context, const struct cw_message *answer);
 static void on_data(void *context, const char *data, size_t size);
 static void on_end(void *context);
 static void on_failed(void *context, enum cw_flow_failure failure);
 static void on_limit(uv_timer_t *timer);
 static void on_closed(uv_handle_t *handle);
+static void probe(struct entry *entry, const struct cw_server *server);
+static void on_probed(void *context, const char *address, int is_reachable);
+static void leave_unreachable(struct entry *entry, const struct cw_server *server);
 static void take_step(struct relay *relay, const struct cw_step *step);
 static void send_attempt(struct relay *relay, const struct cw_step *step);
+static void heard(struct relay *relay);
 static void drop_exchange(struct relay *relay);
 static void refuse(struct relay *relay, const struct cw_step *step);
 static void show_events(struct relay *relay);
@@ -106,6 +119,77 @@
 	relay->is_paused = 0;
 }
 
+/*
+ * A failure domain that is cut off takes its streams along without a word: their callers wait for
+ * seconds, and new requests are still sent there. A server with requests under way that has been
+ * silent is probed twice at once, as one opening packet may be lost by chance; if neither opens,
+ * what may be repeated goes on elsewhere.
+ */
+void relay_watch(struct entry *entry, int64_t now_ms)
+{
+	struct cw_server *server;
+
+	TAILQ_FOREACH(server, cw_pool_servers(cw_gate_pool(entry->gate)), link) {
+		if (!cw_pool_wants_probe(server, now_ms))
+			continue;
+		server->probed_ms = now_ms;
+		for (int i = 0; i < PROBES; i++)
+			probe(entry, server);
+	}
+}
+
+static void probe(struct entry *entry, const struct cw_server *server)
+{
+	struct watch *watch = g_new0(struct watch, 1);
+
+	watch->entry = entry;
+	watch->server = server->id;
+	watch->probed_ms = server->probed_ms;
+	cw_count("server_probes", "", 1);
+	cw_client_probe(entry->servers, server->address, PROBE_MS, on_probed, watch);
+}
+
+static void on_probed(void *context, const char *address, int is_reachable)
+{
+	struct watch *watch = context;
+	struct entry *entry = watch->entry;
+	struct cw_server *server = cw_pool_find(cw_gate_pool(entry->gate), watch->server);
+	int64_t now_ms = entry_now_ms(entry);
+
+	/* Bytes that came meanwhile, or the other probe's connection, say more than this failure.
+	 */
+	if (server && is_reachable) {
+		if (server->is_unreachable)
+			cw_event("gate", "server_reachable", "server=%s address=%s", server->name,
+				 address);
+		cw_pool_heard(server, now_ms);
+	} else if (server && server->heard_ms < watch->probed_ms && !server->is_unreachable) {
+		cw_warn("gate", "server_unreachable",
+			"server=%s address=%s domain=%s running=%u heard_ms_ago=%ld", server->name,
+			address, server->failure_domain, server->own_running,
+			(long)(now_ms - server->heard_ms));
+		cw_pool_unheard(server);
+		leave_unreachable(entry, server);
+	}
+	g_free(watch);
+}
+
+static void leave_unreachable(struct entry *entry, const struct cw_server *server)
+{
+	struct relay *relay = TAILQ_FIRST(&entry->relays);
+
+	while (relay) {
+		struct relay *next = TAILQ_NEXT(relay, link);
+
+		if (cw_call_server(relay->call) == server && relay->exchange &&
+		    cw_call_may_repeat(relay->call)) {
+			drop_exchange(relay);
+			on_failed(relay, CW_FLOW_SILENT);
+		}
+		relay = next;
+	}
+}
+
 void relay_stop_all(struct entry *entry)
 {
 	struct relay *relay;
@@ -177,6 +261,7 @@
 	struct cw_answer_facts facts;
 	struct cw_step step;
 
+	heard(relay);
 	cw_up_answer_read(answer, &facts);
 	cw_call_head(relay->call, &facts, entry_now_ms(relay->entry), &step);
 	if (step.kind != CW_STEP_SHOW || facts.status >= 400)
@@ -203,6 +288,7 @@
 	struct relay *relay = context;
 	struct cw_step step;
 
+	heard(relay);
 	if (relay->is_stream) {
 		if (cw_events_feed(relay->events, data, size)) {
 			show_events(relay);
@@ -301,6 +387,14 @@
 	take_step(relay, &step);
 }
 
+static void heard(struct relay *relay)
+{
+	struct cw_server *server = cw_call_server(relay->call);
+
+	if (server)
+		cw_pool_heard(server, entry_now_ms(relay->entry));
+}
+
 static void drop_exchange(struct relay *relay)
 {
 	if (relay->exchange)
--- a/packages/flow/include/cw_flow.h
+++ b/packages/flow/include/cw_flow.h
@@ -92,6 +92,9 @@
 void cw_exchange_cancel(struct cw_exchange *exchange); /* closes its connection; no more calls */
 void cw_exchange_pause(struct cw_exchange *exchange, int paused);
 void cw_exchange_set_silence(struct cw_exchange *exchange, int64_t silence_ms);
+void cw_client_probe(struct cw_client *client, const char *address, int64_t connect_ms,
+		     void (*told)(void *context, const char *address, int is_reachable),
+		     void *context); /* a connection that opens is kept for requests */
 void cw_client_forget(struct cw_client *client, const char *address); /* ends idle connections */
 uint64_t cw_client_opened(const struct cw_client *client);	      /* connections so far */
 
--- a/packages/flow/src/client.c
+++ b/packages/flow/src/client.c
@@ -13,7 +13,8 @@
 	TAILQ_ENTRY(connection) link; /* among the idle ones of its address */
 	struct cw_client *client;
 	struct address *address;
-	struct cw_exchange *exchange; /* NULL: idle */
+	struct cw_exchange *exchange; /* NULL: idle, or a probe's */
+	struct probe *probe;
 	uv_tcp_t tcp;
 	uv_connect_t connect;
 	uv_write_t write;
@@ -52,8 +53,18 @@
 	int foreign; /* the answer being read is another request's */
 };
 
+/* A connection that is opened only to see whether its server can be reached. */
+struct probe {
+	TAILQ_ENTRY(probe) link;
+	struct connection *connection;
+	uv_timer_t timer;
+	void (*told)(void *context, const char *address, int is_reachable);
+	void *context;
+};
+
 struct cw_client {
 	uv_loop_t *loop;
+	TAILQ_HEAD(, probe) probes;
 	GHashTable *addresses;
 	TAILQ_HEAD(, cw_exchange) exchanges;
 	uv_timer_t sweep;
@@ -72,6 +83,11 @@
 static void on_written(uv_write_t *write, int status);
 static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer);
 static void on_timer(uv_timer_t *timer);
+static void probe_told(struct probe *probe, int is_reachable);
+static void end_probe(struct probe *probe);
+static void on_probe_timer(uv_timer_t *timer);
+static void on_probe_closed(uv_handle_t *handle);
+static void keep(struct connection *connection);
 static void on_timer_closed(uv_handle_t *handle);
 static void on_closed(uv_handle_t *handle);
 static void close_connection(struct connection *connection);
@@ -102,6 +118,7 @@
 	client->loop = loop;
 	client->addresses = g_hash_table_new_full(g_str_hash, g_str_equal, NULL, free_address);
 	TAILQ_INIT(&client->exchanges);
+	TAILQ_INIT(&client->probes);
 	uv_timer_init(loop, &client->sweep);
 	client->sweep.data = client;
 	uv_timer_start(&client->sweep, on_sweep, 1000, 1000);
@@ -111,6 +128,7 @@
 void cw_client_destroy(struct cw_client *client)
 {
 	struct cw_exchange *exchange;
+	struct probe *probe;
 	GHashTableIter iter;
 	gpointer value;
 
@@ -118,6 +136,10 @@
 		return;
 	while ((exchange = TAILQ_FIRST(&client->exchanges)))
 		cw_exchange_cancel(exchange);
+	while ((probe = TAILQ_FIRST(&client->probes))) {
+		close_connection(probe->connection);
+		end_probe(probe);
+	}
 	g_hash_table_iter_init(&iter, client->addresses);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		cw_client_forget(client, ((struct address *)value)->text);
@@ -191,6 +213,24 @@
 	rearm(exchange);
 }
 
+void cw_client_probe(struct cw_client *client, const char *text, int64_t connect_ms,
+		     void (*told)(void *context, const char *address, int is_reachable),
+		     void *context)
+{
+	struct probe *probe = g_new0(struct probe, 1);
+
+	probe->told = told;
+	probe->context = context;
+	uv_timer_init(client->loop, &probe->timer);
+	probe->timer.data = probe;
+	TAILQ_INSERT_TAIL(&client->probes, probe, link);
+	probe->connection = open_connection(client, find_address(client, text));
+	probe->connection->probe = probe;
+	http_parser_init(&probe->connection->parser, HTTP_RESPONSE);
+	probe->connection->parser.data = probe->connection;
+	uv_timer_start(&probe->timer, on_probe_timer, (uint64_t)connect_ms, 0);
+}
+
 void cw_client_forget(struct cw_client *client, const char *text)
 {
 	struct address *address = g_hash_table_lookup(client->addresses, text);
@@ -335,13 +375,59 @@
 	if (connection->closed)
 		return;
 	if (status < 0) {
-		fail(connection->exchange, CW_FLOW_UNSENT);
+		if (connection->probe)
+			probe_told(connection->probe, 0);
+		else
+			fail(connection->exchange, CW_FLOW_UNSENT);
 		return;
 	}
 	connection->connected = 1;
 	flow_tune_socket(&connection->tcp);
 	uv_read_start((uv_stream_t *)&connection->tcp, flow_buffer, on_read);
-	start_write(connection);
+	if (connection->probe)
+		probe_told(connection->probe, 1);
+	else
+		start_write(connection);
+}
+
+static void probe_told(struct probe *probe, int is_reachable)
+{
+	struct connection *connection = probe->connection;
+
+	connection->probe = NULL;
+	if (is_reachable) {
+		connection->idle_limit_ms = IDLE_MS_UNTOLD;
+		keep(connection);
+	} else {
+		close_connection(connection);
+	}
+	probe->told(probe->context, connection->address->text, is_reachable);
+	end_probe(probe);
+}
+
+static void end_probe(struct probe *probe)
+{
+	TAILQ_REMOVE(&probe->connection->client->probes, probe, link);
+	uv_close((uv_handle_t *)&probe->timer, on_probe_closed);
+}
+
+static void on_probe_timer(uv_timer_t *timer)
+{
+	probe_told(timer->data, 0);
+}
+
+static void on_probe_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+static void keep(struct connection *connection)
+{
+	struct address *address = connection->address;
+
+	connection->idle_since_ms = uv_now(connection->client->loop);
+	TAILQ_INSERT_HEAD(&address->idle, connection, link);
+	address->idle_count++;
 }
 
 static void on_written(uv_write_t *write, int status)
@@ -452,9 +538,7 @@
 	    address->idle_count >= IDLE_PER_ADDRESS) {
 		close_connection(connection);
 	} else {
-		connection->idle_since_ms = uv_now(connection->client->loop);
-		TAILQ_INSERT_HEAD(&address->idle, connection, link);
-		address->idle_count++;
+		keep(connection);
 		uv_read_start((uv_stream_t *)&connection->tcp, flow_buffer, on_read);
 	}
 	ops->end(context);
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -54,7 +54,8 @@
 	double repeat_slack; /* and this many more, this instance's part of it */
 	int64_t repeat_window_ms;
 	int64_t session_ms;
-	int escalate_below; /* a small model's confidence, 0 to 100 */
+	int escalate_below;	 /* a small model's confidence, 0 to 100 */
+	int escalate_below_late; /* the same when the large one's answer would be late */
 };
 
 struct cw_gate;
@@ -81,11 +82,12 @@
 void cw_call_expired(struct cw_call *call, int64_t now_ms,
 		     struct cw_step *step);		  /* at cw_call_limit_ms */
 void cw_call_close(struct cw_call *call, int64_t now_ms); /* also when its caller left */
+int cw_call_may_repeat(const struct cw_call *call);	  /* by its kind, as far as it has got */
 int64_t cw_call_limit_ms(const struct cw_call *call);	  /* when a final answer is due */
 const struct cw_route *cw_call_route(const struct cw_call *call);
 const char *cw_call_organisation(const struct cw_call *call);
 const char *cw_call_model(const struct cw_call *call);
-const struct cw_server *cw_call_server(const struct cw_call *call);
+struct cw_server *cw_call_server(const struct cw_call *call);
 unsigned int cw_call_attempts(const struct cw_call *call);
 
 #endif
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -11,6 +11,8 @@
 #define NO_CONFIG_WAIT_MS 500
 #define DEADLINE_LESS_MS  15   /* the way back to the caller */
 #define STREAM_SILENCE_MS 4000 /* between events: four times the usual objective of 1 s */
+#define LATE_PART	  0.8  /* of the objective: predictions miss the others' newest work */
+#define SILENCE_FACTOR	  4.0  /* of the predicted wait: a full queue is not a server that hangs */
 #define ESCALATION_SPARE  0.25 /* of the repeat budget is left for failures */
 #define URGENCY_STEP	  3    /* an organisation's priority goes before the route's */
 #define URGENCY_LAST	  9
@@ -34,6 +36,8 @@
 			  const char *reason);
 static int should_escalate(struct cw_call *call, const struct cw_answer_facts *answer,
 			   int64_t now_ms);
+static int escalate_below(struct cw_call *call, int64_t now_ms);
+static double predict(struct cw_call *call, int64_t now_ms);
 static int64_t retry_after(struct cw_call *call);
 static uint64_t prompt_key(const struct cw_facts *facts);
 static uint64_t session_key(const struct cw_call *call);
@@ -115,6 +119,8 @@
 		size_t small = call->model;
 
 		call->model = call->route->model_count - 1;
+		call->tried_count =
+			0; /* none has failed: the same server may run the other model */
 		if (send_instead(call, now_ms, step))
 			return;
 		call->model = small;
@@ -140,7 +146,7 @@
 {
 	memset(step, 0, sizeof(*step));
 	if (how == CW_BREAK_UNSENT) {
-		cw_pool_judged(call->server, 1, 0, now_ms);
+		cw_pool_unheard(call->server);
 		cw_pool_failed(call->server, now_ms, gate_random(call->gate));
 		leave_server(call, now_ms, 0);
 		call->attempts--;
@@ -190,6 +196,11 @@
 	g_free(call);
 }
 
+int cw_call_may_repeat(const struct cw_call *call)
+{
+	return may_repeat(call);
+}
+
 int64_t cw_call_limit_ms(const struct cw_call *call)
 {
 	return call->limit_ms;
@@ -212,7 +223,7 @@
 	return call->route->models[call->model];
 }
 
-const struct cw_server *cw_call_server(const struct cw_call *call)
+struct cw_server *cw_call_server(const struct cw_call *call)
 {
 	return call->server;
 }
@@ -329,6 +340,11 @@
 	choice.tried_count = 0;
 	if (!server)
 		server = cw_pool_choose(gate->pool, &choice);
+	/* Neither version is barred, unless it was found bad: the other one answers as well. */
+	if (!server && !cw_rollouts_is_bad(gate->rollouts, call->service_name)) {
+		choice.only_software = choice.not_software = NULL;
+		server = cw_pool_choose(gate->pool, &choice);
+	}
 	return server;
 }
 
@@ -363,7 +379,8 @@
 	if (!may_repeat(call) || (int)call->attempts >= call->route->max_attempts)
 		return left_ms;
 	if (call->route->repeat == CW_REPEAT_STREAM)
-		return MIN(left_ms, 2 * call->route->objective_ms);
+		return MIN(left_ms, 2 * call->route->objective_ms +
+					    (int64_t)(SILENCE_FACTOR * call->predicted_ms));
 	return MIN(left_ms / 2 + 1, MAX(call->route->objective_ms, 1));
 }
 
@@ -380,7 +397,9 @@
 
 static void note_failure(struct cw_call *call, int64_t now_ms)
 {
-	call_work_failed(call, now_ms);
+	/* A cut says nothing of the server or of what it runs. */
+	if (!call->server->is_unreachable)
+		call_work_failed(call, now_ms);
 	cw_pool_failed(call->server, now_ms, gate_random(call->gate));
 }
 
@@ -428,13 +447,42 @@
 	    call->model + 1 >= call->route->model_count ||
 	    strcmp(call->facts.model, CW_ANY_MODEL) != 0)
 		return 0;
-	if (answer->confidence >= call->gate->options.escalate_below ||
+	if (answer->confidence >= escalate_below(call, now_ms) ||
 	    (int)call->attempts >= call->route->max_attempts)
 		return 0;
 	return cw_repeats_take(gate_repeats(call->gate, call->service_name), ESCALATION_SPARE,
 			       now_ms);
 }
 
+/*
+ * Load pattern: more hard requests than the largest model can read in time (a cut failure domain, a
+ * burst, servers gone). Each escalation then makes all others later, and a late answer is worth
+ * less than a small model's that is half trusted. So the trust asked for falls once the large
+ * model's answer is predicted to come late, and rises again by itself.
+ */
+static int escalate_below(struct cw_call *call, int64_t now_ms)
+{
+	size_t small = call->model;
+	double predicted_ms;
+
+	call->model = call->route->model_count - 1;
+	predicted_ms = predict(call, now_ms);
+	call->model = small;
+	if (predicted_ms + (double)(now_ms - call->opened_ms) <
+	    LATE_PART * (double)call->route->objective_ms)
+		return call->gate->options.escalate_below;
+	return call->gate->options.escalate_below_late;
+}
+
+/* The time to the first event, were the request sent now. */
+static double predict(struct cw_call *call, int64_t now_ms)
+{
+	int is_home = 0;
+	struct cw_server *server = choose(call, now_ms, &is_home);
+
+	return server ? call_work_predict(call, server, is_home, now_ms) : G_MAXDOUBLE;
+}
+
 static void refuse(struct cw_step *step, unsigned int status, const char *reason)
 {
 	step->kind = CW_STEP_REFUSE;
--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -17,6 +17,8 @@
 #define PLAIN_BYTES	 800
 
 static const char *pace_name(const struct cw_call *call);
+static double pace_of(const struct gate_pace *pace);
+static double tokens_to_read(const struct cw_call *call, int is_home);
 static double shared_tokens(const struct cw_facts *facts);
 static void learn_pace(struct cw_call *call, double took_ms);
 static void tell_rollout(struct cw_call *call, int is_bad, int64_t now_ms);
@@ -33,28 +35,34 @@
 	choice->bytes += STREAM_BYTES;
 	choice->read_tokens = call->facts.read_tokens;
 	choice->shared_tokens = MIN(shared_tokens(&call->facts), call->facts.read_tokens);
-	choice->ms_per_token = pace->samples ? pace->ms_per_token : PACE_FIRST_MS;
+	choice->ms_per_token = pace_of(pace);
+}
+
+double call_work_predict(const struct cw_call *call, const struct cw_server *server, int is_home,
+			 int64_t now_ms)
+{
+	const struct gate_pace *pace = gate_pace(call->gate, pace_name(call));
+
+	if (call->facts.part_count == 0)
+		return (pace->samples ? pace->usual_ms : PLAIN_FIRST_MS) +
+		       cw_pool_wait_ms(server, now_ms);
+	return server->own_work_ms + server->peers_work_ms +
+	       tokens_to_read(call, is_home) * pace_of(pace) + FIRST_TOKEN_MS;
 }
 
 void call_work_begin(struct cw_call *call, int is_home, int64_t now_ms)
 {
 	const struct gate_pace *pace = gate_pace(call->gate, pace_name(call));
 	struct cw_server *server = call->server;
-	double before_ms = server->own_work_ms + server->peers_work_ms;
-	double rate = pace->samples ? pace->ms_per_token : PACE_FIRST_MS;
 
 	call->is_head_seen = 0;
-	call->was_idle = before_ms <= PACE_IDLE_MS;
-	if (call->facts.part_count == 0) {
-		call->tokens = 0;
-		call->predicted_ms = pace->samples ? pace->usual_ms : PLAIN_FIRST_MS;
-		call->predicted_ms += cw_pool_wait_ms(server, now_ms);
+	call->was_idle = server->own_work_ms + server->peers_work_ms <= PACE_IDLE_MS;
+	call->predicted_ms = call_work_predict(call, server, is_home, now_ms);
+	call->tokens = 0;
+	if (call->facts.part_count == 0)
 		return;
-	}
-	call->tokens = call->facts.read_tokens - (is_home ? shared_tokens(&call->facts) : 0);
-	call->tokens = MAX(call->tokens, 1);
-	call->work_ms = call->tokens * rate;
-	call->predicted_ms = before_ms + call->work_ms + FIRST_TOKEN_MS;
+	call->tokens = tokens_to_read(call, is_home);
+	call->work_ms = call->tokens * pace_of(pace);
 	server->own_work_ms += call->work_ms;
 }
 
@@ -92,6 +100,20 @@
 	return call->facts.part_count > 0 ? cw_call_model(call) : call->service_name;
 }
 
+static double pace_of(const struct gate_pace *pace)
+{
+	return pace->samples ? pace->ms_per_token : PACE_FIRST_MS;
+}
+
+static double tokens_to_read(const struct cw_call *call, int is_home)
+{
+	double tokens = call->facts.read_tokens;
+
+	if (is_home)
+		tokens -= shared_tokens(&call->facts);
+	return MAX(tokens, 1);
+}
+
 /* All parts but the last, which is the request's own. */
 static double shared_tokens(const struct cw_facts *facts)
 {
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -59,6 +59,8 @@
 
 /* call_work.c: what an attempt costs its server, and what its answer tells of the server */
 void call_work_fill(struct cw_call *call, struct cw_choice *choice);
+double call_work_predict(const struct cw_call *call, const struct cw_server *server, int is_home,
+			 int64_t now_ms); /* ms to an answer's head */
 void call_work_begin(struct cw_call *call, int is_home, int64_t now_ms);
 void call_work_head(struct cw_call *call, int64_t now_ms); /* a good head came */
 void call_work_failed(struct cw_call *call, int64_t now_ms);
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -75,6 +75,11 @@
 	double slowness;      /* its time against the time expected, 1 usual; forgotten too */
 	int64_t judged_ms;    /* the two above are true then */
 
+	int64_t heard_ms;   /* a byte came, or a connection opened */
+	int64_t sent_ms;    /* of the newest request */
+	int64_t probed_ms;  /* a connection was tried, only to see */
+	int is_unreachable; /* it was not opened in time */
+
 	unsigned int failures; /* in a row */
 	int64_t open_until_ms; /* breaker: no request before */
 	int64_t backoff_ms;
@@ -94,7 +99,7 @@
 	const char *failure_domain; /* the asking instance's */
 	const uint64_t *tried;	    /* servers this request is not sent to again */
 	size_t tried_count;
-	int is_desperate;	    /* servers whose breaker is open are better than none */
+	int is_desperate;	   /* servers whose breaker is open are better than none */
 	const char *only_software; /* NULL: any version of what servers run */
 	const char *not_software;  /* NULL: none is left out */
 	int64_t now_ms;
@@ -153,6 +158,9 @@
 void cw_pool_succeeded(struct cw_server *server, int64_t now_ms);
 void cw_pool_failed(struct cw_server *server, int64_t now_ms,
 		    uint64_t random); /* may open the breaker */
+void cw_pool_heard(struct cw_server *server, int64_t now_ms);
+void cw_pool_unheard(struct cw_server *server); /* no connection can be opened */
+int cw_pool_wants_probe(const struct cw_server *server, int64_t now_ms);
 void cw_pool_judged(struct cw_server *server, int is_failure, double slowness,
 		    int64_t now_ms); /* an answer's evidence; slowness 0: not known */
 double cw_pool_failure_rate(const struct cw_server *server, int64_t now_ms);
--- a/packages/pool/src/pool.c
+++ b/packages/pool/src/pool.c
@@ -227,6 +227,7 @@
 void cw_pool_dispatched(struct cw_server *server, int64_t now_ms)
 {
 	server->own_running++;
+	server->sent_ms = now_ms;
 	if (server->open_until_ms && now_ms >= server->open_until_ms)
 		server->probing = 1;
 	remember(server, now_ms, 1);
@@ -327,7 +328,7 @@
 
 int cw_pool_is_usable(const struct cw_server *server, int64_t now_ms)
 {
-	if (server->leaving)
+	if (server->leaving || server->is_unreachable)
 		return 0;
 	if (!server->open_until_ms)
 		return 1;
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -45,6 +45,7 @@
 	int64_t duration_ms;
 	enum cw_rollout_state state;
 	int is_written;
+	int is_ordered; /* 0: only what was written of it is known */
 	size_t route_count;
 	struct cw_rollout_evidence routes[CW_ROLLOUT_ROUTES];
 	int64_t counted_ms; /* the routes' figures are true then */
@@ -105,8 +106,14 @@
 {
 	struct rollout *rollout = find(rollouts, order->service);
 
-	if (rollout && *rollout->target && offset <= rollout->offset)
+	if (rollout && rollout->is_ordered && offset <= rollout->offset)
 		return 0;
+	if (rollout && !rollout->is_ordered && !strcmp(rollout->target, order->target)) {
+		/* A starting instance reads what became of an order before the order itself. */
+		rollout->offset = offset;
+		rollout->is_ordered = 1;
+		return 1;
+	}
 	if (!rollout)
 		rollout = add(rollouts, order->service);
 	begin(rollout, order->target, offset, order->duration_ms, now_ms);
@@ -118,8 +125,13 @@
 	struct rollout *rollout = find(rollouts, status->service);
 	int is_news;
 
-	if (!rollout || strcmp(rollout->target, status->target) != 0 ||
-	    status->state == CW_ROLLOUT_RUNNING)
+	if (status->state == CW_ROLLOUT_RUNNING)
+		return 0;
+	if (!rollout) {
+		rollout = add(rollouts, status->service);
+		g_strlcpy(rollout->target, status->target, CW_NAME_MAX);
+	}
+	if (strcmp(rollout->target, status->target) != 0)
 		return 0;
 	is_news = rollout->state != status->state || !rollout->is_written;
 	rollout->state = status->state;
@@ -127,6 +139,13 @@
 	return is_news;
 }
 
+int cw_rollouts_is_bad(const struct cw_rollouts *rollouts, const char *service)
+{
+	const struct rollout *rollout = find(rollouts, service);
+
+	return rollout && rollout->state == CW_ROLLOUT_BACK;
+}
+
 const char *cw_rollouts_target(const struct cw_rollouts *rollouts, const char *service)
 {
 	const struct rollout *rollout = find(rollouts, service);
@@ -257,11 +276,11 @@
 	struct peer_evidence *evidence;
 	enum cw_rollout_state before;
 
-	if (rollout && *rollout->target && news->offset < rollout->offset)
+	if (rollout && rollout->is_ordered && news->offset < rollout->offset)
 		return 0;
 	if (!rollout)
 		rollout = add(rollouts, news->service);
-	if (!*rollout->target || news->offset > rollout->offset)
+	if (!rollout->is_ordered || news->offset > rollout->offset)
 		begin(rollout, news->target, news->offset, news->duration_ms,
 		      now_ms - news->elapsed_ms);
 	/* The one that heard of the order first counts best: a restarted instance knows less. */
@@ -325,6 +344,7 @@
 	rollout->duration_ms = duration_ms;
 	rollout->state = CW_ROLLOUT_RUNNING;
 	rollout->is_written = 0;
+	rollout->is_ordered = 1;
 	rollout->route_count = 0;
 	rollout->counted_ms = begun_ms;
 	memset(rollout->routes, 0, sizeof(rollout->routes));
--- a/tests/unit/test_gate.c
+++ b/tests/unit/test_gate.c
@@ -15,8 +15,7 @@
 	struct cw_call *call;
 };
 
-static void add_server(struct bed *bed, const char *name, const char *service,
-		       const char *software)
+static void add_server(struct bed *bed, const char *name, const char *service, const char *software)
 {
 	struct cw_server_entry entry = {.slots = 8};
 
@@ -361,14 +360,29 @@
 	bed_close(&bed);
 }
 
+static void only_a_bad_version_is_barred_when_no_other_server_is_left(void **state)
+{
+	struct cw_rollout_order order = {"orders", "v1", 20000};
+	struct cw_rollout_status back = {"orders", "v1", CW_ROLLOUT_BACK};
+	struct bed bed;
+
+	bed_open(&bed);
+	cw_rollouts_order(cw_gate_rollouts(bed.gate), &order, 3, NOW);
+	ask(&bed, "/once/x");
+	assert_int_equal(bed.step.kind, CW_STEP_SEND);
+	cw_rollouts_told(cw_gate_rollouts(bed.gate), &back);
+	ask(&bed, "/once/x");
+	assert_refused(&bed, 503, CW_RUN_NOT);
+	bed_close(&bed);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_route_is_found_by_its_longest_prefix),
 		cmocka_unit_test(without_a_configuration_nothing_is_denied),
 		cmocka_unit_test(an_older_configuration_never_replaces_a_newer_one),
-		cmocka_unit_test(
-			an_order_that_may_have_run_is_neither_repeated_nor_called_not_run),
+		cmocka_unit_test(an_order_that_may_have_run_is_neither_repeated_nor_called_not_run),
 		cmocka_unit_test(an_order_that_was_never_sent_goes_to_another_server),
 		cmocka_unit_test(an_order_that_the_server_did_not_run_is_refused_as_not_run),
 		cmocka_unit_test(a_read_is_tried_again_as_often_as_its_route_allows),
@@ -378,6 +392,7 @@
 		cmocka_unit_test(a_broken_stream_goes_on_after_its_last_event),
 		cmocka_unit_test(the_time_that_a_server_gets_is_what_is_left),
 		cmocka_unit_test(a_leaving_server_gets_nothing_more),
+		cmocka_unit_test(only_a_bad_version_is_barred_when_no_other_server_is_left),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_rollout.c
+++ b/tests/unit/test_rollout.c
@@ -207,6 +207,26 @@
 	cw_rollouts_destroy(rollouts);
 }
 
+/*
+ * Symptom: after all instances had restarted, a quarter of the requests was refused for 15 s.
+ * Sequence: the old servers are gone, the roll-out is written as completed; a starting instance
+ * reads that before it reads the order. Cause: a status without a known order was dropped, so the
+ * roll-out seemed to begin anew.
+ */
+static void what_became_of_an_order_may_be_read_before_the_order(void **state)
+{
+	struct cw_rollouts *rollouts = cw_rollouts_create(SESSION_MS);
+	struct cw_rollout_status status = {"llm", "v2", CW_ROLLOUT_DONE};
+	struct cw_rollout_order next = {"llm", "v3", DURATION_MS};
+
+	assert_int_equal(cw_rollouts_told(rollouts, &status), 1);
+	cw_rollouts_order(rollouts, &order, 7, 1000);
+	assert_int_equal(cw_rollouts_side(rollouts, "llm", session(1), 2500), CW_ROLLOUT_NEW);
+	cw_rollouts_order(rollouts, &next, 8, 3000);
+	assert_int_equal(cw_rollouts_side(rollouts, "llm", session(1), 3500), CW_ROLLOUT_OLD);
+	cw_rollouts_destroy(rollouts);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -218,6 +238,7 @@
 		cmocka_unit_test(a_version_that_is_bad_on_one_route_only_is_taken_back),
 		cmocka_unit_test(a_good_version_is_completed_before_its_time_ends_and_written_once),
 		cmocka_unit_test(what_was_written_goes_before_an_own_verdict),
+		cmocka_unit_test(what_became_of_an_order_may_be_read_before_the_order),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
