--- a/apps/corianderwalk/entry.c
+++ b/apps/corianderwalk/entry.c
@@ -55,9 +55,9 @@
 	TAILQ_INIT(&entry.relays);
 	open_gate(&entry);
 	entry.servers = cw_client_create(&entry.loop);
-	entry.feed = feed_create(&entry);
 	code = open_listeners(&entry);
 	if (code == 0) {
+		entry.feed = feed_create(&entry);
 		cw_event("entry", "started", "domain=%s store=%s first=%d version=%s",
 			 entry.settings.failure_domain, entry.settings.store,
 			 entry.settings.is_first_start, CW_VERSION);
@@ -76,8 +76,12 @@
 
 int entry_is_ready(const struct entry *entry)
 {
-	return !entry->stop_asked_ms && cw_gate_config(entry->gate) &&
-	       feed_is_complete(entry->feed);
+	return !entry->stop_asked_ms && entry_knows_enough(entry);
+}
+
+int entry_knows_enough(const struct entry *entry)
+{
+	return cw_gate_config(entry->gate) && feed_is_complete(entry->feed);
 }
 
 void entry_apply_limits(struct entry *entry)
@@ -100,7 +104,7 @@
 	struct cw_gate_options options = {
 		.failure_domain = settings->failure_domain,
 		.seed = uv_hrtime() ^ (uint64_t)getpid() << 32,
-		.repeat_ratio = settings->repeat_ratio * 0.9,
+		.repeat_ratio = settings->repeat_ratio * 0.95,
 		.repeat_slack = settings->repeat_slack / 12,
 		.repeat_window_ms = settings->repeat_window_ms,
 		.session_ms = settings->session_ms,
--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -40,10 +40,12 @@
 int entry_run(const char *settings_file); /* an exit code */
 int64_t entry_now_ms(const struct entry *entry);
 void entry_apply_limits(struct entry *entry); /* of the newest configuration, to callers */
+int entry_knows_enough(const struct entry *entry); /* configuration and servers */
 int entry_is_ready(const struct entry *entry);
 
 /* entry_relay.c: one request between its caller and the backend servers */
 void relay_start(struct entry *entry, struct cw_caller *caller, struct cw_message *request);
+void relay_open_waiting(struct entry *entry); /* what came before enough was known */
 void relay_gone(void *relay);
 void relay_room(void *relay);
 void relay_watch(struct entry *entry,
--- a/apps/corianderwalk/entry_feed.c
+++ b/apps/corianderwalk/entry_feed.c
@@ -6,6 +6,8 @@
 #include <string.h>
 
 #define POLL_WAIT_MS	3000 /* of a long poll: a store that fell silent is noticed after it */
+#define POLL_WAIT_LONG_MS 12000
+#define FREQUENT_RANKS 2 /* one of them may be cut off */
 #define SERVERS_GAP_MS	100  /* changes of servers that come close together are one read */
 #define CALL_MS		1000 /* beyond a call's own wait: 4 ms, 100 times as long when slow */
 #define CONNECT_MS	500
@@ -61,6 +63,7 @@
 static void open_topic(struct feed *feed, struct topic *topic, enum cw_up_topic which,
 		       const char *name);
 static void close_topic(struct topic *topic);
+static int64_t poll_wait_ms(const struct topic *topic);
 static void ask(struct topic *topic);
 static void ask_in(struct topic *topic, int64_t wait_ms);
 static void on_timer(uv_timer_t *timer);
@@ -271,12 +274,24 @@
 	uv_close((uv_handle_t *)&topic->timer, NULL);
 }
 
+/*
+ * The first few instances by rank ask often, so that a call the store lost is noticed by someone
+ * soon; the others hear from them that there is something new. Saves a half of the store's calls.
+ */
+static int64_t poll_wait_ms(const struct topic *topic)
+{
+	const struct entry *entry = topic->feed->entry;
+	size_t rank = peers_rank(entry->peers, cw_hash_text(topic->name, 0), entry_now_ms(entry));
+
+	return rank < FREQUENT_RANKS ? POLL_WAIT_MS : POLL_WAIT_LONG_MS;
+}
+
 static void ask(struct topic *topic)
 {
 	const char *store = topic->feed->entry->settings.store;
 	/* After a failure the next call answers at once, so that it shows whether the store is
 	 * back. */
-	int64_t wait_ms = topic->is_down || topic->is_doubted ? 0 : POLL_WAIT_MS;
+	int64_t wait_ms = topic->is_down || topic->is_doubted ? 0 : poll_wait_ms(topic);
 	GString *bytes = g_string_sized_new(256);
 	struct cw_exchange_request request = {
 		.address = store,
@@ -417,6 +432,8 @@
 			 (unsigned long)cw_config_version(news->config),
 			 (unsigned long)news->offset, cw_config_routes(news->config));
 		entry_apply_limits(entry);
+		if (entry_knows_enough(entry))
+			relay_open_waiting(entry);
 		break;
 	case CW_UP_ROLLOUT_ORDER:
 		if (cw_rollouts_order(cw_gate_rollouts(gate), &news->order, news->offset, now_ms))
--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -7,6 +7,7 @@
 
 #define PROBES		 2   /* at once: one opening packet may be lost by chance */
 #define PROBE_MS	 150 /* for a connection: ways of 1 ms, and a busy server's accept */
+#define WAIT_TO_KNOW_MS	 700 /* for configuration and servers: reading them takes 10 to 300 ms */
 #define ANSWER_BYTES_MAX (4 * 1024 * 1024) /* of an answer that is passed on whole */
 
 struct relay {
@@ -45,6 +46,7 @@
 static void probe(struct entry *entry, const struct cw_server *server);
 static void on_probed(void *context, const char *address, int is_reachable);
 static void leave_unreachable(struct entry *entry, const struct cw_server *server);
+static void open_call(struct relay *relay);
 static void take_step(struct relay *relay, const struct cw_step *step);
 static void send_attempt(struct relay *relay, const struct cw_step *step);
 static void heard(struct relay *relay);
@@ -68,9 +70,7 @@
 {
 	struct cw_error error = {0};
 	struct relay *relay;
-	struct cw_step step;
 	struct cw_facts facts;
-	int64_t limit_ms;
 
 	entry->last_request_ms = entry_now_ms(entry);
 	cw_count("requests", "", 1);
@@ -92,11 +92,41 @@
 	TAILQ_INSERT_TAIL(&entry->relays, relay, link);
 	entry->relay_count++;
 	cw_caller_attach(caller, relay);
-	relay->call = cw_call_open(entry->gate, &relay->facts, relay->opened_ms, &step);
-	if (cw_caller_is_late(caller))
-		cw_call_turn_away(relay->call, relay->opened_ms, "this instance is stopping",
-				  &step);
-	limit_ms = cw_call_limit_ms(relay->call) - relay->opened_ms;
+	if (entry_knows_enough(entry))
+		open_call(relay);
+	else
+		uv_timer_start(&relay->limit, on_limit, WAIT_TO_KNOW_MS, 0);
+}
+
+/*
+ * Symptom this prevents: after a restart of all instances callers were refused by processes that
+ * knew a configuration 20 ms later, and each lost its only retry. A starting instance therefore lets
+ * a request wait until it knows the configuration and the servers, for as long as that may take.
+ */
+void relay_open_waiting(struct entry *entry)
+{
+	struct relay *relay = TAILQ_FIRST(&entry->relays);
+
+	while (relay) {
+		struct relay *next = TAILQ_NEXT(relay, link);
+
+		if (!relay->call)
+			open_call(relay);
+		relay = next;
+	}
+}
+
+static void open_call(struct relay *relay)
+{
+	struct entry *entry = relay->entry;
+	int64_t now_ms = entry_now_ms(entry);
+	struct cw_step step;
+	int64_t limit_ms;
+
+	relay->call = cw_call_open(entry->gate, &relay->facts, relay->opened_ms, now_ms, &step);
+	if (cw_caller_is_late(relay->caller))
+		cw_call_turn_away(relay->call, now_ms, "this instance is stopping", &step);
+	limit_ms = cw_call_limit_ms(relay->call) - now_ms;
 	uv_timer_start(&relay->limit, on_limit, (uint64_t)MAX(limit_ms, 1), 0);
 	take_step(relay, &step);
 }
@@ -181,7 +211,7 @@
 	while (relay) {
 		struct relay *next = TAILQ_NEXT(relay, link);
 
-		if (cw_call_server(relay->call) == server && relay->exchange &&
+		if (relay->exchange && cw_call_server(relay->call) == server &&
 		    cw_call_may_repeat(relay->call)) {
 			drop_exchange(relay);
 			on_failed(relay, CW_FLOW_SILENT);
@@ -382,6 +412,10 @@
 	struct relay *relay = timer->data;
 	struct cw_step step;
 
+	if (!relay->call) {
+		open_call(relay);
+		return;
+	}
 	drop_exchange(relay);
 	cw_call_expired(relay->call, entry_now_ms(relay->entry), &step);
 	take_step(relay, &step);
@@ -435,7 +469,7 @@
 static void finish(struct relay *relay, const char *outcome)
 {
 	int64_t now_ms = entry_now_ms(relay->entry);
-	const struct cw_route *route = cw_call_route(relay->call);
+	const struct cw_route *route = relay->call ? cw_call_route(relay->call) : NULL;
 	char label[64];
 
 	drop_exchange(relay);
@@ -445,8 +479,9 @@
 		 "request=%s outcome=%s status=%u route=%s organisation=%s model=%s attempts=%u "
 		 "first_ms=%ld took_ms=%ld",
 		 relay->facts.id, outcome, relay->status, route ? route->name : "-",
-		 cw_call_organisation(relay->call), cw_call_model(relay->call),
-		 cw_call_attempts(relay->call),
+		 relay->call ? cw_call_organisation(relay->call) : "-",
+		 relay->call ? cw_call_model(relay->call) : "-",
+		 relay->call ? cw_call_attempts(relay->call) : 0,
 		 relay->first_ms < 0 ? -1L : (long)(relay->first_ms - relay->opened_ms),
 		 (long)(now_ms - relay->opened_ms));
 	cw_call_close(relay->call, now_ms);
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -69,8 +69,9 @@
 struct cw_pool *cw_gate_pool(struct cw_gate *gate);
 struct cw_rollouts *cw_gate_rollouts(struct cw_gate *gate);
 
-struct cw_call *cw_call_open(struct cw_gate *gate, const struct cw_facts *facts, int64_t now_ms,
-			     struct cw_step *step);
+struct cw_call *cw_call_open(struct cw_gate *gate, const struct cw_facts *facts,
+			     int64_t came_ms, /* its time limits count from then */
+			     int64_t now_ms, struct cw_step *step);
 void cw_call_turn_away(struct cw_call *call, int64_t now_ms, const char *reason,
 		       struct cw_step *step); /* right after it was opened: not run, come back */
 void cw_call_head(struct cw_call *call, const struct cw_answer_facts *answer, int64_t now_ms,
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -13,7 +13,7 @@
 #define STREAM_SILENCE_MS 4000 /* between events: four times the usual objective of 1 s */
 #define LATE_PART	  0.8  /* of the objective: predictions miss the others' newest work */
 #define SILENCE_FACTOR	  4.0  /* of the predicted wait: a full queue is not a server that hangs */
-#define ESCALATION_SPARE  0.25 /* of the repeat budget is left for failures */
+#define ESCALATION_SPARE  0.12 /* of the repeat budget is left for failures */
 #define URGENCY_STEP	  3    /* an organisation's priority goes before the route's */
 #define URGENCY_LAST	  9
 #define CONNECT_LEFT_MIN  20 /* less time than this left: nothing can be answered */
@@ -42,17 +42,17 @@
 static uint64_t prompt_key(const struct cw_facts *facts);
 static uint64_t session_key(const struct cw_call *call);
 
-struct cw_call *cw_call_open(struct cw_gate *gate, const struct cw_facts *facts, int64_t now_ms,
-			     struct cw_step *step)
+struct cw_call *cw_call_open(struct cw_gate *gate, const struct cw_facts *facts, int64_t came_ms,
+			     int64_t now_ms, struct cw_step *step)
 {
 	struct cw_call *call = g_new0(struct cw_call, 1);
 
 	memset(step, 0, sizeof(*step));
 	call->gate = gate;
 	call->facts = *facts;
-	call->opened_ms = now_ms;
+	call->opened_ms = came_ms;
 	call->last_event = facts->last_event;
-	call->limit_ms = now_ms + (facts->allowed_ms >= 0 ? facts->allowed_ms : 0);
+	call->limit_ms = came_ms + (facts->allowed_ms >= 0 ? facts->allowed_ms : 0);
 	if (!gate->config) {
 		refuse(step, 503, "no configuration is known yet");
 		step->retry_after_ms = NO_CONFIG_WAIT_MS + retry_after(call);
@@ -138,6 +138,7 @@
 void cw_call_event(struct cw_call *call, int64_t event, int64_t now_ms)
 {
 	call->is_shown = 1;
+	call->events++;
 	if (event >= 0)
 		call->last_event = event;
 }
@@ -169,6 +170,7 @@
 {
 	if (!call->server)
 		return;
+	call_work_done(call, now_ms);
 	cw_pool_succeeded(call->server, now_ms);
 	leave_server(call, now_ms, 1);
 }
@@ -258,7 +260,7 @@
 
 static void send_first(struct cw_call *call, int64_t now_ms, struct cw_step *step)
 {
-	int64_t limit_ms = now_ms + call->route->limit_ms;
+	int64_t limit_ms = call->opened_ms + call->route->limit_ms;
 
 	if (call->facts.allowed_ms < 0 || limit_ms < call->limit_ms)
 		call->limit_ms = limit_ms;
@@ -328,6 +330,7 @@
 		break;
 	case CW_ROLLOUT_NEW:
 		choice.only_software = target;
+		choice.spread = cw_rollouts_share(gate->rollouts, call->service_name, now_ms);
 		break;
 	case CW_ROLLOUT_ANY:
 		break;
--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -1,6 +1,7 @@
 #include "gate_internal.h"
 
 #include <math.h>
+#include <string.h>
 
 #define PACE_FIRST_MS	 0.02 /* a token until the first answer tells: a middle-sized model */
 #define PACE_TOKENS	 800  /* a shorter prompt's time says little of the pace */
@@ -10,9 +11,11 @@
 #define FIRST_TOKEN_MS	 25.0 /* besides reading the prompt: a step of the batch, the ways */
 #define PLAIN_FIRST_MS	 50.0
 #define PLAIN_GAIN	 0.05
-#define SLOW_MARGIN_MS	 60.0  /* of a prediction: the others' work that isn't known */
-#define SLOW_FACTOR	 4.0   /* times the prediction make an answer bad evidence, */
-#define SLOW_AT_LEAST_MS 250.0 /* if it is also this much later */
+#define SLOW_MARGIN_MS 40.0 /* of a prediction: the others' work that isn't known */
+#define SLOW_FACTOR 2.5 /* times the usual make an answer bad evidence of a version: */
+/* the other version's share of such answers is the measure, so the factor may be low */
+#define PACE_EVENTS 4 /* of a stream, before its pace says something */
+#define EVENT_GAIN 0.05
 #define STREAM_BYTES	 4500  /* of a usual stream back to its caller */
 #define PLAIN_BYTES	 800
 
@@ -21,6 +24,7 @@
 static double tokens_to_read(const struct cw_call *call, int is_home);
 static double shared_tokens(const struct cw_facts *facts);
 static void learn_pace(struct cw_call *call, double took_ms);
+static int is_target(const struct cw_call *call);
 static void tell_rollout(struct cw_call *call, int is_bad, int64_t now_ms);
 
 void call_work_fill(struct cw_call *call, struct cw_choice *choice)
@@ -56,6 +60,7 @@
 	struct cw_server *server = call->server;
 
 	call->is_head_seen = 0;
+	call->events = 0;
 	call->was_idle = server->own_work_ms + server->peers_work_ms <= PACE_IDLE_MS;
 	call->predicted_ms = call_work_predict(call, server, is_home, now_ms);
 	call->tokens = 0;
@@ -70,17 +75,38 @@
 {
 	double took_ms = (double)(now_ms - call->sent_ms);
 	double ratio = took_ms / (call->predicted_ms + SLOW_MARGIN_MS);
-	int is_slow = ratio > SLOW_FACTOR && took_ms > call->predicted_ms + SLOW_AT_LEAST_MS;
+	int is_slow = ratio > SLOW_FACTOR;
 
 	if (call->is_head_seen)
 		return;
 	call->is_head_seen = 1;
-	learn_pace(call, took_ms);
+	call->head_ms = now_ms;
+	if (!is_target(call))
+		learn_pace(call, took_ms);
 	call_work_end(call);
 	cw_pool_judged(call->server, 0, MAX(ratio, 1), now_ms);
 	tell_rollout(call, is_slow, now_ms);
 }
 
+/* Slow servers show in the pace of long streams long before they show in first events. */
+void call_work_done(struct cw_call *call, int64_t now_ms)
+{
+	struct gate_pace *pace = gate_pace(call->gate, pace_name(call));
+	double gap_ms;
+
+	if (call->events < PACE_EVENTS)
+		return;
+	gap_ms = (double)(now_ms - call->head_ms) / call->events;
+	if (pace->event_ms > 0 && gap_ms > SLOW_FACTOR * pace->event_ms)
+		cw_rollouts_spoiled(call->gate->rollouts, call->service_name,
+				    cw_hash_text(call->route->name, 0), call->server->software,
+				    now_ms);
+	if (pace->event_ms <= 0)
+		pace->event_ms = gap_ms;
+	else if (!is_target(call))
+		pace->event_ms += EVENT_GAIN * (gap_ms - pace->event_ms);
+}
+
 void call_work_failed(struct cw_call *call, int64_t now_ms)
 {
 	cw_pool_judged(call->server, 1, 0, now_ms);
@@ -149,6 +175,14 @@
 				      (sample - pace->ms_per_token);
 }
 
+/* Does its server run the version that is being rolled out? The usual paces are the other's. */
+static int is_target(const struct cw_call *call)
+{
+	const char *target = cw_rollouts_target(call->gate->rollouts, call->service_name);
+
+	return target && !strcmp(target, call->server->software);
+}
+
 static void tell_rollout(struct cw_call *call, int is_bad, int64_t now_ms)
 {
 	cw_rollouts_answered(call->gate->rollouts, call->service_name,
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -11,6 +11,7 @@
 struct gate_pace {
 	double ms_per_token; /* of a prompt; 0 for a plain service */
 	double usual_ms;     /* a plain service's answer */
+	double event_ms;     /* between two events of a stream, 0 not known */
 	unsigned int samples;
 };
 
@@ -51,6 +52,8 @@
 	double predicted_ms; /* from the attempt's send to its head */
 	int was_idle;	     /* nothing else waited at the server */
 	int is_head_seen;
+	int64_t head_ms;     /* when it was */
+	unsigned int events; /* of the attempt, that were shown */
 };
 
 uint64_t gate_random(struct cw_gate *gate);
@@ -63,6 +66,7 @@
 			 int64_t now_ms); /* ms to an answer's head */
 void call_work_begin(struct cw_call *call, int is_home, int64_t now_ms);
 void call_work_head(struct cw_call *call, int64_t now_ms); /* a good head came */
+void call_work_done(struct cw_call *call, int64_t now_ms); /* the answer was whole */
 void call_work_failed(struct cw_call *call, int64_t now_ms);
 void call_work_end(struct cw_call *call);
 
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -101,6 +101,7 @@
 	size_t tried_count;
 	int is_desperate;	   /* servers whose breaker is open are better than none */
 	const char *only_software; /* NULL: any version of what servers run */
+	double spread; /* of the candidates that may be used, 0 to 1; 0: all */
 	const char *not_software;  /* NULL: none is left out */
 	int64_t now_ms;
 	uint64_t random;
--- a/packages/pool/src/pool.c
+++ b/packages/pool/src/pool.c
@@ -23,6 +23,7 @@
 static void remember(struct cw_server *server, int64_t now_ms, int change);
 static gint by_track_score(gconstpointer a, gconstpointer b);
 static void free_array(gpointer array);
+static size_t narrow(struct cw_server **candidates, size_t count, const struct cw_choice *choice);
 static int is_tried(const struct cw_choice *choice, uint64_t id);
 
 struct cw_pool *cw_pool_create(const struct cw_choice_policy *policy)
@@ -211,9 +212,37 @@
 		if (count == MAX_CANDIDATES)
 			break;
 	}
+	if (choice->spread > 0 && choice->spread < 1)
+		count = narrow(candidates, count, choice);
 	return count ? pool->policy->choose(candidates, count, choice) : NULL;
 }
 
+/*
+ * A new version that gets a tenth of the requests on all of its servers is never tried under load.
+ * On a tenth of its servers, the same ones for every instance, it meets the load it will have.
+ */
+static size_t narrow(struct cw_server **candidates, size_t count, const struct cw_choice *choice)
+{
+	size_t keep = (size_t)((double)count * choice->spread);
+
+	if (keep < 1)
+		keep = 1;
+	for (size_t i = 0; i < keep && i < count; i++) {
+		size_t best = i;
+
+		for (size_t j = i + 1; j < count; j++)
+			if (candidates[j]->id > candidates[best]->id)
+				best = j;
+		if (best != i) {
+			struct cw_server *other = candidates[i];
+
+			candidates[i] = candidates[best];
+			candidates[best] = other;
+		}
+	}
+	return MIN(keep, count);
+}
+
 int cw_pool_serves(const struct cw_server *server, uint64_t version)
 {
 	if (!server->versions_known)
--- a/packages/rollout/include/cw_rollout.h
+++ b/packages/rollout/include/cw_rollout.h
@@ -88,6 +88,11 @@
 		      const char *software, int64_t now_ms); /* a request went to this version */
 void cw_rollouts_answered(struct cw_rollouts *rollouts, const char *service, uint64_t route,
 			  const char *software, int is_bad, int64_t now_ms);
+void cw_rollouts_spoiled(struct cw_rollouts *rollouts, const char *service, uint64_t route,
+			 const char *software,
+			 int64_t now_ms); /* an answer counted as good turned out bad */
+double cw_rollouts_share(const struct cw_rollouts *rollouts, const char *service,
+			 int64_t now_ms); /* of sessions that the target gets */
 size_t cw_rollouts_judge(struct cw_rollouts *rollouts, int64_t now_ms,
 			 struct cw_rollout_status *verdicts,
 			 size_t max); /* decided, and not known to be written */
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -207,6 +207,31 @@
 	}
 }
 
+void cw_rollouts_spoiled(struct cw_rollouts *rollouts, const char *service, uint64_t route,
+			 const char *software, int64_t now_ms)
+{
+	struct rollout *rollout = find(rollouts, service);
+	struct cw_rollout_evidence *evidence;
+
+	if (!rollout)
+		return;
+	fade(rollout, now_ms);
+	evidence = find_route(rollout->routes, &rollout->route_count, route);
+	if (!strcmp(rollout->target, software))
+		evidence->new_bad = MIN(evidence->new_bad + 1, evidence->new_answers);
+	else
+		evidence->old_bad = MIN(evidence->old_bad + 1, evidence->old_answers);
+}
+
+double cw_rollouts_share(const struct cw_rollouts *rollouts, const char *service, int64_t now_ms)
+{
+	const struct rollout *rollout = find(rollouts, service);
+
+	if (!rollout || rollout->state != CW_ROLLOUT_RUNNING)
+		return 1;
+	return share_at(rollout, now_ms - rollout->begun_ms);
+}
+
 size_t cw_rollouts_judge(struct cw_rollouts *rollouts, int64_t now_ms,
 			 struct cw_rollout_status *verdicts, size_t max)
 {
--- a/tests/unit/test_gate.c
+++ b/tests/unit/test_gate.c
@@ -110,7 +110,7 @@
 {
 	cw_call_close(bed->call, NOW);
 	bed->facts.path = path;
-	bed->call = cw_call_open(bed->gate, &bed->facts, NOW, &bed->step);
+	bed->call = cw_call_open(bed->gate, &bed->facts, NOW, NOW, &bed->step);
 }
 
 static void answer(struct bed *bed, unsigned int status, int is_sealed, int is_not_run)
