Whoever may be behind the same cut is probed before it is used

Symptom: at an entry instance in a domain that is cut off, a stream left one unreachable server for another, used up its three attempts and was aborted; reads failed with 502 after 0.27 s.

--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -8,6 +8,7 @@
 #define PROBES		 2 /* that fail one after another: one opening packet may be lost by chance */
 #define PROBE_MS	 100 /* for a connection: ways of 1 ms, and a busy server's accept */
 #define WAIT_TO_KNOW_MS	 700 /* for configuration and servers: reading them takes 10 to 300 ms */
+#define DOUBTED_MAX	 128 /* servers probed at once */
 #define ANSWER_BYTES_MAX (4 * 1024 * 1024) /* of an answer that is passed on whole */
 
 struct relay {
@@ -46,7 +47,7 @@
 static void on_closed(uv_handle_t *handle);
 static void probe(struct entry *entry, const struct cw_server *server, int number);
 static void on_probed(void *context, const char *address, int is_reachable);
-static void probe_domain(struct entry *entry, const char *failure_domain, int64_t now_ms);
+static void probe_doubted(struct entry *entry, const struct cw_server *unreachable, int64_t now_ms);
 static void leave_unreachable(struct entry *entry, const struct cw_server *server);
 static void open_call(struct relay *relay);
 static void take_step(struct relay *relay, const struct cw_step *step);
@@ -204,24 +205,20 @@
 			address, server->failure_domain, server->own_running,
 			(long)(now_ms - server->heard_ms));
 		cw_pool_unheard(server);
+		probe_doubted(entry, server, now_ms);
 		leave_unreachable(entry, server);
-		probe_domain(entry, server->failure_domain, now_ms);
 	}
 	g_free(watch);
 }
 
-/* One server that can't be reached is a reason to look at its neighbours before they are used. */
-static void probe_domain(struct entry *entry, const char *failure_domain, int64_t now_ms)
+static void probe_doubted(struct entry *entry, const struct cw_server *unreachable, int64_t now_ms)
 {
-	struct cw_server *server;
+	struct cw_server *doubted[DOUBTED_MAX];
+	size_t count = cw_pool_doubt(cw_gate_pool(entry->gate), unreachable,
+				     entry->settings.failure_domain, doubted, DOUBTED_MAX, now_ms);
 
-	TAILQ_FOREACH(server, cw_pool_servers(cw_gate_pool(entry->gate)), link) {
-		if (strcmp(server->failure_domain, failure_domain) != 0 || server->is_unreachable ||
-		    server->gone || now_ms - MAX(server->probed_ms, server->heard_ms) < PROBE_MS)
-			continue;
-		server->probed_ms = now_ms;
-		probe(entry, server, 1);
-	}
+	for (size_t i = 0; i < count; i++)
+		probe(entry, doubted[i], 1);
 }
 
 static void leave_unreachable(struct entry *entry, const struct cw_server *server)
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -161,6 +161,9 @@
 		return;
 	}
 	call->may_have_run = 1;
+	/* A server that was cut off doesn't count among those a request may be sent to. */
+	if (call->server->is_unreachable && ++call->unsent < UNSENT_MAX)
+		call->attempts--;
 	note_failure(call, now_ms);
 	leave_server(call, now_ms, 0);
 	again_or_fail(call, now_ms, step, "the backend server's answer was not whole");
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -80,6 +80,7 @@
 	int64_t probed_ms;    /* a connection was tried, only to see */
 	int64_t probe_gap_ms; /* to the next one; grows while the server stays silent */
 	int is_unreachable;   /* it was not opened in time */
+	int is_doubted;	      /* others behind the same way can't be reached; being probed */
 
 	unsigned int failures; /* in a row */
 	int64_t open_until_ms; /* breaker: no request before */
@@ -163,6 +164,9 @@
 void cw_pool_heard(struct cw_server *server, int64_t now_ms);
 void cw_pool_reached(struct cw_server *server); /* a connection opened, nothing was heard */
 void cw_pool_unheard(struct cw_server *server); /* no connection can be opened */
+size_t cw_pool_doubt(struct cw_pool *pool, const struct cw_server *unreachable,
+		     const char *own_domain, struct cw_server **doubted, size_t max,
+		     int64_t now_ms); /* who may be cut off with it: to be probed at once */
 int cw_pool_wants_probe(const struct cw_server *server, int64_t now_ms);
 void cw_pool_judged(struct cw_server *server, int is_failure, double slowness,
 		    int64_t now_ms); /* an answer's evidence; slowness 0: not known */
--- a/packages/pool/src/pool.c
+++ b/packages/pool/src/pool.c
@@ -359,7 +359,7 @@
 
 int cw_pool_is_usable(const struct cw_server *server, int64_t now_ms)
 {
-	if (server->leaving || server->is_unreachable)
+	if (server->leaving || server->is_unreachable || server->is_doubted)
 		return 0;
 	if (!server->open_until_ms)
 		return 1;
