--- a/packages/flow/include/cw_flow.h
+++ b/packages/flow/include/cw_flow.h
@@ -58,7 +58,8 @@
 
 /* How an exchange failed. */
 enum cw_flow_failure {
-	CW_FLOW_UNSENT,	 /* no byte of the request left this process */
+	CW_FLOW_UNSENT,	 /* no byte of the request left this process: nobody answered */
+	CW_FLOW_REFUSED, /* nor here: the host is there and takes no connection */
 	CW_FLOW_BROKEN,	 /* the connection ended before the answer's end */
 	CW_FLOW_GARBLED, /* bytes that are no answer */
 	CW_FLOW_SILENT,	 /* no byte came in the time given */
--- a/packages/flow/src/socket.c
+++ b/packages/flow/src/socket.c
@@ -8,6 +8,7 @@
 
 static const char *const failure_names[] = {
 	[CW_FLOW_UNSENT] = "unsent",
+	[CW_FLOW_REFUSED] = "refused",
 	[CW_FLOW_BROKEN] = "broken",
 	[CW_FLOW_GARBLED] = "garbled",
 	[CW_FLOW_SILENT] = "silent",
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -41,7 +41,8 @@
 
 /* How an attempt failed. */
 enum cw_break {
-	CW_BREAK_UNSENT,
+	CW_BREAK_UNSENT,  /* nobody answered */
+	CW_BREAK_REFUSED, /* unsent too: the host takes no connection */
 	CW_BREAK_BROKEN,
 	CW_BREAK_GARBLED,
 	CW_BREAK_SILENT,
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -146,9 +146,10 @@
 void cw_call_broken(struct cw_call *call, enum cw_break how, int64_t now_ms, struct cw_step *step)
 {
 	memset(step, 0, sizeof(*step));
-	if (how == CW_BREAK_UNSENT) {
-		cw_pool_unheard(call->server);
-		cw_pool_failed(call->server, now_ms, gate_random(call->gate));
+	if (how == CW_BREAK_UNSENT || how == CW_BREAK_REFUSED) {
+		if (how == CW_BREAK_UNSENT)
+			cw_pool_unheard(call->server);
+		cw_pool_refused(call->server, now_ms, gate_random(call->gate));
 		leave_server(call, now_ms, 0);
 		call->attempts--;
 		if (++call->unsent < UNSENT_MAX && now_ms + CONNECT_LEFT_MIN < call->limit_ms &&
@@ -161,9 +162,7 @@
 		return;
 	}
 	call->may_have_run = 1;
-	/* A server that was cut off doesn't count among those a request may be sent to. */
-	if (call->server->is_unreachable && ++call->unsent < UNSENT_MAX)
-		call->attempts--;
+	
 	note_failure(call, now_ms);
 	leave_server(call, now_ms, 0);
 	again_or_fail(call, now_ms, step, "the backend server's answer was not whole");
@@ -453,7 +452,8 @@
 	    call->model + 1 >= call->route->model_count ||
 	    strcmp(call->facts.model, CW_ANY_MODEL) != 0)
 		return 0;
-	if (answer->confidence >= escalate_below(call, now_ms) ||
+	if (!call_work_is_in_time(call, now_ms) ||
+	    answer->confidence >= escalate_below(call, now_ms) ||
 	    (int)call->attempts >= call->route->max_attempts)
 		return 0;
 	return cw_repeats_take(gate_repeats(call->gate, call->service_name), ESCALATION_SPARE,
--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -3,7 +3,9 @@
 #include <math.h>
 #include <string.h>
 
-#define PACE_FIRST_MS  0.02 /* a token until the first answer tells: a middle-sized model */
+#define PACE_SMALL_MS 0.005 /* a token, of the smallest model: measured 0.0045 to 0.006 */
+#define PACE_LARGE_MS 0.05 /* of the largest: measured 0.045 to 0.055 */
+#define WORK_GAIN 0.05
 #define PACE_TOKENS    800  /* a shorter prompt's time says little of the pace */
 #define PACE_DOWN      0.3  /* the pace is that of an idle server: it falls fast, */
 #define PACE_UP	       0.02 /* and rises slowly */
@@ -15,12 +17,13 @@
 #define SLOW_FACTOR    4.0  /* times the usual make an answer bad evidence of a version; */
 /* the other version's share of such answers is the measure, so the factor may be low */
 #define PACE_EVENTS  4 /* of a stream, before its pace says something */
+#define WHOLE_PART 0.6 /* of the time left: the caller's guess is right in the middle only */
 #define EVENT_GAIN   0.05
 #define STREAM_BYTES 4500 /* of a usual stream back to its caller */
 #define PLAIN_BYTES  800
 
 static const char *pace_name(const struct cw_call *call);
-static double pace_of(const struct gate_pace *pace);
+static double pace_of(const struct cw_call *call, const struct gate_pace *pace);
 static double tokens_to_read(const struct cw_call *call, int is_home);
 static double shared_tokens(const struct cw_facts *facts);
 static void learn_pace(struct cw_call *call, double took_ms);
@@ -39,7 +42,8 @@
 	choice->bytes += STREAM_BYTES;
 	choice->read_tokens = call->facts.read_tokens;
 	choice->shared_tokens = MIN(shared_tokens(&call->facts), call->facts.read_tokens);
-	choice->ms_per_token = pace_of(pace);
+	choice->ms_per_token = pace_of(call, pace);
+	choice->usual_work_ms = gate_pace(call->gate, call->service_name)->usual_ms;
 }
 
 double call_work_predict(const struct cw_call *call, const struct cw_server *server, int is_home,
@@ -50,14 +54,33 @@
 	if (call->facts.part_count == 0)
 		return (pace->samples ? pace->usual_ms : PLAIN_FIRST_MS) +
 		       cw_pool_wait_ms(server, now_ms);
-	return server->own_work_ms + server->peers_work_ms +
-	       tokens_to_read(call, is_home) * pace_of(pace) + FIRST_TOKEN_MS;
+	return cw_pool_backlog_ms(server, gate_pace(call->gate, call->service_name)->usual_ms,
+				  now_ms) +
+	       tokens_to_read(call, is_home) * pace_of(call, pace) + FIRST_TOKEN_MS;
+}
+
+/*
+ * Load pattern: long answers on engines so full that the large model's pace carries them past the
+ * caller's deadline: a stream runs for 17 s and is then worth nothing. The small model's would be
+ * whole in a tenth of the time.
+ */
+int call_work_is_in_time(const struct cw_call *call, int64_t now_ms)
+{
+	const char *largest = call->route->models[call->route->model_count - 1];
+	const struct gate_pace *pace = gate_pace(call->gate, largest);
+	double events;
+
+	if (!call->service || call->service->event_tokens <= 0 || pace->event_ms <= 0)
+		return 1;
+	events = call->facts.hint_tokens / call->service->event_tokens;
+	return events * pace->event_ms < WHOLE_PART * (double)(call->limit_ms - now_ms);
 }
 
 void call_work_begin(struct cw_call *call, int is_home, int64_t now_ms)
 {
 	const struct gate_pace *pace = gate_pace(call->gate, pace_name(call));
 	struct cw_server *server = call->server;
+	struct gate_pace *work;
 
 	call->is_head_seen = 0;
 	call->events = 0;
@@ -67,7 +90,9 @@
 	if (call->facts.part_count == 0)
 		return;
 	call->tokens = tokens_to_read(call, is_home);
-	call->work_ms = call->tokens * pace_of(pace);
+	call->work_ms = call->tokens * pace_of(call, pace);
+	work = gate_pace(call->gate, call->service_name);
+	work->usual_ms += WORK_GAIN * (call->work_ms - work->usual_ms);
 	server->own_work_ms += call->work_ms;
 }
 
@@ -126,9 +151,17 @@
 	return call->facts.part_count > 0 ? cw_call_model(call) : call->service_name;
 }
 
-static double pace_of(const struct gate_pace *pace)
+/* Until the first answers tell: between the smallest and the largest model's, by the model's place. */
+static double pace_of(const struct cw_call *call, const struct gate_pace *pace)
 {
-	return pace->samples ? pace->ms_per_token : PACE_FIRST_MS;
+	size_t models = call->route->model_count;
+
+	if (pace->samples)
+		return pace->ms_per_token;
+	if (models < 2)
+		return PACE_SMALL_MS;
+	return PACE_SMALL_MS * pow(PACE_LARGE_MS / PACE_SMALL_MS,
+				   (double)call->model / (double)(models - 1));
 }
 
 static double tokens_to_read(const struct cw_call *call, int is_home)
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -110,6 +110,7 @@
 	double read_tokens;   /* of the prompt; 0 for a plain service */
 	double shared_tokens; /* of them in parts that other requests begin with too */
 	double ms_per_token;  /* that a server takes to read */
+	double usual_work_ms; /* of a request that waits there, not known which */
 	size_t bytes;	      /* sent and expected back */
 	int *is_home; /* out, may be NULL: the prompt's shared parts were read there before */
 };
@@ -170,8 +171,12 @@
 int cw_pool_wants_probe(const struct cw_server *server, int64_t now_ms);
 void cw_pool_judged(struct cw_server *server, int is_failure, double slowness,
 		    int64_t now_ms); /* an answer's evidence; slowness 0: not known */
+double cw_pool_backlog_ms(const struct cw_server *server, double usual_work_ms,
+			  int64_t now_ms); /* prompts that wait to be read there */
 double cw_pool_failure_rate(const struct cw_server *server, int64_t now_ms);
 double cw_pool_slowness(const struct cw_server *server, int64_t now_ms);
+void cw_pool_refused(struct cw_server *server, int64_t now_ms,
+		     uint64_t random); /* took no connection: opens the breaker */
 void cw_pool_reported(struct cw_server *server, const struct cw_load *load, int64_t now_ms);
 double cw_pool_load(const struct cw_server *server,
 		    int64_t now_ms); /* requests there now, estimated */
--- a/packages/pool/src/placement.c
+++ b/packages/pool/src/placement.c
@@ -18,7 +18,8 @@
 #define CROSS_MS_A_BYTE	 0.0032 /* 20 kB to another domain cost as much as 64 ms */
 #define RUNNING_MS	 1.5	/* one more running request slows each token of the others */
 #define NOISE_MS	 4.0	/* instances with the same view don't all choose the same server */
-#define RECENT_MS	 3000	/* gossip older than that is no better than none */
+#define RECENT_MS 3000 /* gossip older than that is no better than none */
+#define TOLD_MS 700 /* a queue is read or grown in that time */
 
 static double cost_of(const struct cw_server *server, const struct cw_choice *choice, int is_home);
 static struct cw_server *choose_cost(struct cw_server **candidates, size_t count,
@@ -41,6 +42,23 @@
 	server->judged_ms = now_ms;
 }
 
+/*
+ * Load pattern: dozens of instances, each with a few requests, send to the same servers. What an
+ * instance knows of its peers is a second old in a large system; the number of requests that wait,
+ * which a server tells with each answer, is newer but doesn't say how long their prompts are.
+ */
+double cw_pool_backlog_ms(const struct cw_server *server, double usual_work_ms, int64_t now_ms)
+{
+	double known_ms = server->own_work_ms;
+	double told_ms = 0;
+
+	if (now_ms - server->peers_ms <= RECENT_MS)
+		known_ms += server->peers_work_ms;
+	if (server->sampled_ms >= 0 && now_ms - server->sampled_ms <= TOLD_MS)
+		told_ms = server->queued * usual_work_ms + server->own_work_ms;
+	return MAX(known_ms, told_ms);
+}
+
 double cw_pool_failure_rate(const struct cw_server *server, int64_t now_ms)
 {
 	return server->failure_rate * faded(server, now_ms);
@@ -102,11 +120,10 @@
 {
 	int64_t now_ms = choice->now_ms;
 	double tokens = choice->read_tokens - (is_home ? choice->shared_tokens : 0);
-	double work_ms = server->own_work_ms + tokens * choice->ms_per_token;
+	double work_ms = cw_pool_backlog_ms(server, choice->usual_work_ms, now_ms) +
+			 tokens * choice->ms_per_token;
 	double cost;
 
-	if (now_ms - server->peers_ms <= RECENT_MS)
-		work_ms += server->peers_work_ms;
 	cost = (cw_pool_wait_ms(server, now_ms) + work_ms) * cw_pool_slowness(server, now_ms);
 	cost += cw_pool_load(server, now_ms) * RUNNING_MS;
 	cost += cw_pool_failure_rate(server, now_ms) * FAILURE_COST_MS;
--- a/packages/pool/src/pool.c
+++ b/packages/pool/src/pool.c
@@ -304,6 +304,12 @@
 		now_ms + server->backoff_ms / 2 + (int64_t)(random % (uint64_t)server->backoff_ms);
 }
 
+void cw_pool_refused(struct cw_server *server, int64_t now_ms, uint64_t random)
+{
+	server->failures = MAX(server->failures, BREAKER_FAILURES - 1);
+	cw_pool_failed(server, now_ms, random);
+}
+
 void cw_pool_reported(struct cw_server *server, const struct cw_load *load, int64_t now_ms)
 {
 	int64_t sampled_ms = now_ms - load->age_ms;
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -20,7 +20,8 @@
 #define TRIP_LEVEL    5.0  /* log likelihood ratio: one false alarm in e^5 looks at one window */
 #define USUAL_BAD     0.03 /* failures that any version may have, beyond the other's */
 #define BAD_AT_LEAST  0.30 /* failures of a version worth taking back */
-#define RECENT	      512  /* sessions remembered, 5 s at 100 a second */
+#define FORWARD_MS 2000 /* what peers told is told on for so long: a dozen rounds */
+#define RECENT       512  /* sessions remembered, 5 s at 100 a second */
 
 struct recent {
 	uint64_t service;
@@ -68,6 +69,9 @@
 static double point_of(uint64_t session);
 static int was_on_old(const struct cw_rollouts *rollouts, const struct rollout *rollout,
 		      uint64_t session, int64_t now_ms);
+static void tell_sessions(const struct cw_rollouts *rollouts, const struct rollout *rollout,
+			  int64_t now_ms, struct cw_rollout_news *out);
+static void add_session(struct cw_rollout_news *out, uint64_t session, int64_t age_ms);
 static void fade(struct rollout *rollout, int64_t now_ms);
 static struct cw_rollout_evidence *find_route(struct cw_rollout_evidence *routes, size_t *count,
 					      uint64_t route);
@@ -293,21 +297,46 @@
 		fade(rollout, now_ms);
 		out->route_count = rollout->route_count;
 		memcpy(out->routes, rollout->routes, sizeof(out->routes));
-		for (size_t i = 0; i < RECENT && out->session_count < CW_ROLLOUT_SESSIONS; i++) {
-			const struct recent *recent = &rollouts->recent[i];
-
-			if (recent->service != rollout->service_hash ||
-			    now_ms - recent->at_ms > rollouts->session_ms + SESSION_SLACK ||
-			    point_of(recent->session) >= FIRST_SHARE)
-				continue;
-			out->sessions[out->session_count].session = recent->session;
-			out->sessions[out->session_count++].age_ms =
-				(uint32_t)(now_ms - recent->at_ms);
-		}
+		tell_sessions(rollouts, rollout, now_ms, out);
 	}
 	return count;
 }
 
+/*
+ * The own ones, and for a while those that peers told: in a large system a message reaches few, so a
+ * session that stays on the old version would else be unknown where it comes back.
+ */
+static void tell_sessions(const struct cw_rollouts *rollouts, const struct rollout *rollout,
+			  int64_t now_ms, struct cw_rollout_news *out)
+{
+	GHashTableIter iter;
+	gpointer session;
+	gpointer at_ms;
+
+	for (size_t i = 0; i < RECENT; i++) {
+		const struct recent *recent = &rollouts->recent[i];
+
+		if (recent->service == rollout->service_hash &&
+		    now_ms - recent->at_ms <= rollouts->session_ms + SESSION_SLACK)
+			add_session(out, recent->session, now_ms - recent->at_ms);
+	}
+	g_hash_table_iter_init(&iter, rollout->old);
+	while (g_hash_table_iter_next(&iter, &session, &at_ms))
+		if (now_ms - *(int64_t *)at_ms <= FORWARD_MS)
+			add_session(out, *(uint64_t *)session, now_ms - *(int64_t *)at_ms);
+}
+
+static void add_session(struct cw_rollout_news *out, uint64_t session, int64_t age_ms)
+{
+	struct cw_rollout_session *slot = &out->sessions[out->session_count];
+
+	if (out->session_count == CW_ROLLOUT_SESSIONS || point_of(session) >= FIRST_SHARE)
+		return;
+	slot->session = session;
+	slot->age_ms = (uint32_t)age_ms;
+	out->session_count++;
+}
+
 int cw_rollouts_hear(struct cw_rollouts *rollouts, uint64_t instance,
 		     const struct cw_rollout_news *news, int64_t now_ms)
 {
--- a/packages/route/include/cw_route.h
+++ b/packages/route/include/cw_route.h
@@ -57,6 +57,7 @@
 	int is_engine;
 	unsigned int slots; /* requests an engine runs at once */
 	double kv_tokens;   /* an engine's memory */
+	double event_tokens; /* made tokens in one event of a stream */
 	size_t model_count;
 	struct cw_model_price models[CW_ROUTE_MODELS];
 };
--- a/tests/unit/test_rollout.c
+++ b/tests/unit/test_rollout.c
@@ -86,6 +86,10 @@
 	assert_int_equal(news.session_count, 1);
 	cw_rollouts_hear(second, 1, &news, 1100);
 	assert_int_equal(cw_rollouts_side(second, "llm", chosen, 2500), CW_ROLLOUT_OLD);
+	/* A third instance that only ever hears the second knows it as well. */
+	cw_rollouts_tell(second, 1200, &news, 1);
+	assert_int_equal(news.session_count, 1);
+	assert_int_equal(news.sessions[0].age_ms, 300);
 	/* Idle for longer than a session lasts: it is a new one, and may see the new version. */
 	assert_int_equal(cw_rollouts_side(second, "llm", chosen, 7000), CW_ROLLOUT_NEW);
 	cw_rollouts_destroy(first);
