--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -11,7 +11,8 @@
 #define NO_CONFIG_WAIT_MS 500
 #define DEADLINE_LESS_MS  15   /* the way back to the caller */
 #define STREAM_SILENCE_MS 4000 /* between events: four times the usual objective of 1 s */
-#define LATE_PART	  0.8  /* of the objective: predictions miss the others' newest work */
+#define EARLY_PART 0.3 /* of the objective that the large model's first event would take: */
+#define LATE_PART 0.9 /* from here on the trust asked for falls, and here it is lowest */
 #define SILENCE_FACTOR	  4.0  /* of the predicted wait: a full queue is not a server that hangs */
 #define ESCALATION_SPARE  0.12 /* of the repeat budget is left for failures */
 #define URGENCY_STEP	  3    /* an organisation's priority goes before the route's */
@@ -468,16 +469,19 @@
  */
 static int escalate_below(struct cw_call *call, int64_t now_ms)
 {
+	const struct cw_gate_options *options = &call->gate->options;
 	size_t small = call->model;
 	double predicted_ms;
+	double part;
 
 	call->model = call->route->model_count - 1;
 	predicted_ms = predict(call, now_ms);
 	call->model = small;
-	if (predicted_ms + (double)(now_ms - call->opened_ms) <
-	    LATE_PART * (double)call->route->objective_ms)
-		return call->gate->options.escalate_below;
-	return call->gate->options.escalate_below_late;
+	part = (predicted_ms + (double)(now_ms - call->opened_ms)) /
+	       (double)MAX(call->route->objective_ms, 1);
+	part = CLAMP((part - EARLY_PART) / (LATE_PART - EARLY_PART), 0, 1);
+	return (int)(options->escalate_below +
+		     part * (options->escalate_below_late - options->escalate_below));
 }
 
 /* The time to the first event, were the request sent now. */
