Who renews the list of servers reads the configuration as well

Sequence: the store turns both readers away; the others' list grows old; whoever notices first reads the list, tells it, and so all see a new list again; nobody reads the configuration. Cause: the list's age stood for both topics, but was renewed by one.

--- a/apps/corianderwalk/entry_feed.c
+++ b/apps/corianderwalk/entry_feed.c
@@ -262,13 +262,23 @@
 static void on_timer(uv_timer_t *timer)
 {
 	struct topic *topic = timer->data;
-	const struct feed *feed = topic->feed;
+	struct feed *feed = topic->feed;
 
-	if (topic->phase == PHASE_FOLLOW && !topic->is_down && !topic->is_doubted &&
-	    !is_reader(topic) && !cw_follow_is_stale(&feed->list, entry_now_ms(feed->entry)))
-		ask_in(topic, STALE_CHECK_MS);
-	else
+	if (topic->phase != PHASE_FOLLOW || topic->is_down || is_reader(topic)) {
 		ask(topic);
+		return;
+	}
+	if (topic->topic == CW_UP_OPERATOR ||
+	    !cw_follow_is_stale(&feed->list, entry_now_ms(feed->entry))) {
+		ask_in(topic, STALE_CHECK_MS);
+		return;
+	}
+	/*
+	 * Nobody reads for all any more. Who makes the list new again must read the configuration
+	 * as well: a list that is new is the others' sign that somebody does.
+	 */
+	ask(topic);
+	doubt(&feed->operator);
 }
 
 static void on_head(void *context, const struct cw_message *answer)
