--- a/apps/corianderwalk/entry.c
+++ b/apps/corianderwalk/entry.c
@@ -16,7 +16,6 @@
 			    */
 #define STOP_IDLE_MS   300 /* without a request before the process ends */
 #define STOP_MARGIN_MS 600 /* before the platform kills it */
-#define METRICS_LISTEN "9464"
 
 static void on_request(void *context, struct cw_caller *caller, struct cw_message *request);
 static void on_ready_request(void *context, struct cw_caller *caller, struct cw_message *request);
@@ -36,9 +35,9 @@
 static const struct cw_listener_ops metrics_ops = {on_metrics_request, on_nothing, on_nothing,
 						   on_refused};
 
-int entry_run(const char *settings_file)
+int entry_run(const char *settings_file, int metrics_port)
 {
-	struct entry entry = {0};
+	struct entry entry = {.metrics_port = metrics_port};
 	struct cw_error error = {0};
 	int code = 0;
 
@@ -129,7 +128,7 @@
 	uv_signal_start(&entry->on_int, on_stop, SIGINT);
 	uv_signal_start(&entry->on_hup, on_reload, SIGHUP);
 	uv_timer_start(&entry->tick, on_tick, TICK_MS, TICK_MS);
-	g_snprintf(metrics, sizeof(metrics), "%s:" METRICS_LISTEN, entry->settings.host);
+	g_snprintf(metrics, sizeof(metrics), "%s:%d", entry->settings.host, entry->metrics_port);
 	entry->callers = cw_listener_create(&entry->loop, entry->settings.callers_listen,
 					    &caller_ops, entry, &error);
 	if (entry->callers)
@@ -256,6 +255,8 @@
 	uv_close((uv_handle_t *)&entry->on_int, NULL);
 	uv_close((uv_handle_t *)&entry->on_hup, NULL);
 	uv_close((uv_handle_t *)&entry->tick, NULL);
-	uv_run(&entry->loop, UV_RUN_NOWAIT);
+	/* Every handle is closing: the loop ends when the last one has. */
+	uv_run(&entry->loop, UV_RUN_DEFAULT);
+	uv_loop_close(&entry->loop);
 	cw_gate_destroy(entry->gate);
 }
--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -36,9 +36,10 @@
 	int64_t last_request_ms;
 	int was_ready;
 	unsigned int ticks;
+	int metrics_port;
 };
 
-int entry_run(const char *settings_file); /* an exit code */
+int entry_run(const char *settings_file, int metrics_port); /* an exit code */
 int64_t entry_now_ms(const struct entry *entry);
 void entry_apply_limits(struct entry *entry);	   /* of the newest configuration, to callers */
 int entry_knows_enough(const struct entry *entry); /* configuration and servers */
--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -491,6 +491,12 @@
 	drop_exchange(relay);
 	g_snprintf(label, sizeof(label), "outcome=\"%s\"", outcome);
 	cw_count("ended", label, 1);
+	if (route) {
+		g_snprintf(label, sizeof(label), "route=\"%.48s\"", route->name);
+		cw_observe_ms("answer_ms", label, now_ms - relay->opened_ms);
+		if (relay->first_ms >= 0)
+			cw_observe_ms("first_byte_ms", label, relay->first_ms - relay->opened_ms);
+	}
 	cw_event("gate", "ended",
 		 "request=%s outcome=%s status=%u route=%s organisation=%s model=%s attempts=%u "
 		 "first_ms=%ld took_ms=%ld",
--- a/apps/corianderwalk/main.c
+++ b/apps/corianderwalk/main.c
@@ -10,6 +10,7 @@
 #include <string.h>
 #include <unistd.h>
 
+#define METRICS_PORT  9464
 #define EXIT_USAGE    2
 #define EXIT_LISTEN   3
 #define OPERATOR_BODY 4096
@@ -21,7 +22,7 @@
 static int stop_asked;
 
 static void on_signal(int number);
-static int run_on_platform(void);
+static int run_on_platform(int metrics_port);
 static int check_settings(const char *file, int only_check, struct cw_settings **settings);
 static void fill_config(const struct cw_settings *settings, struct cw_node_config *config,
 			struct cw_node_peer *peers, struct cw_node_server *servers);
@@ -37,11 +38,13 @@
 		arg_file0(NULL, "settings", "FILE", "the settings of this instance");
 	struct arg_lit *platform = arg_lit0(
 		NULL, "platform", "run on the users' platform, with the settings it names");
+	struct arg_int *metrics = arg_int0(NULL, "metrics-port", "PORT",
+					   "with --platform: counters are served there (9464)");
 	struct arg_lit *check = arg_lit0(NULL, "check", "check the settings and exit");
 	struct arg_lit *version = arg_lit0(NULL, "version", "print the version and exit");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help and exit");
 	struct arg_end *end = arg_end(20);
-	void *table[] = {file, platform, check, version, help, end};
+	void *table[] = {file, platform, metrics, check, version, help, end};
 	struct cw_settings *settings = NULL;
 	int errors = arg_parse(argc, argv, table);
 	int code = 0;
@@ -54,7 +57,7 @@
 	} else if (version->count) {
 		printf("corianderwalk %s\n", CW_VERSION);
 	} else if (!errors && platform->count) {
-		code = run_on_platform();
+		code = run_on_platform(metrics->count ? metrics->ival[0] : METRICS_PORT);
 	} else if (errors || !file->count) {
 		arg_print_errors(stderr, end, "corianderwalk");
 		fprintf(stderr, "corianderwalk: --settings FILE is needed; --help tells more\n");
@@ -69,12 +72,12 @@
 	return code;
 }
 
-static int run_on_platform(void)
+static int run_on_platform(int metrics_port)
 {
 	const char *file = cw_up_settings_file();
 
 	if (file)
-		return entry_run(file);
+		return entry_run(file, metrics_port);
 	fprintf(stderr, "corianderwalk: the environment names no settings file\n");
 	return EXIT_USAGE;
 }
--- a/packages/base/src/counters.c
+++ b/packages/base/src/counters.c
@@ -6,12 +6,27 @@
 
 #define COUNTER_PREFIX "corianderwalk_"
 
+/* Upper bounds of a histogram's buckets, ms: the objectives of callers lie among them. */
+static const int64_t bounds_ms[] = {1,	 5,    20,   50,   100,	  150,	300,
+				    500, 1000, 1500, 3000, 10000, 25000};
+
+struct histogram {
+	char *name;
+	char *label;
+	uint64_t buckets[G_N_ELEMENTS(bounds_ms) + 1];
+	uint64_t count;
+	uint64_t sum_ms;
+};
+
+static GTree *histograms; /* "name{label}" -> histogram */
 static pthread_mutex_t counters_mutex = PTHREAD_MUTEX_INITIALIZER;
 static GTree *counters; /* "name{label}" -> value; ordered, so that the text is stable */
 
 static uint64_t *counter_slot(const char *name, const char *label);
 static int compare_names(gconstpointer a, gconstpointer b, gpointer unused);
 static gboolean append_counter(gpointer key, gpointer value, gpointer text);
+static gboolean append_histogram(gpointer key, gpointer value, gpointer text);
+static void free_histogram(gpointer data);
 
 void cw_count(const char *name, const char *label, uint64_t add)
 {
@@ -27,6 +42,31 @@
 	pthread_mutex_unlock(&counters_mutex);
 }
 
+void cw_observe_ms(const char *name, const char *label, int64_t ms)
+{
+	struct histogram *histogram;
+	char key[256];
+	size_t bucket = 0;
+
+	snprintf(key, sizeof(key), "%s{%s}", name, label);
+	while (bucket < G_N_ELEMENTS(bounds_ms) && ms > bounds_ms[bucket])
+		bucket++;
+	pthread_mutex_lock(&counters_mutex);
+	if (!histograms)
+		histograms = g_tree_new_full(compare_names, NULL, g_free, free_histogram);
+	histogram = g_tree_lookup(histograms, key);
+	if (!histogram) {
+		histogram = g_new0(struct histogram, 1);
+		histogram->name = g_strdup(name);
+		histogram->label = g_strdup(label);
+		g_tree_insert(histograms, g_strdup(key), histogram);
+	}
+	histogram->buckets[bucket]++;
+	histogram->count++;
+	histogram->sum_ms += (uint64_t)MAX(ms, 0);
+	pthread_mutex_unlock(&counters_mutex);
+}
+
 char *cw_counters_text(void)
 {
 	GString *text = g_string_new(NULL);
@@ -34,6 +74,8 @@
 	pthread_mutex_lock(&counters_mutex);
 	if (counters)
 		g_tree_foreach(counters, append_counter, text);
+	if (histograms)
+		g_tree_foreach(histograms, append_histogram, text);
 	pthread_mutex_unlock(&counters_mutex);
 	return g_string_free(text, FALSE);
 }
@@ -62,6 +104,40 @@
 	return g_strcmp0(a, b);
 }
 
+static gboolean append_histogram(gpointer key, gpointer value, gpointer text)
+{
+	const struct histogram *histogram = value;
+	const char *comma = *histogram->label ? "," : "";
+	uint64_t below = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(bounds_ms); i++) {
+		below += histogram->buckets[i];
+		g_string_append_printf(text,
+				       COUNTER_PREFIX "%s_bucket{%s%sle=\"%" G_GINT64_FORMAT
+						      "\"} %" G_GUINT64_FORMAT "\n",
+				       histogram->name, histogram->label, comma, bounds_ms[i],
+				       below);
+	}
+	g_string_append_printf(text,
+			       COUNTER_PREFIX "%s_bucket{%s%sle=\"+Inf\"} %" G_GUINT64_FORMAT
+					      "\n" COUNTER_PREFIX "%s_sum{%s} %" G_GUINT64_FORMAT
+					      "\n" COUNTER_PREFIX "%s_count{%s} %" G_GUINT64_FORMAT
+					      "\n",
+			       histogram->name, histogram->label, comma, histogram->count,
+			       histogram->name, histogram->label, histogram->sum_ms,
+			       histogram->name, histogram->label, histogram->count);
+	return FALSE;
+}
+
+static void free_histogram(gpointer data)
+{
+	struct histogram *histogram = data;
+
+	g_free(histogram->name);
+	g_free(histogram->label);
+	g_free(histogram);
+}
+
 static gboolean append_counter(gpointer key, gpointer value, gpointer text)
 {
 	g_string_append_printf(text, "%s %" G_GUINT64_FORMAT "\n", (char *)key, *(uint64_t *)value);
--- /dev/null
+++ b/tests/lib_users.sh
@@ -0,0 +1,88 @@
+# What the scripted runs on the users' platform share: a store, backend servers, entry instances, each
+# instance at a loopback address of its own, as on machines of their own. Source it after tests/lib.sh.
+PORTS=$("$BUILD/tests/free-ports" 8)
+set -- $PORTS
+P_STORE=$1; P_FRONT=$2; P_READY=$3; P_CONTROL=$4; P_PEER=$5; P_METRICS=$6; P_R1=$7; P_R2=$8
+STORE=127.0.0.1:$P_STORE
+NET=127.77.$((RANDOM % 200 + 1))
+NEXT_HOST=1
+
+store_start() {
+	start store "$BUILD/tests/standin-users-store" --listen "$STORE"
+	wait_for "store listens" grep -q '^listening' "$DIR/store.log"
+}
+store() { curl -s -o /dev/null -X POST --data-binary "${2:-}" "http://$STORE/admin/$1"; }
+store_mode() { store "mode?m=$1"; }
+store_calls() { curl -s "http://$STORE/admin/calls"; }
+put() { store "put?topic=$1&key=$2" "$3"; }
+
+# runner NAME SERVICE VERSION ARGS...: starts a backend server and lists it.
+runner() {
+	local name=$1 service=$2 version=$3
+	shift 3
+	local host=$NET.$((100 + NEXT_HOST))
+	NEXT_HOST=$((NEXT_HOST + 1))
+	start "$name" "$BUILD/tests/standin-users-runner" --listen "$host:$P_R1" --name "$name" "$@"
+	wait_for "$name listens" grep -q '^listening' "$DIR/$name.log"
+	eval "ADDR_$name=$host:$P_R1"
+	list "$name" "$service" "$version" ready
+}
+list() { # NAME SERVICE VERSION STATE
+	eval "local address=\$ADDR_$1"
+	put keyed.servers "$1" "{\"service\":\"$2\",\"address\":\"$address\",\"zone\":\"z1\",\"version\":\"$3\",\"slots\":64,\"state\":\"$4\",\"cold_left_ms\":0,\"seq\":1}"
+}
+runner_mode() { eval "local address=\$ADDR_$1"; curl -s -o /dev/null -X POST "http://$address/admin/mode?m=$2"; }
+runs() { eval "local address=\$ADDR_$1"; curl -s "http://$address/admin/runs"; }
+
+# config VERSION KEY [EXTRA_ROUTE]: publishes routes /chat/ (streams), /order/ (once), /read/ (repeatable).
+config() {
+	put keyed.op config "{\"version\":$1,\"routes\":[
+		{\"name\":\"chat\",\"host\":\"h\",\"path_prefix\":\"/chat/\",\"route_kind\":\"streaming\",\"timeout_ms\":20000,\"target_latency_ms\":1500,\"priority\":0,\"sizes\":[\"small\",\"large\"],\"service\":\"llm\",\"max_attempts\":3,\"public\":false,\"sticky\":true,\"resumable\":true,\"target_gap_ms\":1000},
+		{\"name\":\"order\",\"host\":\"h\",\"path_prefix\":\"/order/\",\"route_kind\":\"non_idempotent\",\"timeout_ms\":2000,\"target_latency_ms\":300,\"priority\":2,\"service\":\"app\",\"max_attempts\":1,\"public\":false},
+		{\"name\":\"read\",\"host\":\"h\",\"path_prefix\":\"/read/\",\"route_kind\":\"idempotent\",\"timeout_ms\":2000,\"target_latency_ms\":300,\"priority\":2,\"service\":\"app\",\"max_attempts\":2,\"public\":false}${3:-}],
+		\"services\":[{\"name\":\"llm\",\"health_path\":\"/healthz\",\"max_conns\":100,\"engine\":{\"slots\":64,\"kv_capacity\":600000,\"stride\":5,\"models\":[{\"name\":\"small\",\"cost\":0.02},{\"name\":\"large\",\"cost\":0.3}]}},{\"name\":\"app\",\"health_path\":\"/healthz\",\"max_conns\":100}],
+		\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":65536,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},
+		\"tenants\":[{\"name\":\"museo\",\"api_keys\":[\"$2\"],\"priority\":1}]}"
+}
+
+# entry NAME: an entry instance at an address of its own.
+entry() {
+	local host=$NET.$NEXT_HOST
+	NEXT_HOST=$((NEXT_HOST + 1))
+	eval "HOST_$1=$host"
+	SEED=${SEED:-$host}
+	entry_again "$1"
+}
+entry_again() {
+	eval "local host=\$HOST_$1"
+	cat >"$DIR/$1.json" <<-SETTINGS
+		{"node_name":"$1","zone":"z1","ip":"$host","zones":{"z1":"r"},
+		"listen":{"frontend":"$host:$P_FRONT","ready":"$host:$P_READY","control_plane":"$host:$P_CONTROL"},
+		"port_range":[$P_PEER,$P_PEER],"seed_nodes":["$SEED:$P_CONTROL"],"is_bootstrap":true,
+		"heartbeat_ms":1000,"limits":{"memory_mb":200},
+		"bounds":{"drain_ms":2000,"config_apply_ms":2000,"grace_s":8,"session_s":5,"retry_budget_ratio":0.9,"budget_window_s":10,"retry_budget_slack":50},
+		"platform":{"address":"$STORE"}}
+	SETTINGS
+	CORIANDERWALK_CONFIG="$DIR/$1.json" start "$1" "$BUILD/corianderwalk" --platform --metrics-port "$P_METRICS"
+}
+ready() { eval "local host=\$HOST_$1"; [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$host:$P_READY/v1/readyz")" = 200 ]; }
+metric() { eval "local host=\$HOST_$1"; curl -s "http://$host:$P_METRICS/metrics" | sed -n "s/^corianderwalk_$2 //p"; }
+knows() { grep -q "event=configured version=$2 " "$DIR/$1.log"; }
+
+# ask ENTRY METHOD PATH ID [CURL ARGS...]: prints the status, then the body.
+ask() {
+	local entry=$1 method=$2 path=$3 id=$4
+	shift 4
+	eval "local host=\$HOST_$entry"
+	curl -s -m 15 -X "$method" -w '\n%{http_code}\n' -H 'Host: h' -H "Attempt-Id: $id" -H 'Deadline-Ms: 10000' \
+		-H "Authorization: Token ${KEY:-k1}" "$@" "http://$host:$P_FRONT$path" >"$DIR/answer"
+	tail -n 1 "$DIR/answer"
+	sed '$d' "$DIR/answer"
+}
+stream() { # ENTRY EVENTS ID: prints the status and the events' ids
+	local entry=$1 events=$2 id=$3
+	shift 3
+	ask "$entry" POST "/chat/$events" "$id" -H 'Accept: text/event-stream' -H 'Model: *' -H 'Token-Count: 100,50' \
+		-H 'Prefix-Hash: aa:40,bb:60' "$@" | grep -E '^[0-9]+$|^id:' | tr '\n' ' '
+	echo
+}
--- /dev/null
+++ b/tests/standins/users_runner.c
@@ -0,0 +1,220 @@
+/*
+ * Stand-in for a backend server of the users' platform: an engine that streams events, or a plain
+ * service. The last segment of the path is the number of events; an engine makes one every --gap
+ * ms. POST /admin/mode?m=NAME  how requests are met: ok, notrun, error, hang, garble, unframed (no
+ * length), short (reset midway), cut (a stream breaks after two events), extra GET /admin/runs a
+ * line for each run: request, model, organisation, first event
+ */
+#include "cw_flow.h"
+
+#include <argtable2.h>
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+#define CUT_AFTER 2
+
+struct run {
+	TAILQ_ENTRY(run) link;
+	struct cw_caller *caller;
+	uv_timer_t timer;
+	long next;
+	long last;
+	long made;
+};
+
+static uv_loop_t loop;
+static TAILQ_HEAD(, run) runs = TAILQ_HEAD_INITIALIZER(runs);
+static char mode[16] = "ok";
+static GString *journal;
+static const char *name;
+static const char *confidence;
+static long gap_ms;
+static unsigned int running;
+
+static void on_timer_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
+
+static void end_run(struct run *run)
+{
+	TAILQ_REMOVE(&runs, run, link);
+	running--;
+	uv_close((uv_handle_t *)&run->timer, on_timer_closed);
+}
+
+static void on_gone(void *context)
+{
+	end_run(context);
+}
+
+static void on_room(void *context)
+{
+}
+
+static void on_event(uv_timer_t *timer)
+{
+	struct run *run = timer->data;
+	char event[64];
+
+	if (!strcmp(mode, "hang"))
+		return;
+	if (!strcmp(mode, "cut") && run->made == CUT_AFTER) {
+		struct cw_caller *caller = run->caller;
+
+		/* In the middle of an event. */
+		cw_caller_data(caller, "id: 9", 5);
+		cw_caller_attach(caller, NULL);
+		end_run(run);
+		cw_caller_abort(caller);
+		return;
+	}
+	if (run->next <= run->last) {
+		snprintf(event, sizeof(event), "id: %ld\ndata: part %ld\n\n", run->next, run->next);
+		cw_caller_data(run->caller, event, strlen(event));
+		run->next++;
+		run->made++;
+	}
+	if (run->next > run->last) {
+		struct cw_caller *caller = run->caller;
+
+		end_run(run);
+		cw_caller_end(caller);
+	}
+}
+
+static void head(struct cw_caller *caller, const struct cw_message *request, unsigned int status,
+		 const char *more, int64_t length)
+{
+	GString *fields = g_string_new(NULL);
+	const char *id = cw_message_find(request, "Attempt-Id");
+
+	g_string_append_printf(fields,
+			       "Server-Seal: %s.%s\r\nAttempt-Id: %s\r\nServer-Load: %u,0,64\r\n%s",
+			       name, id, id, running, more);
+	if (confidence)
+		g_string_append_printf(fields, "Confidence: %s\r\n", confidence);
+	cw_caller_head(caller, status, fields->str, length);
+	g_string_free(fields, TRUE);
+}
+
+static void stream(struct cw_caller *caller, const struct cw_message *request, long events)
+{
+	struct run *run = g_new0(struct run, 1);
+	const char *last = cw_message_find(request, "Last-Event-Id");
+
+	run->caller = caller;
+	run->next = last ? strtol(last, NULL, 10) + 1 : 1;
+	run->last = events;
+	uv_timer_init(&loop, &run->timer);
+	run->timer.data = run;
+	TAILQ_INSERT_TAIL(&runs, run, link);
+	running++;
+	cw_caller_attach(caller, run);
+	head(caller, request, 200, "Content-Type: text/event-stream\r\n", CW_FLOW_CHUNKED);
+	uv_timer_start(&run->timer, on_event, 5, (uint64_t)gap_ms);
+}
+
+static void note_run(const struct cw_message *request)
+{
+	const char *model = cw_message_find(request, "Model");
+	const char *organisation = cw_message_find(request, "Tenant");
+	const char *last = cw_message_find(request, "Last-Event-Id");
+	const char *secret = cw_message_find(request, "Authorization");
+
+	g_string_append_printf(journal, "%s model=%s organisation=%s after=%s%s\n",
+			       cw_message_find(request, "Attempt-Id"), model ? model : "-",
+			       organisation ? organisation : "-", last ? last : "-",
+			       secret ? " SECRET" : "");
+}
+
+static void on_admin(struct cw_caller *caller, const struct cw_message *request)
+{
+	const char *m = strstr(request->target->str, "?m=");
+
+	if (m)
+		g_strlcpy(mode, m + 3, sizeof(mode));
+	cw_caller_head(caller, 200, "", (int64_t)journal->len);
+	cw_caller_data(caller, journal->str, journal->len);
+	cw_caller_end(caller);
+}
+
+static void on_request(void *context, struct cw_caller *caller, struct cw_message *request)
+{
+	const char *expected = cw_message_find(request, "Expect-Instance");
+	const char *accept = cw_message_find(request, "Accept");
+	const char *events = strrchr(request->target->str, '/');
+
+	if (g_str_has_prefix(request->target->str, "/admin/")) {
+		on_admin(caller, request);
+	} else if (expected && strcmp(expected, name) != 0) {
+		head(caller, request, 421, "Instance-Id: other\r\n", 0);
+		cw_caller_end(caller);
+	} else if (!strcmp(mode, "notrun")) {
+		head(caller, request, 503, "Not-Executed: 1\r\n", 0);
+		cw_caller_end(caller);
+	} else if (!strcmp(mode, "garble")) {
+		note_run(request);
+		cw_caller_head(caller, 200, "\x01\x02 no field at all\r\n", 0);
+		cw_caller_end(caller);
+	} else if (accept && !strcmp(accept, "text/event-stream")) {
+		note_run(request);
+		stream(caller, request, events ? strtol(events + 1, NULL, 10) : 1);
+	} else if (!strcmp(mode, "hang")) {
+		note_run(request);
+	} else if (!strcmp(mode, "short")) {
+		note_run(request);
+		head(caller, request, 200, "", 100);
+		cw_caller_data(caller, "half", 4);
+		cw_caller_abort(caller);
+	} else {
+		note_run(request);
+		head(caller, request, strcmp(mode, "error") ? 200 : 500, "", 5);
+		cw_caller_data(caller, "whole", 5);
+		cw_caller_end(caller);
+	}
+}
+
+static const struct cw_listener_ops ops = {on_request, on_gone, on_room, NULL};
+
+static void on_signal(uv_signal_t *signal, int number)
+{
+	exit(0);
+}
+
+int main(int argc, char **argv)
+{
+	struct arg_str *listen = arg_str1(NULL, "listen", "IP:PORT", "where it listens");
+	struct arg_str *id = arg_str1(NULL, "name", "NAME", "of this incarnation");
+	struct arg_str *trust = arg_str0(NULL, "confidence", "N", "an engine's, 0 to 100");
+	struct arg_int *gap = arg_int0(NULL, "gap", "MS", "between two events, 20");
+	struct arg_lit *help = arg_lit0(NULL, "help", "print this help and exit");
+	struct arg_end *end = arg_end(4);
+	void *table[] = {listen, id, trust, gap, help, end};
+	struct cw_error error = {0};
+	uv_signal_t term;
+
+	if (arg_parse(argc, argv, table) || help->count) {
+		printf("usage: standin-users-runner");
+		arg_print_syntax(stdout, table, "\n");
+		return help->count ? 0 : 2;
+	}
+	name = id->sval[0];
+	confidence = trust->count ? trust->sval[0] : NULL;
+	gap_ms = gap->count ? gap->ival[0] : 20;
+	journal = g_string_new(NULL);
+	uv_loop_init(&loop);
+	if (!cw_listener_create(&loop, listen->sval[0], &ops, NULL, &error)) {
+		fprintf(stderr, "%s: %s\n", error.peer, error.message);
+		return 3;
+	}
+	uv_signal_init(&loop, &term);
+	uv_signal_start(&term, on_signal, SIGTERM);
+	printf("listening %s\n", listen->sval[0]);
+	fflush(stdout);
+	uv_run(&loop, UV_RUN_DEFAULT);
+	return 0;
+}
