--- a/apps/corianderwalk/main.c
+++ b/apps/corianderwalk/main.c
@@ -49,7 +49,8 @@
 	int errors;
 	int code = 0;
 
-	/* A reload asked for while the process starts must not end it, as the signal does untaken. */
+	/* A reload asked for while the process starts must not end it, as the signal does untaken.
+	 */
 	signal(SIGHUP, SIG_IGN);
 	errors = arg_parse(argc, argv, table);
 
--- a/packages/base/include/cw_counters.h
+++ b/packages/base/include/cw_counters.h
@@ -9,6 +9,6 @@
 void cw_gauge(const char *name, const char *label, uint64_t value);
 void cw_observe_ms(const char *name, const char *label,
 		   int64_t ms); /* a histogram of times, with fixed bounds from 1 ms to 25 s */
-char *cw_counters_text(void); /* caller frees with g_free */
+char *cw_counters_text(void);	/* caller frees with g_free */
 
 #endif
--- a/packages/flow/src/socket.c
+++ b/packages/flow/src/socket.c
@@ -7,11 +7,8 @@
 #include <sys/socket.h>
 
 static const char *const failure_names[] = {
-	[CW_FLOW_UNSENT] = "unsent",
-	[CW_FLOW_REFUSED] = "refused",
-	[CW_FLOW_BROKEN] = "broken",
-	[CW_FLOW_GARBLED] = "garbled",
-	[CW_FLOW_SILENT] = "silent",
+	[CW_FLOW_UNSENT] = "unsent",   [CW_FLOW_REFUSED] = "refused", [CW_FLOW_BROKEN] = "broken",
+	[CW_FLOW_GARBLED] = "garbled", [CW_FLOW_SILENT] = "silent",
 };
 
 const char *cw_flow_failure_name(enum cw_flow_failure failure)
--- a/packages/follow/include/cw_follow.h
+++ b/packages/follow/include/cw_follow.h
@@ -11,10 +11,11 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define CW_FOLLOW_CHANGES  24	/* records kept for peers */
-#define CW_FOLLOW_TOLD_MS  1000 /* a record is told for so long: seven rounds of messages */
-#define CW_FOLLOW_STALE_MS 1300 /* unheard for this long, the list is read by oneself; bound 2000  \
-				 */
+#define CW_FOLLOW_CHANGES 24   /* records kept for peers */
+#define CW_FOLLOW_TOLD_MS 1000 /* a record is told for so long: seven rounds of messages */
+#define CW_FOLLOW_STALE_MS                                                                         \
+	1300 /* unheard for this long, the list is read by oneself; bound 2000                     \
+	      */
 
 /* One record of the list. */
 struct cw_change {
--- a/packages/gate/include/cw_facts.h
+++ b/packages/gate/include/cw_facts.h
@@ -29,8 +29,8 @@
 	int64_t last_event;	 /* the caller has these events of an earlier answer; CW_NO_EVENT */
 	char model[CW_NAME_MAX]; /* CW_ANY_MODEL: the gate chooses */
 	double read_tokens;
-	double made_tokens;	 /* at most */
-	double hint_tokens;	 /* the caller's guess of them, right in the middle; 0: none */
+	double made_tokens; /* at most */
+	double hint_tokens; /* the caller's guess of them, right in the middle; 0: none */
 	size_t part_count;
 	struct cw_prompt_part parts[CW_PROMPT_PARTS];
 	char session[CW_ID_MAX]; /* empty: none */
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -84,7 +84,7 @@
 void cw_call_expired(struct cw_call *call, int64_t now_ms,
 		     struct cw_step *step);		  /* at cw_call_limit_ms */
 void cw_call_close(struct cw_call *call, int64_t now_ms); /* also when its caller left */
-int cw_call_may_leave(const struct cw_call *call); /* its server, for another one */
+int cw_call_may_leave(const struct cw_call *call);	  /* its server, for another one */
 int64_t cw_call_limit_ms(const struct cw_call *call);	  /* when a final answer is due */
 const struct cw_route *cw_call_route(const struct cw_call *call);
 const char *cw_call_organisation(const struct cw_call *call);
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -64,8 +64,9 @@
 void call_work_fill(struct cw_call *call, struct cw_choice *choice);
 double call_work_predict(const struct cw_call *call, const struct cw_server *server, int is_home,
 			 int64_t now_ms); /* ms to an answer's head */
-int call_work_is_in_time(const struct cw_call *call,
-			 int64_t now_ms); /* the largest model's whole stream, by the caller's guess */
+int call_work_is_in_time(
+	const struct cw_call *call,
+	int64_t now_ms); /* the largest model's whole stream, by the caller's guess */
 void call_work_begin(struct cw_call *call, int is_home, int64_t now_ms);
 void call_work_head(struct cw_call *call, int64_t now_ms); /* a good head came */
 void call_work_done(struct cw_call *call, int64_t now_ms); /* the answer was whole */
--- a/packages/pool/src/placement.c
+++ b/packages/pool/src/placement.c
@@ -18,8 +18,8 @@
 #define CROSS_MS_A_BYTE	 0.0032 /* 20 kB to another domain cost as much as 64 ms */
 #define RUNNING_MS	 1.5	/* one more running request slows each token of the others */
 #define NOISE_MS	 4.0	/* instances with the same view don't all choose the same server */
-#define RECENT_MS 3000 /* gossip older than that is no better than none */
-#define TOLD_MS 700 /* a queue is read or grown in that time */
+#define RECENT_MS	 3000	/* gossip older than that is no better than none */
+#define TOLD_MS		 700	/* a queue is read or grown in that time */
 
 static double cost_of(const struct cw_server *server, const struct cw_choice *choice, int is_home);
 static struct cw_server *choose_cost(struct cw_server **candidates, size_t count,
@@ -75,23 +75,23 @@
 				     const struct cw_choice *choice)
 {
 	const struct cw_server *home = find_home(candidates, count, choice);
-	struct cw_server *best = NULL;
-	double best_cost = 0;
+	struct cw_server *best = candidates[0];
+	double best_cost = G_MAXDOUBLE;
 
 	for (size_t i = 0; i < count; i++) {
 		double noise =
 			(double)(cw_hash(&candidates[i]->id, sizeof(uint64_t), choice->random) &
 				 0xff) /
 			256 * NOISE_MS;
-		double cost = cost_of(candidates[i], choice, candidates[i] == home) + noise;
+		double cost = cost_of(candidates[i], choice, home && candidates[i] == home) + noise;
 
-		if (best && cost >= best_cost)
+		if (cost >= best_cost)
 			continue;
 		best = candidates[i];
 		best_cost = cost;
 	}
 	if (choice->is_home)
-		*choice->is_home = best == home;
+		*choice->is_home = home && best == home;
 	return best;
 }
 
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -20,8 +20,8 @@
 #define TRIP_LEVEL    5.0  /* log likelihood ratio: one false alarm in e^5 looks at one window */
 #define USUAL_BAD     0.03 /* failures that any version may have, beyond the other's */
 #define BAD_AT_LEAST  0.30 /* failures of a version worth taking back */
-#define FORWARD_MS 2000 /* what peers told is told on for so long: a dozen rounds */
-#define RECENT       512  /* sessions remembered, 5 s at 100 a second */
+#define FORWARD_MS    2000 /* what peers told is told on for so long: a dozen rounds */
+#define RECENT	      512  /* sessions remembered, 5 s at 100 a second */
 
 struct recent {
 	uint64_t service;
@@ -303,8 +303,8 @@
 }
 
 /*
- * The own ones, and for a while those that peers told: in a large system a message reaches few, so a
- * session that stays on the old version would else be unknown where it comes back.
+ * The own ones, and for a while those that peers told: in a large system a message reaches few, so
+ * a session that stays on the old version would else be unknown where it comes back.
  */
 static void tell_sessions(const struct cw_rollouts *rollouts, const struct rollout *rollout,
 			  int64_t now_ms, struct cw_rollout_news *out)
--- a/packages/route/include/cw_route.h
+++ b/packages/route/include/cw_route.h
@@ -55,8 +55,8 @@
 	char health_path[CW_NAME_MAX];
 	unsigned int max_connections; /* to one server, of all callers */
 	int is_engine;
-	unsigned int slots; /* requests an engine runs at once */
-	double kv_tokens;   /* an engine's memory */
+	unsigned int slots;  /* requests an engine runs at once */
+	double kv_tokens;    /* an engine's memory */
 	double event_tokens; /* made tokens in one event of a stream */
 	size_t model_count;
 	struct cw_model_price models[CW_ROUTE_MODELS];
--- a/tests/standins/users_store.c
+++ b/tests/standins/users_store.c
@@ -247,7 +247,7 @@
 {
 	const char *target = request->target->str;
 	struct topic *topic = find_topic(target);
-	char from[32];
+	char from[64];
 	char wait_ms[32];
 
 	if (g_str_has_prefix(target, "/admin/")) {
--- a/tests/unit/test_gate.c
+++ b/tests/unit/test_gate.c
@@ -33,15 +33,15 @@
 	struct cw_route *route = cw_config_add_route(config);
 
 	strcpy(route->host, "h.example");
-	strcpy(route->prefix, prefix);
-	strcpy(route->name, prefix);
+	g_strlcpy(route->prefix, prefix, sizeof(route->prefix));
+	g_strlcpy(route->name, prefix, sizeof(route->name));
 	route->repeat = repeat;
 	route->max_attempts = attempts;
 	route->limit_ms = 800;
 	route->objective_ms = 300;
 	route->share_count = 1;
 	route->shares[0].weight = 1;
-	strcpy(route->shares[0].service, service);
+	g_strlcpy(route->shares[0].service, service, CW_NAME_MAX);
 	return route;
 }
 
