--- a/packages/limits/include/cw_limits.h
+++ b/packages/limits/include/cw_limits.h
@@ -29,6 +29,7 @@
 void cw_limits_destroy(struct cw_limits *limits);
 void cw_limits_divide(struct cw_limits *limits, size_t instances,
 		      size_t rank); /* base share 1 / instances; 0 instances: no share yet */
+int cw_limits_has_share(const struct cw_limits *limits); /* 0: not divided yet */
 enum cw_status cw_limits_admit(struct cw_limits *limits, const struct cw_limit *limit,
 			       double tokens, int64_t now_ms,
 			       int64_t *retry_after_ms); /* CW_FULL; else one more in progress */
--- a/packages/limits/src/limits.c
+++ b/packages/limits/src/limits.c
@@ -82,6 +82,11 @@
 	limits->rank = rank;
 }
 
+int cw_limits_has_share(const struct cw_limits *limits)
+{
+	return limits->instances > 0;
+}
+
 enum cw_status cw_limits_admit(struct cw_limits *limits, const struct cw_limit *limit,
 			       double tokens, int64_t now_ms, int64_t *retry_after_ms)
 {
@@ -346,6 +351,10 @@
 	double seconds =
 		share->filled_ms < 0 ? BURST_S : (double)(now_ms - share->filled_ms) / 1000;
 
+	/* Without a share the bucket is not empty but unknown: it is full once there is one. */
+	if (part <= 0 && share->filled_ms < 0)
+		return;
+
 	share->filled_ms = now_ms;
 	/* A bucket holds one whole request even where a share is less than one a second. */
 	share->requests = MIN(share->requests + requests * seconds, MAX(requests * BURST_S, 1));
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -192,7 +192,9 @@
 
 int cw_node_is_ready(const struct cw_node *node)
 {
-	return !node->stopping && cw_table_offset(node->table) > 0;
+	/* Without a share of the limits it could only refuse: that is not ready. */
+	return !node->stopping && cw_table_offset(node->table) > 0 &&
+	       cw_limits_has_share(node->limits);
 }
 
 size_t cw_node_running(const struct cw_node *node)
--- a/packages/node/src/node_request.c
+++ b/packages/node/src/node_request.c
@@ -329,6 +329,12 @@
 			request_keep_binding(node, request);
 	}
 	if (!take_limit(node, request, &retry_after_ms)) {
+		if (!cw_limits_has_share(node->limits)) {
+			request_refuse(node, request, CW_CODE_PLATFORM_UNAVAILABLE,
+				       PLATFORM_RETRY_MS,
+				       "this instance has no share of the limits yet");
+			return;
+		}
 		request_refuse(node, request, CW_CODE_LIMIT_EXCEEDED,
 			       retry_after_ms + (int64_t)(node_random(node) % RETRY_JITTER_MS),
 			       "the limit of %s is reached", request->model);
--- a/tests/unit/test_limits.c
+++ b/tests/unit/test_limits.c
@@ -129,9 +129,32 @@
 	assert_in_range(retries, 95, 100);
 }
 
+/*
+ * Symptom: an instance just started answered its very first request limit_exceeded, to come back in
+ * 5 s, with a limit of 10,000 requests a second.
+ * Sequence: a request comes before the instance's share is known; the share follows.
+ * Cause: the bucket was opened empty then, and filled from that moment on.
+ */
+static void a_bucket_met_before_its_share_is_full_once_there_is_one(void **state)
+{
+	struct cw_limits *limits = cw_limits_create();
+	struct cw_limit limit = {7, 10000, NAN, NAN};
+	int64_t retry_after_ms = 0;
+
+	cw_limits_divide(limits, 0, 0);
+	assert_int_equal(cw_limits_has_share(limits), 0);
+	assert_int_equal(cw_limits_admit(limits, &limit, 0, 1000, &retry_after_ms), CW_FULL);
+	cw_limits_divide(limits, 1, 0);
+	assert_int_equal(cw_limits_has_share(limits), 1);
+	for (int i = 0; i < 1000; i++)
+		assert_int_equal(cw_limits_admit(limits, &limit, 0, 1000, &retry_after_ms), CW_OK);
+	cw_limits_destroy(limits);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_bucket_met_before_its_share_is_full_once_there_is_one),
 		cmocka_unit_test(shares_add_up_to_the_limit),
 		cmocka_unit_test(a_loan_moves_slots_and_never_makes_one),
 		cmocka_unit_test(the_borrowers_term_ends_first),
