--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 
 $(BUILD_FUZZ)/.built: packages
 	@CC=clang cmake -S . -B $(BUILD_FUZZ) -DCMAKE_BUILD_TYPE=RelWithDebInfo -DCW_SANITIZE=fuzzer >/dev/null
-	@cmake --build $(BUILD_FUZZ) -j$(JOBS) --target fuzz_node -- --no-print-directory -s >/dev/null
+	@cmake --build $(BUILD_FUZZ) -j$(JOBS) --target fuzz_node fuzz_users -- --no-print-directory -s >/dev/null
 
 demo: $(BUILD)/.built
 	@tests/demo $(BUILD)
