--- a/packages/flow/src/client.c
+++ b/packages/flow/src/client.c
@@ -1,100 +1,26 @@
-#include "flow_internal.h"
+#include "client_internal.h"
 
 #include <errno.h>
 #include <string.h>
 #include <sys/queue.h>
 #include <sys/socket.h>
 
-#define IDLE_MS_UNTOLD	 4000 /* a kept connection's life where the server names none */
-#define IDLE_MARGIN_MS	 400  /* closed this much before the server's own limit */
-#define LAST_TURN_MS	 1    /* one turn of the loop */
+#define IDLE_MARGIN_MS	 400 /* closed this much before the server's own limit */
+#define LAST_TURN_MS	 1   /* one turn of the loop */
 #define IDLE_PER_ADDRESS 32
 
-struct connection {
-	TAILQ_ENTRY(connection) link; /* among the idle ones of its address */
-	struct cw_client *client;
-	struct address *address;
-	struct cw_exchange *exchange; /* NULL: idle, or a probe's */
-	struct probe *probe;
-	uv_tcp_t tcp;
-	uv_connect_t connect;
-	uv_write_t write;
-	GString *bytes; /* being written */
-	http_parser parser;
-	uint64_t idle_since_ms;
-	int64_t idle_limit_ms;
-	int connected;
-	int writing;
-	int complete; /* the answer's end was parsed */
-	int reusable;
-	int closed;
-};
-
-TAILQ_HEAD(connection_list, connection);
-
-struct address {
-	char text[CW_ADDRESS_MAX];
-	struct connection_list idle;
-	size_t idle_count;
-};
-
-struct cw_exchange {
-	TAILQ_ENTRY(cw_exchange) link;
-	struct cw_client *client;
-	struct connection *connection;
-	const struct cw_exchange_ops *ops;
-	void *context;
-	struct cw_message *answer;
-	char *echo_name;
-	char *echo_value;
-	uv_timer_t timer;
-	int64_t silence_ms;
-	int is_head;
-	int sent;
-	int foreign;  /* the answer being read is another request's */
-	int had_turn; /* the limit has passed, what came is read once more */
-};
-
-/* A connection that is opened only to see whether its server can be reached. */
-struct probe {
-	TAILQ_ENTRY(probe) link;
-	struct connection *connection;
-	uv_timer_t timer;
-	void (*told)(void *context, const char *address, int is_reachable);
-	void *context;
-	int had_turn;
-};
-
-struct cw_client {
-	uv_loop_t *loop;
-	TAILQ_HEAD(, probe) probes;
-	GHashTable *addresses;
-	TAILQ_HEAD(, cw_exchange) exchanges;
-	uv_timer_t sweep;
-	uint64_t opened;
-};
-
 static void on_sweep(uv_timer_t *timer);
 static void free_address(gpointer data);
-static struct address *find_address(struct cw_client *client, const char *text);
 static struct connection *take_idle(struct address *address, uint64_t now_ms, int64_t reuse_ms);
-static struct connection *open_connection(struct cw_client *client, struct address *address);
 static int is_quiet(struct connection *connection);
 static int was_reset(struct connection *connection);
 static void start_write(struct connection *connection);
 static void on_connect(uv_connect_t *connect, int status);
 static void on_written(uv_write_t *write, int status);
 static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer);
-static int needs_turn(uv_timer_t *timer, uv_timer_cb callback, int *had_turn);
 static void on_timer(uv_timer_t *timer);
-static void probe_told(struct probe *probe, int is_reachable);
-static void end_probe(struct probe *probe);
-static void on_probe_timer(uv_timer_t *timer);
-static void on_probe_closed(uv_handle_t *handle);
-static void keep(struct connection *connection);
 static void on_timer_closed(uv_handle_t *handle);
 static void on_closed(uv_handle_t *handle);
-static void close_connection(struct connection *connection);
 static void fail(struct cw_exchange *exchange, enum cw_flow_failure failure);
 static void complete(struct connection *connection, int extra);
 static void release(struct cw_exchange *exchange);
@@ -141,8 +67,8 @@
 	while ((exchange = TAILQ_FIRST(&client->exchanges)))
 		cw_exchange_cancel(exchange);
 	while ((probe = TAILQ_FIRST(&client->probes))) {
-		close_connection(probe->connection);
-		end_probe(probe);
+		flow_close_connection(probe->connection);
+		flow_probe_end(probe);
 	}
 	g_hash_table_iter_init(&iter, client->addresses);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
@@ -157,7 +83,7 @@
 				   const struct cw_exchange_request *request,
 				   const struct cw_exchange_ops *ops, void *context)
 {
-	struct address *address = find_address(client, request->address);
+	struct address *address = flow_find_address(client, request->address);
 	struct cw_exchange *exchange = g_new0(struct cw_exchange, 1);
 	struct connection *connection =
 		take_idle(address, uv_now(client->loop), request->reuse_idle_ms);
@@ -174,7 +100,7 @@
 	exchange->timer.data = exchange;
 	TAILQ_INSERT_TAIL(&client->exchanges, exchange, link);
 	if (!connection)
-		connection = open_connection(client, address);
+		connection = flow_open_connection(client, address);
 	connection->exchange = exchange;
 	connection->bytes = request->bytes;
 	exchange->connection = connection;
@@ -193,7 +119,7 @@
 
 	if (connection) {
 		connection->exchange = NULL;
-		close_connection(connection);
+		flow_close_connection(connection);
 	}
 	release(exchange);
 }
@@ -217,31 +143,13 @@
 	rearm(exchange);
 }
 
-void cw_client_probe(struct cw_client *client, const char *text, int64_t connect_ms,
-		     void (*told)(void *context, const char *address, int is_reachable),
-		     void *context)
-{
-	struct probe *probe = g_new0(struct probe, 1);
-
-	probe->told = told;
-	probe->context = context;
-	uv_timer_init(client->loop, &probe->timer);
-	probe->timer.data = probe;
-	TAILQ_INSERT_TAIL(&client->probes, probe, link);
-	probe->connection = open_connection(client, find_address(client, text));
-	probe->connection->probe = probe;
-	http_parser_init(&probe->connection->parser, HTTP_RESPONSE);
-	probe->connection->parser.data = probe->connection;
-	uv_timer_start(&probe->timer, on_probe_timer, (uint64_t)connect_ms, 0);
-}
-
 void cw_client_forget(struct cw_client *client, const char *text)
 {
 	struct address *address = g_hash_table_lookup(client->addresses, text);
 	struct connection *connection;
 
 	while (address && (connection = TAILQ_FIRST(&address->idle)))
-		close_connection(connection);
+		flow_close_connection(connection);
 }
 
 uint64_t cw_client_opened(const struct cw_client *client)
@@ -266,7 +174,7 @@
 
 			if ((int64_t)(now_ms - connection->idle_since_ms) >=
 			    connection->idle_limit_ms)
-				close_connection(connection);
+				flow_close_connection(connection);
 			connection = next;
 		}
 	}
@@ -277,7 +185,7 @@
 	g_free(data);
 }
 
-static struct address *find_address(struct cw_client *client, const char *text)
+struct address *flow_find_address(struct cw_client *client, const char *text)
 {
 	struct address *address = g_hash_table_lookup(client->addresses, text);
 
@@ -301,7 +209,7 @@
 		if (idle_ms >= reuse_ms)
 			return NULL;
 		if (idle_ms >= connection->idle_limit_ms || !is_quiet(connection)) {
-			close_connection(connection);
+			flow_close_connection(connection);
 			continue;
 		}
 		TAILQ_REMOVE(&address->idle, connection, link);
@@ -312,7 +220,7 @@
 	return NULL;
 }
 
-static struct connection *open_connection(struct cw_client *client, struct address *address)
+struct connection *flow_open_connection(struct cw_client *client, struct address *address)
 {
 	struct connection *connection = g_new0(struct connection, 1);
 	struct sockaddr_in where;
@@ -382,7 +290,7 @@
 		int is_answered = status == UV_ECONNREFUSED || status == UV_ECONNRESET;
 
 		if (connection->probe)
-			probe_told(connection->probe, is_answered);
+			flow_probe_told(connection->probe, is_answered);
 		else
 			fail(connection->exchange, is_answered ? CW_FLOW_REFUSED : CW_FLOW_UNSENT);
 		return;
@@ -391,46 +299,12 @@
 	flow_tune_socket(&connection->tcp);
 	uv_read_start((uv_stream_t *)&connection->tcp, flow_buffer, on_read);
 	if (connection->probe)
-		probe_told(connection->probe, 1);
+		flow_probe_told(connection->probe, 1);
 	else
 		start_write(connection);
 }
 
-static void probe_told(struct probe *probe, int is_reachable)
-{
-	struct connection *connection = probe->connection;
-
-	connection->probe = NULL;
-	if (connection->connected) {
-		connection->idle_limit_ms = IDLE_MS_UNTOLD;
-		keep(connection);
-	} else {
-		close_connection(connection);
-	}
-	probe->told(probe->context, connection->address->text, is_reachable);
-	end_probe(probe);
-}
-
-static void end_probe(struct probe *probe)
-{
-	TAILQ_REMOVE(&probe->connection->client->probes, probe, link);
-	uv_close((uv_handle_t *)&probe->timer, on_probe_closed);
-}
-
-static void on_probe_timer(uv_timer_t *timer)
-{
-	struct probe *probe = timer->data;
-
-	if (!needs_turn(timer, on_probe_timer, &probe->had_turn))
-		probe_told(probe, 0);
-}
-
-static void on_probe_closed(uv_handle_t *handle)
-{
-	g_free(handle->data);
-}
-
-static void keep(struct connection *connection)
+void flow_keep(struct connection *connection)
 {
 	struct address *address = connection->address;
 
@@ -451,7 +325,7 @@
 	if (connection->exchange)
 		fail(connection->exchange, CW_FLOW_BROKEN);
 	else
-		close_connection(connection);
+		flow_close_connection(connection);
 }
 
 static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer)
@@ -463,7 +337,7 @@
 		return;
 	if (!connection->exchange) {
 		/* The end of an idle connection, or bytes that belong to no request. */
-		close_connection(connection);
+		flow_close_connection(connection);
 		return;
 	}
 	if (size < 0 && (size != UV_EOF || was_reset(connection))) {
@@ -489,7 +363,7 @@
  * A loop that was held up runs its timers before it reads what came meanwhile: an answer that is
  * there would count as missing. Each limit therefore gets one more turn of the loop.
  */
-static int needs_turn(uv_timer_t *timer, uv_timer_cb callback, int *had_turn)
+int flow_needs_turn(uv_timer_t *timer, uv_timer_cb callback, int *had_turn)
 {
 	if (*had_turn)
 		return 0;
@@ -502,7 +376,7 @@
 {
 	struct cw_exchange *exchange = timer->data;
 
-	if (!needs_turn(timer, on_timer, &exchange->had_turn))
+	if (!flow_needs_turn(timer, on_timer, &exchange->had_turn))
 		fail(exchange, exchange->sent ? CW_FLOW_SILENT : CW_FLOW_UNSENT);
 }
 
@@ -524,7 +398,7 @@
 	g_free(connection);
 }
 
-static void close_connection(struct connection *connection)
+void flow_close_connection(struct connection *connection)
 {
 	if (connection->closed)
 		return;
@@ -559,9 +433,9 @@
 	release(exchange);
 	if (extra || !connection->reusable || connection->writing ||
 	    address->idle_count >= IDLE_PER_ADDRESS) {
-		close_connection(connection);
+		flow_close_connection(connection);
 	} else {
-		keep(connection);
+		flow_keep(connection);
 		uv_read_start((uv_stream_t *)&connection->tcp, flow_buffer, on_read);
 	}
 	ops->end(context);
--- /dev/null
+++ b/packages/flow/src/probe.c
@@ -0,0 +1,57 @@
+/* Connections that are opened only to see whether a server can be reached. */
+#include "client_internal.h"
+
+static void on_probe_timer(uv_timer_t *timer);
+static void on_probe_closed(uv_handle_t *handle);
+
+void cw_client_probe(struct cw_client *client, const char *text, int64_t connect_ms,
+		     void (*told)(void *context, const char *address, int is_reachable),
+		     void *context)
+{
+	struct probe *probe = g_new0(struct probe, 1);
+
+	probe->told = told;
+	probe->context = context;
+	uv_timer_init(client->loop, &probe->timer);
+	probe->timer.data = probe;
+	TAILQ_INSERT_TAIL(&client->probes, probe, link);
+	probe->connection = flow_open_connection(client, flow_find_address(client, text));
+	probe->connection->probe = probe;
+	http_parser_init(&probe->connection->parser, HTTP_RESPONSE);
+	probe->connection->parser.data = probe->connection;
+	uv_timer_start(&probe->timer, on_probe_timer, (uint64_t)connect_ms, 0);
+}
+
+void flow_probe_told(struct probe *probe, int is_reachable)
+{
+	struct connection *connection = probe->connection;
+
+	connection->probe = NULL;
+	if (connection->connected) {
+		connection->idle_limit_ms = IDLE_MS_UNTOLD;
+		flow_keep(connection);
+	} else {
+		flow_close_connection(connection);
+	}
+	probe->told(probe->context, connection->address->text, is_reachable);
+	flow_probe_end(probe);
+}
+
+void flow_probe_end(struct probe *probe)
+{
+	TAILQ_REMOVE(&probe->connection->client->probes, probe, link);
+	uv_close((uv_handle_t *)&probe->timer, on_probe_closed);
+}
+
+static void on_probe_timer(uv_timer_t *timer)
+{
+	struct probe *probe = timer->data;
+
+	if (!flow_needs_turn(timer, on_probe_timer, &probe->had_turn))
+		flow_probe_told(probe, 0);
+}
+
+static void on_probe_closed(uv_handle_t *handle)
+{
+	g_free(handle->data);
+}
--- a/packages/follow/include/cw_follow.h
+++ b/packages/follow/include/cw_follow.h
@@ -33,9 +33,6 @@
 	int64_t at_ms[CW_FOLLOW_CHANGES];
 };
 
-/* What is done with a record that is taken. */
-typedef void cw_follow_take(void *context, const struct cw_change *change);
-
 void cw_follow_start(struct cw_follow *follow, uint64_t from); /* the whole list was read */
 void cw_follow_ask(struct cw_follow *follow);		       /* a read from follow->from begins */
 int cw_follow_take_record(struct cw_follow *follow, const struct cw_change *change,
@@ -46,7 +43,8 @@
 			int64_t now_ms); /* the read brought all there was */
 size_t cw_follow_tell(const struct cw_follow *follow, int64_t now_ms, struct cw_change *changes);
 int cw_follow_hear(struct cw_follow *follow, const struct cw_change *changes, size_t count,
-		   uint64_t their_from, int64_t their_age_ms, int64_t now_ms, cw_follow_take *take,
+		   uint64_t their_from, int64_t their_age_ms, int64_t now_ms,
+		   void (*take)(void *context, const struct cw_change *change),
 		   void *context); /* 0: a gap, or more is there: read */
 int cw_follow_is_stale(const struct cw_follow *follow, int64_t now_ms);
 
--- a/packages/follow/src/follow.c
+++ b/packages/follow/src/follow.c
@@ -55,8 +55,8 @@
 }
 
 int cw_follow_hear(struct cw_follow *follow, const struct cw_change *changes, size_t count,
-		   uint64_t their_from, int64_t their_age_ms, int64_t now_ms, cw_follow_take *take,
-		   void *context)
+		   uint64_t their_from, int64_t their_age_ms, int64_t now_ms,
+		   void (*take)(void *context, const struct cw_change *change), void *context)
 {
 	for (size_t i = 0; i < count; i++)
 		if (cw_follow_take_record(follow, &changes[i], now_ms))
