job: a caller that leaves early has its engine told, not two more asked

Cause: what stops the call (is_cancelled) looks at the shut stream, what judges it (judge_stream) looked only at caller_gone, which job_show() sets with its next event. The stopped call was judged as failed, two more engines were asked, and no DELETE was sent to any. Ruled out: the DELETE itself (sent and obeyed whenever the judgement was "cancelled"), the relay's close (the listener shuts the stream each time).

--- a/apps/corianderwalk/job_attempt.c
+++ b/apps/corianderwalk/job_attempt.c
@@ -21,6 +21,7 @@
 static int on_head(void *context, int status, const char *request_id, const char *content_type);
 static int on_data(void *context, const char *data, size_t size);
 static int is_cancelled(void *context);
+static int caller_left(const struct job *job);
 static void show(void *context, const char *event, size_t size);
 
 void job_attempt(struct job *job, const struct cw_effect *effect)
@@ -176,7 +177,7 @@
 {
 	if (job->done)
 		return CW_ATTEMPT_ANSWERED;
-	if (__atomic_load_n(&job->caller_gone, __ATOMIC_ACQUIRE))
+	if (caller_left(job))
 		return CW_ATTEMPT_CANCELLED;
 	if (status == CW_UNREACHABLE)
 		return CW_ATTEMPT_UNSENT;
@@ -303,13 +304,23 @@
 	}
 	state = cw_answer_feed(job->answer, data, size, show, job);
 	job->done = state == CW_ANSWER_DONE;
-	return state != CW_ANSWER_MORE || __atomic_load_n(&job->caller_gone, __ATOMIC_ACQUIRE);
+	return state != CW_ANSWER_MORE || caller_left(job);
 }
 
 static int is_cancelled(void *context)
 {
-	struct job *job = context;
+	return caller_left(context);
+}
 
+/*
+ * A caller has left when its listener shut the stream, or when job_show() could not hand it an
+ * event. What stops a call and what judges it ask the same question: a call stopped for the caller
+ * but judged as broken would be tried on two more engines, and none of the three would be told.
+ */
+static int caller_left(const struct job *job)
+{
+	if (__atomic_load_n(&job->caller_gone, __ATOMIC_ACQUIRE))
+		return 1;
 	return job_is_stream(job) && job->head_told && cw_ring_is_shut(job->stream);
 }
 
