--- a/apps/corianderwalk/entry_peers.c
+++ b/apps/corianderwalk/entry_peers.c
@@ -10,11 +10,10 @@
 #define GOSSIP_EVERY_MS 150  /* prompts wait 20 to 500 ms: a view this old still balances them */
 #define SILENT_MS	2000 /* thirteen rounds; of many instances, what others heard counts too */
 #define KEEP_MS		60000
-#define FANOUT_ALL	12 /* up to so many are all told each time */
-#define FANOUT_OWN                                                                                 \
-	6 /* peers of the own failure domain told each time; of more, others every time */
-#define SEED_EVERY 8	       /* messages between two to a seed that never answered */
-#define READ_BYTES (20 * 1024) /* more than any message */
+#define FANOUT_ALL	12	    /* up to so many are all told each time */
+#define FANOUT_OWN	6	    /* of more neighbours, others each time */
+#define SEED_EVERY	8	    /* messages between two to a seed that never answered */
+#define READ_BYTES	(20 * 1024) /* more than any message */
 
 struct peer_loads {
 	uint64_t id;
