rollout: who waits since before the order stays on the old version

Sequence: three machines lose power; v2 is ordered; nine seconds later the callers ask again what was under way there, in sessions that ran on v1. Cause: those who knew the sessions were gone, and their share is shown v2. Ruled out: lost lines, the key of sessions (one dispatch each, same key). Change: less time is left to such a caller than its route's callers say at first; who began to wait before the order is remembered as on the old version. The test fails without it.

--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -41,6 +41,7 @@
 static double predict(struct cw_call *call, int64_t now_ms);
 static int64_t retry_after(struct cw_call *call);
 static uint64_t prompt_key(const struct cw_facts *facts);
+static void note_wait(const struct cw_call *call);
 static uint64_t session_key(const struct cw_call *call);
 
 struct cw_call *cw_call_open(struct cw_gate *gate, const struct cw_facts *facts, int64_t came_ms,
@@ -239,6 +240,19 @@
 	return call->attempts;
 }
 
+/* Less time is left to a caller that asks again than its route's callers have at first. */
+static void note_wait(const struct cw_call *call)
+{
+	int64_t waited_ms;
+
+	if (call->facts.allowed_ms < 0)
+		return;
+	waited_ms = gate_longest_wait_ms(call->gate, call->route->name, call->facts.allowed_ms) -
+		    call->facts.allowed_ms;
+	cw_rollouts_asked(call->gate->rollouts, call->service_name, call->session,
+			  call->opened_ms - waited_ms, call->opened_ms);
+}
+
 /* Route, organisation and service; 0: refused. */
 static int find_target(struct cw_call *call, struct cw_step *step)
 {
@@ -258,6 +272,7 @@
 	}
 	call->session = session_key(call);
 	call->service_name = cw_route_service(call->route, cw_hash_text(call->facts.id, 0));
+	note_wait(call);
 	call->service = cw_config_service(config, call->service_name);
 	return 1;
 }
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+#define WAITS_MAX 4096 /* routes; 300 KB */
+
 struct cw_gate *cw_gate_create(const struct cw_gate_options *options)
 {
 	struct cw_gate *gate = g_new0(struct cw_gate, 1);
@@ -14,6 +16,7 @@
 	gate->rollouts = cw_rollouts_create(options->session_ms);
 	gate->repeats = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gate->paces = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	gate->waits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return gate;
 }
 
@@ -26,6 +29,7 @@
 	cw_rollouts_destroy(gate->rollouts);
 	g_hash_table_destroy(gate->repeats);
 	g_hash_table_destroy(gate->paces);
+	g_hash_table_destroy(gate->waits);
 	g_free(gate);
 }
 
@@ -76,6 +80,22 @@
 	return repeats;
 }
 
+/* The wait counts as well: a first request says the longest. */
+int64_t gate_longest_wait_ms(struct cw_gate *gate, const char *route, int64_t wait_ms)
+{
+	int64_t *longest = g_hash_table_lookup(gate->waits, route);
+
+	if (!longest) {
+		/* Routes come and go with configurations; what is forgotten is soon told again. */
+		if (g_hash_table_size(gate->waits) >= WAITS_MAX)
+			g_hash_table_remove_all(gate->waits);
+		longest = g_new0(int64_t, 1);
+		g_hash_table_insert(gate->waits, g_strdup(route), longest);
+	}
+	*longest = MAX(*longest, wait_ms);
+	return *longest;
+}
+
 struct gate_pace *gate_pace(struct cw_gate *gate, const char *name)
 {
 	struct gate_pace *pace = g_hash_table_lookup(gate->paces, name);
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -24,6 +24,7 @@
 	GHashTable *repeats; /* service -> struct cw_repeats */
 	GHashTable *paces;   /* model or plain service -> struct gate_pace */
 	uint64_t random;
+	GHashTable *waits; /* route -> the longest that a caller of it said to wait, ms */
 };
 
 struct cw_call {
@@ -58,6 +59,7 @@
 
 uint64_t gate_random(struct cw_gate *gate);
 struct gate_pace *gate_pace(struct cw_gate *gate, const char *name);
+int64_t gate_longest_wait_ms(struct cw_gate *gate, const char *route, int64_t wait_ms);
 struct cw_repeats *gate_repeats(struct cw_gate *gate, const char *service);
 
 /* call_work.c: what an attempt costs its server, and what its answer tells of the server */
--- a/packages/rollout/include/cw_rollout.h
+++ b/packages/rollout/include/cw_rollout.h
@@ -86,6 +86,9 @@
 				      uint64_t session, int64_t now_ms);
 void cw_rollouts_used(struct cw_rollouts *rollouts, const char *service, uint64_t session,
 		      const char *software, int64_t now_ms); /* a request went to this version */
+void cw_rollouts_asked(struct cw_rollouts *rollouts, const char *service, uint64_t session,
+		       int64_t asked_ms,
+		       int64_t now_ms); /* a caller that has waited since asked_ms is here */
 void cw_rollouts_answered(struct cw_rollouts *rollouts, const char *service, uint64_t route,
 			  const char *software, int is_bad, int64_t now_ms);
 void cw_rollouts_spoiled(struct cw_rollouts *rollouts, const char *service, uint64_t route,
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -6,23 +6,24 @@
 #include <string.h>
 #include <sys/queue.h>
 
-#define START_MS      1200 /* peers' sessions are heard before the first request goes to the new */
-#define FIRST_SHARE   0.10 /* of sessions: 0.15 of all requests may be exposed, and 30 more */
-#define FIRST_UNTIL   0.55 /* of the time ordered: sessions may not move in the first half */
-#define SECOND_SHARE  0.30
-#define SECOND_UNTIL  0.64
-#define THIRD_SHARE   0.60
-#define THIRD_UNTIL   0.73 /* at 0.65 a good version was taken back in 8 of 16 busy days, so in 0 */
-#define DONE_FIRST    0.90 /* runs on the old version have ended by then */
-#define DONE_LAST     0.97 /* time to write it down is left */
-#define SESSION_SLACK 500  /* ms beyond the session's idle time: clocks and gossip differ */
-#define DECAY_MS      8000 /* answers count 1/e after it: a version that turns bad late shows */
-#define TRIP_BAD      2.5  /* decayed bad answers at least */
-#define TRIP_LEVEL    5.0  /* log likelihood ratio: one false alarm in e^5 looks at one window */
-#define USUAL_BAD     0.03 /* failures that any version may have, beyond the other's */
-#define BAD_AT_LEAST  0.30 /* failures of a version worth taking back */
-#define FORWARD_MS    2000 /* what peers told is told on for so long: a dozen rounds */
-#define RECENT	      512  /* sessions remembered, 5 s at 100 a second */
+#define START_MS	 1200 /* peers' sessions are heard before the first request goes to the new */
+#define FIRST_SHARE	 0.10 /* of sessions: 0.15 of all requests may be exposed, and 30 more */
+#define FIRST_UNTIL	 0.55 /* of the time ordered: sessions may not move in the first half */
+#define SECOND_SHARE	 0.30
+#define SECOND_UNTIL	 0.64
+#define THIRD_SHARE	 0.60
+#define THIRD_UNTIL	 0.73 /* at 0.65 a good version was taken back in 8 of 16 busy days, so in 0 */
+#define DONE_FIRST	 0.90 /* runs on the old version have ended by then */
+#define DONE_LAST	 0.97 /* time to write it down is left */
+#define SESSION_SLACK	 500  /* ms beyond the session's idle time: clocks and gossip differ */
+#define DECAY_MS	 8000 /* answers count 1/e after it: a version that turns bad late shows */
+#define TRIP_BAD	 2.5  /* decayed bad answers at least */
+#define TRIP_LEVEL	 5.0  /* log likelihood ratio: one false alarm in e^5 looks at one window */
+#define USUAL_BAD	 0.03 /* failures that any version may have, beyond the other's */
+#define BAD_AT_LEAST	 0.30 /* failures of a version worth taking back */
+#define FORWARD_MS	 2000 /* what peers told is told on for so long: a dozen rounds */
+#define RECENT		 512  /* sessions remembered, 5 s at 100 a second */
+#define SOFTWARE_UNKNOWN 0    /* but not the target */
 
 /* A request that went to a server. Of any version: this roll-out's target is the next one's old. */
 struct recent {
@@ -73,6 +74,8 @@
 static double point_of(uint64_t session);
 static int was_on_old(const struct cw_rollouts *rollouts, const struct rollout *rollout,
 		      uint64_t session, int64_t now_ms);
+static void remember(struct cw_rollouts *rollouts, const char *service, uint64_t session,
+		     uint64_t software, int64_t now_ms);
 static void tell_sessions(const struct cw_rollouts *rollouts, const struct rollout *rollout,
 			  int64_t now_ms, struct cw_rollout_news *out);
 static void add_session(struct cw_rollout_news *out, uint64_t session, int64_t age_ms);
@@ -185,10 +188,29 @@
 
 void cw_rollouts_used(struct cw_rollouts *rollouts, const char *service, uint64_t session,
 		      const char *software, int64_t now_ms)
+{
+	remember(rollouts, service, session, cw_hash_text(software, 0), now_ms);
+}
+
+/*
+ * A caller asks again what a machine had under way when its power went: who knew which version its
+ * session ran on may be gone. Before the order there was only the old one.
+ */
+void cw_rollouts_asked(struct cw_rollouts *rollouts, const char *service, uint64_t session,
+		       int64_t asked_ms, int64_t now_ms)
+{
+	const struct rollout *rollout = find(rollouts, service);
+
+	if (rollout && rollout->state == CW_ROLLOUT_RUNNING && asked_ms < rollout->begun_ms)
+		remember(rollouts, service, session, SOFTWARE_UNKNOWN, now_ms);
+}
+
+static void remember(struct cw_rollouts *rollouts, const char *service, uint64_t session,
+		     uint64_t software, int64_t now_ms)
 {
 	struct recent *recent = &rollouts->recent[rollouts->next_recent];
 
-	recent->software = cw_hash_text(software, 0);
+	recent->software = software;
 	recent->service = cw_hash_text(service, 0);
 	recent->session = session;
 	recent->at_ms = now_ms;
--- a/tests/unit/test_rollout.c
+++ b/tests/unit/test_rollout.c
@@ -128,6 +128,28 @@
 	cw_rollouts_destroy(rollouts);
 }
 
+/*
+ * Symptom: sessions changed their version after machines lost power.
+ * Sequence: a session's machine loses power; v2 is ordered; nine seconds later the caller asks
+ * again and is among the first on v2.
+ * Cause: nobody was left who knew that the session ran on v1; that it waits since before the order
+ * tells.
+ */
+static void who_waits_since_before_the_order_stays_on_the_old_version(void **state)
+{
+	struct cw_rollouts *rollouts = begun(1000);
+	uint64_t chosen = 0;
+
+	for (int i = 0; !chosen; i++)
+		if (cw_rollouts_side(rollouts, "llm", session(i), 4000) == CW_ROLLOUT_NEW)
+			chosen = session(i);
+	cw_rollouts_asked(rollouts, "llm", chosen, 1000, 4000);
+	assert_int_equal(cw_rollouts_side(rollouts, "llm", chosen, 4000), CW_ROLLOUT_NEW);
+	cw_rollouts_asked(rollouts, "llm", chosen, 900, 4000);
+	assert_int_equal(cw_rollouts_side(rollouts, "llm", chosen, 4000), CW_ROLLOUT_OLD);
+	cw_rollouts_destroy(rollouts);
+}
+
 /*
  * Symptom: as before, for sessions that were idle while the share grew to all.
  * Sequence: all went to v2 only a sixth of the time before its completion; the old servers stop
@@ -293,6 +315,7 @@
 		cmocka_unit_test(the_share_is_constant_in_the_first_half_and_then_grows_to_all),
 		cmocka_unit_test(a_session_on_the_last_target_stays_there_in_the_next_roll_out),
 		cmocka_unit_test(idle_sessions_end_before_the_old_version_does),
+		cmocka_unit_test(who_waits_since_before_the_order_stays_on_the_old_version),
 		cmocka_unit_test(a_session_seen_on_the_old_version_stays_there_until_it_is_idle),
 		cmocka_unit_test(failures_that_no_instance_could_judge_alone_are_judged_together),
 		cmocka_unit_test(a_fault_that_strikes_both_versions_condemns_neither),
