rollout: shares, sessions and evidence in files of their own

Now rollout.c has shares, states and news, sessions.c who ran on the old version, evidence.c the verdict. The target's hash is kept in the roll-out instead of being worked out for each remembered request.

--- /dev/null
+++ b/packages/rollout/src/rollout_internal.h
@@ -0,0 +1,72 @@
+#ifndef ROLLOUT_INTERNAL_H
+#define ROLLOUT_INTERNAL_H
+
+#include "cw_rollout.h"
+
+#include <glib.h>
+#include <sys/queue.h>
+
+#define ROLLOUT_RECENT	    512	 /* requests remembered: 5 s of an instance at 100 a second */
+#define ROLLOUT_FIRST_SHARE 0.10 /* of sessions: 0.15 of all requests may be exposed, and 30 more  \
+				  */
+
+/* A request that went to a server. Of any version: this roll-out's target is the next one's old. */
+struct rollout_recent {
+	uint64_t service;
+	uint64_t session;
+	uint64_t software;
+	int64_t at_ms;
+};
+
+struct rollout_peer {
+	uint64_t instance;
+	int64_t heard_ms;
+	size_t route_count;
+	struct cw_rollout_evidence routes[CW_ROLLOUT_ROUTES];
+};
+
+struct rollout {
+	TAILQ_ENTRY(rollout) link;
+	char service[CW_NAME_MAX];
+	char target[CW_NAME_MAX];
+	uint64_t service_hash;
+	uint64_t target_hash;
+	uint64_t offset; /* of the order */
+	int64_t begun_ms;
+	int64_t duration_ms;
+	enum cw_rollout_state state;
+	int is_written;
+	int is_ordered; /* 0: only what was written of it is known */
+	size_t route_count;
+	struct cw_rollout_evidence routes[CW_ROLLOUT_ROUTES];
+	int64_t counted_ms; /* the routes' figures are true then */
+	GHashTable *peers;  /* instance -> struct rollout_peer */
+	GHashTable *old;    /* sessions that peers saw on the old version: hash -> time */
+};
+
+struct cw_rollouts {
+	TAILQ_HEAD(, rollout) list;
+	int64_t session_ms;
+	struct rollout_recent recent[ROLLOUT_RECENT];
+	size_t next_recent;
+};
+
+struct rollout *rollout_find(const struct cw_rollouts *rollouts,
+			     const char *service); /* NULL: none */
+double rollout_point(uint64_t session); /* 0 to 1: on the target while the share is above */
+
+/* evidence.c: is the target worse than the version before it? */
+void rollout_fade(struct rollout *rollout, int64_t now_ms); /* the own answers, to this time */
+void rollout_hear_evidence(struct rollout *rollout, uint64_t instance,
+			   const struct cw_rollout_news *news, int64_t now_ms);
+int rollout_is_bad(struct rollout *rollout, int64_t now_ms);
+
+/* sessions.c: which sessions ran on the old version a moment ago? */
+int rollout_was_on_old(const struct cw_rollouts *rollouts, const struct rollout *rollout,
+		       uint64_t session, int64_t now_ms);
+void rollout_tell_sessions(const struct cw_rollouts *rollouts, const struct rollout *rollout,
+			   int64_t now_ms, struct cw_rollout_news *out);
+void rollout_hear_sessions(struct rollout *rollout, const struct cw_rollout_news *news,
+			   int64_t now_ms);
+
+#endif
