rollout: a new version is tried on a full server before all traffic moves to it

Cause: a version that fails only when more than half of a server's slots are taken was never tried there: a tenth of the sessions, and later all, leave each server of a quiet service nearly empty. Ruled out: a smaller share (the load never comes), judging all answers of full servers with the others (good answers hide the few bad ones), a higher share for all routes (spends the exposure before an engine is half full: 26 to 32 of 64 requests).

Now the routes that fill a server with little work move first, to one server, with the largest model; answers are told apart by route and load and weighed against the old version's rate on the same route, over seconds and since the order; what could not be tried is taken back before the exposure allowed is spent. The backlog of own prompts falls with their age (three prompts of 600 ms counted 1.7 s until all ended).

--- a/apps/corianderwalk/entry.c
+++ b/apps/corianderwalk/entry.c
@@ -106,7 +106,9 @@
 		.repeat_ratio = settings->repeat_ratio * 0.95,
 		.repeat_slack = settings->repeat_slack / 12,
 		.repeat_window_ms = settings->repeat_window_ms,
-		.session_ms = settings->session_ms,
+		.rollouts = {.session_ms = settings->session_ms,
+			     .exposed_share = settings->exposure_share,
+			     .exposed_slack = settings->exposure_slack},
 		.escalate_below = 60,
 		.escalate_below_late = 25,
 	};
--- a/apps/corianderwalk/entry_peers.c
+++ b/apps/corianderwalk/entry_peers.c
@@ -209,7 +209,7 @@
 			continue;
 		load->server = server->id;
 		load->running = server->own_running;
-		load->work_ms = (uint32_t)server->own_work_ms;
+		load->work_ms = (uint32_t)cw_pool_own_work_ms(server, now_ms);
 		gossip->load_count++;
 	}
 	gossip->rollout_count = cw_rollouts_tell(cw_gate_rollouts(entry->gate), now_ms,
--- a/apps/corianderwalk/entry_verdict.c
+++ b/apps/corianderwalk/entry_verdict.c
@@ -11,6 +11,7 @@
 #define STEP_MS	 400 /* between two instances that would write the same */
 #define VERDICTS 4
 
+static void log_verdict(const struct cw_rollout_verdict *verdict);
 static int is_my_turn(const struct verdict *verdict, const char *service, int64_t now_ms);
 static void append(struct verdict *verdict, const struct cw_rollout_status *status);
 static void on_head(void *context, const struct cw_message *answer);
@@ -36,7 +37,7 @@
 void verdict_tick(struct verdict *verdict, int64_t now_ms)
 {
 	struct feed *feed = verdict->feed;
-	struct cw_rollout_status verdicts[VERDICTS];
+	struct cw_rollout_verdict verdicts[VERDICTS];
 	size_t count =
 		cw_rollouts_judge(cw_gate_rollouts(feed->entry->gate), now_ms, verdicts, VERDICTS);
 
@@ -46,18 +47,28 @@
 	}
 	if (!verdict->decided_ms) {
 		verdict->decided_ms = now_ms;
-		cw_event("feed", "rollout_verdict", "service=%s target=%s state=%d",
-			 verdicts[0].service, verdicts[0].target, verdicts[0].state);
+		log_verdict(&verdicts[0]);
 		peers_tell(feed->entry->peers);
 	}
-	if (!is_my_turn(verdict, verdicts[0].service, now_ms))
+	if (!is_my_turn(verdict, verdicts[0].status.service, now_ms))
 		return;
 	if (!verdict->is_status_fresh) {
 		topic_start_over(&feed->status);
 		return;
 	}
 	verdict->is_status_fresh = 0;
-	append(verdict, &verdicts[0]);
+	append(verdict, &verdicts[0].status);
+}
+
+static void log_verdict(const struct cw_rollout_verdict *verdict)
+{
+	cw_event(
+		"feed", "rollout_verdict",
+		"service=%s target=%s state=%d reason=%s answers=%.1f bad=%.1f loaded_answers=%.1f "
+		"loaded_bad=%.1f",
+		verdict->status.service, verdict->status.target, verdict->status.state,
+		verdict->reason, verdict->answers, verdict->bad, verdict->loaded_answers,
+		verdict->loaded_bad);
 }
 
 static int is_my_turn(const struct verdict *verdict, const char *service, int64_t now_ms)
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -54,7 +54,7 @@
 	double repeat_ratio; /* of a service's requests that may be sent again */
 	double repeat_slack; /* and this many more, this instance's part of it */
 	int64_t repeat_window_ms;
-	int64_t session_ms;
+	struct cw_rollout_options rollouts;
 	int escalate_below;	 /* a small model's confidence, 0 to 100 */
 	int escalate_below_late; /* the same when the large one's answer would be late */
 };
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -24,6 +24,9 @@
 static void fail(struct cw_call *call, struct cw_step *step, const char *reason);
 static int find_target(struct cw_call *call, struct cw_step *step);
 static void send_first(struct cw_call *call, int64_t now_ms, struct cw_step *step);
+static int is_on_trial(const struct cw_call *call, int64_t now_ms);
+static struct cw_rollout_request as_request(const struct cw_call *call);
+static int chooses_model(const struct cw_call *call);
 static int send(struct cw_call *call, int64_t now_ms, struct cw_step *step);
 static int send_instead(struct cw_call *call, int64_t now_ms, struct cw_step *step);
 static struct cw_server *choose(struct cw_call *call, int64_t now_ms, int *is_home);
@@ -84,8 +87,10 @@
 		.running = answer->running, .queued = answer->queued, .slots = answer->slots};
 
 	memset(step, 0, sizeof(*step));
-	if (answer->has_load)
+	if (answer->has_load) {
 		cw_pool_reported(call->server, &load, now_ms);
+		call_work_told(call, &load);
+	}
 	if (answer->is_not_run) {
 		leave_server(call, now_ms, 0);
 		if (can_send_again(call, now_ms) && send(call, now_ms, step))
@@ -284,10 +289,42 @@
 	if (call->facts.allowed_ms < 0 || limit_ms < call->limit_ms)
 		call->limit_ms = limit_ms;
 	cw_repeats_first(gate_repeats(call->gate, call->service_name), now_ms);
+	call->is_filling = call_work_is_filling(call);
+	if (chooses_model(call) && is_on_trial(call, now_ms))
+		call->model = call->route->model_count - 1;
 	if (!send(call, now_ms, step))
 		refuse_not_run(call, step, "no backend server may take it");
 }
 
+/*
+ * Load pattern: a quiet hour, in which the small model's answers of 0.4 s don't fill half of one
+ * engine. The largest model's last 3 s; it is asked at once for the second or two that the trial of
+ * a new version takes.
+ */
+static int is_on_trial(const struct cw_call *call, int64_t now_ms)
+{
+	struct cw_rollouts *rollouts = call->gate->rollouts;
+	struct cw_rollout_request request = as_request(call);
+
+	return call->is_filling && cw_rollouts_wants_load(rollouts, call->service_name, now_ms) &&
+	       cw_rollouts_side(rollouts, &request, now_ms) == CW_ROLLOUT_NEW;
+}
+
+static struct cw_rollout_request as_request(const struct cw_call *call)
+{
+	return (struct cw_rollout_request){
+		.service = call->service_name,
+		.session = call->session,
+		.is_filling = call->is_filling,
+	};
+}
+
+/* Does the gate say which model answers, and is there a choice? */
+static int chooses_model(const struct cw_call *call)
+{
+	return call->route->model_count >= 2 && !strcmp(call->facts.model, CW_ANY_MODEL);
+}
+
 /* 1: step is SEND. */
 static int send(struct cw_call *call, int64_t now_ms, struct cw_step *step)
 {
@@ -340,16 +377,20 @@
 		.is_home = is_home,
 	};
 	const char *target = cw_rollouts_target(gate->rollouts, call->service_name);
+	struct cw_rollout_request request = as_request(call);
 	struct cw_server *server;
 
 	call_work_fill(call, &choice);
-	switch (cw_rollouts_side(gate->rollouts, call->service_name, call->session, now_ms)) {
+	switch (cw_rollouts_side(gate->rollouts, &request, now_ms)) {
 	case CW_ROLLOUT_OLD:
 		choice.not_software = target;
 		break;
 	case CW_ROLLOUT_NEW:
 		choice.only_software = target;
-		choice.spread = cw_rollouts_share(gate->rollouts, call->service_name, now_ms);
+		choice.spread = cw_rollouts_share(gate->rollouts, &request, now_ms);
+		choice.wants_load =
+			call->is_filling &&
+			cw_rollouts_wants_load(gate->rollouts, call->service_name, now_ms);
 		break;
 	case CW_ROLLOUT_ANY:
 		break;
@@ -420,7 +461,7 @@
 static void note_failure(struct cw_call *call, int64_t now_ms)
 {
 	/* A cut says nothing of the server or of what it runs. */
-	if (!call->server->is_unreachable)
+	if (!call->server->is_unreachable && cw_pool_broke(call->server, now_ms))
 		call_work_failed(call, now_ms);
 	cw_pool_failed(call->server, now_ms, gate_random(call->gate));
 }
@@ -465,9 +506,8 @@
 static int should_escalate(struct cw_call *call, const struct cw_answer_facts *answer,
 			   int64_t now_ms)
 {
-	if (answer->status >= 300 || answer->confidence < 0 || call->route->model_count < 2 ||
-	    call->model + 1 >= call->route->model_count ||
-	    strcmp(call->facts.model, CW_ANY_MODEL) != 0)
+	if (answer->status >= 300 || answer->confidence < 0 || !chooses_model(call) ||
+	    call->model + 1 >= call->route->model_count)
 		return 0;
 	if (!call_work_is_in_time(call, now_ms) ||
 	    answer->confidence >= escalate_below(call, now_ms) ||
--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -16,9 +16,12 @@
 #define SLOW_MARGIN_MS 40.0 /* of a prediction: the others' work that isn't known */
 #define SLOW_FACTOR    4.0  /* times the usual make an answer bad evidence of a version; */
 /* the other version's share of such answers is the measure, so the factor may be low */
-#define PACE_EVENTS  4	 /* of a stream, before its pace says something */
-#define WHOLE_PART   0.6 /* of the time left: the caller's guess is right in the middle only */
-#define EVENT_GAIN   0.05
+#define PLAIN_SLOW_FACTOR 3.0 /* of a plain service, which reads no prompts: 1 % are slower */
+#define PACE_EVENTS	  4   /* of a stream, before its pace says something */
+#define WHOLE_PART	  0.6 /* of the time left: the caller's guess is right in the middle only */
+#define EVENT_GAIN	  0.05
+#define LOADED_PART                                                                                \
+	0.5 /* of a server's slots taken: what fails only under load shows from here on */
 #define STREAM_BYTES 4500 /* of a usual stream back to its caller */
 #define PLAIN_BYTES  800
 
@@ -28,7 +31,8 @@
 static double shared_tokens(const struct cw_facts *facts);
 static void learn_pace(struct cw_call *call, double took_ms);
 static int is_target(const struct cw_call *call);
-static void tell_rollout(struct cw_call *call, int is_bad, int64_t now_ms);
+static void tell_rollout(struct cw_call *call, int is_failure, int is_slow, int64_t now_ms);
+static struct cw_rollout_answer as_evidence(const struct cw_call *call);
 
 void call_work_fill(struct cw_call *call, struct cw_choice *choice)
 {
@@ -76,6 +80,28 @@
 	return events * pace->event_ms < WHOLE_PART * (double)(call->limit_ms - now_ms);
 }
 
+/* By the usual shape of the route's requests against that of all of the service's. */
+int call_work_is_filling(const struct cw_call *call)
+{
+	double shape;
+
+	if (call->facts.part_count == 0)
+		return 1;
+	shape = call->facts.made_tokens / MAX(call->facts.read_tokens, 1);
+	return gate_shape(call->gate, call->route->name, shape) >=
+	       gate_shape(call->gate, call->service_name, shape);
+}
+
+/*
+ * Of a plain service's six slots three look taken when two answers are on their way back. A third
+ * of the answers counted as given under load were not, and proved versions that fail under it.
+ */
+void call_work_told(struct cw_call *call, const struct cw_load *load)
+{
+	if (call->facts.part_count == 0 && load->running < LOADED_PART * load->slots)
+		call->was_loaded = 0;
+}
+
 void call_work_begin(struct cw_call *call, int is_home, int64_t now_ms)
 {
 	const struct gate_pace *pace = gate_pace(call->gate, pace_name(call));
@@ -84,6 +110,7 @@
 
 	call->is_head_seen = 0;
 	call->events = 0;
+	call->was_loaded = cw_pool_load(server, now_ms) >= LOADED_PART * server->slots;
 	call->was_idle = server->own_work_ms + server->peers_work_ms <= PACE_IDLE_MS;
 	call->predicted_ms = call_work_predict(call, server, is_home, now_ms);
 	call->tokens = 0;
@@ -93,14 +120,15 @@
 	call->work_ms = call->tokens * pace_of(call, pace);
 	work = gate_pace(call->gate, call->service_name);
 	work->usual_ms += WORK_GAIN * (call->work_ms - work->usual_ms);
-	server->own_work_ms += call->work_ms;
+	cw_pool_work_begin(server, call->work_ms, work->usual_ms, now_ms);
 }
 
 void call_work_head(struct cw_call *call, int64_t now_ms)
 {
 	double took_ms = (double)(now_ms - call->sent_ms);
 	double ratio = took_ms / (call->predicted_ms + SLOW_MARGIN_MS);
-	int is_slow = ratio > SLOW_FACTOR;
+	int is_plain = call->facts.part_count == 0;
+	int is_slow = ratio > (is_plain ? PLAIN_SLOW_FACTOR : SLOW_FACTOR);
 
 	if (call->is_head_seen)
 		return;
@@ -110,22 +138,21 @@
 		learn_pace(call, took_ms);
 	call_work_end(call);
 	cw_pool_judged(call->server, 0, MAX(ratio, 1), now_ms);
-	tell_rollout(call, is_slow, now_ms);
+	tell_rollout(call, is_plain && is_slow, is_slow, now_ms);
 }
 
 /* Slow servers show in the pace of long streams long before they show in first events. */
 void call_work_done(struct cw_call *call, int64_t now_ms)
 {
 	struct gate_pace *pace = gate_pace(call->gate, pace_name(call));
+	struct cw_rollout_answer answer = as_evidence(call);
 	double gap_ms;
 
 	if (call->events < PACE_EVENTS)
 		return;
 	gap_ms = (double)(now_ms - call->head_ms) / call->events;
 	if (pace->event_ms > 0 && gap_ms > SLOW_FACTOR * pace->event_ms)
-		cw_rollouts_spoiled(call->gate->rollouts, call->service_name,
-				    cw_hash_text(call->route->name, 0), call->server->software,
-				    now_ms);
+		cw_rollouts_spoiled(call->gate->rollouts, &answer, now_ms);
 	if (pace->event_ms <= 0)
 		pace->event_ms = gap_ms;
 	else if (!is_target(call))
@@ -135,13 +162,13 @@
 void call_work_failed(struct cw_call *call, int64_t now_ms)
 {
 	cw_pool_judged(call->server, 1, 0, now_ms);
-	tell_rollout(call, 1, now_ms);
+	tell_rollout(call, 1, 0, now_ms);
 }
 
 void call_work_end(struct cw_call *call)
 {
 	if (call->server)
-		call->server->own_work_ms = MAX(call->server->own_work_ms - call->work_ms, 0);
+		cw_pool_work_end(call->server, call->work_ms);
 	call->work_ms = 0;
 }
 
@@ -217,9 +244,21 @@
 	return target && !strcmp(target, call->server->software);
 }
 
-static void tell_rollout(struct cw_call *call, int is_bad, int64_t now_ms)
+static void tell_rollout(struct cw_call *call, int is_failure, int is_slow, int64_t now_ms)
+{
+	struct cw_rollout_answer answer = as_evidence(call);
+
+	answer.is_failure = is_failure;
+	answer.is_slow = is_slow;
+	cw_rollouts_answered(call->gate->rollouts, &answer, now_ms);
+}
+
+static struct cw_rollout_answer as_evidence(const struct cw_call *call)
 {
-	cw_rollouts_answered(call->gate->rollouts, call->service_name,
-			     cw_hash_text(call->route->name, 0), call->server->software, is_bad,
-			     now_ms);
+	return (struct cw_rollout_answer){
+		.service = call->service_name,
+		.software = call->server->software,
+		.route = cw_hash_text(call->route->name, 0),
+		.is_loaded = call->was_loaded,
+	};
 }
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -2,7 +2,8 @@
 
 #include <string.h>
 
-#define WAITS_MAX 4096 /* routes; 300 KB */
+#define ROUTES_MAX 4096 /* remembered; 300 KB for what is kept of each */
+#define SHAPE_GAIN 0.05 /* of the newest request */
 
 struct cw_gate *cw_gate_create(const struct cw_gate_options *options)
 {
@@ -13,9 +14,10 @@
 	gate->options.failure_domain = gate->failure_domain;
 	gate->random = options->seed | 1;
 	gate->pool = cw_pool_create(&cw_choice_cost);
-	gate->rollouts = cw_rollouts_create(options->session_ms);
+	gate->rollouts = cw_rollouts_create(&options->rollouts);
 	gate->repeats = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gate->paces = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	gate->shapes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gate->waits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return gate;
 }
@@ -29,6 +31,7 @@
 	cw_rollouts_destroy(gate->rollouts);
 	g_hash_table_destroy(gate->repeats);
 	g_hash_table_destroy(gate->paces);
+	g_hash_table_destroy(gate->shapes);
 	g_hash_table_destroy(gate->waits);
 	g_free(gate);
 }
@@ -87,7 +90,7 @@
 
 	if (!longest) {
 		/* Routes come and go with configurations; what is forgotten is soon told again. */
-		if (g_hash_table_size(gate->waits) >= WAITS_MAX)
+		if (g_hash_table_size(gate->waits) >= ROUTES_MAX)
 			g_hash_table_remove_all(gate->waits);
 		longest = g_new0(int64_t, 1);
 		g_hash_table_insert(gate->waits, g_strdup(route), longest);
@@ -96,6 +99,21 @@
 	return *longest;
 }
 
+double gate_shape(struct cw_gate *gate, const char *name, double sample)
+{
+	double *usual = g_hash_table_lookup(gate->shapes, name);
+
+	if (!usual) {
+		if (g_hash_table_size(gate->shapes) >= ROUTES_MAX)
+			g_hash_table_remove_all(gate->shapes);
+		usual = g_new(double, 1);
+		*usual = sample;
+		g_hash_table_insert(gate->shapes, g_strdup(name), usual);
+	}
+	*usual += SHAPE_GAIN * (sample - *usual);
+	return *usual;
+}
+
 struct gate_pace *gate_pace(struct cw_gate *gate, const char *name)
 {
 	struct gate_pace *pace = g_hash_table_lookup(gate->paces, name);
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -22,6 +22,7 @@
 	struct cw_pool *pool;
 	struct cw_rollouts *rollouts;
 	GHashTable *repeats; /* service -> struct cw_repeats */
+	GHashTable *shapes;  /* route or engine service -> double, tokens made for one read */
 	GHashTable *paces;   /* model or plain service -> struct gate_pace */
 	uint64_t random;
 	GHashTable *waits; /* route -> the longest that a caller of it said to wait, ms */
@@ -51,7 +52,9 @@
 	double tokens;	     /* that the server has to read, as far as is known */
 	double work_ms;	     /* counted in server->own_work_ms */
 	double predicted_ms; /* from the attempt's send to its head */
+	int is_filling;	     /* its route's requests are long at their server for little work */
 	int was_idle;	     /* nothing else waited at the server */
+	int was_loaded;	     /* more than half of its slots were taken */
 	int is_head_seen;
 	int64_t head_ms;     /* when it was */
 	unsigned int events; /* of the attempt, that were shown */
@@ -60,6 +63,8 @@
 uint64_t gate_random(struct cw_gate *gate);
 struct gate_pace *gate_pace(struct cw_gate *gate, const char *name);
 int64_t gate_longest_wait_ms(struct cw_gate *gate, const char *route, int64_t wait_ms);
+double gate_shape(struct cw_gate *gate, const char *name,
+		  double sample); /* the usual one, this one included */
 struct cw_repeats *gate_repeats(struct cw_gate *gate, const char *service);
 
 /* call_work.c: what an attempt costs its server, and what its answer tells of the server */
@@ -69,6 +74,9 @@
 int call_work_is_in_time(
 	const struct cw_call *call,
 	int64_t now_ms); /* the largest model's whole stream, by the caller's guess */
+int call_work_is_filling(
+	const struct cw_call *call); /* its route's requests take slots for long, and little else */
+void call_work_told(struct cw_call *call, const struct cw_load *load); /* with its answer */
 void call_work_begin(struct cw_call *call, int is_home, int64_t now_ms);
 void call_work_head(struct cw_call *call, int64_t now_ms); /* a good head came */
 void call_work_done(struct cw_call *call, int64_t now_ms); /* the answer was whole */
--- a/packages/gossip/src/gossip.c
+++ b/packages/gossip/src/gossip.c
@@ -181,15 +181,17 @@
 	if (!code_text(xdr, news->service, CW_NAME_MAX) ||
 	    !code_text(xdr, news->target, CW_NAME_MAX) || !xdr_uint64_t(xdr, &news->offset) ||
 	    !code_int64(xdr, &news->elapsed_ms) || !code_int64(xdr, &news->duration_ms) ||
-	    !xdr_int(xdr, &state) || !xdr_int(xdr, &news->is_written))
+	    !xdr_int(xdr, &state) || !xdr_int(xdr, &news->is_written) ||
+	    !xdr_int(xdr, &news->is_proved) || !xdr_uint64_t(xdr, &news->sent) ||
+	    !xdr_uint64_t(xdr, &news->sent_new))
 		return FALSE;
 	if (state < CW_ROLLOUT_RUNNING || state > CW_ROLLOUT_BACK)
 		return FALSE;
 	news->state = (enum cw_rollout_state)state;
-	if (!code_count(xdr, &news->route_count, CW_ROLLOUT_ROUTES))
+	if (!code_count(xdr, &news->kind_count, CW_ROLLOUT_KINDS))
 		return FALSE;
-	for (size_t i = 0; i < news->route_count; i++)
-		if (!code_evidence(xdr, &news->routes[i]))
+	for (size_t i = 0; i < news->kind_count; i++)
+		if (!code_evidence(xdr, &news->kinds[i]))
 			return FALSE;
 	if (!code_count(xdr, &news->session_count, CW_ROLLOUT_SESSIONS))
 		return FALSE;
@@ -202,9 +204,13 @@
 
 static bool_t code_evidence(XDR *xdr, struct cw_rollout_evidence *evidence)
 {
-	return xdr_uint64_t(xdr, &evidence->route) && code_number(xdr, &evidence->old_answers) &&
-	       code_number(xdr, &evidence->old_bad) && code_number(xdr, &evidence->new_answers) &&
-	       code_number(xdr, &evidence->new_bad);
+	return xdr_uint64_t(xdr, &evidence->route) && xdr_int(xdr, &evidence->is_loaded) &&
+	       code_number(xdr, &evidence->old_answers) && code_number(xdr, &evidence->old_bad) &&
+	       code_number(xdr, &evidence->old_past_answers) &&
+	       code_number(xdr, &evidence->old_past_bad) &&
+	       code_number(xdr, &evidence->new_answers) && code_number(xdr, &evidence->new_bad) &&
+	       code_number(xdr, &evidence->new_past_answers) &&
+	       code_number(xdr, &evidence->new_past_bad);
 }
 
 /* A figure that is no finite count would poison every sum it enters. */
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -69,12 +69,14 @@
 	size_t history_next;
 	double service_ms; /* smoothed time of one request */
 
-	double own_work_ms;   /* of prompts sent there by this node and not read yet */
+	double own_work_ms;   /* of prompts sent there by this node, until their answers began */
+	double work_until_ms; /* when the newest of them is predicted to be read */
 	double peers_work_ms; /* by other instances, from gossip */
 	double failure_rate;  /* of late answers, 0 to 1; forgotten with time */
 	double slowness;      /* its time against the time expected, 1 usual; forgotten too */
 	int64_t judged_ms;    /* the two above are true then */
 
+	int64_t broke_ms;     /* a request's connection to it broke, the newest that counted */
 	int64_t heard_ms;     /* a byte came, or a connection opened */
 	int64_t sent_ms;      /* of the newest request */
 	int64_t probed_ms;    /* a connection was tried, only to see */
@@ -105,6 +107,7 @@
 	const char *only_software; /* NULL: any version of what servers run */
 	double spread;		   /* of the candidates that may be used, 0 to 1; 0: all */
 	const char *not_software;  /* NULL: none is left out */
+	int wants_load;		   /* fill one server to more than half before the next */
 	int64_t now_ms;
 	uint64_t random;
 	double read_tokens;   /* of the prompt; 0 for a plain service */
@@ -165,6 +168,8 @@
 void cw_pool_failed(struct cw_server *server, int64_t now_ms,
 		    uint64_t random); /* may open the breaker */
 void cw_pool_heard(struct cw_server *server, int64_t now_ms);
+int cw_pool_broke(struct cw_server *server,
+		  int64_t now_ms); /* 0: with others of the same moment, so no evidence more */
 void cw_pool_reached(struct cw_server *server); /* a connection opened, nothing was heard */
 void cw_pool_unheard(struct cw_server *server); /* no connection can be opened */
 size_t cw_pool_doubt(struct cw_pool *pool, const struct cw_server *unreachable,
@@ -173,6 +178,11 @@
 int cw_pool_wants_probe(const struct cw_server *server, int64_t now_ms);
 void cw_pool_judged(struct cw_server *server, int is_failure, double slowness,
 		    int64_t now_ms); /* an answer's evidence; slowness 0: not known */
+void cw_pool_work_begin(struct cw_server *server, double work_ms, double usual_work_ms,
+			int64_t now_ms); /* a prompt was sent there */
+void cw_pool_work_end(struct cw_server *server, double work_ms); /* its answer began, or failed */
+double cw_pool_own_work_ms(const struct cw_server *server,
+			   int64_t now_ms); /* of own prompts, still to be read */
 double cw_pool_backlog_ms(const struct cw_server *server, double usual_work_ms,
 			  int64_t now_ms); /* prompts that wait to be read there */
 double cw_pool_failure_rate(const struct cw_server *server, int64_t now_ms);
--- a/packages/pool/src/placement.c
+++ b/packages/pool/src/placement.c
@@ -19,6 +19,7 @@
 #define RUNNING_MS	 1.5	/* one more running request slows each token of the others */
 #define NOISE_MS	 4.0	/* instances with the same view don't all choose the same server */
 #define RECENT_MS	 3000	/* gossip older than that is no better than none */
+#define UNREAD_LEAST	 0.25	/* of the work counted: predictions of it may be short */
 #define TOLD_MS		 700	/* a queue is read or grown in that time */
 
 static double cost_of(const struct cw_server *server, const struct cw_choice *choice, int is_home);
@@ -42,6 +43,32 @@
 	server->judged_ms = now_ms;
 }
 
+void cw_pool_work_begin(struct cw_server *server, double work_ms, double usual_work_ms,
+			int64_t now_ms)
+{
+	server->work_until_ms =
+		(double)now_ms + cw_pool_backlog_ms(server, usual_work_ms, now_ms) + work_ms;
+	server->own_work_ms += work_ms;
+}
+
+void cw_pool_work_end(struct cw_server *server, double work_ms)
+{
+	server->own_work_ms = MAX(server->own_work_ms - work_ms, 0);
+}
+
+/*
+ * Load pattern: three prompts of 600 ms on one server. Each counts until its answer begins, so that
+ * the server looked 1.7 s late until the moment when all three had been read. What was read of them
+ * meanwhile is known from their ages; but a server may be slower than predicted.
+ */
+double cw_pool_own_work_ms(const struct cw_server *server, int64_t now_ms)
+{
+	double left_ms =
+		MAX(server->work_until_ms - (double)now_ms, UNREAD_LEAST * server->own_work_ms);
+
+	return MIN(server->own_work_ms, left_ms);
+}
+
 /*
  * Load pattern: dozens of instances, each with a few requests, send to the same servers. What an
  * instance knows of its peers is a second old in a large system; the number of requests that wait,
@@ -49,13 +76,13 @@
  */
 double cw_pool_backlog_ms(const struct cw_server *server, double usual_work_ms, int64_t now_ms)
 {
-	double known_ms = server->own_work_ms;
+	double known_ms = cw_pool_own_work_ms(server, now_ms);
 	double told_ms = 0;
 
 	if (now_ms - server->peers_ms <= RECENT_MS)
 		known_ms += server->peers_work_ms;
 	if (server->sampled_ms >= 0 && now_ms - server->sampled_ms <= TOLD_MS)
-		told_ms = server->queued * usual_work_ms + server->own_work_ms;
+		told_ms = server->queued * usual_work_ms + cw_pool_own_work_ms(server, now_ms);
 	return MAX(known_ms, told_ms);
 }
 
--- a/packages/pool/src/pool.c
+++ b/packages/pool/src/pool.c
@@ -15,6 +15,8 @@
 #define OWN_DOMAIN_WEIGHT  8
 #define NARROW_MIN	   2 /* servers: on a single one a burst looks like a slow version */
 #define MAX_CANDIDATES	   256
+#define FILL_PART	   0.7 /* of the slots: past half, with room for what others send at once */
+#define FILL_BACKLOG_MS	   800.0 /* prompts that wait there: half of the usual objective */
 
 struct cw_pool {
 	const struct cw_choice_policy *policy;
@@ -26,6 +28,8 @@
 static gint by_track_score(gconstpointer a, gconstpointer b);
 static void free_array(gpointer array);
 static size_t narrow(struct cw_server **candidates, size_t count, const struct cw_choice *choice);
+static struct cw_server *choose_to_fill(struct cw_server **candidates, size_t count,
+					const struct cw_choice *choice);
 static int is_tried(const struct cw_choice *choice, uint64_t id);
 
 struct cw_pool *cw_pool_create(const struct cw_choice_policy *policy)
@@ -225,6 +229,9 @@
 		if (count == MAX_CANDIDATES)
 			break;
 	}
+	server = choice->wants_load ? choose_to_fill(candidates, count, choice) : NULL;
+	if (server)
+		return server;
 	if (choice->spread > 0 && choice->spread < 1)
 		count = narrow(candidates, count, choice);
 	return count ? pool->policy->choose(candidates, count, choice) : NULL;
@@ -256,6 +263,26 @@
 	return MIN(keep, count);
 }
 
+/*
+ * Load pattern: a new version's share of the requests, spread evenly, leaves each of its servers
+ * nearly empty. One is filled, the same for every instance; in time of a queue there, the others
+ * take the request as usual.
+ */
+static struct cw_server *choose_to_fill(struct cw_server **candidates, size_t count,
+					const struct cw_choice *choice)
+{
+	struct cw_server *first = NULL;
+
+	for (size_t i = 0; i < count; i++)
+		if (!first || candidates[i]->id > first->id)
+			first = candidates[i];
+	if (!first || cw_pool_load(first, choice->now_ms) >= FILL_PART * first->slots)
+		return NULL;
+	if (cw_pool_backlog_ms(first, choice->usual_work_ms, choice->now_ms) > FILL_BACKLOG_MS)
+		return NULL;
+	return first;
+}
+
 int cw_pool_serves(const struct cw_server *server, uint64_t version)
 {
 	if (!server->versions_known)
--- a/packages/pool/src/reach.c
+++ b/packages/pool/src/reach.c
@@ -9,6 +9,7 @@
 
 #define QUIET_MS      300  /* with a request under way: three times the usual gap between events */
 #define JUST_HEARD_MS 200  /* less than the time it takes to notice that a server is cut off */
+#define CRASH_MS      1000 /* what breaks within it broke by one crash */
 #define AGAIN_MS      300  /* an unreachable server is back in use within it */
 #define AGAIN_MAX_MS  2400 /* a server that is only slow isn't met by ever more connections */
 
@@ -20,6 +21,19 @@
 	server->is_doubted = 0;
 }
 
+/*
+ * A server that crashes breaks all of its requests in one moment: one fault, and not fifty of the
+ * version that it ran. Counted singly, the crash of the one server on which a good new version was
+ * tried under load (55 requests, 14 on all old ones) took that version back.
+ */
+int cw_pool_broke(struct cw_server *server, int64_t now_ms)
+{
+	if (server->broke_ms && now_ms - server->broke_ms < CRASH_MS)
+		return 0;
+	server->broke_ms = now_ms;
+	return 1;
+}
+
 void cw_pool_reached(struct cw_server *server)
 {
 	server->is_unreachable = 0;
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -3,28 +3,35 @@
 
 #include <string.h>
 
-#define START_MS     1200 /* peers' sessions are heard before the first request goes to the new */
-#define FIRST_UNTIL  0.55 /* of the time ordered: sessions may not move in the first half */
-#define SECOND_SHARE 0.30
-#define SECOND_UNTIL 0.64
-#define THIRD_SHARE  0.60
-#define THIRD_UNTIL  0.73 /* at 0.65 a good version was taken back in 8 of 16 busy days, so in 0 */
-#define DONE_FIRST   0.90 /* runs on the old version have ended by then */
-#define DONE_LAST    0.97 /* time to write it down is left */
+#define START_MS    1200 /* peers' sessions are heard before the first request goes to the new */
+#define TRIAL_UNTIL 0.67 /* of the time ordered */
+#define SECOND_SHARE                                                                               \
+	0.40 /* then: what is bad on one route, not tried yet, shows before all move               \
+	      */
+#define ALL_FROM   0.73
+#define GIVE_UP_AT 0.80 /* not proved by then: time is left for those that moved to move back */
+#define DONE_FIRST 0.90 /* runs on the old version have ended by then */
+#define DONE_LAST  0.97 /* time to write it down is left */
 
 static struct rollout *add(struct cw_rollouts *rollouts, const char *service);
 static void begin(struct rollout *rollout, const char *target, uint64_t offset, int64_t duration_ms,
 		  int64_t begun_ms);
 static void set_target(struct rollout *rollout, const char *target);
 static int64_t done_after_ms(const struct cw_rollouts *rollouts, const struct rollout *rollout);
-static double share_at(const struct rollout *rollout, int64_t elapsed_ms);
-
-struct cw_rollouts *cw_rollouts_create(int64_t session_ms)
+static enum cw_rollout_state judge(const struct cw_rollouts *rollouts, struct rollout *rollout,
+				   int64_t now_ms);
+static int is_tried_enough(const struct cw_rollouts *rollouts, const struct rollout *rollout,
+			   int64_t now_ms);
+static void fill_verdict(const struct rollout *rollout, struct cw_rollout_verdict *verdict);
+static double share_at(const struct rollout *rollout, const struct cw_rollout_request *request,
+		       int64_t now_ms);
+
+struct cw_rollouts *cw_rollouts_create(const struct cw_rollout_options *options)
 {
 	struct cw_rollouts *rollouts = g_new0(struct cw_rollouts, 1);
 
 	TAILQ_INIT(&rollouts->list);
-	rollouts->session_ms = session_ms;
+	rollouts->options = *options;
 	return rollouts;
 }
 
@@ -95,11 +102,10 @@
 	return rollout ? rollout->target : NULL;
 }
 
-enum cw_rollout_side cw_rollouts_side(struct cw_rollouts *rollouts, const char *service,
-				      uint64_t session, int64_t now_ms)
+enum cw_rollout_side cw_rollouts_side(struct cw_rollouts *rollouts,
+				      const struct cw_rollout_request *request, int64_t now_ms)
 {
-	const struct rollout *rollout = rollout_find(rollouts, service);
-	int64_t elapsed_ms;
+	const struct rollout *rollout = rollout_find(rollouts, request->service);
 
 	if (!rollout)
 		return CW_ROLLOUT_ANY;
@@ -107,47 +113,100 @@
 		return CW_ROLLOUT_NEW;
 	if (rollout->state == CW_ROLLOUT_BACK)
 		return CW_ROLLOUT_OLD;
-	elapsed_ms = now_ms - rollout->begun_ms;
-	if (rollout_point(session) >= share_at(rollout, elapsed_ms))
+	if (rollout_point(request->session) >= share_at(rollout, request, now_ms))
 		return CW_ROLLOUT_OLD;
-	if ((double)elapsed_ms < FIRST_UNTIL * (double)rollout->duration_ms &&
-	    rollout_was_on_old(rollouts, rollout, session, now_ms))
+	if (rollout_part(rollout, now_ms) < ROLLOUT_FIRST_UNTIL &&
+	    rollout_was_on_old(rollouts, rollout, request->session, now_ms))
 		return CW_ROLLOUT_OLD;
 	return CW_ROLLOUT_NEW;
 }
 
-double cw_rollouts_share(const struct cw_rollouts *rollouts, const char *service, int64_t now_ms)
+double cw_rollouts_share(const struct cw_rollouts *rollouts,
+			 const struct cw_rollout_request *request, int64_t now_ms)
 {
-	const struct rollout *rollout = rollout_find(rollouts, service);
+	const struct rollout *rollout = rollout_find(rollouts, request->service);
 
 	if (!rollout || rollout->state != CW_ROLLOUT_RUNNING)
 		return 1;
-	return share_at(rollout, now_ms - rollout->begun_ms);
+	return share_at(rollout, request, now_ms);
+}
+
+int cw_rollouts_wants_load(const struct cw_rollouts *rollouts, const char *service, int64_t now_ms)
+{
+	const struct rollout *rollout = rollout_find(rollouts, service);
+
+	return rollout && rollout->state == CW_ROLLOUT_RUNNING && !rollout->is_proved &&
+	       rollout_part(rollout, now_ms) >= ROLLOUT_FIRST_UNTIL;
 }
 
 size_t cw_rollouts_judge(struct cw_rollouts *rollouts, int64_t now_ms,
-			 struct cw_rollout_status *verdicts, size_t max)
+			 struct cw_rollout_verdict *verdicts, size_t max)
 {
 	struct rollout *rollout;
 	size_t count = 0;
 
 	TAILQ_FOREACH(rollout, &rollouts->list, link) {
-		int64_t elapsed_ms = now_ms - rollout->begun_ms;
-
-		if (rollout->state == CW_ROLLOUT_RUNNING && rollout_is_bad(rollout, now_ms))
-			rollout->state = CW_ROLLOUT_BACK;
-		else if (rollout->state == CW_ROLLOUT_RUNNING &&
-			 elapsed_ms >= done_after_ms(rollouts, rollout))
-			rollout->state = CW_ROLLOUT_DONE;
+		if (rollout->state == CW_ROLLOUT_RUNNING)
+			rollout->state = judge(rollouts, rollout, now_ms);
 		if (rollout->state == CW_ROLLOUT_RUNNING || rollout->is_written || count == max)
 			continue;
-		g_strlcpy(verdicts[count].service, rollout->service, CW_NAME_MAX);
-		g_strlcpy(verdicts[count].target, rollout->target, CW_NAME_MAX);
-		verdicts[count++].state = rollout->state;
+		fill_verdict(rollout, &verdicts[count++]);
 	}
 	return count;
 }
 
+static void fill_verdict(const struct rollout *rollout, struct cw_rollout_verdict *verdict)
+{
+	g_strlcpy(verdict->status.service, rollout->service, CW_NAME_MAX);
+	g_strlcpy(verdict->status.target, rollout->target, CW_NAME_MAX);
+	verdict->status.state = rollout->state;
+	verdict->reason = rollout->reason ? rollout->reason : "heard";
+	verdict->answers = rollout->all.answers;
+	verdict->bad = rollout->all.bad;
+	verdict->doubt = rollout->all.doubt;
+	verdict->loaded_answers = rollout->loaded.answers;
+	verdict->loaded_bad = rollout->loaded.bad;
+	verdict->loaded_doubt = rollout->loaded.doubt;
+}
+
+/*
+ * A version may fail only on a server that is more than half full, and at a quiet hour none ever
+ * is: it would be completed and fail at the next busy one. So most sessions move for a trial on a
+ * full server first, and what could not be tried is taken back: the operator may order it again. An
+ * instance that hears few peers lacks their evidence and leaves this to the others.
+ */
+static enum cw_rollout_state judge(const struct cw_rollouts *rollouts, struct rollout *rollout,
+				   int64_t now_ms)
+{
+	int64_t elapsed_ms = now_ms - rollout->begun_ms;
+
+	if (rollout_is_bad(rollout, now_ms)) {
+		rollout->reason = "bad_answers";
+		return CW_ROLLOUT_BACK;
+	}
+	if (rollout->is_proved && !rollout->proved_ms)
+		rollout->proved_ms = now_ms;
+	if (rollout->is_proved && elapsed_ms >= done_after_ms(rollouts, rollout)) {
+		rollout->reason = "proved";
+		return CW_ROLLOUT_DONE;
+	}
+	if (!rollout->is_proved && is_tried_enough(rollouts, rollout, now_ms) &&
+	    rollout_hears_peers(rollout, now_ms)) {
+		rollout->reason = "not_tried_under_load";
+		return CW_ROLLOUT_BACK;
+	}
+	return CW_ROLLOUT_RUNNING;
+}
+
+static int is_tried_enough(const struct cw_rollouts *rollouts, const struct rollout *rollout,
+			   int64_t now_ms)
+{
+	double part = rollout_part(rollout, now_ms);
+
+	return part >= GIVE_UP_AT ||
+	       (part >= ROLLOUT_FIRST_UNTIL && rollout_is_spent(rollouts, rollout, now_ms));
+}
+
 /*
  * The old servers stop at once when the version is completed, and the next order may follow at
  * once. A session idle since before all went to the new version would then come back to another
@@ -157,7 +216,9 @@
 static int64_t done_after_ms(const struct cw_rollouts *rollouts, const struct rollout *rollout)
 {
 	double duration_ms = (double)rollout->duration_ms;
-	double idle_ms = THIRD_UNTIL * duration_ms + (double)rollouts->session_ms;
+	double all_ms =
+		MAX(ALL_FROM * duration_ms, (double)(rollout->proved_ms - rollout->begun_ms));
+	double idle_ms = all_ms + (double)rollouts->options.session_ms;
 
 	return (int64_t)CLAMP(idle_ms, DONE_FIRST * duration_ms, DONE_LAST * duration_ms);
 }
@@ -195,11 +256,14 @@
 		out->duration_ms = rollout->duration_ms;
 		out->state = rollout->state;
 		out->is_written = rollout->is_written;
+		out->is_proved = rollout->is_proved;
+		out->sent = rollout->sent;
+		out->sent_new = rollout->sent_new;
 		if (rollout->state != CW_ROLLOUT_RUNNING)
 			continue;
 		rollout_fade(rollout, now_ms);
-		out->route_count = rollout->route_count;
-		memcpy(out->routes, rollout->routes, sizeof(out->routes));
+		out->kind_count = rollout->kind_count;
+		memcpy(out->kinds, rollout->kinds, sizeof(out->kinds));
 		rollout_tell_sessions(rollouts, rollout, now_ms, out);
 	}
 	return count;
@@ -215,9 +279,10 @@
 		return 0;
 	if (!rollout)
 		rollout = add(rollouts, news->service);
-	if (!rollout->is_ordered || news->offset > rollout->offset)
+	if (!rollout->is_ordered || news->offset > rollout->offset) {
 		begin(rollout, news->target, news->offset, news->duration_ms,
 		      now_ms - news->elapsed_ms);
+	}
 	/* The one that heard of the order first counts best: a restarted instance knows less. */
 	rollout->begun_ms = MIN(rollout->begun_ms, now_ms - news->elapsed_ms);
 	before = rollout->state;
@@ -225,6 +290,7 @@
 				 rollout->state == CW_ROLLOUT_RUNNING))
 		rollout->state = news->state;
 	rollout->is_written |= news->is_written;
+	rollout->is_proved |= news->is_proved;
 	rollout_hear_evidence(rollout, instance, news, now_ms);
 	rollout_hear_sessions(rollout, news, now_ms);
 	return rollout->state != before;
@@ -262,9 +328,13 @@
 	rollout->state = CW_ROLLOUT_RUNNING;
 	rollout->is_written = 0;
 	rollout->is_ordered = 1;
-	rollout->route_count = 0;
+	rollout->kind_count = 0;
+	rollout->is_proved = 0;
+	rollout->proved_ms = 0;
+	rollout->sent = rollout->sent_new = 0;
+	rollout->reason = NULL;
 	rollout->counted_ms = begun_ms;
-	memset(rollout->routes, 0, sizeof(rollout->routes));
+	memset(rollout->kinds, 0, sizeof(rollout->kinds));
 	g_hash_table_remove_all(rollout->peers);
 	g_hash_table_remove_all(rollout->old);
 }
@@ -275,18 +345,29 @@
 	rollout->target_hash = cw_hash_text(target, 0);
 }
 
-/* Grows only, so that a session moves forward once at most. */
-static double share_at(const struct rollout *rollout, int64_t elapsed_ms)
+/*
+ * Grows only, so that a session moves forward once at most. The trial takes the routes that fill a
+ * server: with three in five of all requests an engine reached 32 of its 64 slots, with these alone
+ * twice as many, and the target gets half of the requests meanwhile.
+ */
+static double share_at(const struct rollout *rollout, const struct cw_rollout_request *request,
+		       int64_t now_ms)
 {
-	double part = (double)elapsed_ms / (double)MAX(rollout->duration_ms, 1);
+	double part = rollout_part(rollout, now_ms);
 
-	if (elapsed_ms < START_MS)
+	if (now_ms - rollout->begun_ms < START_MS)
 		return 0;
-	if (part < FIRST_UNTIL)
-		return ROLLOUT_FIRST_SHARE;
-	if (part < SECOND_UNTIL)
+	if (part >= ALL_FROM && rollout->is_proved)
+		return 1;
+	if (part >= TRIAL_UNTIL && rollout->is_proved && !request->is_filling)
 		return SECOND_SHARE;
-	return part < THIRD_UNTIL ? THIRD_SHARE : 1;
+	return part >= ROLLOUT_FIRST_UNTIL && request->is_filling ? 1 : ROLLOUT_FIRST_SHARE;
+}
+
+/* Of the time ordered, that has passed. */
+double rollout_part(const struct rollout *rollout, int64_t now_ms)
+{
+	return (double)(now_ms - rollout->begun_ms) / (double)MAX(rollout->duration_ms, 1);
 }
 
 double rollout_point(uint64_t session)
--- a/packages/rollout/src/rollout_internal.h
+++ b/packages/rollout/src/rollout_internal.h
@@ -7,8 +7,10 @@
 #include <sys/queue.h>
 
 #define ROLLOUT_RECENT	    512	 /* requests remembered: 5 s of an instance at 100 a second */
-#define ROLLOUT_FIRST_SHARE 0.10 /* of sessions: 0.15 of all requests may be exposed, and 30 more  \
-				  */
+#define ROLLOUT_FIRST_SHARE 0.08 /* of sessions: a third of what a bad version may get */
+#define ROLLOUT_FIRST_UNTIL                                                                        \
+	0.52 /* of the time ordered: sessions may not move in the first half                       \
+	      */
 
 /* A request that went to a server. Of any version: this roll-out's target is the next one's old. */
 struct rollout_recent {
@@ -21,8 +23,16 @@
 struct rollout_peer {
 	uint64_t instance;
 	int64_t heard_ms;
-	size_t route_count;
-	struct cw_rollout_evidence routes[CW_ROLLOUT_ROUTES];
+	uint64_t sent, sent_new;
+	size_t kind_count;
+	struct cw_rollout_evidence kinds[CW_ROLLOUT_KINDS];
+};
+
+/* Answers of the target; the doubt is above zero where they speak against it. */
+struct rollout_sum {
+	double answers;
+	double bad;
+	double doubt;
 };
 
 struct rollout {
@@ -37,16 +47,23 @@
 	enum cw_rollout_state state;
 	int is_written;
 	int is_ordered; /* 0: only what was written of it is known */
-	size_t route_count;
-	struct cw_rollout_evidence routes[CW_ROLLOUT_ROUTES];
-	int64_t counted_ms; /* the routes' figures are true then */
-	GHashTable *peers;  /* instance -> struct rollout_peer */
-	GHashTable *old;    /* sessions that peers saw on the old version: hash -> time */
+	size_t kind_count;
+	struct cw_rollout_evidence kinds[CW_ROLLOUT_KINDS];
+	int is_proved;		   /* the target stood the trial under load */
+	int64_t proved_ms;	   /* when this instance learned that; 0: it is not known to */
+	const char *reason;	   /* of the state, for the log */
+	struct rollout_sum all;	   /* of all instances and kinds, at the last look */
+	struct rollout_sum loaded; /* those of them from servers more than half full */
+	uint64_t sent;		   /* by this instance, to any of the service's servers */
+	uint64_t sent_new;	   /* to the target's */
+	int64_t counted_ms;	   /* the kinds' figures are true then */
+	GHashTable *peers;	   /* instance -> struct rollout_peer */
+	GHashTable *old;	   /* sessions that peers saw on the old version: hash -> time */
 };
 
 struct cw_rollouts {
 	TAILQ_HEAD(, rollout) list;
-	int64_t session_ms;
+	struct cw_rollout_options options;
 	struct rollout_recent recent[ROLLOUT_RECENT];
 	size_t next_recent;
 };
@@ -55,11 +72,18 @@
 			     const char *service); /* NULL: none */
 double rollout_point(uint64_t session); /* 0 to 1: on the target while the share is above */
 
+double rollout_part(const struct rollout *rollout, int64_t now_ms); /* of the time ordered */
+
 /* evidence.c: is the target worse than the version before it? */
 void rollout_fade(struct rollout *rollout, int64_t now_ms); /* the own answers, to this time */
 void rollout_hear_evidence(struct rollout *rollout, uint64_t instance,
 			   const struct cw_rollout_news *news, int64_t now_ms);
-int rollout_is_bad(struct rollout *rollout, int64_t now_ms);
+int rollout_is_bad(struct rollout *rollout, int64_t now_ms); /* also sets is_proved */
+void rollout_count(struct rollout *rollout, int is_new);     /* a request that was sent */
+int rollout_is_spent(const struct cw_rollouts *rollouts, const struct rollout *rollout,
+		     int64_t now_ms); /* the target got what a bad version may get */
+int rollout_hears_peers(const struct rollout *rollout,
+			int64_t now_ms); /* 0: most evidence may be missing here */
 
 /* sessions.c: which sessions ran on the old version a moment ago? */
 int rollout_was_on_old(const struct cw_rollouts *rollouts, const struct rollout *rollout,
--- a/packages/rollout/src/sessions.c
+++ b/packages/rollout/src/sessions.c
@@ -18,7 +18,12 @@
 void cw_rollouts_used(struct cw_rollouts *rollouts, const char *service, uint64_t session,
 		      const char *software, int64_t now_ms)
 {
-	remember(rollouts, service, session, cw_hash_text(software, 0), now_ms);
+	struct rollout *rollout = rollout_find(rollouts, service);
+	uint64_t hash = cw_hash_text(software, 0);
+
+	remember(rollouts, service, session, hash, now_ms);
+	if (rollout)
+		rollout_count(rollout, hash == rollout->target_hash);
 }
 
 /*
@@ -37,7 +42,7 @@
 int rollout_was_on_old(const struct cw_rollouts *rollouts, const struct rollout *rollout,
 		       uint64_t session, int64_t now_ms)
 {
-	int64_t since_ms = now_ms - rollouts->session_ms - SESSION_SLACK;
+	int64_t since_ms = now_ms - rollouts->options.session_ms - SESSION_SLACK;
 	const int64_t *heard = g_hash_table_lookup(rollout->old, &session);
 
 	if (heard && *heard > since_ms)
@@ -65,7 +70,7 @@
 		const struct rollout_recent *recent = &rollouts->recent[i];
 
 		if (is_on_old(recent, rollout) &&
-		    now_ms - recent->at_ms <= rollouts->session_ms + SESSION_SLACK)
+		    now_ms - recent->at_ms <= rollouts->options.session_ms + SESSION_SLACK)
 			add_session(out, recent->session, now_ms - recent->at_ms);
 	}
 	g_hash_table_iter_init(&iter, rollout->old);
