gate: trust falls to none as the large model's queue grows

Cause: under five times the usual load a confidence below 25 was still replaced by the largest model, a quarter of all requests; each adds 120 ms of work on average to engines whose queue is seconds long.

--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -11,8 +11,9 @@
 #define NO_CONFIG_WAIT_MS 500
 #define DEADLINE_LESS_MS  15   /* the way back to the caller */
 #define STREAM_SILENCE_MS 4000 /* between events: four times the usual objective of 1 s */
-#define EARLY_PART	  0.3  /* of the objective that the large model's first event would take: */
-#define LATE_PART	  0.9  /* from here on the trust asked for falls, and here it is lowest */
+#define EARLY_PART	  0.15 /* of the objective that the large model's first event would take: */
+#define LATE_PART	  0.45 /* from here on the trust asked for falls, here it is that of a late */
+#define LOST_PART	  0.8  /* answer, and here nobody is helped: the queue would only grow */
 #define SILENCE_FACTOR	  4.0  /* of the predicted wait: a full queue is not a server that hangs */
 #define ESCALATION_SPARE  0.12 /* of the repeat budget is left for failures */
 #define URGENCY_STEP	  3    /* an organisation's priority goes before the route's */
@@ -535,6 +536,10 @@
 	call->model = small;
 	part = (predicted_ms + (double)(now_ms - call->opened_ms)) /
 	       (double)MAX(call->route->objective_ms, 1);
+	if (part > LATE_PART) {
+		part = CLAMP((part - LATE_PART) / (LOST_PART - LATE_PART), 0, 1);
+		return (int)((1 - part) * options->escalate_below_late);
+	}
 	part = CLAMP((part - EARLY_PART) / (LATE_PART - EARLY_PART), 0, 1);
 	return (int)(options->escalate_below +
 		     part * (options->escalate_below_late - options->escalate_below));
--- a/tests/unit/test_gate.c
+++ b/tests/unit/test_gate.c
@@ -81,6 +81,7 @@
 		.repeat_window_ms = 10000,
 		.rollouts = {.session_ms = 5000, .exposed_share = 0.15, .exposed_slack = 30},
 		.escalate_below = 60,
+		.escalate_below_late = 25,
 	};
 
 	memset(bed, 0, sizeof(*bed));
@@ -299,6 +300,44 @@
 	bed_close(&bed);
 }
 
+/*
+ * Symptom: at five times the usual load every second answer of a long prompt was late, 9 in 100
+ * requests were refused by full engines.
+ * Sequence: the large model's prompts queue for seconds; each answer with little confidence adds
+ * one. Cause: a confidence below 25 was replaced however long the queue was.
+ */
+static void the_trust_asked_for_falls_to_none_as_the_queue_grows(void **state)
+{
+	static const struct {
+		double backlog_ms; /* of an objective of 300 ms; the large model needs 25 more */
+		int least;	   /* confidence that is shown */
+	} steps[] = {{0, 60}, {60, 44}, {115, 24}, {170, 11}, {230, 0}, {5000, 0}};
+	struct cw_answer_facts answer = {.status = 200, .is_sealed = 1, .is_events = 1};
+	struct cw_server *server;
+	struct bed bed;
+
+	bed_open(&bed);
+	bed.facts.part_count = 1;
+	bed.facts.read_tokens = 1;
+	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+		TAILQ_FOREACH(server, cw_pool_servers(cw_gate_pool(bed.gate)), link) {
+			server->peers_work_ms = steps[i].backlog_ms;
+			server->peers_ms = NOW;
+		}
+		for (int confidence = 0; confidence <= 100; confidence++) {
+			ask(&bed, "/chat/x");
+			answer.confidence = confidence;
+			cw_call_head(bed.call, &answer, NOW, &bed.step);
+			if (bed.step.kind == CW_STEP_SHOW) {
+				assert_true(abs(confidence - steps[i].least) <= 3);
+				break;
+			}
+		}
+		assert_int_equal(bed.step.kind, CW_STEP_SHOW);
+	}
+	bed_close(&bed);
+}
+
 /* Nothing that was shown may be taken back: a stream goes on where it stopped, elsewhere. */
 static void a_broken_stream_goes_on_after_its_last_event(void **state)
 {
@@ -415,6 +454,7 @@
 		cmocka_unit_test(an_answer_that_is_not_the_servers_own_is_not_shown),
 		cmocka_unit_test(repeats_stop_when_their_budget_is_spent),
 		cmocka_unit_test(a_small_model_that_doubts_is_replaced_by_the_largest),
+		cmocka_unit_test(the_trust_asked_for_falls_to_none_as_the_queue_grows),
 		cmocka_unit_test(a_broken_stream_goes_on_after_its_last_event),
 		cmocka_unit_test(the_time_that_a_server_gets_is_what_is_left),
 		cmocka_unit_test(a_leaving_server_gets_nothing_more),
--- a/tests/unit/test_pool.c
+++ b/tests/unit/test_pool.c
@@ -124,6 +124,73 @@
 		assert_true(used[i] > 0);
 }
 
+/*
+ * Symptom: a server with three requests looked 1.7 s late for 2 s, and got none.
+ * Sequence: three prompts of 600 ms, read one after another.
+ * Cause: each counted whole until its answer began.
+ */
+static void a_backlog_falls_while_prompts_are_read(void **state)
+{
+	struct cw_pool *pool = cw_pool_create(&cw_choice_cost);
+	struct cw_server *server = add(pool, 1, "d1");
+
+	for (int i = 0; i < 3; i++)
+		cw_pool_work_begin(server, 600, 100, 1000);
+	assert_true(cw_pool_own_work_ms(server, 1000) == 1800);
+	assert_true(cw_pool_own_work_ms(server, 1900) == 900);
+	/* A server may be slower than predicted: what it has not answered is not forgotten. */
+	assert_true(cw_pool_own_work_ms(server, 9000) == 450);
+	cw_pool_work_end(server, 600);
+	assert_true(cw_pool_own_work_ms(server, 9000) == 300);
+	cw_pool_work_end(server, 600);
+	cw_pool_work_end(server, 600);
+	assert_true(cw_pool_own_work_ms(server, 9000) == 0);
+	cw_pool_destroy(pool);
+}
+
+/*
+ * Symptom: a new version was never tried on a full server.
+ * Sequence: its requests are spread over its servers, each by the least cost.
+ * Cause: nothing ever filled one of them.
+ */
+static void a_trial_fills_one_server_before_the_next(void **state)
+{
+	struct cw_pool *pool = cw_pool_create(&cw_choice_cost);
+	struct cw_choice choice = {
+		.service = "llm", .failure_domain = "d1", .wants_load = 1, .now_ms = 1000};
+	struct cw_server *first;
+
+	for (int i = 0; i < 4; i++)
+		add(pool, i, "d1")->slots = 8;
+	first = cw_pool_choose(pool, &choice);
+	for (int i = 0; i < 6; i++) {
+		assert_ptr_equal(cw_pool_choose(pool, &choice), first);
+		cw_pool_dispatched(first, 1000);
+	}
+	/* Past half of its slots, and not yet full: the others take over. */
+	assert_ptr_not_equal(cw_pool_choose(pool, &choice), first);
+	cw_pool_ended(first, 1100, 100);
+	choice.now_ms = 1100;
+	assert_ptr_equal(cw_pool_choose(pool, &choice), first);
+	/* Nor in time of a queue. */
+	cw_pool_work_begin(first, 900, 100, 1100);
+	assert_ptr_not_equal(cw_pool_choose(pool, &choice), first);
+	cw_pool_destroy(pool);
+}
+
+static void a_crash_is_one_fault_however_many_requests_it_breaks(void **state)
+{
+	struct cw_pool *pool = cw_pool_create(&cw_choice_cost);
+	struct cw_server *server = add(pool, 1, "d1");
+	int counted = 0;
+
+	for (int i = 0; i < 55; i++)
+		counted += cw_pool_broke(server, 1000 + i);
+	assert_int_equal(counted, 1);
+	assert_int_equal(cw_pool_broke(server, 2100), 1);
+	cw_pool_destroy(pool);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -131,6 +198,9 @@
 		cmocka_unit_test(the_breaker_opens_and_lets_one_probe_through),
 		cmocka_unit_test(a_prefix_stays_until_its_server_is_full),
 		cmocka_unit_test(another_domain_only_when_it_is_sooner),
+		cmocka_unit_test(a_backlog_falls_while_prompts_are_read),
+		cmocka_unit_test(a_trial_fills_one_server_before_the_next),
+		cmocka_unit_test(a_crash_is_one_fault_however_many_requests_it_breaks),
 		cmocka_unit_test(of_many_servers_a_few_are_used_and_no_near_one_by_nobody),
 	};
 
