--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -179,7 +179,7 @@
 void cw_pool_judged(struct cw_server *server, int is_failure, double slowness,
 		    int64_t now_ms); /* an answer's evidence; slowness 0: not known */
 void cw_pool_work_begin(struct cw_server *server, double work_ms, double usual_work_ms,
-			int64_t now_ms); /* a prompt was sent there */
+			int64_t now_ms);			 /* a prompt was sent there */
 void cw_pool_work_end(struct cw_server *server, double work_ms); /* its answer began, or failed */
 double cw_pool_own_work_ms(const struct cw_server *server,
 			   int64_t now_ms); /* of own prompts, still to be read */
