--- a/packages/gossip/include/cw_gossip.h
+++ b/packages/gossip/include/cw_gossip.h
@@ -14,11 +14,11 @@
 #include <stdint.h>
 
 #define CW_GOSSIP_BYTES	       (16 * 1024) /* of one datagram at most */
-#define CW_GOSSIP_MEMBERS      8	   /* other instances named in one message */
+#define CW_GOSSIP_MEMBERS      5	   /* other instances named in one message */
 #define CW_GOSSIP_SERVERS      128
 #define CW_GOSSIP_ROLLOUTS     4
 #define CW_GOSSIP_CUT_SESSIONS 16 /* of a roll-out, in a message to all */
-#define CW_GOSSIP_FOREIGN      3  /* instances of other domains told each time, in a small domain */
+#define CW_GOSSIP_FOREIGN      2  /* instances of other domains told each time, in a small domain */
 #define CW_GOSSIP_SMALL	       20 /* a domain of so many; a larger one sends no more than this one */
 
 struct cw_gossip_member {
