gate: while servers reject, nothing is dropped for a larger model and the least urgent are refused

Now each instance keeps the part of its last second's sends that was rejected, by service: above a tenth no answer is dropped, and requests of the second and later priorities are refused at once with that chance, true and with 0.6 to 1.2 s to come back. A rejected escalation goes back to the small model.

--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -15,6 +15,9 @@
 #define LATE_PART	  0.45 /* from here on the trust asked for falls, here it is that of a late */
 #define LOST_PART	  0.8  /* answer, and here nobody is helped: the queue would only grow */
 #define SILENCE_FACTOR	  4.0  /* of the predicted wait: a full queue is not a server that hangs */
+#define FULL_PART	  0.1  /* of the sends rejected: the dropped answer might be the only one */
+#define SHED_PRIORITY	  2    /* and later: as many are refused as servers reject */
+#define SHED_WAIT_MS	  600  /* to twice as much: a queue's length, a part of a short deadline */
 #define ESCALATION_SPARE  0.12 /* of the repeat budget is left for failures */
 #define URGENCY_STEP	  3    /* an organisation's priority goes before the route's */
 #define URGENCY_LAST	  9
@@ -25,8 +28,10 @@
 static void fail(struct cw_call *call, struct cw_step *step, const char *reason);
 static int find_target(struct cw_call *call, struct cw_step *step);
 static void send_first(struct cw_call *call, int64_t now_ms, struct cw_step *step);
+static int is_shed(struct cw_call *call, int64_t now_ms);
 static int is_on_trial(const struct cw_call *call, int64_t now_ms);
 static struct cw_rollout_request as_request(const struct cw_call *call);
+static void be_content_with_less(struct cw_call *call);
 static int chooses_model(const struct cw_call *call);
 static int send(struct cw_call *call, int64_t now_ms, struct cw_step *step);
 static int send_instead(struct cw_call *call, int64_t now_ms, struct cw_step *step);
@@ -94,6 +99,8 @@
 	}
 	if (answer->is_not_run) {
 		leave_server(call, now_ms, 0);
+		be_content_with_less(call);
+		gate_note_sent(call->gate, call->service_name, 1, now_ms);
 		if (can_send_again(call, now_ms) && send(call, now_ms, step))
 			return;
 		if (call->is_shown)
@@ -290,6 +297,12 @@
 	if (call->facts.allowed_ms < 0 || limit_ms < call->limit_ms)
 		call->limit_ms = limit_ms;
 	cw_repeats_first(gate_repeats(call->gate, call->service_name), now_ms);
+	if (is_shed(call, now_ms)) {
+		refuse_not_run(call, step, "the backend servers have no room");
+		step->retry_after_ms =
+			SHED_WAIT_MS + (int64_t)(gate_random(call->gate) % SHED_WAIT_MS);
+		return;
+	}
 	call->is_filling = call_work_is_filling(call);
 	if (chooses_model(call) && is_on_trial(call, now_ms))
 		call->model = call->route->model_count - 1;
@@ -297,6 +310,21 @@
 		refuse_not_run(call, step, "no backend server may take it");
 }
 
+/*
+ * Load pattern: five times the usual requests. Servers reject half of what they are sent, each
+ * rejected request tries two more, and the least urgent that got into a queue are overtaken there
+ * until their time is up. As many of them as are rejected are refused at once, the more urgent ones
+ * less, and the most urgent never.
+ */
+static int is_shed(struct cw_call *call, int64_t now_ms)
+{
+	double part = gate_rejected_part(call->gate, call->service_name, now_ms);
+	double chance = part * MIN(call->route->priority, SHED_PRIORITY) / SHED_PRIORITY;
+
+	return part > FULL_PART &&
+	       (double)(gate_random(call->gate) >> 11) / (double)(1ULL << 53) < chance;
+}
+
 /*
  * Load pattern: a quiet hour, in which the small model's answers of 0.4 s don't fill half of one
  * engine. The largest model's last 3 s; it is asked at once for the second or two that the trial of
@@ -320,6 +348,17 @@
 	};
 }
 
+/*
+ * Load pattern: engines so full that they refuse. The small model's doubtful answer was dropped for
+ * the largest one's, which then nobody took: the caller got neither, 2,571 times in a burst of five
+ * times the usual load. The attempt that is left goes to the small model again.
+ */
+static void be_content_with_less(struct cw_call *call)
+{
+	if (chooses_model(call) && !call->is_shown)
+		call->model = 0;
+}
+
 /* Does the gate say which model answers, and is there a choice? */
 static int chooses_model(const struct cw_call *call)
 {
@@ -336,6 +375,7 @@
 		return 0;
 	call->server = server;
 	call->sent_ms = now_ms;
+	gate_note_sent(call->gate, call->service_name, 0, now_ms);
 	call_work_begin(call, is_home, now_ms);
 	cw_rollouts_used(call->gate->rollouts, call->service_name, call->session, server->software,
 			 now_ms);
@@ -510,6 +550,8 @@
 	if (answer->status >= 300 || answer->confidence < 0 || !chooses_model(call) ||
 	    call->model + 1 >= call->route->model_count)
 		return 0;
+	if (gate_rejected_part(call->gate, call->service_name, now_ms) > FULL_PART)
+		return 0;
 	if (!call_work_is_in_time(call, now_ms) ||
 	    answer->confidence >= escalate_below(call, now_ms) ||
 	    (int)call->attempts >= call->route->max_attempts)
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -1,9 +1,14 @@
 #include "gate_internal.h"
 
+#include <math.h>
 #include <string.h>
 
-#define ROUTES_MAX 4096 /* remembered; 300 KB for what is kept of each */
-#define SHAPE_GAIN 0.05 /* of the newest request */
+#define ROUTES_MAX     4096   /* remembered; 300 KB for what is kept of each */
+#define PRESSURE_MS    1000.0 /* a rejection counts 1/e after it: a queue of so long may be gone */
+#define PRESSURE_PRIOR 5.0    /* requests that were not rejected, before any are seen */
+#define SHAPE_GAIN     0.05   /* of the newest request */
+
+static struct gate_pressure *pressure_of(struct cw_gate *gate, const char *service, int64_t now_ms);
 
 struct cw_gate *cw_gate_create(const struct cw_gate_options *options)
 {
@@ -18,6 +23,7 @@
 	gate->repeats = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gate->paces = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gate->shapes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	gate->pressures = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gate->waits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	return gate;
 }
@@ -32,6 +38,7 @@
 	g_hash_table_destroy(gate->repeats);
 	g_hash_table_destroy(gate->paces);
 	g_hash_table_destroy(gate->shapes);
+	g_hash_table_destroy(gate->pressures);
 	g_hash_table_destroy(gate->waits);
 	g_free(gate);
 }
@@ -99,6 +106,39 @@
 	return *longest;
 }
 
+void gate_note_sent(struct cw_gate *gate, const char *service, int is_rejected, int64_t now_ms)
+{
+	struct gate_pressure *pressure = pressure_of(gate, service, now_ms);
+
+	if (is_rejected)
+		pressure->rejected += 1;
+	else
+		pressure->sent += 1;
+}
+
+double gate_rejected_part(struct cw_gate *gate, const char *service, int64_t now_ms)
+{
+	const struct gate_pressure *pressure = pressure_of(gate, service, now_ms);
+
+	return MIN(pressure->rejected / (pressure->sent + PRESSURE_PRIOR), 1);
+}
+
+static struct gate_pressure *pressure_of(struct cw_gate *gate, const char *service, int64_t now_ms)
+{
+	struct gate_pressure *pressure = g_hash_table_lookup(gate->pressures, service);
+	double factor;
+
+	if (!pressure) {
+		pressure = g_new0(struct gate_pressure, 1);
+		g_hash_table_insert(gate->pressures, g_strdup(service), pressure);
+	}
+	factor = exp(-(double)(now_ms - pressure->at_ms) / PRESSURE_MS);
+	pressure->sent *= factor;
+	pressure->rejected *= factor;
+	pressure->at_ms = now_ms;
+	return pressure;
+}
+
 double gate_shape(struct cw_gate *gate, const char *name, double sample)
 {
 	double *usual = g_hash_table_lookup(gate->shapes, name);
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -15,15 +15,23 @@
 	unsigned int samples;
 };
 
+/* Of the requests sent to a service in the last second, those that its servers had no room for. */
+struct gate_pressure {
+	double sent;
+	double rejected;
+	int64_t at_ms; /* the two are true then */
+};
+
 struct cw_gate {
 	struct cw_gate_options options;
 	char failure_domain[CW_NAME_MAX];
 	struct cw_config *config;
 	struct cw_pool *pool;
 	struct cw_rollouts *rollouts;
-	GHashTable *repeats; /* service -> struct cw_repeats */
-	GHashTable *shapes;  /* route or engine service -> double, tokens made for one read */
-	GHashTable *paces;   /* model or plain service -> struct gate_pace */
+	GHashTable *repeats;   /* service -> struct cw_repeats */
+	GHashTable *shapes;    /* route or engine service -> double, tokens made for one read */
+	GHashTable *pressures; /* service -> struct gate_pressure */
+	GHashTable *paces;     /* model or plain service -> struct gate_pace */
 	uint64_t random;
 	GHashTable *waits; /* route -> the longest that a caller of it said to wait, ms */
 };
@@ -65,6 +73,8 @@
 int64_t gate_longest_wait_ms(struct cw_gate *gate, const char *route, int64_t wait_ms);
 double gate_shape(struct cw_gate *gate, const char *name,
 		  double sample); /* the usual one, this one included */
+void gate_note_sent(struct cw_gate *gate, const char *service, int is_rejected, int64_t now_ms);
+double gate_rejected_part(struct cw_gate *gate, const char *service, int64_t now_ms); /* 0 to 1 */
 struct cw_repeats *gate_repeats(struct cw_gate *gate, const char *service);
 
 /* call_work.c: what an attempt costs its server, and what its answer tells of the server */
--- a/tests/unit/test_gate.c
+++ b/tests/unit/test_gate.c
@@ -344,6 +344,90 @@
 	assert_int_equal(answered_with(5000, 0), CW_STEP_SHOW);
 }
 
+/* So many requests go out and are rejected by their first server, as in a burst. */
+static void reject(struct bed *bed, int count)
+{
+	for (int i = 0; i < count; i++) {
+		ask(bed, "/once/x");
+		if (bed->step.kind == CW_STEP_SEND)
+			answer(bed, 503, 0, 1);
+	}
+}
+
+/*
+ * Symptom: in a burst of five times the usual load the least urgent half of the callers got neither
+ * an answer nor a true refusal; each rejected request was sent to two more full servers. Sequence:
+ * servers reject half of what they get, the rest waits behind more urgent requests. Cause: what the
+ * servers had no room for was sent again and again.
+ */
+static void the_least_urgent_are_refused_at_once_while_servers_reject(void **state)
+{
+	int refused[3] = {0};
+	struct bed bed;
+
+	for (int priority = 0; priority < 3; priority++) {
+		bed_open(&bed);
+		((struct cw_route *)cw_config_route(bed.config, "h.example", "/once/x"))->priority =
+			2;
+		((struct cw_route *)cw_config_route(bed.config, "h.example", "/read/x"))->priority =
+			priority;
+		reject(&bed, 40);
+		for (int i = 0; i < 100; i++) {
+			ask(&bed, "/read/x");
+			if (bed.step.kind != CW_STEP_REFUSE)
+				continue;
+			refused[priority]++;
+			assert_refused(&bed, 503, CW_RUN_NOT);
+			assert_true(bed.step.retry_after_ms >= 600 &&
+				    bed.step.retry_after_ms < 1200);
+		}
+		bed_close(&bed);
+	}
+	assert_int_equal(refused[0], 0);
+	assert_true(refused[1] > 5);
+	assert_true(refused[2] > refused[1]);
+}
+
+/*
+ * Symptom: callers got 502 in place of the small model's answer that was there.
+ * Sequence: a doubtful answer is dropped for the largest model's, and no engine has room for that.
+ * Cause: the attempt that was left went to the largest model as well.
+ */
+static void what_full_engines_refuse_is_asked_of_the_small_model_again(void **state)
+{
+	struct cw_answer_facts unsure = {
+		.status = 200, .is_sealed = 1, .is_events = 1, .confidence = 30};
+	struct bed bed;
+
+	bed_open(&bed);
+	ask(&bed, "/chat/x");
+	cw_call_head(bed.call, &unsure, NOW + 20, &bed.step);
+	assert_string_equal(bed.step.dispatch.model, "large");
+	answer(&bed, 503, 0, 1);
+	assert_int_equal(bed.step.kind, CW_STEP_SEND);
+	assert_string_equal(bed.step.dispatch.model, "small");
+	cw_call_head(bed.call, &unsure, NOW + 40, &bed.step);
+	assert_int_equal(bed.step.kind, CW_STEP_SHOW);
+	bed_close(&bed);
+}
+
+static void nothing_is_dropped_for_a_larger_model_while_engines_reject(void **state)
+{
+	struct cw_answer_facts unsure = {
+		.status = 200, .is_sealed = 1, .is_events = 1, .confidence = 30};
+	struct bed bed;
+
+	bed_open(&bed);
+	for (int i = 0; i < 10; i++) {
+		ask(&bed, "/chat/x");
+		answer(&bed, 503, 0, 1);
+	}
+	ask(&bed, "/chat/x");
+	cw_call_head(bed.call, &unsure, NOW + 20, &bed.step);
+	assert_int_equal(bed.step.kind, CW_STEP_SHOW);
+	bed_close(&bed);
+}
+
 /* Nothing that was shown may be taken back: a stream goes on where it stopped, elsewhere. */
 static void a_broken_stream_goes_on_after_its_last_event(void **state)
 {
@@ -461,6 +545,9 @@
 		cmocka_unit_test(repeats_stop_when_their_budget_is_spent),
 		cmocka_unit_test(a_small_model_that_doubts_is_replaced_by_the_largest),
 		cmocka_unit_test(the_trust_asked_for_falls_to_none_as_the_queue_grows),
+		cmocka_unit_test(the_least_urgent_are_refused_at_once_while_servers_reject),
+		cmocka_unit_test(what_full_engines_refuse_is_asked_of_the_small_model_again),
+		cmocka_unit_test(nothing_is_dropped_for_a_larger_model_while_engines_reject),
 		cmocka_unit_test(a_broken_stream_goes_on_after_its_last_event),
 		cmocka_unit_test(the_time_that_a_server_gets_is_what_is_left),
 		cmocka_unit_test(a_leaving_server_gets_nothing_more),
