--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -11,14 +11,9 @@
 #define NO_CONFIG_WAIT_MS 500
 #define DEADLINE_LESS_MS  15   /* the way back to the caller */
 #define STREAM_SILENCE_MS 4000 /* between events: four times the usual objective of 1 s */
-#define EARLY_PART	  0.15 /* of the objective that the large model's first event would take: */
-#define LATE_PART	  0.45 /* from here on the trust asked for falls, here it is that of a late */
-#define LOST_PART	  0.8  /* answer, and here nobody is helped: the queue would only grow */
 #define SILENCE_FACTOR	  4.0  /* of the predicted wait: a full queue is not a server that hangs */
-#define FULL_PART	  0.1  /* of the sends rejected: the dropped answer might be the only one */
 #define SHED_PRIORITY	  2    /* and later: as many are refused as servers reject */
 #define SHED_WAIT_MS	  600  /* to twice as much: a queue's length, a part of a short deadline */
-#define ESCALATION_SPARE  0.12 /* of the repeat budget is left for failures */
 #define URGENCY_STEP	  3    /* an organisation's priority goes before the route's */
 #define URGENCY_LAST	  9
 #define CONNECT_LEFT_MIN  20 /* less time than this left: nothing can be answered */
@@ -29,13 +24,8 @@
 static int find_target(struct cw_call *call, struct cw_step *step);
 static void send_first(struct cw_call *call, int64_t now_ms, struct cw_step *step);
 static int is_shed(struct cw_call *call, int64_t now_ms);
-static int is_on_trial(const struct cw_call *call, int64_t now_ms);
-static struct cw_rollout_request as_request(const struct cw_call *call);
-static void be_content_with_less(struct cw_call *call);
-static int chooses_model(const struct cw_call *call);
 static int send(struct cw_call *call, int64_t now_ms, struct cw_step *step);
 static int send_instead(struct cw_call *call, int64_t now_ms, struct cw_step *step);
-static struct cw_server *choose(struct cw_call *call, int64_t now_ms, int *is_home);
 static void fill_dispatch(struct cw_call *call, int64_t now_ms, struct cw_step *step);
 static int64_t silence_ms(const struct cw_call *call, int64_t now_ms);
 static void leave_server(struct cw_call *call, int64_t now_ms, int is_answered);
@@ -44,10 +34,6 @@
 static int can_send_again(struct cw_call *call, int64_t now_ms);
 static void again_or_fail(struct cw_call *call, int64_t now_ms, struct cw_step *step,
 			  const char *reason);
-static int should_escalate(struct cw_call *call, const struct cw_answer_facts *answer,
-			   int64_t now_ms);
-static int escalate_below(struct cw_call *call, int64_t now_ms);
-static double predict(struct cw_call *call, int64_t now_ms);
 static int64_t retry_after(struct cw_call *call);
 static uint64_t prompt_key(const struct cw_facts *facts);
 static void note_wait(const struct cw_call *call);
@@ -99,7 +85,7 @@
 	}
 	if (answer->is_not_run) {
 		leave_server(call, now_ms, 0);
-		be_content_with_less(call);
+		call_model_rejected(call);
 		gate_note_sent(call->gate, call->service_name, 1, now_ms);
 		if (can_send_again(call, now_ms) && send(call, now_ms, step))
 			return;
@@ -130,7 +116,7 @@
 	}
 	if (answer->status < 500)
 		call_work_head(call, now_ms);
-	if (!call->is_shown && should_escalate(call, answer, now_ms)) {
+	if (!call->is_shown && call_model_escalates(call, answer, now_ms)) {
 		size_t small = call->model;
 
 		call->model = call->route->model_count - 1;
@@ -304,7 +290,7 @@
 		return;
 	}
 	call->is_filling = call_work_is_filling(call);
-	if (chooses_model(call) && is_on_trial(call, now_ms))
+	if (call_model_is_free(call) && call_model_is_on_trial(call, now_ms))
 		call->model = call->route->model_count - 1;
 	if (!send(call, now_ms, step))
 		refuse_not_run(call, step, "no backend server may take it");
@@ -321,25 +307,11 @@
 	double part = gate_rejected_part(call->gate, call->service_name, now_ms);
 	double chance = part * MIN(call->route->priority, SHED_PRIORITY) / SHED_PRIORITY;
 
-	return part > FULL_PART &&
+	return part > GATE_FULL_PART &&
 	       (double)(gate_random(call->gate) >> 11) / (double)(1ULL << 53) < chance;
 }
 
-/*
- * Load pattern: a quiet hour, in which the small model's answers of 0.4 s don't fill half of one
- * engine. The largest model's last 3 s; it is asked at once for the second or two that the trial of
- * a new version takes.
- */
-static int is_on_trial(const struct cw_call *call, int64_t now_ms)
-{
-	struct cw_rollouts *rollouts = call->gate->rollouts;
-	struct cw_rollout_request request = as_request(call);
-
-	return call->is_filling && cw_rollouts_wants_load(rollouts, call->service_name, now_ms) &&
-	       cw_rollouts_side(rollouts, &request, now_ms) == CW_ROLLOUT_NEW;
-}
-
-static struct cw_rollout_request as_request(const struct cw_call *call)
+struct cw_rollout_request call_as_request(const struct cw_call *call)
 {
 	return (struct cw_rollout_request){
 		.service = call->service_name,
@@ -348,28 +320,11 @@
 	};
 }
 
-/*
- * Load pattern: engines so full that they refuse. The small model's doubtful answer was dropped for
- * the largest one's, which then nobody took: the caller got neither, 2,571 times in a burst of five
- * times the usual load. The attempt that is left goes to the small model again.
- */
-static void be_content_with_less(struct cw_call *call)
-{
-	if (chooses_model(call) && !call->is_shown)
-		call->model = 0;
-}
-
-/* Does the gate say which model answers, and is there a choice? */
-static int chooses_model(const struct cw_call *call)
-{
-	return call->route->model_count >= 2 && !strcmp(call->facts.model, CW_ANY_MODEL);
-}
-
 /* 1: step is SEND. */
 static int send(struct cw_call *call, int64_t now_ms, struct cw_step *step)
 {
 	int is_home = 0;
-	struct cw_server *server = choose(call, now_ms, &is_home);
+	struct cw_server *server = call_choose(call, now_ms, &is_home);
 
 	if (!server)
 		return 0;
@@ -404,7 +359,7 @@
 	return 1;
 }
 
-static struct cw_server *choose(struct cw_call *call, int64_t now_ms, int *is_home)
+struct cw_server *call_choose(struct cw_call *call, int64_t now_ms, int *is_home)
 {
 	struct cw_gate *gate = call->gate;
 	struct cw_choice choice = {
@@ -418,7 +373,7 @@
 		.is_home = is_home,
 	};
 	const char *target = cw_rollouts_target(gate->rollouts, call->service_name);
-	struct cw_rollout_request request = as_request(call);
+	struct cw_rollout_request request = call_as_request(call);
 	struct cw_server *server;
 
 	call_work_fill(call, &choice);
@@ -540,62 +495,6 @@
 		fail(call, step, reason);
 }
 
-/*
- * A small model that doubts its answer is replaced by the largest one, before the caller was shown
- * anything. Escalations draw on the budget of repeats, but leave a part of it for failures.
- */
-static int should_escalate(struct cw_call *call, const struct cw_answer_facts *answer,
-			   int64_t now_ms)
-{
-	if (answer->status >= 300 || answer->confidence < 0 || !chooses_model(call) ||
-	    call->model + 1 >= call->route->model_count)
-		return 0;
-	if (gate_rejected_part(call->gate, call->service_name, now_ms) > FULL_PART)
-		return 0;
-	if (!call_work_is_in_time(call, now_ms) ||
-	    answer->confidence >= escalate_below(call, now_ms) ||
-	    (int)call->attempts >= call->route->max_attempts)
-		return 0;
-	return cw_repeats_take(gate_repeats(call->gate, call->service_name), ESCALATION_SPARE,
-			       now_ms);
-}
-
-/*
- * Load pattern: more hard requests than the largest model can read in time (a cut failure domain, a
- * burst, servers gone). Each escalation then makes all others later, and a late answer is worth
- * less than a small model's that is half trusted. So the trust asked for falls once the large
- * model's answer is predicted to come late, and rises again by itself.
- */
-static int escalate_below(struct cw_call *call, int64_t now_ms)
-{
-	const struct cw_gate_options *options = &call->gate->options;
-	size_t small = call->model;
-	double predicted_ms;
-	double part;
-
-	call->model = call->route->model_count - 1;
-	predicted_ms = predict(call, now_ms);
-	call->model = small;
-	part = (predicted_ms + (double)(now_ms - call->opened_ms)) /
-	       (double)MAX(call->route->objective_ms, 1);
-	if (part > LATE_PART) {
-		part = CLAMP((part - LATE_PART) / (LOST_PART - LATE_PART), 0, 1);
-		return (int)((1 - part) * options->escalate_below_late);
-	}
-	part = CLAMP((part - EARLY_PART) / (LATE_PART - EARLY_PART), 0, 1);
-	return (int)(options->escalate_below +
-		     part * (options->escalate_below_late - options->escalate_below));
-}
-
-/* The time to the first event, were the request sent now. */
-static double predict(struct cw_call *call, int64_t now_ms)
-{
-	int is_home = 0;
-	struct cw_server *server = choose(call, now_ms, &is_home);
-
-	return server ? call_work_predict(call, server, is_home, now_ms) : G_MAXDOUBLE;
-}
-
 static void refuse(struct cw_step *step, unsigned int status, const char *reason)
 {
 	step->kind = CW_STEP_REFUSE;
--- /dev/null
+++ b/packages/gate/src/call_model.c
@@ -0,0 +1,101 @@
+/*
+ * Which of a route's models answers: the smallest first, the largest in place of an answer with
+ * little confidence. How much confidence is asked for follows the load.
+ */
+#include "gate_internal.h"
+
+#include <string.h>
+
+#define EARLY_PART	 0.15 /* of the objective that the large model's first event would take: */
+#define LATE_PART	 0.45 /* from here on the trust asked for falls, here it is that of a late */
+#define LOST_PART	 0.8  /* answer, and here nobody is helped: the queue would only grow */
+#define ESCALATION_SPARE 0.12 /* of the repeat budget is left for failures */
+
+static int escalate_below(struct cw_call *call, int64_t now_ms);
+static double predict(struct cw_call *call, int64_t now_ms);
+
+/*
+ * Load pattern: a quiet hour, in which the small model's answers of 0.4 s don't fill half of one
+ * engine. The largest model's last 3 s; it is asked at once for the second or two that the trial of
+ * a new version takes.
+ */
+int call_model_is_on_trial(const struct cw_call *call, int64_t now_ms)
+{
+	struct cw_rollouts *rollouts = call->gate->rollouts;
+	struct cw_rollout_request request = call_as_request(call);
+
+	return call->is_filling && cw_rollouts_wants_load(rollouts, call->service_name, now_ms) &&
+	       cw_rollouts_side(rollouts, &request, now_ms) == CW_ROLLOUT_NEW;
+}
+
+/* Does the gate say which model answers, and is there a choice? */
+int call_model_is_free(const struct cw_call *call)
+{
+	return call->route->model_count >= 2 && !strcmp(call->facts.model, CW_ANY_MODEL);
+}
+
+/*
+ * Load pattern: engines so full that they refuse. The small model's doubtful answer was dropped for
+ * the largest one's, which then nobody took: the caller got neither. The attempt that is left goes
+ * to the small model again.
+ */
+void call_model_rejected(struct cw_call *call)
+{
+	if (call_model_is_free(call) && !call->is_shown)
+		call->model = 0;
+}
+
+/*
+ * A small model that doubts its answer is replaced by the largest one, before the caller was shown
+ * anything. Escalations draw on the budget of repeats, but leave a part of it for failures.
+ */
+int call_model_escalates(struct cw_call *call, const struct cw_answer_facts *answer, int64_t now_ms)
+{
+	if (answer->status >= 300 || answer->confidence < 0 || !call_model_is_free(call) ||
+	    call->model + 1 >= call->route->model_count)
+		return 0;
+	if (gate_rejected_part(call->gate, call->service_name, now_ms) > GATE_FULL_PART)
+		return 0;
+	if (!call_work_is_in_time(call, now_ms) ||
+	    answer->confidence >= escalate_below(call, now_ms) ||
+	    (int)call->attempts >= call->route->max_attempts)
+		return 0;
+	return cw_repeats_take(gate_repeats(call->gate, call->service_name), ESCALATION_SPARE,
+			       now_ms);
+}
+
+/*
+ * Load pattern: more hard requests than the largest model can read in time (a cut failure domain, a
+ * burst, servers gone). Each escalation then makes all others later, and a late answer is worth
+ * less than a small model's that is half trusted. So the trust asked for falls once the large
+ * model's answer is predicted to come late, and rises again by itself.
+ */
+static int escalate_below(struct cw_call *call, int64_t now_ms)
+{
+	const struct cw_gate_options *options = &call->gate->options;
+	size_t small = call->model;
+	double predicted_ms;
+	double part;
+
+	call->model = call->route->model_count - 1;
+	predicted_ms = predict(call, now_ms);
+	call->model = small;
+	part = (predicted_ms + (double)(now_ms - call->opened_ms)) /
+	       (double)MAX(call->route->objective_ms, 1);
+	if (part > LATE_PART) {
+		part = CLAMP((part - LATE_PART) / (LOST_PART - LATE_PART), 0, 1);
+		return (int)((1 - part) * options->escalate_below_late);
+	}
+	part = CLAMP((part - EARLY_PART) / (LATE_PART - EARLY_PART), 0, 1);
+	return (int)(options->escalate_below +
+		     part * (options->escalate_below_late - options->escalate_below));
+}
+
+/* The time to the first event, were the request sent now. */
+static double predict(struct cw_call *call, int64_t now_ms)
+{
+	int is_home = 0;
+	struct cw_server *server = call_choose(call, now_ms, &is_home);
+
+	return server ? call_work_predict(call, server, is_home, now_ms) : G_MAXDOUBLE;
+}
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -7,6 +7,8 @@
 
 #include <glib.h>
 
+#define GATE_FULL_PART 0.1 /* of the sends rejected: from here on servers count as full */
+
 /* What is learned of how fast a kind of work goes on a server that has nothing else to do. */
 struct gate_pace {
 	double ms_per_token; /* of a prompt; 0 for a plain service */
@@ -77,6 +79,19 @@
 double gate_rejected_part(struct cw_gate *gate, const char *service, int64_t now_ms); /* 0 to 1 */
 struct cw_repeats *gate_repeats(struct cw_gate *gate, const char *service);
 
+/* call.c, for its other files */
+struct cw_server *call_choose(struct cw_call *call, int64_t now_ms,
+			      int *is_home); /* NULL: no server may take it */
+struct cw_rollout_request call_as_request(const struct cw_call *call);
+
+/* call_model.c: which of the route's models answers */
+int call_model_is_free(const struct cw_call *call); /* the gate says which, and has a choice */
+int call_model_is_on_trial(const struct cw_call *call,
+			   int64_t now_ms); /* the largest, to fill a server of a new version */
+int call_model_escalates(struct cw_call *call, const struct cw_answer_facts *answer,
+			 int64_t now_ms);	/* the largest in place of this answer */
+void call_model_rejected(struct cw_call *call); /* no room: the small one's is better than none */
+
 /* call_work.c: what an attempt costs its server, and what its answer tells of the server */
 void call_work_fill(struct cw_call *call, struct cw_choice *choice);
 double call_work_predict(const struct cw_call *call, const struct cw_server *server, int is_home,
--- a/packages/rollout/src/evidence.c
+++ b/packages/rollout/src/evidence.c
@@ -7,19 +7,19 @@
 #include <math.h>
 #include <string.h>
 
-#define DECAY_MS      8000  /* answers count 1/e after it: a version that turns bad late shows */
-#define PAST_MS	      60000 /* the same of what is usual, and of what is rare: a roll-out and more */
-#define TRIP_BAD      2.5   /* decayed bad answers at least */
-#define TRIP_LEVEL    5.0   /* log likelihood ratio: one false alarm in e^5 looks at one window */
-#define PROVED_LEVEL  (-3.0) /* of the same: nine answers from full servers, none of them bad */
+#define DECAY_MS      8000   /* answers count 1/e after it: a version that turns bad late shows */
+#define PAST_MS	      60000  /* the same of what is usual, and of what is rare */
 #define HEARD_MS      4000   /* a round of messages among 66 instances reaches all within it */
+#define TRIP_BAD      2.5    /* decayed bad answers at least */
+#define TRIP_LEVEL    5.0    /* log likelihood ratio: one false alarm in e^5 looks */
+#define PROVED_LEVEL  (-3.0) /* of the same: nine answers from full servers, none of them bad */
 #define SPENT_PART    0.85   /* of what a bad version may get: a round of messages is under way */
 #define PRIOR_ANSWERS 10.0   /* of the old version, before any is seen, */
 #define PRIOR_BAD     0.5    /* and failures among them */
 #define OLD_MARGIN    1.5    /* on the old version's rate: it is an estimate too */
 #define USUAL_BAD     0.03   /* failures that any version may have, beyond the other's */
-#define USUAL_MOST    0.97   /* of a route that always fails no version can be told from it */
-#define BAD_MORE      0.30 /* of what else succeeds, failures that make a version worth taking back */
+#define USUAL_MOST    0.97   /* a route that always fails tells nothing of a version */
+#define BAD_MORE      0.30   /* failures among what else succeeds, of a version to take back */
 
 enum window {
 	RECENTLY,
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -3,15 +3,13 @@
 
 #include <string.h>
 
-#define START_MS    1200 /* peers' sessions are heard before the first request goes to the new */
-#define TRIAL_UNTIL 0.67 /* of the time ordered */
-#define SECOND_SHARE                                                                               \
-	0.40 /* then: what is bad on one route, not tried yet, shows before all move               \
-	      */
-#define ALL_FROM   0.73
-#define GIVE_UP_AT 0.80 /* not proved by then: time is left for those that moved to move back */
-#define DONE_FIRST 0.90 /* runs on the old version have ended by then */
-#define DONE_LAST  0.97 /* time to write it down is left */
+#define START_MS     1200 /* peers' sessions are heard before the first request goes to the new */
+#define TRIAL_UNTIL  0.67 /* of the time ordered, as the next ones */
+#define ALL_FROM     0.73
+#define GIVE_UP_AT   0.80 /* not proved by then: time is left for those that moved to move back */
+#define DONE_FIRST   0.90 /* runs on the old version have ended by then */
+#define DONE_LAST    0.97 /* time to write it down is left */
+#define SECOND_SHARE 0.40 /* after the trial: what fails on one route shows before all move */
 
 static struct rollout *add(struct cw_rollouts *rollouts, const char *service);
 static void begin(struct rollout *rollout, const char *target, uint64_t offset, int64_t duration_ms,
--- a/packages/rollout/src/rollout_internal.h
+++ b/packages/rollout/src/rollout_internal.h
@@ -8,9 +8,7 @@
 
 #define ROLLOUT_RECENT	    512	 /* requests remembered: 5 s of an instance at 100 a second */
 #define ROLLOUT_FIRST_SHARE 0.08 /* of sessions: a third of what a bad version may get */
-#define ROLLOUT_FIRST_UNTIL                                                                        \
-	0.52 /* of the time ordered: sessions may not move in the first half                       \
-	      */
+#define ROLLOUT_FIRST_UNTIL 0.52 /* of the time ordered: no session moves in the first half */
 
 /* A request that went to a server. Of any version: this roll-out's target is the next one's old. */
 struct rollout_recent {
