gate: an organisation's priority decides who is shed; a reused address is no rejection

Read once more: requests of an urgent organisation on a route of low priority would have been refused with the others, and an answer of another server at a reused address counted as lack of room.

--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -86,7 +86,9 @@
 	if (answer->is_not_run) {
 		leave_server(call, now_ms, 0);
 		call_model_rejected(call);
-		gate_note_sent(call->gate, call->service_name, 1, now_ms);
+		/* Another server at a reused address says nothing of room. */
+		if (!answer->is_stranger)
+			gate_note_rejected(call->gate, call->service_name, now_ms);
 		if (can_send_again(call, now_ms) && send(call, now_ms, step))
 			return;
 		if (call->is_shown)
@@ -304,8 +306,11 @@
  */
 static int is_shed(struct cw_call *call, int64_t now_ms)
 {
+	const struct cw_organisation *organisation = call->organisation;
+	int priority = organisation && organisation->has_priority ? organisation->priority
+								  : call->route->priority;
 	double part = gate_rejected_part(call->gate, call->service_name, now_ms);
-	double chance = part * MIN(call->route->priority, SHED_PRIORITY) / SHED_PRIORITY;
+	double chance = part * MIN(priority, SHED_PRIORITY) / SHED_PRIORITY;
 
 	return part > GATE_FULL_PART &&
 	       (double)(gate_random(call->gate) >> 11) / (double)(1ULL << 53) < chance;
@@ -330,7 +335,7 @@
 		return 0;
 	call->server = server;
 	call->sent_ms = now_ms;
-	gate_note_sent(call->gate, call->service_name, 0, now_ms);
+	gate_note_sent(call->gate, call->service_name, now_ms);
 	call_work_begin(call, is_home, now_ms);
 	cw_rollouts_used(call->gate->rollouts, call->service_name, call->session, server->software,
 			 now_ms);
--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -20,10 +20,9 @@
 #define PACE_EVENTS	  4   /* of a stream, before its pace says something */
 #define WHOLE_PART	  0.6 /* of the time left: the caller's guess is right in the middle only */
 #define EVENT_GAIN	  0.05
-#define LOADED_PART                                                                                \
-	0.5 /* of a server's slots taken: what fails only under load shows from here on */
-#define STREAM_BYTES 4500 /* of a usual stream back to its caller */
-#define PLAIN_BYTES  800
+#define LOADED_PART	  0.5  /* of a server's slots taken: from here on it is under load */
+#define STREAM_BYTES	  4500 /* of a usual stream back to its caller */
+#define PLAIN_BYTES	  800
 
 static const char *pace_name(const struct cw_call *call);
 static double pace_of(const struct cw_call *call, const struct gate_pace *pace);
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -106,14 +106,14 @@
 	return *longest;
 }
 
-void gate_note_sent(struct cw_gate *gate, const char *service, int is_rejected, int64_t now_ms)
+void gate_note_sent(struct cw_gate *gate, const char *service, int64_t now_ms)
 {
-	struct gate_pressure *pressure = pressure_of(gate, service, now_ms);
+	pressure_of(gate, service, now_ms)->sent += 1;
+}
 
-	if (is_rejected)
-		pressure->rejected += 1;
-	else
-		pressure->sent += 1;
+void gate_note_rejected(struct cw_gate *gate, const char *service, int64_t now_ms)
+{
+	pressure_of(gate, service, now_ms)->rejected += 1;
 }
 
 double gate_rejected_part(struct cw_gate *gate, const char *service, int64_t now_ms)
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -75,7 +75,8 @@
 int64_t gate_longest_wait_ms(struct cw_gate *gate, const char *route, int64_t wait_ms);
 double gate_shape(struct cw_gate *gate, const char *name,
 		  double sample); /* the usual one, this one included */
-void gate_note_sent(struct cw_gate *gate, const char *service, int is_rejected, int64_t now_ms);
+void gate_note_sent(struct cw_gate *gate, const char *service, int64_t now_ms);
+void gate_note_rejected(struct cw_gate *gate, const char *service, int64_t now_ms);
 double gate_rejected_part(struct cw_gate *gate, const char *service, int64_t now_ms); /* 0 to 1 */
 struct cw_repeats *gate_repeats(struct cw_gate *gate, const char *service);
 
--- a/tests/unit/test_gate.c
+++ b/tests/unit/test_gate.c
@@ -388,6 +388,25 @@
 	assert_true(refused[2] > refused[1]);
 }
 
+/* An organisation's priority goes before its route's. */
+static void an_urgent_organisation_is_not_shed(void **state)
+{
+	struct cw_organisation *organisation;
+	struct bed bed;
+
+	bed_open(&bed);
+	((struct cw_route *)cw_config_route(bed.config, "h.example", "/read/x"))->priority = 2;
+	organisation = (struct cw_organisation *)cw_config_key(bed.config, "key");
+	organisation->has_priority = 1;
+	organisation->priority = 0;
+	reject(&bed, 40);
+	for (int i = 0; i < 100; i++) {
+		ask(&bed, "/read/x");
+		assert_int_equal(bed.step.kind, CW_STEP_SEND);
+	}
+	bed_close(&bed);
+}
+
 /*
  * Symptom: callers got 502 in place of the small model's answer that was there.
  * Sequence: a doubtful answer is dropped for the largest model's, and no engine has room for that.
@@ -546,6 +565,7 @@
 		cmocka_unit_test(a_small_model_that_doubts_is_replaced_by_the_largest),
 		cmocka_unit_test(the_trust_asked_for_falls_to_none_as_the_queue_grows),
 		cmocka_unit_test(the_least_urgent_are_refused_at_once_while_servers_reject),
+		cmocka_unit_test(an_urgent_organisation_is_not_shed),
 		cmocka_unit_test(what_full_engines_refuse_is_asked_of_the_small_model_again),
 		cmocka_unit_test(nothing_is_dropped_for_a_larger_model_while_engines_reject),
 		cmocka_unit_test(a_broken_stream_goes_on_after_its_last_event),
