--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -9,6 +9,8 @@
 #define SHAPE_GAIN     0.05   /* of the newest request */
 
 static struct gate_pressure *pressure_of(struct cw_gate *gate, const char *service, int64_t now_ms);
+static void *find_or_add(GHashTable *table, const char *name, size_t size, int *is_new);
+static void make_room(GHashTable *table);
 
 struct cw_gate *cw_gate_create(const struct cw_gate_options *options)
 {
@@ -79,29 +81,24 @@
 
 struct cw_repeats *gate_repeats(struct cw_gate *gate, const char *service)
 {
-	struct cw_repeats *repeats = g_hash_table_lookup(gate->repeats, service);
+	int is_new;
+	struct cw_repeats *repeats =
+		find_or_add(gate->repeats, service, sizeof(struct cw_repeats), &is_new);
 
-	if (repeats)
-		return repeats;
-	repeats = g_new0(struct cw_repeats, 1);
-	cw_repeats_open(repeats, gate->options.repeat_ratio, gate->options.repeat_slack,
-			gate->options.repeat_window_ms);
-	g_hash_table_insert(gate->repeats, g_strdup(service), repeats);
+	if (is_new)
+		cw_repeats_open(repeats, gate->options.repeat_ratio, gate->options.repeat_slack,
+				gate->options.repeat_window_ms);
 	return repeats;
 }
 
 /* The wait counts as well: a first request says the longest. */
 int64_t gate_longest_wait_ms(struct cw_gate *gate, const char *route, int64_t wait_ms)
 {
-	int64_t *longest = g_hash_table_lookup(gate->waits, route);
+	int64_t *longest;
 
-	if (!longest) {
-		/* Routes come and go with configurations; what is forgotten is soon told again. */
-		if (g_hash_table_size(gate->waits) >= ROUTES_MAX)
-			g_hash_table_remove_all(gate->waits);
-		longest = g_new0(int64_t, 1);
-		g_hash_table_insert(gate->waits, g_strdup(route), longest);
-	}
+	if (!g_hash_table_contains(gate->waits, route))
+		make_room(gate->waits);
+	longest = find_or_add(gate->waits, route, sizeof(int64_t), NULL);
 	*longest = MAX(*longest, wait_ms);
 	return *longest;
 }
@@ -125,14 +122,10 @@
 
 static struct gate_pressure *pressure_of(struct cw_gate *gate, const char *service, int64_t now_ms)
 {
-	struct gate_pressure *pressure = g_hash_table_lookup(gate->pressures, service);
-	double factor;
+	struct gate_pressure *pressure =
+		find_or_add(gate->pressures, service, sizeof(struct gate_pressure), NULL);
+	double factor = exp(-(double)(now_ms - pressure->at_ms) / PRESSURE_MS);
 
-	if (!pressure) {
-		pressure = g_new0(struct gate_pressure, 1);
-		g_hash_table_insert(gate->pressures, g_strdup(service), pressure);
-	}
-	factor = exp(-(double)(now_ms - pressure->at_ms) / PRESSURE_MS);
 	pressure->sent *= factor;
 	pressure->rejected *= factor;
 	pressure->at_ms = now_ms;
@@ -141,26 +134,40 @@
 
 double gate_shape(struct cw_gate *gate, const char *name, double sample)
 {
-	double *usual = g_hash_table_lookup(gate->shapes, name);
+	double *usual;
+	int is_new;
 
-	if (!usual) {
-		if (g_hash_table_size(gate->shapes) >= ROUTES_MAX)
-			g_hash_table_remove_all(gate->shapes);
-		usual = g_new(double, 1);
+	if (!g_hash_table_contains(gate->shapes, name))
+		make_room(gate->shapes);
+	usual = find_or_add(gate->shapes, name, sizeof(double), &is_new);
+	if (is_new)
 		*usual = sample;
-		g_hash_table_insert(gate->shapes, g_strdup(name), usual);
-	}
 	*usual += SHAPE_GAIN * (sample - *usual);
 	return *usual;
 }
 
 struct gate_pace *gate_pace(struct cw_gate *gate, const char *name)
 {
-	struct gate_pace *pace = g_hash_table_lookup(gate->paces, name);
+	return find_or_add(gate->paces, name, sizeof(struct gate_pace), NULL);
+}
 
-	if (pace)
-		return pace;
-	pace = g_new0(struct gate_pace, 1);
-	g_hash_table_insert(gate->paces, g_strdup(name), pace);
-	return pace;
+/* Of size bytes, all zero when it is new; is_new may be NULL. */
+static void *find_or_add(GHashTable *table, const char *name, size_t size, int *is_new)
+{
+	void *value = g_hash_table_lookup(table, name);
+
+	if (is_new)
+		*is_new = !value;
+	if (value)
+		return value;
+	value = g_malloc0(size);
+	g_hash_table_insert(table, g_strdup(name), value);
+	return value;
+}
+
+/* Routes come and go with configurations; what is forgotten is soon told again. */
+static void make_room(GHashTable *table)
+{
+	if (g_hash_table_size(table) >= ROUTES_MAX)
+		g_hash_table_remove_all(table);
 }
