gate: the budget of repeats is divided among the instances there are

Cause: an instance's part of the slack was the whole divided by a constant 12, so that 195 instances had sixteen times what is allowed; and a request raised the budget when it came, also where it was then refused unsent. Change: the gate is told among how many instances the budget is divided; those silent for less than a minute count; 2 s after a start they are known, before that two repeats are the whole slack. A request counts once it is sent.

--- a/apps/corianderwalk/entry.c
+++ b/apps/corianderwalk/entry.c
@@ -12,10 +12,11 @@
 #define TICK_MS	      100 /* housekeeping: a server that fell silent is probed within it */
 #define FLUSH_TICKS   3	  /* log lines are handed over every so many */
 #define STOP_QUIET_MS                                                                              \
-	2500		   /* after SIGTERM: two missed readiness calls, 1 s apart, and a margin   \
-			    */
-#define STOP_IDLE_MS   300 /* without a request before the process ends */
-#define STOP_MARGIN_MS 600 /* before the platform kills it */
+	2500		    /* after SIGTERM: two missed readiness calls, 1 s apart, and a margin  \
+			     */
+#define STOP_IDLE_MS   300  /* without a request before the process ends */
+#define STOP_MARGIN_MS 600  /* before the platform kills it */
+#define REPEAT_PART    0.95 /* of the budget: windows of instances don't begin at one moment */
 
 static void on_request(void *context, struct cw_caller *caller, struct cw_message *request);
 static void on_ready_request(void *context, struct cw_caller *caller, struct cw_message *request);
@@ -103,8 +104,8 @@
 	struct cw_gate_options options = {
 		.failure_domain = settings->failure_domain,
 		.seed = uv_hrtime() ^ (uint64_t)getpid() << 32,
-		.repeat_ratio = settings->repeat_ratio * 0.95,
-		.repeat_slack = settings->repeat_slack / 12,
+		.repeat_ratio = settings->repeat_ratio * REPEAT_PART,
+		.repeat_slack = settings->repeat_slack * REPEAT_PART,
 		.repeat_window_ms = settings->repeat_window_ms,
 		.rollouts = {.session_ms = settings->session_ms,
 			     .exposed_share = settings->exposure_share,
--- a/apps/corianderwalk/entry_peers.c
+++ b/apps/corianderwalk/entry_peers.c
@@ -10,6 +10,7 @@
 #define GOSSIP_EVERY_MS 150  /* prompts wait 20 to 500 ms: a view this old still balances them */
 #define SILENT_MS	2000 /* thirteen rounds; of many instances, what others heard counts too */
 #define KEEP_MS		60000
+#define KNOWN_MS	2000 /* after a start: by then messages have named all the others */
 #define FANOUT_ALL	12	    /* up to so many are all told each time */
 #define FANOUT_OWN	6	    /* of more neighbours, others each time */
 #define SEED_EVERY	8	    /* messages between two to a seed that never answered */
@@ -30,6 +31,7 @@
 	uv_timer_t timer;
 	uint64_t boot;
 	uint64_t rounds;
+	int64_t started_ms;
 };
 
 /* One datagram, to any number of peers. */
@@ -51,6 +53,7 @@
 static void hear(struct peers *peers, const struct cw_gossip *gossip);
 static void hear_of(struct peers *peers, const struct cw_gossip_member *told, int64_t now_ms);
 static void count_loads(struct peers *peers);
+static size_t sharers(const struct peers *peers);
 
 struct peers *peers_create(struct entry *entry, struct cw_error *error)
 {
@@ -60,6 +63,7 @@
 	int code;
 
 	peers->entry = entry;
+	peers->started_ms = entry_now_ms(entry);
 	peers->membership =
 		cw_membership_create(settings->instance, settings->failure_domain, SILENT_MS);
 	peers->loads = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
@@ -162,9 +166,21 @@
 
 	cw_membership_forget(peers->membership, entry_now_ms(peers->entry), KEEP_MS);
 	count_loads(peers);
+	cw_gate_divide(peers->entry->gate, sharers(peers));
 	peers_tell(peers);
 }
 
+/*
+ * Those that fell silent within the last minute count: they may have used their part, and a cut
+ * hides them only.
+ */
+static size_t sharers(const struct peers *peers)
+{
+	if (entry_now_ms(peers->entry) - peers->started_ms < KNOWN_MS)
+		return 0;
+	return cw_membership_size(peers->membership);
+}
+
 static void on_buffer(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
 	static char bytes[READ_BYTES];
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -54,7 +54,7 @@
 	const char *failure_domain;
 	uint64_t seed;
 	double repeat_ratio; /* of a service's requests that may be sent again */
-	double repeat_slack; /* and this many more, this instance's part of it */
+	double repeat_slack; /* and this many more, of all instances together */
 	int64_t repeat_window_ms;
 	struct cw_rollout_options rollouts;
 	int escalate_below;	 /* a small model's confidence, 0 to 100 */
@@ -66,6 +66,8 @@
 
 struct cw_gate *cw_gate_create(const struct cw_gate_options *options);
 void cw_gate_destroy(struct cw_gate *gate); /* its calls must have ended */
+void cw_gate_divide(struct cw_gate *gate,
+		    size_t instances); /* what all may do, among so many; 0: not known yet */
 int cw_gate_configure(struct cw_gate *gate,
 		      struct cw_config *config); /* takes a reference; 0: not newer, ignored */
 const struct cw_config *cw_gate_config(const struct cw_gate *gate); /* NULL: none yet */
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -294,7 +294,6 @@
 
 	if (call->facts.allowed_ms < 0 || limit_ms < call->limit_ms)
 		call->limit_ms = limit_ms;
-	cw_repeats_first(gate_repeats(call->gate, call->service_name), now_ms);
 	if (is_shed(call, now_ms)) {
 		refuse_not_run(call, step, "the backend servers have no room");
 		step->retry_after_ms =
@@ -307,8 +306,12 @@
 				  call->service ? call->service->slots : 0);
 	if (call_model_is_free(call) && call_model_is_on_trial(call, now_ms))
 		call->model = call->route->model_count - 1;
-	if (!send(call, now_ms, step))
+	if (!send(call, now_ms, step)) {
 		refuse_not_run(call, step, "no backend server may take it");
+		return;
+	}
+	/* Counted before, requests that were refused unsent let others be sent more often. */
+	cw_repeats_first(gate_repeats(call->gate, call->service_name), now_ms);
 }
 
 /*
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -45,6 +45,11 @@
 	g_free(gate);
 }
 
+void cw_gate_divide(struct cw_gate *gate, size_t instances)
+{
+	gate->instances = instances;
+}
+
 /* Records arrive twice and late: only a newer version replaces the one in force. */
 int cw_gate_configure(struct cw_gate *gate, struct cw_config *config)
 {
@@ -86,8 +91,9 @@
 		find_or_add(gate->repeats, service, sizeof(struct cw_repeats), &is_new);
 
 	if (is_new)
-		cw_repeats_open(repeats, gate->options.repeat_ratio, gate->options.repeat_slack,
+		cw_repeats_open(repeats, gate->options.repeat_ratio, 0,
 				gate->options.repeat_window_ms);
+	repeats->slack = cw_repeats_part(gate->options.repeat_slack, gate->instances);
 	return repeats;
 }
 
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -31,6 +31,7 @@
 	struct cw_pool *pool;
 	struct cw_rollouts *rollouts;
 	GHashTable *repeats;   /* service -> struct cw_repeats */
+	size_t instances;      /* that share the budget of repeats, 0 not known */
 	GHashTable *shapes;    /* route or engine service -> double, tokens made for one read */
 	GHashTable *pressures; /* service -> struct gate_pressure */
 	GHashTable *paces;     /* model or plain service -> struct gate_pace */
--- a/packages/limits/include/cw_repeats.h
+++ b/packages/limits/include/cw_repeats.h
@@ -5,13 +5,14 @@
 #ifndef CW_REPEATS_H
 #define CW_REPEATS_H
 
+#include <stddef.h>
 #include <stdint.h>
 
 #define CW_REPEAT_BUCKETS 20
 
 struct cw_repeats {
 	double ratio;
-	double slack;
+	double slack; /* sends beyond the ratio, of this instance */
 	int64_t bucket_ms;
 	int64_t bucket; /* number of the newest one */
 	unsigned int first[CW_REPEAT_BUCKETS];
@@ -19,6 +20,7 @@
 };
 
 void cw_repeats_open(struct cw_repeats *repeats, double ratio, double slack, int64_t window_ms);
+double cw_repeats_part(double slack, size_t instances); /* one instance's; 0 instances: unknown */
 void cw_repeats_first(struct cw_repeats *repeats, int64_t now_ms);
 int cw_repeats_take(struct cw_repeats *repeats, double spare,
 		    int64_t now_ms); /* 0: spent; spare is left for what matters more */
--- a/tests/fuzz/users_input.c
+++ b/tests/fuzz/users_input.c
@@ -163,6 +163,7 @@
 	};
 
 	stage->gate = cw_gate_create(&options);
+	cw_gate_divide(stage->gate, 1);
 	stage->config = cw_config_create(1);
 	add_route(stage->config, "/once/", CW_REPEAT_NEVER, 3);
 	add_route(stage->config, "/any/", CW_REPEAT_ANY, 2);
