gate: the more is rejected, the later refused callers return

Ruled out: longer waits for all (one full server of several says nothing of the others). Change: the wait grows with the part that is rejected, to the third of its time that a caller waits at most, spread over 0.4 of it; never longer than that third, at which it would not come at all.

--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -10,15 +10,18 @@
 #define RETRY_BASE_MS	  150  /* until another server or the next instance is known */
 #define RETRY_SPREAD_MS	  250  /* so that refused callers don't return in one moment */
 #define NO_CONFIG_WAIT_MS 500
-#define DEADLINE_LESS_MS  15   /* the way back to the caller */
-#define STREAM_SILENCE_MS 4000 /* between events: four times the usual objective of 1 s */
-#define SHED_PRIORITY	  2    /* and later: as many are refused as servers reject */
-#define SHED_WAIT_MS	  600  /* to twice as much: a queue's length, a part of a short deadline */
+#define DEADLINE_LESS_MS  15	    /* the way back to the caller */
+#define STREAM_SILENCE_MS 4000	    /* between events: four times the usual objective of 1 s */
+#define SHED_PRIORITY	  2	    /* and later: as many are refused as servers reject */
+#define SHED_WAIT_MS	  600	    /* at least, a queue's length; to twice as much */
+#define WAIT_PART	  (1 / 3.0) /* of the time left, that a caller waits at most */
+#define WAIT_SPREAD	  0.4	    /* of that: refused callers don't return in one moment */
 #define URGENCY_LAST	  9
 #define CONNECT_LEFT_MIN  20 /* less time than this left: nothing can be answered */
 
 static void refuse(struct cw_step *step, unsigned int status, const char *reason);
-static void refuse_not_run(struct cw_call *call, struct cw_step *step, const char *reason);
+static void refuse_not_run(struct cw_call *call, struct cw_step *step, const char *reason,
+			   int64_t now_ms);
 static void fail(struct cw_call *call, struct cw_step *step, const char *reason);
 static int find_target(struct cw_call *call, struct cw_step *step);
 static void send_first(struct cw_call *call, int64_t now_ms, struct cw_step *step);
@@ -34,6 +37,7 @@
 static void again_or_fail(struct cw_call *call, int64_t now_ms, struct cw_step *step,
 			  const char *reason);
 static int64_t retry_after(struct cw_call *call);
+static int64_t retry_after_full(struct cw_call *call, int64_t now_ms);
 static uint64_t prompt_key(const struct cw_facts *facts);
 static void note_wait(const struct cw_call *call);
 static uint64_t session_key(const struct cw_call *call);
@@ -68,7 +72,7 @@
 	leave_server(call, now_ms, 0);
 	call->attempts = 0;
 	memset(step, 0, sizeof(*step));
-	refuse_not_run(call, step, reason);
+	refuse_not_run(call, step, reason, now_ms);
 }
 
 void cw_call_head(struct cw_call *call, const struct cw_answer_facts *answer, int64_t now_ms,
@@ -96,7 +100,7 @@
 		if (call->is_shown)
 			step->kind = CW_STEP_ABORT;
 		else
-			refuse_not_run(call, step, "the backend servers did not take it");
+			refuse_not_run(call, step, "the backend servers did not take it", now_ms);
 		return;
 	}
 	call->may_have_run = 1;
@@ -164,7 +168,7 @@
 		if (call->is_shown)
 			step->kind = CW_STEP_ABORT;
 		else
-			refuse_not_run(call, step, "no backend server could be reached");
+			refuse_not_run(call, step, "no backend server could be reached", now_ms);
 		return;
 	}
 	call->may_have_run = 1;
@@ -293,9 +297,7 @@
 	if (call->facts.allowed_ms < 0 || limit_ms < call->limit_ms)
 		call->limit_ms = limit_ms;
 	if (is_shed(call, now_ms)) {
-		refuse_not_run(call, step, "the backend servers have no room");
-		step->retry_after_ms =
-			SHED_WAIT_MS + (int64_t)(gate_random(call->gate) % SHED_WAIT_MS);
+		refuse_not_run(call, step, "the backend servers have no room", now_ms);
 		return;
 	}
 	call->is_filling = call_work_is_filling(call);
@@ -305,7 +307,7 @@
 	if (call_model_is_free(call) && call_model_is_on_trial(call, now_ms))
 		call->model = call->route->model_count - 1;
 	if (!send(call, now_ms, step)) {
-		refuse_not_run(call, step, "no backend server may take it");
+		refuse_not_run(call, step, "no backend server may take it", now_ms);
 		return;
 	}
 	/* Counted before, requests that were refused unsent let others be sent more often. */
@@ -534,14 +536,15 @@
 }
 
 /* 503 promises that the request has not run and never will: only said where that is known. */
-static void refuse_not_run(struct cw_call *call, struct cw_step *step, const char *reason)
+static void refuse_not_run(struct cw_call *call, struct cw_step *step, const char *reason,
+			   int64_t now_ms)
 {
 	if (call->may_have_run) {
 		fail(call, step, reason);
 		return;
 	}
 	refuse(step, 503, reason);
-	step->retry_after_ms = retry_after(call);
+	step->retry_after_ms = retry_after_full(call, now_ms);
 }
 
 static void fail(struct cw_call *call, struct cw_step *step, const char *reason)
@@ -550,6 +553,26 @@
 	step->run = CW_RUN_UNKNOWN;
 }
 
+/*
+ * Load pattern: a burst of seven times the usual for 8 s. Callers that were told to come back after
+ * 0.6 to 1.2 s met the same full servers with the only retry they had, 11,000 of worth refused
+ * twice; what the servers can run in a burst is the same whoever comes. The more is rejected, the
+ * later they are told to come, up to the third of their time that they wait at most.
+ */
+static int64_t retry_after_full(struct cw_call *call, int64_t now_ms)
+{
+	double part = gate_rejected_part(call->gate, call->service_name, now_ms);
+	double longest_ms = (double)(call->limit_ms - now_ms) * WAIT_PART;
+	double random = (double)(gate_random(call->gate) >> 11) / (double)(1ULL << 53);
+	double wait_ms = SHED_WAIT_MS * (1 + random);
+
+	if (part <= call->gate->policy->full_part)
+		return retry_after(call);
+	if (longest_ms > wait_ms)
+		wait_ms += part * (longest_ms * (1 - WAIT_SPREAD * random) - wait_ms);
+	return (int64_t)CLAMP(wait_ms, 1, MAX(longest_ms, 1));
+}
+
 static int64_t retry_after(struct cw_call *call)
 {
 	return RETRY_BASE_MS + (int64_t)(gate_random(call->gate) % RETRY_SPREAD_MS);
