follow: a read that is under way counts from where it was asked

Traced by states logged each 0.9 s: of 80 instances 78 held the servers' list at offset 423 where the store ended at 283. A peer's whole list had come while an own read was under way; the read's 140 records were then counted from the new list's end and taken again. Ahead of the store, an instance takes everything it hears for old: 37 servers that had left went on getting requests, and strangers at their addresses answered 421. Change: taking a list leaves alone where the read under way was asked. The new test fails on the old code.

--- a/packages/follow/src/follow.c
+++ b/packages/follow/src/follow.c
@@ -6,10 +6,14 @@
 
 static void keep(struct cw_follow *follow, const struct cw_change *change, int64_t now_ms);
 
+/*
+ * An own read may be under way when the whole list comes from a peer: its answer still counts from
+ * where it was asked. Counted from the new list's end, 140 records were taken twice, the list stood
+ * at 423 of 283, and of 80 instances 78 took no record for 14 s, while 37 servers left.
+ */
 void cw_follow_start(struct cw_follow *follow, uint64_t from)
 {
 	follow->from = from;
-	follow->asked_from = from;
 	follow->count = 0;
 }
 
--- a/tests/unit/test_follow.c
+++ b/tests/unit/test_follow.c
@@ -90,6 +90,35 @@
 	assert_int_equal(cw_follow_reads(&other, CW_READERS, NOW + CW_FOLLOW_STALE_MS), 1);
 }
 
+/*
+ * Symptom: of 80 instances 78 go on sending to servers that left 14 s ago; strangers at their
+ * addresses reject it all. Sequence: a read from 143 is under way, a peer's list brings all up to
+ * 283, then the read is answered with the same records. Cause: its records were counted from 283
+ * on, so the list stood ahead of the store and nothing that came seemed new.
+ */
+static void a_list_taken_during_a_read_does_not_move_where_it_was_asked(void **state)
+{
+	struct cw_follow follow = {0};
+	int taken = 0;
+
+	cw_follow_start(&follow, 143);
+	cw_follow_ask(&follow);
+	cw_follow_start(&follow, 283);
+	assert_int_equal(follow.asked_from, 143);
+	for (uint64_t i = 0; i < 140; i++) {
+		struct cw_change change = {.offset = follow.asked_from + i};
+
+		taken += cw_follow_take_record(&follow, &change, NOW);
+	}
+	assert_int_equal(taken, 0);
+	assert_int_equal(follow.from, 283);
+	/* The next read is asked from there, and what it brings is new. */
+	cw_follow_ask(&follow);
+	assert_int_equal(cw_follow_take_record(
+				 &follow, &(struct cw_change){.offset = follow.asked_from}, NOW),
+			 1);
+}
+
 static void records_are_told_on_for_a_while_and_no_longer(void **state)
 {
 	struct cw_follow follow = {0};
@@ -118,6 +147,7 @@
 		cmocka_unit_test(an_answer_that_repeats_what_peers_brought_skips_nothing),
 		cmocka_unit_test(a_gap_is_read_and_not_jumped),
 		cmocka_unit_test(a_view_is_as_old_as_the_last_answer_not_as_the_last_word),
+		cmocka_unit_test(a_list_taken_during_a_read_does_not_move_where_it_was_asked),
 		cmocka_unit_test(records_are_told_on_for_a_while_and_no_longer),
 	};
 
