gate, rollout: each dispatch says which version its session may have, and why; steps are logged

Cause to find: sessions that change their version in the trial under load. Nothing in the log told requests of one session that got different shares from instances that knew different steps, nor either from servers that could not be had.

Change: dispatch logs arm=, share= and point=; each instance logs rollout_progress when it learns that a roll-out has come further. No decision is changed.

--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -303,6 +303,11 @@
 
 static void send_attempt(struct relay *relay, const struct cw_step *step)
 {
+	static const char *const arms[] = {
+		[CW_ROLLOUT_ANY] = "any",
+		[CW_ROLLOUT_OLD] = "old",
+		[CW_ROLLOUT_NEW] = "new",
+	};
 	GString *bytes = g_string_sized_new(relay->request->body->len + 512);
 	struct cw_exchange_request request = {
 		.address = step->server->address,
@@ -322,7 +327,8 @@
 	cw_event("gate", "dispatch",
 		 "request=%s attempt=%u server=%s address=%s software=%s route=%s model=%s "
 		 "allowed_ms=%ld "
-		 "urgency=%d config=%lu load=%.0f waited_ms=%ld session=%s",
+		 "urgency=%d config=%lu load=%.0f waited_ms=%ld session=%s arm=%s share=%.3f "
+		 "point=%.3f",
 		 relay->facts.id, cw_call_attempts(relay->call), step->server->name,
 		 step->server->address, step->server->software, cw_call_route(relay->call)->name,
 		 cw_call_model(relay->call), (long)step->dispatch.allowed_ms,
@@ -330,7 +336,8 @@
 		 (unsigned long)cw_config_version(cw_gate_config(relay->entry->gate)),
 		 cw_pool_load(step->server, entry_now_ms(relay->entry)),
 		 (long)(entry_now_ms(relay->entry) - relay->opened_ms),
-		 *relay->facts.session ? relay->facts.session : "-");
+		 *relay->facts.session ? relay->facts.session : "-", arms[step->arm.side],
+		 step->arm.share, step->arm.point);
 	if (relay->events)
 		cw_events_clear(relay->events);
 	g_string_truncate(relay->body, 0);
--- a/apps/corianderwalk/entry_verdict.c
+++ b/apps/corianderwalk/entry_verdict.c
@@ -12,6 +12,7 @@
 #define VERDICTS 4
 
 static void log_verdict(const struct cw_rollout_verdict *verdict);
+static void log_progress(struct cw_rollouts *rollouts, int64_t now_ms);
 static int is_my_turn(const struct verdict *verdict, const char *service, int64_t now_ms);
 static void append(struct verdict *verdict, const struct cw_rollout_status *status);
 static void on_head(void *context, const struct cw_message *answer);
@@ -41,6 +42,7 @@
 	size_t count =
 		cw_rollouts_judge(cw_gate_rollouts(feed->entry->gate), now_ms, verdicts, VERDICTS);
 
+	log_progress(cw_gate_rollouts(feed->entry->gate), now_ms);
 	if (count == 0) {
 		verdict->decided_ms = 0;
 		return;
@@ -71,6 +73,17 @@
 		verdict->loaded_bad);
 }
 
+static void log_progress(struct cw_rollouts *rollouts, int64_t now_ms)
+{
+	struct cw_rollout_progress progress;
+
+	while (cw_rollouts_progressed(rollouts, now_ms, &progress))
+		cw_event("feed", "rollout_progress",
+			 "service=%s target=%s elapsed_ms=%ld full=%d proved=%d trial_share=%.3f",
+			 progress.service, progress.target, (long)progress.elapsed_ms,
+			 progress.is_full, progress.is_proved, progress.trial_share);
+}
+
 static int is_my_turn(const struct verdict *verdict, const char *service, int64_t now_ms)
 {
 	const struct feed *feed = verdict->feed;
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -348,9 +348,11 @@
 	const struct cw_policy *policy = call->gate->policy;
 	int is_home = 0;
 	struct cw_server *server = call_choose(call, now_ms, &is_home);
+	struct cw_rollout_request request = call_as_request(call);
 
 	if (!server)
 		return 0;
+	step->arm = cw_rollouts_arm(call->gate->rollouts, &request, now_ms);
 	call->server = server;
 	call->sent_ms = now_ms;
 	gate_note_sent(call->gate, call->service_name, now_ms);
--- a/packages/rollout/include/cw_rollout.h
+++ b/packages/rollout/include/cw_rollout.h
@@ -104,6 +104,23 @@
 	int is_light;	/* little to read: answered at once also on a full server */
 };
 
+/* Which versions a request may be sent to, and what decided it. */
+struct cw_rollout_arm {
+	enum cw_rollout_side side;
+	double share; /* of such requests' sessions that the target gets; 1 without a roll-out */
+	double point; /* of this session, 0 to 1: on the target while the share is above */
+};
+
+/* What one instance knows of how far a roll-out has come, for the log. */
+struct cw_rollout_progress {
+	const char *service;
+	const char *target;
+	int64_t elapsed_ms; /* since the order */
+	int is_full;
+	int is_proved;
+	double trial_share;
+};
+
 struct cw_rollout_options {
 	int64_t session_ms;   /* a session idle for longer has ended */
 	double exposed_share; /* of a service's requests that a bad version may get */
@@ -125,6 +142,10 @@
 			       const char *service); /* NULL: no roll-out */
 enum cw_rollout_side cw_rollouts_side(struct cw_rollouts *rollouts,
 				      const struct cw_rollout_request *request, int64_t now_ms);
+struct cw_rollout_arm cw_rollouts_arm(struct cw_rollouts *rollouts,
+				      const struct cw_rollout_request *request, int64_t now_ms);
+int cw_rollouts_progressed(struct cw_rollouts *rollouts, int64_t now_ms,
+			   struct cw_rollout_progress *progress); /* 1: not told of before */
 void cw_rollouts_used(struct cw_rollouts *rollouts, const char *service, uint64_t session,
 		      const char *software, int64_t now_ms); /* a request went to this version */
 void cw_rollouts_fills(struct cw_rollouts *rollouts, const char *service,
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -137,6 +137,42 @@
 	return CW_ROLLOUT_NEW;
 }
 
+struct cw_rollout_arm cw_rollouts_arm(struct cw_rollouts *rollouts,
+				      const struct cw_rollout_request *request, int64_t now_ms)
+{
+	return (struct cw_rollout_arm){
+		.side = cw_rollouts_side(rollouts, request, now_ms),
+		.share = cw_rollouts_share(rollouts, request, now_ms),
+		.point = rollout_point(request->session),
+	};
+}
+
+int cw_rollouts_progressed(struct cw_rollouts *rollouts, int64_t now_ms,
+			   struct cw_rollout_progress *progress)
+{
+	struct rollout *rollout;
+
+	TAILQ_FOREACH(rollout, &rollouts->list, link) {
+		if (rollout->told_full == rollout->is_full &&
+		    rollout->told_proved == rollout->is_proved &&
+		    rollout->told_trial_share == rollout->trial_share)
+			continue;
+		rollout->told_full = rollout->is_full;
+		rollout->told_proved = rollout->is_proved;
+		rollout->told_trial_share = rollout->trial_share;
+		*progress = (struct cw_rollout_progress){
+			.service = rollout->service,
+			.target = rollout->target,
+			.elapsed_ms = now_ms - rollout->begun_ms,
+			.is_full = rollout->is_full,
+			.is_proved = rollout->is_proved,
+			.trial_share = rollout->trial_share,
+		};
+		return 1;
+	}
+	return 0;
+}
+
 double cw_rollouts_share(const struct cw_rollouts *rollouts,
 			 const struct cw_rollout_request *request, int64_t now_ms)
 {
@@ -358,6 +394,8 @@
 	rollout->proved_ms = 0;
 	rollout->sent = rollout->sent_new = rollout->filling = 0;
 	rollout->trial_share = 0;
+	rollout->told_full = rollout->told_proved = 0;
+	rollout->told_trial_share = 0;
 	rollout->sent_a_ms = rollout->rated_sent = 0;
 	rollout->rated_ms = begun_ms;
 	rollout->reason = NULL;
--- a/packages/rollout/src/rollout_internal.h
+++ b/packages/rollout/src/rollout_internal.h
@@ -62,6 +62,9 @@
 	uint64_t filling;	   /* that take a server's slots for long */
 	unsigned int slots;	   /* of a server; 0: not known */
 	double trial_share;	   /* of filling sessions; grows only; 0: not planned yet */
+	int told_full;		   /* that is_full was logged, */
+	int told_proved;	   /* that is_proved was, */
+	double told_trial_share;   /* and this share of the trial */
 	int64_t counted_ms;	   /* the kinds' figures are true then */
 	GHashTable *peers;	   /* instance -> struct rollout_peer */
 	GHashTable *old;	   /* sessions that peers saw on the old version: hash -> time */
