--- a/tests/unit/gate_bed.c
+++ b/tests/unit/gate_bed.c
@@ -44,6 +44,7 @@
 	strcpy(cw_config_add_service(config)->name, "orders");
 	strcpy(engine->name, "llm");
 	engine->is_engine = 1;
+	engine->slots = 8;
 	strcpy(organisation->name, "museo");
 	cw_config_require_keys(config);
 	cw_config_add_key(config, "key", organisation);
@@ -56,6 +57,9 @@
 	route->model_count = 2;
 	strcpy(route->models[0], "small");
 	strcpy(route->models[1], "large");
+	route = add_route(config, "/report/", CW_REPEAT_STREAM, 3, "llm");
+	route->is_resumable = 1;
+	route->limit_ms = 20000;
 	cw_config_seal(config);
 	return config;
 }
--- a/tests/unit/gate_bed.h
+++ b/tests/unit/gate_bed.h
@@ -1,6 +1,7 @@
 /*
  * What the tests of a request's decisions start from: a gate with two plain servers ("orders") and
- * two engines ("llm"), routes /once/, /read/, /read/deep/ and /chat/, one organisation's key.
+ * two engines ("llm"), routes /once/, /read/, /read/deep/, /chat/ (two models) and /report/, one
+ * organisation's key.
  */
 #ifndef GATE_BED_H
 #define GATE_BED_H
