rollout: which sessions are on the new version follows from what all instances agreed on

Cause: the share of sessions was looked up with what an attempt was at that moment (little to read, long at its server, which model) and with what this instance had learned. A session's requests, 98 of 100 of them at another instance than the one before, got shares of 0.40 and 0.08. Second cause, found by the same log lines: an instance that had no request since the order planned a share of 1 for the trial and 195 instances took it over (0.1 fills a server there). Third: the model chosen to fill a server of the target changed the share, so that the old version got it. Fourth: a target proved late skipped the step before all sessions move.

Change: a share follows from the session, its route, the time and four steps; kinds belong to routes and are planned once, from all instances' counts; each step is in force 1 s after it is noticed, when all know it, and nothing agreed on is taken back. Only the planned share of filling sessions asks the largest model at once. Messages carry the plan (0.2 kB while a roll-out runs).

--- a/apps/corianderwalk/entry_verdict.c
+++ b/apps/corianderwalk/entry_verdict.c
@@ -78,10 +78,10 @@
 	struct cw_rollout_progress progress;
 
 	while (cw_rollouts_progressed(rollouts, now_ms, &progress))
-		cw_event("feed", "rollout_progress",
-			 "service=%s target=%s elapsed_ms=%ld full=%d proved=%d trial_share=%.3f",
-			 progress.service, progress.target, (long)progress.elapsed_ms,
-			 progress.is_full, progress.is_proved, progress.trial_share);
+		cw_event("feed", "rollout_step",
+			 "service=%s target=%s step=%s from_ms=%ld elapsed_ms=%ld trial_share=%.3f",
+			 progress.service, progress.target, progress.step, (long)progress.from_ms,
+			 (long)progress.elapsed_ms, progress.trial_share);
 }
 
 static int is_my_turn(const struct verdict *verdict, const char *service, int64_t now_ms)
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -25,6 +25,7 @@
 static void fail(struct cw_call *call, struct cw_step *step, const char *reason);
 static int find_target(struct cw_call *call, struct cw_step *step);
 static void send_first(struct cw_call *call, int64_t now_ms, struct cw_step *step);
+static void note_kinds(struct cw_call *call);
 static int is_shed(struct cw_call *call, int64_t now_ms);
 static int send(struct cw_call *call, int64_t now_ms, struct cw_step *step);
 static int send_instead(struct cw_call *call, int64_t now_ms, struct cw_step *step);
@@ -300,10 +301,7 @@
 		refuse_not_run(call, step, "the backend servers have no room", now_ms);
 		return;
 	}
-	call->is_filling = call_work_is_filling(call);
-	if (call->is_filling)
-		cw_rollouts_fills(call->gate->rollouts, call->service_name,
-				  call->service ? call->service->slots : 0);
+	note_kinds(call);
 	if (call_model_is_free(call) && call_model_is_on_trial(call, now_ms))
 		call->model = call->route->model_count - 1;
 	if (!send(call, now_ms, step)) {
@@ -314,6 +312,21 @@
 	cw_repeats_first(gate_repeats(call->gate, call->service_name), now_ms);
 }
 
+/* What the trial of a new version learns of the routes. */
+static void note_kinds(struct cw_call *call)
+{
+	struct cw_rollout_request request = call_as_request(call);
+	uint32_t kinds = 0;
+
+	call->is_filling = call_work_is_filling(call);
+	if (call->is_filling)
+		kinds |= CW_ROLLOUT_FILLING;
+	if (call_work_is_light(call))
+		kinds |= CW_ROLLOUT_LIGHT;
+	cw_rollouts_came(call->gate->rollouts, &request, kinds,
+			 call->service ? call->service->slots : 0);
+}
+
 /*
  * Load pattern: five times the usual requests. Servers reject half of what they are sent, each
  * rejected request tries two more, and the least urgent that got into a queue are overtaken there
@@ -337,8 +350,7 @@
 	return (struct cw_rollout_request){
 		.service = call->service_name,
 		.session = call->session,
-		.is_filling = call->is_filling,
-		.is_light = call_work_is_light(call),
+		.route = cw_hash_text(call->route->name, 0),
 	};
 }
 
@@ -414,9 +426,9 @@
 		choice.only_software = target;
 		choice.spread = cw_rollouts_share(gate->rollouts, &request, now_ms);
 		if (cw_rollouts_wants_load(gate->rollouts, call->service_name, now_ms))
-			choice.fill_part = request.is_filling ? FILL_PART
-					   : request.is_light ? ASK_PART
-							      : 0;
+			choice.fill_part = call->is_filling	      ? FILL_PART
+					   : call_work_is_light(call) ? ASK_PART
+								      : 0;
 		break;
 	case CW_ROLLOUT_ANY:
 		break;
--- a/packages/gossip/src/gossip.c
+++ b/packages/gossip/src/gossip.c
@@ -7,7 +7,7 @@
 
 #define LIST_HEAD_BYTES 32
 #define ENTRY_BYTES	(5 * (CW_NAME_MAX + 4) + 24) /* of one entry at most, with its lengths */
-#define GOSSIP_MAGIC	0x63773036 /* names the layout below; others are ignored */
+#define GOSSIP_MAGIC	0x63773037 /* names the layout below; others are ignored */
 
 static bool_t code(XDR *xdr, struct cw_gossip *gossip);
 static bool_t code_member(XDR *xdr, struct cw_gossip_member *member);
@@ -16,6 +16,7 @@
 static bool_t code_entry(XDR *xdr, struct cw_server_entry *entry);
 static bool_t code_load(XDR *xdr, struct cw_gossip_load *load);
 static bool_t code_rollout(XDR *xdr, struct cw_rollout_news *news);
+static bool_t code_plan(XDR *xdr, struct cw_rollout_news *news);
 static bool_t code_evidence(XDR *xdr, struct cw_rollout_evidence *evidence);
 static bool_t code_number(XDR *xdr, float *number);
 static bool_t code_text(XDR *xdr, char *text, u_int size);
@@ -198,9 +199,8 @@
 	    !code_text(xdr, news->target, CW_NAME_MAX) || !xdr_uint64_t(xdr, &news->offset) ||
 	    !code_int64(xdr, &news->elapsed_ms) || !code_int64(xdr, &news->duration_ms) ||
 	    !xdr_int(xdr, &state) || !xdr_int(xdr, &news->is_written) ||
-	    !xdr_int(xdr, &news->is_full) || !xdr_int(xdr, &news->is_proved) ||
 	    !xdr_uint64_t(xdr, &news->sent) || !xdr_uint64_t(xdr, &news->sent_new) ||
-	    !xdr_uint64_t(xdr, &news->filling) || !code_number(xdr, &news->trial_share))
+	    !code_plan(xdr, news))
 		return FALSE;
 	if (state < CW_ROLLOUT_RUNNING || state > CW_ROLLOUT_BACK)
 		return FALSE;
@@ -219,6 +219,26 @@
 	return TRUE;
 }
 
+/* A step in force before its order would move sessions at once: no instance tells that. */
+static bool_t code_plan(XDR *xdr, struct cw_rollout_news *news)
+{
+	for (size_t i = 0; i < CW_ROLLOUT_STEPS; i++)
+		if (!code_int64(xdr, &news->from_ms[i]) || news->from_ms[i] < 0)
+			return FALSE;
+	if (!code_number(xdr, &news->trial_share) || !xdr_u_int(xdr, &news->counted_ms) ||
+	    !code_count(xdr, &news->route_count, CW_ROLLOUT_ROUTES))
+		return FALSE;
+	for (size_t i = 0; i < news->route_count; i++) {
+		struct cw_rollout_route *route = &news->routes[i];
+
+		if (!xdr_uint64_t(xdr, &route->route) || !xdr_u_int(xdr, &route->came) ||
+		    !xdr_u_int(xdr, &route->filling) || !xdr_u_int(xdr, &route->light) ||
+		    !xdr_u_int(xdr, &route->kinds))
+			return FALSE;
+	}
+	return TRUE;
+}
+
 static bool_t code_evidence(XDR *xdr, struct cw_rollout_evidence *evidence)
 {
 	return xdr_uint64_t(xdr, &evidence->route) && xdr_int(xdr, &evidence->is_loaded) &&
--- a/packages/rollout/include/cw_rollout.h
+++ b/packages/rollout/include/cw_rollout.h
@@ -3,6 +3,10 @@
  * share of sessions in the first half of the time ordered, then all in steps, with a trial under
  * load at the first of them; or back at the first proof that the version is bad. Sans-I/O: time,
  * answers and peers' news come in; sides, verdicts and news for peers go out.
+ *
+ * A session's requests come to many instances, and its version must be the same at each. So it
+ * follows from the session, its route, the time since the order and what the instances have agreed
+ * on, all of which only ever moves sessions forward; never from how one request looks.
  */
 #ifndef CW_ROLLOUT_H
 #define CW_ROLLOUT_H
@@ -14,6 +18,23 @@
 
 #define CW_ROLLOUT_KINDS    12 /* of one service's answers that are told apart: by route and load */
 #define CW_ROLLOUT_SESSIONS 96 /* sessions told to peers, about 5 s of a share of a tenth */
+#define CW_ROLLOUT_ROUTES   16 /* of one service that are known by kind; others are of none */
+#define CW_ROLLOUT_NEVER    INT64_MAX
+
+/* How the requests of a route usually are; a set of these. */
+enum cw_rollout_kind {
+	CW_ROLLOUT_FILLING = 1, /* they take a server's slots for long, and little else of it */
+	CW_ROLLOUT_LIGHT = 2,	/* little to read: answered at once also by a full server */
+};
+
+/* What the instances agree on, one after the other. */
+enum cw_rollout_step {
+	CW_ROLLOUT_TRIAL,  /* the routes' kinds, and the share of filling sessions for the trial */
+	CW_ROLLOUT_FULL,   /* one of the target's servers has answered under load */
+	CW_ROLLOUT_MORE,   /* none has in time: all filling sessions go there */
+	CW_ROLLOUT_PROVED, /* the target stood the trial under load */
+	CW_ROLLOUT_STEPS
+};
 
 /* An operator's order. */
 struct cw_rollout_order {
@@ -70,6 +91,15 @@
 	float new_past_answers, new_past_bad;
 };
 
+/* One route's requests at one instance, and what the instances agreed that they are. */
+struct cw_rollout_route {
+	uint64_t route;
+	uint32_t came;
+	uint32_t filling; /* of them */
+	uint32_t light;	  /* of them */
+	uint32_t kinds;	  /* set of enum cw_rollout_kind, empty before the trial is planned */
+};
+
 /* A session that a server of the old version served. */
 struct cw_rollout_session {
 	uint64_t session;
@@ -85,11 +115,12 @@
 	int64_t duration_ms;
 	enum cw_rollout_state state;
 	int is_written;
-	int is_full;		 /* one of the target's servers has answered under load */
-	int is_proved;		 /* the target stood the trial under load */
+	int64_t from_ms[CW_ROLLOUT_STEPS]; /* each in force, since the order; CW_ROLLOUT_NEVER */
 	uint64_t sent, sent_new; /* requests to the service's servers, and to the target's */
-	uint64_t filling;	 /* of all of them, those that take a server's slots for long */
-	float trial_share;	 /* of such sessions on the target for the trial; 0: none yet */
+	float trial_share;	 /* of filling sessions on the target for the trial; 0: none yet */
+	uint32_t counted_ms;	 /* the sender has counted the routes' requests for so long */
+	size_t route_count;
+	struct cw_rollout_route routes[CW_ROLLOUT_ROUTES];
 	size_t kind_count;
 	struct cw_rollout_evidence kinds[CW_ROLLOUT_KINDS];
 	size_t session_count;
@@ -100,8 +131,7 @@
 struct cw_rollout_request {
 	const char *service;
 	uint64_t session;
-	int is_filling; /* of a route that takes a server's slots for long and little else */
-	int is_light;	/* little to read: answered at once also on a full server */
+	uint64_t route;
 };
 
 /* Which versions a request may be sent to, and what decided it. */
@@ -111,13 +141,13 @@
 	double point; /* of this session, 0 to 1: on the target while the share is above */
 };
 
-/* What one instance knows of how far a roll-out has come, for the log. */
+/* A step that an instance learned of, for the log. Times are ms since the order. */
 struct cw_rollout_progress {
 	const char *service;
 	const char *target;
-	int64_t elapsed_ms; /* since the order */
-	int is_full;
-	int is_proved;
+	const char *step;
+	int64_t from_ms;
+	int64_t elapsed_ms;
 	double trial_share;
 };
 
@@ -148,8 +178,9 @@
 			   struct cw_rollout_progress *progress); /* 1: not told of before */
 void cw_rollouts_used(struct cw_rollouts *rollouts, const char *service, uint64_t session,
 		      const char *software, int64_t now_ms); /* a request went to this version */
-void cw_rollouts_fills(struct cw_rollouts *rollouts, const char *service,
-		       unsigned int slots); /* a request came that takes one of so many for long */
+void cw_rollouts_came(struct cw_rollouts *rollouts, const struct cw_rollout_request *request,
+		      uint32_t kinds,
+		      unsigned int slots); /* it looks like these, to servers of so many slots */
 void cw_rollouts_asked(struct cw_rollouts *rollouts, const char *service, uint64_t session,
 		       int64_t asked_ms,
 		       int64_t now_ms); /* a caller that has waited since asked_ms is here */
@@ -160,6 +191,9 @@
 double cw_rollouts_share(const struct cw_rollouts *rollouts,
 			 const struct cw_rollout_request *request,
 			 int64_t now_ms); /* of such requests' sessions that the target gets */
+int cw_rollouts_is_filler(const struct cw_rollouts *rollouts,
+			  const struct cw_rollout_request *request,
+			  int64_t now_ms); /* its session is to fill a server of the target now */
 int cw_rollouts_wants_load(const struct cw_rollouts *rollouts, const char *service,
 			   int64_t now_ms); /* the target is to be tried on a full server now */
 size_t cw_rollouts_judge(struct cw_rollouts *rollouts, int64_t now_ms,
--- a/packages/rollout/src/evidence.c
+++ b/packages/rollout/src/evidence.c
@@ -124,7 +124,9 @@
 	peer->heard_ms = now_ms;
 	peer->sent = news->sent;
 	peer->sent_new = news->sent_new;
-	peer->filling = news->filling;
+	peer->counted_ms = news->counted_ms;
+	peer->route_count = MIN(news->route_count, CW_ROLLOUT_ROUTES);
+	memcpy(peer->routes, news->routes, sizeof(peer->routes));
 	peer->kind_count = MIN(news->kind_count, CW_ROLLOUT_KINDS);
 	memcpy(peer->kinds, news->kinds, sizeof(peer->kinds));
 }
@@ -186,18 +188,6 @@
 	return sent;
 }
 
-double rollout_filling(const struct rollout *rollout)
-{
-	double filling = (double)rollout->filling;
-	GHashTableIter iter;
-	gpointer peer;
-
-	g_hash_table_iter_init(&iter, rollout->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &peer))
-		filling += (double)((struct rollout_peer *)peer)->filling;
-	return filling;
-}
-
 int rollout_hears_peers(const struct rollout *rollout, int64_t now_ms)
 {
 	guint heard = 0;
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -3,29 +3,20 @@
 
 #include <string.h>
 
-#define START_MS      1200 /* peers' sessions are heard before the first request goes to the new */
-#define TRIAL_UNTIL   0.67 /* of the time ordered, as the next ones */
-#define TRIAL_MORE_AT 0.62 /* a server isn't full by then: all that can fill one go there */
-#define FILL_A_SECOND 0.25 /* of a server's slots are taken for the trial */
-#define ALL_FROM      0.73
-#define GIVE_UP_AT    0.86 /* not proved by then: time is left for those that moved to move back */
-#define DONE_FIRST    0.90 /* runs on the old version have ended by then */
-#define DONE_LAST     0.97 /* time to write it down is left */
-#define SECOND_SHARE  0.40 /* after the trial: what fails on one route shows before all move */
+#define GIVE_UP_AT 0.86 /* not proved by then: time is left for those that moved to move back */
+#define DONE_FIRST 0.90 /* runs on the old version have ended by then */
+#define DONE_LAST  0.97 /* time to write it down is left */
 
 static struct rollout *add(struct cw_rollouts *rollouts, const char *service);
-static void begin(struct rollout *rollout, const char *target, uint64_t offset, int64_t duration_ms,
-		  int64_t begun_ms);
+static void begin(struct rollout *rollout, const struct cw_rollout_order *order, uint64_t offset,
+		  int64_t begun_ms, int64_t now_ms);
 static void set_target(struct rollout *rollout, const char *target);
 static int64_t done_after_ms(const struct cw_rollouts *rollouts, const struct rollout *rollout);
 static enum cw_rollout_state judge(const struct cw_rollouts *rollouts, struct rollout *rollout,
 				   int64_t now_ms);
 static int is_tried_enough(const struct cw_rollouts *rollouts, const struct rollout *rollout,
 			   int64_t now_ms);
-static void plan_trial(struct rollout *rollout, int64_t now_ms);
 static void fill_verdict(const struct rollout *rollout, struct cw_rollout_verdict *verdict);
-static double share_at(const struct rollout *rollout, const struct cw_rollout_request *request,
-		       int64_t now_ms);
 
 struct cw_rollouts *cw_rollouts_create(const struct cw_rollout_options *options)
 {
@@ -36,16 +27,6 @@
 	return rollouts;
 }
 
-void cw_rollouts_fills(struct cw_rollouts *rollouts, const char *service, unsigned int slots)
-{
-	struct rollout *rollout = rollout_find(rollouts, service);
-
-	if (!rollout)
-		return;
-	rollout->filling++;
-	rollout->slots = slots;
-}
-
 void cw_rollouts_destroy(struct cw_rollouts *rollouts)
 {
 	struct rollout *rollout;
@@ -76,7 +57,7 @@
 	}
 	if (!rollout)
 		rollout = add(rollouts, order->service);
-	begin(rollout, order->target, offset, order->duration_ms, now_ms);
+	begin(rollout, order, offset, now_ms, now_ms);
 	return 1;
 }
 
@@ -129,7 +110,7 @@
 		return CW_ROLLOUT_NEW;
 	if (rollout->state == CW_ROLLOUT_BACK)
 		return CW_ROLLOUT_OLD;
-	if (rollout_point(request->session) >= share_at(rollout, request, now_ms))
+	if (rollout_point(request->session) >= rollout_share(rollout, request->route, now_ms))
 		return CW_ROLLOUT_OLD;
 	if (rollout_part(rollout, now_ms) < ROLLOUT_FIRST_UNTIL &&
 	    rollout_was_on_old(rollouts, rollout, request->session, now_ms))
@@ -147,32 +128,6 @@
 	};
 }
 
-int cw_rollouts_progressed(struct cw_rollouts *rollouts, int64_t now_ms,
-			   struct cw_rollout_progress *progress)
-{
-	struct rollout *rollout;
-
-	TAILQ_FOREACH(rollout, &rollouts->list, link) {
-		if (rollout->told_full == rollout->is_full &&
-		    rollout->told_proved == rollout->is_proved &&
-		    rollout->told_trial_share == rollout->trial_share)
-			continue;
-		rollout->told_full = rollout->is_full;
-		rollout->told_proved = rollout->is_proved;
-		rollout->told_trial_share = rollout->trial_share;
-		*progress = (struct cw_rollout_progress){
-			.service = rollout->service,
-			.target = rollout->target,
-			.elapsed_ms = now_ms - rollout->begun_ms,
-			.is_full = rollout->is_full,
-			.is_proved = rollout->is_proved,
-			.trial_share = rollout->trial_share,
-		};
-		return 1;
-	}
-	return 0;
-}
-
 double cw_rollouts_share(const struct cw_rollouts *rollouts,
 			 const struct cw_rollout_request *request, int64_t now_ms)
 {
@@ -180,7 +135,7 @@
 
 	if (!rollout || rollout->state != CW_ROLLOUT_RUNNING)
 		return 1;
-	return share_at(rollout, request, now_ms);
+	return rollout_share(rollout, request->route, now_ms);
 }
 
 int cw_rollouts_wants_load(const struct cw_rollouts *rollouts, const char *service, int64_t now_ms)
@@ -200,8 +155,8 @@
 	TAILQ_FOREACH(rollout, &rollouts->list, link) {
 		if (rollout->state == CW_ROLLOUT_RUNNING) {
 			rollout_follow_rate(rollout, now_ms);
-			plan_trial(rollout, now_ms);
 			rollout->state = judge(rollouts, rollout, now_ms);
+			rollout_follow_plan(rollout, now_ms);
 		}
 		if (rollout->state == CW_ROLLOUT_RUNNING || rollout->is_written || count == max)
 			continue;
@@ -239,8 +194,6 @@
 		rollout->reason = "bad_answers";
 		return CW_ROLLOUT_BACK;
 	}
-	if (rollout->is_proved && !rollout->proved_ms)
-		rollout->proved_ms = now_ms;
 	if (rollout->is_proved && elapsed_ms >= done_after_ms(rollouts, rollout)) {
 		rollout->reason = "proved";
 		return CW_ROLLOUT_DONE;
@@ -271,9 +224,8 @@
 static int64_t done_after_ms(const struct cw_rollouts *rollouts, const struct rollout *rollout)
 {
 	double duration_ms = (double)rollout->duration_ms;
-	double all_ms =
-		MAX(ALL_FROM * duration_ms, (double)(rollout->proved_ms - rollout->begun_ms));
-	double idle_ms = all_ms + (double)rollouts->options.session_ms;
+	double idle_ms =
+		(double)rollout_all_from_ms(rollout) + (double)rollouts->options.session_ms;
 
 	return (int64_t)CLAMP(idle_ms, DONE_FIRST * duration_ms, DONE_LAST * duration_ms);
 }
@@ -285,8 +237,8 @@
 	TAILQ_FOREACH(rollout, &rollouts->list, link) {
 		int64_t elapsed_ms = now_ms - rollout->begun_ms;
 
-		if (rollout->state == CW_ROLLOUT_RUNNING && elapsed_ms >= START_MS / 2 &&
-		    elapsed_ms < START_MS)
+		if (rollout->state == CW_ROLLOUT_RUNNING && elapsed_ms >= ROLLOUT_START_MS / 2 &&
+		    elapsed_ms < ROLLOUT_START_MS)
 			return 1;
 	}
 	return 0;
@@ -311,12 +263,9 @@
 		out->duration_ms = rollout->duration_ms;
 		out->state = rollout->state;
 		out->is_written = rollout->is_written;
-		out->is_full = rollout->is_full;
-		out->is_proved = rollout->is_proved;
 		out->sent = rollout->sent;
 		out->sent_new = rollout->sent_new;
-		out->filling = rollout->filling;
-		out->trial_share = (float)rollout->trial_share;
+		rollout_tell_plan(rollout, now_ms, out);
 		if (rollout->state != CW_ROLLOUT_RUNNING)
 			continue;
 		rollout_fade(rollout, now_ms);
@@ -338,8 +287,11 @@
 	if (!rollout)
 		rollout = add(rollouts, news->service);
 	if (!rollout->is_ordered || news->offset > rollout->offset) {
-		begin(rollout, news->target, news->offset, news->duration_ms,
-		      now_ms - news->elapsed_ms);
+		struct cw_rollout_order order = {.duration_ms = news->duration_ms};
+
+		g_strlcpy(order.service, news->service, CW_NAME_MAX);
+		g_strlcpy(order.target, news->target, CW_NAME_MAX);
+		begin(rollout, &order, news->offset, now_ms - news->elapsed_ms, now_ms);
 	}
 	/* The one that heard of the order first counts best: a restarted instance knows less. */
 	rollout->begun_ms = MIN(rollout->begun_ms, now_ms - news->elapsed_ms);
@@ -348,9 +300,7 @@
 				 rollout->state == CW_ROLLOUT_RUNNING))
 		rollout->state = news->state;
 	rollout->is_written |= news->is_written;
-	rollout->trial_share = MAX(rollout->trial_share, (double)news->trial_share);
-	rollout->is_full |= news->is_full;
-	rollout->is_proved |= news->is_proved;
+	rollout_hear_plan(rollout, news, now_ms);
 	rollout_hear_evidence(rollout, instance, news, now_ms);
 	rollout_hear_sessions(rollout, news, now_ms);
 	return rollout->state != before;
@@ -374,28 +324,25 @@
 	rollout->service_hash = cw_hash_text(service, 0);
 	rollout->peers = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	rollout->old = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	rollout_forget_plan(rollout);
 	TAILQ_INSERT_TAIL(&rollouts->list, rollout, link);
 	return rollout;
 }
 
-static void begin(struct rollout *rollout, const char *target, uint64_t offset, int64_t duration_ms,
-		  int64_t begun_ms)
+static void begin(struct rollout *rollout, const struct cw_rollout_order *order, uint64_t offset,
+		  int64_t begun_ms, int64_t now_ms)
 {
-	set_target(rollout, target);
+	set_target(rollout, order->target);
 	rollout->offset = offset;
 	rollout->begun_ms = begun_ms;
-	rollout->duration_ms = duration_ms;
+	rollout->known_ms = now_ms;
+	rollout->duration_ms = order->duration_ms;
 	rollout->state = CW_ROLLOUT_RUNNING;
 	rollout->is_written = 0;
 	rollout->is_ordered = 1;
 	rollout->kind_count = 0;
-	rollout->is_full = 0;
-	rollout->is_proved = 0;
-	rollout->proved_ms = 0;
-	rollout->sent = rollout->sent_new = rollout->filling = 0;
-	rollout->trial_share = 0;
-	rollout->told_full = rollout->told_proved = 0;
-	rollout->told_trial_share = 0;
+	rollout_forget_plan(rollout);
+	rollout->sent = rollout->sent_new = 0;
 	rollout->sent_a_ms = rollout->rated_sent = 0;
 	rollout->rated_ms = begun_ms;
 	rollout->reason = NULL;
@@ -411,51 +358,6 @@
 	rollout->target_hash = cw_hash_text(target, 0);
 }
 
-/*
- * Grows only, so that a session moves forward once at most. The trial takes the routes that fill a
- * server: with three in five of all requests an engine reached 32 of its 64 slots, with these alone
- * twice as many, and the target gets half of the requests meanwhile.
- */
-static double share_at(const struct rollout *rollout, const struct cw_rollout_request *request,
-		       int64_t now_ms)
-{
-	double part = rollout_part(rollout, now_ms);
-
-	if (now_ms - rollout->begun_ms < START_MS)
-		return 0;
-	if (part >= ALL_FROM && rollout->is_proved)
-		return 1;
-	if (part >= TRIAL_UNTIL && rollout->is_proved && !request->is_filling)
-		return SECOND_SHARE;
-	if (part >= ROLLOUT_FIRST_UNTIL && rollout->is_full && request->is_light)
-		return SECOND_SHARE;
-	if (part >= ROLLOUT_FIRST_UNTIL && request->is_filling)
-		return MAX(rollout->trial_share, ROLLOUT_FIRST_SHARE);
-	return ROLLOUT_FIRST_SHARE;
-}
-
-/*
- * Load pattern: 36 requests a second that each take a slot for 2 s, all of them sent to the target
- * for its trial. One server was full after a second, the others got the rest, idle ones that tell
- * nothing, and what a bad version may get was spent before anything was proved. So as many go
- * there as fill a server in two or three seconds; all, if by then it isn't full.
- */
-static void plan_trial(struct rollout *rollout, int64_t now_ms)
-{
-	double part = rollout_part(rollout, now_ms);
-	double rate;
-
-	if (part < ROLLOUT_FIRST_UNTIL)
-		return;
-	if (part >= TRIAL_MORE_AT && !rollout->is_full && !rollout->is_proved)
-		rollout->trial_share = 1;
-	if (rollout->trial_share > 0)
-		return;
-	rate = rollout_filling(rollout) * 1000 / (double)MAX(now_ms - rollout->begun_ms, 1);
-	rollout->trial_share =
-		rollout->slots && rate > 0 ? MIN(FILL_A_SECOND * rollout->slots / rate, 1) : 1;
-}
-
 /* Of the time ordered, that has passed. */
 double rollout_part(const struct rollout *rollout, int64_t now_ms)
 {
--- a/packages/rollout/src/rollout_internal.h
+++ b/packages/rollout/src/rollout_internal.h
@@ -9,6 +9,7 @@
 #define ROLLOUT_RECENT	    512	 /* requests remembered: 5 s of an instance at 100 a second */
 #define ROLLOUT_FIRST_SHARE 0.08 /* of sessions: a third of what a bad version may get */
 #define ROLLOUT_FIRST_UNTIL 0.52 /* of the time ordered: no session moves in the first half */
+#define ROLLOUT_START_MS    1200 /* peers' sessions are heard before the first is on the target */
 
 /* A request that went to a server. Of any version: this roll-out's target is the next one's old. */
 struct rollout_recent {
@@ -22,7 +23,9 @@
 	uint64_t instance;
 	int64_t heard_ms;
 	uint64_t sent, sent_new;
-	uint64_t filling;
+	uint32_t counted_ms;
+	size_t route_count;
+	struct cw_rollout_route routes[CW_ROLLOUT_ROUTES];
 	size_t kind_count;
 	struct cw_rollout_evidence kinds[CW_ROLLOUT_KINDS];
 };
@@ -42,32 +45,32 @@
 	uint64_t target_hash;
 	uint64_t offset; /* of the order */
 	int64_t begun_ms;
+	int64_t known_ms; /* to this instance, since it last started */
 	int64_t duration_ms;
 	enum cw_rollout_state state;
 	int is_written;
 	int is_ordered; /* 0: only what was written of it is known */
 	size_t kind_count;
 	struct cw_rollout_evidence kinds[CW_ROLLOUT_KINDS];
-	int is_full;		   /* one of the target's servers has answered under load */
-	int is_proved;		   /* the target stood the trial under load */
-	int64_t proved_ms;	   /* when this instance learned that; 0: it is not known to */
-	const char *reason;	   /* of the state, for the log */
-	struct rollout_sum all;	   /* of all instances and kinds, at the last look */
-	struct rollout_sum loaded; /* those of them from servers more than half full */
-	uint64_t sent;		   /* by this instance, to any of the service's servers */
-	uint64_t sent_new;	   /* to the target's */
-	double sent_a_ms;	   /* by all, lately */
-	double rated_sent;	   /* by all, at the last look, */
-	int64_t rated_ms;	   /* which was then */
-	uint64_t filling;	   /* that take a server's slots for long */
-	unsigned int slots;	   /* of a server; 0: not known */
-	double trial_share;	   /* of filling sessions; grows only; 0: not planned yet */
-	int told_full;		   /* that is_full was logged, */
-	int told_proved;	   /* that is_proved was, */
-	double told_trial_share;   /* and this share of the trial */
-	int64_t counted_ms;	   /* the kinds' figures are true then */
-	GHashTable *peers;	   /* instance -> struct rollout_peer */
-	GHashTable *old;	   /* sessions that peers saw on the old version: hash -> time */
+	int is_full;   /* seen here or heard: a target's server answered under load */
+	int is_proved; /* the same: the target stood the trial under load */
+	int64_t from_ms[CW_ROLLOUT_STEPS]; /* in force, ms since the order; CW_ROLLOUT_NEVER */
+	unsigned int told_steps;	   /* bit i: step i was logged */
+	const char *reason;		   /* of the state, for the log */
+	struct rollout_sum all;		   /* of all instances and kinds, at the last look */
+	struct rollout_sum loaded;	   /* those of them from servers more than half full */
+	uint64_t sent;			   /* by this instance, to any of the service's servers */
+	uint64_t sent_new;		   /* to the target's */
+	double sent_a_ms;		   /* by all, lately */
+	double rated_sent;		   /* by all, at the last look, */
+	int64_t rated_ms;		   /* which was then */
+	size_t route_count;
+	struct cw_rollout_route routes[CW_ROLLOUT_ROUTES]; /* this instance's requests */
+	unsigned int slots;				   /* of a server; 0: not known */
+	double trial_share; /* of filling sessions; grows only; 0: not planned yet */
+	int64_t counted_ms; /* the kinds' figures are true then */
+	GHashTable *peers;  /* instance -> struct rollout_peer */
+	GHashTable *old;    /* sessions that peers saw on the old version: hash -> time */
 };
 
 struct cw_rollouts {
@@ -83,6 +86,14 @@
 
 double rollout_part(const struct rollout *rollout, int64_t now_ms); /* of the time ordered */
 
+/* plan.c: which sessions are on the target, as all instances agreed */
+double rollout_share(const struct rollout *rollout, uint64_t route, int64_t now_ms);
+int64_t rollout_all_from_ms(const struct rollout *rollout); /* since the order; or NEVER */
+void rollout_forget_plan(struct rollout *rollout);
+void rollout_follow_plan(struct rollout *rollout, int64_t now_ms); /* several times a second */
+void rollout_tell_plan(const struct rollout *rollout, int64_t now_ms, struct cw_rollout_news *out);
+void rollout_hear_plan(struct rollout *rollout, const struct cw_rollout_news *news, int64_t now_ms);
+
 /* evidence.c: is the target worse than the version before it? */
 void rollout_fade(struct rollout *rollout, int64_t now_ms); /* the own answers, to this time */
 void rollout_hear_evidence(struct rollout *rollout, uint64_t instance,
@@ -90,7 +101,6 @@
 int rollout_is_bad(struct rollout *rollout, int64_t now_ms);	   /* also sets is_proved */
 void rollout_count(struct rollout *rollout, int is_new);	   /* a request that was sent */
 void rollout_follow_rate(struct rollout *rollout, int64_t now_ms); /* several times a second */
-double rollout_filling(const struct rollout *rollout); /* such requests, of all instances */
 int rollout_is_spent(const struct cw_rollouts *rollouts, const struct rollout *rollout,
 		     int64_t now_ms); /* the target got what a bad version may get */
 int rollout_hears_peers(const struct rollout *rollout,
