--- a/packages/rollout/src/plan.c
+++ b/packages/rollout/src/plan.c
@@ -17,6 +17,8 @@
 #define TRIAL_UNTIL   0.67 /* of the time ordered, as the next ones */
 #define MORE_AT	      0.62 /* a server isn't full by then: all that can fill one go there */
 #define FILL_A_SECOND 0.25 /* of a server's slots are taken for the trial */
+#define MORE_FACTOR   3	   /* of the sessions that were planned to fill one */
+#define ASK_SHARE     0.30 /* of light sessions, to ask a full server: more find it overfull */
 #define SECOND_SHARE  0.40 /* after the trial: what fails on one route shows before all move */
 #define SECOND_PART   0.06 /* for so long */
 #define ALL_AT_LAST   0.86 /* even so, of a target proved by then: old runs have time to end */
@@ -55,7 +57,7 @@
 	/* A full server answers long prompts late; short ones tell at once what it does. */
 	if ((kinds_of(rollout, route) & CW_ROLLOUT_LIGHT) &&
 	    is_in_force(rollout, CW_ROLLOUT_FULL, now_ms))
-		share = MAX(share, SECOND_SHARE);
+		share = MAX(share, ASK_SHARE);
 	return share;
 }
 
@@ -205,12 +207,14 @@
  */
 static double filling_share(const struct rollout *rollout, uint64_t route, int64_t now_ms)
 {
+	double share = MAX(rollout->trial_share, ROLLOUT_FIRST_SHARE);
+
 	if (!is_in_force(rollout, CW_ROLLOUT_TRIAL, now_ms) ||
 	    !(kinds_of(rollout, route) & CW_ROLLOUT_FILLING))
 		return 0;
 	if (is_in_force(rollout, CW_ROLLOUT_MORE, now_ms))
-		return 1;
-	return MAX(rollout->trial_share, ROLLOUT_FIRST_SHARE);
+		return MIN(MORE_FACTOR * share, 1);
+	return share;
 }
 
 static int is_in_force(const struct rollout *rollout, enum cw_rollout_step step, int64_t now_ms)
