rollout: a route that fails on the new version only is found second by second

Cause: the old version's failures counted over 8 s and a minute. Two seconds of crashing servers made one in ten of its answers on a route failures for the rest of the roll-out, beside which a target that fails three in ten looked hardly worse; and a rare route had 11 answers of the target when all sessions moved.

Change: failures of each route are held against the other version's of the same second and the one before, over all instances, and the doubt adds up; in the trial a route with few requests gets a share for three of them a second (0.40 at most).

--- a/packages/gossip/src/gossip.c
+++ b/packages/gossip/src/gossip.c
@@ -233,7 +233,9 @@
 
 		if (!xdr_uint64_t(xdr, &route->route) || !xdr_u_int(xdr, &route->came) ||
 		    !xdr_u_int(xdr, &route->filling) || !xdr_u_int(xdr, &route->light) ||
-		    !xdr_u_int(xdr, &route->kinds))
+		    !xdr_u_int(xdr, &route->old_answers) || !xdr_u_int(xdr, &route->old_failed) ||
+		    !xdr_u_int(xdr, &route->new_answers) || !xdr_u_int(xdr, &route->new_failed) ||
+		    !xdr_u_int(xdr, &route->kinds) || !code_number(xdr, &route->share))
 			return FALSE;
 	}
 	return TRUE;
--- a/packages/rollout/include/cw_rollout.h
+++ b/packages/rollout/include/cw_rollout.h
@@ -95,9 +95,12 @@
 struct cw_rollout_route {
 	uint64_t route;
 	uint32_t came;
-	uint32_t filling; /* of them */
-	uint32_t light;	  /* of them */
-	uint32_t kinds;	  /* set of enum cw_rollout_kind, empty before the trial is planned */
+	uint32_t filling;		  /* of them */
+	uint32_t light;			  /* of them */
+	uint32_t old_answers, old_failed; /* by the version before the target, since the order */
+	uint32_t new_answers, new_failed; /* by the target */
+	uint32_t kinds; /* set of enum cw_rollout_kind, empty before the trial is planned */
+	float share;	/* of its sessions on the target during the trial; 0 before */
 };
 
 /* A session that a server of the old version served. */
--- a/packages/rollout/src/evidence.c
+++ b/packages/rollout/src/evidence.c
@@ -50,7 +50,6 @@
 static int weigh(const struct cw_rollout_evidence *kinds, size_t count, enum window window,
 		 struct rollout_sum *all, struct rollout_sum *loaded);
 static struct rollout_sum count_kind(const struct cw_rollout_evidence *kind, enum window window);
-static double doubt(double answers, double bad_answers, double old_rate);
 
 void cw_rollouts_answered(struct cw_rollouts *rollouts, const struct cw_rollout_answer *answer,
 			  int64_t now_ms)
@@ -62,6 +61,7 @@
 	if (!rollout)
 		return;
 	is_bad = answer->is_failure || (answer->is_slow && tells_slowness(rollout, now_ms));
+	rollout_match_answer(rollout, answer);
 	kind = kind_of(rollout, answer, now_ms);
 	if (!strcmp(rollout->target, answer->software)) {
 		kind->new_answers += 1;
@@ -120,6 +120,8 @@
 		peer = g_new0(struct rollout_peer, 1);
 		peer->instance = instance;
 		g_hash_table_insert(rollout->peers, &peer->instance, peer);
+	} else {
+		rollout_match_peer(rollout, peer, news);
 	}
 	peer->heard_ms = now_ms;
 	peer->sent = news->sent;
@@ -215,6 +217,7 @@
 	int is_bad = weigh(kinds, count, RECENTLY, &rollout->all, &rollout->loaded);
 
 	is_bad |= weigh(kinds, count, SINCE_THE_ORDER, &all, &loaded);
+	is_bad |= rollout_match_is_bad(rollout, now_ms);
 	rollout->is_proved |= loaded.doubt < PROVED_LEVEL && rollout->loaded.doubt < 0;
 	return is_bad;
 }
@@ -234,7 +237,7 @@
 		double usual = old_rate(kinds, count, kinds[i].route);
 		struct rollout_sum kind = count_kind(&kinds[i], window);
 
-		kind.doubt = doubt(kind.answers, kind.bad, usual);
+		kind.doubt = rollout_doubt(kind.answers, kind.bad, usual);
 		is_any_bad |= is_bad(&kind);
 		add_sum(all, &kind);
 		if (kinds[i].is_loaded)
@@ -351,7 +354,7 @@
  * Logarithm of the likelihood ratio of "fails in three of ten cases more than the old version" to
  * "fails about as often".
  */
-static double doubt(double answers, double bad_answers, double old_rate)
+double rollout_doubt(double answers, double bad_answers, double old_rate)
 {
 	double usual = MIN(OLD_MARGIN * old_rate + USUAL_BAD, USUAL_MOST);
 	double bad = usual + (1 - usual) * BAD_MORE;
--- a/packages/rollout/src/plan.c
+++ b/packages/rollout/src/plan.c
@@ -12,36 +12,42 @@
  * learned of the step later, and went back to the old version. Messages brought steps to 66
  * instances within 0.34 s, to 195 within 0.37 s; the rest is for messages that are lost.
  */
-#define AGREE_MS      1000
-#define PLANNER_MS    3000 /* of listening: by then peers have told what their requests are */
-#define TRIAL_UNTIL   0.67 /* of the time ordered, as the next ones */
-#define MORE_AT	      0.62 /* a server isn't full by then: all that can fill one go there */
-#define FILL_A_SECOND 0.25 /* of a server's slots are taken for the trial */
-#define MORE_FACTOR   3	   /* of the sessions that were planned to fill one */
-#define ASK_SHARE     0.30 /* of light sessions, to ask a full server: more find it overfull */
-#define SECOND_SHARE  0.40 /* after the trial: what fails on one route shows before all move */
-#define SECOND_PART   0.06 /* for so long */
-#define ALL_AT_LAST   0.86 /* even so, of a target proved by then: old runs have time to end */
+#define AGREE_MS       1000
+#define PLANNER_MS     3000 /* of listening: by then peers have told what their requests are */
+#define TRIAL_UNTIL    0.67 /* of the time ordered, as the next ones */
+#define MORE_AT	       0.62 /* a server isn't full by then: all that can fill one go there */
+#define ROUTE_A_SECOND 3.0  /* requests on the target: a rare route's failures show in 10 s */
+#define FILL_A_SECOND  0.25 /* of a server's slots are taken for the trial */
+#define MORE_FACTOR    3    /* of the sessions that were planned to fill one */
+#define ASK_SHARE      0.30 /* of light sessions, to ask a full server: more find it overfull */
+#define SECOND_SHARE   0.40 /* after the trial: what fails on one route shows before all move */
+#define SECOND_PART    0.06 /* for so long */
+#define ALL_AT_LAST    0.86 /* even so, of a target proved by then: old runs have time to end */
+
+/* A route's requests at all instances, in a ms. */
+struct flow {
+	uint64_t route;
+	double came, filling, light;
+};
 
 static int is_in_force(const struct rollout *rollout, enum cw_rollout_step step, int64_t now_ms);
 static void notice(struct rollout *rollout, enum cw_rollout_step step, int64_t now_ms);
+static double merge_share(const struct rollout *rollout, double known, double told, int64_t now_ms);
 static double filling_share(const struct rollout *rollout, uint64_t route, int64_t now_ms);
 static int may_plan(const struct rollout *rollout, int64_t now_ms);
 static void plan_trial(struct rollout *rollout, int64_t now_ms);
-static double filling_a_ms(const struct rollout *rollout, int64_t now_ms);
-static double count_filling(const struct cw_rollout_route *routes, size_t count);
-static void pool_routes(const struct rollout *rollout, struct cw_rollout_route *routes,
-			size_t *count);
-static struct cw_rollout_route *find_route(struct cw_rollout_route *routes, size_t *count,
-					   uint64_t route);
-static uint32_t kinds_of(const struct rollout *rollout, uint64_t route);
-static uint32_t usual_kinds(const struct cw_rollout_route *route);
+static size_t pool_flows(const struct rollout *rollout, int64_t now_ms, struct flow *flows);
+static size_t add_flows(struct flow *flows, size_t count, const struct cw_rollout_route *routes,
+			size_t route_count, double counted_ms);
+static const struct cw_rollout_route *planned_route(const struct rollout *rollout, uint64_t route);
+static uint32_t usual_kinds(const struct flow *flow);
 
 /* Grows only, with the time and with each step, so that a session moves forward once at most. */
 double rollout_share(const struct rollout *rollout, uint64_t route, int64_t now_ms)
 {
 	double part = rollout_part(rollout, now_ms);
 	double share = ROLLOUT_FIRST_SHARE;
+	const struct cw_rollout_route *planned;
 
 	if (now_ms - rollout->begun_ms < ROLLOUT_START_MS)
 		return 0;
@@ -54,9 +60,12 @@
 	if (!is_in_force(rollout, CW_ROLLOUT_TRIAL, now_ms))
 		return share; /* the routes' kinds are not agreed on yet */
 	share = MAX(share, filling_share(rollout, route, now_ms));
+	planned = planned_route(rollout, route);
+	if (!planned)
+		return share;
+	share = MAX(share, (double)planned->share);
 	/* A full server answers long prompts late; short ones tell at once what it does. */
-	if ((kinds_of(rollout, route) & CW_ROLLOUT_LIGHT) &&
-	    is_in_force(rollout, CW_ROLLOUT_FULL, now_ms))
+	if ((planned->kinds & CW_ROLLOUT_LIGHT) && is_in_force(rollout, CW_ROLLOUT_FULL, now_ms))
 		share = MAX(share, ASK_SHARE);
 	return share;
 }
@@ -99,7 +108,7 @@
 	if (!rollout)
 		return;
 	rollout->slots = slots;
-	route = find_route(rollout->routes, &rollout->route_count, request->route);
+	route = rollout_find_route(rollout->routes, &rollout->route_count, request->route);
 	if (!route)
 		return;
 	route->came++;
@@ -147,6 +156,8 @@
 	rollout->is_proved = 0;
 	rollout->trial_share = 0;
 	rollout->route_count = 0;
+	rollout->match_count = 0;
+	rollout->matched_ms = rollout->begun_ms;
 }
 
 void rollout_follow_plan(struct rollout *rollout, int64_t now_ms)
@@ -172,19 +183,10 @@
 	memcpy(out->routes, rollout->routes, sizeof(out->routes));
 }
 
-/*
- * Who knows of fewer requests plans a larger share: until it is in force the least one told counts.
- * After it none may shrink; shares that were planned apart, behind a cut, become the larger one.
- */
 void rollout_hear_plan(struct rollout *rollout, const struct cw_rollout_news *news, int64_t now_ms)
 {
-	double told = (double)news->trial_share;
-
-	if (told > 0 && (is_in_force(rollout, CW_ROLLOUT_TRIAL, now_ms) ||
-			 rollout->from_ms[CW_ROLLOUT_TRIAL] == CW_ROLLOUT_NEVER))
-		rollout->trial_share = MAX(rollout->trial_share, told);
-	else if (told > 0)
-		rollout->trial_share = MIN(rollout->trial_share, told);
+	rollout->trial_share =
+		merge_share(rollout, rollout->trial_share, (double)news->trial_share, now_ms);
 	for (size_t i = 0; i < CW_ROLLOUT_STEPS; i++)
 		rollout->from_ms[i] = MIN(rollout->from_ms[i], news->from_ms[i]);
 	rollout->is_full |= news->from_ms[CW_ROLLOUT_FULL] != CW_ROLLOUT_NEVER;
@@ -192,11 +194,15 @@
 	for (size_t i = 0; i < MIN(news->route_count, CW_ROLLOUT_ROUTES); i++) {
 		struct cw_rollout_route *route;
 
-		if (!news->routes[i].kinds)
+		if (news->routes[i].share <= 0)
 			continue;
-		route = find_route(rollout->routes, &rollout->route_count, news->routes[i].route);
-		if (route)
-			route->kinds |= news->routes[i].kinds;
+		route = rollout_find_route(rollout->routes, &rollout->route_count,
+					   news->routes[i].route);
+		if (!route)
+			continue;
+		route->kinds |= news->routes[i].kinds;
+		route->share = (float)merge_share(rollout, (double)route->share,
+						  (double)news->routes[i].share, now_ms);
 	}
 }
 
@@ -208,15 +214,27 @@
 static double filling_share(const struct rollout *rollout, uint64_t route, int64_t now_ms)
 {
 	double share = MAX(rollout->trial_share, ROLLOUT_FIRST_SHARE);
+	const struct cw_rollout_route *planned = planned_route(rollout, route);
 
-	if (!is_in_force(rollout, CW_ROLLOUT_TRIAL, now_ms) ||
-	    !(kinds_of(rollout, route) & CW_ROLLOUT_FILLING))
+	if (!is_in_force(rollout, CW_ROLLOUT_TRIAL, now_ms) || !planned ||
+	    !(planned->kinds & CW_ROLLOUT_FILLING))
 		return 0;
 	if (is_in_force(rollout, CW_ROLLOUT_MORE, now_ms))
 		return MIN(MORE_FACTOR * share, 1);
 	return share;
 }
 
+/*
+ * Who knows of fewer requests plans a larger share: until it is in force the least one told counts.
+ * After it none may shrink; shares that were planned apart, behind a cut, become the larger one.
+ */
+static double merge_share(const struct rollout *rollout, double known, double told, int64_t now_ms)
+{
+	if (known <= 0 || told <= 0 || is_in_force(rollout, CW_ROLLOUT_TRIAL, now_ms))
+		return MAX(known, told);
+	return MIN(known, told);
+}
+
 static int is_in_force(const struct rollout *rollout, enum cw_rollout_step step, int64_t now_ms)
 {
 	return now_ms - rollout->begun_ms >= rollout->from_ms[step];
@@ -248,28 +266,33 @@
  */
 static void plan_trial(struct rollout *rollout, int64_t now_ms)
 {
-	struct cw_rollout_route all[CW_ROLLOUT_ROUTES];
-	size_t count = 0;
-	double rate = filling_a_ms(rollout, now_ms) * 1000;
+	struct flow flows[CW_ROLLOUT_ROUTES];
+	size_t count = pool_flows(rollout, now_ms, flows);
+	double filling = 0;
 
-	pool_routes(rollout, all, &count);
 	for (size_t i = 0; i < count; i++) {
 		struct cw_rollout_route *route =
-			find_route(rollout->routes, &rollout->route_count, all[i].route);
+			rollout_find_route(rollout->routes, &rollout->route_count, flows[i].route);
+		double a_second = flows[i].came * 1000;
 
-		if (route)
-			route->kinds |= usual_kinds(&all[i]);
+		filling += flows[i].filling * 1000;
+		if (!route || a_second <= 0)
+			continue;
+		route->kinds |= usual_kinds(&flows[i]);
+		route->share =
+			(float)CLAMP(ROUTE_A_SECOND / a_second, ROLLOUT_FIRST_SHARE, SECOND_SHARE);
 	}
-	rollout->trial_share =
-		rollout->slots && rate > 0 ? MIN(FILL_A_SECOND * rollout->slots / rate, 1) : 1;
+	rollout->trial_share = rollout->slots && filling > 0
+				       ? MIN(FILL_A_SECOND * rollout->slots / filling, 1)
+				       : 1;
 	notice(rollout, CW_ROLLOUT_TRIAL, now_ms);
 }
 
-/* Filling requests that come to all instances; each has counted its own since it last started. */
-static double filling_a_ms(const struct rollout *rollout, int64_t now_ms)
+/* All instances' requests, by route; each has counted its own since it last started. */
+static size_t pool_flows(const struct rollout *rollout, int64_t now_ms, struct flow *flows)
 {
-	double rate = count_filling(rollout->routes, rollout->route_count) /
-		      (double)MAX(now_ms - rollout->known_ms, 1);
+	size_t count = add_flows(flows, 0, rollout->routes, rollout->route_count,
+				 (double)(now_ms - rollout->known_ms));
 	GHashTableIter iter;
 	gpointer value;
 
@@ -277,49 +300,32 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const struct rollout_peer *peer = value;
 
-		rate += count_filling(peer->routes, peer->route_count) / MAX(peer->counted_ms, 1);
+		count = add_flows(flows, count, peer->routes, peer->route_count, peer->counted_ms);
 	}
-	return rate;
+	return count;
 }
 
-static double count_filling(const struct cw_rollout_route *routes, size_t count)
+static size_t add_flows(struct flow *flows, size_t count, const struct cw_rollout_route *routes,
+			size_t route_count, double counted_ms)
 {
-	double filling = 0;
+	for (size_t i = 0; i < route_count; i++) {
+		size_t j = 0;
 
-	for (size_t i = 0; i < count; i++)
-		filling += routes[i].filling;
-	return filling;
-}
-
-/* The routes' requests at all instances. */
-static void pool_routes(const struct rollout *rollout, struct cw_rollout_route *routes,
-			size_t *count)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	memcpy(routes, rollout->routes, sizeof(rollout->routes));
-	*count = rollout->route_count;
-	g_hash_table_iter_init(&iter, rollout->peers);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct rollout_peer *peer = value;
-
-		for (size_t i = 0; i < peer->route_count; i++) {
-			struct cw_rollout_route *route =
-				find_route(routes, count, peer->routes[i].route);
-
-			if (!route)
-				continue;
-			route->came += peer->routes[i].came;
-			route->filling += peer->routes[i].filling;
-			route->light += peer->routes[i].light;
-		}
+		while (j < count && flows[j].route != routes[i].route)
+			j++;
+		if (j == CW_ROLLOUT_ROUTES)
+			continue;
+		if (j == count)
+			flows[count++] = (struct flow){.route = routes[i].route};
+		flows[j].came += routes[i].came / MAX(counted_ms, 1);
+		flows[j].filling += routes[i].filling / MAX(counted_ms, 1);
+		flows[j].light += routes[i].light / MAX(counted_ms, 1);
 	}
+	return count;
 }
 
-/* NULL: it is not there, and there is no room for it. */
-static struct cw_rollout_route *find_route(struct cw_rollout_route *routes, size_t *count,
-					   uint64_t route)
+struct cw_rollout_route *rollout_find_route(struct cw_rollout_route *routes, size_t *count,
+					    uint64_t route)
 {
 	for (size_t i = 0; i < *count; i++)
 		if (routes[i].route == route)
@@ -330,21 +336,21 @@
 	return &routes[(*count)++];
 }
 
-static uint32_t kinds_of(const struct rollout *rollout, uint64_t route)
+static const struct cw_rollout_route *planned_route(const struct rollout *rollout, uint64_t route)
 {
 	for (size_t i = 0; i < rollout->route_count; i++)
 		if (rollout->routes[i].route == route)
-			return rollout->routes[i].kinds;
-	return 0;
+			return &rollout->routes[i];
+	return NULL;
 }
 
-static uint32_t usual_kinds(const struct cw_rollout_route *route)
+static uint32_t usual_kinds(const struct flow *flow)
 {
 	uint32_t kinds = 0;
 
-	if (2 * route->filling > route->came)
+	if (2 * flow->filling > flow->came)
 		kinds |= CW_ROLLOUT_FILLING;
-	if (2 * route->light > route->came)
+	if (2 * flow->light > flow->came)
 		kinds |= CW_ROLLOUT_LIGHT;
 	return kinds;
 }
--- a/packages/rollout/src/rollout_internal.h
+++ b/packages/rollout/src/rollout_internal.h
@@ -30,6 +30,22 @@
 	struct cw_rollout_evidence kinds[CW_ROLLOUT_KINDS];
 };
 
+/* One route's answers within a second, of all instances. */
+struct rollout_second {
+	double old_answers, old_failed;
+	double new_answers, new_failed;
+};
+
+/* The target's failures on one route, held against the other version's in the same seconds. */
+struct rollout_match {
+	uint64_t route;
+	struct rollout_second now;	/* what came since the last second ended */
+	struct rollout_second before;	/* the second before it */
+	double old_answers, old_failed; /* since the order */
+	double failed;			/* of the target, since the doubt was last zero */
+	double doubt;
+};
+
 /* Answers of the target; the doubt is above zero where they speak against it. */
 struct rollout_sum {
 	double answers;
@@ -66,7 +82,10 @@
 	int64_t rated_ms;		   /* which was then */
 	size_t route_count;
 	struct cw_rollout_route routes[CW_ROLLOUT_ROUTES]; /* this instance's requests */
-	unsigned int slots;				   /* of a server; 0: not known */
+	size_t match_count;
+	struct rollout_match matches[CW_ROLLOUT_ROUTES];
+	int64_t matched_ms; /* the last second ended then */
+	unsigned int slots; /* of a server; 0: not known */
 	double trial_share; /* of filling sessions; grows only; 0: not planned yet */
 	int64_t counted_ms; /* the kinds' figures are true then */
 	GHashTable *peers;  /* instance -> struct rollout_peer */
@@ -106,6 +125,16 @@
 int rollout_hears_peers(const struct rollout *rollout,
 			int64_t now_ms); /* 0: most evidence may be missing here */
 
+/* match.c: does a route fail on the target only, second by second? */
+void rollout_match_answer(struct rollout *rollout, const struct cw_rollout_answer *answer);
+void rollout_match_peer(struct rollout *rollout, const struct rollout_peer *known,
+			const struct cw_rollout_news *news);
+int rollout_match_is_bad(struct rollout *rollout, int64_t now_ms);
+double rollout_doubt(double answers, double bad_answers,
+		     double old_rate); /* of answers of the target; above 0: against it */
+struct cw_rollout_route *rollout_find_route(struct cw_rollout_route *routes, size_t *count,
+					    uint64_t route); /* adds it; NULL: no room */
+
 /* sessions.c: which sessions ran on the old version a moment ago? */
 int rollout_was_on_old(const struct cw_rollouts *rollouts, const struct rollout *rollout,
 		       uint64_t session, int64_t now_ms);
