gate: a stream goes on at the version that began it; a session keeps its service of a divided route

A broken stream of the old version went on at the new one once its session had moved; a route divided among services drew the service for each request, so that what a session's prompts left at one was not at the other.

Both tests fail before (v2 where v1 is due; llm where next is due) and pass after.

--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -3,8 +3,6 @@
 #include <string.h>
 
 #define CONNECT_MS	  400  /* a way of 1 ms, and 300 ms of a server that is slow to accept */
-#define FILL_PART	  0.7  /* of a server on trial: past half, with room for others' */
-#define ASK_PART	  0.95 /* to which the full server is asked: short of a queue */
 #define UNSENT_MAX	  4    /* connections that fail before the request is given up */
 #define REUSE_ONCE_MS	  1500 /* for what may run once: the shorter, the rarer a closed one */
 #define RETRY_BASE_MS	  150  /* until another server or the next instance is known */
@@ -17,7 +15,8 @@
 #define WAIT_PART	  (1 / 3.0) /* of the time left, that a caller waits at most */
 #define WAIT_SPREAD	  0.4	    /* of that: refused callers don't return in one moment */
 #define URGENCY_LAST	  9
-#define CONNECT_LEFT_MIN  20 /* less time than this left: nothing can be answered */
+#define SERVICE_SEED	  0x5e41 /* a session's service says nothing of its place in a roll-out */
+#define CONNECT_LEFT_MIN  20	 /* less time than this left: nothing can be answered */
 
 static void refuse(struct cw_step *step, unsigned int status, const char *reason);
 static void refuse_not_run(struct cw_call *call, struct cw_step *step, const char *reason,
@@ -39,7 +38,6 @@
 			  const char *reason);
 static int64_t retry_after(struct cw_call *call);
 static int64_t retry_after_full(struct cw_call *call, int64_t now_ms);
-static uint64_t prompt_key(const struct cw_facts *facts);
 static void note_wait(const struct cw_call *call);
 static uint64_t session_key(const struct cw_call *call);
 
@@ -285,7 +283,8 @@
 		}
 	}
 	call->session = session_key(call);
-	call->service_name = cw_route_service(call->route, cw_hash_text(call->facts.id, 0));
+	call->service_name = cw_route_service(
+		call->route, cw_hash(&call->session, sizeof(call->session), SERVICE_SEED));
 	note_wait(call);
 	call->service = cw_config_service(config, call->service_name);
 	return 1;
@@ -345,15 +344,6 @@
 	return part > policy->full_part && gate_random_part(call->gate) < chance;
 }
 
-struct cw_rollout_request call_as_request(const struct cw_call *call)
-{
-	return (struct cw_rollout_request){
-		.service = call->service_name,
-		.session = call->session,
-		.route = cw_hash_text(call->route->name, 0),
-	};
-}
-
 /* 1: step is SEND. */
 static int send(struct cw_call *call, int64_t now_ms, struct cw_step *step)
 {
@@ -366,6 +356,7 @@
 		return 0;
 	step->arm = cw_rollouts_arm(call->gate->rollouts, &request, now_ms);
 	call->server = server;
+	g_strlcpy(call->software, server->software, sizeof(call->software));
 	call->sent_ms = now_ms;
 	gate_note_sent(call->gate, call->service_name, now_ms);
 	call_work_begin(call, is_home, now_ms);
@@ -397,58 +388,6 @@
 	return 1;
 }
 
-struct cw_server *call_choose(struct cw_call *call, int64_t now_ms, int *is_home)
-{
-	struct cw_gate *gate = call->gate;
-	struct cw_choice choice = {
-		.service = call->service_name,
-		.prefix = prompt_key(&call->facts),
-		.failure_domain = gate->failure_domain,
-		.tried = call->tried,
-		.tried_count = MIN(call->tried_count, CW_MAX_ATTEMPTS),
-		.now_ms = now_ms,
-		.random = gate_random(gate),
-		.is_home = is_home,
-	};
-	const char *target = cw_rollouts_target(gate->rollouts, call->service_name);
-	const char *newcomer = cw_pool_newcomer(gate->pool, call->service_name, now_ms);
-	struct cw_rollout_request request = call_as_request(call);
-	struct cw_server *server;
-
-	if (newcomer && (!target || strcmp(newcomer, target) != 0))
-		choice.not_yet = newcomer;
-	call_work_fill(call, &choice);
-	switch (cw_rollouts_side(gate->rollouts, &request, now_ms)) {
-	case CW_ROLLOUT_OLD:
-		choice.not_software = target;
-		break;
-	case CW_ROLLOUT_NEW:
-		choice.only_software = target;
-		choice.spread = cw_rollouts_share(gate->rollouts, &request, now_ms);
-		if (cw_rollouts_wants_load(gate->rollouts, call->service_name, now_ms))
-			choice.fill_part = call->is_filling	      ? FILL_PART
-					   : call_work_is_light(call) ? ASK_PART
-								      : 0;
-		break;
-	case CW_ROLLOUT_ANY:
-		break;
-	}
-	server = cw_pool_choose(gate->pool, &choice);
-	/* All others are gone or tried: one that failed before is better than none. */
-	choice.is_desperate = 1;
-	if (!server)
-		server = cw_pool_choose(gate->pool, &choice);
-	choice.tried_count = 0;
-	if (!server)
-		server = cw_pool_choose(gate->pool, &choice);
-	/* Neither version is barred, unless it was found bad: the other one answers as well. */
-	if (!server && !cw_rollouts_is_bad(gate->rollouts, call->service_name)) {
-		choice.only_software = choice.not_software = choice.not_yet = NULL;
-		server = cw_pool_choose(gate->pool, &choice);
-	}
-	return server;
-}
-
 static void fill_dispatch(struct cw_call *call, int64_t now_ms, struct cw_step *step)
 {
 	struct cw_dispatch *dispatch = &step->dispatch;
@@ -591,16 +530,6 @@
 	return RETRY_BASE_MS + (int64_t)(gate_random(call->gate) % RETRY_SPREAD_MS);
 }
 
-/* The longest beginning that is shared: all parts but the last, which is the request's own. */
-static uint64_t prompt_key(const struct cw_facts *facts)
-{
-	uint64_t key = 0;
-
-	for (size_t i = 0; i + 1 < facts->part_count; i++)
-		key = cw_hash(&facts->parts[i].id, sizeof(facts->parts[i].id), key + 1);
-	return key;
-}
-
 static uint64_t session_key(const struct cw_call *call)
 {
 	if (*call->facts.session)
--- /dev/null
+++ b/packages/gate/src/call_choice.c
@@ -0,0 +1,101 @@
+/*
+ * Which server an attempt goes to: of the versions that its session may have, by the pool's choice;
+ * and what is done when none of them can be had.
+ */
+#include "gate_internal.h"
+
+#include <string.h>
+
+#define FILL_PART 0.7  /* of a server on trial: past half, with room for others' */
+#define ASK_PART  0.95 /* to which the full server is asked: short of a queue */
+
+static struct cw_server *choose_begun(const struct cw_call *call, const struct cw_choice *choice);
+static uint64_t prompt_key(const struct cw_facts *facts);
+
+struct cw_rollout_request call_as_request(const struct cw_call *call)
+{
+	return (struct cw_rollout_request){
+		.service = call->service_name,
+		.session = call->session,
+		.route = cw_hash_text(call->route->name, 0),
+	};
+}
+
+struct cw_server *call_choose(struct cw_call *call, int64_t now_ms, int *is_home)
+{
+	struct cw_gate *gate = call->gate;
+	struct cw_choice choice = {
+		.service = call->service_name,
+		.prefix = prompt_key(&call->facts),
+		.failure_domain = gate->failure_domain,
+		.tried = call->tried,
+		.tried_count = MIN(call->tried_count, CW_MAX_ATTEMPTS),
+		.now_ms = now_ms,
+		.random = gate_random(gate),
+		.is_home = is_home,
+	};
+	const char *target = cw_rollouts_target(gate->rollouts, call->service_name);
+	const char *newcomer = cw_pool_newcomer(gate->pool, call->service_name, now_ms);
+	struct cw_rollout_request request = call_as_request(call);
+	struct cw_server *server;
+
+	if (newcomer && (!target || strcmp(newcomer, target) != 0))
+		choice.not_yet = newcomer;
+	call_work_fill(call, &choice);
+	switch (cw_rollouts_side(gate->rollouts, &request, now_ms)) {
+	case CW_ROLLOUT_OLD:
+		choice.not_software = target;
+		break;
+	case CW_ROLLOUT_NEW:
+		choice.only_software = target;
+		choice.spread = cw_rollouts_share(gate->rollouts, &request, now_ms);
+		if (cw_rollouts_wants_load(gate->rollouts, call->service_name, now_ms))
+			choice.fill_part = call->is_filling	      ? FILL_PART
+					   : call_work_is_light(call) ? ASK_PART
+								      : 0;
+		break;
+	case CW_ROLLOUT_ANY:
+		break;
+	}
+	server = choose_begun(call, &choice);
+	if (!server)
+		server = cw_pool_choose(gate->pool, &choice);
+	/* All others are gone or tried: one that failed before is better than none. */
+	choice.is_desperate = 1;
+	if (!server)
+		server = cw_pool_choose(gate->pool, &choice);
+	choice.tried_count = 0;
+	if (!server)
+		server = cw_pool_choose(gate->pool, &choice);
+	/* Neither version is barred, unless it was found bad: the other one answers as well. */
+	if (!server && !cw_rollouts_is_bad(gate->rollouts, call->service_name)) {
+		choice.only_software = choice.not_software = choice.not_yet = NULL;
+		server = cw_pool_choose(gate->pool, &choice);
+	}
+	return server;
+}
+
+/*
+ * What the caller was shown a part of goes on at the version that began it, though its session may
+ * have moved meanwhile; unless that one was taken back or has no server left. NULL: as any other.
+ */
+static struct cw_server *choose_begun(const struct cw_call *call, const struct cw_choice *choice)
+{
+	struct cw_choice begun = *choice;
+
+	if (!call->is_shown || cw_rollouts_is_bad(call->gate->rollouts, call->service_name))
+		return NULL;
+	begun.only_software = call->software;
+	begun.not_software = NULL;
+	return cw_pool_choose(call->gate->pool, &begun);
+}
+
+/* The longest beginning that is shared: all parts but the last, which is the request's own. */
+static uint64_t prompt_key(const struct cw_facts *facts)
+{
+	uint64_t key = 0;
+
+	for (size_t i = 0; i + 1 < facts->part_count; i++)
+		key = cw_hash(&facts->parts[i].id, sizeof(facts->parts[i].id), key + 1);
+	return key;
+}
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -49,9 +49,10 @@
 	const struct cw_service *service;
 	const char *service_name;
 	int64_t opened_ms;
-	int64_t limit_ms;	  /* when a final answer is due */
-	int64_t sent_ms;	  /* the attempt's */
-	struct cw_server *server; /* of the attempt in progress */
+	int64_t limit_ms;	    /* when a final answer is due */
+	int64_t sent_ms;	    /* the attempt's */
+	struct cw_server *server;   /* of the attempt in progress */
+	char software[CW_NAME_MAX]; /* that the newest attempt went to */
 	uint64_t tried[CW_MAX_ATTEMPTS];
 	size_t tried_count;
 	unsigned int attempts; /* sends that reached a server */
@@ -89,7 +90,7 @@
 double gate_rejected_part(struct cw_gate *gate, const char *service, int64_t now_ms); /* 0 to 1 */
 struct cw_repeats *gate_repeats(struct cw_gate *gate, const char *service);
 
-/* call.c, for its other files */
+/* call_choice.c */
 struct cw_server *call_choose(struct cw_call *call, int64_t now_ms,
 			      int *is_home); /* NULL: no server may take it */
 struct cw_rollout_request call_as_request(const struct cw_call *call);
--- a/tests/unit/test_session_version.c
+++ b/tests/unit/test_session_version.c
@@ -234,6 +234,77 @@
 	close_both(beds);
 }
 
+/* What a caller was shown a part of came from the old version; the rest must as well. */
+static void a_broken_stream_goes_on_at_the_version_that_began_it(void **state)
+{
+	struct cw_answer_facts head = {
+		.status = 200, .is_sealed = 1, .is_events = 1, .confidence = 100};
+	struct bed beds[2];
+	struct cw_call *begun[SESSIONS];
+	int64_t now_ms = BED_NOW + TRIAL_MS;
+	int moved = 0;
+
+	open_both(beds);
+	play_until_trial(beds);
+	for (int i = 0; i < SESSIONS; i++) {
+		begun[i] = NULL;
+		if (strcmp(software_of(&beds[0], &chat, i, now_ms), "v1") != 0)
+			continue;
+		begun[i] = beds[0].call;
+		beds[0].call = NULL;
+		cw_call_head(begun[i], &head, now_ms + 30, &beds[0].step);
+		cw_call_event(begun[i], 1, now_ms + 31);
+	}
+	/* Until the end of the streams, more sessions go to the target. */
+	cw_rollouts_answered(rollouts(&beds[0]), &under_load, now_ms);
+	for (int64_t at_ms = 0; at_ms <= 2000; at_ms += TELL_MS)
+		tell_each_other(beds, 2, now_ms + at_ms);
+	for (int i = 0; i < SESSIONS; i++) {
+		if (!begun[i])
+			continue;
+		if (!moved && !strcmp(software_of(&beds[0], &chat, i, now_ms + 2000), "v2")) {
+			moved = 1;
+			cw_call_broken(begun[i], CW_BREAK_BROKEN, now_ms + 2000, &beds[0].step);
+			assert_int_equal(beds[0].step.kind, CW_STEP_SEND);
+			assert_string_equal(beds[0].step.server->software, "v1");
+		}
+		cw_call_close(begun[i], now_ms + 2000);
+	}
+	assert_true(moved);
+	close_both(beds);
+}
+
+/*
+ * A route that is divided among services: what a session's prompts left at one is not at the other.
+ */
+static void a_sessions_requests_go_to_one_service_of_a_divided_route(void **state)
+{
+	struct cw_config *config = bed_make_config(6);
+	struct cw_route *route = (struct cw_route *)cw_config_route(config, "h.example", "/chat/");
+	struct bed bed;
+	int divided = 0;
+
+	bed_open(&bed);
+	bed_add_server(&bed, "n1", "next", "v1");
+	route->share_count = 2;
+	route->shares[0].weight = 0.5;
+	route->shares[1].weight = 0.5;
+	strcpy(route->shares[1].service, "next");
+	cw_gate_configure(bed.gate, config);
+	for (int i = 0; i < SESSIONS; i++) {
+		char first[CW_NAME_MAX];
+
+		software_of(&bed, &chat, i, BED_NOW + i);
+		g_strlcpy(first, bed.step.server->service, sizeof(first));
+		software_of(&bed, &chat, i, BED_NOW + 1000 + i);
+		assert_string_equal(bed.step.server->service, first);
+		divided += !strcmp(first, "next");
+	}
+	assert_true(divided > SESSIONS * 2 / 5 && divided < SESSIONS * 3 / 5);
+	cw_config_unref(config);
+	bed_close(&bed);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -241,6 +312,8 @@
 		cmocka_unit_test(a_longer_prompt_of_a_session_runs_where_its_shorter_one_did),
 		cmocka_unit_test(instances_that_learn_a_step_apart_send_a_session_to_one_version),
 		cmocka_unit_test(a_restarted_instance_sends_a_session_to_the_others_version),
+		cmocka_unit_test(a_broken_stream_goes_on_at_the_version_that_began_it),
+		cmocka_unit_test(a_sessions_requests_go_to_one_service_of_a_divided_route),
 		cmocka_unit_test(the_largest_model_is_asked_at_once_on_the_target_only),
 	};
 
