--- a/packages/rollout/include/cw_rollout.h
+++ b/packages/rollout/include/cw_rollout.h
@@ -31,7 +31,7 @@
 enum cw_rollout_step {
 	CW_ROLLOUT_TRIAL,  /* the routes' kinds, and the share of filling sessions for the trial */
 	CW_ROLLOUT_FULL,   /* one of the target's servers has answered under load */
-	CW_ROLLOUT_MORE,   /* none has in time: all filling sessions go there */
+	CW_ROLLOUT_MORE,   /* none has in time: more of the filling sessions go there */
 	CW_ROLLOUT_PROVED, /* the target stood the trial under load */
 	CW_ROLLOUT_STEPS
 };
--- a/packages/rollout/src/plan.c
+++ b/packages/rollout/src/plan.c
@@ -15,7 +15,7 @@
 #define AGREE_MS       1000
 #define PLANNER_MS     3000 /* of listening: by then peers have told what their requests are */
 #define TRIAL_UNTIL    0.67 /* of the time ordered, as the next ones */
-#define MORE_AT	       0.62 /* a server isn't full by then: all that can fill one go there */
+#define MORE_AT	       0.62 /* a server isn't full by then: more go there that can fill one */
 #define ROUTE_A_SECOND 3.0  /* requests on the target: a rare route's failures show in 10 s */
 #define FILL_A_SECOND  0.25 /* of a server's slots are taken for the trial */
 #define MORE_FACTOR    3    /* of the sessions that were planned to fill one */
@@ -35,6 +35,7 @@
 static double merge_share(const struct rollout *rollout, double known, double told, int64_t now_ms);
 static double filling_share(const struct rollout *rollout, uint64_t route, int64_t now_ms);
 static int may_plan(const struct rollout *rollout, int64_t now_ms);
+static int had_request(const struct rollout *rollout);
 static void plan_trial(struct rollout *rollout, int64_t now_ms);
 static size_t pool_flows(const struct rollout *rollout, int64_t now_ms, struct flow *flows);
 static size_t add_flows(struct flow *flows, size_t count, const struct cw_rollout_route *routes,
@@ -255,14 +256,22 @@
 {
 	return rollout->from_ms[CW_ROLLOUT_TRIAL] == CW_ROLLOUT_NEVER &&
 	       rollout_part(rollout, now_ms + AGREE_MS) >= ROLLOUT_FIRST_UNTIL &&
-	       now_ms - rollout->known_ms >= PLANNER_MS && rollout->route_count > 0;
+	       now_ms - rollout->known_ms >= PLANNER_MS && had_request(rollout);
+}
+
+static int had_request(const struct rollout *rollout)
+{
+	for (size_t i = 0; i < rollout->route_count; i++)
+		if (rollout->routes[i].came > 0)
+			return 1;
+	return 0;
 }
 
 /*
  * Load pattern: 36 requests a second that each take a slot for 2 s, all of them sent to the target
  * for its trial. One server was full after a second, the others got the rest, idle ones that tell
  * nothing, and what a bad version may get was spent before anything was proved. So as many go
- * there as fill a server in two or three seconds; all, if by then it isn't full.
+ * there as fill a server in two or three seconds; three times as many, if by then it isn't full.
  */
 static void plan_trial(struct rollout *rollout, int64_t now_ms)
 {
