--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -336,8 +336,8 @@
 		 (unsigned long)cw_config_version(cw_gate_config(relay->entry->gate)),
 		 cw_pool_load(step->server, entry_now_ms(relay->entry)),
 		 (long)(entry_now_ms(relay->entry) - relay->opened_ms),
-		 *relay->facts.session ? relay->facts.session : "-", arms[step->arm.side],
-		 step->arm.share, step->arm.point);
+		 *relay->facts.session ? relay->facts.session : "-", arms[step->assignment.arm],
+		 step->assignment.share, step->assignment.point);
 	if (relay->events)
 		cw_events_clear(relay->events);
 	g_string_truncate(relay->body, 0);
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -31,8 +31,8 @@
 	enum cw_step_kind kind;
 	struct cw_server *server;
 	struct cw_dispatch dispatch;
-	struct cw_rollout_arm arm; /* SEND */
-	int64_t reuse_idle_ms;	   /* a kept connection idle for less may carry it */
+	struct cw_rollout_assignment assignment; /* SEND */
+	int64_t reuse_idle_ms;			 /* a kept connection idle for less may carry it */
 	int64_t connect_ms;
 	int64_t silence_ms;  /* longest wait for a byte */
 	unsigned int status; /* REFUSE */
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -354,7 +354,7 @@
 
 	if (!server)
 		return 0;
-	step->arm = cw_rollouts_arm(call->gate->rollouts, &request, now_ms);
+	step->assignment = cw_rollouts_assignment(call->gate->rollouts, &request, now_ms);
 	call->server = server;
 	g_strlcpy(call->software, server->software, sizeof(call->software));
 	call->sent_ms = now_ms;
--- a/packages/gate/src/call_choice.c
+++ b/packages/gate/src/call_choice.c
@@ -42,7 +42,7 @@
 	if (newcomer && (!target || strcmp(newcomer, target) != 0))
 		choice.not_yet = newcomer;
 	call_work_fill(call, &choice);
-	switch (cw_rollouts_side(gate->rollouts, &request, now_ms)) {
+	switch (cw_rollouts_arm(gate->rollouts, &request, now_ms)) {
 	case CW_ROLLOUT_OLD:
 		choice.not_software = target;
 		break;
--- a/packages/rollout/include/cw_rollout.h
+++ b/packages/rollout/include/cw_rollout.h
@@ -2,7 +2,7 @@
  * Moving a service's traffic from one version of its servers' software to another: a small constant
  * share of sessions in the first half of the time ordered, then all in steps, with a trial under
  * load at the first of them; or back at the first proof that the version is bad. Sans-I/O: time,
- * answers and peers' news come in; sides, verdicts and news for peers go out.
+ * answers and peers' news come in; arms, verdicts and news for peers go out.
  *
  * A session's requests come to many instances, and its version must be the same at each. So it
  * follows from the session, its route, the time since the order and what the instances have agreed
@@ -65,7 +65,7 @@
 };
 
 /* Which servers a request may go to. */
-enum cw_rollout_side {
+enum cw_rollout_arm {
 	CW_ROLLOUT_ANY,
 	CW_ROLLOUT_OLD, /* not the target */
 	CW_ROLLOUT_NEW, /* only the target */
@@ -138,8 +138,8 @@
 };
 
 /* Which versions a request may be sent to, and what decided it. */
-struct cw_rollout_arm {
-	enum cw_rollout_side side;
+struct cw_rollout_assignment {
+	enum cw_rollout_arm arm;
 	double share; /* of such requests' sessions that the target gets; 1 without a roll-out */
 	double point; /* of this session, 0 to 1: on the target while the share is above */
 };
@@ -173,10 +173,11 @@
 		       const char *service); /* its target was taken back */
 const char *cw_rollouts_target(const struct cw_rollouts *rollouts,
 			       const char *service); /* NULL: no roll-out */
-enum cw_rollout_side cw_rollouts_side(struct cw_rollouts *rollouts,
-				      const struct cw_rollout_request *request, int64_t now_ms);
-struct cw_rollout_arm cw_rollouts_arm(struct cw_rollouts *rollouts,
-				      const struct cw_rollout_request *request, int64_t now_ms);
+enum cw_rollout_arm cw_rollouts_arm(struct cw_rollouts *rollouts,
+				    const struct cw_rollout_request *request, int64_t now_ms);
+struct cw_rollout_assignment cw_rollouts_assignment(struct cw_rollouts *rollouts,
+						    const struct cw_rollout_request *request,
+						    int64_t now_ms);
 int cw_rollouts_progressed(struct cw_rollouts *rollouts, int64_t now_ms,
 			   struct cw_rollout_progress *progress); /* 1: not told of before */
 void cw_rollouts_used(struct cw_rollouts *rollouts, const char *service, uint64_t session,
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -99,8 +99,8 @@
 	return rollout ? rollout->target : NULL;
 }
 
-enum cw_rollout_side cw_rollouts_side(struct cw_rollouts *rollouts,
-				      const struct cw_rollout_request *request, int64_t now_ms)
+enum cw_rollout_arm cw_rollouts_arm(struct cw_rollouts *rollouts,
+				    const struct cw_rollout_request *request, int64_t now_ms)
 {
 	const struct rollout *rollout = rollout_find(rollouts, request->service);
 
@@ -118,11 +118,12 @@
 	return CW_ROLLOUT_NEW;
 }
 
-struct cw_rollout_arm cw_rollouts_arm(struct cw_rollouts *rollouts,
-				      const struct cw_rollout_request *request, int64_t now_ms)
+struct cw_rollout_assignment cw_rollouts_assignment(struct cw_rollouts *rollouts,
+						    const struct cw_rollout_request *request,
+						    int64_t now_ms)
 {
-	return (struct cw_rollout_arm){
-		.side = cw_rollouts_side(rollouts, request, now_ms),
+	return (struct cw_rollout_assignment){
+		.arm = cw_rollouts_arm(rollouts, request, now_ms),
 		.share = cw_rollouts_share(rollouts, request, now_ms),
 		.point = rollout_point(request->session),
 	};
--- a/packages/rollout/src/rollout_internal.h
+++ b/packages/rollout/src/rollout_internal.h
@@ -112,6 +112,8 @@
 void rollout_follow_plan(struct rollout *rollout, int64_t now_ms); /* several times a second */
 void rollout_tell_plan(const struct rollout *rollout, int64_t now_ms, struct cw_rollout_news *out);
 void rollout_hear_plan(struct rollout *rollout, const struct cw_rollout_news *news, int64_t now_ms);
+struct cw_rollout_route *rollout_find_route(struct cw_rollout_route *routes, size_t *count,
+					    uint64_t route); /* adds it; NULL: no room */
 
 /* evidence.c: is the target worse than the version before it? */
 void rollout_fade(struct rollout *rollout, int64_t now_ms); /* the own answers, to this time */
@@ -122,6 +124,8 @@
 void rollout_follow_rate(struct rollout *rollout, int64_t now_ms); /* several times a second */
 int rollout_is_spent(const struct cw_rollouts *rollouts, const struct rollout *rollout,
 		     int64_t now_ms); /* the target got what a bad version may get */
+double rollout_doubt(double answers, double bad_answers,
+		     double old_rate); /* of answers of the target; above 0: against it */
 int rollout_hears_peers(const struct rollout *rollout,
 			int64_t now_ms); /* 0: most evidence may be missing here */
 
@@ -130,10 +134,6 @@
 void rollout_match_peer(struct rollout *rollout, const struct rollout_peer *known,
 			const struct cw_rollout_news *news);
 int rollout_match_is_bad(struct rollout *rollout, int64_t now_ms);
-double rollout_doubt(double answers, double bad_answers,
-		     double old_rate); /* of answers of the target; above 0: against it */
-struct cw_rollout_route *rollout_find_route(struct cw_rollout_route *routes, size_t *count,
-					    uint64_t route); /* adds it; NULL: no room */
 
 /* sessions.c: which sessions ran on the old version a moment ago? */
 int rollout_was_on_old(const struct cw_rollouts *rollouts, const struct rollout *rollout,
--- a/tests/unit/rollout_bed.c
+++ b/tests/unit/rollout_bed.c
@@ -24,11 +24,11 @@
 	return cw_hash(&number, sizeof(number), 0);
 }
 
-enum cw_rollout_side bed_side(struct cw_rollouts *rollouts, uint64_t session, int64_t now_ms)
+enum cw_rollout_arm bed_arm(struct cw_rollouts *rollouts, uint64_t session, int64_t now_ms)
 {
 	struct cw_rollout_request request = {.service = "llm", .session = session};
 
-	return cw_rollouts_side(rollouts, &request, now_ms);
+	return cw_rollouts_arm(rollouts, &request, now_ms);
 }
 
 double bed_share_of(struct cw_rollouts *rollouts, uint64_t route, int64_t now_ms)
@@ -38,7 +38,7 @@
 
 	for (int i = 0; i < SESSIONS; i++) {
 		request.session = bed_session(i);
-		count += cw_rollouts_side(rollouts, &request, now_ms) == CW_ROLLOUT_NEW;
+		count += cw_rollouts_arm(rollouts, &request, now_ms) == CW_ROLLOUT_NEW;
 	}
 	return (double)count / SESSIONS;
 }
--- a/tests/unit/rollout_bed.h
+++ b/tests/unit/rollout_bed.h
@@ -15,7 +15,7 @@
 
 struct cw_rollouts *bed_begun(int64_t now_ms);
 uint64_t bed_session(int number);
-enum cw_rollout_side bed_side(struct cw_rollouts *rollouts, uint64_t session, int64_t now_ms);
+enum cw_rollout_arm bed_arm(struct cw_rollouts *rollouts, uint64_t session, int64_t now_ms);
 double bed_share_of(struct cw_rollouts *rollouts, uint64_t route,
 		    int64_t now_ms);				/* of sessions on the target */
 double bed_share(struct cw_rollouts *rollouts, int64_t now_ms); /* of a route of neither kind */
--- a/tests/unit/test_gate.c
+++ b/tests/unit/test_gate.c
@@ -351,7 +351,7 @@
 	cw_rollouts_order(cw_gate_rollouts(bed.gate), &order, 3, BED_NOW + 5200);
 	for (int i = 0; !used && i < 1000; i++) {
 		old.session = (uint64_t)i << 50;
-		used = cw_rollouts_side(cw_gate_rollouts(bed.gate), &old, BED_NOW + 7000) ==
+		used = cw_rollouts_arm(cw_gate_rollouts(bed.gate), &old, BED_NOW + 7000) ==
 		       CW_ROLLOUT_NEW;
 	}
 	assert_true(used);
--- a/tests/unit/test_rollout.c
+++ b/tests/unit/test_rollout.c
@@ -18,21 +18,21 @@
 	uint64_t chosen = 0;
 
 	for (int i = 0; !chosen; i++)
-		if (bed_side(second, bed_session(i), 4000) == CW_ROLLOUT_NEW)
+		if (bed_arm(second, bed_session(i), 4000) == CW_ROLLOUT_NEW)
 			chosen = bed_session(i);
 	cw_rollouts_used(first, "llm", chosen, "v1", 900);
 	cw_rollouts_order(first, &bed_order, 7, 1000);
-	assert_int_equal(bed_side(first, chosen, 2500), CW_ROLLOUT_OLD);
+	assert_int_equal(bed_arm(first, chosen, 2500), CW_ROLLOUT_OLD);
 	assert_int_equal(cw_rollouts_tell(first, 1100, &news, 1), 1);
 	assert_int_equal(news.session_count, 1);
 	cw_rollouts_hear(second, 1, &news, 1100);
-	assert_int_equal(bed_side(second, chosen, 2500), CW_ROLLOUT_OLD);
+	assert_int_equal(bed_arm(second, chosen, 2500), CW_ROLLOUT_OLD);
 	/* A third instance that only ever hears the second knows it as well. */
 	cw_rollouts_tell(second, 1200, &news, 1);
 	assert_int_equal(news.session_count, 1);
 	assert_int_equal(news.sessions[0].age_ms, 300);
 	/* Idle for longer than a session lasts: it is a new one, and may see the new version. */
-	assert_int_equal(bed_side(second, chosen, 7000), CW_ROLLOUT_NEW);
+	assert_int_equal(bed_arm(second, chosen, 7000), CW_ROLLOUT_NEW);
 	cw_rollouts_destroy(first);
 	cw_rollouts_destroy(second);
 }
@@ -52,14 +52,14 @@
 	uint64_t chosen = 0;
 
 	for (int i = 0; !chosen; i++)
-		if (bed_side(rollouts, bed_session(i), 4000) == CW_ROLLOUT_NEW)
+		if (bed_arm(rollouts, bed_session(i), 4000) == CW_ROLLOUT_NEW)
 			chosen = bed_session(i);
 	bed_prove(rollouts, 900 + BED_DURATION_MS);
 	bed_judge(rollouts, 1000 + BED_DURATION_MS, &verdict);
 	assert_int_equal(verdict, CW_ROLLOUT_DONE);
 	cw_rollouts_used(rollouts, "llm", chosen, "v2", 1000 + BED_DURATION_MS);
 	cw_rollouts_order(rollouts, &next, 8, 1100 + BED_DURATION_MS);
-	assert_int_equal(bed_side(rollouts, chosen, 3000 + BED_DURATION_MS), CW_ROLLOUT_OLD);
+	assert_int_equal(bed_arm(rollouts, chosen, 3000 + BED_DURATION_MS), CW_ROLLOUT_OLD);
 	cw_rollouts_tell(rollouts, 1200 + BED_DURATION_MS, &news, 1);
 	assert_int_equal(news.session_count, 1);
 	/* What it ran on v3 itself holds it to nothing: it is where it should be. */
@@ -82,12 +82,12 @@
 	uint64_t chosen = 0;
 
 	for (int i = 0; !chosen; i++)
-		if (bed_side(rollouts, bed_session(i), 4000) == CW_ROLLOUT_NEW)
+		if (bed_arm(rollouts, bed_session(i), 4000) == CW_ROLLOUT_NEW)
 			chosen = bed_session(i);
 	cw_rollouts_asked(rollouts, "llm", chosen, 1000, 4000);
-	assert_int_equal(bed_side(rollouts, chosen, 4000), CW_ROLLOUT_NEW);
+	assert_int_equal(bed_arm(rollouts, chosen, 4000), CW_ROLLOUT_NEW);
 	cw_rollouts_asked(rollouts, "llm", chosen, 900, 4000);
-	assert_int_equal(bed_side(rollouts, chosen, 4000), CW_ROLLOUT_OLD);
+	assert_int_equal(bed_arm(rollouts, chosen, 4000), CW_ROLLOUT_OLD);
 	cw_rollouts_destroy(rollouts);
 }
 
@@ -391,7 +391,7 @@
 	assert_int_equal(verdict, CW_ROLLOUT_DONE);
 	assert_int_equal(cw_rollouts_told(rollouts, &status), 1);
 	assert_int_equal(bed_judge(rollouts, BED_DURATION_MS, &verdict), 0);
-	assert_int_equal(bed_side(rollouts, bed_session(1), 99000), CW_ROLLOUT_NEW);
+	assert_int_equal(bed_arm(rollouts, bed_session(1), 99000), CW_ROLLOUT_NEW);
 	cw_rollouts_destroy(rollouts);
 }
 
@@ -406,7 +406,7 @@
 	assert_int_equal(bed_judge(rollouts, BED_DURATION_MS, &verdict), 1);
 	assert_int_equal(verdict, CW_ROLLOUT_DONE);
 	cw_rollouts_told(rollouts, &status);
-	assert_int_equal(bed_side(rollouts, bed_session(1), 99000), CW_ROLLOUT_OLD);
+	assert_int_equal(bed_arm(rollouts, bed_session(1), 99000), CW_ROLLOUT_OLD);
 	assert_int_equal(cw_rollouts_order(rollouts, &bed_order, 7, 99000), 0);
 	assert_int_equal(cw_rollouts_order(rollouts, &bed_order, 8, 99000), 1);
 	cw_rollouts_destroy(rollouts);
@@ -426,9 +426,9 @@
 
 	assert_int_equal(cw_rollouts_told(rollouts, &status), 1);
 	cw_rollouts_order(rollouts, &bed_order, 7, 1000);
-	assert_int_equal(bed_side(rollouts, bed_session(1), 2500), CW_ROLLOUT_NEW);
+	assert_int_equal(bed_arm(rollouts, bed_session(1), 2500), CW_ROLLOUT_NEW);
 	cw_rollouts_order(rollouts, &next, 8, 3000);
-	assert_int_equal(bed_side(rollouts, bed_session(1), 3500), CW_ROLLOUT_OLD);
+	assert_int_equal(bed_arm(rollouts, bed_session(1), 3500), CW_ROLLOUT_OLD);
 	cw_rollouts_destroy(rollouts);
 }
 
