rollout: steps are in force 0.4 s after their notice among few; completed by 0.955 of the time

Cause: a step's notice was in force 1 s later everywhere, and a target proved late waits for the step before all; with it the verdict came at 0.97 of the time, and where the store turns away the first to write it down 0.6 s were needed of 0.7.

--- a/packages/rollout/src/plan.c
+++ b/packages/rollout/src/plan.c
@@ -10,9 +10,13 @@
 /*
  * From a step's notice until it is in force. A session's next request came to an instance that
  * learned of the step later, and went back to the old version. Messages brought steps to 66
- * instances within 0.34 s, to 195 within 0.37 s; the rest is for messages that are lost.
+ * instances within 0.34 s, to 195 within 0.37 s; the rest is for messages that are lost. Up to a
+ * dozen peers are all told every 150 ms; the second more made good versions late (10 of 16 against
+ * 4 of 16 on two days with faults).
  */
 #define AGREE_MS       1000
+#define AGREE_FEW_MS   400
+#define FEW_PEERS      12
 #define PLANNER_MS     3000 /* of listening: by then peers have told what their requests are */
 #define TRIAL_UNTIL    0.67 /* of the time ordered, as the next ones */
 #define MORE_AT	       0.62 /* a server isn't full by then: more go there that can fill one */
@@ -34,6 +38,7 @@
 static void notice(struct rollout *rollout, enum cw_rollout_step step, int64_t now_ms);
 static double merge_share(const struct rollout *rollout, double known, double told, int64_t now_ms);
 static double filling_share(const struct rollout *rollout, uint64_t route, int64_t now_ms);
+static int64_t agree_ms(const struct rollout *rollout);
 static int may_plan(const struct rollout *rollout, int64_t now_ms);
 static int had_request(const struct rollout *rollout);
 static void plan_trial(struct rollout *rollout, int64_t now_ms);
@@ -163,7 +168,7 @@
 
 void rollout_follow_plan(struct rollout *rollout, int64_t now_ms)
 {
-	double part = rollout_part(rollout, now_ms);
+	double part = rollout_part(rollout, now_ms + agree_ms(rollout));
 
 	if (may_plan(rollout, now_ms))
 		plan_trial(rollout, now_ms);
@@ -244,7 +249,12 @@
 static void notice(struct rollout *rollout, enum cw_rollout_step step, int64_t now_ms)
 {
 	if (rollout->from_ms[step] == CW_ROLLOUT_NEVER)
-		rollout->from_ms[step] = now_ms - rollout->begun_ms + AGREE_MS;
+		rollout->from_ms[step] = now_ms - rollout->begun_ms + agree_ms(rollout);
+}
+
+static int64_t agree_ms(const struct rollout *rollout)
+{
+	return g_hash_table_size(rollout->peers) > FEW_PEERS ? AGREE_MS : AGREE_FEW_MS;
 }
 
 /*
@@ -255,7 +265,7 @@
 static int may_plan(const struct rollout *rollout, int64_t now_ms)
 {
 	return rollout->from_ms[CW_ROLLOUT_TRIAL] == CW_ROLLOUT_NEVER &&
-	       rollout_part(rollout, now_ms + AGREE_MS) >= ROLLOUT_FIRST_UNTIL &&
+	       rollout_part(rollout, now_ms + agree_ms(rollout)) >= ROLLOUT_FIRST_UNTIL &&
 	       now_ms - rollout->known_ms >= PLANNER_MS && had_request(rollout);
 }
 
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -5,7 +5,11 @@
 
 #define GIVE_UP_AT 0.86 /* not proved by then: time is left for those that moved to move back */
 #define DONE_FIRST 0.90 /* runs on the old version have ended by then */
-#define DONE_LAST  0.97 /* time to write it down is left */
+/*
+ * Time to write it down is left: 0.6 s where the first instance to do so is turned away by the
+ * store. With 0.7 s left of 24 (0.97) 4 of 8 good versions on such a day were late.
+ */
+#define DONE_LAST 0.955
 
 static struct rollout *add(struct cw_rollouts *rollouts, const char *service);
 static void begin(struct rollout *rollout, const struct cw_rollout_order *order, uint64_t offset,
