gate, rollout, base: what was worked out twice, once; one look-up of a route, one part of 1

Found on reading the whole change. For each attempt the arm and the share were looked up when a server was chosen and again for the log, and the route's name was hashed three to five times: the choice keeps its assignment, the call its route's hash. A route was searched for by three loops: rollout_known_route serves all. 64 bits became a part of 1 in five places: cw_hash_part. cw_rollouts_share and rollout_point went with them.

No behaviour changes: the same values from the same inputs (cw_rendezvous rounds at the same bit).

--- a/packages/base/src/hash.c
+++ b/packages/base/src/hash.c
@@ -8,6 +8,9 @@
 #include <string.h>
 #include <xxhash.h>
 
+#define PART_DROPPED 11 /* bits: a double holds the other 53 */
+#define PART_SPAN    ((double)(1ULL << 53))
+
 uint64_t cw_hash(const void *data, size_t size, uint64_t seed)
 {
 	return XXH3_64bits_withSeed(data, size, seed);
@@ -18,6 +21,11 @@
 	return XXH3_64bits_withSeed(text, strlen(text), seed);
 }
 
+double cw_hash_part(uint64_t bits)
+{
+	return (double)(bits >> PART_DROPPED) / PART_SPAN;
+}
+
 /*
  * Weighted rendezvous: -weight / ln(u), u uniform in (0, 1) from key and candidate. Shares are
  * proportional to weights, and a changed weight moves only the keys it has to.
@@ -25,7 +33,7 @@
 double cw_rendezvous(uint64_t key, uint64_t candidate, double weight)
 {
 	uint64_t mixed = cw_hash(&key, sizeof(key), candidate);
-	double u = ((double)(mixed >> 11) + 0.5) / 9007199254740992.0;
+	double u = cw_hash_part(mixed) + 0.5 / PART_SPAN;
 
 	return weight > 0 ? -weight / log(u) : 0;
 }
--- a/packages/cascade/src/cascade.c
+++ b/packages/cascade/src/cascade.c
@@ -198,7 +198,7 @@
 static int explore(const struct cw_cascade *cascade, const struct cw_cascade_in *in,
 		   struct cw_plan *plan)
 {
-	double draw = (double)(in->random >> 11) / 9007199254740992.0;
+	double draw = cw_hash_part(in->random);
 	size_t top = costliest(in);
 	size_t open[CW_MAX_VERSIONS];
 	size_t count = 0;
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -283,6 +283,7 @@
 		}
 	}
 	call->session = session_key(call);
+	call->route_hash = cw_hash_text(call->route->name, 0);
 	call->service_name = cw_route_service(
 		call->route, cw_hash(&call->session, sizeof(call->session), SERVICE_SEED));
 	note_wait(call);
@@ -350,11 +351,10 @@
 	const struct cw_policy *policy = call->gate->policy;
 	int is_home = 0;
 	struct cw_server *server = call_choose(call, now_ms, &is_home);
-	struct cw_rollout_request request = call_as_request(call);
 
 	if (!server)
 		return 0;
-	step->assignment = cw_rollouts_assignment(call->gate->rollouts, &request, now_ms);
+	step->assignment = call->assignment;
 	call->server = server;
 	g_strlcpy(call->software, server->software, sizeof(call->software));
 	call->sent_ms = now_ms;
--- a/packages/gate/src/call_choice.c
+++ b/packages/gate/src/call_choice.c
@@ -17,7 +17,7 @@
 	return (struct cw_rollout_request){
 		.service = call->service_name,
 		.session = call->session,
-		.route = cw_hash_text(call->route->name, 0),
+		.route = call->route_hash,
 	};
 }
 
@@ -42,13 +42,14 @@
 	if (newcomer && (!target || strcmp(newcomer, target) != 0))
 		choice.not_yet = newcomer;
 	call_work_fill(call, &choice);
-	switch (cw_rollouts_arm(gate->rollouts, &request, now_ms)) {
+	call->assignment = cw_rollouts_assignment(gate->rollouts, &request, now_ms);
+	switch (call->assignment.arm) {
 	case CW_ROLLOUT_OLD:
 		choice.not_software = target;
 		break;
 	case CW_ROLLOUT_NEW:
 		choice.only_software = target;
-		choice.spread = cw_rollouts_share(gate->rollouts, &request, now_ms);
+		choice.spread = call->assignment.share;
 		if (cw_rollouts_wants_load(gate->rollouts, call->service_name, now_ms))
 			choice.fill_part = call->is_filling	      ? FILL_PART
 					   : call_work_is_light(call) ? ASK_PART
--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -284,7 +284,7 @@
 	return (struct cw_rollout_answer){
 		.service = call->service_name,
 		.software = call->server->software,
-		.route = cw_hash_text(call->route->name, 0),
+		.route = call->route_hash,
 		.is_loaded = call->was_loaded,
 	};
 }
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -90,7 +90,7 @@
 
 double gate_random_part(struct cw_gate *gate)
 {
-	return (double)(gate_random(gate) >> 11) / (double)(1ULL << 53);
+	return cw_hash_part(gate_random(gate));
 }
 
 struct cw_repeats *gate_repeats(struct cw_gate *gate, const char *service)
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -49,10 +49,11 @@
 	const struct cw_service *service;
 	const char *service_name;
 	int64_t opened_ms;
-	int64_t limit_ms;	    /* when a final answer is due */
-	int64_t sent_ms;	    /* the attempt's */
-	struct cw_server *server;   /* of the attempt in progress */
-	char software[CW_NAME_MAX]; /* that the newest attempt went to */
+	int64_t limit_ms;			 /* when a final answer is due */
+	int64_t sent_ms;			 /* the attempt's */
+	struct cw_server *server;		 /* of the attempt in progress */
+	char software[CW_NAME_MAX];		 /* that the newest attempt went to */
+	struct cw_rollout_assignment assignment; /* of the newest choice of a server */
 	uint64_t tried[CW_MAX_ATTEMPTS];
 	size_t tried_count;
 	unsigned int attempts; /* sends that reached a server */
@@ -62,6 +63,7 @@
 	int64_t last_event;
 	size_t model; /* index among the route's, when it has any */
 	uint64_t session;
+	uint64_t route_hash; /* of the route's name */
 	double tokens;	     /* that the server has to read, as far as is known */
 	double work_ms;	     /* counted in server->own_work_ms */
 	double predicted_ms; /* from the attempt's send to its head */
--- a/packages/node/src/request_attempt.c
+++ b/packages/node/src/request_attempt.c
@@ -1,4 +1,5 @@
 /* One attempt after another: sent, judged, tried again, resumed or continued, finished. */
+#include "cw_hash.h"
 #include "node_internal.h"
 
 #include <string.h>
@@ -253,7 +254,7 @@
 		rate(node, request, end->answer, 1);
 		return;
 	}
-	draw = (double)(node_random(node) >> 11) / 9007199254740992.0;
+	draw = cw_hash_part(node_random(node));
 	if (end->answer && draw < cw_cascade_sample_rate(node->cascade, task, request->version_id))
 		rate(node, request, end->answer, 0);
 	request_finish(node, request);
--- a/packages/rollout/include/cw_rollout.h
+++ b/packages/rollout/include/cw_rollout.h
@@ -192,9 +192,6 @@
 			  int64_t now_ms);
 void cw_rollouts_spoiled(struct cw_rollouts *rollouts, const struct cw_rollout_answer *answer,
 			 int64_t now_ms); /* one counted as good turned out slow */
-double cw_rollouts_share(const struct cw_rollouts *rollouts,
-			 const struct cw_rollout_request *request,
-			 int64_t now_ms); /* of such requests' sessions that the target gets */
 int cw_rollouts_is_filler(const struct cw_rollouts *rollouts,
 			  const struct cw_rollout_request *request,
 			  int64_t now_ms); /* its session is to fill a server of the target now */
--- a/packages/rollout/src/match.c
+++ b/packages/rollout/src/match.c
@@ -46,20 +46,22 @@
 void rollout_match_peer(struct rollout *rollout, const struct rollout_peer *known,
 			const struct cw_rollout_news *news)
 {
+	static const struct cw_rollout_route none = {0};
+
 	for (size_t i = 0; i < MIN(news->route_count, CW_ROLLOUT_ROUTES); i++) {
 		const struct cw_rollout_route *told = &news->routes[i];
 		struct rollout_match *match = find_match(rollout, told->route);
-		struct cw_rollout_route before = {0};
+		const struct cw_rollout_route *before =
+			rollout_known_route(known->routes, known->route_count, told->route);
 
-		for (size_t j = 0; j < known->route_count; j++)
-			if (known->routes[j].route == told->route)
-				before = known->routes[j];
+		if (!before)
+			before = &none;
 		if (!match || news->counted_ms < known->counted_ms)
 			continue;
-		match->now.old_answers += since(before.old_answers, told->old_answers);
-		match->now.old_failed += since(before.old_failed, told->old_failed);
-		match->now.new_answers += since(before.new_answers, told->new_answers);
-		match->now.new_failed += since(before.new_failed, told->new_failed);
+		match->now.old_answers += since(before->old_answers, told->old_answers);
+		match->now.old_failed += since(before->old_failed, told->old_failed);
+		match->now.new_answers += since(before->new_answers, told->new_answers);
+		match->now.new_failed += since(before->new_failed, told->new_failed);
 	}
 }
 
--- a/packages/rollout/src/plan.c
+++ b/packages/rollout/src/plan.c
@@ -3,6 +3,7 @@
  * others when it will be in force, late enough for all to have heard of it by then; the earliest
  * time told counts, and nothing agreed on is taken back.
  */
+#include "cw_hash.h"
 #include "rollout_internal.h"
 
 #include <string.h>
@@ -45,7 +46,6 @@
 static size_t pool_flows(const struct rollout *rollout, int64_t now_ms, struct flow *flows);
 static size_t add_flows(struct flow *flows, size_t count, const struct cw_rollout_route *routes,
 			size_t route_count, double counted_ms);
-static const struct cw_rollout_route *planned_route(const struct rollout *rollout, uint64_t route);
 static uint32_t usual_kinds(const struct flow *flow);
 
 /* Grows only, with the time and with each step, so that a session moves forward once at most. */
@@ -66,7 +66,7 @@
 	if (!is_in_force(rollout, CW_ROLLOUT_TRIAL, now_ms))
 		return share; /* the routes' kinds are not agreed on yet */
 	share = MAX(share, filling_share(rollout, route, now_ms));
-	planned = planned_route(rollout, route);
+	planned = rollout_known_route(rollout->routes, rollout->route_count, route);
 	if (!planned)
 		return share;
 	share = MAX(share, (double)planned->share);
@@ -102,7 +102,7 @@
 	const struct rollout *rollout = rollout_find(rollouts, request->service);
 
 	return rollout && cw_rollouts_wants_load(rollouts, request->service, now_ms) &&
-	       rollout_point(request->session) < filling_share(rollout, request->route, now_ms);
+	       cw_hash_part(request->session) < filling_share(rollout, request->route, now_ms);
 }
 
 void cw_rollouts_came(struct cw_rollouts *rollouts, const struct cw_rollout_request *request,
@@ -220,7 +220,8 @@
 static double filling_share(const struct rollout *rollout, uint64_t route, int64_t now_ms)
 {
 	double share = MAX(rollout->trial_share, ROLLOUT_FIRST_SHARE);
-	const struct cw_rollout_route *planned = planned_route(rollout, route);
+	const struct cw_rollout_route *planned =
+		rollout_known_route(rollout->routes, rollout->route_count, route);
 
 	if (!is_in_force(rollout, CW_ROLLOUT_TRIAL, now_ms) || !planned ||
 	    !(planned->kinds & CW_ROLLOUT_FILLING))
@@ -343,26 +344,28 @@
 	return count;
 }
 
-struct cw_rollout_route *rollout_find_route(struct cw_rollout_route *routes, size_t *count,
-					    uint64_t route)
+const struct cw_rollout_route *rollout_known_route(const struct cw_rollout_route *routes,
+						   size_t count, uint64_t route)
 {
-	for (size_t i = 0; i < *count; i++)
+	for (size_t i = 0; i < count; i++)
 		if (routes[i].route == route)
 			return &routes[i];
+	return NULL;
+}
+
+struct cw_rollout_route *rollout_find_route(struct cw_rollout_route *routes, size_t *count,
+					    uint64_t route)
+{
+	const struct cw_rollout_route *known = rollout_known_route(routes, *count, route);
+
+	if (known)
+		return &routes[known - routes];
 	if (*count == CW_ROLLOUT_ROUTES)
 		return NULL;
 	routes[*count] = (struct cw_rollout_route){.route = route};
 	return &routes[(*count)++];
 }
 
-static const struct cw_rollout_route *planned_route(const struct rollout *rollout, uint64_t route)
-{
-	for (size_t i = 0; i < rollout->route_count; i++)
-		if (rollout->routes[i].route == route)
-			return &rollout->routes[i];
-	return NULL;
-}
-
 static uint32_t usual_kinds(const struct flow *flow)
 {
 	uint32_t kinds = 0;
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -114,7 +114,7 @@
 		return CW_ROLLOUT_NEW;
 	if (rollout->state == CW_ROLLOUT_BACK)
 		return CW_ROLLOUT_OLD;
-	if (rollout_point(request->session) >= rollout_share(rollout, request->route, now_ms))
+	if (cw_hash_part(request->session) >= rollout_share(rollout, request->route, now_ms))
 		return CW_ROLLOUT_OLD;
 	if (rollout_part(rollout, now_ms) < ROLLOUT_FIRST_UNTIL &&
 	    rollout_was_on_old(rollouts, rollout, request->session, now_ms))
@@ -126,23 +126,16 @@
 						    const struct cw_rollout_request *request,
 						    int64_t now_ms)
 {
+	const struct rollout *rollout = rollout_find(rollouts, request->service);
+	int is_running = rollout && rollout->state == CW_ROLLOUT_RUNNING;
+
 	return (struct cw_rollout_assignment){
 		.arm = cw_rollouts_arm(rollouts, request, now_ms),
-		.share = cw_rollouts_share(rollouts, request, now_ms),
-		.point = rollout_point(request->session),
+		.share = is_running ? rollout_share(rollout, request->route, now_ms) : 1,
+		.point = cw_hash_part(request->session),
 	};
 }
 
-double cw_rollouts_share(const struct cw_rollouts *rollouts,
-			 const struct cw_rollout_request *request, int64_t now_ms)
-{
-	const struct rollout *rollout = rollout_find(rollouts, request->service);
-
-	if (!rollout || rollout->state != CW_ROLLOUT_RUNNING)
-		return 1;
-	return rollout_share(rollout, request->route, now_ms);
-}
-
 int cw_rollouts_wants_load(const struct cw_rollouts *rollouts, const char *service, int64_t now_ms)
 {
 	const struct rollout *rollout = rollout_find(rollouts, service);
@@ -368,8 +361,3 @@
 {
 	return (double)(now_ms - rollout->begun_ms) / (double)MAX(rollout->duration_ms, 1);
 }
-
-double rollout_point(uint64_t session)
-{
-	return (double)(session >> 11) / (double)(1ULL << 53);
-}
--- a/packages/rollout/src/rollout_internal.h
+++ b/packages/rollout/src/rollout_internal.h
@@ -100,9 +100,7 @@
 };
 
 struct rollout *rollout_find(const struct cw_rollouts *rollouts,
-			     const char *service); /* NULL: none */
-double rollout_point(uint64_t session); /* 0 to 1: on the target while the share is above */
-
+			     const char *service);		    /* NULL: none */
 double rollout_part(const struct rollout *rollout, int64_t now_ms); /* of the time ordered */
 
 /* plan.c: which sessions are on the target, as all instances agreed */
@@ -112,6 +110,9 @@
 void rollout_follow_plan(struct rollout *rollout, int64_t now_ms); /* several times a second */
 void rollout_tell_plan(const struct rollout *rollout, int64_t now_ms, struct cw_rollout_news *out);
 void rollout_hear_plan(struct rollout *rollout, const struct cw_rollout_news *news, int64_t now_ms);
+const struct cw_rollout_route *rollout_known_route(const struct cw_rollout_route *routes,
+						   size_t count,
+						   uint64_t route); /* NULL: it is not there */
 struct cw_rollout_route *rollout_find_route(struct cw_rollout_route *routes, size_t *count,
 					    uint64_t route); /* adds it; NULL: no room */
 
--- a/packages/rollout/src/sessions.c
+++ b/packages/rollout/src/sessions.c
@@ -112,7 +112,7 @@
 	struct cw_rollout_session *slot = &out->sessions[out->session_count];
 
 	if (out->session_count == CW_ROLLOUT_SESSIONS ||
-	    rollout_point(session) >= ROLLOUT_FIRST_SHARE)
+	    cw_hash_part(session) >= ROLLOUT_FIRST_SHARE)
 		return;
 	slot->session = session;
 	slot->age_ms = (uint32_t)age_ms;
