gate, node: each dispatch and each failed attempt names the request that it is

An incident's lines named attempts by ids that are new each time, so that nobody could see one request under way at every server that ended. The fingerprint is a hash of path, organisation and body, one function for both faces. shown_ms of a failed attempt was the process's clock; it is now the time since the request came. No logic changed.

--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -328,7 +328,7 @@
 		 "request=%s attempt=%u server=%s address=%s software=%s route=%s model=%s "
 		 "allowed_ms=%ld "
 		 "urgency=%d config=%lu load=%.0f waited_ms=%ld session=%s arm=%s share=%.3f "
-		 "point=%.3f",
+		 "point=%.3f fingerprint=%016lx",
 		 relay->facts.id, cw_call_attempts(relay->call), step->server->name,
 		 step->server->address, step->server->software, cw_call_route(relay->call)->name,
 		 cw_call_model(relay->call), (long)step->dispatch.allowed_ms,
@@ -337,7 +337,8 @@
 		 cw_pool_load(step->server, entry_now_ms(relay->entry)),
 		 (long)(entry_now_ms(relay->entry) - relay->opened_ms),
 		 *relay->facts.session ? relay->facts.session : "-", arms[step->assignment.arm],
-		 step->assignment.share, step->assignment.point);
+		 step->assignment.share, step->assignment.point,
+		 (unsigned long)cw_call_fingerprint(relay->call));
 	if (relay->events)
 		cw_events_clear(relay->events);
 	g_string_truncate(relay->body, 0);
@@ -475,9 +476,12 @@
 	struct cw_step step;
 
 	relay->exchange = NULL;
-	cw_event("gate", "attempt_failed", "request=%s server=%s how=%s shown_ms=%ld",
+	cw_event("gate", "attempt_failed",
+		 "request=%s server=%s how=%s shown_ms=%ld sent_ms_ago=%ld fingerprint=%016lx",
 		 relay->facts.id, server ? server->name : "-", break_reasons[breaks[failure]],
-		 (long)relay->first_ms);
+		 relay->first_ms < 0 ? -1L : (long)(relay->first_ms - relay->opened_ms),
+		 (long)(entry_now_ms(relay->entry) - relay->sent_ms),
+		 (unsigned long)cw_call_fingerprint(relay->call));
 	cw_call_broken(relay->call, breaks[failure], entry_now_ms(relay->entry), &step);
 	take_step(relay, &step);
 }
--- a/packages/gate/include/cw_facts.h
+++ b/packages/gate/include/cw_facts.h
@@ -35,6 +35,7 @@
 	struct cw_prompt_part parts[CW_PROMPT_PARTS];
 	char session[CW_ID_MAX]; /* empty: none */
 	size_t sent_bytes;	 /* of the body */
+	uint64_t body;		 /* its cw_hash */
 	int is_head;		 /* the answer has no body */
 };
 
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -95,6 +95,8 @@
 const char *cw_call_organisation(const struct cw_call *call);
 const char *cw_call_model(const struct cw_call *call);
 struct cw_server *cw_call_server(const struct cw_call *call);
+uint64_t
+cw_call_fingerprint(const struct cw_call *call); /* cw_quarantine_fingerprint; 0: no route */
 unsigned int cw_call_attempts(const struct cw_call *call);
 double cw_call_predicted_ms(const struct cw_call *call); /* of the attempt, to its answer's head */
 
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -242,6 +242,11 @@
 	return call->server;
 }
 
+uint64_t cw_call_fingerprint(const struct cw_call *call)
+{
+	return call->fingerprint;
+}
+
 unsigned int cw_call_attempts(const struct cw_call *call)
 {
 	return call->attempts;
@@ -282,6 +287,9 @@
 			return 0;
 		}
 	}
+	call->fingerprint = cw_quarantine_fingerprint(
+		call->facts.path, call->organisation ? call->organisation->name : "",
+		call->facts.body);
 	call->session = session_key(call);
 	call->route_hash = cw_hash_text(call->route->name, 0);
 	call->service_name = cw_route_service(
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -3,6 +3,7 @@
 
 #include "cw_gate.h"
 #include "cw_hash.h"
+#include "cw_quarantine.h"
 #include "cw_repeats.h"
 
 #include <glib.h>
@@ -64,6 +65,7 @@
 	size_t model; /* index among the route's, when it has any */
 	uint64_t session;
 	uint64_t route_hash; /* of the route's name */
+	uint64_t fingerprint;
 	double tokens;	     /* that the server has to read, as far as is known */
 	double work_ms;	     /* counted in server->own_work_ms */
 	double predicted_ms; /* from the attempt's send to its head */
--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -7,6 +7,7 @@
 #include "cw_limits.h"
 #include "cw_membership.h"
 #include "cw_node.h"
+#include "cw_quarantine.h"
 #include "cw_session.h"
 
 #include <glib.h>
@@ -37,8 +38,9 @@
 	char organisation[CW_NAME_MAX];
 	char model[CW_NAME_MAX];
 	char version[CW_NAME_MAX];
-	uint64_t row;	     /* its limits */
-	uint64_t version_id; /* cw_pool_version */
+	uint64_t row;	      /* its limits */
+	uint64_t version_id;  /* cw_pool_version */
+	uint64_t fingerprint; /* cw_quarantine_fingerprint */
 	double cost_per_1k;
 	double expected_tokens;
 	int admitted; /* holds a slot of its limits */
--- a/packages/node/src/node_request.c
+++ b/packages/node/src/node_request.c
@@ -46,6 +46,7 @@
 		return;
 	}
 	g_strlcpy(request->organisation, organisation, CW_NAME_MAX);
+	request->fingerprint = cw_quarantine_fingerprint(in->target, organisation, in->body);
 	if (in->flags & CW_REQUEST_SERVICE) {
 		if (find_service(node, request))
 			admit(node, request);
--- a/packages/node/src/request_attempt.c
+++ b/packages/node/src/request_attempt.c
@@ -150,9 +150,10 @@
 		   mode == CW_DISPATCH_FRESH	? "dispatch"
 		   : mode == CW_DISPATCH_RESUME ? "resume"
 						: "continue",
-		   "request=%s organisation=%s model=%s version=%s server=%s attempt=%u%s",
+		   "request=%s organisation=%s model=%s version=%s server=%s attempt=%u "
+		   "fingerprint=%016" G_GINT64_MODIFIER "x%s",
 		   request->in.request_id, request->organisation, request->model, request->version,
-		   server->name, request->attempt_count,
+		   server->name, request->attempt_count, request->fingerprint,
 		   request->rebound ? " session=rebound" : "");
 }
 
@@ -229,9 +230,11 @@
 		gossip_hurry(node);
 	if (!answered)
 		node_event(node, "request", "attempt_failed",
-			   "request=%s server=%s attempt=%u result=%d status=%d shown=%u",
+			   "request=%s server=%s attempt=%u result=%d status=%d shown=%u "
+			   "fingerprint=%016" G_GINT64_MODIFIER "x",
 			   request->in.request_id, server ? server->name : "",
-			   request->attempt_count, end->result, end->http_status, end->shown);
+			   request->attempt_count, end->result, end->http_status, end->shown,
+			   request->fingerprint);
 }
 
 static void attempt_answered(struct cw_node *node, struct request *request,
