--- a/tests/lib_users.sh
+++ b/tests/lib_users.sh
@@ -74,10 +74,11 @@
 	local entry=$1 method=$2 path=$3 id=$4
 	shift 4
 	eval "local host=\$HOST_$entry"
+	local answer="$DIR/answer.$BASHPID"
 	curl -s -m 15 -X "$method" -w '\n%{http_code}\n' -H 'Host: h' -H "Attempt-Id: $id" -H 'Deadline-Ms: 10000' \
-		-H "Authorization: Token ${KEY:-k1}" "$@" "http://$host:$P_FRONT$path" >"$DIR/answer"
-	tail -n 1 "$DIR/answer"
-	sed '$d' "$DIR/answer"
+		-H "Authorization: Token ${KEY:-k1}" "$@" "http://$host:$P_FRONT$path" >"$answer"
+	tail -n 1 "$answer"
+	sed '$d' "$answer"
 }
 stream() { # ENTRY EVENTS ID: prints the status and the events' ids
 	local entry=$1 events=$2 id=$3
--- a/tests/standins/backend.c
+++ b/tests/standins/backend.c
@@ -2,9 +2,11 @@
  * standin-backend: a model engine that streams, or a plain service. Every run is remembered for
  * GET /runs. POST /control takes {"fault":NAME,"after":CHUNKS,"count":REQUESTS,"token_ms":N,
  * "first_ms":N,"version":"M/V"}, where NAME is none, error, busy, rubbish, cut, freeze, foreign,
- * huge or hang.
+ * huge or hang; end: it ends now. With --fatal TEXT a request whose body holds that text ends the
+ * server once it has run for some ms: all connections break, and none is taken until it is back.
  */
 #include "standin.h"
+#include "ending.h"
 
 #include <argtable2.h>
 #include <glib.h>
@@ -71,6 +73,11 @@
 	int after, count;
 	char fault_version[128]; /* only its requests fail; empty: all */
 	int64_t orders_made;
+	const char *fatal; /* text of bodies that end it, NULL: none does */
+	int fatal_ms;
+	int down_ms;
+	char **arguments;
+	int port;
 };
 
 static void handle(void *context, const struct cw_http_in *in, struct cw_http_out *out);
@@ -117,15 +124,21 @@
 		arg_int0(NULL, "tokens", "N", "of an answer without max_tokens (20)");
 	struct arg_lit *fencing =
 		arg_lit0(NULL, "checks-fencing", "refuse orders with an old fencing number");
+	struct arg_str *fatal = arg_str0(NULL, "fatal", "TEXT", "of bodies that end the server");
+	struct arg_int *fatal_ms = arg_int0(NULL, "fatal-ms", "N", "that such a request runs (40)");
+	struct arg_int *down_ms = arg_int0(NULL, "down-ms", "N", "until it is back (2000)");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help and exit");
 	struct arg_end *end = arg_end(20);
-	void *table[] = {port,	   kind,   name,    versions, slots, token_ms,
-			 first_ms, tokens, fencing, help,     end};
+	void *table[] = {port,	 kind,	  name,	 versions, slots,   token_ms, first_ms,
+			 tokens, fencing, fatal, fatal_ms, down_ms, help,     end};
 	struct backend backend = {.mutex = PTHREAD_MUTEX_INITIALIZER,
 				  .changed = PTHREAD_COND_INITIALIZER};
 	struct cw_http_server *server;
 
+	ending_stay_down();
 	port->ival[0] = 0;
+	fatal_ms->ival[0] = 40;
+	down_ms->ival[0] = 2000;
 	kind->sval[0] = "engine";
 	name->sval[0] = "backend";
 	versions->sval[0] = "";
@@ -148,7 +161,12 @@
 	backend.generations = g_hash_table_new(g_str_hash, g_str_equal);
 	backend.runs = json_object_new_array();
 	backend.orders = json_object_new_array();
-	server = standin_listen(port->ival[0], handle, &backend);
+	backend.fatal = fatal->count ? fatal->sval[0] : NULL;
+	backend.fatal_ms = fatal_ms->ival[0];
+	backend.down_ms = down_ms->ival[0];
+	backend.arguments = argv;
+	server = standin_listen(ending_port(port->ival[0]), handle, &backend);
+	backend.port = cw_http_server_port(server);
 	standin_wait();
 	cw_http_server_destroy(server);
 	return 0;
@@ -348,6 +366,9 @@
 	struct json_object *body = standin_parse(in);
 	const char *fault = standin_text(body, "fault", fault_names[backend->fault]);
 
+	if (!strcmp(fault, "end"))
+		ending_now(backend->arguments, backend->down_ms, backend->port);
+
 	for (int i = 0; i <= FAULT_HANG; i++)
 		if (!strcmp(fault, fault_names[i]))
 			backend->fault = i;
@@ -403,10 +424,33 @@
 		nap(backend, 100);
 }
 
+static void *end_later(void *context)
+{
+	const struct backend *backend = context;
+
+	usleep((useconds_t)backend->fatal_ms * 1000);
+	ending_now(backend->arguments, backend->down_ms, backend->port);
+}
+
+static void meet_fate(struct backend *backend, const struct cw_http_in *in)
+{
+	pthread_t thread;
+
+	if (!backend->fatal || !in->body ||
+	    !memmem(in->body, in->body_size, backend->fatal, strlen(backend->fatal)))
+		return;
+	printf("fatal %" G_GINT64_FORMAT "\n", g_get_monotonic_time() / 1000);
+	fflush(stdout);
+	pthread_create(&thread, NULL, end_later, backend);
+	pthread_detach(thread);
+}
+
 static void note_run(struct backend *backend, const struct cw_http_in *in, const char *model)
 {
 	struct json_object *run = json_object_new_object();
 
+	meet_fate(backend, in);
+
 	json_object_object_add(run, "request", json_object_new_string(header(in, "X-Request-Id")));
 	json_object_object_add(run, "attempt", json_object_new_string(header(in, "X-Attempt")));
 	json_object_object_add(run, "key", json_object_new_string(header(in, "Idempotency-Key")));
--- a/tests/standins/users_runner.c
+++ b/tests/standins/users_runner.c
@@ -2,10 +2,15 @@
  * Stand-in for a backend server of the users' platform: an engine that streams events, or a plain
  * service. The last segment of the path is the number of events; an engine makes one every --gap
  * ms. POST /admin/mode?m=NAME  how requests are met: ok, notrun, error, hang, garble, unframed (no
- * length), short (reset midway), cut (a stream breaks after two events), extra GET /admin/runs a
+ * length), short (reset midway), cut (a stream breaks after two events), extra;
+ * end: it ends now GET /admin/runs a
  * line for each run: request, model, organisation, first event
+ *
+ * With --fatal TEXT a request whose body holds that text ends the server once it has run for some
+ * ms: all connections break, and none is taken until it is back.
  */
 #include "cw_flow.h"
+#include "ending.h"
 
 #include <argtable2.h>
 #include <signal.h>
@@ -33,6 +38,11 @@
 static const char *confidence;
 static long gap_ms;
 static unsigned int running;
+static const char *fatal; /* text of bodies that end it, NULL: none does */
+static long fatal_ms;
+static long down_ms;
+static char **arguments;
+static uv_timer_t fate;
 
 static void on_timer_closed(uv_handle_t *handle)
 {
@@ -118,6 +128,22 @@
 	uv_timer_start(&run->timer, on_event, 5, (uint64_t)gap_ms);
 }
 
+static void on_fate(uv_timer_t *timer)
+{
+	ending_now(arguments, (int)down_ms, 0);
+}
+
+/* It has begun to run: nothing can stop it any more, not even that its caller leaves. */
+static void meet_fate(const struct cw_message *request)
+{
+	if (!fatal || !strstr(request->body->str, fatal))
+		return;
+	printf("fatal %" G_GINT64_FORMAT "\n", g_get_monotonic_time() / 1000);
+	fflush(stdout);
+	if (!uv_is_active((uv_handle_t *)&fate))
+		uv_timer_start(&fate, on_fate, (uint64_t)fatal_ms, 0);
+}
+
 static void note_run(const struct cw_message *request)
 {
 	const char *model = cw_message_find(request, "Model");
@@ -129,6 +155,7 @@
 			       cw_message_find(request, "Attempt-Id"), model ? model : "-",
 			       organisation ? organisation : "-", last ? last : "-",
 			       secret ? " SECRET" : "");
+	meet_fate(request);
 	printf("run %s %s%s\n", request->target->str, cw_message_find(request, "Attempt-Id"),
 	       secret ? " SECRET" : "");
 	fflush(stdout);
@@ -138,6 +165,8 @@
 {
 	const char *m = strstr(request->target->str, "?m=");
 
+	if (m && !strcmp(m + 3, "end"))
+		ending_now(arguments, (int)down_ms, 0);
 	if (m)
 		g_strlcpy(mode, m + 3, sizeof(mode));
 	cw_caller_head(caller, 200, "", (int64_t)journal->len);
@@ -194,12 +223,16 @@
 	struct arg_str *id = arg_str1(NULL, "name", "NAME", "of this incarnation");
 	struct arg_str *trust = arg_str0(NULL, "confidence", "N", "an engine's, 0 to 100");
 	struct arg_int *gap = arg_int0(NULL, "gap", "MS", "between two events, 20");
+	struct arg_str *text = arg_str0(NULL, "fatal", "TEXT", "of bodies that end the server");
+	struct arg_int *after = arg_int0(NULL, "fatal-ms", "MS", "that such a request runs, 40");
+	struct arg_int *down = arg_int0(NULL, "down-ms", "MS", "until it is back, 1500");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help and exit");
 	struct arg_end *end = arg_end(4);
-	void *table[] = {listen, id, trust, gap, help, end};
+	void *table[] = {listen, id, trust, gap, text, after, down, help, end};
 	struct cw_error error = {0};
 	uv_signal_t term;
 
+	ending_stay_down();
 	if (arg_parse(argc, argv, table) || help->count) {
 		printf("usage: standin-users-runner");
 		arg_print_syntax(stdout, table, "\n");
@@ -208,8 +241,13 @@
 	name = id->sval[0];
 	confidence = trust->count ? trust->sval[0] : NULL;
 	gap_ms = gap->count ? gap->ival[0] : 20;
+	fatal = text->count ? text->sval[0] : NULL;
+	fatal_ms = after->count ? after->ival[0] : 40;
+	down_ms = down->count ? down->ival[0] : 1500;
+	arguments = argv;
 	journal = g_string_new(NULL);
 	uv_loop_init(&loop);
+	uv_timer_init(&loop, &fate);
 	if (!cw_listener_create(&loop, listen->sval[0], &ops, NULL, &error)) {
 		fprintf(stderr, "%s: %s\n", error.peer, error.message);
 		return 3;
--- a/tests/standins/users_store.c
+++ b/tests/standins/users_store.c
@@ -1,5 +1,5 @@
 /*
- * Stand-in for the store of the users' platform: three keyed topics in memory, read by long polls.
+ * Stand-in for the store of the users' platform: four keyed topics in memory, read by long polls.
  *   POST /admin/put?topic=T&key=K   the body becomes the newest record of K ("" drops K)
  *   POST /admin/mode?m=NAME         how other calls are met from now on: ok, busy, many, silent,
  *                                   reset, slow, lost (appends are kept and not answered)
@@ -43,8 +43,10 @@
 };
 
 static uv_loop_t loop;
-static struct topic topics[] = {
-	{"keyed.op", NULL, 0}, {"keyed.servers", NULL, 0}, {"keyed.status", NULL, 0}};
+static struct topic topics[] = {{"keyed.op", NULL, 0},
+				{"keyed.servers", NULL, 0},
+				{"keyed.status", NULL, 0},
+				{"keyed.quarantine", NULL, 0}};
 static TAILQ_HEAD(, waiting) waitings = TAILQ_HEAD_INITIALIZER(waitings);
 static char mode[16] = "ok";
 static unsigned long calls;
