--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -56,6 +56,7 @@
 void relay_watch(struct entry *entry,
 		 int64_t now_ms); /* looks whether servers that fell silent can be reached */
 void relay_leave_ended(struct entry *entry); /* gives up what ran at servers that started again */
+void relay_stop_held(struct entry *entry);   /* ends what is sent nowhere any more */
 void relay_stop_all(struct entry *entry);    /* ends what is left, as a last resort */
 
 /* entry_feed.c: what the store tells */
--- /dev/null
+++ b/apps/corianderwalk/entry_append.c
@@ -0,0 +1,61 @@
+/* One record that is being appended to the store. */
+#include "cw_counters.h"
+#include "entry_feed.h"
+
+static void on_head(void *context, const struct cw_message *answer);
+static void on_data(void *context, const char *data, size_t size);
+static void on_end(void *context);
+static void on_failed(void *context, enum cw_flow_failure failure);
+
+static const struct cw_exchange_ops append_ops = {on_head, on_data, on_end, on_failed};
+
+void append_begin(struct append *append, struct feed *feed, GString *bytes)
+{
+	struct cw_exchange_request request = {
+		.address = feed->entry->settings.store,
+		.bytes = bytes,
+		.connect_ms = FEED_CONNECT_MS,
+		.silence_ms = FEED_CALL_MS,
+	};
+
+	append->answer = 0;
+	cw_count("store_calls", "", 1);
+	append->exchange = cw_client_send(feed->client, &request, &append_ops, append);
+}
+
+void append_cancel(struct append *append)
+{
+	if (append->exchange)
+		cw_exchange_cancel(append->exchange);
+	append->exchange = NULL;
+}
+
+static void on_head(void *context, const struct cw_message *answer)
+{
+	struct append *append = context;
+
+	append->answer = answer->status;
+}
+
+static void on_data(void *context, const char *data, size_t size)
+{
+}
+
+static void on_end(void *context)
+{
+	struct append *append = context;
+	struct cw_error error = {0};
+	enum cw_status status = cw_up_append_answer(append->answer, &error);
+
+	append->exchange = NULL;
+	append->done(append->context, status, error.message);
+}
+
+/* It may have been written all the same. */
+static void on_failed(void *context, enum cw_flow_failure failure)
+{
+	struct append *append = context;
+
+	append->exchange = NULL;
+	append->done(append->context, CW_UNKNOWN, cw_flow_failure_name(failure));
+}
--- a/apps/corianderwalk/entry_feed.c
+++ b/apps/corianderwalk/entry_feed.c
@@ -8,6 +8,7 @@
 
 #define POLL_WAIT_MS	1200  /* of a long poll that may miss a record: all know it 0.5 s later */
 #define POLL_STAGGER_MS 300   /* the second reader's call waits so much less */
+#define HELD_WAIT_MS	10000 /* of a reader's call for held requests: messages tell of them too */
 #define SERVERS_WAIT_MS 700   /* of a reader's call: its end proves that nothing newer is there */
 #define SERVERS_GAP_MS	100   /* changes of servers that come close together are one read */
 #define STALE_CHECK_MS	100   /* a view that grew old is noticed within it */
@@ -61,6 +62,8 @@
 	open_topic(feed, &feed->operator, CW_UP_OPERATOR, "operator");
 	open_topic(feed, &feed->servers, CW_UP_SERVERS, "servers");
 	open_topic(feed, &feed->status, CW_UP_STATUS, "status");
+	open_topic(feed, &feed->quarantine, CW_UP_QUARANTINE, "quarantine");
+	holding_open(&feed->holding, feed);
 	ask_first(feed);
 	return feed;
 }
@@ -76,6 +79,8 @@
 	feed->started_ms = entry_now_ms(feed->entry);
 	ask_in(&feed->operator, cw_readers_start_ms(&start));
 	ask_in(&feed->servers, cw_readers_start_ms(&start));
+	/* Peers tell of it in their messages; only when all start at once nobody knows it. */
+	ask_in(&feed->quarantine, CW_READERS_KNOWN_MS);
 }
 
 void feed_destroy(struct feed *feed)
@@ -85,6 +90,8 @@
 	close_topic(&feed->operator);
 	close_topic(&feed->servers);
 	close_topic(&feed->status);
+	close_topic(&feed->quarantine);
+	holding_close(&feed->holding);
 	verdict_close(&feed->verdict);
 	share_destroy(feed->share);
 	g_free(feed->config_text);
@@ -106,6 +113,7 @@
 {
 	cw_pool_sweep(cw_gate_pool(feed->entry->gate), now_ms);
 	verdict_tick(&feed->verdict, now_ms);
+	holding_tick(&feed->holding, now_ms);
 }
 
 void topic_ask_store(struct topic *topic)
@@ -237,6 +245,8 @@
 		return topic_is_reader(topic) ? SERVERS_WAIT_MS : 0;
 	if (!topic_is_reader(topic))
 		return 0;
+	if (topic->topic == CW_UP_QUARANTINE)
+		return HELD_WAIT_MS;
 	return POLL_WAIT_MS - (int64_t)rank_of(topic) * POLL_STAGGER_MS;
 }
 
@@ -245,7 +255,8 @@
 	struct topic *topic = timer->data;
 	struct feed *feed = topic->feed;
 
-	if (topic->phase != PHASE_FOLLOW || topic_is_reader(topic))
+	if (topic_is_reader(topic) ||
+	    (topic->phase != PHASE_FOLLOW && topic->topic != CW_UP_QUARANTINE))
 		ask(topic);
 	else if (topic->topic == CW_UP_SERVERS && is_settled(feed) &&
 		 cw_follow_reads(&feed->list, rank_of(topic), entry_now_ms(feed->entry)))
@@ -402,8 +413,10 @@
 		/* What became of an order is written down; without one there is nothing to read. */
 		if (cw_rollouts_any(cw_gate_rollouts(entry->gate)) && !feed->status.is_complete)
 			ask(&feed->status);
-	} else {
+	} else if (topic->topic == CW_UP_STATUS) {
 		feed->verdict.is_status_fresh = 1;
+	} else {
+		ask_in(topic, 0);
 	}
 	if (entry_knows_enough(entry))
 		relay_open_waiting(entry);
@@ -449,7 +462,7 @@
 static void doubt_others(struct topic *topic)
 {
 	struct feed *feed = topic->feed;
-	struct topic *topics[] = {&feed->operator, & feed->servers };
+	struct topic *topics[] = {&feed->operator, & feed->servers, &feed->quarantine};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(topics); i++)
 		if (topics[i] != topic && topics[i]->exchange)
--- a/apps/corianderwalk/entry_feed.h
+++ b/apps/corianderwalk/entry_feed.h
@@ -38,15 +38,31 @@
 	int is_doubted;		 /* another topic's call failed, or a peer knows more */
 };
 
+/* One record that is being appended to the store. */
+struct append {
+	struct cw_exchange *exchange; /* NULL: none is */
+	unsigned int answer;
+	void (*done)(void *context, enum cw_status status,
+		     const char *why); /* CW_UNKNOWN: it may have been written */
+	void *context;
+};
+
 /* The one record of a roll-out's end that is being written. */
 struct verdict {
 	struct feed *feed;
 	int64_t decided_ms;  /* since when one is to be written, 0: none */
 	int is_status_fresh; /* the topic was just read */
-	struct cw_exchange *writing;
 	struct cw_rollout_status status;
-	unsigned int answer;
-	GString *body;
+	struct append append;
+};
+
+/* The list of held requests, and the one record of it that is being written. */
+struct holding {
+	struct feed *feed;
+	uint64_t fingerprint;
+	int is_released;
+	int64_t again_ms; /* no write before */
+	struct append append;
 };
 
 /* Peers know more than what was read up to here. */
@@ -61,8 +77,10 @@
 	struct topic operator;
 	struct topic servers;
 	struct topic status;
+	struct topic quarantine;
 	struct cw_follow list; /* of the servers */
 	struct verdict verdict;
+	struct holding holding;
 	struct share *share;
 	char *config_text; /* the configuration in force, as it was read */
 	size_t config_size;
@@ -95,4 +113,14 @@
 void verdict_close(struct verdict *verdict);
 void verdict_tick(struct verdict *verdict, int64_t now_ms);
 
+/* entry_append.c */
+void append_begin(struct append *append, struct feed *feed,
+		  GString *bytes); /* the whole call; takes bytes */
+void append_cancel(struct append *append);
+
+/* entry_quarantine.c: requests that are sent nowhere */
+void holding_open(struct holding *holding, struct feed *feed);
+void holding_close(struct holding *holding);
+void holding_tick(struct holding *holding, int64_t now_ms);
+
 #endif
--- a/apps/corianderwalk/entry_news.c
+++ b/apps/corianderwalk/entry_news.c
@@ -37,6 +37,10 @@
 	case CW_UP_SERVER_GONE:
 		server_gone(feed, news->server.name, now_ms);
 		break;
+	case CW_UP_HELD:
+		cw_quarantine_hear_record(cw_gate_quarantine(feed->entry->gate), &news->held,
+					  CW_QUARANTINE_STORE, now_ms);
+		break;
 	case CW_UP_OTHER:
 		break;
 	}
--- a/apps/corianderwalk/entry_peers.c
+++ b/apps/corianderwalk/entry_peers.c
@@ -247,6 +247,10 @@
 	}
 	gossip->rollout_count = cw_rollouts_tell(cw_gate_rollouts(entry->gate), now_ms,
 						 gossip->rollouts, CW_GOSSIP_ROLLOUTS);
+	gossip->end_count = cw_quarantine_tell_ends(cw_gate_quarantine(entry->gate), now_ms,
+						    gossip->ends, CW_QUARANTINE_ENDS);
+	gossip->held_count = cw_quarantine_tell_records(cw_gate_quarantine(entry->gate), now_ms,
+							gossip->held, CW_QUARANTINE_RECORDS);
 }
 
 /*
@@ -322,6 +326,11 @@
 				 member->instance, gossip->rollouts[i].service,
 				 gossip->rollouts[i].target, gossip->rollouts[i].state,
 				 gossip->rollouts[i].is_written);
+	for (size_t i = 0; i < gossip->end_count; i++)
+		cw_quarantine_hear_end(cw_gate_quarantine(entry->gate), &gossip->ends[i], now_ms);
+	for (size_t i = 0; i < gossip->held_count; i++)
+		cw_quarantine_hear_record(cw_gate_quarantine(entry->gate), &gossip->held[i],
+					  CW_QUARANTINE_PEER, now_ms);
 	feed_hear(entry->feed, gossip);
 	if (gossip->operator_offset == 0 && entry_knows_enough(entry) && peers->answers_left > 0)
 		answer_new(peers, gossip->sender.address);
--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -268,6 +268,22 @@
 	}
 }
 
+void relay_stop_held(struct entry *entry)
+{
+	struct relay *relay = TAILQ_FIRST(&entry->relays);
+	struct cw_step step;
+
+	while (relay) {
+		struct relay *next = TAILQ_NEXT(relay, link);
+
+		if (relay->call && cw_call_is_held(relay->call)) {
+			cw_call_stop(relay->call, entry_now_ms(entry), &step);
+			take_step(relay, &step);
+		}
+		relay = next;
+	}
+}
+
 void relay_stop_all(struct entry *entry)
 {
 	struct relay *relay;
--- a/apps/corianderwalk/entry_verdict.c
+++ b/apps/corianderwalk/entry_verdict.c
@@ -3,7 +3,6 @@
  * and the append holds only if nothing was written since. Instances try one after another, by rank;
  * the others hear of it from the first.
  */
-#include "cw_counters.h"
 #include "cw_hash.h"
 #include "cw_timeline.h"
 #include "entry_feed.h"
@@ -15,24 +14,18 @@
 static void log_progress(struct cw_rollouts *rollouts, int64_t now_ms);
 static int is_my_turn(const struct verdict *verdict, const char *service, int64_t now_ms);
 static void append(struct verdict *verdict, const struct cw_rollout_status *status);
-static void on_head(void *context, const struct cw_message *answer);
-static void on_data(void *context, const char *data, size_t size);
-static void on_end(void *context);
-static void on_failed(void *context, enum cw_flow_failure failure);
-
-static const struct cw_exchange_ops append_ops = {on_head, on_data, on_end, on_failed};
+static void on_written(void *context, enum cw_status status, const char *why);
 
 void verdict_open(struct verdict *verdict, struct feed *feed)
 {
 	verdict->feed = feed;
-	verdict->body = g_string_sized_new(64);
+	verdict->append.done = on_written;
+	verdict->append.context = verdict;
 }
 
 void verdict_close(struct verdict *verdict)
 {
-	if (verdict->writing)
-		cw_exchange_cancel(verdict->writing);
-	g_string_free(verdict->body, TRUE);
+	append_cancel(&verdict->append);
 }
 
 void verdict_tick(struct verdict *verdict, int64_t now_ms)
@@ -89,8 +82,8 @@
 	const struct feed *feed = verdict->feed;
 	size_t rank = peers_rank(feed->entry->peers, cw_hash_text(service, 0), now_ms);
 
-	return now_ms - verdict->decided_ms >= STEP_MS * (int64_t)rank && !verdict->writing &&
-	       !feed->status.exchange && !feed->status.is_down;
+	return now_ms - verdict->decided_ms >= STEP_MS * (int64_t)rank &&
+	       !verdict->append.exchange && !feed->status.exchange && !feed->status.is_down;
 }
 
 static void append(struct verdict *verdict, const struct cw_rollout_status *status)
@@ -98,45 +91,25 @@
 	struct feed *feed = verdict->feed;
 	const char *store = feed->entry->settings.store;
 	GString *bytes = g_string_sized_new(256);
-	struct cw_exchange_request request = {
-		.address = store,
-		.bytes = bytes,
-		.connect_ms = FEED_CONNECT_MS,
-		.silence_ms = FEED_CALL_MS,
-	};
 
 	verdict->status = *status;
-	verdict->answer = 0;
-	g_string_truncate(verdict->body, 0);
 	cw_up_status_call(status, feed->status.from, store, bytes);
-	cw_count("store_calls", "", 1);
 	cw_event("feed", "rollout_writing", "service=%s target=%s state=%d at=%lu", status->service,
 		 status->target, status->state, (unsigned long)feed->status.from);
-	verdict->writing = cw_client_send(feed->client, &request, &append_ops, verdict);
-}
-
-static void on_head(void *context, const struct cw_message *answer)
-{
-	struct verdict *verdict = context;
-
-	verdict->answer = answer->status;
-}
-
-static void on_data(void *context, const char *data, size_t size)
-{
-	struct verdict *verdict = context;
-
-	g_string_append_len(verdict->body, data, (gssize)size);
+	append_begin(&verdict->append, feed, bytes);
 }
 
-static void on_end(void *context)
+/* One that got no answer may have been written: the next try reads before it writes. */
+static void on_written(void *context, enum cw_status status, const char *why)
 {
 	struct verdict *verdict = context;
 	struct entry *entry = verdict->feed->entry;
-	struct cw_error error = {0};
-	enum cw_status status = cw_up_status_answer(verdict->answer, verdict->body, &error);
 
-	verdict->writing = NULL;
+	if (status == CW_UNKNOWN) {
+		cw_warn("feed", "rollout_write_lost", "service=%s why=%s", verdict->status.service,
+			why);
+		return;
+	}
 	cw_event("feed", "rollout_written", "service=%s target=%s state=%d result=%s",
 		 verdict->status.service, verdict->status.target, verdict->status.state,
 		 cw_status_name(status));
@@ -145,13 +118,3 @@
 	cw_rollouts_told(cw_gate_rollouts(entry->gate), &verdict->status);
 	peers_tell(entry->peers);
 }
-
-/* It may have been written all the same: the next try reads before it writes. */
-static void on_failed(void *context, enum cw_flow_failure failure)
-{
-	struct verdict *verdict = context;
-
-	verdict->writing = NULL;
-	cw_warn("feed", "rollout_write_lost", "service=%s why=%s", verdict->status.service,
-		cw_flow_failure_name(failure));
-}
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -13,6 +13,7 @@
 #include "cw_limits.h"
 #include "cw_policy.h"
 #include "cw_pool.h"
+#include "cw_quarantine.h"
 #include "cw_rollout.h"
 #include "cw_route.h"
 #include "cw_status.h"
@@ -74,6 +75,7 @@
 const struct cw_config *cw_gate_config(const struct cw_gate *gate); /* NULL: none yet */
 struct cw_pool *cw_gate_pool(struct cw_gate *gate);
 struct cw_rollouts *cw_gate_rollouts(struct cw_gate *gate);
+struct cw_quarantine *cw_gate_quarantine(struct cw_gate *gate);
 
 struct cw_call *cw_call_open(struct cw_gate *gate, const struct cw_facts *facts,
 			     int64_t came_ms, /* its time limits count from then */
@@ -87,7 +89,10 @@
 void cw_call_broken(struct cw_call *call, enum cw_break how, int64_t now_ms, struct cw_step *step);
 void cw_call_done(struct cw_call *call, int64_t now_ms); /* the shown answer is complete */
 void cw_call_expired(struct cw_call *call, int64_t now_ms,
-		     struct cw_step *step);		  /* at cw_call_limit_ms */
+		     struct cw_step *step);	 /* at cw_call_limit_ms */
+int cw_call_is_held(const struct cw_call *call); /* its request was put on the list since */
+void cw_call_stop(struct cw_call *call, int64_t now_ms,
+		  struct cw_step *step);		  /* one that is held; the step ends it */
 void cw_call_close(struct cw_call *call, int64_t now_ms); /* also when its caller left */
 int cw_call_may_leave(const struct cw_call *call);	  /* its server, for another one */
 int64_t cw_call_limit_ms(const struct cw_call *call);	  /* when a final answer is due */
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -23,6 +23,7 @@
 			   int64_t now_ms);
 static void fail(struct cw_call *call, struct cw_step *step, const char *reason);
 static int find_target(struct cw_call *call, struct cw_step *step);
+static int refuse_held(struct cw_call *call, struct cw_step *step);
 static void send_first(struct cw_call *call, int64_t now_ms, struct cw_step *step);
 static void note_kinds(struct cw_call *call);
 static int is_shed(struct cw_call *call, int64_t now_ms);
@@ -31,6 +32,11 @@
 static void fill_dispatch(struct cw_call *call, int64_t now_ms, struct cw_step *step);
 static int64_t silence_ms(const struct cw_call *call, int64_t now_ms);
 static void leave_server(struct cw_call *call, int64_t now_ms, int is_answered);
+static void give_up_server(struct cw_call *call, int64_t now_ms);
+static void note_left(struct cw_call *call, const struct cw_server *server, int64_t now_ms);
+static void note_end(struct cw_call *call, int64_t now_ms);
+static struct cw_quarantine_request as_quarantined(const struct cw_call *call);
+static int64_t ran_ms(const struct cw_call *call, int64_t now_ms);
 static void note_failure(struct cw_call *call, int64_t now_ms);
 static int may_repeat(const struct cw_call *call);
 static int can_send_again(struct cw_call *call, int64_t now_ms);
@@ -58,7 +64,7 @@
 		return call;
 	}
 	call->config = cw_config_ref(gate->config);
-	if (find_target(call, step))
+	if (find_target(call, step) && !refuse_held(call, step))
 		send_first(call, now_ms, step);
 	return call;
 }
@@ -171,7 +177,10 @@
 		return;
 	}
 	call->may_have_run = 1;
-
+	if (how == CW_BREAK_BROKEN)
+		note_end(call, now_ms);
+	else
+		note_left(call, call->server, now_ms);
 	note_failure(call, now_ms);
 	leave_server(call, now_ms, 0);
 	again_or_fail(call, now_ms, step, "the backend server's answer was not whole");
@@ -182,6 +191,7 @@
 	if (!call->server)
 		return;
 	call_work_done(call, now_ms);
+	cw_quarantine_answered(call->gate->quarantine, call->fingerprint, now_ms);
 	cw_pool_succeeded(call->server, now_ms);
 	leave_server(call, now_ms, 1);
 }
@@ -190,7 +200,7 @@
 {
 	memset(step, 0, sizeof(*step));
 	if (call->server)
-		leave_server(call, now_ms, 0);
+		give_up_server(call, now_ms);
 	if (call->is_shown) {
 		step->kind = CW_STEP_ABORT;
 		return;
@@ -199,12 +209,29 @@
 	step->run = call->may_have_run || call->attempts > 0 ? CW_RUN_UNKNOWN : CW_RUN_NOT;
 }
 
+int cw_call_is_held(const struct cw_call *call)
+{
+	return cw_quarantine_holds(call->gate->quarantine, call->fingerprint);
+}
+
+/* A copy that waits in a server's queue ends that server too, unless it is taken out in time. */
+void cw_call_stop(struct cw_call *call, int64_t now_ms, struct cw_step *step)
+{
+	memset(step, 0, sizeof(*step));
+	if (call->server)
+		give_up_server(call, now_ms);
+	if (call->is_shown)
+		step->kind = CW_STEP_ABORT;
+	else
+		fail(call, step, "quarantined: servers ended under it");
+}
+
 void cw_call_close(struct cw_call *call, int64_t now_ms)
 {
 	if (!call)
 		return;
 	if (call->server)
-		leave_server(call, now_ms, 0);
+		give_up_server(call, now_ms);
 	cw_config_unref(call->config);
 	g_free(call);
 }
@@ -299,6 +326,18 @@
 	return 1;
 }
 
+/*
+ * Each server that begins to run it ends, with all that it was running. Its caller is told that it
+ * was not run, and no time to come back at: it would be refused again.
+ */
+static int refuse_held(struct cw_call *call, struct cw_step *step)
+{
+	if (!cw_call_is_held(call))
+		return 0;
+	refuse(step, 503, "quarantined: servers ended under it");
+	return 1;
+}
+
 static void send_first(struct cw_call *call, int64_t now_ms, struct cw_step *step)
 {
 	int64_t limit_ms = call->opened_ms + call->route->limit_ms;
@@ -388,10 +427,13 @@
 static int send_instead(struct cw_call *call, int64_t now_ms, struct cw_step *step)
 {
 	struct cw_server *previous = call->server;
+	int64_t previous_ran_ms = ran_ms(call, now_ms);
+	struct cw_quarantine_request request = as_quarantined(call);
 
 	call_work_end(call);
 	if (!send(call, now_ms, step))
 		return 0;
+	cw_quarantine_left(call->gate->quarantine, &request, previous->id, previous_ran_ms, now_ms);
 	cw_pool_ended(previous, now_ms, -1);
 	return 1;
 }
@@ -444,11 +486,55 @@
 	cw_pool_ended(server, now_ms, is_answered ? (double)(now_ms - call->sent_ms) : -1);
 }
 
+/* It may still run there, and end the server. */
+static void give_up_server(struct cw_call *call, int64_t now_ms)
+{
+	note_left(call, call->server, now_ms);
+	leave_server(call, now_ms, 0);
+}
+
+static void note_left(struct cw_call *call, const struct cw_server *server, int64_t now_ms)
+{
+	struct cw_quarantine_request request = as_quarantined(call);
+
+	cw_quarantine_left(call->gate->quarantine, &request, server->id, ran_ms(call, now_ms),
+			   now_ms);
+}
+
+/* The connection broke. A server that leaves, or whose version was replaced, stops by plan. */
+static void note_end(struct cw_call *call, int64_t now_ms)
+{
+	const struct cw_server *server = call->server;
+	struct cw_quarantine_request request = as_quarantined(call);
+
+	if (server->leaving || server->gone || server->is_unreachable ||
+	    cw_rollouts_is_retired(call->gate->rollouts, call->service_name, server->software))
+		return;
+	cw_quarantine_broke(call->gate->quarantine, &request, server->id, ran_ms(call, now_ms),
+			    now_ms);
+}
+
+static struct cw_quarantine_request as_quarantined(const struct cw_call *call)
+{
+	return (struct cw_quarantine_request){
+		.fingerprint = call->fingerprint,
+		.organisation = cw_call_organisation(call),
+		.target = call->route->name,
+	};
+}
+
+/* From its first byte where one came: a request that waited in a queue was not run meanwhile. */
+static int64_t ran_ms(const struct cw_call *call, int64_t now_ms)
+{
+	return now_ms - (call->is_head_seen ? call->head_ms : call->sent_ms);
+}
+
 static void note_failure(struct cw_call *call, int64_t now_ms)
 {
 	/* A cut says nothing of the server or of what it runs, nor does an earlier start of it. */
 	if (!call->server->is_unreachable && !call->server->has_ended &&
-	    cw_pool_broke(call->server, now_ms))
+	    cw_pool_broke(call->server, now_ms) &&
+	    !cw_quarantine_doubts(call->gate->quarantine, call->server->id, now_ms))
 		call_work_failed(call, now_ms);
 	cw_pool_failed(call->server, now_ms, gate_random(call->gate));
 }
@@ -470,7 +556,7 @@
 static int can_send_again(struct cw_call *call, int64_t now_ms)
 {
 	if ((int)call->attempts >= call->route->max_attempts ||
-	    now_ms + CONNECT_LEFT_MIN >= call->limit_ms)
+	    now_ms + CONNECT_LEFT_MIN >= call->limit_ms || cw_call_is_held(call))
 		return 0;
 	return cw_repeats_take(gate_repeats(call->gate, call->service_name), now_ms);
 }
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -26,6 +26,7 @@
 	gate->pool = cw_pool_create(&cw_choice_cost);
 	cw_pool_set_policy(gate->pool, gate->policy);
 	gate->rollouts = cw_rollouts_create(&options->rollouts);
+	gate->quarantine = cw_quarantine_create();
 	gate->repeats = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gate->paces = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gate->shapes = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -41,6 +42,7 @@
 	cw_config_unref(gate->config);
 	cw_pool_destroy(gate->pool);
 	cw_rollouts_destroy(gate->rollouts);
+	cw_quarantine_destroy(gate->quarantine);
 	g_hash_table_destroy(gate->repeats);
 	g_hash_table_destroy(gate->paces);
 	g_hash_table_destroy(gate->shapes);
@@ -79,6 +81,11 @@
 	return gate->rollouts;
 }
 
+struct cw_quarantine *cw_gate_quarantine(struct cw_gate *gate)
+{
+	return gate->quarantine;
+}
+
 /* xorshift64*: the same seed gives the same choices, so a run can be replayed. */
 uint64_t gate_random(struct cw_gate *gate)
 {
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -32,6 +32,7 @@
 	struct cw_config *config;
 	struct cw_pool *pool;
 	struct cw_rollouts *rollouts;
+	struct cw_quarantine *quarantine;
 	GHashTable *repeats;   /* service -> struct cw_repeats */
 	size_t instances;      /* that share the budget of repeats, 0 not known */
 	GHashTable *shapes;    /* route or engine service -> double, tokens made for one read */
--- a/packages/gossip/include/cw_gossip.h
+++ b/packages/gossip/include/cw_gossip.h
@@ -1,12 +1,14 @@
 /*
  * What entry instances tell each other several times a second, in one datagram: who lives, how new
- * their knowledge is, what they have under way at the backend servers, how roll-outs go. Encoded
+ * their knowledge is, what they have under way at the backend servers, how roll-outs go,
+ * which requests end servers. Encoded
  * with ONC RPC's XDR; a datagram that is lost or old does no harm, the next one follows.
  */
 #ifndef CW_GOSSIP_H
 #define CW_GOSSIP_H
 
 #include "cw_follow.h"
+#include "cw_quarantine.h"
 #include "cw_rollout.h"
 #include "cw_status.h"
 
@@ -52,6 +54,10 @@
 	struct cw_gossip_load loads[CW_GOSSIP_SERVERS];
 	size_t rollout_count;
 	struct cw_rollout_news rollouts[CW_GOSSIP_ROLLOUTS];
+	size_t end_count;
+	struct cw_quarantine_end ends[CW_QUARANTINE_ENDS];
+	size_t held_count;
+	struct cw_quarantine_record held[CW_QUARANTINE_RECORDS];
 };
 
 /* The whole list of servers, for an instance that can't read it from the store. */
--- a/packages/gossip/src/gossip.c
+++ b/packages/gossip/src/gossip.c
@@ -7,7 +7,7 @@
 
 #define LIST_HEAD_BYTES 32
 #define ENTRY_BYTES	(5 * (CW_NAME_MAX + 4) + 24) /* of one entry at most, with its lengths */
-#define GOSSIP_MAGIC	0x63773037 /* names the layout below; others are ignored */
+#define GOSSIP_MAGIC	0x63773038 /* names the layout below; others are ignored */
 
 static bool_t code(XDR *xdr, struct cw_gossip *gossip);
 static bool_t code_member(XDR *xdr, struct cw_gossip_member *member);
@@ -16,6 +16,8 @@
 static bool_t code_entry(XDR *xdr, struct cw_server_entry *entry);
 static bool_t code_load(XDR *xdr, struct cw_gossip_load *load);
 static bool_t code_rollout(XDR *xdr, struct cw_rollout_news *news);
+static bool_t code_end(XDR *xdr, struct cw_quarantine_end *end);
+static bool_t code_held(XDR *xdr, struct cw_quarantine_record *record);
 static bool_t code_plan(XDR *xdr, struct cw_rollout_news *news);
 static bool_t code_evidence(XDR *xdr, struct cw_rollout_evidence *evidence);
 static bool_t code_number(XDR *xdr, float *number);
@@ -155,9 +157,35 @@
 	for (size_t i = 0; i < gossip->rollout_count; i++)
 		if (!code_rollout(xdr, &gossip->rollouts[i]))
 			return FALSE;
+	if (!code_count(xdr, &gossip->end_count, CW_QUARANTINE_ENDS))
+		return FALSE;
+	for (size_t i = 0; i < gossip->end_count; i++)
+		if (!code_end(xdr, &gossip->ends[i]))
+			return FALSE;
+	if (!code_count(xdr, &gossip->held_count, CW_QUARANTINE_RECORDS))
+		return FALSE;
+	for (size_t i = 0; i < gossip->held_count; i++)
+		if (!code_held(xdr, &gossip->held[i]))
+			return FALSE;
 	return TRUE;
 }
 
+static bool_t code_end(XDR *xdr, struct cw_quarantine_end *end)
+{
+	return xdr_uint64_t(xdr, &end->fingerprint) && xdr_uint64_t(xdr, &end->server) &&
+	       xdr_u_int(xdr, &end->age_ms) && xdr_u_int(xdr, &end->ran_ms) &&
+	       xdr_u_int(xdr, &end->answered_ms);
+}
+
+static bool_t code_held(XDR *xdr, struct cw_quarantine_record *record)
+{
+	return xdr_uint64_t(xdr, &record->fingerprint) &&
+	       code_text(xdr, record->organisation, CW_NAME_MAX) &&
+	       code_text(xdr, record->target, CW_NAME_MAX) && xdr_u_int(xdr, &record->ends) &&
+	       xdr_u_int(xdr, &record->age_ms) && xdr_int(xdr, &record->is_released) &&
+	       xdr_int(xdr, &record->is_written);
+}
+
 static bool_t code_member(XDR *xdr, struct cw_gossip_member *member)
 {
 	return code_text(xdr, member->instance, CW_NAME_MAX) &&
--- /dev/null
+++ b/packages/quarantine/src/judge.c
@@ -0,0 +1,162 @@
+/*
+ * Which request a server ended under. All that were there are suspects of each end, most of them
+ * harmless; the one that ends them is at more ends than any other. So the request with the most
+ * ends takes them all upon itself, and the others are judged by the ends that are left: at the end
+ * of a server with a hundred requests one is held and ninety-nine are not.
+ */
+#include "quarantine_internal.h"
+
+static void blame(struct cw_quarantine *quarantine, int64_t now_ms);
+static struct suspect *most_open(struct cw_quarantine *quarantine, int64_t now_ms);
+static size_t count_open(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+			 int64_t now_ms);
+static int counts(const struct suspect *suspect, const struct end *end, int64_t now_ms);
+static int is_explained(const struct cw_quarantine *quarantine, const struct end *end);
+static int64_t mean_ran_ms(const struct suspect *suspect);
+static unsigned int count_rivals(const struct cw_quarantine *quarantine,
+				 const struct suspect *suspect);
+static int has_settled(const struct suspect *suspect, int64_t now_ms);
+
+/*
+ * Anew each time, but for what peers were told: an instance learns of an end from its own callers
+ * first, and a harmless request may lead until the peers' reports are there.
+ */
+void quarantine_judge(struct cw_quarantine *quarantine, int64_t now_ms)
+{
+	struct suspect *suspect;
+
+	quarantine->is_dirty = 0;
+	TAILQ_FOREACH(suspect, &quarantine->suspects, link)
+		suspect->is_blamed = suspect->held_ms && suspect->is_firm;
+	blame(quarantine, now_ms);
+	TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
+		if (suspect->is_blamed && !suspect->held_ms)
+			suspect_hold(quarantine, suspect, CW_QUARANTINE_OWN, now_ms, now_ms);
+		else if (!suspect->is_blamed && suspect->held_ms)
+			suspect_withdraw(quarantine, suspect, now_ms);
+	}
+}
+
+const struct end *suspect_end_at(const struct suspect *suspect, uint64_t server, int64_t at_ms)
+{
+	for (size_t i = 0; i < suspect->end_count; i++) {
+		const struct end *end = &suspect->ends[i];
+
+		if (end->server == server && ABS(end->at_ms - at_ms) < SAME_END_MS)
+			return end;
+	}
+	return NULL;
+}
+
+static void blame(struct cw_quarantine *quarantine, int64_t now_ms)
+{
+	struct suspect *suspect;
+
+	while ((suspect = most_open(quarantine, now_ms))) {
+		suspect->rivals = count_rivals(quarantine, suspect);
+		if (suspect->rivals > 0 && !has_settled(suspect, now_ms)) {
+			quarantine->is_dirty = 1;
+			return;
+		}
+		suspect->is_blamed = 1;
+	}
+}
+
+/* Of those at equally many, the one that had just come to them. NULL: nobody is at enough. */
+static struct suspect *most_open(struct cw_quarantine *quarantine, int64_t now_ms)
+{
+	struct suspect *most = NULL;
+	struct suspect *suspect;
+	size_t most_count = ENDS_TO_HOLD;
+
+	TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
+		size_t count;
+
+		if (suspect->is_blamed || suspect->end_count < ENDS_TO_HOLD)
+			continue;
+		count = count_open(quarantine, suspect, now_ms);
+		if (count < most_count ||
+		    (most && count == most_count && mean_ran_ms(suspect) >= mean_ran_ms(most)))
+			continue;
+		most = suspect;
+		most_count = count;
+	}
+	return most;
+}
+
+/*
+ * A request that is answered at other times is at many servers at once where it is asked for much.
+ * When a rack loses power, they all end with it: that is one end.
+ */
+static size_t count_open(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+			 int64_t now_ms)
+{
+	int64_t moment_ms = -MOMENT_MS;
+	size_t count = 0;
+
+	for (size_t i = 0; i < suspect->end_count; i++) {
+		const struct end *end = &suspect->ends[i];
+
+		if (!counts(suspect, end, now_ms) || is_explained(quarantine, end))
+			continue;
+		if (suspect->answered_ms >= 0 && end->at_ms - moment_ms < MOMENT_MS)
+			continue;
+		moment_ms = end->at_ms;
+		count++;
+	}
+	return count;
+}
+
+static int counts(const struct suspect *suspect, const struct end *end, int64_t now_ms)
+{
+	return end->at_ms > suspect->answered_ms && now_ms - end->at_ms < EVIDENCE_MS;
+}
+
+static int is_explained(const struct cw_quarantine *quarantine, const struct end *end)
+{
+	const struct suspect *suspect;
+
+	TAILQ_FOREACH(suspect, &quarantine->suspects, link)
+		if (suspect->is_blamed && suspect_end_at(suspect, end->server, end->at_ms))
+			return 1;
+	return 0;
+}
+
+static int64_t mean_ran_ms(const struct suspect *suspect)
+{
+	int64_t sum_ms = 0;
+
+	for (size_t i = 0; i < suspect->end_count; i++)
+		sum_ms += suspect->ends[i].ran_ms;
+	return sum_ms / (int64_t)MAX(suspect->end_count, 1);
+}
+
+static unsigned int count_rivals(const struct cw_quarantine *quarantine,
+				 const struct suspect *suspect)
+{
+	const struct suspect *other;
+	unsigned int rivals = 0;
+
+	TAILQ_FOREACH(other, &quarantine->suspects, link) {
+		size_t shared = 0;
+
+		if (other == suspect || other->is_blamed || other->end_count < 2)
+			continue;
+		for (size_t i = 0; i < other->end_count; i++)
+			shared += suspect_end_at(suspect, other->ends[i].server,
+						 other->ends[i].at_ms) != NULL;
+		rivals += shared >= 2;
+	}
+	return rivals;
+}
+
+/* Are the peers' reports of its third end there? */
+static int has_settled(const struct suspect *suspect, int64_t now_ms)
+{
+	size_t seen = 0;
+
+	for (size_t i = 0; i < suspect->end_count; i++)
+		if (counts(suspect, &suspect->ends[i], now_ms) && ++seen == ENDS_TO_HOLD)
+			return now_ms - suspect->ends[i].at_ms >= SETTLE_MS;
+	return 0;
+}
--- /dev/null
+++ b/packages/quarantine/src/share.c
@@ -0,0 +1,157 @@
+/* What instances tell each other, and what is written down. */
+#include "quarantine_internal.h"
+
+#include <string.h>
+
+static size_t tell_suspect(const struct suspect *suspect, int64_t now_ms,
+			   struct cw_quarantine_end *ends, size_t max);
+static int is_news(const struct suspect *suspect, int64_t now_ms);
+
+/*
+ * Those with more ends first: of a hundred requests at one end the one that matters is at others
+ * too. The rest take turns, so that each is told once within TELL_MS.
+ */
+size_t cw_quarantine_tell_ends(struct cw_quarantine *quarantine, int64_t now_ms,
+			       struct cw_quarantine_end *ends, size_t max)
+{
+	const struct suspect *suspect;
+	size_t count = 0;
+	size_t singles = 0;
+	size_t turn = 0;
+
+	TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
+		if (!is_news(suspect, now_ms))
+			continue;
+		if (suspect->end_count > 1)
+			count += tell_suspect(suspect, now_ms, ends + count, max - count);
+		else
+			singles++;
+	}
+	if (singles == 0)
+		return count;
+	quarantine->tell_turn %= singles;
+	for (int round = 0; round < 2; round++, turn = 0)
+		TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
+			if (!is_news(suspect, now_ms) || suspect->end_count > 1)
+				continue;
+			if ((turn++ >= quarantine->tell_turn) == (round == 0) && count < max)
+				count += tell_suspect(suspect, now_ms, ends + count, max - count);
+		}
+	quarantine->tell_turn += max / 2;
+	return count;
+}
+
+size_t cw_quarantine_tell_records(struct cw_quarantine *quarantine, int64_t now_ms,
+				  struct cw_quarantine_record *records, size_t max)
+{
+	const struct suspect *suspect;
+	size_t count = 0;
+	size_t seen = 0;
+	size_t all = 0;
+
+	TAILQ_FOREACH(suspect, &quarantine->suspects, link)
+		all += suspect->is_firm || suspect->released_ms;
+	if (all == 0)
+		return 0;
+	/* More than a message holds take turns. */
+	quarantine->record_turn = all > max ? (quarantine->record_turn + max) % all : 0;
+	for (int round = 0; round < 2; round++, seen = 0)
+		TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
+			if (!suspect->is_firm && !suspect->released_ms)
+				continue;
+			if ((seen++ >= quarantine->record_turn) == (round == 0) && count < max)
+				suspect_record(suspect, now_ms, &records[count++]);
+		}
+	return count;
+}
+
+void cw_quarantine_hear_end(struct cw_quarantine *quarantine, const struct cw_quarantine_end *told,
+			    int64_t now_ms)
+{
+	struct end end = {
+		.server = told->server, .at_ms = now_ms - told->age_ms, .ran_ms = told->ran_ms};
+	struct suspect *suspect;
+
+	if (told->age_ms >= EVIDENCE_MS)
+		return;
+	suspect = suspect_learn(quarantine, told->fingerprint, "", "", now_ms);
+	if (told->answered_ms != CW_QUARANTINE_NEVER)
+		suspect_answered(quarantine, suspect, now_ms - told->answered_ms, now_ms);
+	if (suspect_add_end(quarantine, suspect, &end, now_ms))
+		quarantine_note_left(quarantine, end.server, end.at_ms, now_ms);
+}
+
+/* The newer state counts; what was taken off is not put on again by who hasn't heard of it. */
+void cw_quarantine_hear_record(struct cw_quarantine *quarantine,
+			       const struct cw_quarantine_record *record,
+			       enum cw_quarantine_source source, int64_t now_ms)
+{
+	int64_t since_ms = now_ms - record->age_ms;
+	struct suspect *suspect = suspect_find(quarantine, record->fingerprint);
+
+	if (record->age_ms >= HOLD_MS || (!suspect && record->is_released))
+		return;
+	suspect = suspect_learn(quarantine, record->fingerprint, record->organisation,
+				record->target, now_ms);
+	suspect->ends_seen = MAX(suspect->ends_seen, record->ends);
+	if (record->is_released && suspect->held_ms && since_ms > suspect->held_ms) {
+		suspect_release(quarantine, suspect, source, now_ms);
+		suspect->is_written = record->is_written || source == CW_QUARANTINE_STORE;
+		return;
+	}
+	if (!record->is_released && !suspect->held_ms && since_ms > suspect->released_ms)
+		suspect_hold(quarantine, suspect, source, since_ms, now_ms);
+	if ((suspect->held_ms == 0) == record->is_released) {
+		suspect->is_firm |= suspect->held_ms != 0;
+		suspect->is_written |= record->is_written;
+	}
+}
+
+int cw_quarantine_unwritten(const struct cw_quarantine *quarantine, int64_t now_ms,
+			    struct cw_quarantine_record *record)
+{
+	const struct suspect *suspect;
+
+	TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
+		if (suspect->is_written || (!suspect->is_firm && !suspect->released_ms))
+			continue;
+		suspect_record(suspect, now_ms, record);
+		return 1;
+	}
+	return 0;
+}
+
+void cw_quarantine_written(struct cw_quarantine *quarantine, uint64_t fingerprint, int is_released)
+{
+	struct suspect *suspect = suspect_find(quarantine, fingerprint);
+
+	if (suspect && (suspect->held_ms == 0) == is_released)
+		suspect->is_written = 1;
+}
+
+/* Its newest ends; the whole answer is told with each. */
+static size_t tell_suspect(const struct suspect *suspect, int64_t now_ms,
+			   struct cw_quarantine_end *ends, size_t max)
+{
+	size_t count = 0;
+
+	for (size_t i = suspect->end_count; i-- > 0 && count < MIN(max, ENDS_TOLD);) {
+		const struct end *end = &suspect->ends[i];
+
+		ends[count++] = (struct cw_quarantine_end){
+			.fingerprint = suspect->fingerprint,
+			.server = end->server,
+			.age_ms = (uint32_t)MAX(now_ms - end->at_ms, 0),
+			.ran_ms = (uint32_t)CLAMP(end->ran_ms, 0, EVIDENCE_MS),
+			.answered_ms = suspect->answered_ms < 0
+					       ? CW_QUARANTINE_NEVER
+					       : (uint32_t)MAX(now_ms - suspect->answered_ms, 0),
+		};
+	}
+	return count;
+}
+
+static int is_news(const struct suspect *suspect, int64_t now_ms)
+{
+	return suspect->end_count > 0 && now_ms - suspect->news_ms < TELL_MS;
+}
--- a/packages/rollout/include/cw_rollout.h
+++ b/packages/rollout/include/cw_rollout.h
@@ -171,6 +171,8 @@
 int cw_rollouts_any(const struct cw_rollouts *rollouts);      /* 1: an order is known */
 int cw_rollouts_is_bad(const struct cw_rollouts *rollouts,
 		       const char *service); /* its target was taken back */
+int cw_rollouts_is_retired(const struct cw_rollouts *rollouts, const char *service,
+			   const char *software); /* servers of this version stop at any moment */
 const char *cw_rollouts_target(const struct cw_rollouts *rollouts,
 			       const char *service); /* NULL: no roll-out */
 enum cw_rollout_arm cw_rollouts_arm(struct cw_rollouts *rollouts,
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -96,6 +96,15 @@
 	return rollout && rollout->state == CW_ROLLOUT_BACK;
 }
 
+int cw_rollouts_is_retired(const struct cw_rollouts *rollouts, const char *service,
+			   const char *software)
+{
+	const struct rollout *rollout = rollout_find(rollouts, service);
+
+	return rollout && rollout->state == CW_ROLLOUT_DONE &&
+	       strcmp(rollout->target, software) != 0;
+}
+
 const char *cw_rollouts_target(const struct cw_rollouts *rollouts, const char *service)
 {
 	const struct rollout *rollout = rollout_find(rollouts, service);
--- a/tests/fuzz/users_input.c
+++ b/tests/fuzz/users_input.c
@@ -35,6 +35,7 @@
 
 static void decode(const uint8_t *bytes, size_t size);
 static void decode_entry(const uint8_t *bytes, size_t size);
+static void hear_ends(const uint8_t *bytes, size_t size);
 static void play(const uint8_t *bytes, size_t size);
 static int next(struct stage *stage);
 static void open_stage(struct stage *stage);
@@ -68,16 +69,16 @@
 	struct cw_error error = {0};
 	struct cw_up_page page;
 
-	switch (bytes[0] % 6) {
+	switch (bytes[0] % 7) {
 	case 0:
 		cw_config_unref(cw_up_config_decode(text, length, &error));
 		break;
 	case 1:
-		cw_up_read_answer(bytes[0] / 5 % 3, 200, body, 7, &page, &error);
+		cw_up_read_answer(bytes[0] / 7 % 4, 200, body, 7, &page, &error);
 		cw_up_page_clear(&page);
 		break;
 	case 2:
-		cw_up_newest_answer(bytes[0] / 5 % 3, 200, body, &page, &error);
+		cw_up_newest_answer(bytes[0] / 7 % 4, 200, body, &page, &error);
 		cw_up_page_clear(&page);
 		break;
 	case 3:
@@ -86,6 +87,9 @@
 	case 4:
 		decode_entry(bytes + 1, length);
 		break;
+	case 5:
+		hear_ends(bytes + 1, length);
+		break;
 	default:
 		if (cw_gossip_list_decode(text, length, &list) == CW_OK)
 			g_free(list.entries);
@@ -127,6 +131,58 @@
 	g_string_free(body, TRUE);
 }
 
+/*
+ * Ends of servers, answers and peers' lists in any order, of few requests and servers: the list
+ * stays bounded, and what was answered last of all is not on it.
+ */
+static void hear_ends(const uint8_t *bytes, size_t size)
+{
+	struct cw_quarantine *quarantine = cw_quarantine_create();
+	struct cw_quarantine_record records[CW_QUARANTINE_HELD + 1];
+	struct cw_quarantine_change change;
+	int64_t now_ms = START;
+
+	for (size_t i = 0; i + 2 < size; i += 3) {
+		struct cw_quarantine_request request = {
+			.fingerprint = bytes[i] / 8, .organisation = "o", .target = "t"};
+		struct cw_quarantine_end end = {.fingerprint = bytes[i] / 8,
+						.server = bytes[i + 1] % 16,
+						.age_ms = bytes[i + 2] * 10,
+						.answered_ms = CW_QUARANTINE_NEVER};
+		struct cw_quarantine_record record = {.fingerprint = bytes[i] / 8,
+						      .age_ms = bytes[i + 2] * 10,
+						      .is_released = bytes[i + 1] % 2};
+
+		now_ms += bytes[i + 1];
+		switch (bytes[i] % 8) {
+		case 0:
+			cw_quarantine_hear_record(quarantine, &record, CW_QUARANTINE_PEER, now_ms);
+			break;
+		case 1:
+			cw_quarantine_answered(quarantine, request.fingerprint, now_ms);
+			break;
+		case 2:
+			cw_quarantine_left(quarantine, &request, end.server, bytes[i + 2], now_ms);
+			break;
+		case 3:
+			end.answered_ms = bytes[i + 1] * 10;
+			cw_quarantine_hear_end(quarantine, &end, now_ms);
+			break;
+		default:
+			cw_quarantine_broke(quarantine, &request, end.server, bytes[i + 2], now_ms);
+		}
+		cw_quarantine_tick(quarantine, now_ms);
+		while (cw_quarantine_next_change(quarantine, &change))
+			check(change.record.fingerprint < 32, "a change of an unknown request");
+		check(cw_quarantine_list(quarantine, now_ms, records, CW_QUARANTINE_HELD + 1) <=
+			      CW_QUARANTINE_HELD,
+		      "more requests are held than may be");
+	}
+	cw_quarantine_answered(quarantine, 1, now_ms + 1);
+	check(!cw_quarantine_holds(quarantine, 1), "a request is held that was answered");
+	cw_quarantine_destroy(quarantine);
+}
+
 static void play(const uint8_t *bytes, size_t size)
 {
 	struct stage stage = {.at = bytes, .end = bytes + size, .now_ms = START};
--- a/tests/runs/users_fatal.sh
+++ b/tests/runs/users_fatal.sh
@@ -36,6 +36,7 @@
 echo "-- what its caller is told: at once, not run, and nothing to come back for"
 deadly n2 last -D "$DIR/head"
 grep -ic '^retry-after' "$DIR/head"
+wait_for "the line" grep -q "event=ended request=last" "$DIR/n2.log"
 grep -oE 'event=refused request=last status=503 run=not retry_after_ms=-1' "$DIR/n2.log"
 echo "-- another body of that caller, and that body on another path, are served"
 stream n1 3 other -d 'a question'
@@ -43,7 +44,7 @@
 for n in n1 n2 n3; do kill -KILL "$(pid_of $n)"; done
 for n in n1 n2 n3; do wait "$(pid_of $n)" 2>/dev/null; entry_again $n; done
 for n in n1 n2 n3; do wait_for "$n ready" ready $n; done
-knows_again() { tac "$DIR/$1.log" | sed '/event=started/q' | grep -q 'event=quarantined'; }
+knows_again() { [ "$(metric "$1" quarantined)" = 1 ]; }
 for n in n1 n2 n3; do wait_for "$n knows again" knows_again $n; done
 BACK=$(uptime_ms)
 sleep 0.5
@@ -52,5 +53,5 @@
 echo "-- an instance that is new"
 entry n4
 wait_for "n4 ready" ready n4
-wait_for "n4 knows" grep -q 'event=quarantined' "$DIR/n4.log"
+wait_for "n4 knows" knows_again n4
 deadly n4 new
--- /dev/null
+++ b/tests/unit/test_gate_quarantine.c
@@ -0,0 +1,165 @@
+/* What the gate does about requests that end the servers that run them. */
+#include "gate_bed.h"
+
+#include <string.h>
+
+#define BODY 77
+
+/* Sends the request until it is answered finally; every server ends under it. */
+static unsigned int ask_deadly(struct bed *bed, const char *path)
+{
+	unsigned int sends = 0;
+
+	bed->facts.body = BODY;
+	bed_ask(bed, path);
+	while (bed->step.kind == CW_STEP_SEND) {
+		sends++;
+		cw_call_broken(bed->call, CW_BREAK_BROKEN, BED_NOW + (int64_t)sends * 2000,
+			       &bed->step);
+	}
+	return sends;
+}
+
+/*
+ * Symptom: the caller of such a request got 502 each time and asked again, at once. Sequence: its
+ * third server had ended, the fourth instance sent it on. Cause: nothing was remembered. Now it is
+ * told that the request was not run, and no time to come back at.
+ */
+static void a_held_request_is_refused_unsent_without_a_time_to_return(void **state)
+{
+	struct bed bed;
+
+	bed_open(&bed);
+	assert_int_equal(ask_deadly(&bed, "/chat/x"), 3);
+	bed_assert_refused(&bed, 502, CW_RUN_UNKNOWN);
+	bed_ask(&bed, "/chat/x");
+	bed_assert_refused(&bed, 503, CW_RUN_NOT);
+	assert_int_equal(bed.step.retry_after_ms, -1);
+	assert_int_equal(cw_call_attempts(bed.call), 0);
+	bed.facts.body = BODY + 1;
+	bed_ask(&bed, "/chat/x");
+	assert_int_equal(bed.step.kind, CW_STEP_SEND);
+	bed_close(&bed);
+}
+
+/* Another instance's news comes while the answer is awaited: no further server is risked. */
+static void a_request_that_is_held_meanwhile_is_not_sent_again(void **state)
+{
+	struct cw_answer_facts unsure = {
+		.status = 200, .is_sealed = 1, .is_events = 1, .confidence = 0};
+	struct cw_quarantine_record record = {.ends = 3};
+	struct bed bed;
+
+	bed_open(&bed);
+	bed.facts.body = BODY;
+	bed_ask(&bed, "/chat/x");
+	record.fingerprint = cw_call_fingerprint(bed.call);
+	cw_quarantine_hear_record(cw_gate_quarantine(bed.gate), &record, CW_QUARANTINE_PEER,
+				  BED_NOW);
+	assert_true(cw_call_is_held(bed.call));
+	cw_call_head(bed.call, &unsure, BED_NOW + 20, &bed.step);
+	assert_int_equal(bed.step.kind, CW_STEP_SHOW);
+	assert_string_equal(bed.step.reason, "quarantined");
+	cw_call_broken(bed.call, CW_BREAK_BROKEN, BED_NOW + 30, &bed.step);
+	bed_assert_refused(&bed, 502, CW_RUN_UNKNOWN);
+	bed_close(&bed);
+}
+
+/* A copy in a server's queue is taken out before it can begin. */
+static void a_request_under_way_is_ended_as_it_is_held(void **state)
+{
+	struct cw_quarantine_record record = {.ends = 3};
+	struct bed bed;
+
+	bed_open(&bed);
+	bed.facts.body = BODY;
+	bed_ask(&bed, "/chat/x");
+	record.fingerprint = cw_call_fingerprint(bed.call);
+	cw_quarantine_hear_record(cw_gate_quarantine(bed.gate), &record, CW_QUARANTINE_PEER,
+				  BED_NOW);
+	cw_call_stop(bed.call, BED_NOW + 10, &bed.step);
+	bed_assert_refused(&bed, 502, CW_RUN_UNKNOWN);
+	assert_null(cw_call_server(bed.call));
+	bed_close(&bed);
+}
+
+/* Servers that leave break their last connections: a planned stop is no end. */
+static void servers_that_leave_say_nothing_against_what_they_ran(void **state)
+{
+	struct bed bed;
+
+	bed_open(&bed);
+	bed.facts.body = BODY;
+	for (int i = 0; i < 6; i++) {
+		struct cw_server *server;
+
+		bed_ask(&bed, "/once/x");
+		assert_int_equal(bed.step.kind, CW_STEP_SEND);
+		server = bed.step.server;
+		server->leaving = 1;
+		cw_call_broken(bed.call, CW_BREAK_BROKEN, BED_NOW + i * 2000, &bed.step);
+		server->leaving = 0;
+		server->open_until_ms = 0;
+	}
+	assert_false(cw_call_is_held(bed.call));
+	bed_close(&bed);
+}
+
+/* Rejected, not reached, silent, garbled: none of it is the end of a server. */
+static void only_a_connection_that_broke_counts(void **state)
+{
+	static const enum cw_break others[] = {CW_BREAK_UNSENT, CW_BREAK_REFUSED, CW_BREAK_GARBLED,
+					       CW_BREAK_SILENT};
+	struct bed bed;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(others); i++) {
+		bed_open(&bed);
+		bed.facts.body = BODY;
+		for (int j = 0; j < 5; j++) {
+			bed_ask(&bed, "/read/x");
+			while (bed.step.kind == CW_STEP_SEND)
+				cw_call_broken(bed.call, others[i], BED_NOW + j * 2000, &bed.step);
+		}
+		bed_ask(&bed, "/read/x");
+		assert_false(cw_call_is_held(bed.call));
+		bed_close(&bed);
+	}
+}
+
+/* The answer was dropped for a larger model's, and its server ends: it had begun there. */
+static void an_answer_that_was_dropped_counts_where_it_had_begun(void **state)
+{
+	struct cw_answer_facts unsure = {
+		.status = 200, .is_sealed = 1, .is_events = 1, .confidence = 0};
+	struct cw_quarantine_end ends[CW_QUARANTINE_ENDS];
+	struct cw_quarantine_end heard = {.fingerprint = 1, .answered_ms = CW_QUARANTINE_NEVER};
+	struct bed bed;
+	size_t count;
+
+	bed_open(&bed);
+	bed.facts.body = BODY;
+	bed_ask(&bed, "/chat/x");
+	heard.server = bed.step.server->id;
+	cw_call_head(bed.call, &unsure, BED_NOW + 20, &bed.step);
+	assert_int_equal(bed.step.kind, CW_STEP_SEND);
+	cw_quarantine_hear_end(cw_gate_quarantine(bed.gate), &heard, BED_NOW + 70);
+	count = cw_quarantine_tell_ends(cw_gate_quarantine(bed.gate), BED_NOW + 70, ends,
+					CW_QUARANTINE_ENDS);
+	assert_int_equal(count, 2);
+	assert_int_equal(ends[0].server, ends[1].server);
+	bed_close(&bed);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_held_request_is_refused_unsent_without_a_time_to_return),
+		cmocka_unit_test(a_request_that_is_held_meanwhile_is_not_sent_again),
+		cmocka_unit_test(a_request_under_way_is_ended_as_it_is_held),
+		cmocka_unit_test(servers_that_leave_say_nothing_against_what_they_ran),
+		cmocka_unit_test(only_a_connection_that_broke_counts),
+		cmocka_unit_test(an_answer_that_was_dropped_counts_where_it_had_begun),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- /dev/null
+++ b/tests/unit/test_quarantine.c
@@ -0,0 +1,356 @@
+/* Requests that end the servers that run them: told from those that were there by chance. */
+#include "cw_quarantine.h"
+#include "unit.h"
+
+#include <glib.h>
+#include <string.h>
+
+#define NOW	 100000
+#define DEADLY	 7
+#define HARMLESS 1000 /* and up: each another request */
+#define LATER	 700  /* ms by which a judgement is made and told */
+
+static struct cw_quarantine_request request_of(uint64_t fingerprint, const char *organisation)
+{
+	return (struct cw_quarantine_request){
+		.fingerprint = fingerprint, .organisation = organisation, .target = "chat"};
+}
+
+static void broke(struct cw_quarantine *quarantine, uint64_t fingerprint, uint64_t server,
+		  int64_t now_ms)
+{
+	struct cw_quarantine_request request = request_of(fingerprint, "museo");
+
+	cw_quarantine_broke(quarantine, &request, server, fingerprint == DEADLY ? 50 : 900, now_ms);
+}
+
+/* Lets time pass as the loop does. */
+static void pass(struct cw_quarantine *quarantine, int64_t from_ms, int64_t to_ms)
+{
+	for (int64_t now_ms = from_ms; now_ms <= to_ms; now_ms += 100)
+		cw_quarantine_tick(quarantine, now_ms);
+}
+
+static size_t held(const struct cw_quarantine *quarantine)
+{
+	struct cw_quarantine_record records[CW_QUARANTINE_HELD];
+
+	return cw_quarantine_list(quarantine, NOW, records, CW_QUARANTINE_HELD);
+}
+
+/* One message from one instance to another. */
+static void tell(struct cw_quarantine *from, struct cw_quarantine *to, int64_t now_ms)
+{
+	struct cw_quarantine_end ends[CW_QUARANTINE_ENDS];
+	struct cw_quarantine_record records[CW_QUARANTINE_RECORDS];
+	size_t end_count = cw_quarantine_tell_ends(from, now_ms, ends, CW_QUARANTINE_ENDS);
+	size_t record_count =
+		cw_quarantine_tell_records(from, now_ms, records, CW_QUARANTINE_RECORDS);
+
+	for (size_t i = 0; i < end_count; i++)
+		cw_quarantine_hear_end(to, &ends[i], now_ms);
+	for (size_t i = 0; i < record_count; i++)
+		cw_quarantine_hear_record(to, &records[i], CW_QUARANTINE_PEER, now_ms);
+}
+
+static void a_request_that_ended_three_servers_is_held_at_once(void **state)
+{
+	struct cw_quarantine *quarantine = cw_quarantine_create();
+	struct cw_quarantine_change change;
+
+	broke(quarantine, DEADLY, 1, NOW);
+	broke(quarantine, DEADLY, 2, NOW + 60);
+	assert_false(cw_quarantine_holds(quarantine, DEADLY));
+	broke(quarantine, DEADLY, 3, NOW + 120);
+	assert_true(cw_quarantine_holds(quarantine, DEADLY));
+	assert_false(cw_quarantine_holds(quarantine, HARMLESS));
+	assert_true(cw_quarantine_next_change(quarantine, &change));
+	assert_int_equal(change.record.fingerprint, DEADLY);
+	assert_string_equal(change.record.organisation, "museo");
+	assert_int_equal(change.record.ends, 3);
+	assert_false(cw_quarantine_next_change(quarantine, &change));
+	cw_quarantine_destroy(quarantine);
+}
+
+/* A server that ends breaks many connections at many instances: that is one end, not many. */
+static void one_server_that_ends_is_one_end_however_many_report_it(void **state)
+{
+	struct cw_quarantine *quarantine = cw_quarantine_create();
+	struct cw_quarantine_end told = {.fingerprint = DEADLY,
+					 .server = 1,
+					 .ran_ms = 50,
+					 .answered_ms = CW_QUARANTINE_NEVER};
+
+	for (int i = 0; i < 5; i++)
+		broke(quarantine, DEADLY, 1, NOW + i);
+	for (told.age_ms = 0; told.age_ms < 300; told.age_ms += 50)
+		cw_quarantine_hear_end(quarantine, &told, NOW + 200);
+	pass(quarantine, NOW + 200, NOW + LATER);
+	assert_false(cw_quarantine_holds(quarantine, DEADLY));
+	/* It ends again once it is back. */
+	broke(quarantine, DEADLY, 1, NOW + 2000);
+	broke(quarantine, DEADLY, 1, NOW + 4000);
+	assert_true(cw_quarantine_holds(quarantine, DEADLY));
+	cw_quarantine_destroy(quarantine);
+}
+
+/*
+ * Every request at a server ends with it, and is sent to the next one as the deadly one is: after
+ * three servers each of them was at three ends. Those that are left must not be held with it, or
+ * its caller takes the others along.
+ */
+static void requests_that_were_there_by_chance_are_not_held(void **state)
+{
+	struct cw_quarantine *quarantine = cw_quarantine_create();
+
+	for (int server = 1; server <= 8; server++) {
+		for (int i = 0; i < 20; i++)
+			broke(quarantine, HARMLESS + i + (server > 3 ? server * 100 : 0), server,
+			      NOW + server * 80);
+		broke(quarantine, DEADLY, server, NOW + server * 80);
+		cw_quarantine_tick(quarantine, NOW + server * 80);
+	}
+	pass(quarantine, NOW + LATER, NOW + LATER + 1000);
+	assert_true(cw_quarantine_holds(quarantine, DEADLY));
+	assert_int_equal(held(quarantine), 1);
+	cw_quarantine_destroy(quarantine);
+}
+
+/* All were at the same three servers: the one that had just begun there ended them. */
+static void of_those_at_the_same_ends_the_one_that_had_just_come_is_held(void **state)
+{
+	struct cw_quarantine *quarantine = cw_quarantine_create();
+
+	for (int server = 1; server <= 3; server++) {
+		for (int i = 0; i < 20; i++)
+			broke(quarantine, HARMLESS + i, server, NOW + server * 80);
+		broke(quarantine, DEADLY, server, NOW + server * 80);
+	}
+	pass(quarantine, NOW + 240, NOW + LATER);
+	assert_true(cw_quarantine_holds(quarantine, DEADLY));
+	assert_int_equal(held(quarantine), 1);
+	cw_quarantine_destroy(quarantine);
+}
+
+/*
+ * Many callers stream one harmless body all the while, and servers end for a reason of their own,
+ * one after the other: the body is at every end. It is also answered in between.
+ */
+static void a_request_that_is_answered_in_between_is_never_held(void **state)
+{
+	struct cw_quarantine *quarantine = cw_quarantine_create();
+
+	for (int i = 0; i < 40; i++) {
+		int64_t now_ms = NOW + i * 600;
+
+		broke(quarantine, HARMLESS, (uint64_t)i % 6, now_ms);
+		cw_quarantine_answered(quarantine, HARMLESS, now_ms + 100);
+		pass(quarantine, now_ms + 100, now_ms + 500);
+		assert_int_equal(held(quarantine), 0);
+	}
+	cw_quarantine_destroy(quarantine);
+}
+
+/* The answer was given by another instance than those that saw the ends. */
+static void a_peers_whole_answer_takes_the_ends_back(void **state)
+{
+	struct cw_quarantine *one = cw_quarantine_create();
+	struct cw_quarantine *other = cw_quarantine_create();
+
+	cw_quarantine_answered(other, HARMLESS, NOW + 200);
+	broke(one, HARMLESS, 1, NOW);
+	broke(one, HARMLESS, 2, NOW + 100);
+	tell(one, other, NOW + 250);
+	tell(other, one, NOW + 260);
+	broke(one, HARMLESS, 3, NOW + 300);
+	pass(one, NOW + 300, NOW + LATER);
+	assert_false(cw_quarantine_holds(one, HARMLESS));
+	cw_quarantine_destroy(one);
+	cw_quarantine_destroy(other);
+}
+
+/* A rack loses power: a body that many ask for was at five of its servers. */
+static void servers_that_end_in_one_moment_do_not_speak_against_a_known_request(void **state)
+{
+	struct cw_quarantine *quarantine = cw_quarantine_create();
+
+	cw_quarantine_answered(quarantine, HARMLESS, NOW - 1000);
+	for (int server = 1; server <= 5; server++)
+		broke(quarantine, HARMLESS, server, NOW + server);
+	pass(quarantine, NOW + 5, NOW + LATER);
+	assert_false(cw_quarantine_holds(quarantine, HARMLESS));
+	cw_quarantine_destroy(quarantine);
+}
+
+/* It ends servers at three moments after it was answered: held, but not for long. */
+static void a_known_request_is_held_for_a_short_time_only(void **state)
+{
+	struct cw_quarantine *quarantine = cw_quarantine_create();
+
+	cw_quarantine_answered(quarantine, HARMLESS, NOW - 1000);
+	for (int server = 1; server <= 3; server++)
+		broke(quarantine, HARMLESS, server, NOW + server * 500);
+	assert_true(cw_quarantine_holds(quarantine, HARMLESS));
+	pass(quarantine, NOW + 1500, NOW + 12000);
+	assert_false(cw_quarantine_holds(quarantine, HARMLESS));
+	cw_quarantine_destroy(quarantine);
+}
+
+/*
+ * Symptom: fifty-four servers ended under one request. Sequence: it came to another instance each
+ * time, so that none of them saw three ends. Cause: nobody told of them.
+ */
+static void three_instances_that_saw_one_end_each_tell_a_fourth(void **state)
+{
+	struct cw_quarantine *all[4];
+
+	for (int i = 0; i < 4; i++)
+		all[i] = cw_quarantine_create();
+	for (int i = 0; i < 3; i++)
+		broke(all[i], DEADLY, (uint64_t)i + 1, NOW + i * 100);
+	for (int64_t now_ms = NOW + 200; now_ms <= NOW + LATER; now_ms += 150)
+		for (int i = 0; i < 4; i++) {
+			for (int j = 0; j < 4; j++)
+				if (i != j)
+					tell(all[i], all[j], now_ms);
+			cw_quarantine_tick(all[i], now_ms);
+		}
+	for (int i = 0; i < 4; i++) {
+		assert_true(cw_quarantine_holds(all[i], DEADLY));
+		cw_quarantine_destroy(all[i]);
+	}
+}
+
+/* One that missed all ends learns from the list, and so does one that reads it in the store. */
+static void the_list_alone_is_enough_to_hold_a_request(void **state)
+{
+	struct cw_quarantine *one = cw_quarantine_create();
+	struct cw_quarantine *other = cw_quarantine_create();
+	struct cw_quarantine_record record;
+
+	for (int server = 1; server <= 3; server++)
+		broke(one, DEADLY, server, NOW + server);
+	assert_false(cw_quarantine_unwritten(one, NOW + 3, &record));
+	pass(one, NOW + 3, NOW + 20000);
+	assert_true(cw_quarantine_unwritten(one, NOW + 20000, &record));
+	assert_int_equal(record.fingerprint, DEADLY);
+	cw_quarantine_written(one, DEADLY, 0);
+	assert_false(cw_quarantine_unwritten(one, NOW + 20000, &record));
+	tell(one, other, NOW + 20000);
+	assert_true(cw_quarantine_holds(other, DEADLY));
+	assert_false(cw_quarantine_unwritten(other, NOW + 20000, &record));
+	cw_quarantine_destroy(one);
+	cw_quarantine_destroy(other);
+}
+
+/* A peer that hasn't heard of it tells that it is held: it stays off the list. */
+static void what_an_operator_took_off_stays_off(void **state)
+{
+	struct cw_quarantine *one = cw_quarantine_create();
+	struct cw_quarantine *other = cw_quarantine_create();
+	struct cw_quarantine_record record;
+
+	for (int server = 1; server <= 3; server++)
+		broke(one, DEADLY, server, NOW + server);
+	pass(one, NOW + 3, NOW + LATER);
+	tell(one, other, NOW + LATER);
+	assert_true(cw_quarantine_holds(other, DEADLY));
+	assert_true(cw_quarantine_release(one, DEADLY, NOW + 2000));
+	assert_false(cw_quarantine_release(one, DEADLY, NOW + 2000));
+	tell(other, one, NOW + 2100);
+	pass(one, NOW + 2100, NOW + 2500);
+	assert_false(cw_quarantine_holds(one, DEADLY));
+	tell(one, other, NOW + 2600);
+	assert_false(cw_quarantine_holds(other, DEADLY));
+	assert_true(cw_quarantine_unwritten(one, NOW + 2600, &record));
+	assert_true(record.is_released);
+	cw_quarantine_destroy(one);
+	cw_quarantine_destroy(other);
+}
+
+/* Its answer was dropped for another model's before its server ended. */
+static void a_request_that_was_given_up_counts_at_the_end_that_follows(void **state)
+{
+	struct cw_quarantine *quarantine = cw_quarantine_create();
+	struct cw_quarantine_request deadly = request_of(DEADLY, "museo");
+
+	for (int server = 1; server <= 3; server++) {
+		cw_quarantine_left(quarantine, &deadly, server, 5, NOW + server * 500);
+		broke(quarantine, HARMLESS + server, server, NOW + server * 500 + 50);
+	}
+	/* Long after it was given up: it was over by then. */
+	cw_quarantine_left(quarantine, &deadly, 9, 5, NOW + 2000);
+	broke(quarantine, HARMLESS + 9, 9, NOW + 4000);
+	pass(quarantine, NOW + 2000, NOW + 2000 + LATER);
+	assert_true(cw_quarantine_holds(quarantine, DEADLY));
+	assert_int_equal(held(quarantine), 1);
+	cw_quarantine_destroy(quarantine);
+}
+
+/* It brings a thousand such bodies: the others' suspects and those held stay. */
+static void one_caller_does_not_drive_out_the_others(void **state)
+{
+	struct cw_quarantine *quarantine = cw_quarantine_create();
+	struct cw_quarantine_request many;
+
+	broke(quarantine, DEADLY, 1, NOW);
+	broke(quarantine, DEADLY, 2, NOW + 1);
+	for (int i = 0; i < 1000; i++) {
+		many = request_of((uint64_t)(HARMLESS + i), "other");
+		for (int j = 0; j < 3; j++)
+			cw_quarantine_broke(quarantine, &many, (uint64_t)(100 + i * 3 + j), 40,
+					    NOW + i);
+	}
+	assert_true(held(quarantine) <= 16);
+	broke(quarantine, DEADLY, 3, NOW + 1000);
+	pass(quarantine, NOW + 1000, NOW + 1000 + LATER);
+	assert_true(cw_quarantine_holds(quarantine, DEADLY));
+	cw_quarantine_destroy(quarantine);
+}
+
+/* A good version of an engine is not blamed for what such a request does to its server. */
+static void an_end_under_such_a_request_says_little_of_the_version(void **state)
+{
+	struct cw_quarantine *quarantine = cw_quarantine_create();
+
+	broke(quarantine, DEADLY, 1, NOW);
+	assert_false(cw_quarantine_doubts(quarantine, 1, NOW));
+	broke(quarantine, DEADLY, 2, NOW + 100);
+	assert_true(cw_quarantine_doubts(quarantine, 2, NOW + 100));
+	assert_false(cw_quarantine_doubts(quarantine, 3, NOW + 100));
+	cw_quarantine_destroy(quarantine);
+}
+
+static void the_same_request_has_the_same_fingerprint_and_others_do_not(void **state)
+{
+	uint64_t one = cw_quarantine_fingerprint("/chat/5", "museo", 11);
+
+	assert_int_equal(one, cw_quarantine_fingerprint("/chat/5", "museo", 11));
+	assert_int_not_equal(one, cw_quarantine_fingerprint("/chat/6", "museo", 11));
+	assert_int_not_equal(one, cw_quarantine_fingerprint("/chat/5", "other", 11));
+	assert_int_not_equal(one, cw_quarantine_fingerprint("/chat/5", "museo", 12));
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_request_that_ended_three_servers_is_held_at_once),
+		cmocka_unit_test(one_server_that_ends_is_one_end_however_many_report_it),
+		cmocka_unit_test(requests_that_were_there_by_chance_are_not_held),
+		cmocka_unit_test(of_those_at_the_same_ends_the_one_that_had_just_come_is_held),
+		cmocka_unit_test(a_request_that_is_answered_in_between_is_never_held),
+		cmocka_unit_test(a_peers_whole_answer_takes_the_ends_back),
+		cmocka_unit_test(
+			servers_that_end_in_one_moment_do_not_speak_against_a_known_request),
+		cmocka_unit_test(a_known_request_is_held_for_a_short_time_only),
+		cmocka_unit_test(three_instances_that_saw_one_end_each_tell_a_fourth),
+		cmocka_unit_test(the_list_alone_is_enough_to_hold_a_request),
+		cmocka_unit_test(what_an_operator_took_off_stays_off),
+		cmocka_unit_test(a_request_that_was_given_up_counts_at_the_end_that_follows),
+		cmocka_unit_test(one_caller_does_not_drive_out_the_others),
+		cmocka_unit_test(an_end_under_such_a_request_says_little_of_the_version),
+		cmocka_unit_test(the_same_request_has_the_same_fingerprint_and_others_do_not),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
