node, cwctl: over the own interface too a request under which three servers ended is sent nowhere

Callers of the own interface saw the same: one body ended every engine that began it, and the others' requests failed with it. The list and its judgement are the platform's face's (packages/quarantine); here the ends come with the attempts' ends, peers hear of them in heartbeats, and the notices keep the list. A time limit that passed is no end: the client now tells a connection that the server ended from one that was given up. What is held gets 422, not run, no time to return at; an attempt that is out is cancelled at its engine. Operators see the list and take a request off it: cwctl quarantine.

A second fault of the first design, found here: a short or continued answer may be whole before its server ends under it, which took all ends back (five ends until it was held). An answer speaks for a request only when one run gave it whole and the server goes on for a second.

--- a/apps/corianderwalk/job.c
+++ b/apps/corianderwalk/job.c
@@ -65,6 +65,8 @@
 
 void job_tell(struct job *job, struct cw_effect *effect)
 {
+	if (effect->kind == CW_EFFECT_REFUSE)
+		__atomic_store_n(&job->given_up, 1, __ATOMIC_RELEASE);
 	if (cw_ring_push(job->mailbox, effect, 0) != CW_OK)
 		cw_effect_destroy(effect);
 }
@@ -101,7 +103,7 @@
 	job_release(job);
 }
 
-char *job_query(struct daemon *daemon, enum cw_query query, const char *key_sha256, int *status)
+char *job_query(struct daemon *daemon, enum cw_query query, const char *text, int *status)
 {
 	struct job_in in = {0};
 	struct job *job = job_create(daemon, &in);
@@ -110,10 +112,10 @@
 	char *answer;
 
 	message->job = job;
-	message->text = g_strdup(key_sha256);
+	message->text = g_strdup(text);
 	message->event.query.handle = job_handle(job);
 	message->event.query.query = query;
-	message->event.query.key_sha256 = message->text;
+	message->event.query.text = message->text;
 	if (core_try_post(daemon, message) != CW_OK) {
 		message_destroy(message);
 		job_release(job);
--- a/apps/corianderwalk/job.h
+++ b/apps/corianderwalk/job.h
@@ -25,7 +25,7 @@
 void job_answer(
 	struct job *job,
 	struct cw_http_out *out); /* runs it; returns with the answer, or with its stream begun */
-char *job_query(struct daemon *daemon, enum cw_query query, const char *key_sha256,
+char *job_query(struct daemon *daemon, enum cw_query query, const char *text,
 		int *status); /* g_free; NULL when the core is full */
 
 #endif
--- a/apps/corianderwalk/job_attempt.c
+++ b/apps/corianderwalk/job_attempt.c
@@ -155,6 +155,7 @@
 	message->attempt.attempt = effect->dispatch.attempt;
 	message->attempt.result = job->result;
 	message->attempt.http_status = answer->status;
+	message->attempt.is_cut = answer->is_cut;
 	message->attempt.prompt_tokens = prompt;
 	message->attempt.completion_tokens = completion;
 	message->attempt.shown = cw_answer_shown(job->answer);
@@ -319,7 +320,8 @@
  */
 static int caller_left(const struct job *job)
 {
-	if (__atomic_load_n(&job->caller_gone, __ATOMIC_ACQUIRE))
+	if (__atomic_load_n(&job->caller_gone, __ATOMIC_ACQUIRE) ||
+	    __atomic_load_n(&job->given_up, __ATOMIC_ACQUIRE))
 		return 1;
 	return job_is_stream(job) && job->head_told && cw_ring_is_shut(job->stream);
 }
--- a/apps/corianderwalk/job_internal.h
+++ b/apps/corianderwalk/job_internal.h
@@ -17,6 +17,7 @@
 	struct cw_ring *stream; /* chunks for the caller */
 	int head_told;
 	int caller_gone;
+	int given_up; /* the core has refused it while an attempt was out */
 	struct cw_http_out out;
 	char model_version[2 * CW_NAME_MAX];
 	char session_token[CW_TOKEN_MAX];
--- a/apps/corianderwalk/operators.c
+++ b/apps/corianderwalk/operators.c
@@ -6,6 +6,8 @@
 
 #include <string.h>
 
+#define QUARANTINE "/quarantine/" /* before a fingerprint: DELETE takes it off the list */
+
 static void gauges(struct daemon *daemon);
 
 void operators_handle(void *context, const struct cw_http_in *in, struct cw_http_out *out)
@@ -33,6 +35,13 @@
 	} else if (!strcmp(in->path, "/status")) {
 		out->body = job_query(daemon, CW_QUERY_STATUS, NULL, &status);
 		cw_http_out_json(out, status, out->body);
+	} else if (!strcmp(in->path, "/quarantine")) {
+		out->body = job_query(daemon, CW_QUERY_QUARANTINE, NULL, &status);
+		cw_http_out_json(out, status, out->body);
+	} else if (g_str_has_prefix(in->path, QUARANTINE) && !strcmp(in->method, "DELETE")) {
+		out->body =
+			job_query(daemon, CW_QUERY_RELEASE, in->path + strlen(QUARANTINE), &status);
+		cw_http_out_json(out, status, out->body);
 	} else {
 		callers_refusal(out, CW_CODE_BAD_REQUEST, CW_RUN_NOT, 0, "no such path");
 		out->status = 404;
--- a/apps/cwctl/cwctl.h
+++ b/apps/cwctl/cwctl.h
@@ -46,6 +46,13 @@
 enum exit_code show_counters(const struct options *options);
 enum exit_code show_bills(const struct options *options);
 enum exit_code show_status(const struct options *options);
+const char *text_of(struct json_object *object, const char *key); /* "" when missing */
+char *operator_call(const char *address, const char *method, const char *path,
+		    int *status); /* g_free; NULL: not reached */
+
+/* quarantine.c: requests that are sent nowhere, since servers ended under them */
+enum exit_code show_quarantine(const struct options *options);
+enum exit_code release_quarantined(const struct options *options);
 
 /* print.c */
 struct grid;
--- a/apps/cwctl/main.c
+++ b/apps/cwctl/main.c
@@ -37,6 +37,8 @@
 	{"counters", NULL, "counters", 0, 1, show_counters},
 	{"bills", NULL, "bills [--organisation NAME]", 1, 0, show_bills},
 	{"status", NULL, "status", 0, 1, show_status},
+	{"quarantine", "list", "quarantine list", 0, 1, show_quarantine},
+	{"quarantine", "release", "quarantine release FINGERPRINT", 0, 1, release_quarantined},
 };
 
 int main(int argc, char **argv)
--- a/apps/cwctl/reports.c
+++ b/apps/cwctl/reports.c
@@ -23,7 +23,6 @@
 static void add_lines(GPtrArray *lines, const char *answer, const char *request);
 static void show_bill(void *context, uint64_t offset, const char *data);
 static void show_one_bill(struct bills *bills, struct json_object *bill);
-static const char *text_of(struct json_object *object, const char *key);
 
 enum exit_code show_timeline(const struct options *options)
 {
@@ -161,9 +160,19 @@
 }
 
 static char *ask(const char *address, const char *path)
+{
+	int status;
+	char *body = operator_call(address, "GET", path, &status);
+
+	if (body && status != 200)
+		g_clear_pointer(&body, g_free);
+	return body;
+}
+
+char *operator_call(const char *address, const char *method, const char *path, int *status)
 {
 	struct cw_http_call call = {
-		.method = "GET",
+		.method = method,
 		.address = address,
 		.path = path,
 		.connect_ms = CALL_MS,
@@ -173,8 +182,9 @@
 	struct cw_http_answer answer;
 	char *body = NULL;
 
-	if (cw_http_perform(&call, &answer, NULL) == CW_OK && answer.status == 200)
+	if (cw_http_perform(&call, &answer, NULL) == CW_OK)
 		body = g_steal_pointer(&answer.body);
+	*status = answer.status;
 	cw_http_answer_clear(&answer);
 	return body;
 }
@@ -243,7 +253,7 @@
 		print_json(json_object_get(bill));
 }
 
-static const char *text_of(struct json_object *object, const char *key)
+const char *text_of(struct json_object *object, const char *key)
 {
 	struct json_object *value;
 
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -57,6 +57,7 @@
 	call->facts = *facts;
 	call->opened_ms = came_ms;
 	call->last_event = facts->last_event;
+	call->is_continued = facts->last_event != CW_NO_EVENT;
 	call->limit_ms = came_ms + (facts->allowed_ms >= 0 ? facts->allowed_ms : 0);
 	if (!gate->config) {
 		refuse(step, 503, "no configuration is known yet");
@@ -191,7 +192,11 @@
 	if (!call->server)
 		return;
 	call_work_done(call, now_ms);
-	cw_quarantine_answered(call->gate->quarantine, call->fingerprint, now_ms);
+	if (call->is_continued)
+		note_left(call, call->server, now_ms);
+	else
+		cw_quarantine_answered(call->gate->quarantine, call->fingerprint, call->server->id,
+				       ran_ms(call, now_ms), now_ms);
 	cw_pool_succeeded(call->server, now_ms);
 	leave_server(call, now_ms, 1);
 }
@@ -402,6 +407,7 @@
 	if (!server)
 		return 0;
 	step->assignment = call->assignment;
+	call->is_continued |= call->is_shown;
 	call->server = server;
 	g_strlcpy(call->software, server->software, sizeof(call->software));
 	call->sent_ms = now_ms;
@@ -428,12 +434,12 @@
 {
 	struct cw_server *previous = call->server;
 	int64_t previous_ran_ms = ran_ms(call, now_ms);
-	struct cw_quarantine_request request = as_quarantined(call);
 
 	call_work_end(call);
 	if (!send(call, now_ms, step))
 		return 0;
-	cw_quarantine_left(call->gate->quarantine, &request, previous->id, previous_ran_ms, now_ms);
+	cw_quarantine_left(call->gate->quarantine, call->fingerprint, previous->id, previous_ran_ms,
+			   now_ms);
 	cw_pool_ended(previous, now_ms, -1);
 	return 1;
 }
@@ -495,10 +501,8 @@
 
 static void note_left(struct cw_call *call, const struct cw_server *server, int64_t now_ms)
 {
-	struct cw_quarantine_request request = as_quarantined(call);
-
-	cw_quarantine_left(call->gate->quarantine, &request, server->id, ran_ms(call, now_ms),
-			   now_ms);
+	cw_quarantine_left(call->gate->quarantine, call->fingerprint, server->id,
+			   ran_ms(call, now_ms), now_ms);
 }
 
 /* The connection broke. A server that leaves, or whose version was replaced, stops by plan. */
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -62,6 +62,7 @@
 	unsigned int unsent;   /* connections that failed */
 	int may_have_run;
 	int is_shown;
+	int is_continued; /* the answer is not of one run */
 	int64_t last_event;
 	size_t model; /* index among the route's, when it has any */
 	uint64_t session;
--- a/packages/http/include/cw_http_client.h
+++ b/packages/http/include/cw_http_client.h
@@ -40,6 +40,7 @@
 	char request_id[CW_ID_MAX];
 	double first_ms; /* to the first byte of the body, < 0 none */
 	double total_ms;
+	int is_cut; /* the peer ended the connection before the whole answer was there */
 };
 
 struct cw_http_transport {
--- a/packages/http/src/client.c
+++ b/packages/http/src/client.c
@@ -41,6 +41,7 @@
 static int on_progress(void *context, curl_off_t a, curl_off_t b, curl_off_t c, curl_off_t d);
 static int tell_head(struct transfer *transfer);
 static enum cw_status judge(const struct transfer *transfer, CURLcode code, struct cw_error *error);
+static int is_cut(CURLcode code);
 
 const struct cw_http_transport cw_http_pooled = {"pooled", pooled_perform};
 
@@ -98,6 +99,7 @@
 	answer->status = (int)http;
 	answer->total_ms = (double)(g_get_monotonic_time() - transfer.start_us) / 1000;
 	status = judge(&transfer, code, error);
+	answer->is_cut = status == CW_UNKNOWN && is_cut(code);
 	if (transfer.body) {
 		answer->size = transfer.body->len;
 		answer->body = g_string_free(transfer.body, FALSE);
@@ -281,3 +283,10 @@
 				    curl_easy_strerror(code));
 	return cw_error_set(error, CW_UNKNOWN, STEP, peer, "%s", curl_easy_strerror(code));
 }
+
+/* The last one: on a kept connection that broke libcurl tries a new one, and nobody listens. */
+static int is_cut(CURLcode code)
+{
+	return code == CURLE_GOT_NOTHING || code == CURLE_RECV_ERROR || code == CURLE_SEND_ERROR ||
+	       code == CURLE_PARTIAL_FILE || code == CURLE_COULDNT_CONNECT;
+}
--- a/packages/node/include/cw_node.h
+++ b/packages/node/include/cw_node.h
@@ -46,6 +46,7 @@
 	CW_CODE_LEAVING,
 	CW_CODE_UPSTREAM_FAILED,
 	CW_CODE_DEADLINE,
+	CW_CODE_QUARANTINED, /* servers ended under it: it is sent nowhere */
 	CW_CODES,
 };
 
@@ -89,6 +90,7 @@
 	unsigned int attempt;
 	enum cw_attempt_result result;
 	int http_status;
+	int is_cut; /* the server ended the connection, not a time limit or the caller */
 	unsigned int prompt_tokens;
 	unsigned int completion_tokens;
 	unsigned int shown; /* chunks the caller has seen, of all attempts */
@@ -146,8 +148,10 @@
 };
 
 enum cw_query {
-	CW_QUERY_MODELS, /* what an organisation may use */
-	CW_QUERY_STATUS, /* for operators */
+	CW_QUERY_MODELS,     /* what an organisation may use */
+	CW_QUERY_STATUS,     /* for operators */
+	CW_QUERY_QUARANTINE, /* requests that are sent nowhere; for operators */
+	CW_QUERY_RELEASE,    /* takes one of them off the list; for operators */
 };
 
 struct cw_event {
@@ -187,7 +191,7 @@
 		struct {
 			uint64_t handle;
 			enum cw_query query;
-			const char *key_sha256;
+			const char *text; /* SHA-256 of the asker's key, or a fingerprint */
 		} query;
 	};
 };
--- a/packages/node/src/effects.c
+++ b/packages/node/src/effects.c
@@ -22,6 +22,7 @@
 	[CW_CODE_LEAVING] = {"leaving", 503},
 	[CW_CODE_UPSTREAM_FAILED] = {"upstream_failed", 502},
 	[CW_CODE_DEADLINE] = {"deadline", 504},
+	[CW_CODE_QUARANTINED] = {"quarantined", 422},
 };
 
 void cw_effects_open(struct cw_effects *effects)
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -21,7 +21,7 @@
 static void node_stop(struct cw_node *node);
 static void node_check_stopped(struct cw_node *node);
 static void node_query(struct cw_node *node, uint64_t handle, enum cw_query query,
-		       const char *key_sha256);
+		       const char *text);
 static char *models_answer(struct cw_node *node, const char *organisation);
 static char *status_answer(struct cw_node *node);
 
@@ -77,6 +77,7 @@
 	node->health = cw_health_create(config->health);
 	node->cascade = cw_cascade_create(config->cascade);
 	node->sessions = cw_session_create(CW_MAX_SESSIONS);
+	node->quarantine = cw_quarantine_create();
 	LIST_INIT(&node->requests);
 	LIST_INIT(&node->free_requests);
 	node->by_handle = g_hash_table_new(g_int64_hash, g_int64_equal);
@@ -114,6 +115,7 @@
 	cw_health_destroy(node->health);
 	cw_cascade_destroy(node->cascade);
 	cw_session_destroy(node->sessions);
+	cw_quarantine_destroy(node->quarantine);
 	g_hash_table_destroy(node->by_handle);
 	g_hash_table_destroy(node->ratings_sent);
 	g_hash_table_destroy(node->ratings_seen);
@@ -172,7 +174,7 @@
 		node_stop(node);
 		break;
 	case CW_EVENT_QUERY:
-		node_query(node, event->query.handle, event->query.query, event->query.key_sha256);
+		node_query(node, event->query.handle, event->query.query, event->query.text);
 		break;
 	}
 	if (event->kind == CW_EVENT_TICK) {
@@ -185,6 +187,7 @@
 	log_tick(node);
 	claims_tick(node);
 	bills_tick(node);
+	quarantine_tick(node);
 	gossip_tick(node);
 	node_check_stopped(node);
 	node->effects = NULL;
@@ -409,21 +412,31 @@
 	node_effect(node, CW_EFFECT_STOPPED, 0);
 }
 
-static void node_query(struct cw_node *node, uint64_t handle, enum cw_query query,
-		       const char *key_sha256)
+static void node_query(struct cw_node *node, uint64_t handle, enum cw_query query, const char *text)
 {
-	const char *organisation =
-		key_sha256 ? cw_table_organisation(node->table, key_sha256) : NULL;
 	struct cw_effect *effect = node_effect(node, CW_EFFECT_REPLY, handle);
+	const char *organisation;
 
 	effect->replay.status = 200;
-	if (query == CW_QUERY_STATUS) {
+	switch (query) {
+	case CW_QUERY_STATUS:
 		effect->replay.answer = status_answer(node);
-	} else if (organisation) {
-		effect->replay.answer = models_answer(node, organisation);
-	} else {
-		effect->replay.status = 401;
-		effect->replay.answer = NULL;
+		break;
+	case CW_QUERY_MODELS:
+		organisation = text ? cw_table_organisation(node->table, text) : NULL;
+		if (organisation)
+			effect->replay.answer = models_answer(node, organisation);
+		else
+			effect->replay.status = 401;
+		break;
+	case CW_QUERY_QUARANTINE:
+		effect->replay.answer = quarantine_answer(node);
+		break;
+	case CW_QUERY_RELEASE:
+		if (!quarantine_release(node, text))
+			effect->replay.status = 404;
+		effect->replay.answer = quarantine_answer(node);
+		break;
 	}
 }
 
@@ -462,6 +475,7 @@
 	struct json_object *answer = json_object_new_object();
 	struct json_object *members = json_object_new_array();
 	struct json_object *servers = json_object_new_array();
+	struct cw_quarantine_record held[CW_QUARANTINE_HELD];
 	const struct cw_member *member;
 	const struct cw_server *server;
 	char *text;
@@ -479,6 +493,9 @@
 			       json_object_new_int64((int64_t)cw_node_bills_held(node)));
 	json_object_object_add(answer, "sessions",
 			       json_object_new_int64((int64_t)cw_session_count(node->sessions)));
+	json_object_object_add(answer, "quarantined",
+			       json_object_new_int64((int64_t)cw_quarantine_list(
+				       node->quarantine, node->now_ms, held, CW_QUARANTINE_HELD)));
 	json_object_object_add(
 		answer, "platform",
 		json_object_new_string(log_is_up(node, CW_STREAM_TABLE) ? "up" : "down"));
--- a/packages/node/src/node_gossip.c
+++ b/packages/node/src/node_gossip.c
@@ -252,6 +252,9 @@
 	struct peer_load loads[LOADS_MAX];
 	struct peer_want wants[WANTS_MAX];
 	struct peer_rating ratings[RATINGS_A_MESSAGE];
+	struct peer_end ends[CW_QUARANTINE_ENDS];
+	struct peer_held held[CW_QUARANTINE_RECORDS];
+	struct cw_quarantine_record records[CW_QUARANTINE_RECORDS];
 	uint64_t rows[WANTS_MAX];
 	uint32_t parts[WANTS_MAX];
 	struct peer_message message = {0};
@@ -293,6 +296,7 @@
 	beat->ratings.ratings_len =
 		(u_int)fill_ratings(node, member, ratings, (uint64_t *)&beat->first_rating);
 	beat->ratings.ratings_val = ratings;
+	quarantine_tell(node, ends, held, records, beat);
 	gossip_send(node, member, &message);
 }
 
@@ -337,6 +341,7 @@
 	take_evidence(node, member, beat);
 	take_ratings(node, member, beat);
 	take_loads(node, beat);
+	quarantine_hear(node, beat);
 	grant(node, member, beat);
 	if (beat->table_offset < cw_table_offset(node->table))
 		send_table(node, member, beat->table_offset);
--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -26,6 +26,8 @@
 	char model[CW_NAME_MAX];
 	char version[CW_NAME_MAX];
 	enum cw_attempt_result result;
+	int64_t sent_ms;
+	enum cw_dispatch_mode mode;
 	unsigned int prompt_tokens;
 	unsigned int completion_tokens;
 	double cost_per_1k;
@@ -184,6 +186,9 @@
 	struct cw_health *health;
 	struct cw_cascade *cascade;
 	struct cw_session_store *sessions;
+	struct cw_quarantine *quarantine;
+	uint64_t quarantine_ticket; /* of the append that is out, 0 none */
+	int64_t quarantine_due_ms;  /* no other append before */
 
 	struct request_list requests;
 	struct request_list free_requests;
@@ -301,6 +306,24 @@
 		   double score, unsigned int tokens);
 void gossip_tripped(struct cw_node *node, uint64_t version, const char *how);
 
+/* node_quarantine.c: requests that end the servers that run them */
+int quarantine_refuses(struct cw_node *node,
+		       struct request *request); /* 1: it was refused, it is held */
+void quarantine_attempt_ended(struct cw_node *node, const struct request *request,
+			      const struct cw_server *server, const struct cw_attempt_end *end);
+void quarantine_left(struct cw_node *node, const struct request *request,
+		     const struct cw_server *server); /* given up; it may still run there */
+void quarantine_tick(struct cw_node *node);
+void quarantine_notice(struct cw_node *node, struct json_object *notice, int64_t time_ms);
+void quarantine_appended(struct cw_node *node, const struct cw_appended *appended);
+void quarantine_tell(struct cw_node *node, struct peer_end ends[CW_QUARANTINE_ENDS],
+		     struct peer_held held[CW_QUARANTINE_RECORDS],
+		     struct cw_quarantine_record records[CW_QUARANTINE_RECORDS],
+		     struct peer_heartbeat *beat); /* the beat points into the three */
+void quarantine_hear(struct cw_node *node, const struct peer_heartbeat *beat);
+char *quarantine_answer(struct cw_node *node); /* JSON, for operators; g_free */
+int quarantine_release(struct cw_node *node, const char *fingerprint); /* 0: it isn't held */
+
 /* node_rollout.c */
 void rollout_tick(struct cw_node *node);
 void rollout_notice(struct cw_node *node, uint64_t offset, int64_t time_ms, const char *data);
--- a/packages/node/src/node_log.c
+++ b/packages/node/src/node_log.c
@@ -107,6 +107,7 @@
 	claims_appended(node, appended);
 	bills_appended(node, appended);
 	rollout_appended(node, appended);
+	quarantine_appended(node, appended);
 }
 
 void log_tick(struct cw_node *node)
--- /dev/null
+++ b/packages/node/src/node_quarantine.c
@@ -0,0 +1,299 @@
+/*
+ * Requests that end the engines that run them: what the node tells the list, what it does about
+ * those that are held, and the list in peers' messages, in the notices and for operators.
+ */
+#include "node_internal.h"
+
+#include <string.h>
+
+#define STEP_MS	 400  /* between two instances that would write the same */
+#define AGAIN_MS 2000 /* after a write: its own record is folded by then, or was lost */
+
+static struct cw_quarantine_request as_quarantined(const struct request *request);
+static int64_t ran_ms(const struct cw_node *node, const struct request *request);
+static void log_change(struct cw_node *node, const struct cw_quarantine_change *change);
+static void stop_held(struct cw_node *node);
+static void write_next(struct cw_node *node);
+static struct json_object *as_json(const struct cw_quarantine_record *record);
+static const char *text_of(struct json_object *object, const char *key);
+
+int quarantine_refuses(struct cw_node *node, struct request *request)
+{
+	if (!cw_quarantine_holds(node->quarantine, request->fingerprint))
+		return 0;
+	request_refuse(node, request, CW_CODE_QUARANTINED, 0,
+		       "backend servers ended under this request");
+	return 1;
+}
+
+/* Called with the attempt's end, before the server and its version are judged by it. */
+void quarantine_attempt_ended(struct cw_node *node, const struct request *request,
+			      const struct cw_server *server, const struct cw_attempt_end *end)
+{
+	const struct attempt *attempt = &request->attempts[request->attempt_count - 1];
+	struct cw_quarantine_request quarantined = as_quarantined(request);
+
+	switch (end->result) {
+	case CW_ATTEMPT_ANSWERED:
+	case CW_ATTEMPT_PASSED:
+		if (attempt->mode != CW_DISPATCH_FRESH) {
+			quarantine_left(node, request, server);
+			break;
+		}
+		cw_quarantine_answered(node->quarantine, request->fingerprint, server->id,
+				       ran_ms(node, request), node->now_ms);
+		break;
+	case CW_ATTEMPT_BROKEN:
+		if (!end->is_cut || server->leaving || server->gone) {
+			quarantine_left(node, request, server);
+			break;
+		}
+		cw_quarantine_broke(node->quarantine, &quarantined, server->id,
+				    ran_ms(node, request), node->now_ms);
+		gossip_hurry(node);
+		break;
+	case CW_ATTEMPT_FAILED:
+	case CW_ATTEMPT_CANCELLED:
+		quarantine_left(node, request, server);
+		break;
+	case CW_ATTEMPT_UNSENT:
+	case CW_ATTEMPT_BUSY:
+		break;
+	}
+}
+
+void quarantine_left(struct cw_node *node, const struct request *request,
+		     const struct cw_server *server)
+{
+	cw_quarantine_left(node->quarantine, request->fingerprint, server->id,
+			   ran_ms(node, request), node->now_ms);
+}
+
+static struct cw_quarantine_request as_quarantined(const struct request *request)
+{
+	return (struct cw_quarantine_request){
+		.fingerprint = request->fingerprint,
+		.organisation = request->organisation,
+		.target = request->in.target,
+	};
+}
+
+/* The newest attempt. */
+static int64_t ran_ms(const struct cw_node *node, const struct request *request)
+{
+	return node->now_ms - request->attempts[request->attempt_count - 1].sent_ms;
+}
+
+void quarantine_tick(struct cw_node *node)
+{
+	struct cw_quarantine_change change;
+	int any = 0;
+
+	cw_quarantine_tick(node->quarantine, node->now_ms);
+	while (cw_quarantine_next_change(node->quarantine, &change)) {
+		any = 1;
+		log_change(node, &change);
+	}
+	if (any) {
+		stop_held(node);
+		gossip_hurry(node);
+	}
+	write_next(node);
+}
+
+/* Its age counts from the log's clock, so that a list that is read anew holds nothing longer. */
+void quarantine_notice(struct cw_node *node, struct json_object *notice, int64_t time_ms)
+{
+	struct cw_quarantine_record record = {.is_written = 1};
+	struct json_object *value;
+
+	record.fingerprint = g_ascii_strtoull(text_of(notice, "fingerprint"), NULL, 16);
+	g_strlcpy(record.organisation, text_of(notice, "organisation"), CW_NAME_MAX);
+	g_strlcpy(record.target, text_of(notice, "target"), CW_NAME_MAX);
+	if (json_object_object_get_ex(notice, "ends", &value))
+		record.ends = (uint32_t)json_object_get_int64(value);
+	if (json_object_object_get_ex(notice, "released", &value))
+		record.is_released = json_object_get_boolean(value);
+	record.age_ms = (uint32_t)CLAMP(node->wall_ms - time_ms, 0, UINT32_MAX - 1);
+	cw_quarantine_hear_record(node->quarantine, &record, CW_QUARANTINE_STORE, node->now_ms);
+	if (cw_quarantine_holds(node->quarantine, record.fingerprint) != record.is_released)
+		cw_quarantine_written(node->quarantine, record.fingerprint, record.is_released);
+}
+
+void quarantine_appended(struct cw_node *node, const struct cw_appended *appended)
+{
+	if (appended->ticket == node->quarantine_ticket)
+		node->quarantine_ticket = 0;
+}
+
+void quarantine_tell(struct cw_node *node, struct peer_end ends[CW_QUARANTINE_ENDS],
+		     struct peer_held held[CW_QUARANTINE_RECORDS],
+		     struct cw_quarantine_record records[CW_QUARANTINE_RECORDS],
+		     struct peer_heartbeat *beat)
+{
+	struct cw_quarantine_end own[CW_QUARANTINE_ENDS];
+	size_t count =
+		cw_quarantine_tell_ends(node->quarantine, node->now_ms, own, CW_QUARANTINE_ENDS);
+
+	for (size_t i = 0; i < count; i++) {
+		ends[i].fingerprint = own[i].fingerprint;
+		ends[i].server = own[i].server;
+		ends[i].age_ms = own[i].age_ms;
+		ends[i].ran_ms = own[i].ran_ms;
+		ends[i].answered_ms = own[i].answered_ms;
+	}
+	beat->ends.ends_len = (u_int)count;
+	beat->ends.ends_val = ends;
+	count = cw_quarantine_tell_records(node->quarantine, node->now_ms, records,
+					   CW_QUARANTINE_RECORDS);
+	for (size_t i = 0; i < count; i++) {
+		held[i].fingerprint = records[i].fingerprint;
+		held[i].organisation = records[i].organisation;
+		held[i].target = records[i].target;
+		held[i].ends = records[i].ends;
+		held[i].age_ms = records[i].age_ms;
+		held[i].released = (u_int)records[i].is_released;
+		held[i].written = (u_int)records[i].is_written;
+	}
+	beat->held.held_len = (u_int)count;
+	beat->held.held_val = held;
+}
+
+void quarantine_hear(struct cw_node *node, const struct peer_heartbeat *beat)
+{
+	for (u_int i = 0; i < beat->ends.ends_len; i++) {
+		const struct peer_end *peer = &beat->ends.ends_val[i];
+		struct cw_quarantine_end end = {
+			.fingerprint = peer->fingerprint,
+			.server = peer->server,
+			.age_ms = peer->age_ms,
+			.ran_ms = peer->ran_ms,
+			.answered_ms = peer->answered_ms,
+		};
+
+		cw_quarantine_hear_end(node->quarantine, &end, node->now_ms);
+	}
+	for (u_int i = 0; i < beat->held.held_len; i++) {
+		const struct peer_held *peer = &beat->held.held_val[i];
+		struct cw_quarantine_record record = {
+			.fingerprint = peer->fingerprint,
+			.ends = peer->ends,
+			.age_ms = peer->age_ms,
+			.is_released = peer->released != 0,
+			.is_written = peer->written != 0,
+		};
+
+		g_strlcpy(record.organisation, peer->organisation, CW_NAME_MAX);
+		g_strlcpy(record.target, peer->target, CW_NAME_MAX);
+		cw_quarantine_hear_record(node->quarantine, &record, CW_QUARANTINE_PEER,
+					  node->now_ms);
+	}
+}
+
+char *quarantine_answer(struct cw_node *node)
+{
+	struct cw_quarantine_record records[CW_QUARANTINE_HELD];
+	size_t count =
+		cw_quarantine_list(node->quarantine, node->now_ms, records, CW_QUARANTINE_HELD);
+	struct json_object *answer = json_object_new_object();
+	struct json_object *list = json_object_new_array();
+	char *text;
+
+	for (size_t i = 0; i < count; i++)
+		json_object_array_add(list, as_json(&records[i]));
+	json_object_object_add(answer, "quarantined", list);
+	text = g_strdup(json_object_to_json_string_ext(answer, JSON_C_TO_STRING_PLAIN));
+	json_object_put(answer);
+	return text;
+}
+
+int quarantine_release(struct cw_node *node, const char *fingerprint)
+{
+	char *end;
+	uint64_t number = g_ascii_strtoull(fingerprint, &end, 16);
+
+	return end != fingerprint && !*end &&
+	       cw_quarantine_release(node->quarantine, number, node->now_ms);
+}
+
+static void log_change(struct cw_node *node, const struct cw_quarantine_change *change)
+{
+	const struct cw_quarantine_record *record = &change->record;
+
+	node_event(node, "request", record->is_released ? "quarantine_released" : "quarantined",
+		   "fingerprint=%016" G_GINT64_MODIFIER
+		   "x organisation=%s target=%s ends=%u rivals=%u age_ms=%u source=%s",
+		   record->fingerprint, *record->organisation ? record->organisation : "-",
+		   *record->target ? record->target : "-", record->ends, change->rivals,
+		   record->age_ms, cw_quarantine_source_name(change->source));
+}
+
+/* A copy that waits in an engine's queue ends that engine too, unless it is taken out in time. */
+static void stop_held(struct cw_node *node)
+{
+	struct request *request = LIST_FIRST(&node->requests);
+
+	while (request) {
+		struct request *next = LIST_NEXT(request, link);
+		struct cw_server *server = cw_pool_find(node->pool, request->server);
+
+		if (request->state == REQUEST_RUNNING &&
+		    cw_quarantine_holds(node->quarantine, request->fingerprint)) {
+			if (server)
+				cw_pool_ended(server, node->now_ms, -1);
+			request->sent = 1;
+			quarantine_refuses(node, request);
+		}
+		request = next;
+	}
+}
+
+/* Into the notices, where it outlives all instances; one instance at a time, by rank. */
+static void write_next(struct cw_node *node)
+{
+	struct cw_quarantine_record record;
+	struct json_object *notice;
+	size_t rank;
+
+	if (node->quarantine_ticket || node->now_ms < node->quarantine_due_ms ||
+	    !log_is_up(node, CW_STREAM_NOTICES) ||
+	    !cw_quarantine_unwritten(node->quarantine, node->now_ms, &record))
+		return;
+	rank = cw_membership_rank(node->membership, record.fingerprint, node->now_ms);
+	if (record.age_ms < STEP_MS * rank)
+		return;
+	notice = json_object_new_object();
+	json_object_object_add(notice, "quarantine", as_json(&record));
+	node->quarantine_due_ms = node->now_ms + AGAIN_MS;
+	node->quarantine_ticket = log_append(
+		node, CW_STREAM_NOTICES,
+		g_strdup(json_object_to_json_string_ext(notice, JSON_C_TO_STRING_PLAIN)));
+	json_object_put(notice);
+}
+
+static struct json_object *as_json(const struct cw_quarantine_record *record)
+{
+	struct json_object *object = json_object_new_object();
+	char fingerprint[17];
+
+	g_snprintf(fingerprint, sizeof(fingerprint), "%016" G_GINT64_MODIFIER "x",
+		   record->fingerprint);
+	json_object_object_add(object, "fingerprint", json_object_new_string(fingerprint));
+	json_object_object_add(object, "organisation",
+			       json_object_new_string(record->organisation));
+	json_object_object_add(object, "target", json_object_new_string(record->target));
+	json_object_object_add(object, "ends", json_object_new_int64(record->ends));
+	json_object_object_add(object, "age_ms", json_object_new_int64(record->age_ms));
+	json_object_object_add(object, "released", json_object_new_boolean(record->is_released));
+	return object;
+}
+
+static const char *text_of(struct json_object *object, const char *key)
+{
+	struct json_object *value;
+
+	if (!json_object_object_get_ex(object, key, &value) ||
+	    !json_object_is_type(value, json_type_string))
+		return "";
+	return json_object_get_string(value);
+}
--- a/packages/node/src/node_request.c
+++ b/packages/node/src/node_request.c
@@ -47,6 +47,8 @@
 	}
 	g_strlcpy(request->organisation, organisation, CW_NAME_MAX);
 	request->fingerprint = cw_quarantine_fingerprint(in->target, organisation, in->body);
+	if (quarantine_refuses(node, request))
+		return;
 	if (in->flags & CW_REQUEST_SERVICE) {
 		if (find_service(node, request))
 			admit(node, request);
@@ -64,8 +66,10 @@
 	if (request->state == REQUEST_RUNNING) {
 		struct cw_server *server = cw_pool_find(node->pool, request->server);
 
-		if (server)
+		if (server) {
+			quarantine_left(node, request, server);
 			cw_pool_ended(server, node->now_ms, -1);
+		}
 		request->sent = 1;
 	}
 	request_abandon(node, request);
--- a/packages/node/src/node_rollout.c
+++ b/packages/node/src/node_rollout.c
@@ -49,6 +49,8 @@
 
 	if (json_object_object_get_ex(parsed, "trip", &value))
 		take_trip(node, value);
+	if (json_object_object_get_ex(parsed, "quarantine", &value))
+		quarantine_notice(node, value, time_ms);
 	if (json_object_object_get_ex(parsed, "lease", &lease)) {
 		const char *name = json_object_object_get_ex(lease, "name", &value)
 					   ? json_object_get_string(value)
--- a/packages/node/src/request_attempt.c
+++ b/packages/node/src/request_attempt.c
@@ -85,6 +85,8 @@
 	double limit_ms = (double)node->config.first_wait_ms;
 	double wait_ms;
 
+	if (quarantine_refuses(node, request))
+		return;
 	if (node->now_ms >= request->deadline_ms) {
 		request_refuse(node, request, CW_CODE_DEADLINE, 0, "the deadline has passed");
 		return;
@@ -130,6 +132,8 @@
 	memset(attempt, 0, sizeof(*attempt));
 	attempt->server = server->id;
 	attempt->cost_per_1k = request->cost_per_1k;
+	attempt->sent_ms = node->now_ms;
+	attempt->mode = mode;
 	g_strlcpy(attempt->model, request->model, CW_NAME_MAX);
 	g_strlcpy(attempt->version, request->version, CW_NAME_MAX);
 	request->state = REQUEST_RUNNING;
@@ -209,6 +213,8 @@
 	if (end->result != CW_ATTEMPT_UNSENT &&
 	    !(end->result == CW_ATTEMPT_BUSY && end->http_status == 429))
 		request->sent = 1;
+	if (server)
+		quarantine_attempt_ended(node, request, server, end);
 	if (server) {
 		cw_pool_ended(server, node->now_ms, answered ? end->total_ms : -1);
 		if (answered)
@@ -221,6 +227,7 @@
 	/* A connection that failed says nothing of the version; a server that sends rubbish does.
 	 */
 	if (request->version_id &&
+	    !cw_quarantine_doubts(node->quarantine, attempt->server, node->now_ms) &&
 	    (end->result == CW_ATTEMPT_ANSWERED || end->result == CW_ATTEMPT_FAILED ||
 	     end->result == CW_ATTEMPT_BROKEN) &&
 	    cw_health_answered(node->health, request->version_id, answered, first_ms,
--- a/packages/peer/include/peer.h
+++ b/packages/peer/include/peer.h
@@ -71,6 +71,26 @@
 };
 typedef struct peer_want peer_want;
 
+struct peer_end {
+	u_quad_t fingerprint;
+	u_quad_t server;
+	u_int age_ms;
+	u_int ran_ms;
+	u_int answered_ms;
+};
+typedef struct peer_end peer_end;
+
+struct peer_held {
+	u_quad_t fingerprint;
+	char *organisation;
+	char *target;
+	u_int ends;
+	u_int age_ms;
+	u_int released;
+	u_int written;
+};
+typedef struct peer_held peer_held;
+
 struct peer_heartbeat {
 	u_int leaving;
 	u_quad_t table_offset;
@@ -93,6 +113,14 @@
 		u_int ratings_len;
 		peer_rating *ratings_val;
 	} ratings;
+	struct {
+		u_int ends_len;
+		peer_end *ends_val;
+	} ends;
+	struct {
+		u_int held_len;
+		peer_held *held_val;
+	} held;
 };
 typedef struct peer_heartbeat peer_heartbeat;
 
@@ -194,6 +222,8 @@
 extern  bool_t xdr_peer_load (XDR *, peer_load*);
 extern  bool_t xdr_peer_rating (XDR *, peer_rating*);
 extern  bool_t xdr_peer_want (XDR *, peer_want*);
+extern  bool_t xdr_peer_end (XDR *, peer_end*);
+extern  bool_t xdr_peer_held (XDR *, peer_held*);
 extern  bool_t xdr_peer_heartbeat (XDR *, peer_heartbeat*);
 extern  bool_t xdr_peer_grants (XDR *, peer_grants*);
 extern  bool_t xdr_peer_bill (XDR *, peer_bill*);
@@ -210,6 +240,8 @@
 extern bool_t xdr_peer_load ();
 extern bool_t xdr_peer_rating ();
 extern bool_t xdr_peer_want ();
+extern bool_t xdr_peer_end ();
+extern bool_t xdr_peer_held ();
 extern bool_t xdr_peer_heartbeat ();
 extern bool_t xdr_peer_grants ();
 extern bool_t xdr_peer_bill ();
--- a/packages/peer/peer.x
+++ b/packages/peer/peer.x
@@ -51,6 +51,24 @@
 	unsigned int parts;         /* of a million of the limit */
 };
 
+struct peer_end {               /* a server that ended while a request was there */
+	unsigned hyper fingerprint; /* of the request */
+	unsigned hyper server;      /* hash of its name */
+	unsigned int age_ms;
+	unsigned int ran_ms;
+	unsigned int answered_ms;   /* since the last whole answer, 4294967295 none */
+};
+
+struct peer_held {              /* a request that is sent nowhere, or is again */
+	unsigned hyper fingerprint;
+	string organisation<64>;
+	string target<64>;
+	unsigned int ends;
+	unsigned int age_ms;
+	unsigned int released;
+	unsigned int written;
+};
+
 struct peer_heartbeat {
 	unsigned int leaving;
 	unsigned hyper table_offset;
@@ -61,6 +79,8 @@
 	peer_want wants<PEER_LIST_MAX>;
 	unsigned hyper first_rating; /* sequence number of the first rating below */
 	peer_rating ratings<PEER_LIST_MAX>;
+	peer_end ends<PEER_LIST_MAX>;
+	peer_held held<PEER_LIST_MAX>;
 };
 
 struct peer_grants {
--- a/packages/peer/src/peer_xdr.c
+++ b/packages/peer/src/peer_xdr.c
@@ -156,6 +156,97 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_end (XDR *xdrs, peer_end *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->server))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ran_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->answered_ms))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_held (XDR *xdrs, peer_held *objp)
+{
+	register int32_t *buf;
+
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->organisation, 64))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->target, 64))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->ends))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->released))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->written))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->ends);
+			IXDR_PUT_U_LONG(buf, objp->age_ms);
+			IXDR_PUT_U_LONG(buf, objp->released);
+			IXDR_PUT_U_LONG(buf, objp->written);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->organisation, 64))
+			 return FALSE;
+		 if (!xdr_string (xdrs, &objp->target, 64))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->ends))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->released))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->written))
+				 return FALSE;
+		} else {
+			objp->ends = IXDR_GET_U_LONG(buf);
+			objp->age_ms = IXDR_GET_U_LONG(buf);
+			objp->released = IXDR_GET_U_LONG(buf);
+			objp->written = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
+	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->organisation, 64))
+		 return FALSE;
+	 if (!xdr_string (xdrs, &objp->target, 64))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->ends))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->age_ms))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->released))
+		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->written))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_heartbeat (XDR *xdrs, peer_heartbeat *objp)
 {
@@ -183,6 +274,12 @@
 	 if (!xdr_array (xdrs, (char **)&objp->ratings.ratings_val, (u_int *) &objp->ratings.ratings_len, PEER_LIST_MAX,
 		sizeof (peer_rating), (xdrproc_t) xdr_peer_rating))
 		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->ends.ends_val, (u_int *) &objp->ends.ends_len, PEER_LIST_MAX,
+		sizeof (peer_end), (xdrproc_t) xdr_peer_end))
+		 return FALSE;
+	 if (!xdr_array (xdrs, (char **)&objp->held.held_val, (u_int *) &objp->held.held_len, PEER_LIST_MAX,
+		sizeof (peer_held), (xdrproc_t) xdr_peer_held))
+		 return FALSE;
 	return TRUE;
 }
 
--- a/packages/quarantine/include/cw_quarantine.h
+++ b/packages/quarantine/include/cw_quarantine.h
@@ -82,11 +82,12 @@
 void cw_quarantine_broke(struct cw_quarantine *quarantine,
 			 const struct cw_quarantine_request *request, uint64_t server,
 			 int64_t ran_ms, int64_t now_ms); /* its server ended, not by plan */
-void cw_quarantine_left(struct cw_quarantine *quarantine,
-			const struct cw_quarantine_request *request, uint64_t server,
-			int64_t ran_ms, int64_t now_ms); /* given up; it may still run there */
-void cw_quarantine_answered(struct cw_quarantine *quarantine, uint64_t fingerprint,
-			    int64_t now_ms); /* whole, whatever the status */
+void cw_quarantine_left(struct cw_quarantine *quarantine, uint64_t fingerprint, uint64_t server,
+			int64_t ran_ms, int64_t now_ms); /* given up, or a part of an answer came:
+							    it may still end that server */
+void cw_quarantine_answered(struct cw_quarantine *quarantine, uint64_t fingerprint, uint64_t server,
+			    int64_t ran_ms,
+			    int64_t now_ms); /* whole and by one run, whatever the status */
 int cw_quarantine_doubts(const struct cw_quarantine *quarantine, uint64_t server,
 			 int64_t now_ms); /* 1: it just ended under a request that ended others */
 
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+static void prove_answers(struct cw_quarantine *quarantine, int64_t now_ms);
 static void make_room(struct cw_quarantine *quarantine, const char *organisation);
 static struct suspect *least_suspect(struct cw_quarantine *quarantine, const char *organisation);
 static void limit_held(struct cw_quarantine *quarantine, const struct suspect *newest,
@@ -57,29 +58,26 @@
 		quarantine_judge(quarantine, now_ms);
 }
 
-void cw_quarantine_left(struct cw_quarantine *quarantine,
-			const struct cw_quarantine_request *request, uint64_t server,
+void cw_quarantine_left(struct cw_quarantine *quarantine, uint64_t fingerprint, uint64_t server,
 			int64_t ran_ms, int64_t now_ms)
 {
-	struct left *left = &quarantine->left[quarantine->left_next++ % LEFT_KEPT];
-
-	left->fingerprint = request->fingerprint;
-	left->server = server;
-	left->sent_ms = now_ms - ran_ms;
-	left->left_ms = now_ms;
-	g_strlcpy(left->organisation, request->organisation, CW_NAME_MAX);
-	g_strlcpy(left->target, request->target, CW_NAME_MAX);
+	struct left left = {.fingerprint = fingerprint,
+			    .server = server,
+			    .sent_ms = now_ms - ran_ms,
+			    .left_ms = now_ms};
+
+	quarantine->left[quarantine->left_next++ % LEFT_KEPT] = left;
 }
 
-void cw_quarantine_answered(struct cw_quarantine *quarantine, uint64_t fingerprint, int64_t now_ms)
+/*
+ * A short answer may be whole before its server ends under it. So it speaks for the request only
+ * once the server has gone on for a while.
+ */
+void cw_quarantine_answered(struct cw_quarantine *quarantine, uint64_t fingerprint, uint64_t server,
+			    int64_t ran_ms, int64_t now_ms)
 {
-	struct good *good = &quarantine->good[fingerprint % GOOD_SLOTS];
-	struct suspect *suspect = suspect_find(quarantine, fingerprint);
-
-	good->fingerprint = fingerprint;
-	good->at_ms = now_ms;
-	if (suspect)
-		suspect_answered(quarantine, suspect, now_ms, now_ms);
+	cw_quarantine_left(quarantine, fingerprint, server, ran_ms, now_ms);
+	quarantine->left[(quarantine->left_next - 1) % LEFT_KEPT].is_answered = 1;
 }
 
 /*
@@ -99,10 +97,12 @@
 
 void cw_quarantine_tick(struct cw_quarantine *quarantine, int64_t now_ms)
 {
-	struct suspect *suspect = TAILQ_FIRST(&quarantine->suspects);
+	struct suspect *suspect;
 
+	prove_answers(quarantine, now_ms);
 	if (quarantine->is_dirty)
 		quarantine_judge(quarantine, now_ms);
+	suspect = TAILQ_FIRST(&quarantine->suspects);
 	while (suspect) {
 		struct suspect *next = TAILQ_NEXT(suspect, link);
 
@@ -293,17 +293,40 @@
 			  int64_t now_ms)
 {
 	for (size_t i = 0; i < LEFT_KEPT; i++) {
-		const struct left *left = &quarantine->left[i];
+		struct left *left = &quarantine->left[i];
 		struct end end = {
 			.server = server, .at_ms = at_ms, .ran_ms = at_ms - left->sent_ms};
 
 		if (left->server != server || !left->left_ms || left->left_ms > at_ms ||
 		    at_ms - left->left_ms > LEFT_MS)
 			continue;
+		left->is_answered = 0;
 		suspect_add_end(quarantine,
-				suspect_learn(quarantine, left->fingerprint, left->organisation,
-					      left->target, now_ms),
-				&end, now_ms);
+				suspect_learn(quarantine, left->fingerprint, "", "", now_ms), &end,
+				now_ms);
+	}
+}
+
+/* What was answered whole by a server that has gone on since. */
+static void prove_answers(struct cw_quarantine *quarantine, int64_t now_ms)
+{
+	if (quarantine->left_next - quarantine->left_proved > LEFT_KEPT)
+		quarantine->left_proved = quarantine->left_next - LEFT_KEPT;
+	while (quarantine->left_proved < quarantine->left_next) {
+		const struct left *left = &quarantine->left[quarantine->left_proved % LEFT_KEPT];
+		struct good *good = &quarantine->good[left->fingerprint % GOOD_SLOTS];
+		struct suspect *suspect;
+
+		if (now_ms - left->left_ms < LEFT_MS)
+			return;
+		quarantine->left_proved++;
+		if (!left->is_answered)
+			continue;
+		good->fingerprint = left->fingerprint;
+		good->at_ms = left->left_ms;
+		suspect = suspect_find(quarantine, left->fingerprint);
+		if (suspect)
+			suspect_answered(quarantine, suspect, left->left_ms, now_ms);
 	}
 }
 
--- a/packages/quarantine/src/quarantine_internal.h
+++ b/packages/quarantine/src/quarantine_internal.h
@@ -23,9 +23,10 @@
 #define BRIEF_HOLD_MS 10000  /* of a request that was answered lately: servers may be at fault */
 #define EVIDENCE_MS   600000 /* an end counts for so long */
 #define TELL_MS	      2500   /* an end is told for so long: by many instances, each to a few */
+#define NAMES_MS      2000   /* from an end until a peer has told whose request it was */
 #define RELEASED_MS   60000  /* so long peers may still tell of it as held */
 #define ENDS_TOLD     4	     /* newest, of one request */
-#define LEFT_MS	      1000   /* a request that was given up may still end its server */
+#define LEFT_MS	      1000   /* a request that is over may still end its server */
 
 /* One server that ended, as far as one request is concerned. */
 struct end {
@@ -56,17 +57,16 @@
 
 TAILQ_HEAD(suspect_list, suspect);
 
-/* A request that was given up at a server, which may still end under it. */
+/* A request that is over at a server, which may still end under it. */
 struct left {
 	uint64_t fingerprint;
-	char organisation[CW_NAME_MAX];
-	char target[CW_NAME_MAX];
 	uint64_t server;
 	int64_t sent_ms;
 	int64_t left_ms;
+	int is_answered; /* whole: it is harmless, if the server goes on */
 };
 
-#define LEFT_KEPT    64
+#define LEFT_KEPT    256 /* in the last second */
 #define GOOD_SLOTS   512 /* requests that were answered whole, by fingerprint */
 #define CHANGES_KEPT 128
 
@@ -81,6 +81,7 @@
 	size_t held; /* suspects with held_ms */
 	struct left left[LEFT_KEPT];
 	size_t left_next;
+	size_t left_proved; /* those before it have been over for LEFT_MS */
 	struct good good[GOOD_SLOTS];
 	struct cw_quarantine_change changes[CHANGES_KEPT];
 	size_t change_first, change_count;
--- a/packages/quarantine/src/share.c
+++ b/packages/quarantine/src/share.c
@@ -115,6 +115,9 @@
 	TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
 		if (suspect->is_written || (!suspect->is_firm && !suspect->released_ms))
 			continue;
+		/* Peers that had its caller tell who that is. */
+		if (!*suspect->target && now_ms - suspect->news_ms < NAMES_MS)
+			continue;
 		suspect_record(suspect, now_ms, record);
 		return 1;
 	}
