quarantine: a server that goes on answering has not ended

A byte that comes 50 ms and more after an end, on any other request, says that the server goes on; instances tell each other, and the end is taken back. Not by who stood still: what it reads then may be older than the end.

--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -520,8 +520,11 @@
 {
 	struct cw_server *server = cw_call_server(relay->call);
 
-	if (server)
-		cw_pool_heard(server, entry_now_ms(relay->entry));
+	if (!server)
+		return;
+	cw_pool_heard(server, entry_now_ms(relay->entry));
+	cw_quarantine_heard(cw_gate_quarantine(relay->entry->gate), server->id,
+			    entry_now_ms(relay->entry));
 }
 
 static void drop_exchange(struct relay *relay)
--- a/packages/node/src/node_quarantine.c
+++ b/packages/node/src/node_quarantine.c
@@ -33,6 +33,8 @@
 	const struct attempt *attempt = &request->attempts[request->attempt_count - 1];
 	struct cw_quarantine_request quarantined = as_quarantined(request);
 
+	if (end->result == CW_ATTEMPT_ANSWERED || end->result == CW_ATTEMPT_PASSED)
+		cw_quarantine_heard(node->quarantine, server->id, node->now_ms);
 	switch (end->result) {
 	case CW_ATTEMPT_ANSWERED:
 	case CW_ATTEMPT_PASSED:
@@ -138,6 +140,7 @@
 	for (size_t i = 0; i < count; i++) {
 		ends[i].fingerprint = own[i].fingerprint;
 		ends[i].server = own[i].server;
+		ends[i].alive = (u_int)own[i].is_alive;
 		ends[i].age_ms = own[i].age_ms;
 		ends[i].ran_ms = own[i].ran_ms;
 		ends[i].answered_ms = own[i].answered_ms;
@@ -166,6 +169,7 @@
 		struct cw_quarantine_end end = {
 			.fingerprint = peer->fingerprint,
 			.server = peer->server,
+			.is_alive = peer->alive != 0,
 			.age_ms = peer->age_ms,
 			.ran_ms = peer->ran_ms,
 			.answered_ms = peer->answered_ms,
--- a/packages/peer/include/peer.h
+++ b/packages/peer/include/peer.h
@@ -74,6 +74,7 @@
 struct peer_end {
 	u_quad_t fingerprint;
 	u_quad_t server;
+	u_int alive;
 	u_int age_ms;
 	u_int ran_ms;
 	u_int answered_ms;
--- a/packages/peer/peer.x
+++ b/packages/peer/peer.x
@@ -51,9 +51,10 @@
 	unsigned int parts;         /* of a million of the limit */
 };
 
-struct peer_end {               /* a server that ended while a request was there */
+struct peer_end {               /* a server that ended while a request was there, or had not */
 	unsigned hyper fingerprint; /* of the request */
 	unsigned hyper server;      /* hash of its name */
+	unsigned int alive;         /* it sent a byte after it seemed to end */
 	unsigned int age_ms;
 	unsigned int ran_ms;
 	unsigned int answered_ms;   /* since the last whole answer, 4294967295 none */
--- a/packages/peer/src/peer_xdr.c
+++ b/packages/peer/src/peer_xdr.c
@@ -161,10 +161,59 @@
 {
 	register int32_t *buf;
 
+
+	if (xdrs->x_op == XDR_ENCODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->server))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->alive))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->ran_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->answered_ms))
+				 return FALSE;
+		} else {
+			IXDR_PUT_U_LONG(buf, objp->alive);
+			IXDR_PUT_U_LONG(buf, objp->age_ms);
+			IXDR_PUT_U_LONG(buf, objp->ran_ms);
+			IXDR_PUT_U_LONG(buf, objp->answered_ms);
+		}
+		return TRUE;
+	} else if (xdrs->x_op == XDR_DECODE) {
+		 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
+			 return FALSE;
+		 if (!xdr_u_quad_t (xdrs, &objp->server))
+			 return FALSE;
+		buf = XDR_INLINE (xdrs, 4 * BYTES_PER_XDR_UNIT);
+		if (buf == NULL) {
+			 if (!xdr_u_int (xdrs, &objp->alive))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->age_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->ran_ms))
+				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->answered_ms))
+				 return FALSE;
+		} else {
+			objp->alive = IXDR_GET_U_LONG(buf);
+			objp->age_ms = IXDR_GET_U_LONG(buf);
+			objp->ran_ms = IXDR_GET_U_LONG(buf);
+			objp->answered_ms = IXDR_GET_U_LONG(buf);
+		}
+	 return TRUE;
+	}
+
 	 if (!xdr_u_quad_t (xdrs, &objp->fingerprint))
 		 return FALSE;
 	 if (!xdr_u_quad_t (xdrs, &objp->server))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->alive))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->age_ms))
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->ran_ms))
--- a/packages/quarantine/include/cw_quarantine.h
+++ b/packages/quarantine/include/cw_quarantine.h
@@ -28,10 +28,11 @@
 	const char *target;	  /* what is asked: a route, a model, a service */
 };
 
-/* One server ended while a request was there, as told to peers. */
+/* One server ended while a request was there, or sent a byte after it seemed to; told to peers. */
 struct cw_quarantine_end {
-	uint64_t fingerprint;
+	uint64_t fingerprint; /* of no matter where is_alive */
 	uint64_t server;
+	int is_alive;	      /* the byte came age_ms ago: it had not ended before */
 	uint32_t age_ms;      /* since the end */
 	uint32_t ran_ms;      /* from the request's send to the end */
 	uint32_t answered_ms; /* since the request was last answered whole, CW_QUARANTINE_NEVER */
@@ -88,6 +89,8 @@
 void cw_quarantine_answered(struct cw_quarantine *quarantine, uint64_t fingerprint, uint64_t server,
 			    int64_t ran_ms,
 			    int64_t now_ms); /* whole and by one run, whatever the status */
+void cw_quarantine_heard(struct cw_quarantine *quarantine, uint64_t server,
+			 int64_t now_ms); /* a byte came from it: if it seemed to end, it didn't */
 int cw_quarantine_doubts(const struct cw_quarantine *quarantine, uint64_t server,
 			 int64_t now_ms); /* 1: it just ended under a request that ended others */
 
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+static int was_alive(const struct cw_quarantine *quarantine, const struct end *end);
 static void prove_answers(struct cw_quarantine *quarantine, int64_t now_ms);
 static void make_room(struct cw_quarantine *quarantine, const char *organisation);
 static struct suspect *least_suspect(struct cw_quarantine *quarantine, const char *organisation);
@@ -80,6 +81,28 @@
 	quarantine->left[(quarantine->left_next - 1) % LEFT_KEPT].is_answered = 1;
 }
 
+/*
+ * Symptom this prevents: servers that reset two of five answers got harmless requests held, whose
+ * callers were refused as they came again. A server that has ended sends nothing for a while; one
+ * that only dropped a connection goes on with its other requests.
+ */
+void cw_quarantine_heard(struct cw_quarantine *quarantine, uint64_t server, int64_t now_ms)
+{
+	const struct suspect *suspect;
+
+	if (now_ms - quarantine->newest_end_ms >= SAME_END_MS ||
+	    now_ms < quarantine->stalled_until_ms)
+		return;
+	TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
+		const struct end *end = suspect_end_at(suspect, server, now_ms);
+
+		if (!end || now_ms - end->at_ms < ALIVE_MS)
+			continue;
+		quarantine_note_alive(quarantine, server, now_ms, now_ms);
+		return;
+	}
+}
+
 /*
  * The end of a server says little against its version when a request was there that had ended
  * others before: a good version, on trial on few servers, was taken back for it.
@@ -99,6 +122,9 @@
 {
 	struct suspect *suspect;
 
+	if (now_ms - quarantine->tick_ms > STALL_MS)
+		quarantine->stalled_until_ms = now_ms + STALL_MS;
+	quarantine->tick_ms = now_ms;
 	prove_answers(quarantine, now_ms);
 	if (quarantine->is_dirty)
 		quarantine_judge(quarantine, now_ms);
@@ -201,6 +227,8 @@
 	struct end *known = (struct end *)suspect_end_at(suspect, end->server, end->at_ms);
 	size_t at;
 
+	if (was_alive(quarantine, end))
+		return 0;
 	if (known) {
 		known->ran_ms = MIN(known->ran_ms, end->ran_ms);
 		return 0;
@@ -212,6 +240,7 @@
 	for (; at > 0 && suspect->ends[at - 1].at_ms > end->at_ms; at--)
 		suspect->ends[at] = suspect->ends[at - 1];
 	suspect->ends[at] = *end;
+	quarantine->newest_end_ms = MAX(quarantine->newest_end_ms, end->at_ms);
 	suspect->ends_seen++;
 	suspect->news_ms = now_ms;
 	quarantine->is_dirty = 1;
@@ -285,6 +314,43 @@
 	record->is_written = suspect->is_written;
 }
 
+/* What it seemed to end before that byte, it did not. */
+void quarantine_note_alive(struct cw_quarantine *quarantine, uint64_t server, int64_t at_ms,
+			   int64_t now_ms)
+{
+	struct alive *alive = &quarantine->alive[quarantine->alive_next % ALIVE_KEPT];
+	struct suspect *suspect;
+
+	for (size_t i = 0; i < ALIVE_KEPT; i++)
+		if (quarantine->alive[i].server == server && quarantine->alive[i].at_ms >= at_ms)
+			return;
+	quarantine->alive_next++;
+	*alive = (struct alive){.server = server, .at_ms = at_ms, .news_ms = now_ms};
+	TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
+		struct end *end = (struct end *)suspect_end_at(suspect, server, at_ms);
+
+		if (!end || !was_alive(quarantine, end))
+			continue;
+		suspect->end_count--;
+		suspect->ends_seen--;
+		memmove(end, end + 1,
+			(size_t)(suspect->ends + suspect->end_count - end) * sizeof(*end));
+		quarantine->is_dirty = 1;
+	}
+}
+
+static int was_alive(const struct cw_quarantine *quarantine, const struct end *end)
+{
+	for (size_t i = 0; i < ALIVE_KEPT; i++) {
+		const struct alive *alive = &quarantine->alive[i];
+
+		if (alive->server == end->server && end->at_ms < alive->at_ms &&
+		    alive->at_ms - end->at_ms < SAME_END_MS)
+			return 1;
+	}
+	return 0;
+}
+
 /*
  * A small model's answer is dropped for a larger one's 1 ms after it began, and its server ends
  * 50 ms later: the request was there all the same.
--- a/packages/quarantine/src/quarantine_internal.h
+++ b/packages/quarantine/src/quarantine_internal.h
@@ -17,8 +17,10 @@
 #define MOMENT_MS                                                                                  \
 	300 /* servers that end together have a cause of their own, for a known request            \
 	     */
+#define STALL_MS      300    /* without a tick: what is read now came at any time since */
+#define ALIVE_MS      50     /* after an end, what was on its way from the server has been read */
 #define SETTLE_MS     200    /* peers' reports of the same ends are there by then */
-#define FIRM_MS	      300    /* a judgement that stood for so long is told and written down */
+#define FIRM_MS	      1000   /* a judgement that stood for so long is told and written down */
 #define HOLD_MS	      600000 /* then it may be tried anew: three servers in ten minutes */
 #define BRIEF_HOLD_MS 10000  /* of a request that was answered lately: servers may be at fault */
 #define EVIDENCE_MS   600000 /* an end counts for so long */
@@ -67,9 +69,18 @@
 };
 
 #define LEFT_KEPT    256 /* in the last second */
+#define ALIVE_KEPT   16
+#define ALIVE_TOLD   8	 /* in one message */
 #define GOOD_SLOTS   512 /* requests that were answered whole, by fingerprint */
 #define CHANGES_KEPT 128
 
+/* A server sent a byte after it seemed to have ended. */
+struct alive {
+	uint64_t server;
+	int64_t at_ms;
+	int64_t news_ms;
+};
+
 struct good {
 	uint64_t fingerprint;
 	int64_t at_ms;
@@ -85,6 +96,11 @@
 	struct good good[GOOD_SLOTS];
 	struct cw_quarantine_change changes[CHANGES_KEPT];
 	size_t change_first, change_count;
+	struct alive alive[ALIVE_KEPT];
+	size_t alive_next;
+	int64_t newest_end_ms;
+	int64_t tick_ms;
+	int64_t stalled_until_ms; /* bytes that are read may be old */
 	size_t tell_turn;
 	size_t record_turn;
 	int is_dirty; /* ends or answers came since the last judgement */
@@ -97,6 +113,8 @@
 void suspect_forget(struct cw_quarantine *quarantine, struct suspect *suspect);
 int suspect_add_end(struct cw_quarantine *quarantine, struct suspect *suspect,
 		    const struct end *end, int64_t now_ms); /* 1: news */
+void quarantine_note_alive(struct cw_quarantine *quarantine, uint64_t server, int64_t at_ms,
+			   int64_t now_ms);
 void quarantine_note_left(struct cw_quarantine *quarantine, uint64_t server, int64_t at_ms,
 			  int64_t now_ms); /* what was given up there lately was there too */
 void suspect_answered(struct cw_quarantine *quarantine, struct suspect *suspect, int64_t at_ms,
--- a/packages/quarantine/src/share.c
+++ b/packages/quarantine/src/share.c
@@ -3,6 +3,8 @@
 
 #include <string.h>
 
+static size_t tell_alive(const struct cw_quarantine *quarantine, int64_t now_ms,
+			 struct cw_quarantine_end *ends, size_t max);
 static size_t tell_suspect(const struct suspect *suspect, int64_t now_ms,
 			   struct cw_quarantine_end *ends, size_t max);
 static int is_news(const struct suspect *suspect, int64_t now_ms);
@@ -15,7 +17,7 @@
 			       struct cw_quarantine_end *ends, size_t max)
 {
 	const struct suspect *suspect;
-	size_t count = 0;
+	size_t count = tell_alive(quarantine, now_ms, ends, MIN(max, ALIVE_TOLD));
 	size_t singles = 0;
 	size_t turn = 0;
 
@@ -74,6 +76,10 @@
 
 	if (told->age_ms >= EVIDENCE_MS)
 		return;
+	if (told->is_alive) {
+		quarantine_note_alive(quarantine, told->server, end.at_ms, now_ms);
+		return;
+	}
 	suspect = suspect_learn(quarantine, told->fingerprint, "", "", now_ms);
 	if (told->answered_ms != CW_QUARANTINE_NEVER)
 		suspect_answered(quarantine, suspect, now_ms - told->answered_ms, now_ms);
@@ -132,6 +138,26 @@
 		suspect->is_written = 1;
 }
 
+static size_t tell_alive(const struct cw_quarantine *quarantine, int64_t now_ms,
+			 struct cw_quarantine_end *ends, size_t max)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < ALIVE_KEPT && count < max; i++) {
+		const struct alive *alive = &quarantine->alive[i];
+
+		if (!alive->news_ms || now_ms - alive->news_ms >= TELL_MS)
+			continue;
+		ends[count++] = (struct cw_quarantine_end){
+			.server = alive->server,
+			.is_alive = 1,
+			.age_ms = (uint32_t)MAX(now_ms - alive->at_ms, 0),
+			.answered_ms = CW_QUARANTINE_NEVER,
+		};
+	}
+	return count;
+}
+
 /* Its newest ends; the whole answer is told with each. */
 static size_t tell_suspect(const struct suspect *suspect, int64_t now_ms,
 			   struct cw_quarantine_end *ends, size_t max)
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -8,7 +8,7 @@
 #define NOW	 100000
 #define DEADLY	 7
 #define HARMLESS 1000 /* and up: each another request */
-#define LATER	 700  /* ms by which a judgement is made and told */
+#define LATER	 1400 /* ms by which a judgement is made and told */
 
 static struct cw_quarantine_request request_of(uint64_t fingerprint, const char *organisation)
 {
@@ -308,6 +308,73 @@
 	cw_quarantine_destroy(quarantine);
 }
 
+/*
+ * Symptom: harmless requests were held and their callers refused. Sequence: three servers reset two
+ * in five of their answers and went on with the others. Cause: each reset passed for an end.
+ */
+static void a_server_that_goes_on_answering_has_not_ended(void **state)
+{
+	struct cw_quarantine *quarantine = cw_quarantine_create();
+
+	cw_quarantine_tick(quarantine, NOW - 200);
+	cw_quarantine_tick(quarantine, NOW);
+	for (int server = 1; server <= 3; server++) {
+		int64_t now_ms = NOW + server * 150;
+
+		cw_quarantine_tick(quarantine, now_ms);
+		broke(quarantine, HARMLESS, server, now_ms);
+		/* Sent before the end, and read after it. */
+		cw_quarantine_heard(quarantine, server, now_ms + 1);
+		if (server < 3)
+			cw_quarantine_heard(quarantine, server, now_ms + 100);
+	}
+	pass(quarantine, NOW + 450, NOW + 450 + LATER);
+	assert_int_equal(held(quarantine), 0);
+	broke(quarantine, HARMLESS, 4, NOW + 2000);
+	assert_int_equal(held(quarantine), 0);
+	broke(quarantine, HARMLESS, 5, NOW + 2100);
+	assert_int_equal(held(quarantine), 1);
+	cw_quarantine_destroy(quarantine);
+}
+
+/* One that has no other request at that server learns from a peer that it goes on. */
+static void a_peer_tells_that_a_server_goes_on(void **state)
+{
+	struct cw_quarantine *one = cw_quarantine_create();
+	struct cw_quarantine *other = cw_quarantine_create();
+
+	pass(other, NOW - 1000, NOW);
+	for (int server = 1; server <= 3; server++) {
+		broke(one, HARMLESS, server, NOW + server);
+		tell(one, other, NOW + 50);
+		pass(other, NOW + 100, NOW + 200);
+		cw_quarantine_heard(other, server, NOW + 200);
+	}
+	tell(other, one, NOW + 250);
+	tell(one, other, NOW + 260);
+	tell(other, one, NOW + 270);
+	pass(one, NOW + 250, NOW + 250 + LATER);
+	assert_int_equal(held(one), 0);
+	assert_int_equal(held(other), 0);
+	cw_quarantine_destroy(one);
+	cw_quarantine_destroy(other);
+}
+
+/* What is read after a pause of its own was sent at any time in it. */
+static void who_stood_still_takes_no_server_for_alive(void **state)
+{
+	struct cw_quarantine *quarantine = cw_quarantine_create();
+
+	cw_quarantine_tick(quarantine, NOW);
+	for (int server = 1; server <= 3; server++)
+		broke(quarantine, DEADLY, server, NOW + server);
+	cw_quarantine_tick(quarantine, NOW + 800);
+	cw_quarantine_heard(quarantine, 1, NOW + 801);
+	pass(quarantine, NOW + 900, NOW + 900 + LATER);
+	assert_true(cw_quarantine_holds(quarantine, DEADLY));
+	cw_quarantine_destroy(quarantine);
+}
+
 /* It brings a thousand such bodies: the others' suspects and those held stay. */
 static void one_caller_does_not_drive_out_the_others(void **state)
 {
@@ -369,6 +436,9 @@
 		cmocka_unit_test(what_an_operator_took_off_stays_off),
 		cmocka_unit_test(a_request_that_was_given_up_counts_at_the_end_that_follows),
 		cmocka_unit_test(an_answer_whose_server_ends_right_after_speaks_for_nobody),
+		cmocka_unit_test(a_server_that_goes_on_answering_has_not_ended),
+		cmocka_unit_test(a_peer_tells_that_a_server_goes_on),
+		cmocka_unit_test(who_stood_still_takes_no_server_for_alive),
 		cmocka_unit_test(one_caller_does_not_drive_out_the_others),
 		cmocka_unit_test(an_end_under_such_a_request_says_little_of_the_version),
 		cmocka_unit_test(the_same_request_has_the_same_fingerprint_and_others_do_not),
