quarantine: only an end under a held request says nothing of the version

A request that met two servers of a bad version that breaks connections looked like one that ends servers, and the version's evidence was left out from its second failure on. Left: the first two ends under such a request still count.

--- a/packages/quarantine/include/cw_quarantine.h
+++ b/packages/quarantine/include/cw_quarantine.h
@@ -92,7 +92,7 @@
 void cw_quarantine_heard(struct cw_quarantine *quarantine, uint64_t server,
 			 int64_t now_ms); /* a byte came from it: if it seemed to end, it didn't */
 int cw_quarantine_doubts(const struct cw_quarantine *quarantine, uint64_t server,
-			 int64_t now_ms); /* 1: it just ended under a request that ended others */
+			 int64_t now_ms); /* 1: it just ended under a request that is held */
 
 /* The list, with time. */
 void cw_quarantine_tick(struct cw_quarantine *quarantine,
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -104,15 +104,16 @@
 }
 
 /*
- * The end of a server says little against its version when a request was there that had ended
- * others before: a good version, on trial on few servers, was taken back for it.
+ * The end of a server says nothing against its version when a request that is held was there: a
+ * good version, on trial on few servers, was taken back for it. A request that is not held yet may
+ * have met three servers of a bad version.
  */
 int cw_quarantine_doubts(const struct cw_quarantine *quarantine, uint64_t server, int64_t now_ms)
 {
 	const struct suspect *suspect;
 
 	TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
-		if (suspect->end_count >= 2 && suspect_end_at(suspect, server, now_ms))
+		if (suspect->held_ms && suspect_end_at(suspect, server, now_ms))
 			return 1;
 	}
 	return 0;
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -397,15 +397,16 @@
 }
 
 /* A good version of an engine is not blamed for what such a request does to its server. */
-static void an_end_under_such_a_request_says_little_of_the_version(void **state)
+static void an_end_under_a_held_request_says_nothing_of_the_version(void **state)
 {
 	struct cw_quarantine *quarantine = cw_quarantine_create();
 
 	broke(quarantine, DEADLY, 1, NOW);
-	assert_false(cw_quarantine_doubts(quarantine, 1, NOW));
 	broke(quarantine, DEADLY, 2, NOW + 100);
-	assert_true(cw_quarantine_doubts(quarantine, 2, NOW + 100));
-	assert_false(cw_quarantine_doubts(quarantine, 3, NOW + 100));
+	assert_false(cw_quarantine_doubts(quarantine, 2, NOW + 100));
+	broke(quarantine, DEADLY, 3, NOW + 200);
+	assert_true(cw_quarantine_doubts(quarantine, 3, NOW + 200));
+	assert_false(cw_quarantine_doubts(quarantine, 4, NOW + 200));
 	cw_quarantine_destroy(quarantine);
 }
 
@@ -440,7 +441,7 @@
 		cmocka_unit_test(a_peer_tells_that_a_server_goes_on),
 		cmocka_unit_test(who_stood_still_takes_no_server_for_alive),
 		cmocka_unit_test(one_caller_does_not_drive_out_the_others),
-		cmocka_unit_test(an_end_under_such_a_request_says_little_of_the_version),
+		cmocka_unit_test(an_end_under_a_held_request_says_nothing_of_the_version),
 		cmocka_unit_test(the_same_request_has_the_same_fingerprint_and_others_do_not),
 	};
 
