quarantine: outages of two hundred and fifty-six servers are told apart, found by their number

Waves of crashes among 84 engines end more than 64 in the time that peers tell of one; a dropped outage came back under another number and counted twice.

--- a/packages/quarantine/src/outages.c
+++ b/packages/quarantine/src/outages.c
@@ -32,13 +32,9 @@
 
 int outage_met(const struct cw_quarantine *quarantine, const struct end *end)
 {
-	for (size_t i = 0; i < OUTAGES_KEPT; i++) {
-		const struct outage *outage = &quarantine->outages[i];
+	const struct outage *outage = &quarantine->outages[(end->outage - 1) % OUTAGES_KEPT];
 
-		if (outage->number == end->outage)
-			return end->at_ms - end->ran_ms <= outage->at_ms + SKEW_MS;
-	}
-	return 1;
+	return outage->number != end->outage || end->at_ms - end->ran_ms <= outage->at_ms + SKEW_MS;
 }
 
 /*
--- a/packages/quarantine/src/quarantine_internal.h
+++ b/packages/quarantine/src/quarantine_internal.h
@@ -74,10 +74,10 @@
 };
 
 #define LEFT_KEPT    256 /* in the last second */
-#define OUTAGES_KEPT 64
+#define OUTAGES_KEPT 256 /* newest, of all servers */
 #define VOID_TOLD    8	 /* in one message */
 #define GOOD_SLOTS   512 /* requests that were answered whole, by fingerprint */
-#define CHANGES_KEPT 128
+#define CHANGES_KEPT 64
 
 /* One server, away from its end until it is heard again. */
 struct outage {
