quarantine: the likelier requests are told first, and kept

A message holds 32 ends; at the end of a full engine a hundred requests are suspects. They went out in the order in which they were seen, so that the one at most ends could be left out (unit test: 0 of its 3 ends told before, 3 after). Suspects of which peers don't say whose they are shared the room of one organisation: 64 of them, fewer than one engine runs. What was answered before goes first for room.

--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -6,6 +6,7 @@
 static void prove_answers(struct cw_quarantine *quarantine, int64_t now_ms);
 static void make_room(struct cw_quarantine *quarantine, const char *organisation);
 static struct suspect *least_suspect(struct cw_quarantine *quarantine, const char *organisation);
+static int is_less(const struct suspect *one, const struct suspect *other);
 static void limit_held(struct cw_quarantine *quarantine, const struct suspect *newest,
 		       int64_t now_ms);
 static void tell_change(struct cw_quarantine *quarantine, const struct suspect *suspect,
@@ -372,7 +373,8 @@
 		all++;
 		own += !strcmp(suspect->organisation, organisation);
 	}
-	if (own >= SUSPECTS_ONE_MAX)
+	/* Peers don't always tell whose a request is. */
+	if (*organisation && own >= SUSPECTS_ONE_MAX)
 		least = least_suspect(quarantine, organisation);
 	else if (all >= SUSPECTS_MAX)
 		least = least_suspect(quarantine, NULL);
@@ -390,13 +392,25 @@
 		if (suspect->held_ms ||
 		    (organisation && strcmp(suspect->organisation, organisation) != 0))
 			continue;
-		if (!least || suspect->end_count < least->end_count ||
-		    (suspect->end_count == least->end_count && suspect->news_ms < least->news_ms))
+		if (!least || is_less(suspect, least))
 			least = suspect;
 	}
 	return least;
 }
 
+/* Is it the less likely one? */
+static int is_less(const struct suspect *one, const struct suspect *other)
+{
+	int is_known = one->answered_ms >= 0;
+	int is_other_known = other->answered_ms >= 0;
+
+	if (is_known != is_other_known)
+		return is_known;
+	if (one->end_count != other->end_count)
+		return one->end_count < other->end_count;
+	return one->news_ms < other->news_ms;
+}
+
 /* One caller with many such requests must not drive the others' off the list. */
 static void limit_held(struct cw_quarantine *quarantine, const struct suspect *newest,
 		       int64_t now_ms)
--- a/packages/quarantine/src/share.c
+++ b/packages/quarantine/src/share.c
@@ -1,42 +1,40 @@
 /* What instances tell each other, and what is written down. */
 #include "quarantine_internal.h"
 
+#include <stdlib.h>
 #include <string.h>
 
 static size_t tell_suspect(const struct suspect *suspect, int64_t now_ms,
 			   struct cw_quarantine_end *ends, size_t max);
 static int is_news(const struct suspect *suspect, int64_t now_ms);
+static int by_likelihood(const void *one, const void *other);
 
 /*
- * Those with more ends first: of a hundred requests at one end the one that matters is at others
- * too. The rest take turns, so that each is told once within TELL_MS.
+ * Of a hundred requests at one end the one that matters is at others too, and is never answered:
+ * the likelier ones first. Those that are at one end only take turns.
  */
 size_t cw_quarantine_tell_ends(struct cw_quarantine *quarantine, int64_t now_ms,
 			       struct cw_quarantine_end *ends, size_t max)
 {
+	const struct suspect *news[SUSPECTS_MAX];
 	const struct suspect *suspect;
 	size_t count = outages_tell_void(quarantine, now_ms, ends, MIN(max, VOID_TOLD));
-	size_t singles = 0;
-	size_t turn = 0;
+	size_t news_count = 0;
+	size_t repeated = 0;
 
-	TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
-		if (!is_news(suspect, now_ms))
-			continue;
-		if (suspect->end_count > 1)
-			count += tell_suspect(suspect, now_ms, ends + count, max - count);
-		else
-			singles++;
+	TAILQ_FOREACH(suspect, &quarantine->suspects, link)
+		if (is_news(suspect, now_ms) && news_count < SUSPECTS_MAX)
+			news[news_count++] = suspect;
+	qsort(news, news_count, sizeof(news[0]), by_likelihood);
+	while (repeated < news_count && news[repeated]->end_count > 1) {
+		count += tell_suspect(news[repeated], now_ms, ends + count, max - count);
+		repeated++;
+	}
+	for (size_t i = repeated; i < news_count && count < max; i++) {
+		size_t turn = (quarantine->tell_turn + i) % (news_count - repeated);
+
+		count += tell_suspect(news[repeated + turn], now_ms, ends + count, max - count);
 	}
-	if (singles == 0)
-		return count;
-	quarantine->tell_turn %= singles;
-	for (int round = 0; round < 2; round++, turn = 0)
-		TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
-			if (!is_news(suspect, now_ms) || suspect->end_count > 1)
-				continue;
-			if ((turn++ >= quarantine->tell_turn) == (round == 0) && count < max)
-				count += tell_suspect(suspect, now_ms, ends + count, max - count);
-		}
 	quarantine->tell_turn += max / 2;
 	return count;
 }
@@ -165,3 +163,20 @@
 {
 	return suspect->end_count > 0 && now_ms - suspect->news_ms < TELL_MS;
 }
+
+/* More ends first, those that were answered before last; then any order that stays. */
+static int by_likelihood(const void *one, const void *other)
+{
+	const struct suspect *first = *(const struct suspect *const *)one;
+	const struct suspect *second = *(const struct suspect *const *)other;
+	int first_known = first->answered_ms >= 0;
+	int second_known = second->answered_ms >= 0;
+
+	if ((first->end_count > 1) != (second->end_count > 1))
+		return first->end_count > 1 ? -1 : 1;
+	if (first_known != second_known)
+		return first_known - second_known;
+	if (first->end_count != second->end_count)
+		return first->end_count > second->end_count ? -1 : 1;
+	return first->fingerprint < second->fingerprint ? -1 : 1;
+}
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -415,6 +415,32 @@
 	cw_quarantine_destroy(quarantine);
 }
 
+/*
+ * Symptom: the fourth instance did not learn of the request in time. Sequence: a hundred harmless
+ * ones were at the same servers, sixty of them at two. Cause: a message holds few ends, and they
+ * went out in the order in which they were seen.
+ */
+static void the_request_with_the_most_ends_is_told_first(void **state)
+{
+	struct cw_quarantine *one = cw_quarantine_create();
+	struct cw_quarantine_end ends[CW_QUARANTINE_ENDS];
+	size_t deadly = 0;
+	size_t count;
+
+	for (int server = 1; server <= 3; server++) {
+		for (int i = 0; i < 60; i++)
+			if (server < 3)
+				broke(one, HARMLESS + i, server, NOW + server * 50);
+		broke(one, DEADLY, server, NOW + server * 50);
+	}
+	count = cw_quarantine_tell_ends(one, NOW + 200, ends, CW_QUARANTINE_ENDS);
+	assert_int_equal(count, CW_QUARANTINE_ENDS);
+	for (size_t i = 0; i < count; i++)
+		deadly += ends[i].fingerprint == DEADLY;
+	assert_int_equal(deadly, 3);
+	cw_quarantine_destroy(one);
+}
+
 /* It brings a thousand such bodies: the others' suspects and those held stay. */
 static void one_caller_does_not_drive_out_the_others(void **state)
 {
@@ -482,6 +508,7 @@
 		cmocka_unit_test(who_stood_still_takes_no_server_for_alive),
 		cmocka_unit_test(a_server_that_was_back_ends_a_second_time),
 		cmocka_unit_test(what_is_sent_to_a_server_that_is_away_was_not_there),
+		cmocka_unit_test(the_request_with_the_most_ends_is_told_first),
 		cmocka_unit_test(one_caller_does_not_drive_out_the_others),
 		cmocka_unit_test(an_end_under_a_held_request_says_nothing_of_the_version),
 		cmocka_unit_test(the_same_request_has_the_same_fingerprint_and_others_do_not),
