--- a/packages/quarantine/src/share.c
+++ b/packages/quarantine/src/share.c
@@ -1,13 +1,12 @@
 /* What instances tell each other, and what is written down. */
 #include "quarantine_internal.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 static size_t tell_suspect(const struct suspect *suspect, int64_t now_ms,
 			   struct cw_quarantine_end *ends, size_t max);
 static int is_news(const struct suspect *suspect, int64_t now_ms);
-static int by_likelihood(const void *one, const void *other);
+static gint by_likelihood(gconstpointer one, gconstpointer other);
 
 /*
  * Of a hundred requests at one end the one that matters is at others too, and is never answered:
@@ -16,26 +15,27 @@
 size_t cw_quarantine_tell_ends(struct cw_quarantine *quarantine, int64_t now_ms,
 			       struct cw_quarantine_end *ends, size_t max)
 {
-	const struct suspect *news[SUSPECTS_MAX];
-	const struct suspect *suspect;
+	GPtrArray *news = g_ptr_array_new();
+	struct suspect *suspect;
 	size_t count = outages_tell_void(quarantine, now_ms, ends, MIN(max, VOID_TOLD));
-	size_t news_count = 0;
 	size_t repeated = 0;
 
 	TAILQ_FOREACH(suspect, &quarantine->suspects, link)
-		if (is_news(suspect, now_ms) && news_count < SUSPECTS_MAX)
-			news[news_count++] = suspect;
-	qsort(news, news_count, sizeof(news[0]), by_likelihood);
-	while (repeated < news_count && news[repeated]->end_count > 1) {
-		count += tell_suspect(news[repeated], now_ms, ends + count, max - count);
+		if (is_news(suspect, now_ms))
+			g_ptr_array_add(news, suspect);
+	g_ptr_array_sort(news, by_likelihood);
+	while (repeated < news->len && ((struct suspect *)news->pdata[repeated])->end_count > 1) {
+		count += tell_suspect(news->pdata[repeated], now_ms, ends + count, max - count);
 		repeated++;
 	}
-	for (size_t i = repeated; i < news_count && count < max; i++) {
-		size_t turn = (quarantine->tell_turn + i) % (news_count - repeated);
+	for (size_t i = repeated; i < news->len && count < max; i++) {
+		size_t turn = (quarantine->tell_turn + i) % (news->len - repeated);
 
-		count += tell_suspect(news[repeated + turn], now_ms, ends + count, max - count);
+		count += tell_suspect(news->pdata[repeated + turn], now_ms, ends + count,
+				      max - count);
 	}
 	quarantine->tell_turn += max / 2;
+	g_ptr_array_unref(news);
 	return count;
 }
 
@@ -165,7 +165,7 @@
 }
 
 /* More ends first, those that were answered before last; then any order that stays. */
-static int by_likelihood(const void *one, const void *other)
+static gint by_likelihood(gconstpointer one, gconstpointer other)
 {
 	const struct suspect *first = *(const struct suspect *const *)one;
 	const struct suspect *second = *(const struct suspect *const *)other;
