--- a/tests/standins/ending.c
+++ b/tests/standins/ending.c
@@ -1,5 +1,6 @@
 #include "ending.h"
 
+#include <linux/close_range.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <time.h>
@@ -39,7 +40,8 @@
 		snprintf(text, sizeof(text), "%d", port);
 		setenv(PORT, text, 1);
 	}
-	close_range(STDERR_FILENO + 1, ~0U, 0);
+	/* Closed by execv: other threads may still use them. */
+	close_range(STDERR_FILENO + 1, ~0U, CLOSE_RANGE_CLOEXEC);
 	execv("/proc/self/exe", argv);
 	abort();
 }
