quarantine: what all know is told one at a time; fewer calls of the store

Cause: every message held the whole list and all ends of 2.5 s; a read of the list that the store lost made the others' reads be asked anew. Told now: news for a second, then one record a message; 8 of the requests that are at one end only. A unit test holds the size.

--- a/apps/corianderwalk/entry_feed.c
+++ b/apps/corianderwalk/entry_feed.c
@@ -8,7 +8,7 @@
 
 #define POLL_WAIT_MS	1200  /* of a long poll that may miss a record: all know it 0.5 s later */
 #define POLL_STAGGER_MS 300   /* the second reader's call waits so much less */
-#define HELD_WAIT_MS	10000 /* of a reader's call for held requests: messages tell of them too */
+#define HELD_WAIT_MS	20000 /* of a reader's call for held requests: messages tell of them too */
 #define SERVERS_WAIT_MS 700   /* of a reader's call: its end proves that nothing newer is there */
 #define SERVERS_GAP_MS	100   /* changes of servers that come close together are one read */
 #define STALE_CHECK_MS	100   /* a view that grew old is noticed within it */
@@ -438,7 +438,8 @@
 	/* Who writes a roll-out's end reads its topic alone, whatever its rank as a reader. */
 	rank = topic->topic == CW_UP_STATUS ? 0 : rank_of(topic);
 	ask_in(topic, cw_readers_again_ms(rank, topic->failures, random));
-	doubt_others(topic);
+	if (topic->topic != CW_UP_QUARANTINE)
+		doubt_others(topic);
 }
 
 static void restored(struct topic *topic)
@@ -451,7 +452,8 @@
 	topic->restored_ms = entry_now_ms(topic->feed->entry);
 	cw_event("feed", "store_regained", "topic=%s from=%lu", topic->name,
 		 (unsigned long)topic_next_offset(topic));
-	doubt_others(topic);
+	if (topic->topic != CW_UP_QUARANTINE)
+		doubt_others(topic);
 }
 
 /*
@@ -462,7 +464,7 @@
 static void doubt_others(struct topic *topic)
 {
 	struct feed *feed = topic->feed;
-	struct topic *topics[] = {&feed->operator, & feed->servers, &feed->quarantine};
+	struct topic *topics[] = {&feed->operator, & feed->servers };
 
 	for (size_t i = 0; i < G_N_ELEMENTS(topics); i++)
 		if (topics[i] != topic && topics[i]->exchange)
--- a/apps/corianderwalk/entry_quarantine.c
+++ b/apps/corianderwalk/entry_quarantine.c
@@ -106,6 +106,6 @@
 	cw_event("feed", "quarantine_written", "fingerprint=%016lx released=%d",
 		 (unsigned long)holding->fingerprint, holding->is_released);
 	cw_quarantine_written(cw_gate_quarantine(entry->gate), holding->fingerprint,
-			      holding->is_released);
+			      holding->is_released, entry_now_ms(entry));
 	peers_tell(entry->peers);
 }
--- a/packages/node/src/node_quarantine.c
+++ b/packages/node/src/node_quarantine.c
@@ -119,7 +119,8 @@
 	record.age_ms = (uint32_t)CLAMP(node->wall_ms - time_ms, 0, UINT32_MAX - 1);
 	cw_quarantine_hear_record(node->quarantine, &record, CW_QUARANTINE_STORE, node->now_ms);
 	if (cw_quarantine_holds(node->quarantine, record.fingerprint) != record.is_released)
-		cw_quarantine_written(node->quarantine, record.fingerprint, record.is_released);
+		cw_quarantine_written(node->quarantine, record.fingerprint, record.is_released,
+				      node->now_ms);
 }
 
 void quarantine_appended(struct cw_node *node, const struct cw_appended *appended)
--- a/packages/quarantine/include/cw_quarantine.h
+++ b/packages/quarantine/include/cw_quarantine.h
@@ -119,7 +119,8 @@
 			       enum cw_quarantine_source source, int64_t now_ms);
 int cw_quarantine_unwritten(const struct cw_quarantine *quarantine, int64_t now_ms,
 			    struct cw_quarantine_record *record); /* 1: the oldest to write */
-void cw_quarantine_written(struct cw_quarantine *quarantine, uint64_t fingerprint, int is_released);
+void cw_quarantine_written(struct cw_quarantine *quarantine, uint64_t fingerprint, int is_released,
+			   int64_t now_ms);
 const char *cw_quarantine_source_name(enum cw_quarantine_source source); /* for logs */
 
 #endif
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -114,8 +114,11 @@
 		struct suspect *next = TAILQ_NEXT(suspect, link);
 
 		if (suspect->held_ms && !suspect->is_brief &&
-		    now_ms - suspect->held_ms >= (suspect->is_clear ? FIRM_MS : FIRM_UNCLEAR_MS))
+		    now_ms - suspect->held_ms >= (suspect->is_clear ? FIRM_MS : FIRM_UNCLEAR_MS) &&
+		    !suspect->is_firm) {
 			suspect->is_firm = 1;
+			suspect->changed_ms = now_ms;
+		}
 		if (suspect->held_ms && has_aged(suspect, now_ms))
 			suspect_release(quarantine, suspect, CW_QUARANTINE_TIME, now_ms);
 		else if (!suspect->held_ms && has_aged(suspect, now_ms))
@@ -269,6 +272,7 @@
 	suspect->held_ms = MAX(since_ms, 1);
 	suspect->released_ms = 0;
 	suspect->is_firm = source != CW_QUARANTINE_OWN;
+	suspect->changed_ms = now_ms;
 	suspect->is_brief = source == CW_QUARANTINE_OWN && suspect->answered_ms >= 0;
 	suspect->is_written = source == CW_QUARANTINE_STORE;
 	quarantine->held++;
@@ -292,6 +296,7 @@
 		return;
 	suspect->held_ms = 0;
 	suspect->released_ms = suspect->is_firm ? now_ms : 0;
+	suspect->changed_ms = now_ms;
 	suspect->is_written = !suspect->is_firm || source == CW_QUARANTINE_STORE;
 	suspect->is_firm = suspect->is_brief = 0;
 	suspect->answered_ms = MAX(suspect->answered_ms, now_ms);
--- a/packages/quarantine/src/quarantine_internal.h
+++ b/packages/quarantine/src/quarantine_internal.h
@@ -26,10 +26,11 @@
 #define HOLD_MS		600000 /* then it may be tried anew: three servers in ten minutes */
 #define BRIEF_HOLD_MS	10000  /* of a request that was answered lately: servers may be at fault */
 #define EVIDENCE_MS	600000 /* an end counts for so long */
-#define TELL_MS		2500   /* an end is told for so long: by many instances, each to a few */
+#define TELL_MS		1000   /* news are told for so long: seven rounds of messages */
 #define NAMES_MS	2000   /* from an end until a peer has told whose request it was */
 #define RELEASED_MS	60000  /* so long peers may still tell of it as held */
 #define ENDS_TOLD	4      /* newest, of one request */
+#define SINGLES_TOLD	8      /* in one message, of requests that are at one end only */
 #define LEFT_MS		1000   /* a request that is over may still end its server */
 
 /* One server that ended, as far as one request is concerned. */
@@ -54,12 +55,13 @@
 	int64_t news_ms;	/* when this instance last learned anything of it */
 	int64_t held_ms;	/* since when, 0: not held */
 	int64_t released_ms;	/* when it was taken off, 0: not, or long ago */
-	int is_firm;		/* told to peers; stays until it is released */
-	int is_brief;		/* for a short time */
-	int is_written;		/* the store has its newest state */
-	int is_blamed;		/* by the judgement under way */
-	int is_clear;		/* and no other was at as many of its ends */
-	unsigned int rivals;	/* others at two or more of its ends, as it was blamed */
+	int64_t changed_ms;  /* when this instance learned either as firm, or that it was written */
+	int is_firm;	     /* told to peers; stays until it is released */
+	int is_brief;	     /* for a short time */
+	int is_written;	     /* the store has its newest state */
+	int is_blamed;	     /* by the judgement under way */
+	int is_clear;	     /* and no other was at as many of its ends */
+	unsigned int rivals; /* others at two or more of its ends, as it was blamed */
 };
 
 TAILQ_HEAD(suspect_list, suspect);
--- a/packages/quarantine/src/share.c
+++ b/packages/quarantine/src/share.c
@@ -28,38 +28,45 @@
 		count += tell_suspect(news->pdata[repeated], now_ms, ends + count, max - count);
 		repeated++;
 	}
-	for (size_t i = repeated; i < news->len && count < max; i++) {
+	for (size_t i = repeated; i < MIN(news->len, repeated + SINGLES_TOLD) && count < max; i++) {
 		size_t turn = (quarantine->tell_turn + i) % (news->len - repeated);
 
 		count += tell_suspect(news->pdata[repeated + turn], now_ms, ends + count,
 				      max - count);
 	}
-	quarantine->tell_turn += max / 2;
+	quarantine->tell_turn += SINGLES_TOLD;
 	g_ptr_array_unref(news);
 	return count;
 }
 
+/*
+ * Load pattern: hundreds of instances that each tell the whole list in every message filled their
+ * links, and doubled the bytes between failure domains. What is new is told to all for a while, and
+ * one more each time: who starts hears many messages and has the list within a second.
+ */
 size_t cw_quarantine_tell_records(struct cw_quarantine *quarantine, int64_t now_ms,
 				  struct cw_quarantine_record *records, size_t max)
 {
 	const struct suspect *suspect;
+	const struct suspect *next = NULL;
 	size_t count = 0;
-	size_t seen = 0;
-	size_t all = 0;
+	size_t old = 0;
 
-	TAILQ_FOREACH(suspect, &quarantine->suspects, link)
-		all += suspect->is_firm || suspect->released_ms;
-	if (all == 0)
-		return 0;
-	/* More than a message holds take turns. */
-	quarantine->record_turn = all > max ? (quarantine->record_turn + max) % all : 0;
-	for (int round = 0; round < 2; round++, seen = 0)
-		TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
-			if (!suspect->is_firm && !suspect->released_ms)
-				continue;
-			if ((seen++ >= quarantine->record_turn) == (round == 0) && count < max)
+	TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
+		if (!suspect->is_firm && !suspect->released_ms)
+			continue;
+		if (now_ms - suspect->changed_ms < TELL_MS) {
+			if (count + 1 < max)
 				suspect_record(suspect, now_ms, &records[count++]);
+			continue;
 		}
+		if (!next || old == quarantine->record_turn)
+			next = suspect;
+		old++;
+	}
+	quarantine->record_turn = old ? (quarantine->record_turn + 1) % old : 0;
+	if (next && count < max)
+		suspect_record(next, now_ms, &records[count++]);
 	return count;
 }
 
@@ -106,6 +113,9 @@
 	if (!record->is_released && !suspect->held_ms && since_ms > suspect->released_ms)
 		suspect_hold(quarantine, suspect, source, since_ms, now_ms);
 	if ((suspect->held_ms == 0) == record->is_released) {
+		if ((!suspect->is_firm && suspect->held_ms) ||
+		    (!suspect->is_written && record->is_written))
+			suspect->changed_ms = now_ms;
 		suspect->is_firm |= suspect->held_ms != 0;
 		suspect->is_written |= record->is_written;
 	}
@@ -128,12 +138,15 @@
 	return 0;
 }
 
-void cw_quarantine_written(struct cw_quarantine *quarantine, uint64_t fingerprint, int is_released)
+void cw_quarantine_written(struct cw_quarantine *quarantine, uint64_t fingerprint, int is_released,
+			   int64_t now_ms)
 {
 	struct suspect *suspect = suspect_find(quarantine, fingerprint);
 
-	if (suspect && (suspect->held_ms == 0) == is_released)
-		suspect->is_written = 1;
+	if (!suspect || (suspect->held_ms == 0) != is_released)
+		return;
+	suspect->is_written = 1;
+	suspect->changed_ms = now_ms;
 }
 
 /* Its newest ends; the whole answer is told with each. */
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -238,7 +238,7 @@
 	pass(one, NOW + 3, NOW + 20000);
 	assert_true(cw_quarantine_unwritten(one, NOW + 20000, &record));
 	assert_int_equal(record.fingerprint, DEADLY);
-	cw_quarantine_written(one, DEADLY, 0);
+	cw_quarantine_written(one, DEADLY, 0, NOW + 20000);
 	assert_false(cw_quarantine_unwritten(one, NOW + 20000, &record));
 	tell(one, other, NOW + 20000);
 	assert_true(cw_quarantine_holds(other, DEADLY));
@@ -441,6 +441,33 @@
 	cw_quarantine_destroy(one);
 }
 
+/*
+ * Symptom: bytes between failure domains doubled. Sequence: a few requests are held; each of 195
+ * instances tells eight others of all of them, seven times a second, for ten minutes. Cause: the
+ * list was told whole each time.
+ */
+static void a_list_that_all_know_takes_little_of_a_message(void **state)
+{
+	struct cw_quarantine *one = cw_quarantine_create();
+	struct cw_quarantine *other = cw_quarantine_create();
+	struct cw_quarantine_record records[CW_QUARANTINE_RECORDS];
+
+	for (uint64_t i = 0; i < 12; i++)
+		for (uint64_t j = 0; j < 3; j++)
+			broke(one, HARMLESS + i, i * 3 + j, NOW + (int64_t)i);
+	pass(one, NOW + 12, NOW + LATER);
+	assert_true(cw_quarantine_tell_records(one, NOW + LATER, records, CW_QUARANTINE_RECORDS) ==
+		    12);
+	assert_true(cw_quarantine_tell_records(one, NOW + 9000, records, CW_QUARANTINE_RECORDS) ==
+		    1);
+	/* Who starts now has it after as many messages as there are records. */
+	for (int i = 0; i < 12; i++)
+		tell(one, other, NOW + 9000 + i);
+	assert_int_equal(held(other), 12);
+	cw_quarantine_destroy(one);
+	cw_quarantine_destroy(other);
+}
+
 /* It brings a thousand such bodies: the others' suspects and those held stay. */
 static void one_caller_does_not_drive_out_the_others(void **state)
 {
@@ -509,6 +536,7 @@
 		cmocka_unit_test(a_server_that_was_back_ends_a_second_time),
 		cmocka_unit_test(what_is_sent_to_a_server_that_is_away_was_not_there),
 		cmocka_unit_test(the_request_with_the_most_ends_is_told_first),
+		cmocka_unit_test(a_list_that_all_know_takes_little_of_a_message),
 		cmocka_unit_test(one_caller_does_not_drive_out_the_others),
 		cmocka_unit_test(an_end_under_a_held_request_says_nothing_of_the_version),
 		cmocka_unit_test(the_same_request_has_the_same_fingerprint_and_others_do_not),
