quarantine: a broken request alone is no end of its server

A byte on an earlier connection says that a server goes on, but of 195 instances few have one there.

An end counts now only once it is confirmed: the server took no connection after the break (whoever saw the break tries one, at most every 0.3 s; an opened one is kept for requests), it left the list, three requests broke within 20 ms, or one sent after the break broke within 10 ms. Peers are told. Over the own interface, which tries no connections, the break counts as before.

--- a/apps/corianderwalk/entry_news.c
+++ b/apps/corianderwalk/entry_news.c
@@ -126,6 +126,7 @@
 
 	if (!server || server->gone)
 		return;
+	cw_quarantine_gone(cw_gate_quarantine(feed->entry->gate), server->id, now_ms);
 	cw_event("feed", "server_gone", "server=%s address=%s held_ms=%ld", name, server->address,
 		 (long)MAX(until_ms - now_ms, 0));
 	cw_pool_delist(pool, server, until_ms, now_ms);
--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -7,6 +7,7 @@
 
 #define PROBES		 2 /* that fail one after another: one opening packet may be lost by chance */
 #define PROBE_MS	 100 /* for a connection: ways of 1 ms, and a busy server's accept */
+#define ENDED_TRY_MS	 300 /* a server that broke requests is tried so often at most */
 #define WAIT_TO_KNOW_MS	 700 /* for configuration and servers: reading them takes 10 to 300 ms */
 #define DOUBTED_MAX	 128 /* servers probed at once */
 #define ANSWER_BYTES_MAX (4 * 1024 * 1024) /* of an answer that is passed on whole */
@@ -52,6 +53,8 @@
 static void on_closed(uv_handle_t *handle);
 static void probe(struct entry *entry, const struct cw_server *server, int number);
 static void on_probed(void *context, const char *address, int is_reachable);
+static void try_ended(struct entry *entry, struct cw_server *server);
+static void on_ended_tried(void *context, const char *address, int is_reachable);
 static void probe_doubted(struct entry *entry, const struct cw_server *unreachable, int64_t now_ms);
 static void leave_unreachable(struct entry *entry, const struct cw_server *server);
 static void open_call(struct relay *relay);
@@ -215,6 +218,32 @@
 	g_free(watch);
 }
 
+/* A request broke: did its server end, or only drop a connection? One that ended takes no other. */
+static void try_ended(struct entry *entry, struct cw_server *server)
+{
+	int64_t now_ms = entry_now_ms(entry);
+	struct watch *watch;
+
+	if (server->end_tried_ms && now_ms - server->end_tried_ms < ENDED_TRY_MS)
+		return;
+	server->end_tried_ms = now_ms;
+	watch = g_new0(struct watch, 1);
+	watch->entry = entry;
+	watch->server = server->id;
+	cw_count("server_probes", "", 1);
+	cw_client_probe(entry->servers, server->address, PROBE_MS, on_ended_tried, watch);
+}
+
+static void on_ended_tried(void *context, const char *address, int is_reachable)
+{
+	struct watch *watch = context;
+
+	if (!is_reachable)
+		cw_quarantine_gone(cw_gate_quarantine(watch->entry->gate), watch->server,
+				   entry_now_ms(watch->entry));
+	g_free(watch);
+}
+
 static void probe_doubted(struct entry *entry, const struct cw_server *unreachable, int64_t now_ms)
 {
 	struct cw_server *doubted[DOUBTED_MAX];
@@ -492,6 +521,8 @@
 	struct cw_step step;
 
 	relay->exchange = NULL;
+	if (failure == CW_FLOW_BROKEN && server)
+		try_ended(relay->entry, (struct cw_server *)server);
 	cw_event("gate", "attempt_failed",
 		 "request=%s server=%s how=%s shown_ms=%ld sent_ms_ago=%ld fingerprint=%016lx",
 		 relay->facts.id, server ? server->name : "-", break_reasons[breaks[failure]],
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -166,6 +166,7 @@
 		if (how == CW_BREAK_UNSENT)
 			cw_pool_unheard(call->server);
 		cw_pool_refused(call->server, now_ms, gate_random(call->gate));
+		cw_quarantine_gone(call->gate->quarantine, call->server->id, now_ms);
 		leave_server(call, now_ms, 0);
 		call->attempts--;
 		if (++call->unsent < UNSENT_MAX && now_ms + CONNECT_LEFT_MIN < call->limit_ms &&
--- a/packages/gossip/src/gossip.c
+++ b/packages/gossip/src/gossip.c
@@ -175,7 +175,7 @@
 	return xdr_uint64_t(xdr, &end->fingerprint) && xdr_uint64_t(xdr, &end->server) &&
 	       xdr_int(xdr, &end->is_alive) && xdr_u_int(xdr, &end->age_ms) &&
 	       xdr_u_int(xdr, &end->ran_ms) && xdr_int(xdr, &end->is_running) &&
-	       xdr_u_int(xdr, &end->answered_ms);
+	       xdr_int(xdr, &end->is_confirmed) && xdr_u_int(xdr, &end->answered_ms);
 }
 
 static bool_t code_held(XDR *xdr, struct cw_quarantine_record *record)
--- a/packages/node/src/node_quarantine.c
+++ b/packages/node/src/node_quarantine.c
@@ -52,6 +52,8 @@
 		}
 		cw_quarantine_broke(node->quarantine, &quarantined, server->id,
 				    ran_ms(node, request), 0, node->now_ms);
+		/* Nothing here tries a server's connections: its word is taken. */
+		cw_quarantine_gone(node->quarantine, server->id, node->now_ms);
 		gossip_hurry(node);
 		break;
 	case CW_ATTEMPT_FAILED:
@@ -145,6 +147,7 @@
 		ends[i].age_ms = own[i].age_ms;
 		ends[i].ran_ms = own[i].ran_ms;
 		ends[i].running = (u_int)own[i].is_running;
+		ends[i].confirmed = (u_int)own[i].is_confirmed;
 		ends[i].answered_ms = own[i].answered_ms;
 	}
 	beat->ends.ends_len = (u_int)count;
@@ -175,6 +178,7 @@
 			.age_ms = peer->age_ms,
 			.ran_ms = peer->ran_ms,
 			.is_running = peer->running != 0,
+			.is_confirmed = peer->confirmed != 0,
 			.answered_ms = peer->answered_ms,
 		};
 
--- a/packages/peer/include/peer.h
+++ b/packages/peer/include/peer.h
@@ -78,6 +78,7 @@
 	u_int age_ms;
 	u_int ran_ms;
 	u_int running;
+	u_int confirmed;
 	u_int answered_ms;
 };
 typedef struct peer_end peer_end;
--- a/packages/peer/peer.x
+++ b/packages/peer/peer.x
@@ -58,6 +58,7 @@
 	unsigned int age_ms;
 	unsigned int ran_ms;
 	unsigned int running;       /* since its first byte */
+	unsigned int confirmed;
 	unsigned int answered_ms;   /* since the last whole answer, 4294967295 none */
 };
 
--- a/packages/peer/src/peer_xdr.c
+++ b/packages/peer/src/peer_xdr.c
@@ -167,7 +167,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->server))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->alive))
 				 return FALSE;
@@ -177,6 +177,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->running))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->confirmed))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->answered_ms))
 				 return FALSE;
 		} else {
@@ -184,6 +186,7 @@
 			IXDR_PUT_U_LONG(buf, objp->age_ms);
 			IXDR_PUT_U_LONG(buf, objp->ran_ms);
 			IXDR_PUT_U_LONG(buf, objp->running);
+			IXDR_PUT_U_LONG(buf, objp->confirmed);
 			IXDR_PUT_U_LONG(buf, objp->answered_ms);
 		}
 		return TRUE;
@@ -192,7 +195,7 @@
 			 return FALSE;
 		 if (!xdr_u_quad_t (xdrs, &objp->server))
 			 return FALSE;
-		buf = XDR_INLINE (xdrs, 5 * BYTES_PER_XDR_UNIT);
+		buf = XDR_INLINE (xdrs, 6 * BYTES_PER_XDR_UNIT);
 		if (buf == NULL) {
 			 if (!xdr_u_int (xdrs, &objp->alive))
 				 return FALSE;
@@ -202,6 +205,8 @@
 				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->running))
 				 return FALSE;
+			 if (!xdr_u_int (xdrs, &objp->confirmed))
+				 return FALSE;
 			 if (!xdr_u_int (xdrs, &objp->answered_ms))
 				 return FALSE;
 		} else {
@@ -209,6 +214,7 @@
 			objp->age_ms = IXDR_GET_U_LONG(buf);
 			objp->ran_ms = IXDR_GET_U_LONG(buf);
 			objp->running = IXDR_GET_U_LONG(buf);
+			objp->confirmed = IXDR_GET_U_LONG(buf);
 			objp->answered_ms = IXDR_GET_U_LONG(buf);
 		}
 	 return TRUE;
@@ -226,6 +232,8 @@
 		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->running))
 		 return FALSE;
+	 if (!xdr_u_int (xdrs, &objp->confirmed))
+		 return FALSE;
 	 if (!xdr_u_int (xdrs, &objp->answered_ms))
 		 return FALSE;
 	return TRUE;
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -98,6 +98,7 @@
 	int64_t probed_ms;    /* a connection was tried, only to see */
 	int64_t probe_gap_ms; /* to the next one; grows while the server stays silent */
 	int is_unreachable;   /* it was not opened in time */
+	int64_t end_tried_ms; /* a connection was tried since a request broke there */
 	int is_doubted;	      /* others behind the same way can't be reached; being probed */
 
 	unsigned int failures; /* in a row */
--- a/packages/quarantine/include/cw_quarantine.h
+++ b/packages/quarantine/include/cw_quarantine.h
@@ -36,6 +36,7 @@
 	uint32_t age_ms;      /* since the end */
 	uint32_t ran_ms;      /* from the request's send, or the first byte, to the end */
 	int is_running;	      /* the server had begun to answer it, and was up then */
+	int is_confirmed;     /* the server took no connection after it, or broke many at once */
 	uint32_t answered_ms; /* since the request was last answered whole, CW_QUARANTINE_NEVER */
 };
 
@@ -92,6 +93,8 @@
 void cw_quarantine_answered(struct cw_quarantine *quarantine, uint64_t fingerprint, uint64_t server,
 			    int64_t ran_ms,
 			    int64_t now_ms); /* whole and by one run, whatever the status */
+void cw_quarantine_gone(struct cw_quarantine *quarantine, uint64_t server,
+			int64_t now_ms); /* it takes no connection, or is not listed any more */
 void cw_quarantine_heard(struct cw_quarantine *quarantine, uint64_t server, int64_t sent_ms,
 			 int64_t now_ms); /* a byte came from it, for a request sent then */
 int cw_quarantine_doubts(const struct cw_quarantine *quarantine, uint64_t server,
--- a/packages/quarantine/src/judge.c
+++ b/packages/quarantine/src/judge.c
@@ -128,7 +128,7 @@
 		  const struct end *end, int64_t now_ms)
 {
 	return end->at_ms > suspect->answered_ms && now_ms - end->at_ms < EVIDENCE_MS &&
-	       outage_met(quarantine, end);
+	       outage_met(quarantine, end) && outage_is_confirmed(quarantine, end->outage);
 }
 
 static int is_explained(const struct cw_quarantine *quarantine, const struct end *end)
--- a/packages/quarantine/src/outages.c
+++ b/packages/quarantine/src/outages.c
@@ -6,6 +6,7 @@
 #include "quarantine_internal.h"
 
 static struct outage *outage_at(struct cw_quarantine *quarantine, uint64_t server, int64_t at_ms);
+static struct outage *by_number(struct cw_quarantine *quarantine, uint32_t number);
 static void forget_ends(struct cw_quarantine *quarantine, const struct outage *outage);
 
 uint32_t outage_note(struct cw_quarantine *quarantine, const struct end *end)
@@ -32,9 +33,62 @@
 
 int outage_met(const struct cw_quarantine *quarantine, const struct end *end)
 {
-	const struct outage *outage = &quarantine->outages[(end->outage - 1) % OUTAGES_KEPT];
+	const struct outage *outage = by_number((struct cw_quarantine *)quarantine, end->outage);
 
-	return outage->number != end->outage || end->at_ms - end->ran_ms <= outage->at_ms + SKEW_MS;
+	return !outage || end->at_ms - end->ran_ms <= outage->at_ms + SKEW_MS;
+}
+
+int outage_is_confirmed(const struct cw_quarantine *quarantine, uint32_t number)
+{
+	const struct outage *outage = by_number((struct cw_quarantine *)quarantine, number);
+
+	return !outage || outage->is_confirmed;
+}
+
+void outage_confirm(struct cw_quarantine *quarantine, uint32_t number)
+{
+	struct outage *outage = by_number(quarantine, number);
+
+	if (!outage || outage->is_confirmed || outage->is_void)
+		return;
+	outage->is_confirmed = 1;
+	quarantine->is_dirty = 1;
+}
+
+void outage_broke(struct cw_quarantine *quarantine, const struct end *end)
+{
+	struct outage *outage = by_number(quarantine, end->outage);
+
+	if (!outage)
+		return;
+	if (!outage_met(quarantine, end)) {
+		if (!end->is_running && end->ran_ms <= QUICK_MS)
+			outage_confirm(quarantine, end->outage);
+		return;
+	}
+	if (ABS(end->at_ms - outage->noted_ms) <= BURST_MS && ++outage->breaks >= BURST)
+		outage_confirm(quarantine, end->outage);
+}
+
+/*
+ * Symptom this prevents: servers that reset a part of their answers and go on got hundreds of
+ * harmless requests held, each of which had met three of them.
+ */
+void cw_quarantine_gone(struct cw_quarantine *quarantine, uint64_t server, int64_t now_ms)
+{
+	struct outage *newest = NULL;
+
+	if (now_ms - quarantine->newest_outage_ms >= GONE_MS)
+		return;
+	for (size_t i = 0; i < OUTAGES_KEPT; i++) {
+		struct outage *outage = &quarantine->outages[i];
+
+		if (outage->number && outage->server == server && !outage->is_void &&
+		    now_ms - outage->at_ms < GONE_MS && (!newest || outage->at_ms > newest->at_ms))
+			newest = outage;
+	}
+	if (newest)
+		outage_confirm(quarantine, newest->number);
 }
 
 /*
@@ -123,3 +177,11 @@
 		if (suspect_drop_end(suspect, outage->number))
 			quarantine->is_dirty = 1;
 }
+
+/* NULL: it was dropped for room. */
+static struct outage *by_number(struct cw_quarantine *quarantine, uint32_t number)
+{
+	struct outage *outage = &quarantine->outages[(number - 1) % OUTAGES_KEPT];
+
+	return outage->number == number ? outage : NULL;
+}
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -214,8 +214,12 @@
 	size_t at;
 
 	noted.outage = outage_note(quarantine, end);
-	if (!noted.outage || !outage_met(quarantine, &noted))
+	if (!noted.outage)
 		return 0;
+	if (!outage_met(quarantine, &noted)) {
+		outage_broke(quarantine, &noted);
+		return 0;
+	}
 	known = (struct end *)suspect_end_in(suspect, noted.outage);
 	/* Of several copies, the one that had just come. */
 	if (known) {
@@ -233,6 +237,7 @@
 	for (; at > 0 && suspect->ends[at - 1].at_ms > end->at_ms; at--)
 		suspect->ends[at] = suspect->ends[at - 1];
 	suspect->ends[at] = noted;
+	outage_broke(quarantine, &noted);
 	suspect->ends_seen++;
 	suspect->news_ms = now_ms;
 	quarantine->is_dirty = 1;
--- a/packages/quarantine/src/quarantine_internal.h
+++ b/packages/quarantine/src/quarantine_internal.h
@@ -18,6 +18,10 @@
 #define MOMENT_MS                                                                                  \
 	300 /* servers that end together have a cause of their own, for a known request            \
 	     */
+#define BURST_MS	20     /* requests that break within it */
+#define BURST		3      /* and so many of them: their server ended */
+#define QUICK_MS	10     /* a new request that breaks within it met nobody */
+#define GONE_MS		4000   /* after a break: a server that takes no connection ended then */
 #define STALL_MS	300    /* without a tick: what is read now came at any time since */
 #define ALIVE_MS	50     /* after an end, what was on its way from the server has been read */
 #define SETTLE_MS	200    /* peers' reports of the same ends are there by then */
@@ -85,12 +89,14 @@
 struct outage {
 	uint32_t number; /* 0: none */
 	uint64_t server;
-	int64_t at_ms;	  /* the first break */
-	int64_t noted_ms; /* the one that this instance learned of first */
-	int64_t back_ms;  /* when it was heard again, 0: not yet */
-	int is_void;	  /* it had not ended: */
-	int64_t heard_ms; /* a byte came then on a connection that was there before */
-	int64_t news_ms;  /* when this instance learned that */
+	int64_t at_ms;	     /* the first break */
+	int64_t noted_ms;    /* the one that this instance learned of first */
+	int64_t back_ms;     /* when it was heard again, 0: not yet */
+	unsigned int breaks; /* requests that broke in its first moment */
+	int is_confirmed;    /* not only that requests broke */
+	int is_void;	     /* it had not ended: */
+	int64_t heard_ms;    /* a byte came then on a connection that was there before */
+	int64_t news_ms;     /* when this instance learned that */
 };
 
 struct good {
@@ -144,6 +150,10 @@
 		     const struct end *end); /* its number; 0: the server had not ended */
 int outage_met(const struct cw_quarantine *quarantine,
 	       const struct end *end); /* 1: the request was there as it began */
+int outage_is_confirmed(const struct cw_quarantine *quarantine, uint32_t number);
+void outage_confirm(struct cw_quarantine *quarantine, uint32_t number);
+void outage_broke(struct cw_quarantine *quarantine,
+		  const struct end *end); /* another request did, there or after it began */
 void outage_withdraw(struct cw_quarantine *quarantine, uint64_t server, int64_t at_ms,
 		     int64_t now_ms); /* a byte at that moment says that there was none */
 size_t outages_tell_void(const struct cw_quarantine *quarantine, int64_t now_ms,
--- a/tests/unit/test_gate_quarantine.c
+++ b/tests/unit/test_gate_quarantine.c
@@ -13,9 +13,14 @@
 	bed->facts.body = BODY;
 	bed_ask(bed, path);
 	while (bed->step.kind == CW_STEP_SEND) {
+		uint64_t server = bed->step.server->id;
+
 		sends++;
 		cw_call_broken(bed->call, CW_BREAK_BROKEN, BED_NOW + (int64_t)sends * 2000,
 			       &bed->step);
+		cw_quarantine_gone(cw_gate_quarantine(bed->gate), server,
+				   BED_NOW + (int64_t)sends * 2000);
+		cw_quarantine_tick(cw_gate_quarantine(bed->gate), BED_NOW + (int64_t)sends * 2000);
 	}
 	return sends;
 }
