quarantine: a confirmed end is judged at once, and stays confirmed

Each 0.1 s until the third end is judged, and 0.2 s while a harmless request was at two of the same ends, cost one more. And an outage that was dropped for room passed for confirmed: the ends keep it themselves now.

--- a/packages/quarantine/src/judge.c
+++ b/packages/quarantine/src/judge.c
@@ -55,7 +55,8 @@
 
 	while ((suspect = most_open(quarantine, now_ms))) {
 		suspect->rivals = count_rivals(quarantine, suspect, now_ms);
-		if (suspect->rivals > 0 && !has_settled(quarantine, suspect, now_ms)) {
+		/* Each wait may cost a server; a wrong judgement is taken back as quickly. */
+		if (!suspect->is_clear && !has_settled(quarantine, suspect, now_ms)) {
 			quarantine->is_dirty = 1;
 			return;
 		}
@@ -128,7 +129,7 @@
 		  const struct end *end, int64_t now_ms)
 {
 	return end->at_ms > suspect->answered_ms && now_ms - end->at_ms < EVIDENCE_MS &&
-	       outage_met(quarantine, end) && outage_is_confirmed(quarantine, end->outage);
+	       end->is_confirmed && outage_met(quarantine, end);
 }
 
 static int is_explained(const struct cw_quarantine *quarantine, const struct end *end)
--- a/packages/quarantine/src/outages.c
+++ b/packages/quarantine/src/outages.c
@@ -42,17 +42,24 @@
 {
 	const struct outage *outage = by_number((struct cw_quarantine *)quarantine, number);
 
-	return !outage || outage->is_confirmed;
+	return outage && outage->is_confirmed;
 }
 
 void outage_confirm(struct cw_quarantine *quarantine, uint32_t number)
 {
 	struct outage *outage = by_number(quarantine, number);
+	struct suspect *suspect;
 
 	if (!outage || outage->is_confirmed || outage->is_void)
 		return;
 	outage->is_confirmed = 1;
 	quarantine->is_dirty = 1;
+	TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
+		struct end *end = (struct end *)suspect_end_in(suspect, number);
+
+		if (end)
+			end->is_confirmed = 1;
+	}
 }
 
 void outage_broke(struct cw_quarantine *quarantine, const struct end *end)
@@ -87,8 +94,10 @@
 		    now_ms - outage->at_ms < GONE_MS && (!newest || outage->at_ms > newest->at_ms))
 			newest = outage;
 	}
-	if (newest)
-		outage_confirm(quarantine, newest->number);
+	if (!newest || newest->is_confirmed)
+		return;
+	outage_confirm(quarantine, newest->number);
+	quarantine_judge(quarantine, now_ms);
 }
 
 /*
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -220,6 +220,7 @@
 		outage_broke(quarantine, &noted);
 		return 0;
 	}
+	noted.is_confirmed = outage_is_confirmed(quarantine, noted.outage);
 	known = (struct end *)suspect_end_in(suspect, noted.outage);
 	/* Of several copies, the one that had just come. */
 	if (known) {
--- a/packages/quarantine/src/quarantine_internal.h
+++ b/packages/quarantine/src/quarantine_internal.h
@@ -43,7 +43,8 @@
 	uint32_t outage; /* its number here */
 	int64_t at_ms;
 	int64_t ran_ms;
-	int is_running; /* the server was up when it began */
+	int is_running;	  /* the server was up when it began */
+	int is_confirmed; /* the server ended, and did not only drop the connection */
 };
 
 /* A request that was at a server as it ended, or that is held. */
--- a/packages/quarantine/src/share.c
+++ b/packages/quarantine/src/share.c
@@ -3,8 +3,8 @@
 
 #include <string.h>
 
-static size_t tell_suspect(const struct cw_quarantine *quarantine, const struct suspect *suspect,
-			   int64_t now_ms, struct cw_quarantine_end *ends, size_t max);
+static size_t tell_suspect(const struct suspect *suspect, int64_t now_ms,
+			   struct cw_quarantine_end *ends, size_t max);
 static int is_news(const struct suspect *suspect, int64_t now_ms);
 static gint by_likelihood(gconstpointer one, gconstpointer other);
 
@@ -25,15 +25,14 @@
 			g_ptr_array_add(news, suspect);
 	g_ptr_array_sort(news, by_likelihood);
 	while (repeated < news->len && ((struct suspect *)news->pdata[repeated])->end_count > 1) {
-		count += tell_suspect(quarantine, news->pdata[repeated], now_ms, ends + count,
-				      max - count);
+		count += tell_suspect(news->pdata[repeated], now_ms, ends + count, max - count);
 		repeated++;
 	}
 	for (size_t i = repeated; i < MIN(news->len, repeated + SINGLES_TOLD) && count < max; i++) {
 		size_t turn = (quarantine->tell_turn + i) % (news->len - repeated);
 
-		count += tell_suspect(quarantine, news->pdata[repeated + turn], now_ms,
-				      ends + count, max - count);
+		count += tell_suspect(news->pdata[repeated + turn], now_ms, ends + count,
+				      max - count);
 	}
 	quarantine->tell_turn += SINGLES_TOLD;
 	g_ptr_array_unref(news);
@@ -153,8 +152,8 @@
 }
 
 /* Its newest ends; the whole answer is told with each. */
-static size_t tell_suspect(const struct cw_quarantine *quarantine, const struct suspect *suspect,
-			   int64_t now_ms, struct cw_quarantine_end *ends, size_t max)
+static size_t tell_suspect(const struct suspect *suspect, int64_t now_ms,
+			   struct cw_quarantine_end *ends, size_t max)
 {
 	size_t count = 0;
 
@@ -167,7 +166,7 @@
 			.age_ms = (uint32_t)MAX(now_ms - end->at_ms, 0),
 			.ran_ms = (uint32_t)CLAMP(end->ran_ms, 0, EVIDENCE_MS),
 			.is_running = end->is_running,
-			.is_confirmed = outage_is_confirmed(quarantine, end->outage),
+			.is_confirmed = end->is_confirmed,
 			.answered_ms = suspect->answered_ms < 0
 					       ? CW_QUARANTINE_NEVER
 					       : (uint32_t)MAX(now_ms - suspect->answered_ms, 0),
