--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -517,12 +517,12 @@
 		[CW_FLOW_SILENT] = CW_BREAK_SILENT,
 	};
 	struct relay *relay = context;
-	const struct cw_server *server = cw_call_server(relay->call);
+	struct cw_server *server = cw_call_server(relay->call);
 	struct cw_step step;
 
 	relay->exchange = NULL;
 	if (failure == CW_FLOW_BROKEN && server)
-		try_ended(relay->entry, (struct cw_server *)server);
+		try_ended(relay->entry, server);
 	cw_event("gate", "attempt_failed",
 		 "request=%s server=%s how=%s shown_ms=%ld sent_ms_ago=%ld fingerprint=%016lx",
 		 relay->facts.id, server ? server->name : "-", break_reasons[breaks[failure]],
--- a/packages/quarantine/include/cw_quarantine.h
+++ b/packages/quarantine/include/cw_quarantine.h
@@ -2,7 +2,8 @@
  * Requests that end the backend servers that run them. Such a request is sent again and again, by
  * its caller, by each attempt and to every instance, and each time costs a server and all that it
  * was running. So the ends of servers are held against the requests that were there; one that has
- * ended three and was never answered is held: it is sent nowhere any more.
+ * ended three and was never answered is held: it is sent nowhere any more. That a connection broke
+ * is not yet the end of a server: cw_quarantine_gone, or several breaks at once, confirm it.
  *
  * Sans-I/O: sends, breaks, answers and peers' news come in; what is held, news for peers and
  * changes to write down come out. A request goes through cw_quarantine_holds, then for each attempt
@@ -85,7 +86,7 @@
 void cw_quarantine_broke(struct cw_quarantine *quarantine,
 			 const struct cw_quarantine_request *request, uint64_t server,
 			 int64_t ran_ms, int is_running,
-			 int64_t now_ms); /* its server ended, not by plan; is_running: ran_ms
+			 int64_t now_ms); /* its connection broke, not by plan; is_running: ran_ms
 					     counts from its first byte */
 void cw_quarantine_left(struct cw_quarantine *quarantine, uint64_t fingerprint, uint64_t server,
 			int64_t ran_ms, int64_t now_ms); /* given up, or a part of an answer came:
