quarantine: one finder of a suspect's end, one test of being listed

Read once more: suspect_end_in() handed out a const pointer that three callers cast away, and share.c wrote "firm or released" twice. The cast now stands once, in the finder; suspect_is_listed() is the one test. The set-up that stood twice in test_gate_quarantine is ask_and_hear_held(); its assertions are untouched.

No behaviour changes. Looked at and left: the two open functions of entry_quarantine and entry_verdict (two lines each), the XDR and gossip tables (one row per field by design), the set-up of the two faces' runs (it differs).

--- a/packages/quarantine/src/judge.c
+++ b/packages/quarantine/src/judge.c
@@ -41,11 +41,11 @@
 	}
 }
 
-const struct end *suspect_end_in(const struct suspect *suspect, uint32_t outage)
+struct end *suspect_end_in(const struct suspect *suspect, uint32_t outage)
 {
 	for (size_t i = 0; i < suspect->end_count; i++)
 		if (suspect->ends[i].outage == outage)
-			return &suspect->ends[i];
+			return (struct end *)&suspect->ends[i];
 	return NULL;
 }
 
--- a/packages/quarantine/src/outages.c
+++ b/packages/quarantine/src/outages.c
@@ -6,7 +6,7 @@
 #include "quarantine_internal.h"
 
 static struct outage *outage_at(struct cw_quarantine *quarantine, uint64_t server, int64_t at_ms);
-static struct outage *by_number(struct cw_quarantine *quarantine, uint32_t number);
+static struct outage *by_number(const struct cw_quarantine *quarantine, uint32_t number);
 static void forget_ends(struct cw_quarantine *quarantine, const struct outage *outage);
 
 uint32_t outage_note(struct cw_quarantine *quarantine, const struct end *end)
@@ -33,14 +33,14 @@
 
 int outage_met(const struct cw_quarantine *quarantine, const struct end *end)
 {
-	const struct outage *outage = by_number((struct cw_quarantine *)quarantine, end->outage);
+	const struct outage *outage = by_number(quarantine, end->outage);
 
 	return !outage || end->at_ms - end->ran_ms <= outage->at_ms + SKEW_MS;
 }
 
 int outage_is_confirmed(const struct cw_quarantine *quarantine, uint32_t number)
 {
-	const struct outage *outage = by_number((struct cw_quarantine *)quarantine, number);
+	const struct outage *outage = by_number(quarantine, number);
 
 	return outage && outage->is_confirmed;
 }
@@ -55,7 +55,7 @@
 	outage->is_confirmed = 1;
 	quarantine->is_dirty = 1;
 	TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
-		struct end *end = (struct end *)suspect_end_in(suspect, number);
+		struct end *end = suspect_end_in(suspect, number);
 
 		if (end)
 			end->is_confirmed = 1;
@@ -188,9 +188,9 @@
 }
 
 /* NULL: it was dropped for room. */
-static struct outage *by_number(struct cw_quarantine *quarantine, uint32_t number)
+static struct outage *by_number(const struct cw_quarantine *quarantine, uint32_t number)
 {
-	struct outage *outage = &quarantine->outages[(number - 1) % OUTAGES_KEPT];
+	const struct outage *outage = &quarantine->outages[(number - 1) % OUTAGES_KEPT];
 
-	return outage->number == number ? outage : NULL;
+	return outage->number == number ? (struct outage *)outage : NULL;
 }
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -221,7 +221,7 @@
 		return 0;
 	}
 	noted.is_confirmed = outage_is_confirmed(quarantine, noted.outage);
-	known = (struct end *)suspect_end_in(suspect, noted.outage);
+	known = suspect_end_in(suspect, noted.outage);
 	/* Of several copies, the one that had just come. */
 	if (known) {
 		if (!outage_met(quarantine, known) || known->ran_ms > noted.ran_ms)
@@ -245,9 +245,14 @@
 	return 1;
 }
 
+int suspect_is_listed(const struct suspect *suspect)
+{
+	return suspect->is_firm || suspect->released_ms != 0;
+}
+
 int suspect_drop_end(struct suspect *suspect, uint32_t outage)
 {
-	struct end *end = (struct end *)suspect_end_in(suspect, outage);
+	struct end *end = suspect_end_in(suspect, outage);
 
 	if (!end)
 		return 0;
--- a/packages/quarantine/src/quarantine_internal.h
+++ b/packages/quarantine/src/quarantine_internal.h
@@ -126,6 +126,7 @@
 };
 
 /* quarantine.c */
+int suspect_is_listed(const struct suspect *suspect); /* peers and the store are told of it */
 struct suspect *suspect_find(const struct cw_quarantine *quarantine, uint64_t fingerprint);
 struct suspect *suspect_learn(struct cw_quarantine *quarantine, uint64_t fingerprint,
 			      const char *organisation, const char *target, int64_t now_ms);
@@ -161,7 +162,7 @@
 			 struct cw_quarantine_end *ends, size_t max);
 
 /* judge.c */
-const struct end *suspect_end_in(const struct suspect *suspect, uint32_t outage); /* NULL: none */
+struct end *suspect_end_in(const struct suspect *suspect, uint32_t outage); /* NULL: none */
 void quarantine_judge(struct cw_quarantine *quarantine, int64_t now_ms);
 
 #endif
--- a/packages/quarantine/src/share.c
+++ b/packages/quarantine/src/share.c
@@ -53,7 +53,7 @@
 	size_t old = 0;
 
 	TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
-		if (!suspect->is_firm && !suspect->released_ms)
+		if (!suspect_is_listed(suspect))
 			continue;
 		if (now_ms - suspect->changed_ms < TELL_MS) {
 			if (count + 1 < max)
@@ -129,7 +129,7 @@
 	const struct suspect *suspect;
 
 	TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
-		if (suspect->is_written || (!suspect->is_firm && !suspect->released_ms))
+		if (suspect->is_written || !suspect_is_listed(suspect))
 			continue;
 		/* Peers that had its caller tell who that is. */
 		if (!*suspect->target && now_ms - suspect->news_ms < NAMES_MS)
--- a/tests/unit/test_gate_quarantine.c
+++ b/tests/unit/test_gate_quarantine.c
@@ -25,6 +25,18 @@
 	return sends;
 }
 
+/* Its answer is awaited as a peer tells that it is held. */
+static void ask_and_hear_held(struct bed *bed)
+{
+	struct cw_quarantine_record record = {.ends = 3};
+
+	bed->facts.body = BODY;
+	bed_ask(bed, "/chat/x");
+	record.fingerprint = cw_call_fingerprint(bed->call);
+	cw_quarantine_hear_record(cw_gate_quarantine(bed->gate), &record, CW_QUARANTINE_PEER,
+				  BED_NOW);
+}
+
 /*
  * Symptom: the caller of such a request got 502 each time and asked again, at once. Sequence: its
  * third server had ended, the fourth instance sent it on. Cause: nothing was remembered. Now it is
@@ -52,15 +64,10 @@
 {
 	struct cw_answer_facts unsure = {
 		.status = 200, .is_sealed = 1, .is_events = 1, .confidence = 0};
-	struct cw_quarantine_record record = {.ends = 3};
 	struct bed bed;
 
 	bed_open(&bed);
-	bed.facts.body = BODY;
-	bed_ask(&bed, "/chat/x");
-	record.fingerprint = cw_call_fingerprint(bed.call);
-	cw_quarantine_hear_record(cw_gate_quarantine(bed.gate), &record, CW_QUARANTINE_PEER,
-				  BED_NOW);
+	ask_and_hear_held(&bed);
 	assert_true(cw_call_is_held(bed.call));
 	cw_call_head(bed.call, &unsure, BED_NOW + 20, &bed.step);
 	assert_int_equal(bed.step.kind, CW_STEP_SHOW);
@@ -73,15 +80,10 @@
 /* A copy in a server's queue is taken out before it can begin. */
 static void a_request_under_way_is_ended_as_it_is_held(void **state)
 {
-	struct cw_quarantine_record record = {.ends = 3};
 	struct bed bed;
 
 	bed_open(&bed);
-	bed.facts.body = BODY;
-	bed_ask(&bed, "/chat/x");
-	record.fingerprint = cw_call_fingerprint(bed.call);
-	cw_quarantine_hear_record(cw_gate_quarantine(bed.gate), &record, CW_QUARANTINE_PEER,
-				  BED_NOW);
+	ask_and_hear_held(&bed);
 	cw_call_stop(bed.call, BED_NOW + 10, &bed.step);
 	bed_assert_refused(&bed, 502, CW_RUN_UNKNOWN);
 	assert_null(cw_call_server(bed.call));
