--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -334,8 +334,8 @@
 }
 
 /*
- * A small model's answer is dropped for a larger one's 1 ms after it began, and its server ends
- * 50 ms later: the request was there all the same.
+ * A small model's answer may be dropped for a larger one's just after it began, and its server end
+ * a moment later: the request was there all the same.
  */
 void quarantine_note_left(struct cw_quarantine *quarantine, uint64_t server, int64_t at_ms,
 			  int64_t now_ms)
--- a/packages/rollout/src/match.c
+++ b/packages/rollout/src/match.c
@@ -2,8 +2,8 @@
  * Does a route fail on the target only? Second by second, the target's failures are held against
  * the other version's in the same second and the one before, and the doubt adds up. A fault that
  * strikes both for a moment, such as crashing servers, then hides nothing of what comes after it:
- * over the time since the order it had made one answer in ten a failure of the old version, and a
- * target that failed in three of ten got 621 of 1,486 requests, where 253 may go.
+ * over the time since the order it would raise the old version's failures, and a failing target
+ * would get more requests than a trial may.
  */
 #include "rollout_internal.h"
 
--- a/packages/rollout/src/plan.c
+++ b/packages/rollout/src/plan.c
@@ -10,10 +10,9 @@
 
 /*
  * From a step's notice until it is in force. A session's next request came to an instance that
- * learned of the step later, and went back to the old version. Messages brought steps to 66
- * instances within 0.34 s, to 195 within 0.37 s; the rest is for messages that are lost. Up to a
- * dozen peers are all told every 150 ms; the second more made good versions late (10 of 16 against
- * 4 of 16 on two days with faults).
+ * learned of the step later, and went back to the old version. A part of the time is for messages
+ * that are lost. Up to a dozen peers are all told in each round and need less; a longer wait makes
+ * good versions late.
  */
 #define AGREE_MS       1000
 #define AGREE_FEW_MS   400
@@ -77,8 +76,8 @@
 }
 
 /*
- * A target proved late went from the first share to all at once, and what failed on one route had
- * got 329 of 1,471 requests when it was found, where 251 may go.
+ * A target proved late must not go from the first share to all at once: what fails on one route
+ * only would have got more requests than a trial may when it is found.
  */
 int64_t rollout_all_from_ms(const struct rollout *rollout)
 {
@@ -93,8 +92,8 @@
 }
 
 /*
- * Sessions that only ask a full server must not fill it as well: with 40 of 100 sessions filling
- * engines, each rejected what it was asked, and 3 of 5 good versions could not be tried.
+ * Sessions that only ask a full server must not fill it as well: with too many sessions filling
+ * engines, each rejects what it is asked, and good versions cannot be tried.
  */
 int cw_rollouts_is_filler(const struct cw_rollouts *rollouts,
 			  const struct cw_rollout_request *request, int64_t now_ms)
@@ -213,9 +212,8 @@
 }
 
 /*
- * The trial takes the routes that fill a server: with three in five of all requests an engine
- * reached 32 of its 64 slots, with these alone twice as many, and the target gets half of the
- * requests meanwhile.
+ * The trial takes the routes that fill a server: a share of all requests leaves slots of its
+ * engines free, these routes alone fill them, and the target gets half of the requests meanwhile.
  */
 static double filling_share(const struct rollout *rollout, uint64_t route, int64_t now_ms)
 {
