quarantine: test of a harmless body that stays held while servers go on ending (red)

Sequence here: both bodies are at the same three ends, a copy of the harmless one had just come to each, so it is held. After five seconds the judgement is told to peers and stands for ten minutes, whatever the deadly one does next: its fourth end counts as its first.

--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -531,6 +531,55 @@
 	cw_quarantine_destroy(quarantine);
 }
 
+/* A harmless body that all ask for must not stay held in place of one that goes on ending servers. */
+static void ends_that_go_on_without_it_take_a_harmless_request_off_the_list(void **state)
+{
+	struct cw_quarantine *one = cw_quarantine_create();
+	struct cw_quarantine *other = cw_quarantine_create();
+
+	for (int server = 1; server <= 3; server++) {
+		struct cw_quarantine_request shared = request_of(HARMLESS, "others");
+
+		broke(one, DEADLY, server, NOW + server * 50);
+		/* A copy of it had just come to each of them. */
+		cw_quarantine_broke(one, &shared, server, 5, 0, NOW + server * 50);
+	}
+	for (int64_t now_ms = NOW + 200; now_ms < NOW + 8000; now_ms += 100) {
+		cw_quarantine_tick(one, now_ms);
+		tell(one, other, now_ms);
+	}
+	assert_true(cw_quarantine_holds(other, HARMLESS));
+	broke(one, DEADLY, 4, NOW + 8000);
+	for (int64_t now_ms = NOW + 8100; now_ms < NOW + 9500; now_ms += 100) {
+		cw_quarantine_tick(one, now_ms);
+		tell(one, other, now_ms);
+	}
+	assert_true(cw_quarantine_holds(one, DEADLY));
+	assert_false(cw_quarantine_holds(one, HARMLESS));
+	assert_true(cw_quarantine_holds(other, DEADLY));
+	assert_false(cw_quarantine_holds(other, HARMLESS));
+	cw_quarantine_destroy(one);
+	cw_quarantine_destroy(other);
+}
+
+/* The other one is never taken off by a body that is at later ends by chance. */
+static void a_request_that_was_alone_at_its_ends_is_not_taken_off_by_others(void **state)
+{
+	struct cw_quarantine *quarantine = cw_quarantine_create();
+
+	for (int server = 1; server <= 3; server++) {
+		broke(quarantine, DEADLY, server, NOW + server * 50);
+		if (server > 1)
+			broke(quarantine, HARMLESS, server, NOW + server * 50);
+	}
+	pass(quarantine, NOW + 200, NOW + 8000);
+	for (int server = 4; server <= 5; server++)
+		broke(quarantine, HARMLESS, server, NOW + server * 2000);
+	pass(quarantine, NOW + 10000, NOW + 12000);
+	assert_true(cw_quarantine_holds(quarantine, DEADLY));
+	cw_quarantine_destroy(quarantine);
+}
+
 /* A good version of an engine is not blamed for what such a request does to its server. */
 static void an_end_under_a_held_request_says_nothing_of_the_version(void **state)
 {
@@ -582,6 +631,10 @@
 		cmocka_unit_test(a_break_alone_is_no_end),
 		cmocka_unit_test(many_breaks_at_once_are_an_end),
 		cmocka_unit_test(one_caller_does_not_drive_out_the_others),
+		cmocka_unit_test(
+			ends_that_go_on_without_it_take_a_harmless_request_off_the_list),
+		cmocka_unit_test(
+			a_request_that_was_alone_at_its_ends_is_not_taken_off_by_others),
 		cmocka_unit_test(an_end_under_a_held_request_says_nothing_of_the_version),
 		cmocka_unit_test(the_same_request_has_the_same_fingerprint_and_others_do_not),
 	};
