quarantine: ends that go on without a held request take it off the list

What callers saw: a harmless body that all of them sent was answered 422 for minutes, since it was at the same ends as the deadly one.

Cause: a judgement between two that were at the same ends was anew each time only until it was told to peers; after that it stood for ten minutes, and the other one needed three further ends of its own.

Mend: a held request that was not alone at its ends is taken off as soon as another that was at all of them ends one more server while the first is held; all its ends then count against that other one. Why it holds: a request that was alone at its ends (is_clear) can't be taken off this way, and one that was answered whole since has no ends that count.

What is left of the finding: between the judgement and the next end the harmless one is refused; a trial run of it is not built.

--- a/packages/quarantine/include/cw_quarantine.h
+++ b/packages/quarantine/include/cw_quarantine.h
@@ -60,6 +60,7 @@
 	CW_QUARANTINE_OPERATOR, /* taken off by hand */
 	CW_QUARANTINE_ANSWER,	/* it was answered whole after all */
 	CW_QUARANTINE_TIME,	/* it was held for long enough */
+	CW_QUARANTINE_OTHER,	/* another request was at all of its ends, and ends servers still */
 };
 
 /* A request is held from now on, or not any more. */
--- a/packages/quarantine/src/judge.c
+++ b/packages/quarantine/src/judge.c
@@ -6,6 +6,11 @@
  */
 #include "quarantine_internal.h"
 
+static void release_outdone(struct cw_quarantine *quarantine, int64_t now_ms);
+static int is_outdone(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+		      int64_t now_ms);
+static int explains(const struct cw_quarantine *quarantine, const struct suspect *other,
+		    const struct suspect *suspect, int64_t now_ms);
 static void blame(struct cw_quarantine *quarantine, int64_t now_ms);
 static struct suspect *most_open(struct cw_quarantine *quarantine, int64_t now_ms);
 static int is_likelier(const struct suspect *suspect, size_t count, const struct suspect *most,
@@ -30,6 +35,7 @@
 	struct suspect *suspect;
 
 	quarantine->is_dirty = 0;
+	release_outdone(quarantine, now_ms);
 	TAILQ_FOREACH(suspect, &quarantine->suspects, link)
 		suspect->is_blamed = suspect->held_ms && suspect->is_firm;
 	blame(quarantine, now_ms);
@@ -49,6 +55,55 @@
 	return NULL;
 }
 
+/*
+ * Symptom this prevents: a body that all callers ask for stays on the list for ten minutes. It was
+ * at the same ends as the one that caused them, and servers go on ending without it.
+ */
+static void release_outdone(struct cw_quarantine *quarantine, int64_t now_ms)
+{
+	struct suspect *suspect;
+
+	TAILQ_FOREACH(suspect, &quarantine->suspects, link)
+		if (suspect->held_ms && suspect->is_firm && !suspect->is_clear &&
+		    is_outdone(quarantine, suspect, now_ms))
+			suspect_release(quarantine, suspect, CW_QUARANTINE_OTHER, now_ms);
+}
+
+static int is_outdone(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+		      int64_t now_ms)
+{
+	const struct suspect *other;
+
+	TAILQ_FOREACH(other, &quarantine->suspects, link)
+		if (other != suspect && explains(quarantine, other, suspect, now_ms))
+			return 1;
+	return 0;
+}
+
+/* It was at all ends of the held one, and at more since that one is held. */
+static int explains(const struct cw_quarantine *quarantine, const struct suspect *other,
+		    const struct suspect *suspect, int64_t now_ms)
+{
+	size_t shared = 0;
+	size_t own = 0;
+	int is_since = 0;
+
+	for (size_t i = 0; i < suspect->end_count; i++) {
+		const struct end *end = &suspect->ends[i];
+		const struct end *same = suspect_end_in(other, end->outage);
+
+		if (!counts(quarantine, suspect, end, now_ms))
+			continue;
+		own++;
+		shared += same && counts(quarantine, other, same, now_ms);
+	}
+	for (size_t i = 0; i < other->end_count; i++)
+		is_since |= other->ends[i].at_ms > suspect->held_ms &&
+			    counts(quarantine, other, &other->ends[i], now_ms) &&
+			    !suspect_end_in(suspect, other->ends[i].outage);
+	return own > 0 && shared == own && is_since;
+}
+
 static void blame(struct cw_quarantine *quarantine, int64_t now_ms)
 {
 	struct suspect *suspect;
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -165,6 +165,7 @@
 		[CW_QUARANTINE_OWN] = "own",	   [CW_QUARANTINE_PEER] = "peer",
 		[CW_QUARANTINE_STORE] = "store",   [CW_QUARANTINE_OPERATOR] = "operator",
 		[CW_QUARANTINE_ANSWER] = "answer", [CW_QUARANTINE_TIME] = "time",
+		[CW_QUARANTINE_OTHER] = "other",
 	};
 
 	return names[source];
