--- a/apps/corianderwalk/entry.c
+++ b/apps/corianderwalk/entry.c
@@ -47,6 +47,7 @@
 	if (cw_up_settings_load(settings_file, &entry.settings, &error) != CW_OK) {
 		fprintf(stderr, "corianderwalk: %s: %s: %s\n", settings_file, error.step,
 			error.message);
+		cw_up_settings_clear(&entry.settings);
 		return EXIT_SETTINGS;
 	}
 	cw_timeline_open(entry.settings.instance, "info");
@@ -124,6 +125,8 @@
 		.repeat_ratio = settings->repeat_ratio * REPEAT_PART,
 		.repeat_slack = settings->repeat_slack * REPEAT_PART,
 		.repeat_window_ms = settings->repeat_window_ms,
+		.cold_factor = settings->cold_factor,
+		.cold_slack = settings->cold_slack,
 		.rollouts = {.session_ms = settings->session_ms,
 			     .exposed_share = settings->exposure_share,
 			     .exposed_slack = settings->exposure_slack},
@@ -131,6 +134,11 @@
 	};
 
 	entry->gate = cw_gate_create(&options);
+	for (guint i = 0; i < settings->places->len; i++) {
+		const struct cw_up_place *place = g_ptr_array_index(settings->places, i);
+
+		cw_pool_set_region(cw_gate_pool(entry->gate), place->failure_domain, place->region);
+	}
 }
 
 static int open_listeners(struct entry *entry)
@@ -228,9 +236,11 @@
 
 	if (cw_up_settings_load(file, &settings, &error) != CW_OK) {
 		cw_warn("entry", "reload_refused", "message=\"%s\"", error.message);
+		cw_up_settings_clear(&settings);
 		return;
 	}
 	cw_event("entry", "reloaded", "file=%s", file);
+	cw_up_settings_clear(&settings);
 	(void)entry;
 }
 
@@ -278,4 +288,5 @@
 	uv_run(&entry->loop, UV_RUN_DEFAULT);
 	uv_loop_close(&entry->loop);
 	cw_gate_destroy(entry->gate);
+	cw_up_settings_clear(&entry->settings);
 }
--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -67,6 +67,8 @@
 int64_t feed_lapse_until_ms(const struct feed *feed); /* missing entries may still come back */
 void feed_tell(const struct feed *feed, struct cw_gossip *gossip); /* fills in what was read */
 void feed_hear(struct feed *feed, const struct cw_gossip *gossip); /* from a peer */
+void feed_drain(struct feed *feed, const struct cw_drain_order *order,
+		const char *source); /* from the store or a peer */
 
 /* entry_peers.c: what instances tell each other */
 #define PEERS_READERS_KEY 0x72656164 /* any number, the same for all: the readers' ranks follow */
--- a/apps/corianderwalk/entry_feed.c
+++ b/apps/corianderwalk/entry_feed.c
@@ -22,6 +22,7 @@
 		       const char *name);
 static void close_topic(struct topic *topic);
 static void ask(struct topic *topic);
+static void begin_collection(struct topic *topic);
 static void ask_in(struct topic *topic, int64_t wait_ms);
 static int is_settled(const struct feed *feed);
 static size_t rank_of(const struct topic *topic);
@@ -38,6 +39,7 @@
 static void take_record(struct topic *topic, struct cw_up_news *news);
 static void note_unreadable(struct topic *topic, const struct cw_up_news *news);
 static void collected(struct topic *topic);
+static void restore_unseen(struct topic *topic);
 static void failed(struct topic *topic, const char *why);
 static void restored(struct topic *topic);
 static void doubt_others(struct topic *topic);
@@ -183,7 +185,7 @@
 	topic->asked_ms = entry_now_ms(feed->entry);
 	if (topic->phase == PHASE_NEWEST) {
 		if (!*topic->after)
-			topic->sweep_ms = topic->asked_ms;
+			begin_collection(topic);
 		cw_up_newest_call(topic->topic, topic->after, store, bytes);
 	} else {
 		int64_t wait_ms = poll_wait_ms(topic);
@@ -200,6 +202,13 @@
 	topic->exchange = cw_client_send(feed->client, &request, &exchange_ops, topic);
 }
 
+static void begin_collection(struct topic *topic)
+{
+	topic->sweep_ms = topic->asked_ms;
+	if (topic->topic == CW_UP_OPERATOR)
+		cw_drains_collect(cw_pool_drains(cw_gate_pool(topic->feed->entry->gate)));
+}
+
 static void ask_in(struct topic *topic, int64_t wait_ms)
 {
 	uv_timer_start(&topic->timer, on_timer, (uint64_t)MAX(wait_ms, 0), 0);
@@ -409,6 +418,7 @@
 		cw_follow_answered(&feed->list, topic->sweep_ms);
 		ask_in(topic, CW_READERS_KNOWN_MS);
 	} else if (topic->topic == CW_UP_OPERATOR) {
+		restore_unseen(topic);
 		ask_in(topic, CW_READERS_KNOWN_MS);
 		/* What became of an order is written down; without one there is nothing to read. */
 		if (cw_rollouts_any(cw_gate_rollouts(entry->gate)) && !feed->status.is_complete)
@@ -422,6 +432,16 @@
 		relay_open_waiting(entry);
 }
 
+/* A drain without a record was taken back, by one that is dropped from the history. */
+static void restore_unseen(struct topic *topic)
+{
+	struct cw_drains *drains = cw_pool_drains(cw_gate_pool(topic->feed->entry->gate));
+	struct cw_drain_order restored;
+
+	while (cw_drains_collected(drains, topic->from, &restored))
+		feed_drain(topic->feed, &restored, "store");
+}
+
 static void failed(struct topic *topic, const char *why)
 {
 	int64_t now_ms = entry_now_ms(topic->feed->entry);
--- a/apps/corianderwalk/entry_news.c
+++ b/apps/corianderwalk/entry_news.c
@@ -1,4 +1,5 @@
 /* What a record of the store changes here. */
+#include "cw_counters.h"
 #include "cw_timeline.h"
 #include "entry_feed.h"
 
@@ -31,6 +32,9 @@
 			cw_event("feed", "rollout_told", "service=%s target=%s state=%d",
 				 news->status.service, news->status.target, news->status.state);
 		break;
+	case CW_UP_DRAIN:
+		feed_drain(feed, &news->drain, "store");
+		break;
 	case CW_UP_SERVER:
 		take_server(feed, &news->server, now_ms);
 		break;
@@ -57,6 +61,20 @@
 		take_server(feed, &change->entry, now_ms);
 }
 
+/* What changes is passed on at once: the others hear of it from whoever hears first. */
+void feed_drain(struct feed *feed, const struct cw_drain_order *order, const char *source)
+{
+	struct entry *entry = feed->entry;
+
+	if (!cw_pool_drain(cw_gate_pool(entry->gate), order, entry_now_ms(entry)))
+		return;
+	cw_count(order->is_drained ? "domains_drained" : "domains_restored", "", 1);
+	cw_event("feed", order->is_drained ? "domain_drained" : "domain_restored",
+		 "domain=%s offset=%lu source=%s", order->failure_domain,
+		 (unsigned long)order->offset, source);
+	peers_tell(entry->peers);
+}
+
 static void take_config(struct feed *feed, const struct cw_up_news *news)
 {
 	struct entry *entry = feed->entry;
@@ -92,9 +110,10 @@
 	if (listing != CW_LISTING_SAME)
 		cw_event("feed", "server",
 			 "server=%s born_ms=%ld listing=%s service=%s address=%s domain=%s "
-			 "software=%s leaving=%d",
+			 "software=%s leaving=%d cold_ms=%ld",
 			 entry->name, (long)entry->born_ms, words[listing], entry->service,
-			 entry->address, entry->failure_domain, entry->software, entry->leaving);
+			 entry->address, entry->failure_domain, entry->software, entry->leaving,
+			 (long)entry->cold_ms);
 }
 
 /*
--- a/apps/corianderwalk/entry_peers.c
+++ b/apps/corianderwalk/entry_peers.c
@@ -59,6 +59,7 @@
 static void answer_new(struct peers *peers, const char *address);
 static void hear_of(struct peers *peers, const struct cw_gossip_member *told, int64_t now_ms);
 static void count_loads(struct peers *peers);
+static void find_place(void *context, uint64_t server, struct cw_warmup_place *place);
 static size_t sharers(const struct peers *peers);
 
 struct peers *peers_create(struct entry *entry, struct cw_error *error)
@@ -72,6 +73,8 @@
 	peers->started_ms = entry_now_ms(entry);
 	peers->membership =
 		cw_membership_create(settings->instance, settings->failure_domain, SILENT_MS);
+	cw_membership_settle(peers->membership, peers->started_ms, KNOWN_MS,
+			     settings->is_only_instance);
 	peers->loads = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	cw_random_bytes(&peers->boot, sizeof(peers->boot));
 	uv_udp_init(&entry->loop, &peers->socket);
@@ -89,6 +92,7 @@
 		return NULL;
 	}
 	uv_timer_start(&peers->timer, on_timer, FIRST_MS, GOSSIP_EVERY_MS);
+	cw_pool_set_places(cw_gate_pool(entry->gate), find_place, peers);
 	return peers;
 }
 
@@ -215,6 +219,7 @@
 {
 	struct peers *peers = handle->data;
 
+	cw_pool_set_places(cw_gate_pool(peers->entry->gate), NULL, NULL);
 	cw_membership_destroy(peers->membership);
 	g_hash_table_destroy(peers->loads);
 	g_free(peers);
@@ -251,6 +256,17 @@
 						    gossip->ends, CW_QUARANTINE_ENDS);
 	gossip->held_count = cw_quarantine_tell_records(cw_gate_quarantine(entry->gate), now_ms,
 							gossip->held, CW_QUARANTINE_RECORDS);
+	gossip->drain_count = cw_drains_tell(cw_pool_drains(cw_gate_pool(entry->gate)),
+					     gossip->drains, CW_DRAINS);
+}
+
+/* This instance's place among those that may send to a cold server. */
+static void find_place(void *context, uint64_t server, struct cw_warmup_place *place)
+{
+	const struct peers *peers = context;
+
+	place->rank = cw_membership_place(peers->membership, server, entry_now_ms(peers->entry),
+					  &place->instances);
 }
 
 /*
@@ -331,6 +347,8 @@
 	for (size_t i = 0; i < gossip->held_count; i++)
 		cw_quarantine_hear_record(cw_gate_quarantine(entry->gate), &gossip->held[i],
 					  CW_QUARANTINE_PEER, now_ms);
+	for (size_t i = 0; i < gossip->drain_count; i++)
+		feed_drain(entry->feed, &gossip->drains[i], member->instance);
 	feed_hear(entry->feed, gossip);
 	if (gossip->operator_offset == 0 && entry_knows_enough(entry) && peers->answers_left > 0)
 		answer_new(peers, gossip->sender.address);
--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -203,7 +203,7 @@
 		if (server->is_unreachable)
 			cw_event("gate", "server_reachable", "server=%s address=%s", server->name,
 				 address);
-		cw_pool_reached(server);
+		cw_pool_reached(server, now_ms);
 	} else if (server && server->heard_ms < watch->probed_ms && watch->number < PROBES) {
 		probe(entry, server, watch->number + 1);
 	} else if (server && server->heard_ms < watch->probed_ms && !server->is_unreachable) {
--- a/apps/corianderwalk/entry_share.c
+++ b/apps/corianderwalk/entry_share.c
@@ -129,9 +129,10 @@
 {
 	const struct feed *feed = share->feed;
 	const struct cw_server_list *servers = cw_pool_servers(cw_gate_pool(feed->entry->gate));
+	int64_t now_ms = entry_now_ms(feed->entry);
 	struct cw_gossip_list list = {
 		.from = feed->list.from,
-		.age_ms = (uint32_t)(entry_now_ms(feed->entry) - feed->list.fresh_ms),
+		.age_ms = (uint32_t)(now_ms - feed->list.fresh_ms),
 	};
 	const struct cw_server *server;
 	size_t size;
@@ -143,7 +144,7 @@
 	list.count = 0;
 	TAILQ_FOREACH(server, servers, link)
 		if (is_listed(server))
-			cw_pool_entry(server, &list.entries[list.count++]);
+			cw_pool_entry(server, &list.entries[list.count++], now_ms);
 	bytes = cw_gossip_list_encode(&list, &size);
 	cw_caller_head(caller, HTTP_STATUS_OK, "", (int64_t)size);
 	cw_caller_data(caller, bytes, size);
--- /dev/null
+++ b/packages/drain/src/drain.c
@@ -0,0 +1,110 @@
+#include "cw_drain.h"
+
+#include <glib.h>
+#include <string.h>
+
+struct drain {
+	struct cw_drain_order order;
+	int is_seen; /* in the collection under way */
+};
+
+struct cw_drains {
+	struct drain drains[CW_DRAINS];
+	size_t count;
+};
+
+static struct drain *find(const struct cw_drains *drains, const char *failure_domain);
+static struct drain *add(struct cw_drains *drains, const char *failure_domain);
+
+struct cw_drains *cw_drains_create(void)
+{
+	return g_new0(struct cw_drains, 1);
+}
+
+void cw_drains_destroy(struct cw_drains *drains)
+{
+	g_free(drains);
+}
+
+int cw_drains_take(struct cw_drains *drains, const struct cw_drain_order *order)
+{
+	struct drain *drain = find(drains, order->failure_domain);
+	int was_drained = drain && drain->order.is_drained;
+
+	if (!drain)
+		drain = add(drains, order->failure_domain);
+	if (!drain)
+		return 0;
+	drain->is_seen = 1;
+	if (order->offset < drain->order.offset)
+		return 0;
+	drain->order.offset = order->offset;
+	drain->order.is_drained = order->is_drained;
+	return was_drained != order->is_drained;
+}
+
+int cw_drains_has(const struct cw_drains *drains, const char *failure_domain)
+{
+	const struct drain *drain = find(drains, failure_domain);
+
+	return drain && drain->order.is_drained;
+}
+
+size_t cw_drains_tell(const struct cw_drains *drains, struct cw_drain_order *orders, size_t max)
+{
+	size_t count = MIN(drains->count, max);
+
+	for (size_t i = 0; i < count; i++)
+		orders[i] = drains->drains[i].order;
+	return count;
+}
+
+void cw_drains_collect(struct cw_drains *drains)
+{
+	for (size_t i = 0; i < drains->count; i++)
+		drains->drains[i].is_seen = 0;
+}
+
+/*
+ * The record that took it back may have been dropped from the history, so its offset isn't known:
+ * the last one before the end is newer than the drain's own and older than whatever follows.
+ */
+int cw_drains_collected(struct cw_drains *drains, uint64_t end, struct cw_drain_order *restored)
+{
+	for (size_t i = 0; i < drains->count; i++) {
+		struct drain *drain = &drains->drains[i];
+
+		if (!drain->order.is_drained || drain->is_seen || drain->order.offset + 1 >= end)
+			continue;
+		*restored = drain->order;
+		restored->offset = end - 1;
+		restored->is_drained = 0;
+		return 1;
+	}
+	return 0;
+}
+
+static struct drain *find(const struct cw_drains *drains, const char *failure_domain)
+{
+	for (size_t i = 0; i < drains->count; i++)
+		if (!strcmp(drains->drains[i].order.failure_domain, failure_domain))
+			return (struct drain *)&drains->drains[i];
+	return NULL;
+}
+
+/* In place of one that was taken back, where there is no room; NULL: all are drained. */
+static struct drain *add(struct cw_drains *drains, const char *failure_domain)
+{
+	struct drain *drain = NULL;
+
+	if (drains->count < CW_DRAINS)
+		drain = &drains->drains[drains->count++];
+	for (size_t i = 0; !drain && i < CW_DRAINS; i++)
+		if (!drains->drains[i].order.is_drained)
+			drain = &drains->drains[i];
+	if (!drain)
+		return NULL;
+	memset(drain, 0, sizeof(*drain));
+	g_strlcpy(drain->order.failure_domain, failure_domain, CW_NAME_MAX);
+	return drain;
+}
--- a/packages/gate/include/cw_facts.h
+++ b/packages/gate/include/cw_facts.h
@@ -48,6 +48,8 @@
 	int is_encoded;	 /* not the server's own body */
 	int is_events;
 	int confidence; /* 0 to 100, the model's opinion of its answer; -1: not said */
+	int has_cold;
+	int64_t cold_ms; /* how much longer the server bears few requests */
 	int has_load;
 	unsigned int running, queued, slots;
 };
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -59,6 +59,8 @@
 	double repeat_ratio; /* of a service's requests that may be sent again */
 	double repeat_slack; /* and this many more, of all instances together */
 	int64_t repeat_window_ms;
+	double cold_factor; /* of a service's rate, that its cold servers bear at times, */
+	double cold_slack;  /* and so many requests a second more */
 	struct cw_rollout_options rollouts;
 	const struct cw_policy *policy; /* NULL: the default; outlives the gate */
 };
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -21,6 +21,7 @@
 static void refuse(struct cw_step *step, unsigned int status, const char *reason);
 static void refuse_not_run(struct cw_call *call, struct cw_step *step, const char *reason,
 			   int64_t now_ms);
+static void refuse_unsent(struct cw_call *call, struct cw_step *step, int64_t now_ms);
 static void fail(struct cw_call *call, struct cw_step *step, const char *reason);
 static int find_target(struct cw_call *call, struct cw_step *step);
 static int refuse_held(struct cw_call *call, struct cw_step *step);
@@ -94,6 +95,8 @@
 		gate_note_told(call->gate, call->service_name, &load, now_ms);
 		call_work_told(call, &load, now_ms);
 	}
+	if (answer->has_cold)
+		cw_warmup_told(&call->server->warmup, answer->cold_ms, now_ms);
 	step->was_loaded = call->was_loaded;
 	if (answer->is_not_run) {
 		leave_server(call, now_ms, 0);
@@ -358,7 +361,7 @@
 	if (call_model_is_free(call) && call_model_is_on_trial(call, now_ms))
 		call->model = call->route->model_count - 1;
 	if (!send(call, now_ms, step)) {
-		refuse_not_run(call, step, "no backend server may take it", now_ms);
+		refuse_unsent(call, step, now_ms);
 		return;
 	}
 	/* Counted before, requests that were refused unsent let others be sent more often. */
@@ -598,6 +601,23 @@
 	step->retry_after_ms = retry_after_full(call, now_ms);
 }
 
+/*
+ * Load pattern: all servers of a service start again. They bear a few requests a second, and
+ * whoever comes back before one may take it is refused again: it is told when that is.
+ */
+static void refuse_unsent(struct cw_call *call, struct cw_step *step, int64_t now_ms)
+{
+	int64_t cold_ms = call_cold_wait_ms(call, now_ms);
+	int64_t longest_ms = (int64_t)((double)(call->limit_ms - now_ms) * WAIT_PART);
+
+	if (cold_ms <= 0) {
+		refuse_not_run(call, step, "no backend server may take it", now_ms);
+		return;
+	}
+	refuse_not_run(call, step, "the backend servers are warming up", now_ms);
+	step->retry_after_ms = CLAMP(cold_ms + retry_after(call), 1, MAX(longest_ms, 1));
+}
+
 static void fail(struct cw_call *call, struct cw_step *step, const char *reason)
 {
 	refuse(step, 502, reason);
--- a/packages/gate/src/call_choice.c
+++ b/packages/gate/src/call_choice.c
@@ -10,6 +10,7 @@
 #define ASK_PART  0.95 /* to which the full server is asked: short of a queue */
 
 static struct cw_server *choose_begun(const struct cw_call *call, const struct cw_choice *choice);
+static void fill_choice(struct cw_call *call, int64_t now_ms, struct cw_choice *choice);
 static uint64_t prompt_key(const struct cw_facts *facts);
 
 struct cw_rollout_request call_as_request(const struct cw_call *call)
@@ -24,24 +25,16 @@
 struct cw_server *call_choose(struct cw_call *call, int64_t now_ms, int *is_home)
 {
 	struct cw_gate *gate = call->gate;
-	struct cw_choice choice = {
-		.service = call->service_name,
-		.prefix = prompt_key(&call->facts),
-		.failure_domain = gate->failure_domain,
-		.tried = call->tried,
-		.tried_count = MIN(call->tried_count, CW_MAX_ATTEMPTS),
-		.now_ms = now_ms,
-		.random = gate_random(gate),
-		.is_home = is_home,
-	};
 	const char *target = cw_rollouts_target(gate->rollouts, call->service_name);
 	const char *newcomer = cw_pool_newcomer(gate->pool, call->service_name, now_ms);
 	struct cw_rollout_request request = call_as_request(call);
+	struct cw_choice choice;
 	struct cw_server *server;
 
+	fill_choice(call, now_ms, &choice);
+	choice.is_home = is_home;
 	if (newcomer && (!target || strcmp(newcomer, target) != 0))
 		choice.not_yet = newcomer;
-	call_work_fill(call, &choice);
 	call->assignment = cw_rollouts_assignment(gate->rollouts, &request, now_ms);
 	switch (call->assignment.arm) {
 	case CW_ROLLOUT_OLD:
@@ -76,6 +69,36 @@
 	return server;
 }
 
+int64_t call_cold_wait_ms(struct cw_call *call, int64_t now_ms)
+{
+	struct cw_choice choice;
+
+	fill_choice(call, now_ms, &choice);
+	return cw_pool_cold_wait_ms(call->gate->pool, &choice);
+}
+
+/* All but what a roll-out says. */
+static void fill_choice(struct cw_call *call, int64_t now_ms, struct cw_choice *choice)
+{
+	struct cw_gate *gate = call->gate;
+
+	*choice = (struct cw_choice){
+		.service = call->service_name,
+		.prefix = prompt_key(&call->facts),
+		.failure_domain = gate->failure_domain,
+		.tried = call->tried,
+		.tried_count = MIN(call->tried_count, CW_MAX_ATTEMPTS),
+		.now_ms = now_ms,
+		.random = gate_random(gate),
+		.cold = {.per_s = call->service ? call->service->cold_per_s : 0,
+			 .factor = gate->options.cold_factor,
+			 .slack = gate->options.cold_slack},
+		.route_homes = &call->route->homes,
+		.organisation_homes = call->organisation ? &call->organisation->homes : NULL,
+	};
+	call_work_fill(call, choice);
+}
+
 /*
  * What the caller was shown a part of goes on at the version that began it, though its session may
  * have moved meanwhile; unless that one was taken back or has no server left. NULL: as any other.
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -99,6 +99,8 @@
 /* call_choice.c */
 struct cw_server *call_choose(struct cw_call *call, int64_t now_ms,
 			      int *is_home); /* NULL: no server may take it */
+int64_t call_cold_wait_ms(struct cw_call *call,
+			  int64_t now_ms); /* until a cold server may take it; -1: none will */
 struct cw_rollout_request call_as_request(const struct cw_call *call);
 
 /* call_model.c: which of the route's models answers */
--- a/packages/gossip/include/cw_gossip.h
+++ b/packages/gossip/include/cw_gossip.h
@@ -1,12 +1,13 @@
 /*
  * What entry instances tell each other several times a second, in one datagram: who lives, how new
  * their knowledge is, what they have under way at the backend servers, how roll-outs go,
- * which requests end servers. Encoded
- * with ONC RPC's XDR; a datagram that is lost or old does no harm, the next one follows.
+ * which requests end servers, which failure domains are drained. Encoded with ONC RPC's XDR; a
+ * datagram that is lost or old does no harm, the next one follows.
  */
 #ifndef CW_GOSSIP_H
 #define CW_GOSSIP_H
 
+#include "cw_drain.h"
 #include "cw_follow.h"
 #include "cw_quarantine.h"
 #include "cw_rollout.h"
@@ -58,6 +59,8 @@
 	struct cw_quarantine_end ends[CW_QUARANTINE_ENDS];
 	size_t held_count;
 	struct cw_quarantine_record held[CW_QUARANTINE_RECORDS];
+	size_t drain_count;
+	struct cw_drain_order drains[CW_DRAINS]; /* also those taken back */
 };
 
 /* The whole list of servers, for an instance that can't read it from the store. */
--- a/packages/gossip/src/gossip.c
+++ b/packages/gossip/src/gossip.c
@@ -6,8 +6,8 @@
 #include <string.h>
 
 #define LIST_HEAD_BYTES 32
-#define ENTRY_BYTES	(5 * (CW_NAME_MAX + 4) + 24) /* of one entry at most, with its lengths */
-#define GOSSIP_MAGIC	0x63773038 /* names the layout below; others are ignored */
+#define ENTRY_BYTES	(5 * (CW_NAME_MAX + 4) + 32) /* of one entry at most, with its lengths */
+#define GOSSIP_MAGIC	0x63773039 /* names the layout below; others are ignored */
 
 static bool_t code(XDR *xdr, struct cw_gossip *gossip);
 static bool_t code_member(XDR *xdr, struct cw_gossip_member *member);
@@ -18,6 +18,7 @@
 static bool_t code_rollout(XDR *xdr, struct cw_rollout_news *news);
 static bool_t code_end(XDR *xdr, struct cw_quarantine_end *end);
 static bool_t code_held(XDR *xdr, struct cw_quarantine_record *record);
+static bool_t code_drain(XDR *xdr, struct cw_drain_order *order);
 static bool_t code_plan(XDR *xdr, struct cw_rollout_news *news);
 static bool_t code_evidence(XDR *xdr, struct cw_rollout_evidence *evidence);
 static bool_t code_number(XDR *xdr, float *number);
@@ -167,6 +168,11 @@
 	for (size_t i = 0; i < gossip->held_count; i++)
 		if (!code_held(xdr, &gossip->held[i]))
 			return FALSE;
+	if (!code_count(xdr, &gossip->drain_count, CW_DRAINS))
+		return FALSE;
+	for (size_t i = 0; i < gossip->drain_count; i++)
+		if (!code_drain(xdr, &gossip->drains[i]))
+			return FALSE;
 	return TRUE;
 }
 
@@ -187,6 +193,12 @@
 	       xdr_int(xdr, &record->is_written);
 }
 
+static bool_t code_drain(XDR *xdr, struct cw_drain_order *order)
+{
+	return code_text(xdr, order->failure_domain, CW_NAME_MAX) &&
+	       xdr_uint64_t(xdr, &order->offset) && xdr_int(xdr, &order->is_drained);
+}
+
 static bool_t code_member(XDR *xdr, struct cw_gossip_member *member)
 {
 	return code_text(xdr, member->instance, CW_NAME_MAX) &&
@@ -211,7 +223,8 @@
 	       code_text(xdr, entry->address, CW_ADDRESS_MAX) &&
 	       code_text(xdr, entry->failure_domain, CW_NAME_MAX) &&
 	       code_text(xdr, entry->software, CW_NAME_MAX) && xdr_u_int(xdr, &entry->slots) &&
-	       xdr_int(xdr, &entry->leaving);
+	       xdr_int(xdr, &entry->leaving) && code_int64(xdr, &entry->cold_ms) &&
+	       entry->cold_ms >= 0;
 }
 
 static bool_t code_load(XDR *xdr, struct cw_gossip_load *load)
--- a/packages/membership/include/cw_membership.h
+++ b/packages/membership/include/cw_membership.h
@@ -56,6 +56,14 @@
 		    size_t count); /* the first of the live others by rendezvous, best first */
 size_t cw_membership_rank(const struct cw_membership *membership, uint64_t key,
 			  int64_t now_ms); /* 0: first by rendezvous among the live */
+void cw_membership_settle(struct cw_membership *membership, int64_t now_ms, int64_t settle_ms,
+			  int is_only); /* for so long after the start, or after many others became
+					   known, a place isn't; is_only: there are no others */
+size_t cw_membership_place(const struct cw_membership *membership, uint64_t key, int64_t now_ms,
+			   size_t *instances); /* as rank, but silent ones keep their places unless
+						  most are heard: a cut makes nobody the first of
+						  itself alone; instances: that were ranked, 0: the
+						  place isn't known */
 size_t cw_membership_size(const struct cw_membership *membership); /* itself included */
 size_t cw_membership_live(const struct cw_membership *membership,
 			  int64_t now_ms); /* itself included */
--- a/packages/membership/src/membership.c
+++ b/packages/membership/src/membership.c
@@ -4,7 +4,8 @@
 #include <glib.h>
 #include <string.h>
 
-#define GONE_FACTOR 4 /* silences after which a member counts as gone */
+#define GONE_FACTOR 4	 /* silences after which a member counts as gone */
+#define GROWN	    1.25 /* by more than a quarter: many had not been known */
 
 struct cw_membership {
 	char instance[CW_NAME_MAX];
@@ -14,8 +15,14 @@
 	struct cw_member_list members;
 	GHashTable *by_name;
 	size_t size;
+	int64_t settle_ms; /* that the number of members must have stood */
+	int64_t grown_ms;  /* when it last grew much, */
+	size_t grown_to;   /* and to what */
+	int is_only;
 };
 
+static int is_settled(const struct cw_membership *membership, int64_t now_ms);
+static void note_growth(struct cw_membership *membership, int64_t now_ms);
 static struct cw_member *best_home(const struct cw_membership *membership, uint64_t key,
 				   int64_t now_ms, const struct cw_member *other_than,
 				   const char *avoid_domain);
@@ -103,6 +110,7 @@
 {
 	struct cw_member *member = TAILQ_FIRST(&membership->members);
 
+	note_growth(membership, now_ms);
 	while (member) {
 		struct cw_member *next = TAILQ_NEXT(member, link);
 		int64_t seen = MAX(member->heard_ms, member->listed_ms);
@@ -115,6 +123,7 @@
 		}
 		member = next;
 	}
+	membership->grown_to = MIN(membership->grown_to, membership->size + 1);
 }
 
 int cw_membership_is_live(const struct cw_membership *membership, const struct cw_member *member,
@@ -211,6 +220,59 @@
 	return rank;
 }
 
+void cw_membership_settle(struct cw_membership *membership, int64_t now_ms, int64_t settle_ms,
+			  int is_only)
+{
+	membership->settle_ms = settle_ms;
+	membership->grown_ms = now_ms;
+	membership->grown_to = membership->size + 1;
+	membership->is_only = is_only;
+}
+
+/*
+ * Symptom this prevents: all instances send to one server that can take few. An instance that has
+ * just started, or started behind a cut that has healed, knows few others, and would be among the
+ * first in every place.
+ */
+static int is_settled(const struct cw_membership *membership, int64_t now_ms)
+{
+	return now_ms - membership->grown_ms >= membership->settle_ms &&
+	       (double)(membership->size + 1) <= GROWN * (double)membership->grown_to;
+}
+
+static void note_growth(struct cw_membership *membership, int64_t now_ms)
+{
+	if ((double)(membership->size + 1) > GROWN * (double)membership->grown_to) {
+		membership->grown_to = membership->size + 1;
+		membership->grown_ms = now_ms;
+	}
+}
+
+size_t cw_membership_place(const struct cw_membership *membership, uint64_t key, int64_t now_ms,
+			   size_t *instances)
+{
+	double own = cw_rendezvous(key, membership->id, 1);
+	size_t live = cw_membership_live(membership, now_ms);
+	const struct cw_member *member;
+	int is_majority;
+	size_t known = 1;
+	size_t rank = 0;
+
+	TAILQ_FOREACH(member, &membership->members, link)
+		known += !member->leaving;
+	is_majority = 2 * live > known;
+	TAILQ_FOREACH(member, &membership->members, link) {
+		if (member->leaving ||
+		    (is_majority && !cw_membership_is_live(membership, member, now_ms)))
+			continue;
+		rank += cw_rendezvous(key, member->id, 1) > own;
+	}
+	*instances = is_majority ? live : known;
+	if (!is_settled(membership, now_ms) || (known == 1 && !membership->is_only))
+		*instances = 0;
+	return rank;
+}
+
 size_t cw_membership_size(const struct cw_membership *membership)
 {
 	return membership->size + 1;
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -6,8 +6,11 @@
 #ifndef CW_POOL_H
 #define CW_POOL_H
 
+#include "cw_drain.h"
+#include "cw_home.h"
 #include "cw_policy.h"
 #include "cw_status.h"
+#include "cw_warmup.h"
 
 #include <stddef.h>
 #include <stdint.h>
@@ -35,6 +38,7 @@
 	char software[CW_NAME_MAX]; /* version of what it runs */
 	unsigned int slots;
 	int leaving;
+	int64_t cold_ms; /* how much longer it bears few requests, from when this was written */
 };
 
 /* What an entry of the list told the pool. */
@@ -57,10 +61,13 @@
 	char service[CW_NAME_MAX];
 	char address[CW_ADDRESS_MAX];
 	char failure_domain[CW_NAME_MAX];
-	uint64_t id; /* hash of the name and of born_ms */
+	char region[CW_NAME_MAX]; /* of its failure domain; empty: not known */
+	uint64_t id;		  /* hash of the name and of born_ms */
 	int checks_fencing;
 	int configured;
 	int leaving;
+	int is_drained; /* its failure domain is: nothing new is sent there */
+	struct cw_warmup warmup;
 	int gone;		    /* no longer listed: forgotten once its last request ended */
 	int64_t gone_ms;	    /* when it counts as gone, 0: listed */
 	char software[CW_NAME_MAX]; /* version of what it runs; empty: not told */
@@ -120,7 +127,10 @@
 	const char *failure_domain; /* the asking instance's */
 	const uint64_t *tried;	    /* servers this request is not sent to again */
 	size_t tried_count;
-	int is_desperate;	   /* servers whose breaker is open are better than none */
+	int is_desperate;		    /* servers whose breaker is open are better than none */
+	struct cw_warmup_rate cold;	    /* what a cold server of the service bears */
+	const struct cw_homes *route_homes; /* NULL: any region */
+	const struct cw_homes *organisation_homes;
 	const char *only_software; /* NULL: any version of what servers run */
 	double spread;		   /* of the candidates that may be used, 0 to 1; 0: all */
 	const char *not_software;  /* NULL: none is left out */
@@ -155,6 +165,14 @@
 const struct cw_choice_policy *cw_choice_policy_find(const char *name); /* NULL: unknown */
 
 struct cw_pool *cw_pool_create(const struct cw_choice_policy *policy);
+void cw_pool_set_places(struct cw_pool *pool,
+			void (*find)(void *context, uint64_t server, struct cw_warmup_place *place),
+			void *context); /* without it, this instance is the only one */
+void cw_pool_set_region(struct cw_pool *pool, const char *failure_domain,
+			const char *region); /* before its servers are known */
+int cw_pool_drain(struct cw_pool *pool, const struct cw_drain_order *order,
+		  int64_t now_ms); /* 1: it changes what is in force */
+struct cw_drains *cw_pool_drains(struct cw_pool *pool);
 void cw_pool_set_policy(struct cw_pool *pool,
 			const struct cw_policy *policy); /* before servers are known */
 void cw_pool_destroy(struct cw_pool *pool);		 /* frees its servers */
@@ -165,8 +183,8 @@
 			     int64_t now_ms); /* learns it or its new state */
 const char *cw_pool_newcomer(const struct cw_pool *pool, const char *service,
 			     int64_t now_ms); /* a version first seen just now; NULL: none */
-void cw_pool_entry(const struct cw_server *server,
-		   struct cw_server_entry *entry); /* as it was listed */
+void cw_pool_entry(const struct cw_server *server, struct cw_server_entry *entry,
+		   int64_t now_ms); /* as it was listed, and cold for as long as it still is */
 void cw_pool_delist(struct cw_pool *pool, struct cw_server *server, int64_t until_ms,
 		    int64_t now_ms); /* gone at until_ms, unless it is listed again before */
 void cw_pool_keep_listed(struct cw_pool *pool, int64_t since_ms, int64_t until_ms,
@@ -182,6 +200,9 @@
 uint64_t cw_pool_version(const char *model, const char *version);
 struct cw_server *cw_pool_choose(struct cw_pool *pool,
 				 const struct cw_choice *choice); /* NULL: none may serve */
+int64_t
+cw_pool_cold_wait_ms(struct cw_pool *pool,
+		     const struct cw_choice *choice); /* until a cold one may; -1: none is */
 int cw_pool_serves(const struct cw_server *server,
 		   uint64_t version); /* loaded there, or not known */
 void cw_pool_dispatched(struct cw_server *server, int64_t now_ms);
@@ -193,7 +214,8 @@
 void cw_pool_heard(struct cw_server *server, int64_t now_ms);
 int cw_pool_broke(struct cw_server *server,
 		  int64_t now_ms); /* 0: with others of the same moment, so no evidence more */
-void cw_pool_reached(struct cw_server *server); /* a connection opened, nothing was heard */
+void cw_pool_reached(struct cw_server *server,
+		     int64_t now_ms);		/* a connection opened, nothing was heard */
 void cw_pool_unheard(struct cw_server *server); /* no connection can be opened */
 size_t cw_pool_doubt(struct cw_pool *pool, const struct cw_server *unreachable,
 		     const char *own_domain, struct cw_server **doubted, size_t max,
--- a/packages/pool/src/pool.c
+++ b/packages/pool/src/pool.c
@@ -18,6 +18,7 @@
 #define KNOWN_MS	   1000 /* a list is collected within it, in any order */
 #define NARROW_MIN	   2	/* servers: on a single one a burst looks like a slow version */
 #define MAX_CANDIDATES	   256
+#define PLACE_MS	   150	 /* between two looks at the members */
 #define FILL_BACKLOG_MS	   800.0 /* prompts that wait there: half of the usual objective */
 
 /* A version of what a service's servers run. */
@@ -31,6 +32,10 @@
 struct cw_pool {
 	const struct cw_choice_policy *choice;
 	const struct cw_policy *policy;
+	struct cw_drains *drains;
+	GHashTable *regions; /* failure domain -> region */
+	void (*find_place)(void *context, uint64_t server, struct cw_warmup_place *place);
+	void *place_context;
 	struct cw_server_list servers;
 	GHashTable *by_id;
 	GHashTable *by_name; /* the newest start of each */
@@ -39,8 +44,8 @@
 };
 
 static struct cw_server *add(struct cw_pool *pool, const char *name, int64_t born_ms);
-static void set_place(struct cw_server *server, const char *service, const char *address,
-		      const char *failure_domain);
+static void set_place(const struct cw_pool *pool, struct cw_server *server, const char *service,
+		      const char *address, const char *failure_domain);
 static void end_start(struct cw_pool *pool, struct cw_server *server, int64_t now_ms);
 static void note_software(struct cw_pool *pool, const struct cw_server_entry *entry,
 			  int64_t now_ms);
@@ -52,6 +57,8 @@
 static struct cw_server *choose_to_fill(struct cw_server **candidates, size_t count,
 					const struct cw_choice *choice);
 static int is_tried(const struct cw_choice *choice, uint64_t id);
+static int may_serve(const struct cw_server *server, const struct cw_choice *choice);
+static void update_place(const struct cw_pool *pool, struct cw_server *server, int64_t now_ms);
 
 struct cw_pool *cw_pool_create(const struct cw_choice_policy *policy)
 {
@@ -59,6 +66,8 @@
 
 	pool->choice = policy;
 	pool->policy = cw_policy_default();
+	pool->drains = cw_drains_create();
+	pool->regions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	TAILQ_INIT(&pool->servers);
 	pool->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	pool->by_name = g_hash_table_new(g_str_hash, g_str_equal);
@@ -80,9 +89,45 @@
 		cw_pool_forget(pool, server);
 	g_hash_table_destroy(pool->by_id);
 	g_hash_table_destroy(pool->by_name);
+	cw_drains_destroy(pool->drains);
+	g_hash_table_destroy(pool->regions);
 	g_free(pool);
 }
 
+void cw_pool_set_places(struct cw_pool *pool,
+			void (*find)(void *context, uint64_t server, struct cw_warmup_place *place),
+			void *context)
+{
+	pool->find_place = find;
+	pool->place_context = context;
+}
+
+void cw_pool_set_region(struct cw_pool *pool, const char *failure_domain, const char *region)
+{
+	g_hash_table_replace(pool->regions, g_strdup(failure_domain), g_strdup(region));
+}
+
+/* Behind a drain servers may have started again, as it is taken back and unseen before that. */
+int cw_pool_drain(struct cw_pool *pool, const struct cw_drain_order *order, int64_t now_ms)
+{
+	struct cw_server *server;
+
+	if (!cw_drains_take(pool->drains, order))
+		return 0;
+	TAILQ_FOREACH(server, &pool->servers, link) {
+		if (strcmp(server->failure_domain, order->failure_domain) != 0)
+			continue;
+		server->is_drained = order->is_drained;
+		cw_warmup_away(&server->warmup, now_ms);
+	}
+	return 1;
+}
+
+struct cw_drains *cw_pool_drains(struct cw_pool *pool)
+{
+	return pool->drains;
+}
+
 struct cw_server *cw_pool_learn(struct cw_pool *pool, const char *name, const char *service,
 				const char *address, const char *failure_domain, int checks_fencing)
 {
@@ -92,7 +137,7 @@
 		server = add(pool, name, 0);
 	if (!server)
 		return NULL;
-	set_place(server, service, address, failure_domain);
+	set_place(pool, server, service, address, failure_domain);
 	server->checks_fencing = checks_fencing;
 	return server;
 }
@@ -120,14 +165,16 @@
 		listing = CW_LISTING_RESTARTED;
 	} else if (!server) {
 		listing = CW_LISTING_NEW;
-	} else if (server->leaving != entry->leaving || server->gone) {
+	} else if (server->leaving != entry->leaving || server->gone ||
+		   cw_warmup_is_cold(&server->warmup, now_ms) != (entry->cold_ms > 0)) {
 		listing = CW_LISTING_CHANGED;
 	}
 	if (!server)
 		server = add(pool, entry->name, entry->born_ms);
 	if (!server)
 		return CW_LISTING_FULL;
-	set_place(server, entry->service, entry->address, entry->failure_domain);
+	set_place(pool, server, entry->service, entry->address, entry->failure_domain);
+	cw_warmup_told(&server->warmup, entry->cold_ms, now_ms);
 	server->born_ms = entry->born_ms;
 	g_strlcpy(server->software, entry->software, CW_NAME_MAX);
 	note_software(pool, entry, now_ms);
@@ -140,7 +187,7 @@
 	return listing;
 }
 
-void cw_pool_entry(const struct cw_server *server, struct cw_server_entry *entry)
+void cw_pool_entry(const struct cw_server *server, struct cw_server_entry *entry, int64_t now_ms)
 {
 	g_strlcpy(entry->name, server->name, CW_NAME_MAX);
 	entry->born_ms = server->born_ms;
@@ -150,6 +197,7 @@
 	g_strlcpy(entry->software, server->software, CW_NAME_MAX);
 	entry->slots = server->slots;
 	entry->leaving = server->leaving;
+	entry->cold_ms = MAX(server->warmup.cold_until_ms - now_ms, 0);
 }
 
 void cw_pool_delist(struct cw_pool *pool, struct cw_server *server, int64_t until_ms,
@@ -258,18 +306,10 @@
 	size_t count = 0;
 
 	TAILQ_FOREACH(server, &pool->servers, link) {
-		if (!server->tracked || strcmp(server->service, choice->service) != 0)
+		if (!may_serve(server, choice))
 			continue;
-		if (server->leaving || is_tried(choice, server->id))
-			continue;
-		if (!choice->is_desperate && !cw_pool_is_usable(server, choice->now_ms))
-			continue;
-		if (choice->version && !cw_pool_serves(server, choice->version))
-			continue;
-		if (choice->only_software && strcmp(server->software, choice->only_software) != 0)
-			continue;
-		if (is_software(server, choice->not_software) ||
-		    is_software(server, choice->not_yet))
+		update_place(pool, server, choice->now_ms);
+		if (!cw_warmup_admits(&server->warmup, &choice->cold, choice->now_ms))
 			continue;
 		candidates[count++] = server;
 		if (count == MAX_CANDIDATES)
@@ -283,6 +323,54 @@
 	return count ? pool->choice->choose(candidates, count, choice) : NULL;
 }
 
+int64_t cw_pool_cold_wait_ms(struct cw_pool *pool, const struct cw_choice *choice)
+{
+	struct cw_server *server;
+	int64_t least_ms = -1;
+
+	TAILQ_FOREACH(server, &pool->servers, link) {
+		int64_t wait_ms;
+
+		if (!may_serve(server, choice))
+			continue;
+		update_place(pool, server, choice->now_ms);
+		wait_ms = cw_warmup_wait_ms(&server->warmup, &choice->cold, choice->now_ms);
+		if (wait_ms > 0 && (least_ms < 0 || wait_ms < least_ms))
+			least_ms = wait_ms;
+	}
+	return least_ms;
+}
+
+static int may_serve(const struct cw_server *server, const struct cw_choice *choice)
+{
+	if (!server->tracked || strcmp(server->service, choice->service) != 0)
+		return 0;
+	if (server->leaving || server->is_drained || is_tried(choice, server->id))
+		return 0;
+	if (!cw_homes_allow(choice->route_homes, server->region) ||
+	    !cw_homes_allow(choice->organisation_homes, server->region))
+		return 0;
+	if (!choice->is_desperate && !cw_pool_is_usable(server, choice->now_ms))
+		return 0;
+	if (choice->version && !cw_pool_serves(server, choice->version))
+		return 0;
+	if (choice->only_software && strcmp(server->software, choice->only_software) != 0)
+		return 0;
+	return !is_software(server, choice->not_software) && !is_software(server, choice->not_yet);
+}
+
+/* Members come and go slowly, and a place is asked for by each request. */
+static void update_place(const struct cw_pool *pool, struct cw_server *server, int64_t now_ms)
+{
+	struct cw_warmup *warmup = &server->warmup;
+
+	if (!pool->find_place || !cw_warmup_is_cold(warmup, now_ms) ||
+	    (warmup->place_ms && now_ms - warmup->place_ms < PLACE_MS))
+		return;
+	pool->find_place(pool->place_context, server->id, &warmup->place);
+	warmup->place_ms = now_ms;
+}
+
 /*
  * A new version that gets a tenth of the requests on all of its servers is never tried under load.
  * On a tenth of its servers, the same ones for every instance, it meets the load it will have.
@@ -343,6 +431,7 @@
 {
 	server->own_running++;
 	server->sent_ms = now_ms;
+	cw_warmup_sent(&server->warmup, now_ms);
 	if (server->open_until_ms && now_ms >= server->open_until_ms)
 		server->probing = 1;
 	remember(server, now_ms, 1);
@@ -390,6 +479,7 @@
 
 void cw_pool_refused(struct cw_server *server, int64_t now_ms, uint64_t random)
 {
+	cw_warmup_away(&server->warmup, now_ms);
 	server->failures =
 		MAX(server->failures, (unsigned int)server->policy->breaker_failures - 1);
 	cw_pool_failed(server, now_ms, random);
@@ -475,6 +565,7 @@
 	server->id = cw_hash_text(server->name, ID_SEED + (uint64_t)born_ms);
 	server->sampled_ms = -1;
 	server->restored_ms = -1;
+	server->warmup.place.instances = 1;
 	server->listed_ms = -1;
 	server->tracked = 1;
 	TAILQ_INSERT_TAIL(&pool->servers, server, link);
@@ -483,12 +574,16 @@
 	return server;
 }
 
-static void set_place(struct cw_server *server, const char *service, const char *address,
-		      const char *failure_domain)
+static void set_place(const struct cw_pool *pool, struct cw_server *server, const char *service,
+		      const char *address, const char *failure_domain)
 {
+	const char *region = g_hash_table_lookup(pool->regions, failure_domain);
+
 	g_strlcpy(server->service, service, CW_NAME_MAX);
 	g_strlcpy(server->address, address, CW_ADDRESS_MAX);
 	g_strlcpy(server->failure_domain, failure_domain, CW_NAME_MAX);
+	g_strlcpy(server->region, region ? region : "", CW_NAME_MAX);
+	server->is_drained = cw_drains_has(pool->drains, failure_domain);
 }
 
 /*
--- a/packages/pool/src/reach.c
+++ b/packages/pool/src/reach.c
@@ -33,8 +33,11 @@
 	return 1;
 }
 
-void cw_pool_reached(struct cw_server *server)
+/* It may have started again, unseen, and an entry that tells so be on its way. */
+void cw_pool_reached(struct cw_server *server, int64_t now_ms)
 {
+	if (server->is_unreachable)
+		cw_warmup_away(&server->warmup, now_ms);
 	server->is_unreachable = 0;
 	server->is_doubted = 0;
 	server->probe_gap_ms = MIN(MAX(server->probe_gap_ms * 2, AGAIN_MS), AGAIN_MAX_MS);
--- a/packages/route/include/cw_route.h
+++ b/packages/route/include/cw_route.h
@@ -6,6 +6,7 @@
 #ifndef CW_ROUTE_H
 #define CW_ROUTE_H
 
+#include "cw_home.h"
 #include "cw_status.h"
 
 #include <glib.h>
@@ -39,6 +40,7 @@
 	int max_attempts;     /* backend servers one request may be sent to */
 	int is_public;	      /* needs no key */
 	int is_resumable;
+	struct cw_homes homes;
 	size_t share_count;
 	struct cw_share shares[CW_ROUTE_SERVICES];
 	size_t model_count;			   /* 0: the caller names the model */
@@ -54,6 +56,7 @@
 	char name[CW_NAME_MAX];
 	char health_path[CW_NAME_MAX];
 	unsigned int max_connections; /* to one server, of all callers */
+	double cold_per_s; /* requests a second that a cold server bears; 0: any number */
 	int is_engine;
 	unsigned int slots;  /* requests an engine runs at once */
 	double kv_tokens;    /* an engine's memory */
@@ -65,7 +68,8 @@
 struct cw_organisation {
 	char name[CW_NAME_MAX];
 	int has_priority;
-	int priority; /* goes before the route's */
+	int priority;	       /* goes before the route's */
+	struct cw_homes homes; /* beside the route's */
 };
 
 struct cw_caller_limits {
--- a/tests/lib_users.sh
+++ b/tests/lib_users.sh
@@ -27,9 +27,9 @@
 	eval "ADDR_$name=$host:$P_R1"
 	list "$name" "$service" "$version" ready
 }
-list() { # NAME SERVICE VERSION STATE
+list() { # NAME SERVICE VERSION STATE, in ZONE, cold for COLD_MS
 	eval "local address=\$ADDR_$1"
-	put keyed.servers "$1" "{\"service\":\"$2\",\"address\":\"$address\",\"zone\":\"z1\",\"version\":\"$3\",\"slots\":64,\"state\":\"$4\",\"cold_left_ms\":0,\"seq\":1}"
+	put keyed.servers "$1" "{\"service\":\"$2\",\"address\":\"$address\",\"zone\":\"${ZONE:-z1}\",\"version\":\"$3\",\"slots\":64,\"state\":\"$4\",\"cold_left_ms\":${COLD_MS:-0},\"seq\":1}"
 }
 runner_mode() { eval "local address=\$ADDR_$1"; curl -s -o /dev/null -X POST "http://$address/admin/mode?m=$2"; }
 runs() { eval "local address=\$ADDR_$1"; curl -s "http://$address/admin/runs"; }
@@ -40,7 +40,7 @@
 		{\"name\":\"chat\",\"host\":\"h\",\"path_prefix\":\"/chat/\",\"route_kind\":\"streaming\",\"timeout_ms\":20000,\"target_latency_ms\":1500,\"priority\":0,\"sizes\":[\"small\",\"large\"],\"service\":\"llm\",\"max_attempts\":3,\"public\":false,\"sticky\":true,\"resumable\":true,\"target_gap_ms\":1000},
 		{\"name\":\"order\",\"host\":\"h\",\"path_prefix\":\"/order/\",\"route_kind\":\"non_idempotent\",\"timeout_ms\":2000,\"target_latency_ms\":300,\"priority\":2,\"service\":\"app\",\"max_attempts\":1,\"public\":false},
 		{\"name\":\"read\",\"host\":\"h\",\"path_prefix\":\"/read/\",\"route_kind\":\"idempotent\",\"timeout_ms\":2000,\"target_latency_ms\":300,\"priority\":2,\"service\":\"app\",\"max_attempts\":2,\"public\":false}${3:-}],
-		\"services\":[{\"name\":\"llm\",\"health_path\":\"/healthz\",\"max_conns\":100,\"engine\":{\"slots\":64,\"kv_capacity\":600000,\"stride\":5,\"models\":[{\"name\":\"small\",\"cost\":0.02},{\"name\":\"large\",\"cost\":0.3}]}},{\"name\":\"app\",\"health_path\":\"/healthz\",\"max_conns\":100}],
+		\"services\":[{\"name\":\"llm\",\"health_path\":\"/healthz\",\"max_conns\":100,\"engine\":{\"slots\":64,\"kv_capacity\":600000,\"stride\":5,\"models\":[{\"name\":\"small\",\"cost\":0.02},{\"name\":\"large\",\"cost\":0.3}]}},{\"name\":\"app\",\"health_path\":\"/healthz\",\"max_conns\":100,\"cold_per_s\":${COLD_PER_S:-0}}],
 		\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":65536,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},
 		\"tenants\":[{\"name\":\"museo\",\"api_keys\":[\"$2\"],\"priority\":1}]}"
 }
@@ -56,7 +56,7 @@
 entry_again() {
 	eval "local host=\$HOST_$1"
 	cat >"$DIR/$1.json" <<-SETTINGS
-		{"node_name":"$1","zone":"z1","ip":"$host","zones":{"z1":"r"},
+		{"node_name":"$1","zone":"z1","ip":"$host","zones":{"z1":"r","z2":"r"},
 		"listen":{"frontend":"$host:$P_FRONT","ready":"$host:$P_READY","control_plane":"$host:$P_CONTROL"},
 		"port_range":[$P_PEER,$P_PEER],"seed_nodes":["$SEED:$P_CONTROL"],"is_bootstrap":true,
 		"heartbeat_ms":1000,"limits":{"memory_mb":200},
--- a/tests/unit/gate_bed.c
+++ b/tests/unit/gate_bed.c
@@ -72,6 +72,7 @@
 		.repeat_ratio = 0.5,
 		.repeat_slack = 10,
 		.repeat_window_ms = 10000,
+		.cold_factor = 2,
 		.rollouts = {.session_ms = 5000, .exposed_share = 0.15, .exposed_slack = 30},
 	};
 
--- a/tests/unit/test_gate.c
+++ b/tests/unit/test_gate.c
@@ -248,7 +248,7 @@
 	bed_open(&bed);
 	bed_ask(&bed, "/chat/x");
 	first = bed.step.server;
-	cw_pool_entry(first, &entry);
+	cw_pool_entry(first, &entry, BED_NOW + 40);
 	cw_call_head(bed.call, &sure, BED_NOW + 20, &bed.step);
 	cw_call_event(bed.call, 1, BED_NOW + 30);
 	cw_pool_find_name(cw_gate_pool(bed.gate), strcmp(first->name, "e1") ? "e1" : "e2")
@@ -336,7 +336,7 @@
 	int used = 0;
 
 	bed_open(&bed);
-	cw_pool_entry(cw_pool_find_name(cw_gate_pool(bed.gate), "e1"), &entry);
+	cw_pool_entry(cw_pool_find_name(cw_gate_pool(bed.gate), "e1"), &entry, BED_NOW);
 	strcpy(entry.name, "e9");
 	strcpy(entry.software, "v2");
 	bed.facts.path = "/chat/x";
--- /dev/null
+++ b/tests/unit/test_gate_drain.c
@@ -0,0 +1,205 @@
+/* Where a request may go: not into a drained failure domain, nor out of its home regions. */
+#include "gate_bed.h"
+
+#include <string.h>
+
+static const struct cw_answer_facts sure = {
+	.status = 200, .is_sealed = 1, .is_events = 1, .confidence = 90};
+static const struct cw_answer_facts unsure = {
+	.status = 200, .is_sealed = 1, .is_events = 1, .confidence = 3};
+
+static void list_in(struct bed *bed, const char *name, const char *service, const char *domain,
+		    int64_t cold_ms)
+{
+	struct cw_server_entry entry = {.slots = 8, .cold_ms = cold_ms};
+
+	strcpy(entry.name, name);
+	strcpy(entry.service, service);
+	strcpy(entry.software, "v1");
+	strcpy(entry.address, "10.0.0.2:80");
+	strcpy(entry.failure_domain, domain);
+	assert_int_not_equal(cw_pool_list(cw_gate_pool(bed->gate), &entry, BED_NOW),
+			     CW_LISTING_FULL);
+}
+
+static void drain(struct bed *bed, const char *domain, uint64_t offset, int is_drained)
+{
+	struct cw_drain_order order = {.offset = offset, .is_drained = is_drained};
+
+	strcpy(order.failure_domain, domain);
+	cw_pool_drain(cw_gate_pool(bed->gate), &order, BED_NOW);
+}
+
+/* Each attempt of a request must stay out: the first, a retry, a resumed stream, a larger model's.
+ */
+static void no_attempt_of_any_kind_goes_into_a_drained_domain(void **state)
+{
+	struct bed bed;
+
+	bed_open(&bed);
+	list_in(&bed, "e3", "llm", "d2", 0);
+	list_in(&bed, "e4", "llm", "d2", 0);
+	list_in(&bed, "s3", "orders", "d2", 0);
+	drain(&bed, "d1", 5, 1);
+	for (int i = 0; i < 4; i++) {
+		bed_ask(&bed, "/read/x");
+		assert_string_equal(bed.step.server->failure_domain, "d2");
+		cw_call_broken(bed.call, CW_BREAK_BROKEN, BED_NOW + 5, &bed.step);
+		assert_int_equal(bed.step.kind, CW_STEP_SEND);
+		assert_string_equal(bed.step.server->failure_domain, "d2");
+		bed_ask(&bed, "/chat/x");
+		assert_string_equal(bed.step.server->failure_domain, "d2");
+		cw_call_head(bed.call, &unsure, BED_NOW + 10, &bed.step);
+		assert_int_equal(bed.step.kind, CW_STEP_SEND);
+		assert_string_equal(bed.step.server->failure_domain, "d2");
+		cw_call_head(bed.call, &sure, BED_NOW + 20, &bed.step);
+		cw_call_event(bed.call, 1, BED_NOW + 21);
+		cw_call_broken(bed.call, CW_BREAK_BROKEN, BED_NOW + 25, &bed.step);
+		assert_int_equal(bed.step.kind, CW_STEP_SEND);
+		assert_string_equal(bed.step.server->failure_domain, "d2");
+		cw_call_done(bed.call, BED_NOW + 30);
+	}
+	bed_close(&bed);
+}
+
+static void with_all_domains_drained_a_request_is_refused_at_once(void **state)
+{
+	struct bed bed;
+
+	bed_open(&bed);
+	drain(&bed, "d1", 5, 1);
+	bed_ask(&bed, "/once/x");
+	bed_assert_refused(&bed, 503, CW_RUN_NOT);
+	assert_true(bed.step.retry_after_ms > 0);
+	drain(&bed, "d1", 6, 0);
+	bed_ask(&bed, "/once/x");
+	assert_int_equal(bed.step.kind, CW_STEP_SEND);
+	bed_close(&bed);
+}
+
+/* What runs there as the order comes is finished; a server that is listed later is out as well. */
+static void what_runs_in_a_drained_domain_is_finished(void **state)
+{
+	struct bed bed;
+
+	bed_open(&bed);
+	bed_ask(&bed, "/chat/x");
+	drain(&bed, "d1", 5, 1);
+	cw_call_head(bed.call, &sure, BED_NOW + 10, &bed.step);
+	assert_int_equal(bed.step.kind, CW_STEP_SHOW);
+	cw_call_done(bed.call, BED_NOW + 20);
+	list_in(&bed, "s9", "orders", "d1", 0);
+	bed_ask(&bed, "/once/x");
+	bed_assert_refused(&bed, 503, CW_RUN_NOT);
+	bed_close(&bed);
+}
+
+static void set_rate(struct bed *bed, uint64_t version, double per_s)
+{
+	struct cw_config *config = bed_make_config(version);
+
+	((struct cw_service *)cw_config_service(config, "orders"))->cold_per_s = per_s;
+	cw_gate_configure(bed->gate, config);
+	cw_config_unref(config);
+}
+
+/* Servers that return from a drain start cold: the rush to whoever looks empty ends them. */
+static void servers_whose_drain_was_taken_back_are_cold_until_they_say_otherwise(void **state)
+{
+	int sent = 0;
+	struct bed bed;
+
+	bed_open(&bed);
+	set_rate(&bed, 6, 4);
+	drain(&bed, "d1", 5, 1);
+	drain(&bed, "d1", 6, 0);
+	for (int i = 0; i < 40; i++) {
+		bed_ask(&bed, "/read/x");
+		sent += bed.step.kind == CW_STEP_SEND;
+	}
+	/* Two servers that bear four a second each. */
+	assert_in_range(sent, 2, 8);
+	bed_assert_refused(&bed, 503, CW_RUN_NOT);
+	assert_string_equal(bed.step.reason, "the backend servers are warming up");
+	assert_in_range(bed.step.retry_after_ms, 1, 2300);
+	bed_close(&bed);
+}
+
+/* A server's own word counts from then on, also in an answer. */
+static void an_answer_may_say_that_its_server_is_cold(void **state)
+{
+	struct cw_answer_facts cold = {
+		.status = 200, .is_sealed = 1, .has_cold = 1, .cold_ms = 3000};
+	int first = 0;
+	struct bed bed;
+
+	bed_open(&bed);
+	set_rate(&bed, 6, 4);
+	cw_pool_find_name(cw_gate_pool(bed.gate), "s2")->leaving = 1;
+	bed_ask(&bed, "/read/x");
+	cw_call_head(bed.call, &cold, BED_NOW, &bed.step);
+	cw_call_done(bed.call, BED_NOW);
+	for (int i = 0; i < 40; i++) {
+		bed_ask(&bed, "/read/x");
+		first += bed.step.kind == CW_STEP_SEND;
+	}
+	assert_in_range(first, 0, 4);
+	bed_close(&bed);
+}
+
+static void set_homes(struct bed *bed, uint64_t version, const char *route,
+		      const char *organisation)
+{
+	struct cw_config *config = bed_make_config(version);
+
+	if (route)
+		cw_homes_add(&((struct cw_route *)cw_config_route(config, "h.example", "/once/x"))
+				      ->homes,
+			     route);
+	if (organisation)
+		cw_homes_add(&((struct cw_organisation *)cw_config_key(config, "key"))->homes,
+			     organisation);
+	cw_gate_configure(bed->gate, config);
+	cw_config_unref(config);
+}
+
+/* A request whose home can't be reached must be refused, and not run elsewhere. */
+static void a_request_runs_in_its_home_regions_only(void **state)
+{
+	struct bed bed;
+
+	bed_open(&bed);
+	cw_pool_set_region(cw_gate_pool(bed.gate), "d2", "south");
+	list_in(&bed, "s3", "orders", "d2", 0);
+	set_homes(&bed, 6, "south", NULL);
+	for (int i = 0; i < 20; i++) {
+		bed_ask(&bed, "/once/x");
+		assert_string_equal(bed.step.server->name, "s3");
+	}
+	set_homes(&bed, 7, NULL, "south");
+	bed_ask(&bed, "/read/x");
+	assert_string_equal(bed.step.server->name, "s3");
+	set_homes(&bed, 8, "south", "north");
+	bed_ask(&bed, "/once/x");
+	bed_assert_refused(&bed, 503, CW_RUN_NOT);
+	set_homes(&bed, 9, "south", NULL);
+	cw_pool_find_name(cw_gate_pool(bed.gate), "s3")->leaving = 1;
+	bed_ask(&bed, "/once/x");
+	bed_assert_refused(&bed, 503, CW_RUN_NOT);
+	bed_close(&bed);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(no_attempt_of_any_kind_goes_into_a_drained_domain),
+		cmocka_unit_test(with_all_domains_drained_a_request_is_refused_at_once),
+		cmocka_unit_test(what_runs_in_a_drained_domain_is_finished),
+		cmocka_unit_test(
+			servers_whose_drain_was_taken_back_are_cold_until_they_say_otherwise),
+		cmocka_unit_test(an_answer_may_say_that_its_server_is_cold),
+		cmocka_unit_test(a_request_runs_in_its_home_regions_only),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/unit/test_gossip.c
+++ b/tests/unit/test_gossip.c
@@ -47,6 +47,10 @@
 		(struct cw_rollout_evidence){9, 1, 1, 0.5F, 3, 0.75F, 2, 0.25F, 4, 0.5F};
 	gossip->rollouts[0].session_count = 1;
 	gossip->rollouts[0].sessions[0] = (struct cw_rollout_session){8, 400};
+	gossip->changes[0].entry.cold_ms = 2400;
+	gossip->drain_count = 2;
+	gossip->drains[0] = (struct cw_drain_order){"d1", 12, 1};
+	gossip->drains[1] = (struct cw_drain_order){"d2", 14, 0};
 }
 
 static void what_was_sent_is_read(void **state)
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -531,7 +531,8 @@
 	cw_quarantine_destroy(quarantine);
 }
 
-/* A harmless body that all ask for must not stay held in place of one that goes on ending servers. */
+/* A harmless body that all ask for must not stay held in place of one that goes on ending servers.
+ */
 static void ends_that_go_on_without_it_take_a_harmless_request_off_the_list(void **state)
 {
 	struct cw_quarantine *one = cw_quarantine_create();
@@ -631,10 +632,8 @@
 		cmocka_unit_test(a_break_alone_is_no_end),
 		cmocka_unit_test(many_breaks_at_once_are_an_end),
 		cmocka_unit_test(one_caller_does_not_drive_out_the_others),
-		cmocka_unit_test(
-			ends_that_go_on_without_it_take_a_harmless_request_off_the_list),
-		cmocka_unit_test(
-			a_request_that_was_alone_at_its_ends_is_not_taken_off_by_others),
+		cmocka_unit_test(ends_that_go_on_without_it_take_a_harmless_request_off_the_list),
+		cmocka_unit_test(a_request_that_was_alone_at_its_ends_is_not_taken_off_by_others),
 		cmocka_unit_test(an_end_under_a_held_request_says_nothing_of_the_version),
 		cmocka_unit_test(the_same_request_has_the_same_fingerprint_and_others_do_not),
 	};
--- a/tests/unit/test_up_store.c
+++ b/tests/unit/test_up_store.c
@@ -81,6 +81,70 @@
 	cw_up_page_clear(&page);
 }
 
+/* How long a server says that it stays cold, whole or not; a record is no news of a wild one. */
+static void an_entry_tells_how_long_its_server_stays_cold(void **state)
+{
+	static const struct {
+		const char *told;
+		int64_t cold_ms;
+	} cases[] = {{"2400", 2400}, {"2400.5", 2400}, {"-3", 0}, {"1e300", 600000}};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(cases[0]); i++) {
+		struct cw_up_page page;
+		const struct cw_up_news *news;
+		char entry[256];
+
+		snprintf(entry, sizeof(entry),
+			 "{\"service\":\"llm\",\"address\":\"10.0.0.1:80\",\"zone\":\"z1\","
+			 "\"version\":\"v1\",\"slots\":64,\"cold_left_ms\":%s,\"state\":\"ready\","
+			 "\"seq\":1}",
+			 cases[i].told);
+		news = follow(&page, "s1", entry, strlen(entry));
+		assert_int_equal(news->kind, CW_UP_SERVER);
+		assert_true(news->server.cold_ms == cases[i].cold_ms);
+		cw_up_page_clear(&page);
+	}
+}
+
+/* One operator's record as it is followed; the page is to be cleared. */
+static const struct cw_up_news *follow_order(struct cw_up_page *page, const char *key,
+					     const char *value)
+{
+	GString *body = g_string_new(NULL);
+	struct cw_error error = {0};
+
+	put_number(body, 8, 8);
+	put_number(body, 0, 8);
+	put_record(body, key, value, strlen(value));
+	assert_int_equal(cw_up_read_answer(CW_UP_OPERATOR, 200, body, 7, page, &error), CW_OK);
+	g_string_free(body, TRUE);
+	return &page->news[0];
+}
+
+/* That the key has a value is the order, whatever it holds; without one it is taken back. */
+static void a_drain_is_ordered_and_taken_back_by_its_key(void **state)
+{
+	static const char *const values[] = {"{}", "null", "no JSON"};
+	struct cw_up_page page;
+	const struct cw_up_news *news;
+
+	for (size_t i = 0; i < sizeof(values) / sizeof(values[0]); i++) {
+		news = follow_order(&page, "evacuate/z1", values[i]);
+		assert_int_equal(news->kind, CW_UP_DRAIN);
+		assert_string_equal(news->drain.failure_domain, "z1");
+		assert_int_equal(news->drain.is_drained, 1);
+		assert_int_equal(news->drain.offset, 7);
+		cw_up_page_clear(&page);
+	}
+	news = follow_order(&page, "evacuate/z1", "");
+	assert_int_equal(news->kind, CW_UP_DRAIN);
+	assert_int_equal(news->drain.is_drained, 0);
+	cw_up_page_clear(&page);
+	news = follow_order(&page, "evacuate/", "{}");
+	assert_int_equal(news->kind, CW_UP_OTHER);
+	cw_up_page_clear(&page);
+}
+
 /* A server that doesn't tell when it started is one all the same. */
 static void an_entry_may_leave_out_its_birth(void **state)
 {
@@ -209,6 +273,8 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_whole_entry_names_a_server),
+		cmocka_unit_test(an_entry_tells_how_long_its_server_stays_cold),
+		cmocka_unit_test(a_drain_is_ordered_and_taken_back_by_its_key),
 		cmocka_unit_test(an_entry_may_leave_out_its_birth),
 		cmocka_unit_test(an_entry_that_cannot_be_read_names_no_server),
 		cmocka_unit_test(records_beside_one_that_cannot_be_read_hold),
