follow: an answer of the store counts once, however often peers pass it on

Sequence, from a line at each call of the store: the two instances that read for all lost the store, not their peers, at 0.8 s. Two others read once in their place, at 2.11 s. At 4.45 s everybody still took that list for 0.75 s old, and nobody read: the change of 2.87 s was known at 5.1 to 5.7 s.

Cause: a list's age is told in each message, and the message's own way is lost of it. Passed round among peers, the same answer seemed newer with each round, faster than time went by. Now an answer is told with whose call it was and which; an instance takes its age when it first hears of it, and not again.

--- a/apps/corianderwalk/entry_feed.c
+++ b/apps/corianderwalk/entry_feed.c
@@ -54,6 +54,7 @@
 	struct feed *feed = g_new0(struct feed, 1);
 
 	feed->entry = entry;
+	cw_random_bytes(&feed->list.self, sizeof(feed->list.self));
 	feed->share = share_create(feed, error);
 	if (!feed->share) {
 		g_free(feed);
--- a/apps/corianderwalk/entry_hear.c
+++ b/apps/corianderwalk/entry_hear.c
@@ -25,6 +25,7 @@
 	gossip->servers_offset = feed->list.from;
 	/* Of the last answer, not of the call that waits: that one may never be answered. */
 	gossip->servers_age_ms = (uint32_t)(now_ms - feed->list.fresh_ms);
+	gossip->servers_proof = feed->list.proof;
 	gossip->change_count = cw_follow_tell(&feed->list, now_ms, gossip->changes);
 }
 
@@ -57,6 +58,9 @@
 static void hear_list(struct feed *feed, const struct cw_gossip *gossip, int64_t now_ms)
 {
 	struct topic *servers = &feed->servers;
+	struct cw_follow_word word = {.from = gossip->servers_offset,
+				      .age_ms = gossip->servers_age_ms,
+				      .proof = gossip->servers_proof};
 
 	if (!servers->is_complete) {
 		/* An empty list is one too: its offset is 0. */
@@ -65,9 +69,8 @@
 		return;
 	}
 	if (servers->phase != PHASE_FOLLOW ||
-	    cw_follow_hear(&feed->list, gossip->changes, gossip->change_count,
-			   gossip->servers_offset, gossip->servers_age_ms, now_ms, news_take_change,
-			   feed))
+	    cw_follow_hear(&feed->list, gossip->changes, gossip->change_count, &word, now_ms,
+			   news_take_change, feed))
 		return;
 	if (topic_is_reader(servers))
 		hint(servers, gossip->servers_offset);
--- a/packages/follow/include/cw_follow.h
+++ b/packages/follow/include/cw_follow.h
@@ -24,7 +24,27 @@
 	struct cw_server_entry entry;
 };
 
+#define CW_FOLLOW_READERS 16 /* instances whose newest answers are told apart */
+
+/* An answer of the store that proved a list new: whose call it was, and which of its calls. */
+struct cw_follow_proof {
+	uint64_t reader;
+	uint64_t number; /* grows from answer to answer of that reader; 0: none yet */
+};
+
+/* What a peer says of its list. */
+struct cw_follow_word {
+	uint64_t from;
+	int64_t age_ms; /* since it was known that nothing newer was there */
+	struct cw_follow_proof proof;
+};
+
 struct cw_follow {
+	uint64_t self;		      /* any number that no other instance has */
+	struct cw_follow_proof proof; /* of fresh_ms */
+	uint64_t answers;	      /* own ones */
+	struct cw_follow_proof known[CW_FOLLOW_READERS];
+	size_t known_next;
 	uint64_t from;	     /* offset of the next record */
 	uint64_t asked_from; /* of the own read that waits */
 	int64_t fresh_ms;    /* nothing newer was there then */
@@ -43,7 +63,7 @@
 			int64_t now_ms); /* the read brought all there was */
 size_t cw_follow_tell(const struct cw_follow *follow, int64_t now_ms, struct cw_change *changes);
 int cw_follow_hear(struct cw_follow *follow, const struct cw_change *changes, size_t count,
-		   uint64_t their_from, int64_t their_age_ms, int64_t now_ms,
+		   const struct cw_follow_word *word, int64_t now_ms,
 		   void (*take)(void *context, const struct cw_change *change),
 		   void *context); /* 0: a gap, or more is there: read */
 int cw_follow_reads(const struct cw_follow *follow, size_t rank,
--- a/packages/follow/src/follow.c
+++ b/packages/follow/src/follow.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 #include <string.h>
 
+static int is_news(struct cw_follow *follow, const struct cw_follow_proof *proof);
 static void keep(struct cw_follow *follow, const struct cw_change *change, int64_t now_ms);
 
 /*
@@ -47,6 +48,8 @@
 void cw_follow_answered(struct cw_follow *follow, int64_t now_ms)
 {
 	follow->fresh_ms = now_ms;
+	follow->proof.reader = follow->self;
+	follow->proof.number = ++follow->answers;
 }
 
 size_t cw_follow_tell(const struct cw_follow *follow, int64_t now_ms, struct cw_change *changes)
@@ -60,16 +63,19 @@
 }
 
 int cw_follow_hear(struct cw_follow *follow, const struct cw_change *changes, size_t count,
-		   uint64_t their_from, int64_t their_age_ms, int64_t now_ms,
+		   const struct cw_follow_word *word, int64_t now_ms,
 		   void (*take)(void *context, const struct cw_change *change), void *context)
 {
 	for (size_t i = 0; i < count; i++)
 		if (cw_follow_take_record(follow, &changes[i], now_ms))
 			take(context, &changes[i]);
-	if (follow->from < their_from)
+	if (follow->from < word->from)
 		return 0;
 	/* Their word is as old as the last answer that one of us got from the store. */
-	follow->fresh_ms = MAX(follow->fresh_ms, now_ms - their_age_ms);
+	if (is_news(follow, &word->proof) && now_ms - word->age_ms > follow->fresh_ms) {
+		follow->fresh_ms = now_ms - word->age_ms;
+		follow->proof = word->proof;
+	}
 	return 1;
 }
 
@@ -80,6 +86,30 @@
 	return cw_readers_is_first(rank) || stale_ms >= cw_readers_step_in_ms(rank);
 }
 
+/*
+ * Symptom this prevents: readers were cut off from the store, and for 3 s nobody read in their
+ * place. A word loses the time that it was on its way; passed on from peer to peer again and again,
+ * the same old answer seemed ever newer. So each answer counts once, as it is first heard of.
+ */
+static int is_news(struct cw_follow *follow, const struct cw_follow_proof *proof)
+{
+	struct cw_follow_proof *known = NULL;
+
+	if (!proof->number || proof->reader == follow->self)
+		return 0;
+	for (size_t i = 0; i < CW_FOLLOW_READERS; i++)
+		if (follow->known[i].reader == proof->reader)
+			known = &follow->known[i];
+	if (!known) {
+		known = &follow->known[follow->known_next++ % CW_FOLLOW_READERS];
+		*known = (struct cw_follow_proof){.reader = proof->reader};
+	}
+	if (proof->number <= known->number)
+		return 0;
+	known->number = proof->number;
+	return 1;
+}
+
 static void keep(struct cw_follow *follow, const struct cw_change *change, int64_t now_ms)
 {
 	if (follow->count == CW_FOLLOW_CHANGES) {
--- a/packages/gossip/include/cw_gossip.h
+++ b/packages/gossip/include/cw_gossip.h
@@ -47,7 +47,8 @@
 	uint64_t operator_offset; /* how far the sender has read the store's topics */
 	uint64_t servers_offset;
 	uint32_t servers_age_ms; /* since it was known that nothing newer was there */
-	size_t change_count;	 /* all records from the first one's offset to servers_offset */
+	struct cw_follow_proof servers_proof;
+	size_t change_count; /* all records from the first one's offset to servers_offset */
 	struct cw_change changes[CW_FOLLOW_CHANGES];
 	size_t member_count;
 	struct cw_gossip_member members[CW_GOSSIP_MEMBERS];
--- a/packages/gossip/src/gossip.c
+++ b/packages/gossip/src/gossip.c
@@ -7,7 +7,7 @@
 
 #define LIST_HEAD_BYTES 32
 #define ENTRY_BYTES	(5 * (CW_NAME_MAX + 4) + 32) /* of one entry at most, with its lengths */
-#define GOSSIP_MAGIC	0x63773039 /* names the layout below; others are ignored */
+#define GOSSIP_MAGIC	0x6377303a /* names the layout below; others are ignored */
 
 static bool_t code(XDR *xdr, struct cw_gossip *gossip);
 static bool_t code_member(XDR *xdr, struct cw_gossip_member *member);
@@ -136,7 +136,10 @@
 	if (!code_member(xdr, &gossip->sender) || !xdr_uint64_t(xdr, &gossip->boot) ||
 	    !xdr_int(xdr, &gossip->is_leaving) || !xdr_uint64_t(xdr, &gossip->config_version) ||
 	    !xdr_uint64_t(xdr, &gossip->operator_offset) ||
-	    !xdr_uint64_t(xdr, &gossip->servers_offset) || !xdr_u_int(xdr, &gossip->servers_age_ms))
+	    !xdr_uint64_t(xdr, &gossip->servers_offset) ||
+	    !xdr_u_int(xdr, &gossip->servers_age_ms) ||
+	    !xdr_uint64_t(xdr, &gossip->servers_proof.reader) ||
+	    !xdr_uint64_t(xdr, &gossip->servers_proof.number))
 		return FALSE;
 	if (!code_count(xdr, &gossip->change_count, CW_FOLLOW_CHANGES))
 		return FALSE;
--- a/tests/unit/test_follow.c
+++ b/tests/unit/test_follow.c
@@ -43,7 +43,9 @@
 
 	cw_follow_start(&follow, 5);
 	cw_follow_ask(&follow);
-	assert_int_equal(cw_follow_hear(&follow, heard, 2, 7, 0, NOW, take, &taken), 1);
+	assert_int_equal(cw_follow_hear(&follow, heard, 2, &(struct cw_follow_word){.from = 7}, NOW,
+					take, &taken),
+			 1);
 	assert_int_equal(taken.count, 2);
 	for (uint64_t offset = follow.asked_from; offset < 8; offset++) {
 		change = record(offset);
@@ -61,12 +63,49 @@
 	struct cw_change heard[] = {record(7), record(8)};
 
 	cw_follow_start(&follow, 5);
-	assert_int_equal(cw_follow_hear(&follow, heard, 2, 9, 0, NOW, take, &taken), 0);
+	assert_int_equal(cw_follow_hear(&follow, heard, 2, &(struct cw_follow_word){.from = 9}, NOW,
+					take, &taken),
+			 0);
 	assert_int_equal(taken.count, 0);
 	assert_int_equal(follow.from, 5);
 	assert_int_equal(cw_follow_reads(&follow, CW_READERS, NOW), 1);
 }
 
+/* One message that was on its way until now_ms. */
+static void tell(const struct cw_follow *from, struct cw_follow *to, int64_t sent_ms,
+		 int64_t now_ms)
+{
+	struct cw_follow_word word = {
+		.from = from->from, .age_ms = sent_ms - from->fresh_ms, .proof = from->proof};
+
+	cw_follow_hear(to, NULL, 0, &word, now_ms, take, NULL);
+}
+
+/*
+ * Both readers were cut off from the store, and a changed configuration came 3.1 s late: no other
+ * instance found the list old, for an answer passed round among peers seemed ever newer.
+ */
+static void an_answer_that_is_passed_round_grows_old(void **state)
+{
+	struct cw_follow nodes[12];
+	int64_t now_ms;
+
+	for (size_t i = 0; i < 12; i++) {
+		nodes[i] = (struct cw_follow){.self = i + 1};
+		cw_follow_start(&nodes[i], 5);
+	}
+	cw_follow_answered(&nodes[0], NOW);
+	for (now_ms = NOW; now_ms < NOW + 1700; now_ms += 50)
+		for (size_t i = 0; i < 12; i++)
+			for (size_t k = 0; k < 12; k++)
+				if (i != k)
+					tell(&nodes[i], &nodes[k], now_ms, now_ms + 40);
+	/* What a message takes may be lost once on each leg of the way, not with each round. */
+	for (size_t i = 0; i < 12; i++)
+		assert_in_range(nodes[i].fresh_ms, NOW, NOW + 100);
+	assert_int_equal(cw_follow_reads(&nodes[5], CW_READERS, now_ms), 1);
+}
+
 /*
  * Symptom: requests reached a server 2.3 s after it had said that it leaves.
  * Sequence: the two instances that read for all are cut off from the store, not from their peers.
@@ -74,8 +113,8 @@
  */
 static void a_view_is_as_old_as_the_last_answer_not_as_the_last_word(void **state)
 {
-	struct cw_follow reader = {0};
-	struct cw_follow other = {0};
+	struct cw_follow reader = {.self = 1};
+	struct cw_follow other = {.self = 2};
 	struct cw_change changes[CW_FOLLOW_CHANGES];
 
 	cw_follow_start(&reader, 5);
@@ -83,8 +122,7 @@
 	cw_follow_answered(&reader, NOW);
 	for (int64_t now_ms = NOW; now_ms < NOW + CW_FOLLOW_STALE_MS; now_ms += 150) {
 		assert_int_equal(cw_follow_tell(&reader, now_ms, changes), 0);
-		cw_follow_hear(&other, changes, 0, reader.from, now_ms - reader.fresh_ms, now_ms,
-			       take, NULL);
+		tell(&reader, &other, now_ms, now_ms);
 		assert_int_equal(cw_follow_reads(&other, CW_READERS, now_ms), 0);
 	}
 	assert_int_equal(cw_follow_reads(&other, CW_READERS, NOW + CW_FOLLOW_STALE_MS), 1);
@@ -147,6 +185,7 @@
 		cmocka_unit_test(an_answer_that_repeats_what_peers_brought_skips_nothing),
 		cmocka_unit_test(a_gap_is_read_and_not_jumped),
 		cmocka_unit_test(a_view_is_as_old_as_the_last_answer_not_as_the_last_word),
+		cmocka_unit_test(an_answer_that_is_passed_round_grows_old),
 		cmocka_unit_test(a_list_taken_during_a_read_does_not_move_where_it_was_asked),
 		cmocka_unit_test(records_are_told_on_for_a_while_and_no_longer),
 	};
