gate: servers that hang or are cut off are left sooner

What callers saw: as a failure domain is cut, streams pause for 1.22 to 2.0 s where 1.2 s is on time, and plain requests that meet the cut take 0.44 s of an objective of 0.15 s; a hung answer was waited for longer than the objective.

Cause: 0.3 s without a byte, then two probes of 0.1 s each before a server is left; 0.4 s for a connection whatever the objective; twice the objective (and four times the prediction) for a stream's first byte. Now 0.15 s; 0.67 of the objective, 0.1 to 0.4 s; half of the objective (and four times the prediction).

test_gate: a_silent_server_is_left_with_time_to_spare (650 ms before).

--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -3,13 +3,14 @@
 #include <string.h>
 
 #define CONNECT_MS	  400  /* a way of 1 ms, and 300 ms of a server that is slow to accept */
+#define CONNECT_MIN_MS	  100  /* a pause of this instance's own isn't taken for a cut */
 #define UNSENT_MAX	  4    /* connections that fail before the request is given up */
 #define REUSE_ONCE_MS	  1500 /* for what may run once: the shorter, the rarer a closed one */
 #define RETRY_BASE_MS	  150  /* until another server or the next instance is known */
 #define RETRY_SPREAD_MS	  250  /* so that refused callers don't return in one moment */
 #define NO_CONFIG_WAIT_MS 500
 #define DEADLINE_LESS_MS  15	    /* the way back to the caller */
-#define STREAM_SILENCE_MS 4000	    /* between events: four times the usual objective of 1 s */
+#define LAST_PAUSE_MS	  4000	    /* between events, where the stream can go nowhere else */
 #define SHED_PRIORITY	  2	    /* and later: as many are refused as servers reject */
 #define SHED_WAIT_MS	  600	    /* at least, a queue's length; to twice as much */
 #define WAIT_PART	  (1 / 3.0) /* of the time left, that a caller waits at most */
@@ -29,9 +30,11 @@
 static void note_kinds(struct cw_call *call);
 static int is_shed(struct cw_call *call, int64_t now_ms);
 static int send(struct cw_call *call, int64_t now_ms, struct cw_step *step);
+static int64_t connect_ms(const struct cw_call *call);
 static int send_instead(struct cw_call *call, int64_t now_ms, struct cw_step *step);
 static void fill_dispatch(struct cw_call *call, int64_t now_ms, struct cw_step *step);
 static int64_t silence_ms(const struct cw_call *call, int64_t now_ms);
+static int64_t pause_ms(const struct cw_call *call);
 static void leave_server(struct cw_call *call, int64_t now_ms, int is_answered);
 static void give_up_server(struct cw_call *call, int64_t now_ms);
 static void note_left(struct cw_call *call, const struct cw_server *server, int64_t now_ms);
@@ -145,8 +148,8 @@
 		call->model = small;
 	}
 	step->kind = CW_STEP_SHOW;
-	step->silence_ms = call->route->repeat == CW_REPEAT_STREAM ? STREAM_SILENCE_MS
-								   : silence_ms(call, now_ms);
+	step->silence_ms =
+		call->route->repeat == CW_REPEAT_STREAM ? pause_ms(call) : silence_ms(call, now_ms);
 }
 
 int cw_call_wants_event(const struct cw_call *call, int64_t event)
@@ -424,7 +427,7 @@
 	cw_pool_dispatched(server, now_ms);
 	step->kind = CW_STEP_SEND;
 	step->server = server;
-	step->connect_ms = CONNECT_MS;
+	step->connect_ms = connect_ms(call);
 	step->reuse_idle_ms = call->route->repeat == CW_REPEAT_NEVER
 				      ? REUSE_ONCE_MS
 				      : (int64_t)policy->reuse_idle_ms;
@@ -433,6 +436,14 @@
 	return 1;
 }
 
+/* What was not sent may go elsewhere, whatever its kind, while that can still be on time. */
+static int64_t connect_ms(const struct cw_call *call)
+{
+	double part_ms = call->gate->policy->connect_part * (double)call->route->objective_ms;
+
+	return (int64_t)CLAMP(part_ms, CONNECT_MIN_MS, CONNECT_MS);
+}
+
 /* Leaves the server that answered, once another is found; 0: none is, the answer stands. */
 static int send_instead(struct cw_call *call, int64_t now_ms, struct cw_step *step)
 {
@@ -474,17 +485,31 @@
  */
 static int64_t silence_ms(const struct cw_call *call, int64_t now_ms)
 {
+	const struct cw_policy *policy = call->gate->policy;
 	int64_t left_ms = MAX(call->limit_ms - now_ms, 1);
 
 	if (!may_repeat(call) || (int)call->attempts >= call->route->max_attempts)
 		return left_ms;
 	if (call->route->repeat == CW_REPEAT_STREAM)
-		return MIN(left_ms, 2 * call->route->objective_ms +
-					    (int64_t)(call->gate->policy->silence_factor *
-						      call->predicted_ms));
+		return MIN(left_ms,
+			   (int64_t)(policy->silence_part * (double)call->route->objective_ms +
+				     policy->silence_factor * call->predicted_ms));
 	return MIN(left_ms / 2 + 1, MAX(call->route->objective_ms, 1));
 }
 
+/*
+ * How long a stream may pause. One that hangs is taken up elsewhere while it can still be on time;
+ * with no attempt left it is waited for.
+ */
+static int64_t pause_ms(const struct cw_call *call)
+{
+	double pause_ms = call->gate->policy->pause_part * (double)call->route->pause_ms;
+
+	if (!cw_call_may_leave(call))
+		return MAX((int64_t)pause_ms, LAST_PAUSE_MS);
+	return MAX((int64_t)pause_ms, 1);
+}
+
 static void leave_server(struct cw_call *call, int64_t now_ms, int is_answered)
 {
 	struct cw_server *server = call->server;
--- a/packages/policy/include/cw_policy.h
+++ b/packages/policy/include/cw_policy.h
@@ -41,7 +41,10 @@
 	double breaker_failures; /* in a row that open the breaker */
 	double quiet_ms;	 /* without a byte, a server with requests is probed */
 	double doubt_beside;	 /* 1: servers beside an unreachable one are probed at once */
-	double silence_factor;	 /* of the predicted wait, until another server is tried */
+	double connect_part;	 /* of the objective, that a connection may take to open */
+	double silence_factor;	 /* of the predicted wait, and */
+	double silence_part;	 /* of the objective, until another server is tried */
+	double pause_part; /* of the longest pause on time, the same between a stream's events */
 	/* on the wire */
 	double urgency_step;  /* an organisation's priority counts as so many of a route's */
 	double reuse_idle_ms; /* a kept connection idle for less carries a request */
