--- a/apps/cwctl/cwctl.h
+++ b/apps/cwctl/cwctl.h
@@ -40,6 +40,13 @@
 enum exit_code table_set(const struct options *options);
 enum exit_code table_show(const struct options *options);
 enum exit_code organisation_add(const struct options *options);
+void new_edit_id(char *id, size_t size);
+void report_edit(const struct options *options, uint64_t offset);
+
+/* domains.c: failure domains that nothing new is sent to */
+enum exit_code domain_drain(const struct options *options);
+enum exit_code domain_restore(const struct options *options);
+enum exit_code domain_list(const struct options *options);
 
 /* reports.c */
 enum exit_code show_timeline(const struct options *options);
--- a/apps/cwctl/tables.c
+++ b/apps/cwctl/tables.c
@@ -8,9 +8,6 @@
 
 #define KEY_BYTES 24
 
-static void new_id(char *id, size_t size);
-static void report_edit(const struct options *options, uint64_t offset);
-
 enum exit_code table_publish(const struct options *options)
 {
 	struct cw_error error = {0};
@@ -30,7 +27,7 @@
 		g_error_free(failure);
 		return EXIT_WRONG_USE;
 	}
-	new_id(id, sizeof(id));
+	new_edit_id(id, sizeof(id));
 	if (cw_table_edit_from_csv(csv, id, g_get_user_name(), &record, &error) != CW_OK) {
 		fprintf(stderr, "cwctl: %s: %s\n", options->words[0], error.message);
 		g_free(csv);
@@ -65,7 +62,7 @@
 		fprintf(stderr, "cwctl: %s cannot be '%s'\n", options->words[3], options->words[4]);
 		return EXIT_REFUSED;
 	}
-	new_id(id, sizeof(id));
+	new_edit_id(id, sizeof(id));
 	edit = json_object_new_object();
 	cells = json_object_new_array();
 	cell = json_object_new_object();
@@ -180,7 +177,7 @@
 	return code;
 }
 
-static void new_id(char *id, size_t size)
+void new_edit_id(char *id, size_t size)
 {
 	uint64_t random[2];
 
@@ -188,7 +185,7 @@
 	g_snprintf(id, size, "%016" G_GINT64_MODIFIER "x%08x", random[0], (unsigned int)random[1]);
 }
 
-static void report_edit(const struct options *options, uint64_t offset)
+void report_edit(const struct options *options, uint64_t offset)
 {
 	if (options->json)
 		printf("{\"accepted\":true,\"revision\":%" G_GUINT64_FORMAT "}\n", offset);
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -527,6 +527,8 @@
 		json_object_object_add(
 			item, "usable",
 			json_object_new_boolean(cw_pool_is_usable(server, node->now_ms)));
+		json_object_object_add(item, "drained",
+				       json_object_new_boolean(server->is_drained));
 		json_object_object_add(item, "load",
 				       json_object_new_double(cw_pool_load(server, node->now_ms)));
 		json_object_object_add(item, "slots", json_object_new_int64(server->slots));
--- a/packages/node/src/node_log.c
+++ b/packages/node/src/node_log.c
@@ -11,6 +11,7 @@
 #define SNAPSHOT_RECORDS 2000 /* a tail longer than this is worth a snapshot */
 
 static void rejoin_table(struct cw_node *node);
+static void take_drains(struct cw_node *node);
 static void feed_failed(struct cw_node *node, struct feed *feed);
 static void feed_expired(struct cw_node *node, struct feed *feed, uint64_t first);
 static void fold_record(struct cw_node *node, struct feed *feed,
@@ -207,6 +208,21 @@
 		feed->ticket = 0;
 	feed->next = cw_table_offset(node->table) + 1;
 	feed->needs_snapshot = 0;
+	take_drains(node);
+}
+
+/* The table is the fold of all orders; the pool takes those that are new to it. */
+static void take_drains(struct cw_node *node)
+{
+	struct cw_drain_order orders[CW_DRAINS];
+	size_t count = cw_drains_tell(cw_table_drains(node->table), orders, CW_DRAINS);
+
+	for (size_t i = 0; i < count; i++)
+		if (cw_pool_drain(node->pool, &orders[i], node->now_ms))
+			node_event(node, "table",
+				   orders[i].is_drained ? "domain_drained" : "domain_restored",
+				   "domain=%s offset=%" G_GUINT64_FORMAT, orders[i].failure_domain,
+				   orders[i].offset);
 }
 
 static void feed_failed(struct cw_node *node, struct feed *feed)
--- a/packages/table/include/cw_table.h
+++ b/packages/table/include/cw_table.h
@@ -6,6 +6,7 @@
 #ifndef CW_TABLE_H
 #define CW_TABLE_H
 
+#include "cw_drain.h"
 #include "cw_hash.h"
 #include "cw_status.h"
 
@@ -71,6 +72,7 @@
 int cw_table_binding_holds(const struct cw_row *row,
 			   uint64_t bound_at); /* allowed, and not withdrawn since */
 const struct cw_row_list *cw_table_rows(const struct cw_table *table);
+const struct cw_drains *cw_table_drains(const struct cw_table *table); /* failure domains */
 const struct cw_row_list *
 cw_table_organisation_rows(const struct cw_table *table,
 			   const char *organisation); /* by organisation_link; NULL: none */
--- a/packages/table/src/table.c
+++ b/packages/table/src/table.c
@@ -16,6 +16,7 @@
 	GHashTable *keys;	     /* SHA-256 of a caller's key -> organisation */
 	GHashTable *routed; /* hash of (organisation, model) -> offset of the last routing change */
 	GHashTable *edits;  /* hash of an applied edit's id */
+	struct cw_drains *drains;
 	uint64_t edit_order[EDITS_KEPT];
 	size_t edit_count;
 };
@@ -34,6 +35,10 @@
 			      struct json_object *cells, struct cw_error *error);
 static enum cw_fold fold_key(struct cw_table *table, struct json_object *record,
 			     struct cw_error *error);
+static enum cw_fold fold_drain(struct cw_table *table, uint64_t offset, struct json_object *record,
+			       struct cw_error *error);
+static int read_drain(struct json_object *source, uint64_t offset, struct cw_drain_order *order);
+static struct json_object *print_drains(const struct cw_table *table);
 static enum cw_fold check_cell(const struct cw_table *table, struct json_object *cell,
 			       struct cell_edit *edit, struct cw_error *error);
 static void apply_cell(struct cw_table *table, uint64_t offset, const struct cell_edit *edit);
@@ -42,6 +47,7 @@
 static uint64_t row_id(const char *organisation, const char *model, const char *version);
 static void remember_edit(struct cw_table *table, uint64_t id);
 static void load_row(struct cw_table *table, struct json_object *source);
+static void load_drain(struct cw_table *table, struct json_object *source);
 static void clear(struct cw_table *table);
 static const char *text_of(struct json_object *object, const char *key);
 static uint64_t number_of(struct json_object *object, const char *key);
@@ -57,6 +63,7 @@
 	table->keys = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	table->routed = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	table->edits = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	table->drains = cw_drains_create();
 	return table;
 }
 
@@ -70,6 +77,7 @@
 	g_hash_table_destroy(table->keys);
 	g_hash_table_destroy(table->routed);
 	g_hash_table_destroy(table->edits);
+	cw_drains_destroy(table->drains);
 	g_free(table);
 }
 
@@ -116,6 +124,9 @@
 		for (size_t i = 0; i < json_object_array_length(list); i++)
 			remember_edit(table, (uint64_t)json_object_get_int64(
 						     json_object_array_get_idx(list, i)));
+		json_object_object_get_ex(snapshot, "drains", &list);
+		for (size_t i = 0; list && i < json_object_array_length(list); i++)
+			load_drain(table, json_object_array_get_idx(list, i));
 	}
 	json_object_put(parsed);
 	return status;
@@ -170,6 +181,7 @@
 	json_object_object_add(snapshot, "rows", rows);
 	json_object_object_add(snapshot, "keys", keys);
 	json_object_object_add(snapshot, "edits", edits);
+	json_object_object_add(snapshot, "drains", print_drains(table));
 	json_object_object_add(record, "snapshot", snapshot);
 	text = g_strdup(json_object_to_json_string_ext(record, JSON_C_TO_STRING_PLAIN));
 	json_object_put(record);
@@ -217,6 +229,11 @@
 	return cw_table_allows(row) && row->withdrawn_at <= bound_at;
 }
 
+const struct cw_drains *cw_table_drains(const struct cw_table *table)
+{
+	return table->drains;
+}
+
 const struct cw_row_list *cw_table_rows(const struct cw_table *table)
 {
 	return &table->rows;
@@ -247,7 +264,10 @@
 		return fold_key(table, record, error);
 	if (json_object_object_get_ex(record, "cells", &cells))
 		return fold_edit(table, offset, record, cells, error);
-	cw_error_set(error, CW_INVALID, STEP, "", "neither cells, a key nor a snapshot");
+	if (json_object_object_get_ex(record, "failure_domain", NULL))
+		return fold_drain(table, offset, record, error);
+	cw_error_set(error, CW_INVALID, STEP, "",
+		     "neither cells, a key, a failure domain nor a snapshot");
 	return CW_FOLD_MALFORMED;
 }
 
@@ -304,6 +324,58 @@
 	return CW_FOLD_APPLIED;
 }
 
+static enum cw_fold fold_drain(struct cw_table *table, uint64_t offset, struct json_object *record,
+			       struct cw_error *error)
+{
+	const char *id = text_of(record, "edit");
+	uint64_t id_hash = cw_hash_text(id, 0);
+	struct cw_drain_order order;
+
+	if (*id && g_hash_table_contains(table->edits, &id_hash))
+		return CW_FOLD_DUPLICATE;
+	if (!*id || !read_drain(record, offset, &order)) {
+		cw_error_set(error, CW_INVALID, STEP, "",
+			     "a drain needs an id, a failure domain and whether it is drained");
+		return CW_FOLD_MALFORMED;
+	}
+	cw_drains_take(table->drains, &order);
+	remember_edit(table, id_hash);
+	return CW_FOLD_APPLIED;
+}
+
+static int read_drain(struct json_object *source, uint64_t offset, struct cw_drain_order *order)
+{
+	const char *name = text_of(source, "failure_domain");
+	struct json_object *drained;
+
+	if (!json_object_object_get_ex(source, "drained", &drained) ||
+	    !json_object_is_type(drained, json_type_boolean) || !*name)
+		return 0;
+	order->offset = offset;
+	order->is_drained = json_object_get_boolean(drained);
+	return g_strlcpy(order->failure_domain, name, CW_NAME_MAX) < CW_NAME_MAX;
+}
+
+static struct json_object *print_drains(const struct cw_table *table)
+{
+	struct json_object *list = json_object_new_array();
+	struct cw_drain_order orders[CW_DRAINS];
+	size_t count = cw_drains_tell(table->drains, orders, CW_DRAINS);
+
+	for (size_t i = 0; i < count; i++) {
+		struct json_object *out = json_object_new_object();
+
+		json_object_object_add(out, "failure_domain",
+				       json_object_new_string(orders[i].failure_domain));
+		json_object_object_add(out, "drained",
+				       json_object_new_boolean(orders[i].is_drained));
+		json_object_object_add(out, "offset",
+				       json_object_new_int64((int64_t)orders[i].offset));
+		json_object_array_add(list, out);
+	}
+	return list;
+}
+
 static enum cw_fold check_cell(const struct cw_table *table, struct json_object *cell,
 			       struct cell_edit *edit, struct cw_error *error)
 {
@@ -421,6 +493,14 @@
 	g_hash_table_replace(table->routed, new_u64(route), new_u64(changed));
 }
 
+static void load_drain(struct cw_table *table, struct json_object *source)
+{
+	struct cw_drain_order order;
+
+	if (read_drain(source, number_of(source, "offset"), &order))
+		cw_drains_take(table->drains, &order);
+}
+
 static void clear(struct cw_table *table)
 {
 	struct cw_row *row;
@@ -435,6 +515,8 @@
 	g_hash_table_remove_all(table->routed);
 	g_hash_table_remove_all(table->edits);
 	table->edit_count = 0;
+	cw_drains_destroy(table->drains);
+	table->drains = cw_drains_create();
 }
 
 static const char *text_of(struct json_object *object, const char *key)
--- a/tests/unit/test_table.c
+++ b/tests/unit/test_table.c
@@ -6,6 +6,10 @@
 #include <math.h>
 #include <string.h>
 
+#define DRAIN(id, domain, drained)                                                                 \
+	"{\"edit\":\"" id "\",\"by\":\"t\",\"failure_domain\":\"" domain "\",\"drained\":" drained \
+	"}"
+
 static enum cw_fold fold(struct cw_table *table, const char *record)
 {
 	struct cw_error error = {0};
@@ -184,9 +188,35 @@
 	cw_table_destroy(table);
 }
 
+/* A repeated append must not drain a domain again that was taken back meanwhile; snapshots keep it.
+ */
+static void drains_follow_the_log_and_outlive_a_snapshot(void **state)
+{
+	struct cw_table *table = cw_table_create();
+	struct cw_table *copy = cw_table_create();
+	char *snapshot;
+
+	assert_int_equal(fold(table, DRAIN("1", "d1", "true")), CW_FOLD_APPLIED);
+	assert_true(cw_drains_has(cw_table_drains(table), "d1"));
+	assert_int_equal(fold(table, DRAIN("2", "d2", "true")), CW_FOLD_APPLIED);
+	assert_int_equal(fold(table, DRAIN("3", "d1", "false")), CW_FOLD_APPLIED);
+	assert_int_equal(fold(table, DRAIN("1", "d1", "true")), CW_FOLD_DUPLICATE);
+	assert_false(cw_drains_has(cw_table_drains(table), "d1"));
+	assert_int_equal(fold(table, DRAIN("4", "", "true")), CW_FOLD_MALFORMED);
+	assert_int_equal(fold(table, DRAIN("5", "d1", "1")), CW_FOLD_MALFORMED);
+	snapshot = cw_table_snapshot(table);
+	assert_int_equal(cw_table_load(copy, snapshot, NULL), CW_OK);
+	assert_true(cw_drains_has(cw_table_drains(copy), "d2"));
+	assert_false(cw_drains_has(cw_table_drains(copy), "d1"));
+	g_free(snapshot);
+	cw_table_destroy(copy);
+	cw_table_destroy(table);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(drains_follow_the_log_and_outlive_a_snapshot),
 		cmocka_unit_test(first_of_two_edits_wins),
 		cmocka_unit_test(an_edit_is_whole_or_nothing),
 		cmocka_unit_test(a_repeated_edit_undoes_nothing),
