--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -1,8 +1,9 @@
 # Randomized soak of the platform's face: the real program as separate processes, faults from outside, the
 # promises checked from what callers and backend servers saw.
-#   bash tests/soak/soak.sh SEED SECONDS [INSTANCES [CALLERS]]     (BUILD names the build folder)
+#   bash tests/soak/soak.sh SEED SECONDS [INSTANCES [CALLERS [domains]]]     (BUILD names the build folder)
+# With "domains" e2 and a2 are in a failure domain of their own, which is drained now and then.
 # Prints the seed, the faults in order, and a verdict. The same seed injects the same faults.
-SEED_NUMBER=$1 SECONDS_LONG=$2 INSTANCES_N=${3:-3} CALLERS_N=${4:-12}
+SEED_NUMBER=$1 SECONDS_LONG=$2 INSTANCES_N=${3:-3} CALLERS_N=${4:-12} DOMAINS=${5:-}
 . tests/lib.sh
 . tests/lib_users.sh
 . tests/lib_fatal.sh
@@ -33,7 +34,8 @@
 	local slot=$1 service=$2
 	shift 2
 	GENERATION=$((GENERATION + 1))
-	local name=${slot}g$GENERATION
+	local name=${slot}g$GENERATION ZONE=z1
+	case "$DOMAINS$slot" in domains?2) ZONE=z2 ;; esac
 	runner "$name" "$service" v1 "$@"
 	eval "local direct=\$ADDR_$name"
 	proxied "$name" "$direct"
@@ -79,14 +81,18 @@
 }
 # The loader of a sanitizer build takes a while before the program's first line runs.
 running_now() { [ "$(grep -c 'event=started' "$DIR/$1.log")" -gt "$(eval "echo \${STARTS_$1:-0}")" ]; }
+runs_in_z2() { cat "$DIR"/e2g*.log "$DIR"/a2g*.log | grep -c '^run '; }
 pause() { sleep "0.$((RANDOM % 8 + 1))"; }
 END=$((SECONDS + SECONDS_LONG - 3))
+DOMAINS_N=0
+[ -z "$DOMAINS" ] || DOMAINS_N=2
+all_drained() { for n in $NAMES; do tail -c 200000 "$DIR/$n.log" | grep -o "event=domain_[a-z]* domain=z2" | tail -n 1 | grep -q "_$1" || return 1; done; }
 VERSION=1
 while [ $SECONDS -lt $END ]; do
 	pick "$NAMES"; n=$PICKED
 	pick "e1 e2 a1 a2"; slot=$PICKED
 	eval "server=\$CURRENT_$slot service=\$SERVICE_$slot"
-	case $((RANDOM % 14)) in
+	case $((RANDOM % (DOMAINS_N + 14))) in
 	0) act kill "$n"; kill -KILL "$(pid_of "$n")"; revive "$n" ;;
 	1) act term "$n"; kill -TERM "$(pid_of "$n")"; (sleep 0.1) ; pause; revive "$n" ;;
 	2) act stop "$n"; kill -STOP "$(pid_of "$n")"; pause; kill -CONT "$(pid_of "$n")" ;;
@@ -101,6 +107,10 @@
 	11) act replace "$server"; list "$server" "$service" v1 draining
 		server "$slot" "$service" $FATAL; put keyed.servers "$server" "" ;;
 	12) act crash "$server"; kill -KILL "$(pid_of "$server")"; put keyed.servers "$server" ""; server "$slot" "$service" $FATAL ;;
+	14 | 15) act drain z2; put keyed.op evacuate/z2 "{}"; wait_for "all have drained z2" all_drained drained
+		before=$(runs_in_z2); pause; pause; after=$(runs_in_z2)
+		[ "$before" = "$after" ] || echo "z2 $before $after" >>"$DIR/undrained"
+		act restore z2; put keyed.op evacuate/z2 ""; wait_for "all have taken it back" all_drained restored ;;
 	13) VERSION=$((VERSION + 1)); act config "$VERSION"; config "$VERSION" k1 ;;
 	esac
 	[ $((RANDOM % 3)) -eq 0 ] || pause
@@ -129,6 +139,7 @@
 	awk -v a="$at" -v b="$((at + took))" -v n="$name" '$3 == n && $1 > a - 3000 && $1 < b {found = 1} END {exit !found}' "$FAULTS" ||
 		echo "$id $kind $host"
 done | grep . && complain "no answer, and nothing happened to the instance"
+[ -s "$DIR/undrained" ] && complain "a drained failure domain got requests: $(head -n 1 "$DIR/undrained")"
 late=$(late_runs $KNOWN_MS)
 [ "$late" -le 3 ] || complain "a request was run $late times later than $KNOWN_MS ms after servers had ended under it three times"
 echo "$(ends | wc -l) servers ended under one request, $late runs of it later than $KNOWN_MS ms after the third"
