--- a/apps/corianderwalk/entry.c
+++ b/apps/corianderwalk/entry.c
@@ -256,7 +256,7 @@
 			 entry->relay_count);
 	entry->was_ready = is_ready;
 	feed_tick(entry->feed, now_ms);
-	relay_watch(entry, now_ms);
+	reach_watch(entry, now_ms);
 	if (entry->ticks++ % FLUSH_TICKS == 0)
 		cw_timeline_flush();
 	if (!entry->stop_asked_ms)
--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -53,12 +53,17 @@
 void relay_open_waiting(struct entry *entry); /* what came before enough was known */
 void relay_gone(void *relay);
 void relay_room(void *relay);
-void relay_watch(struct entry *entry,
-		 int64_t now_ms); /* looks whether servers that fell silent can be reached */
+void relay_leave_unreachable(struct entry *entry,
+			     const struct cw_server *server); /* what may go on elsewhere */
 void relay_leave_ended(struct entry *entry); /* gives up what ran at servers that started again */
 void relay_stop_held(struct entry *entry);   /* ends what is sent nowhere any more */
 void relay_stop_all(struct entry *entry);    /* ends what is left, as a last resort */
 
+/* entry_reach.c: whether backend servers can be reached */
+void reach_watch(struct entry *entry, int64_t now_ms); /* probes those that fell silent */
+void reach_try_ended(struct entry *entry,
+		     struct cw_server *server); /* it broke a request: did it end? */
+
 /* entry_feed.c: what the store tells */
 struct feed *feed_create(struct entry *entry, struct cw_error *error); /* NULL: error tells */
 void feed_destroy(struct feed *feed);
--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -5,11 +5,7 @@
 
 #include <string.h>
 
-#define PROBES		 2 /* that fail one after another: one opening packet may be lost by chance */
-#define PROBE_MS	 100 /* for a connection: ways of 1 ms, and a busy server's accept */
-#define ENDED_TRY_MS	 300 /* a server that broke requests is tried so often at most */
 #define WAIT_TO_KNOW_MS	 700 /* for configuration and servers: reading them takes 10 to 300 ms */
-#define DOUBTED_MAX	 128 /* servers probed at once */
 #define ANSWER_BYTES_MAX (4 * 1024 * 1024) /* of an answer that is passed on whole */
 
 struct relay {
@@ -35,14 +31,6 @@
 	int64_t pause_ms; /* the longest between two events */
 };
 
-/* A probe under way; the server may be forgotten before its answer. */
-struct watch {
-	struct entry *entry;
-	uint64_t server;
-	int64_t probed_ms;
-	int number; /* of the probe, 1 the first */
-};
-
 static void on_head(void *context, const struct cw_message *answer);
 static void log_head(const struct relay *relay, const struct cw_answer_facts *facts,
 		     const struct cw_step *step, double predicted_ms, int64_t took_ms);
@@ -51,12 +39,6 @@
 static void on_failed(void *context, enum cw_flow_failure failure);
 static void on_limit(uv_timer_t *timer);
 static void on_closed(uv_handle_t *handle);
-static void probe(struct entry *entry, const struct cw_server *server, int number);
-static void on_probed(void *context, const char *address, int is_reachable);
-static void try_ended(struct entry *entry, struct cw_server *server);
-static void on_ended_tried(void *context, const char *address, int is_reachable);
-static void probe_doubted(struct entry *entry, const struct cw_server *unreachable, int64_t now_ms);
-static void leave_unreachable(struct entry *entry, const struct cw_server *server);
 static void open_call(struct relay *relay);
 static void take_step(struct relay *relay, const struct cw_step *step);
 static void send_attempt(struct relay *relay, const struct cw_step *step);
@@ -160,100 +142,6 @@
 	relay->is_paused = 0;
 }
 
-/*
- * A failure domain that is cut off takes its streams along without a word: their callers wait for
- * seconds, and new requests are still sent there. A server with requests under way that has been
- * silent is probed twice at once, as one opening packet may be lost by chance; if neither opens,
- * what may be repeated goes on elsewhere.
- */
-void relay_watch(struct entry *entry, int64_t now_ms)
-{
-	struct cw_server *server;
-
-	TAILQ_FOREACH(server, cw_pool_servers(cw_gate_pool(entry->gate)), link) {
-		if (!cw_pool_wants_probe(server, now_ms))
-			continue;
-		server->probed_ms = now_ms;
-		probe(entry, server, server->is_unreachable ? PROBES : 1);
-	}
-}
-
-static void probe(struct entry *entry, const struct cw_server *server, int number)
-{
-	struct watch *watch = g_new0(struct watch, 1);
-
-	watch->entry = entry;
-	watch->server = server->id;
-	watch->probed_ms = server->probed_ms;
-	watch->number = number;
-	cw_count("server_probes", "", 1);
-	cw_client_probe(entry->servers, server->address, PROBE_MS, on_probed, watch);
-}
-
-static void on_probed(void *context, const char *address, int is_reachable)
-{
-	struct watch *watch = context;
-	struct entry *entry = watch->entry;
-	struct cw_server *server = cw_pool_find(cw_gate_pool(entry->gate), watch->server);
-	int64_t now_ms = entry_now_ms(entry);
-
-	/* Bytes that came meanwhile, or the other probe's connection, say more than this failure.
-	 */
-	if (server && is_reachable) {
-		if (server->is_unreachable)
-			cw_event("gate", "server_reachable", "server=%s address=%s", server->name,
-				 address);
-		cw_pool_reached(server, now_ms);
-	} else if (server && server->heard_ms < watch->probed_ms && watch->number < PROBES) {
-		probe(entry, server, watch->number + 1);
-	} else if (server && server->heard_ms < watch->probed_ms && !server->is_unreachable) {
-		cw_warn("gate", "server_unreachable",
-			"server=%s address=%s domain=%s running=%u heard_ms_ago=%ld", server->name,
-			address, server->failure_domain, server->own_running,
-			(long)(now_ms - server->heard_ms));
-		cw_pool_unheard(server);
-		probe_doubted(entry, server, now_ms);
-		leave_unreachable(entry, server);
-	}
-	g_free(watch);
-}
-
-/* A request broke: did its server end, or only drop a connection? One that ended takes no other. */
-static void try_ended(struct entry *entry, struct cw_server *server)
-{
-	int64_t now_ms = entry_now_ms(entry);
-	struct watch *watch;
-
-	if (server->end_tried_ms && now_ms - server->end_tried_ms < ENDED_TRY_MS)
-		return;
-	server->end_tried_ms = now_ms;
-	watch = g_new0(struct watch, 1);
-	watch->entry = entry;
-	watch->server = server->id;
-	cw_count("server_probes", "", 1);
-	cw_client_probe(entry->servers, server->address, PROBE_MS, on_ended_tried, watch);
-}
-
-static void on_ended_tried(void *context, const char *address, int is_reachable)
-{
-	struct watch *watch = context;
-
-	if (!is_reachable)
-		cw_quarantine_gone(cw_gate_quarantine(watch->entry->gate), watch->server,
-				   entry_now_ms(watch->entry));
-	g_free(watch);
-}
-
-static void probe_doubted(struct entry *entry, const struct cw_server *unreachable, int64_t now_ms)
-{
-	struct cw_server *doubted[DOUBTED_MAX];
-	size_t count = cw_pool_doubt(cw_gate_pool(entry->gate), unreachable,
-				     entry->settings.failure_domain, doubted, DOUBTED_MAX, now_ms);
-
-	for (size_t i = 0; i < count; i++)
-		probe(entry, doubted[i], 1);
-}
-
 /*
  * A server that started again behind a cut sends no word of the requests that its earlier start
  * had: their connections stay silent, and their callers would wait for seconds. Kept connections to
@@ -281,7 +169,7 @@
 	}
 }
 
-static void leave_unreachable(struct entry *entry, const struct cw_server *server)
+void relay_leave_unreachable(struct entry *entry, const struct cw_server *server)
 {
 	struct relay *relay = TAILQ_FIRST(&entry->relays);
 
@@ -522,7 +410,7 @@
 
 	relay->exchange = NULL;
 	if (failure == CW_FLOW_BROKEN && server)
-		try_ended(relay->entry, server);
+		reach_try_ended(relay->entry, server);
 	cw_event("gate", "attempt_failed",
 		 "request=%s server=%s how=%s shown_ms=%ld sent_ms_ago=%ld fingerprint=%016lx",
 		 relay->facts.id, server ? server->name : "-", break_reasons[breaks[failure]],
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -6,29 +6,17 @@
 #define CONNECT_MIN_MS	  100  /* a pause of this instance's own isn't taken for a cut */
 #define UNSENT_MAX	  4    /* connections that fail before the request is given up */
 #define REUSE_ONCE_MS	  1500 /* for what may run once: the shorter, the rarer a closed one */
-#define RETRY_BASE_MS	  150  /* until another server or the next instance is known */
-#define RETRY_SPREAD_MS	  250  /* so that refused callers don't return in one moment */
 #define NO_CONFIG_WAIT_MS 500
-#define DEADLINE_LESS_MS  15	    /* the way back to the caller */
-#define LAST_PAUSE_MS	  4000	    /* between events, where the stream can go nowhere else */
-#define SHED_PRIORITY	  2	    /* and later: as many are refused as servers reject */
-#define SHED_WAIT_MS	  600	    /* at least, a queue's length; to twice as much */
-#define WAIT_PART	  (1 / 3.0) /* of the time left, that a caller waits at most */
-#define WAIT_SPREAD	  0.4	    /* of that: refused callers don't return in one moment */
+#define DEADLINE_LESS_MS  15   /* the way back to the caller */
+#define LAST_PAUSE_MS	  4000 /* between events, where the stream can go nowhere else */
 #define URGENCY_LAST	  9
 #define SERVICE_SEED	  0x5e41 /* a session's service says nothing of its place in a roll-out */
 #define CONNECT_LEFT_MIN  20	 /* less time than this left: nothing can be answered */
 
-static void refuse(struct cw_step *step, unsigned int status, const char *reason);
-static void refuse_not_run(struct cw_call *call, struct cw_step *step, const char *reason,
-			   int64_t now_ms);
-static void refuse_unsent(struct cw_call *call, struct cw_step *step, int64_t now_ms);
-static void fail(struct cw_call *call, struct cw_step *step, const char *reason);
 static int find_target(struct cw_call *call, struct cw_step *step);
 static int refuse_held(struct cw_call *call, struct cw_step *step);
 static void send_first(struct cw_call *call, int64_t now_ms, struct cw_step *step);
 static void note_kinds(struct cw_call *call);
-static int is_shed(struct cw_call *call, int64_t now_ms);
 static int send(struct cw_call *call, int64_t now_ms, struct cw_step *step);
 static int64_t connect_ms(const struct cw_call *call);
 static int send_instead(struct cw_call *call, int64_t now_ms, struct cw_step *step);
@@ -46,8 +34,6 @@
 static int can_send_again(struct cw_call *call, int64_t now_ms);
 static void again_or_fail(struct cw_call *call, int64_t now_ms, struct cw_step *step,
 			  const char *reason);
-static int64_t retry_after(struct cw_call *call);
-static int64_t retry_after_full(struct cw_call *call, int64_t now_ms);
 static void note_wait(const struct cw_call *call);
 static uint64_t session_key(const struct cw_call *call);
 
@@ -64,8 +50,8 @@
 	call->is_continued = facts->last_event != CW_NO_EVENT;
 	call->limit_ms = came_ms + (facts->allowed_ms >= 0 ? facts->allowed_ms : 0);
 	if (!gate->config) {
-		refuse(step, 503, "no configuration is known yet");
-		step->retry_after_ms = NO_CONFIG_WAIT_MS + retry_after(call);
+		call_refuse(step, 503, "no configuration is known yet");
+		step->retry_after_ms = NO_CONFIG_WAIT_MS + call_retry_after_ms(call);
 		return call;
 	}
 	call->config = cw_config_ref(gate->config);
@@ -82,7 +68,7 @@
 	leave_server(call, now_ms, 0);
 	call->attempts = 0;
 	memset(step, 0, sizeof(*step));
-	refuse_not_run(call, step, reason, now_ms);
+	call_refuse_not_run(call, step, reason, now_ms);
 }
 
 void cw_call_head(struct cw_call *call, const struct cw_answer_facts *answer, int64_t now_ms,
@@ -112,7 +98,8 @@
 		if (call->is_shown)
 			step->kind = CW_STEP_ABORT;
 		else
-			refuse_not_run(call, step, "the backend servers did not take it", now_ms);
+			call_refuse_not_run(call, step, "the backend servers did not take it",
+					    now_ms);
 		return;
 	}
 	call->may_have_run = 1;
@@ -130,7 +117,7 @@
 			return;
 		}
 		if (!answer->is_sealed) {
-			fail(call, step, "a backend server failed");
+			call_fail(call, step, "a backend server failed");
 			return;
 		}
 	}
@@ -181,7 +168,8 @@
 		if (call->is_shown)
 			step->kind = CW_STEP_ABORT;
 		else
-			refuse_not_run(call, step, "no backend server could be reached", now_ms);
+			call_refuse_not_run(call, step, "no backend server could be reached",
+					    now_ms);
 		return;
 	}
 	call->may_have_run = 1;
@@ -217,7 +205,7 @@
 		step->kind = CW_STEP_ABORT;
 		return;
 	}
-	refuse(step, 504, "no answer in time");
+	call_refuse(step, 504, "no answer in time");
 	step->run = call->may_have_run || call->attempts > 0 ? CW_RUN_UNKNOWN : CW_RUN_NOT;
 }
 
@@ -235,7 +223,7 @@
 	if (call->is_shown)
 		step->kind = CW_STEP_ABORT;
 	else
-		fail(call, step, "quarantined: servers ended under it");
+		call_fail(call, step, "quarantined: servers ended under it");
 }
 
 void cw_call_close(struct cw_call *call, int64_t now_ms)
@@ -316,13 +304,13 @@
 
 	call->route = cw_config_route(config, call->facts.host, call->facts.path);
 	if (!call->route) {
-		refuse(step, 404, "no route");
+		call_refuse(step, 404, "no route");
 		return 0;
 	}
 	if (cw_config_needs_key(config) && !call->route->is_public) {
 		call->organisation = cw_config_key(config, call->facts.key);
 		if (!call->organisation) {
-			refuse(step, 401, "unknown key");
+			call_refuse(step, 401, "unknown key");
 			return 0;
 		}
 	}
@@ -346,7 +334,7 @@
 {
 	if (!cw_call_is_held(call))
 		return 0;
-	refuse(step, 503, "quarantined: servers ended under it");
+	call_refuse(step, 503, "quarantined: servers ended under it");
 	return 1;
 }
 
@@ -356,15 +344,15 @@
 
 	if (call->facts.allowed_ms < 0 || limit_ms < call->limit_ms)
 		call->limit_ms = limit_ms;
-	if (is_shed(call, now_ms)) {
-		refuse_not_run(call, step, "the backend servers have no room", now_ms);
+	if (call_is_shed(call, now_ms)) {
+		call_refuse_not_run(call, step, "the backend servers have no room", now_ms);
 		return;
 	}
 	note_kinds(call);
 	if (call_model_is_free(call) && call_model_is_on_trial(call, now_ms))
 		call->model = call->route->model_count - 1;
 	if (!send(call, now_ms, step)) {
-		refuse_unsent(call, step, now_ms);
+		call_refuse_unsent(call, step, now_ms);
 		return;
 	}
 	/* Counted before, requests that were refused unsent let others be sent more often. */
@@ -386,24 +374,6 @@
 			 call->service ? call->service->slots : 0);
 }
 
-/*
- * Load pattern: five times the usual requests. Servers reject half of what they are sent, each
- * rejected request tries two more, and the least urgent that got into a queue are overtaken there
- * until their time is up. As many of them as are rejected are refused at once, the more urgent ones
- * less, and the most urgent never.
- */
-static int is_shed(struct cw_call *call, int64_t now_ms)
-{
-	const struct cw_organisation *organisation = call->organisation;
-	int priority = organisation && organisation->has_priority ? organisation->priority
-								  : call->route->priority;
-	double part = gate_rejected_part(call->gate, call->service_name, now_ms);
-	const struct cw_policy *policy = call->gate->policy;
-	double chance = policy->shed_part * part * MIN(priority, SHED_PRIORITY) / SHED_PRIORITY;
-
-	return part > policy->full_part && gate_random_part(call->gate) < chance;
-}
-
 /* 1: step is SEND. */
 static int send(struct cw_call *call, int64_t now_ms, struct cw_step *step)
 {
@@ -602,76 +572,7 @@
 	if (call->is_shown)
 		step->kind = CW_STEP_ABORT;
 	else
-		fail(call, step, reason);
-}
-
-static void refuse(struct cw_step *step, unsigned int status, const char *reason)
-{
-	step->kind = CW_STEP_REFUSE;
-	step->status = status;
-	step->run = CW_RUN_NOT;
-	step->retry_after_ms = -1;
-	step->reason = reason;
-}
-
-/* 503 promises that the request has not run and never will: only said where that is known. */
-static void refuse_not_run(struct cw_call *call, struct cw_step *step, const char *reason,
-			   int64_t now_ms)
-{
-	if (call->may_have_run) {
-		fail(call, step, reason);
-		return;
-	}
-	refuse(step, 503, reason);
-	step->retry_after_ms = retry_after_full(call, now_ms);
-}
-
-/*
- * Load pattern: all servers of a service start again. They bear a few requests a second, and
- * whoever comes back before one may take it is refused again: it is told when that is.
- */
-static void refuse_unsent(struct cw_call *call, struct cw_step *step, int64_t now_ms)
-{
-	int64_t cold_ms = call_cold_wait_ms(call, now_ms);
-	int64_t longest_ms = (int64_t)((double)(call->limit_ms - now_ms) * WAIT_PART);
-
-	if (cold_ms <= 0) {
-		refuse_not_run(call, step, "no backend server may take it", now_ms);
-		return;
-	}
-	refuse_not_run(call, step, "the backend servers are warming up", now_ms);
-	step->retry_after_ms = CLAMP(cold_ms + retry_after(call), 1, MAX(longest_ms, 1));
-}
-
-static void fail(struct cw_call *call, struct cw_step *step, const char *reason)
-{
-	refuse(step, 502, reason);
-	step->run = CW_RUN_UNKNOWN;
-}
-
-/*
- * Load pattern: a burst of seven times the usual for 8 s. Callers that were told to come back after
- * 0.6 to 1.2 s met the same full servers with the only retry they had, 11,000 of worth refused
- * twice; what the servers can run in a burst is the same whoever comes. The more is rejected, the
- * later they are told to come, up to the third of their time that they wait at most.
- */
-static int64_t retry_after_full(struct cw_call *call, int64_t now_ms)
-{
-	double part = gate_rejected_part(call->gate, call->service_name, now_ms);
-	double longest_ms = (double)(call->limit_ms - now_ms) * WAIT_PART;
-	double random = gate_random_part(call->gate);
-	double wait_ms = SHED_WAIT_MS * (1 + random);
-
-	if (part <= call->gate->policy->full_part)
-		return retry_after(call);
-	if (longest_ms > wait_ms)
-		wait_ms += part * (longest_ms * (1 - WAIT_SPREAD * random) - wait_ms);
-	return (int64_t)CLAMP(wait_ms, 1, MAX(longest_ms, 1));
-}
-
-static int64_t retry_after(struct cw_call *call)
-{
-	return RETRY_BASE_MS + (int64_t)(gate_random(call->gate) % RETRY_SPREAD_MS);
+		call_fail(call, step, reason);
 }
 
 static uint64_t session_key(const struct cw_call *call)
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -103,6 +103,16 @@
 			  int64_t now_ms); /* until a cold server may take it; -1: none will */
 struct cw_rollout_request call_as_request(const struct cw_call *call);
 
+/* call_refuse.c: who is turned away, with what word, and when to come back */
+int call_is_shed(struct cw_call *call, int64_t now_ms); /* 1: servers have no room for its kind */
+void call_refuse(struct cw_step *step, unsigned int status, const char *reason); /* not run */
+void call_refuse_not_run(struct cw_call *call, struct cw_step *step, const char *reason,
+			 int64_t now_ms); /* come back; it fails where it may have run */
+void call_refuse_unsent(struct cw_call *call, struct cw_step *step,
+			int64_t now_ms); /* no server may take it: come back when one may */
+void call_fail(struct cw_call *call, struct cw_step *step, const char *reason); /* may have run */
+int64_t call_retry_after_ms(struct cw_call *call);
+
 /* call_model.c: which of the route's models answers */
 int call_model_is_free(const struct cw_call *call); /* the gate says which, and has a choice */
 int call_model_is_on_trial(const struct cw_call *call,
