--- a/tests/unit/test_gate_drain.c
+++ b/tests/unit/test_gate_drain.c
@@ -13,11 +13,11 @@
 {
 	struct cw_server_entry entry = {.slots = 8, .cold_ms = cold_ms};
 
-	strcpy(entry.name, name);
-	strcpy(entry.service, service);
+	g_strlcpy(entry.name, name, CW_NAME_MAX);
+	g_strlcpy(entry.service, service, CW_NAME_MAX);
 	strcpy(entry.software, "v1");
 	strcpy(entry.address, "10.0.0.2:80");
-	strcpy(entry.failure_domain, domain);
+	g_strlcpy(entry.failure_domain, domain, CW_NAME_MAX);
 	assert_int_not_equal(cw_pool_list(cw_gate_pool(bed->gate), &entry, BED_NOW),
 			     CW_LISTING_FULL);
 }
@@ -26,7 +26,7 @@
 {
 	struct cw_drain_order order = {.offset = offset, .is_drained = is_drained};
 
-	strcpy(order.failure_domain, domain);
+	g_strlcpy(order.failure_domain, domain, CW_NAME_MAX);
 	cw_pool_drain(cw_gate_pool(bed->gate), &order, BED_NOW);
 }
 
