--- a/packages/gate/src/call_refuse.c
+++ b/packages/gate/src/call_refuse.c
@@ -79,9 +79,9 @@
 
 /*
  * Load pattern: a burst of seven times the usual for 8 s. Callers that were told to come back after
- * 0.6 to 1.2 s met the same full servers with the only retry they had, 11,000 of worth refused
- * twice; what the servers can run in a burst is the same whoever comes. The more is rejected, the
- * later they are told to come, up to the third of their time that they wait at most.
+ * 0.6 to 1.2 s met the same full servers with the only retry they had; what the servers can run in
+ * a burst is the same whoever comes. The more is rejected, the later they are told to come, up to
+ * the third of their time that they wait at most.
  */
 static int64_t retry_after_full(struct cw_call *call, int64_t now_ms)
 {
