--- a/packages/pool/src/candidates.c
+++ b/packages/pool/src/candidates.c
@@ -6,7 +6,7 @@
 
 #define NARROW_MIN	2 /* servers: on a single one a burst looks like a slow version */
 #define MAX_CANDIDATES	256
-#define PLACE_MS	150   /* between two looks at the members */
+#define PLACE_MS	1000 /* between two looks at the members: of hundreds, for hundreds of servers */
 #define FILL_BACKLOG_MS 800.0 /* prompts that wait there: half of the usual objective */
 
 static int is_software(const struct cw_server *server, const char *software);
--- a/tests/unit/test_warmup.c
+++ b/tests/unit/test_warmup.c
@@ -16,7 +16,7 @@
 #define KNOWN_MS  2000
 #define ROUND_MS  150
 #define STEP_MS	  10
-#define PLACE_MS  50
+#define PLACE_MS  1000
 #define PLAY_MS	  9000
 
 static const struct cw_warmup_rate rate = {.per_s = 12, .factor = 1.5, .slack = 5};
