quarantine: shared ends are counted in one place

explains() and count_rivals() had the same loop over a suspect's ends that count and another's at the same outage; count_shared() serves both.

--- a/packages/quarantine/src/judge.c
+++ b/packages/quarantine/src/judge.c
@@ -23,6 +23,8 @@
 static int64_t mean_ran_ms(const struct suspect *suspect);
 static unsigned int count_rivals(const struct cw_quarantine *quarantine, struct suspect *suspect,
 				 int64_t now_ms);
+static size_t count_shared(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+			   const struct suspect *other, int64_t now_ms, size_t *own);
 static int has_settled(const struct cw_quarantine *quarantine, const struct suspect *suspect,
 		       int64_t now_ms);
 
@@ -84,19 +86,10 @@
 static int explains(const struct cw_quarantine *quarantine, const struct suspect *other,
 		    const struct suspect *suspect, int64_t now_ms)
 {
-	size_t shared = 0;
-	size_t own = 0;
+	size_t own;
+	size_t shared = count_shared(quarantine, suspect, other, now_ms, &own);
 	int is_since = 0;
 
-	for (size_t i = 0; i < suspect->end_count; i++) {
-		const struct end *end = &suspect->ends[i];
-		const struct end *same = suspect_end_in(other, end->outage);
-
-		if (!counts(quarantine, suspect, end, now_ms))
-			continue;
-		own++;
-		shared += same && counts(quarantine, other, same, now_ms);
-	}
 	for (size_t i = 0; i < other->end_count; i++)
 		is_since |= other->ends[i].at_ms > suspect->held_ms &&
 			    counts(quarantine, other, &other->ends[i], now_ms) &&
@@ -215,26 +208,37 @@
 
 	suspect->is_clear = 1;
 	TAILQ_FOREACH(other, &quarantine->suspects, link) {
-		size_t shared = 0;
-		size_t own = 0;
+		size_t shared;
+		size_t own;
 
 		if (other == suspect || other->is_blamed || other->end_count < 2)
 			continue;
-		for (size_t i = 0; i < suspect->end_count; i++) {
-			const struct end *end = &suspect->ends[i];
-			const struct end *same = suspect_end_in(other, end->outage);
-
-			if (!counts(quarantine, suspect, end, now_ms))
-				continue;
-			own++;
-			shared += same && counts(quarantine, other, same, now_ms);
-		}
+		shared = count_shared(quarantine, suspect, other, now_ms, &own);
 		rivals += shared >= 2;
 		suspect->is_clear &= shared < own;
 	}
 	return rivals;
 }
 
+/* Of its ends that count, own, those that the other one was at as well. */
+static size_t count_shared(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+			   const struct suspect *other, int64_t now_ms, size_t *own)
+{
+	size_t shared = 0;
+
+	*own = 0;
+	for (size_t i = 0; i < suspect->end_count; i++) {
+		const struct end *end = &suspect->ends[i];
+		const struct end *same = suspect_end_in(other, end->outage);
+
+		if (!counts(quarantine, suspect, end, now_ms))
+			continue;
+		(*own)++;
+		shared += same && counts(quarantine, other, same, now_ms);
+	}
+	return shared;
+}
+
 /* Are the peers' reports of its third end there? */
 static int has_settled(const struct cw_quarantine *quarantine, const struct suspect *suspect,
 		       int64_t now_ms)
