--- a/packages/node/src/node_log.c
+++ b/packages/node/src/node_log.c
@@ -185,6 +185,7 @@
 	}
 	node->table_tail_length = 0;
 	rejoin_table(node);
+	take_drains(node);
 	/* Its records' ages are not known: unless the log shows a snapshot, one is due. */
 	if (!node->table_snapshot_wall_ms)
 		node->table_snapshot_wall_ms = 1;
@@ -208,7 +209,6 @@
 		feed->ticket = 0;
 	feed->next = cw_table_offset(node->table) + 1;
 	feed->needs_snapshot = 0;
-	take_drains(node);
 }
 
 /* The table is the fold of all orders; the pool takes those that are new to it. */
@@ -306,6 +306,7 @@
 {
 	const struct cw_row *row;
 
+	take_drains(node);
 	node_event(node, "table", "in_force", "offset=%" G_GUINT64_FORMAT, offset);
 	TAILQ_FOREACH(row, cw_table_rows(node->table), link) {
 		if (row->revision[CW_COLUMN_WEIGHT] != offset &&
