--- a/apps/cwctl/cwctl.h
+++ b/apps/cwctl/cwctl.h
@@ -41,7 +41,8 @@
 enum exit_code table_show(const struct options *options);
 enum exit_code organisation_add(const struct options *options);
 void new_edit_id(char *id, size_t size);
-void report_edit(const struct options *options, uint64_t offset);
+enum exit_code append_edit(const struct options *options, const char *record,
+			   const char *edit_id); /* and tells the revision */
 
 /* domains.c: failure domains that nothing new is sent to */
 enum exit_code domain_drain(const struct options *options);
--- a/apps/cwctl/domains.c
+++ b/apps/cwctl/domains.c
@@ -60,7 +60,6 @@
 	const char *name = options->words[0];
 	struct json_object *record;
 	enum exit_code code;
-	uint64_t offset = 0;
 	char id[40];
 
 	if (!name || !*name || strlen(name) >= CW_NAME_MAX) {
@@ -73,11 +72,8 @@
 	json_object_object_add(record, "by", json_object_new_string(g_get_user_name()));
 	json_object_object_add(record, "failure_domain", json_object_new_string(name));
 	json_object_object_add(record, "drained", json_object_new_boolean(is_drained));
-	code = log_append_edit(options->platform,
-			       json_object_to_json_string_ext(record, JSON_C_TO_STRING_PLAIN), id,
-			       &offset);
-	if (code == EXIT_DONE)
-		report_edit(options, offset);
+	code = append_edit(options, json_object_to_json_string_ext(record, JSON_C_TO_STRING_PLAIN),
+			   id);
 	json_object_put(record);
 	return code;
 }
--- a/apps/cwctl/tables.c
+++ b/apps/cwctl/tables.c
@@ -13,7 +13,6 @@
 	struct cw_error error = {0};
 	GError *failure = NULL;
 	enum exit_code code;
-	uint64_t offset = 0;
 	char *record = NULL;
 	char id[40];
 	char *csv;
@@ -33,9 +32,7 @@
 		g_free(csv);
 		return EXIT_REFUSED;
 	}
-	code = log_append_edit(options->platform, record, id, &offset);
-	if (code == EXIT_DONE)
-		report_edit(options, offset);
+	code = append_edit(options, record, id);
 	g_free(record);
 	g_free(csv);
 	return code;
@@ -48,7 +45,6 @@
 	struct json_object *cell;
 	enum cw_column column;
 	enum exit_code code;
-	uint64_t offset = 0;
 	double value;
 	char id[40];
 
@@ -79,11 +75,8 @@
 		json_object_object_add(
 			cell, "if_revision",
 			json_object_new_int64(g_ascii_strtoll(options->if_revision, NULL, 10)));
-	code = log_append_edit(options->platform,
-			       json_object_to_json_string_ext(edit, JSON_C_TO_STRING_PLAIN), id,
-			       &offset);
-	if (code == EXIT_DONE)
-		report_edit(options, offset);
+	code = append_edit(options, json_object_to_json_string_ext(edit, JSON_C_TO_STRING_PLAIN),
+			   id);
 	json_object_put(edit);
 	return code;
 }
@@ -185,10 +178,16 @@
 	g_snprintf(id, size, "%016" G_GINT64_MODIFIER "x%08x", random[0], (unsigned int)random[1]);
 }
 
-void report_edit(const struct options *options, uint64_t offset)
+enum exit_code append_edit(const struct options *options, const char *record, const char *edit_id)
 {
+	uint64_t offset = 0;
+	enum exit_code code = log_append_edit(options->platform, record, edit_id, &offset);
+
+	if (code != EXIT_DONE)
+		return code;
 	if (options->json)
 		printf("{\"accepted\":true,\"revision\":%" G_GUINT64_FORMAT "}\n", offset);
 	else
 		printf("accepted at revision %" G_GUINT64_FORMAT "\n", offset);
+	return EXIT_DONE;
 }
