membership: one condition says whether the members have grown

is_settled() and note_growth() held it in opposite forms; has_grown() serves both, and they stand with the other internal functions at the file's end. No behaviour change.

--- a/packages/membership/src/membership.c
+++ b/packages/membership/src/membership.c
@@ -23,6 +23,7 @@
 
 static int is_settled(const struct cw_membership *membership, int64_t now_ms);
 static void note_growth(struct cw_membership *membership, int64_t now_ms);
+static int has_grown(const struct cw_membership *membership);
 static struct cw_member *best_home(const struct cw_membership *membership, uint64_t key,
 				   int64_t now_ms, const struct cw_member *other_than,
 				   const char *avoid_domain);
@@ -229,25 +230,6 @@
 	membership->is_only = is_only;
 }
 
-/*
- * Symptom this prevents: all instances send to one server that can take few. An instance that has
- * just started, or started behind a cut that has healed, knows few others, and would be among the
- * first in every place.
- */
-static int is_settled(const struct cw_membership *membership, int64_t now_ms)
-{
-	return now_ms - membership->grown_ms >= membership->settle_ms &&
-	       (double)(membership->size + 1) <= GROWN * (double)membership->grown_to;
-}
-
-static void note_growth(struct cw_membership *membership, int64_t now_ms)
-{
-	if ((double)(membership->size + 1) > GROWN * (double)membership->grown_to) {
-		membership->grown_to = membership->size + 1;
-		membership->grown_ms = now_ms;
-	}
-}
-
 size_t cw_membership_place(const struct cw_membership *membership, uint64_t key, int64_t now_ms,
 			   size_t *instances)
 {
@@ -293,6 +275,29 @@
 	return &membership->members;
 }
 
+/*
+ * Symptom this prevents: all instances send to one server that can take few. An instance that has
+ * just started, or started behind a cut that has healed, knows few others, and would be among the
+ * first in every place.
+ */
+static int is_settled(const struct cw_membership *membership, int64_t now_ms)
+{
+	return now_ms - membership->grown_ms >= membership->settle_ms && !has_grown(membership);
+}
+
+static void note_growth(struct cw_membership *membership, int64_t now_ms)
+{
+	if (!has_grown(membership))
+		return;
+	membership->grown_to = membership->size + 1;
+	membership->grown_ms = now_ms;
+}
+
+static int has_grown(const struct cw_membership *membership)
+{
+	return (double)(membership->size + 1) > GROWN * (double)membership->grown_to;
+}
+
 static struct cw_member *best_home(const struct cw_membership *membership, uint64_t key,
 				   int64_t now_ms, const struct cw_member *other_than,
 				   const char *avoid_domain)
