--- a/packages/pool/src/warmup.c
+++ b/packages/pool/src/warmup.c
@@ -6,9 +6,11 @@
 #define SHARERS	  5    /* instances that share a cold server's rate, where it is high enough */
 #define WINDOW_MS 1050 /* a second, and what timers and clocks may differ in it */
 
+static int64_t left_ms(const struct cw_warmup *warmup, int64_t now_ms);
+
 int cw_warmup_is_cold(const struct cw_warmup *warmup, int64_t now_ms)
 {
-	return now_ms < warmup->cold_until_ms || now_ms < warmup->unknown_until_ms;
+	return left_ms(warmup, now_ms) > 0;
 }
 
 void cw_warmup_told(struct cw_warmup *warmup, int64_t cold_ms, int64_t now_ms)
@@ -51,7 +53,7 @@
 int64_t cw_warmup_wait_ms(const struct cw_warmup *warmup, const struct cw_warmup_rate *rate,
 			  int64_t now_ms)
 {
-	int64_t warm_ms = MAX(warmup->cold_until_ms, warmup->unknown_until_ms) - now_ms;
+	int64_t warm_ms = left_ms(warmup, now_ms);
 	unsigned int quota;
 	int64_t oldest_ms;
 
@@ -67,3 +69,9 @@
 		return 0;
 	return CLAMP(oldest_ms + WINDOW_MS - now_ms, 0, warm_ms);
 }
+
+/* Until it counts as warm; 0 or less: it does. */
+static int64_t left_ms(const struct cw_warmup *warmup, int64_t now_ms)
+{
+	return MAX(warmup->cold_until_ms, warmup->unknown_until_ms) - now_ms;
+}
