--- a/packages/gate/src/call_refuse.c
+++ b/packages/gate/src/call_refuse.c
@@ -9,6 +9,7 @@
 #define WAIT_SPREAD	0.4	  /* of that: refused callers don't return in one moment */
 
 static int64_t retry_after_full(struct cw_call *call, int64_t now_ms);
+static double longest_wait_ms(const struct cw_call *call, int64_t now_ms);
 
 /*
  * Load pattern: five times the usual requests. Servers reject half of what they are sent, each
@@ -56,14 +57,14 @@
 void call_refuse_unsent(struct cw_call *call, struct cw_step *step, int64_t now_ms)
 {
 	int64_t cold_ms = call_cold_wait_ms(call, now_ms);
-	int64_t longest_ms = (int64_t)((double)(call->limit_ms - now_ms) * WAIT_PART);
 
 	if (cold_ms <= 0) {
 		call_refuse_not_run(call, step, "no backend server may take it", now_ms);
 		return;
 	}
 	call_refuse_not_run(call, step, "the backend servers are warming up", now_ms);
-	step->retry_after_ms = CLAMP(cold_ms + call_retry_after_ms(call), 1, MAX(longest_ms, 1));
+	step->retry_after_ms = CLAMP(cold_ms + call_retry_after_ms(call), 1,
+				     (int64_t)longest_wait_ms(call, now_ms));
 }
 
 void call_fail(struct cw_call *call, struct cw_step *step, const char *reason)
@@ -86,7 +87,7 @@
 static int64_t retry_after_full(struct cw_call *call, int64_t now_ms)
 {
 	double part = gate_rejected_part(call->gate, call->service_name, now_ms);
-	double longest_ms = (double)(call->limit_ms - now_ms) * WAIT_PART;
+	double longest_ms = longest_wait_ms(call, now_ms);
 	double random = gate_random_part(call->gate);
 	double wait_ms = SHED_WAIT_MS * (1 + random);
 
@@ -94,5 +95,10 @@
 		return call_retry_after_ms(call);
 	if (longest_ms > wait_ms)
 		wait_ms += part * (longest_ms * (1 - WAIT_SPREAD * random) - wait_ms);
-	return (int64_t)CLAMP(wait_ms, 1, MAX(longest_ms, 1));
+	return (int64_t)CLAMP(wait_ms, 1, longest_ms);
+}
+
+static double longest_wait_ms(const struct cw_call *call, int64_t now_ms)
+{
+	return MAX((double)(call->limit_ms - now_ms) * WAIT_PART, 1);
 }
