--- a/apps/corianderwalk/entry.c
+++ b/apps/corianderwalk/entry.c
@@ -47,7 +47,6 @@
 	if (cw_up_settings_load(settings_file, &entry.settings, &error) != CW_OK) {
 		fprintf(stderr, "corianderwalk: %s: %s: %s\n", settings_file, error.step,
 			error.message);
-		cw_up_settings_clear(&entry.settings);
 		return EXIT_SETTINGS;
 	}
 	cw_timeline_open(entry.settings.instance, "info");
@@ -236,7 +235,6 @@
 
 	if (cw_up_settings_load(file, &settings, &error) != CW_OK) {
 		cw_warn("entry", "reload_refused", "message=\"%s\"", error.message);
-		cw_up_settings_clear(&settings);
 		return;
 	}
 	cw_event("entry", "reloaded", "file=%s", file);
