--- a/tests/runs/fatal_shared.sh
+++ b/tests/runs/fatal_shared.sh
@@ -23,7 +23,7 @@
 	local prompt="the question of the day"
 	for i in $(seq 90); do
 		[ $(($1 % 2)) -eq 1 ] || prompt="question $1 $i"
-		code=$(TOKENS=${HTOK:-40} PROMPT="$prompt" chat "n$((($1 + i) % 4 + 1))" "$OTHER" m -m 6 -o /dev/null -w '%{http_code}')
+		code=$(TOKENS=40 PROMPT="$prompt" chat "n$((($1 + i) % 4 + 1))" "$OTHER" m -m 6 -o /dev/null -w '%{http_code}')
 		echo "$((SECONDS - BEGAN)) $(($1 % 2)) $code" >>"$DIR/others.$1"
 		sleep 0.1
 	done
