--- a/tests/standins/backend.c
+++ b/tests/standins/backend.c
@@ -73,11 +73,7 @@
 	int after, count;
 	char fault_version[128]; /* only its requests fail; empty: all */
 	int64_t orders_made;
-	const char *fatal; /* text of bodies that end it, NULL: none does */
-	int fatal_ms;
-	int down_ms;
-	char **arguments;
-	int port;
+	struct ending ending;
 };
 
 static void handle(void *context, const struct cw_http_in *in, struct cw_http_out *out);
@@ -161,12 +157,12 @@
 	backend.generations = g_hash_table_new(g_str_hash, g_str_equal);
 	backend.runs = json_object_new_array();
 	backend.orders = json_object_new_array();
-	backend.fatal = fatal->count ? fatal->sval[0] : NULL;
-	backend.fatal_ms = fatal_ms->ival[0];
-	backend.down_ms = down_ms->ival[0];
-	backend.arguments = argv;
+	backend.ending.text = fatal->count ? fatal->sval[0] : NULL;
+	backend.ending.after_ms = fatal_ms->ival[0];
+	backend.ending.down_ms = down_ms->ival[0];
+	backend.ending.arguments = argv;
 	server = standin_listen(ending_port(port->ival[0]), handle, &backend);
-	backend.port = cw_http_server_port(server);
+	backend.ending.port = cw_http_server_port(server);
 	standin_wait();
 	cw_http_server_destroy(server);
 	return 0;
@@ -367,7 +363,7 @@
 	const char *fault = standin_text(body, "fault", fault_names[backend->fault]);
 
 	if (!strcmp(fault, "end"))
-		ending_now(backend->arguments, backend->down_ms, backend->port);
+		ending_now(&backend->ending);
 
 	for (int i = 0; i <= FAULT_HANG; i++)
 		if (!strcmp(fault, fault_names[i]))
@@ -424,33 +420,11 @@
 		nap(backend, 100);
 }
 
-static void *end_later(void *context)
-{
-	const struct backend *backend = context;
-
-	usleep((useconds_t)backend->fatal_ms * 1000);
-	ending_now(backend->arguments, backend->down_ms, backend->port);
-}
-
-static void meet_fate(struct backend *backend, const struct cw_http_in *in)
-{
-	pthread_t thread;
-
-	if (!backend->fatal || !in->body ||
-	    !memmem(in->body, in->body_size, backend->fatal, strlen(backend->fatal)))
-		return;
-	printf("fatal %" G_GINT64_FORMAT "\n", g_get_monotonic_time() / 1000);
-	fflush(stdout);
-	pthread_create(&thread, NULL, end_later, backend);
-	pthread_detach(thread);
-}
-
 static void note_run(struct backend *backend, const struct cw_http_in *in, const char *model)
 {
 	struct json_object *run = json_object_new_object();
 
-	meet_fate(backend, in);
-
+	ending_run(&backend->ending, in->body, in->body_size);
 	json_object_object_add(run, "request", json_object_new_string(header(in, "X-Request-Id")));
 	json_object_object_add(run, "attempt", json_object_new_string(header(in, "X-Attempt")));
 	json_object_object_add(run, "key", json_object_new_string(header(in, "Idempotency-Key")));
--- a/tests/standins/users_runner.c
+++ b/tests/standins/users_runner.c
@@ -38,11 +38,7 @@
 static const char *confidence;
 static long gap_ms;
 static unsigned int running;
-static const char *fatal; /* text of bodies that end it, NULL: none does */
-static long fatal_ms;
-static long down_ms;
-static char **arguments;
-static uv_timer_t fate;
+static struct ending ending;
 
 static void on_timer_closed(uv_handle_t *handle)
 {
@@ -128,22 +124,6 @@
 	uv_timer_start(&run->timer, on_event, 5, (uint64_t)gap_ms);
 }
 
-static void on_fate(uv_timer_t *timer)
-{
-	ending_now(arguments, (int)down_ms, 0);
-}
-
-/* It has begun to run: nothing can stop it any more, not even that its caller leaves. */
-static void meet_fate(const struct cw_message *request)
-{
-	if (!fatal || !strstr(request->body->str, fatal))
-		return;
-	printf("fatal %" G_GINT64_FORMAT "\n", g_get_monotonic_time() / 1000);
-	fflush(stdout);
-	if (!uv_is_active((uv_handle_t *)&fate))
-		uv_timer_start(&fate, on_fate, (uint64_t)fatal_ms, 0);
-}
-
 static void note_run(const struct cw_message *request)
 {
 	const char *model = cw_message_find(request, "Model");
@@ -155,7 +135,7 @@
 			       cw_message_find(request, "Attempt-Id"), model ? model : "-",
 			       organisation ? organisation : "-", last ? last : "-",
 			       secret ? " SECRET" : "");
-	meet_fate(request);
+	ending_run(&ending, request->body->str, request->body->len);
 	printf("run %s %s%s\n", request->target->str, cw_message_find(request, "Attempt-Id"),
 	       secret ? " SECRET" : "");
 	fflush(stdout);
@@ -166,7 +146,7 @@
 	const char *m = strstr(request->target->str, "?m=");
 
 	if (m && !strcmp(m + 3, "end"))
-		ending_now(arguments, (int)down_ms, 0);
+		ending_now(&ending);
 	if (m)
 		g_strlcpy(mode, m + 3, sizeof(mode));
 	cw_caller_head(caller, 200, "", (int64_t)journal->len);
@@ -241,13 +221,12 @@
 	name = id->sval[0];
 	confidence = trust->count ? trust->sval[0] : NULL;
 	gap_ms = gap->count ? gap->ival[0] : 20;
-	fatal = text->count ? text->sval[0] : NULL;
-	fatal_ms = after->count ? after->ival[0] : 40;
-	down_ms = down->count ? down->ival[0] : 1500;
-	arguments = argv;
+	ending.text = text->count ? text->sval[0] : NULL;
+	ending.after_ms = after->count ? after->ival[0] : 40;
+	ending.down_ms = down->count ? down->ival[0] : 1500;
+	ending.arguments = argv;
 	journal = g_string_new(NULL);
 	uv_loop_init(&loop);
-	uv_timer_init(&loop, &fate);
 	if (!cw_listener_create(&loop, listen->sval[0], &ops, NULL, &error)) {
 		fprintf(stderr, "%s: %s\n", error.peer, error.message);
 		return 3;
