--- a/tests/unit/quarantine_bed.c
+++ b/tests/unit/quarantine_bed.c
@@ -45,3 +45,12 @@
 	for (size_t i = 0; i < record_count; i++)
 		cw_quarantine_hear_record(to, &records[i], CW_QUARANTINE_PEER, now_ms);
 }
+
+void bed_talk(struct cw_quarantine *from, struct cw_quarantine *to, int64_t from_ms, int64_t to_ms)
+{
+	for (int64_t now_ms = from_ms; now_ms < to_ms; now_ms += 100) {
+		cw_quarantine_tick(from, now_ms);
+		cw_quarantine_tick(to, now_ms);
+		bed_tell(from, to, now_ms);
+	}
+}
--- a/tests/unit/quarantine_bed.h
+++ b/tests/unit/quarantine_bed.h
@@ -16,5 +16,7 @@
 void bed_pass(struct cw_quarantine *quarantine, int64_t from_ms, int64_t to_ms);
 size_t bed_held(const struct cw_quarantine *quarantine);
 void bed_tell(struct cw_quarantine *from, struct cw_quarantine *to, int64_t now_ms);
+void bed_talk(struct cw_quarantine *from, struct cw_quarantine *to, int64_t from_ms,
+	      int64_t to_ms); /* both live on, one tells the other each time */
 
 #endif
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -344,6 +344,36 @@
 	cw_quarantine_destroy(other);
 }
 
+/* Both were at the same three ends, and a copy of the harmless one had just come to each. */
+static void hold_harmless_one(struct cw_quarantine *one, struct cw_quarantine *other)
+{
+	for (int server = 1; server <= 3; server++) {
+		struct cw_quarantine_request shared = bed_request(HARMLESS, "others");
+
+		bed_broke(one, DEADLY, server, NOW + server * 50);
+		cw_quarantine_broke(one, &shared, server, 5, 0, NOW + server * 50);
+	}
+	bed_talk(one, other, NOW + 200, NOW + 8000);
+	assert_true(cw_quarantine_holds(other, HARMLESS));
+}
+
+/* A second cause of ends must not free a guilty request: proof is a run that its server outlives.
+ */
+static void ends_of_another_cause_do_not_take_a_request_off_the_list(void **state)
+{
+	struct cw_quarantine *one = cw_quarantine_create();
+	struct cw_quarantine *other = cw_quarantine_create();
+
+	hold_harmless_one(one, other);
+	for (int server = 4; server <= 6; server++)
+		bed_broke(one, DEADLY, server, NOW + server * 2000);
+	bed_talk(one, other, NOW + 12100, NOW + 14000);
+	assert_true(cw_quarantine_holds(one, HARMLESS));
+	assert_true(cw_quarantine_holds(other, HARMLESS));
+	cw_quarantine_destroy(one);
+	cw_quarantine_destroy(other);
+}
+
 /* The other one is never taken off by a body that is at later ends by chance. */
 static void a_request_that_was_alone_at_its_ends_is_not_taken_off_by_others(void **state)
 {
@@ -407,6 +437,7 @@
 		cmocka_unit_test(many_breaks_at_once_are_an_end),
 		cmocka_unit_test(one_caller_does_not_drive_out_the_others),
 		cmocka_unit_test(ends_that_go_on_without_it_take_a_harmless_request_off_the_list),
+		cmocka_unit_test(ends_of_another_cause_do_not_take_a_request_off_the_list),
 		cmocka_unit_test(a_request_that_was_alone_at_its_ends_is_not_taken_off_by_others),
 		cmocka_unit_test(an_end_under_a_held_request_says_nothing_of_the_version),
 		cmocka_unit_test(the_same_request_has_the_same_fingerprint_and_others_do_not),
