quarantine: a held request in doubt is tried once, on one server, before it is taken off

Cause: a held request was taken off as soon as another one, that had been at all of its ends, ended one more server. That proves the other one guilty and this one nothing; its release also made it count as answered, so that it was held for ten seconds only the next time.

Mend: a release needs a run that its server outlives. Where another request was at all ends of the held one, the first instance by rendezvous lets it run once, on one server, without a second attempt or a larger model. A whole answer takes it off as before; an end is told to all, and no instance tries it again. The ends of a held request that another one explains count against that other one as well, so both are held until the trial tells which it was.

Why it holds: a trial begins where a send is allowed at all (both faces), and whether one ended a server follows from the ends that all are told of.

The test of a release by further ends is replaced: the same sequence now asks for the release after a whole answer, and four tests more for what a trial may cost.

Ruled out: releasing after three further ends instead of one; a popular harmless body is at any number of ends of other causes.

--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -14,6 +14,7 @@
 #define CONNECT_LEFT_MIN  20	 /* less time than this left: nothing can be answered */
 
 static int find_target(struct cw_call *call, struct cw_step *step);
+static int begin_trial(struct cw_call *call);
 static int refuse_held(struct cw_call *call, struct cw_step *step);
 static void send_first(struct cw_call *call, int64_t now_ms, struct cw_step *step);
 static void note_kinds(struct cw_call *call);
@@ -211,7 +212,12 @@
 
 int cw_call_is_held(const struct cw_call *call)
 {
-	return cw_quarantine_holds(call->gate->quarantine, call->fingerprint);
+	return !call->is_trial && cw_quarantine_holds(call->gate->quarantine, call->fingerprint);
+}
+
+int call_is_once(const struct cw_call *call)
+{
+	return call->is_trial || cw_call_is_held(call);
 }
 
 /* A copy that waits in a server's queue ends that server too, unless it is taken out in time. */
@@ -334,10 +340,25 @@
 {
 	if (!cw_call_is_held(call))
 		return 0;
+	if (begin_trial(call))
+		return 0;
 	call_refuse(step, 503, "quarantined: servers ended under it");
 	return 1;
 }
 
+/* By one instance of all that hear of each other: a trial may cost a server. */
+static int begin_trial(struct cw_call *call)
+{
+	struct cw_quarantine *quarantine = call->gate->quarantine;
+
+	if (!cw_quarantine_wants_trial(quarantine, call->fingerprint, call->opened_ms) ||
+	    !cw_pool_owns(call->gate->pool, call->fingerprint))
+		return 0;
+	cw_quarantine_try(quarantine, call->fingerprint, call->opened_ms);
+	call->is_trial = 1;
+	return 1;
+}
+
 static void send_first(struct cw_call *call, int64_t now_ms, struct cw_step *step)
 {
 	int64_t limit_ms = call->opened_ms + call->route->limit_ms;
@@ -559,7 +580,7 @@
 static int can_send_again(struct cw_call *call, int64_t now_ms)
 {
 	if ((int)call->attempts >= call->route->max_attempts ||
-	    now_ms + CONNECT_LEFT_MIN >= call->limit_ms || cw_call_is_held(call))
+	    now_ms + CONNECT_LEFT_MIN >= call->limit_ms || call_is_once(call))
 		return 0;
 	return cw_repeats_take(gate_repeats(call->gate, call->service_name), now_ms);
 }
--- a/packages/gate/src/call_model.c
+++ b/packages/gate/src/call_model.c
@@ -66,7 +66,7 @@
 		return "no_choice";
 	if (call->model + 1 >= call->route->model_count)
 		return "largest_model";
-	if (cw_call_is_held(call))
+	if (call_is_once(call))
 		return "quarantined";
 	if (gate_rejected_part(call->gate, call->service_name, now_ms) >
 	    call->gate->policy->full_part)
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -63,6 +63,7 @@
 	int may_have_run;
 	int is_shown;
 	int is_continued; /* the answer is not of one run */
+	int is_trial;	  /* of a held request: it is sent once */
 	int64_t last_event;
 	size_t model; /* index among the route's, when it has any */
 	uint64_t session;
@@ -96,6 +97,10 @@
 double gate_rejected_part(struct cw_gate *gate, const char *service, int64_t now_ms); /* 0 to 1 */
 struct cw_repeats *gate_repeats(struct cw_gate *gate, const char *service);
 
+/* call.c */
+int call_is_once(const struct cw_call *call); /* 1: its request is held, or on trial: no further
+						 server is risked */
+
 /* call_choice.c */
 struct cw_server *call_choose(struct cw_call *call, int64_t now_ms,
 			      int *is_home); /* NULL: no server may take it */
--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -43,6 +43,7 @@
 	uint64_t row;	      /* its limits */
 	uint64_t version_id;  /* cw_pool_version */
 	uint64_t fingerprint; /* cw_quarantine_fingerprint */
+	int is_trial;	      /* of a held request: it is sent once */
 	double cost_per_1k;
 	double expected_tokens;
 	int admitted; /* holds a slot of its limits */
--- a/packages/node/src/node_quarantine.c
+++ b/packages/node/src/node_quarantine.c
@@ -9,6 +9,7 @@
 #define STEP_MS	 400  /* between two instances that would write the same */
 #define AGAIN_MS 2000 /* after a write: its own record is folded by then, or was lost */
 
+static int begin_trial(struct cw_node *node, struct request *request);
 static struct cw_quarantine_request as_quarantined(const struct request *request);
 static int64_t ran_ms(const struct cw_node *node, const struct request *request);
 static void log_change(struct cw_node *node, const struct cw_quarantine_change *change);
@@ -19,13 +20,28 @@
 
 int quarantine_refuses(struct cw_node *node, struct request *request)
 {
-	if (!cw_quarantine_holds(node->quarantine, request->fingerprint))
+	if (!cw_quarantine_holds(node->quarantine, request->fingerprint) ||
+	    begin_trial(node, request))
 		return 0;
 	request_refuse(node, request, CW_CODE_QUARANTINED, 0,
 		       "backend servers ended under this request");
 	return 1;
 }
 
+/* By one instance of all that hear of each other, and sent once: a trial may cost a server. */
+static int begin_trial(struct cw_node *node, struct request *request)
+{
+	if (request->is_trial)
+		return request->attempt_count == 0;
+	if (request->attempt_count > 0 ||
+	    !cw_quarantine_wants_trial(node->quarantine, request->fingerprint, node->now_ms) ||
+	    cw_membership_rank(node->membership, request->fingerprint, node->now_ms) > 0)
+		return 0;
+	cw_quarantine_try(node->quarantine, request->fingerprint, node->now_ms);
+	request->is_trial = 1;
+	return 1;
+}
+
 /* Called with the attempt's end, before the server and its version are judged by it. */
 void quarantine_attempt_ended(struct cw_node *node, const struct request *request,
 			      const struct cw_server *server, const struct cw_attempt_end *end)
@@ -248,7 +264,7 @@
 		struct request *next = LIST_NEXT(request, link);
 		struct cw_server *server = cw_pool_find(node->pool, request->server);
 
-		if (request->state == REQUEST_RUNNING &&
+		if (request->state == REQUEST_RUNNING && !request->is_trial &&
 		    cw_quarantine_holds(node->quarantine, request->fingerprint)) {
 			if (server)
 				cw_pool_ended(server, node->now_ms, -1);
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -168,6 +168,8 @@
 void cw_pool_set_places(struct cw_pool *pool,
 			void (*find)(void *context, uint64_t server, struct cw_warmup_place *place),
 			void *context); /* without it, this instance is the only one */
+int cw_pool_owns(const struct cw_pool *pool,
+		 uint64_t key); /* 1: this instance is the first by rendezvous, as far as known */
 void cw_pool_set_region(struct cw_pool *pool, const char *failure_domain,
 			const char *region); /* before its servers are known */
 int cw_pool_drain(struct cw_pool *pool, const struct cw_drain_order *order,
--- a/packages/pool/src/pool.c
+++ b/packages/pool/src/pool.c
@@ -68,6 +68,15 @@
 	pool->place_context = context;
 }
 
+int cw_pool_owns(const struct cw_pool *pool, uint64_t key)
+{
+	struct cw_warmup_place place = {.instances = 1};
+
+	if (pool->find_place)
+		pool->find_place(pool->place_context, key, &place);
+	return place.instances > 0 && place.rank == 0;
+}
+
 void cw_pool_set_region(struct cw_pool *pool, const char *failure_domain, const char *region)
 {
 	g_hash_table_replace(pool->regions, g_strdup(failure_domain), g_strdup(region));
--- a/packages/quarantine/include/cw_quarantine.h
+++ b/packages/quarantine/include/cw_quarantine.h
@@ -60,7 +60,6 @@
 	CW_QUARANTINE_OPERATOR, /* taken off by hand */
 	CW_QUARANTINE_ANSWER,	/* it was answered whole after all */
 	CW_QUARANTINE_TIME,	/* it was held for long enough */
-	CW_QUARANTINE_OTHER,	/* another request was at all of its ends, and ends servers still */
 };
 
 /* A request is held from now on, or not any more. */
@@ -84,6 +83,11 @@
 /* One request. ran_ms counts from its send to that server. */
 int cw_quarantine_holds(const struct cw_quarantine *quarantine,
 			uint64_t fingerprint); /* 1: to be sent nowhere */
+int cw_quarantine_wants_trial(
+	const struct cw_quarantine *quarantine, uint64_t fingerprint,
+	int64_t now_ms); /* 1: another request may explain all of its ends; one run would tell */
+void cw_quarantine_try(struct cw_quarantine *quarantine, uint64_t fingerprint,
+		       int64_t now_ms); /* that run begins here; only one instance may do so */
 void cw_quarantine_broke(struct cw_quarantine *quarantine,
 			 const struct cw_quarantine_request *request, uint64_t server,
 			 int64_t ran_ms, int is_running,
--- a/packages/quarantine/src/judge.c
+++ b/packages/quarantine/src/judge.c
@@ -6,11 +6,11 @@
  */
 #include "quarantine_internal.h"
 
-static void release_outdone(struct cw_quarantine *quarantine, int64_t now_ms);
-static int is_outdone(const struct cw_quarantine *quarantine, const struct suspect *suspect,
-		      int64_t now_ms);
-static int explains(const struct cw_quarantine *quarantine, const struct suspect *other,
-		    const struct suspect *suspect, int64_t now_ms);
+static void note_doubtful(struct cw_quarantine *quarantine, int64_t now_ms);
+static int has_twin(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+		    int64_t since_ms, int64_t now_ms);
+static int ended_alone(const struct cw_quarantine *quarantine, const struct suspect *other,
+		       const struct suspect *suspect, int64_t since_ms, int64_t now_ms);
 static void blame(struct cw_quarantine *quarantine, int64_t now_ms);
 static struct suspect *most_open(struct cw_quarantine *quarantine, int64_t now_ms);
 static int is_likelier(const struct suspect *suspect, size_t count, const struct suspect *most,
@@ -37,7 +37,7 @@
 	struct suspect *suspect;
 
 	quarantine->is_dirty = 0;
-	release_outdone(quarantine, now_ms);
+	note_doubtful(quarantine, now_ms);
 	TAILQ_FOREACH(suspect, &quarantine->suspects, link)
 		suspect->is_blamed = suspect->held_ms && suspect->is_firm;
 	blame(quarantine, now_ms);
@@ -59,42 +59,50 @@
 
 /*
  * Symptom this prevents: a body that all callers ask for stays on the list for ten minutes. It was
- * at the same ends as the one that caused them, and servers go on ending without it.
+ * at the same ends as the one that caused them. Where two requests end servers that is no proof
+ * either, so it is tried once before it is taken off.
  */
-static void release_outdone(struct cw_quarantine *quarantine, int64_t now_ms)
+static void note_doubtful(struct cw_quarantine *quarantine, int64_t now_ms)
 {
 	struct suspect *suspect;
 
-	TAILQ_FOREACH(suspect, &quarantine->suspects, link)
-		if (suspect->held_ms && suspect->is_firm && !suspect->is_clear &&
-		    is_outdone(quarantine, suspect, now_ms))
-			suspect_release(quarantine, suspect, CW_QUARANTINE_OTHER, now_ms);
+	TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
+		if (!suspect->held_ms || !suspect->is_firm || suspect->end_count < ENDS_TO_HOLD)
+			continue;
+		suspect->is_doubtful |= has_twin(quarantine, suspect, 0, now_ms);
+		suspect->is_outdone |= has_twin(quarantine, suspect, suspect->held_ms, now_ms);
+	}
 }
 
-static int is_outdone(const struct cw_quarantine *quarantine, const struct suspect *suspect,
-		      int64_t now_ms)
+/* Another was at all of its ends, and, where since_ms is set, at one more after that. */
+static int has_twin(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+		    int64_t since_ms, int64_t now_ms)
 {
 	const struct suspect *other;
 
-	TAILQ_FOREACH(other, &quarantine->suspects, link)
-		if (other != suspect && explains(quarantine, other, suspect, now_ms))
+	TAILQ_FOREACH(other, &quarantine->suspects, link) {
+		size_t own;
+		size_t shared;
+
+		if (other == suspect || other->end_count < ENDS_TO_HOLD)
+			continue;
+		shared = count_shared(quarantine, suspect, other, now_ms, &own);
+		if (own > 0 && shared == own &&
+		    (!since_ms || ended_alone(quarantine, other, suspect, since_ms, now_ms)))
 			return 1;
+	}
 	return 0;
 }
 
-/* It was at all ends of the held one, and at more since that one is held. */
-static int explains(const struct cw_quarantine *quarantine, const struct suspect *other,
-		    const struct suspect *suspect, int64_t now_ms)
+static int ended_alone(const struct cw_quarantine *quarantine, const struct suspect *other,
+		       const struct suspect *suspect, int64_t since_ms, int64_t now_ms)
 {
-	size_t own;
-	size_t shared = count_shared(quarantine, suspect, other, now_ms, &own);
-	int is_since = 0;
-
 	for (size_t i = 0; i < other->end_count; i++)
-		is_since |= other->ends[i].at_ms > suspect->held_ms &&
-			    counts(quarantine, other, &other->ends[i], now_ms) &&
-			    !suspect_end_in(suspect, other->ends[i].outage);
-	return own > 0 && shared == own && is_since;
+		if (other->ends[i].at_ms > since_ms &&
+		    counts(quarantine, other, &other->ends[i], now_ms) &&
+		    !suspect_end_in(suspect, other->ends[i].outage))
+			return 1;
+	return 0;
 }
 
 static void blame(struct cw_quarantine *quarantine, int64_t now_ms)
@@ -180,12 +188,14 @@
 	       end->is_confirmed && outage_met(quarantine, end);
 }
 
+/* The ends of a request that is outdone count against the other one as well. */
 static int is_explained(const struct cw_quarantine *quarantine, const struct end *end)
 {
 	const struct suspect *suspect;
 
 	TAILQ_FOREACH(suspect, &quarantine->suspects, link)
-		if (suspect->is_blamed && suspect_end_in(suspect, end->outage))
+		if (suspect->is_blamed && !suspect->is_outdone &&
+		    suspect_end_in(suspect, end->outage))
 			return 1;
 	return 0;
 }
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+static int ended_held(const struct suspect *suspect);
 static void prove_answers(struct cw_quarantine *quarantine, int64_t now_ms);
 static void make_room(struct cw_quarantine *quarantine, const char *organisation);
 static struct suspect *least_suspect(struct cw_quarantine *quarantine, const char *organisation);
@@ -44,6 +45,24 @@
 	return suspect && suspect->held_ms != 0;
 }
 
+int cw_quarantine_wants_trial(const struct cw_quarantine *quarantine, uint64_t fingerprint,
+			      int64_t now_ms)
+{
+	const struct suspect *suspect = suspect_find(quarantine, fingerprint);
+
+	if (!suspect || !suspect->held_ms || !suspect->is_doubtful || ended_held(suspect))
+		return 0;
+	return !suspect->trial_ms || now_ms - suspect->trial_ms >= TRIAL_GAP_MS;
+}
+
+void cw_quarantine_try(struct cw_quarantine *quarantine, uint64_t fingerprint, int64_t now_ms)
+{
+	struct suspect *suspect = suspect_find(quarantine, fingerprint);
+
+	if (suspect)
+		suspect->trial_ms = now_ms;
+}
+
 void cw_quarantine_broke(struct cw_quarantine *quarantine,
 			 const struct cw_quarantine_request *request, uint64_t server,
 			 int64_t ran_ms, int is_running, int64_t now_ms)
@@ -118,6 +137,7 @@
 		    !suspect->is_firm) {
 			suspect->is_firm = 1;
 			suspect->changed_ms = now_ms;
+			quarantine->is_dirty = 1;
 		}
 		if (suspect->held_ms && has_aged(suspect, now_ms))
 			suspect_release(quarantine, suspect, CW_QUARANTINE_TIME, now_ms);
@@ -165,7 +185,6 @@
 		[CW_QUARANTINE_OWN] = "own",	   [CW_QUARANTINE_PEER] = "peer",
 		[CW_QUARANTINE_STORE] = "store",   [CW_QUARANTINE_OPERATOR] = "operator",
 		[CW_QUARANTINE_ANSWER] = "answer", [CW_QUARANTINE_TIME] = "time",
-		[CW_QUARANTINE_OTHER] = "other",
 	};
 
 	return names[source];
@@ -282,6 +301,8 @@
 	if (suspect->held_ms)
 		return;
 	suspect->held_ms = MAX(since_ms, 1);
+	suspect->is_doubtful = suspect->is_outdone = 0;
+	suspect->trial_ms = 0;
 	suspect->released_ms = 0;
 	suspect->is_firm = source != CW_QUARANTINE_OWN;
 	suspect->changed_ms = now_ms;
@@ -356,6 +377,15 @@
 	}
 }
 
+/* A run that began while it was held, a trial anywhere, ended its server: it is guilty. */
+static int ended_held(const struct suspect *suspect)
+{
+	for (size_t i = 0; i < suspect->end_count; i++)
+		if (suspect->ends[i].at_ms - suspect->ends[i].ran_ms > suspect->held_ms)
+			return 1;
+	return 0;
+}
+
 /* What was answered whole by a server that has gone on since. */
 static void prove_answers(struct cw_quarantine *quarantine, int64_t now_ms)
 {
--- a/packages/quarantine/src/quarantine_internal.h
+++ b/packages/quarantine/src/quarantine_internal.h
@@ -36,6 +36,7 @@
 #define ENDS_TOLD	4      /* newest, of one request */
 #define SINGLES_TOLD	8      /* in one message, of requests that are at one end only */
 #define LEFT_MS		1000   /* a request that is over may still end its server */
+#define TRIAL_GAP_MS	10000  /* between two trials of a held request, where one told nothing */
 
 /* One server that ended, as far as one request is concerned. */
 struct end {
@@ -66,6 +67,9 @@
 	int is_written;	     /* the store has its newest state */
 	int is_blamed;	     /* by the judgement under way */
 	int is_clear;	     /* and no other was at as many of its ends */
+	int is_doubtful;     /* while it is held: another was at all of its ends, */
+	int is_outdone;	     /* and at one more since */
+	int64_t trial_ms;    /* when this instance last let it run while it was held, 0: never */
 	unsigned int rivals; /* others at two or more of its ends, as it was blamed */
 };
 
--- a/packages/quarantine/src/share.c
+++ b/packages/quarantine/src/share.c
@@ -119,6 +119,7 @@
 		    (!suspect->is_written && record->is_written))
 			suspect->changed_ms = now_ms;
 		suspect->is_firm |= suspect->held_ms != 0;
+		quarantine->is_dirty = 1;
 		suspect->is_written |= record->is_written;
 	}
 }
--- a/tests/unit/test_gate_quarantine.c
+++ b/tests/unit/test_gate_quarantine.c
@@ -157,6 +157,64 @@
 	bed_close(&bed);
 }
 
+/* Another body was at all of its three ends: which of the two ended the servers isn't known. */
+static void hold_in_doubt(struct bed *bed)
+{
+	struct cw_quarantine *quarantine = cw_gate_quarantine(bed->gate);
+	struct cw_quarantine_request request = {.organisation = "museo", .target = "chat"};
+
+	bed->facts.body = BODY;
+	bed_ask(bed, "/read/x");
+	request.fingerprint = cw_call_fingerprint(bed->call);
+	for (uint64_t server = 901; server <= 903; server++) {
+		struct cw_quarantine_request twin = request;
+
+		twin.fingerprint++;
+		cw_quarantine_broke(quarantine, &request, server, 5, 0, BED_NOW);
+		cw_quarantine_broke(quarantine, &twin, server, 900, 0, BED_NOW);
+		cw_quarantine_gone(quarantine, server, BED_NOW);
+	}
+	for (int64_t now_ms = BED_NOW; now_ms < BED_NOW + 7000; now_ms += 100)
+		cw_quarantine_tick(quarantine, now_ms);
+	assert_true(cw_call_is_held(bed->call));
+}
+
+static void place_second(void *context, uint64_t key, struct cw_warmup_place *place)
+{
+	place->instances = 2;
+	place->rank = 1;
+}
+
+/* A held request in doubt must cost one server at most before it is known to be guilty. */
+static void a_held_request_in_doubt_is_tried_once_and_on_one_server(void **state)
+{
+	struct bed bed;
+
+	bed_open(&bed);
+	hold_in_doubt(&bed);
+	bed_ask(&bed, "/read/x");
+	assert_int_equal(bed.step.kind, CW_STEP_SEND);
+	assert_false(cw_call_is_held(bed.call));
+	cw_call_broken(bed.call, CW_BREAK_BROKEN, BED_NOW + 30, &bed.step);
+	bed_assert_refused(&bed, 502, CW_RUN_UNKNOWN);
+	bed_ask(&bed, "/read/x");
+	bed_assert_refused(&bed, 503, CW_RUN_NOT);
+	bed_close(&bed);
+}
+
+/* Each instance that tried it would cost a server. */
+static void an_instance_that_is_not_the_first_tries_nothing(void **state)
+{
+	struct bed bed;
+
+	bed_open(&bed);
+	hold_in_doubt(&bed);
+	cw_pool_set_places(cw_gate_pool(bed.gate), place_second, NULL);
+	bed_ask(&bed, "/read/x");
+	bed_assert_refused(&bed, 503, CW_RUN_NOT);
+	bed_close(&bed);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -166,6 +224,8 @@
 		cmocka_unit_test(servers_that_leave_say_nothing_against_what_they_ran),
 		cmocka_unit_test(only_a_connection_that_broke_counts),
 		cmocka_unit_test(an_answer_that_was_dropped_counts_where_it_had_begun),
+		cmocka_unit_test(a_held_request_in_doubt_is_tried_once_and_on_one_server),
+		cmocka_unit_test(an_instance_that_is_not_the_first_tries_nothing),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_quarantine.c
+++ b/tests/unit/test_quarantine.c
@@ -312,51 +312,43 @@
 	cw_quarantine_destroy(quarantine);
 }
 
-/* A harmless body that all ask for must not stay held in place of one that goes on ending servers.
- */
-static void ends_that_go_on_without_it_take_a_harmless_request_off_the_list(void **state)
+/* Both were at the same three ends, and a copy of the harmless one had just come to each. */
+static void hold_harmless_one(struct cw_quarantine *one, struct cw_quarantine *other)
 {
-	struct cw_quarantine *one = cw_quarantine_create();
-	struct cw_quarantine *other = cw_quarantine_create();
-
 	for (int server = 1; server <= 3; server++) {
 		struct cw_quarantine_request shared = bed_request(HARMLESS, "others");
 
 		bed_broke(one, DEADLY, server, NOW + server * 50);
-		/* A copy of it had just come to each of them. */
 		cw_quarantine_broke(one, &shared, server, 5, 0, NOW + server * 50);
 	}
-	for (int64_t now_ms = NOW + 200; now_ms < NOW + 8000; now_ms += 100) {
-		cw_quarantine_tick(one, now_ms);
-		bed_tell(one, other, now_ms);
-	}
+	bed_talk(one, other, NOW + 200, NOW + 8000);
 	assert_true(cw_quarantine_holds(other, HARMLESS));
+}
+
+/* A harmless body that all ask for must not stay held in place of one that goes on ending servers.
+ */
+static void one_whole_answer_takes_a_harmless_request_off_the_list(void **state)
+{
+	struct cw_quarantine *one = cw_quarantine_create();
+	struct cw_quarantine *other = cw_quarantine_create();
+
+	hold_harmless_one(one, other);
 	bed_broke(one, DEADLY, 4, NOW + 8000);
-	for (int64_t now_ms = NOW + 8100; now_ms < NOW + 9500; now_ms += 100) {
-		cw_quarantine_tick(one, now_ms);
-		bed_tell(one, other, now_ms);
-	}
+	bed_talk(one, other, NOW + 8100, NOW + 9500);
 	assert_true(cw_quarantine_holds(one, DEADLY));
-	assert_false(cw_quarantine_holds(one, HARMLESS));
 	assert_true(cw_quarantine_holds(other, DEADLY));
+	assert_true(cw_quarantine_wants_trial(other, HARMLESS, NOW + 9500));
+	cw_quarantine_try(other, HARMLESS, NOW + 9500);
+	cw_quarantine_answered(other, HARMLESS, 5, 100, NOW + 9600);
+	bed_talk(other, one, NOW + 9600, NOW + 11500);
+	assert_false(cw_quarantine_holds(one, HARMLESS));
 	assert_false(cw_quarantine_holds(other, HARMLESS));
+	assert_true(cw_quarantine_holds(one, DEADLY));
+	assert_true(cw_quarantine_holds(other, DEADLY));
 	cw_quarantine_destroy(one);
 	cw_quarantine_destroy(other);
 }
 
-/* Both were at the same three ends, and a copy of the harmless one had just come to each. */
-static void hold_harmless_one(struct cw_quarantine *one, struct cw_quarantine *other)
-{
-	for (int server = 1; server <= 3; server++) {
-		struct cw_quarantine_request shared = bed_request(HARMLESS, "others");
-
-		bed_broke(one, DEADLY, server, NOW + server * 50);
-		cw_quarantine_broke(one, &shared, server, 5, 0, NOW + server * 50);
-	}
-	bed_talk(one, other, NOW + 200, NOW + 8000);
-	assert_true(cw_quarantine_holds(other, HARMLESS));
-}
-
 /* A second cause of ends must not free a guilty request: proof is a run that its server outlives.
  */
 static void ends_of_another_cause_do_not_take_a_request_off_the_list(void **state)
@@ -374,6 +366,43 @@
 	cw_quarantine_destroy(other);
 }
 
+/* A guilty request must not be tried again and again: its first trial that ends a server says all.
+ */
+static void a_trial_that_ends_its_server_is_the_last(void **state)
+{
+	struct cw_quarantine *one = cw_quarantine_create();
+	struct cw_quarantine *other = cw_quarantine_create();
+	struct cw_quarantine_request again = bed_request(HARMLESS, "others");
+
+	hold_harmless_one(one, other);
+	cw_quarantine_try(one, HARMLESS, NOW + 8000);
+	assert_false(cw_quarantine_wants_trial(one, HARMLESS, NOW + 8000));
+	cw_quarantine_broke(one, &again, 7, 100, 0, NOW + 8200);
+	cw_quarantine_gone(one, 7, NOW + 8200);
+	bed_talk(one, other, NOW + 8200, NOW + 30000);
+	assert_true(cw_quarantine_holds(one, HARMLESS));
+	assert_true(cw_quarantine_holds(other, HARMLESS));
+	assert_false(cw_quarantine_wants_trial(one, HARMLESS, NOW + 30000));
+	assert_false(cw_quarantine_wants_trial(other, HARMLESS, NOW + 30000));
+	cw_quarantine_destroy(one);
+	cw_quarantine_destroy(other);
+}
+
+/* Two instances that start a trial each would cost a server each: one that tells nothing waits. */
+static void a_trial_without_an_outcome_is_repeated_rarely(void **state)
+{
+	struct cw_quarantine *one = cw_quarantine_create();
+	struct cw_quarantine *other = cw_quarantine_create();
+
+	hold_harmless_one(one, other);
+	assert_true(cw_quarantine_wants_trial(one, HARMLESS, NOW + 8000));
+	cw_quarantine_try(one, HARMLESS, NOW + 8000);
+	assert_false(cw_quarantine_wants_trial(one, HARMLESS, NOW + 12000));
+	assert_true(cw_quarantine_wants_trial(one, HARMLESS, NOW + 19000));
+	cw_quarantine_destroy(one);
+	cw_quarantine_destroy(other);
+}
+
 /* The other one is never taken off by a body that is at later ends by chance. */
 static void a_request_that_was_alone_at_its_ends_is_not_taken_off_by_others(void **state)
 {
@@ -436,8 +465,10 @@
 		cmocka_unit_test(a_break_alone_is_no_end),
 		cmocka_unit_test(many_breaks_at_once_are_an_end),
 		cmocka_unit_test(one_caller_does_not_drive_out_the_others),
-		cmocka_unit_test(ends_that_go_on_without_it_take_a_harmless_request_off_the_list),
+		cmocka_unit_test(one_whole_answer_takes_a_harmless_request_off_the_list),
 		cmocka_unit_test(ends_of_another_cause_do_not_take_a_request_off_the_list),
+		cmocka_unit_test(a_trial_that_ends_its_server_is_the_last),
+		cmocka_unit_test(a_trial_without_an_outcome_is_repeated_rarely),
 		cmocka_unit_test(a_request_that_was_alone_at_its_ends_is_not_taken_off_by_others),
 		cmocka_unit_test(an_end_under_a_held_request_says_nothing_of_the_version),
 		cmocka_unit_test(the_same_request_has_the_same_fingerprint_and_others_do_not),
