pool: of many servers a request's prompt draws its candidates

What callers saw at 986 instances before 10,000 servers: 618 of 9,640 engines got all requests, the busiest 61 times the mean; 280 of 373 plain servers got none.

Cause: the candidates were the first 256 of a list that is the same for all.

Mend: where more than 256 may serve, those with the highest rendezvous score of the prompt (of a random number, where there is none) are the candidates: 192 of the own failure domain, 64 of the others. All instances look for one prompt at the same servers, so its shared parts are still read once. Up to 256 nothing changes. Where a version is tried on a part of its servers, the key is the same for every request.

Ruled out: a larger number of candidates; at 20,000 servers the first of the list are as few again.

--- a/packages/base/include/cw_hash.h
+++ b/packages/base/include/cw_hash.h
@@ -11,6 +11,9 @@
 uint64_t cw_hash(const void *data, size_t size, uint64_t seed);
 uint64_t cw_hash_text(const char *text, uint64_t seed);
 double cw_hash_part(uint64_t bits); /* 0 to below 1, of a hash or a random number */
+uint64_t
+cw_rendezvous_bits(uint64_t key,
+		   uint64_t candidate); /* orders candidates of weight 1 alike, and faster */
 double cw_rendezvous(uint64_t key, uint64_t candidate,
 		     double weight); /* the highest score wins; weight 0: never */
 void cw_sha256_hex(const void *data, size_t size, char hex[CW_SHA256_HEX]);
--- a/packages/base/src/hash.c
+++ b/packages/base/src/hash.c
@@ -26,13 +26,18 @@
 	return (double)(bits >> PART_DROPPED) / PART_SPAN;
 }
 
+uint64_t cw_rendezvous_bits(uint64_t key, uint64_t candidate)
+{
+	return cw_hash(&key, sizeof(key), candidate);
+}
+
 /*
  * Weighted rendezvous: -weight / ln(u), u uniform in (0, 1) from key and candidate. Shares are
  * proportional to weights, and a changed weight moves only the keys it has to.
  */
 double cw_rendezvous(uint64_t key, uint64_t candidate, double weight)
 {
-	uint64_t mixed = cw_hash(&key, sizeof(key), candidate);
+	uint64_t mixed = cw_rendezvous_bits(key, candidate);
 	double u = cw_hash_part(mixed) + 0.5 / PART_SPAN;
 
 	return weight > 0 ? -weight / log(u) : 0;
--- a/packages/pool/src/candidates.c
+++ b/packages/pool/src/candidates.c
@@ -1,14 +1,35 @@
 /* Which servers a request may go to at all; the pool's policy then chooses among them. */
+#include "cw_hash.h"
 #include "pool_internal.h"
 
 #include <math.h>
 #include <string.h>
 
-#define NARROW_MIN	2 /* servers: on a single one a burst looks like a slow version */
+#define NARROW_MIN 2 /* servers: on a single one a burst looks like a slow version */
+#define OWN_CANDIDATES                                                                             \
+	192 /* of the asking instance's domain, where there are more than, in all,                 \
+	     */
 #define MAX_CANDIDATES	256
 #define PLACE_MS	1000 /* between two looks at the members: of hundreds, for hundreds of servers */
 #define FILL_BACKLOG_MS 800.0 /* prompts that wait there: half of the usual objective */
 
+/* The best of many servers by score. */
+struct sample {
+	struct cw_server **servers;
+	uint64_t scores[MAX_CANDIDATES];
+	size_t count;
+	size_t max;
+	size_t least; /* which has the lowest score, once it is full */
+};
+
+static size_t collect(struct cw_pool *pool, const struct cw_choice *choice,
+		      struct cw_server **candidates);
+static size_t collect_sample(struct cw_pool *pool, const struct cw_choice *choice,
+			     struct cw_server **candidates);
+static uint64_t sample_key(const struct cw_choice *choice);
+static void draw(struct sample *sample, struct cw_server *server, uint64_t score);
+static int is_candidate(struct cw_pool *pool, struct cw_server *server,
+			const struct cw_choice *choice);
 static int is_software(const struct cw_server *server, const char *software);
 static size_t narrow(struct cw_server **candidates, size_t count, const struct cw_choice *choice);
 static struct cw_server *choose_to_fill(struct cw_server **candidates, size_t count,
@@ -21,18 +42,10 @@
 {
 	struct cw_server *candidates[MAX_CANDIDATES];
 	struct cw_server *server;
-	size_t count = 0;
+	size_t count = collect(pool, choice, candidates);
 
-	TAILQ_FOREACH(server, &pool->servers, link) {
-		if (!may_serve(server, choice))
-			continue;
-		update_place(pool, server, choice->now_ms);
-		if (!cw_warmup_admits(&server->warmup, &choice->cold, choice->now_ms))
-			continue;
-		candidates[count++] = server;
-		if (count == MAX_CANDIDATES)
-			break;
-	}
+	if (count > MAX_CANDIDATES)
+		count = collect_sample(pool, choice, candidates);
 	server = choice->fill_part > 0 ? choose_to_fill(candidates, count, choice) : NULL;
 	if (server)
 		return server;
@@ -41,6 +54,85 @@
 	return count ? pool->choice->choose(candidates, count, choice) : NULL;
 }
 
+/* All of them, if they aren't more than there is room for; how many they are, one more at most. */
+static size_t collect(struct cw_pool *pool, const struct cw_choice *choice,
+		      struct cw_server **candidates)
+{
+	struct cw_server *server;
+	size_t count = 0;
+
+	TAILQ_FOREACH(server, &pool->servers, link) {
+		if (!is_candidate(pool, server, choice))
+			continue;
+		if (count == MAX_CANDIDATES)
+			return count + 1;
+		candidates[count++] = server;
+	}
+	return count;
+}
+
+/*
+ * Load pattern: ten thousand servers, a thousand instances. All sent to the first of the list, a
+ * few dozens of which got sixty times the mean while most got nothing. So a request's prompt draws
+ * its candidates, by rendezvous: all instances look for the same prompt at the same servers, and
+ * for others elsewhere.
+ */
+static size_t collect_sample(struct cw_pool *pool, const struct cw_choice *choice,
+			     struct cw_server **candidates)
+{
+	struct sample own = {.servers = candidates, .max = OWN_CANDIDATES};
+	struct sample others = {.max = MAX_CANDIDATES - OWN_CANDIDATES};
+	struct cw_server *foreign[MAX_CANDIDATES - OWN_CANDIDATES];
+	uint64_t key = sample_key(choice);
+	struct cw_server *server;
+
+	others.servers = foreign;
+	TAILQ_FOREACH(server, &pool->servers, link) {
+		int is_own = !strcmp(server->failure_domain, choice->failure_domain);
+
+		if (is_candidate(pool, server, choice))
+			draw(is_own ? &own : &others, server, cw_rendezvous_bits(key, server->id));
+	}
+	memcpy(candidates + own.count, foreign, others.count * sizeof(*foreign));
+	return own.count + others.count;
+}
+
+/* A version's share of the requests goes to servers that are the same whatever is asked. */
+static uint64_t sample_key(const struct cw_choice *choice)
+{
+	if (choice->fill_part > 0 || (choice->spread > 0 && choice->spread < 1))
+		return 0;
+	return choice->prefix ? choice->prefix : choice->random;
+}
+
+/* Keeps those with the highest scores. */
+static void draw(struct sample *sample, struct cw_server *server, uint64_t score)
+{
+	size_t at = sample->least;
+
+	if (sample->count < sample->max)
+		at = sample->count++;
+	else if (score <= sample->scores[at])
+		return;
+	sample->servers[at] = server;
+	sample->scores[at] = score;
+	if (sample->count < sample->max)
+		return;
+	sample->least = 0;
+	for (size_t i = 1; i < sample->count; i++)
+		if (sample->scores[i] < sample->scores[sample->least])
+			sample->least = i;
+}
+
+static int is_candidate(struct cw_pool *pool, struct cw_server *server,
+			const struct cw_choice *choice)
+{
+	if (!may_serve(server, choice))
+		return 0;
+	update_place(pool, server, choice->now_ms);
+	return cw_warmup_admits(&server->warmup, &choice->cold, choice->now_ms);
+}
+
 int64_t cw_pool_cold_wait_ms(struct cw_pool *pool, const struct cw_choice *choice)
 {
 	struct cw_server *server;
