pool: rounds pass over the servers in use, not over all that are known

Cause: each message (150 ms) and each tick (100 ms) passed over every server known, three times: for own work to tell, for peers' work, for those that fell silent or are gone. At 10,000 servers that is 200,000 entries a second for a few that matter.

--- a/apps/corianderwalk/entry_reach.c
+++ b/apps/corianderwalk/entry_reach.c
@@ -31,7 +31,7 @@
 {
 	struct cw_server *server;
 
-	TAILQ_FOREACH(server, cw_pool_servers(cw_gate_pool(entry->gate)), link) {
+	TAILQ_FOREACH(server, cw_pool_active(cw_gate_pool(entry->gate)), active_link) {
 		if (!cw_pool_wants_probe(server, now_ms))
 			continue;
 		server->probed_ms = now_ms;
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -51,10 +51,15 @@
 	CW_LISTING_RESTARTED, /* the server started again: the earlier start has ended */
 };
 
+struct cw_pool;
+
 /* One start of a backend server: the same name started again is another one. */
 struct cw_server {
+	struct cw_pool *pool;
 	const struct cw_policy *policy; /* the pool's */
 	TAILQ_ENTRY(cw_server) link;
+	TAILQ_ENTRY(cw_server) active_link;
+	int is_active; /* in the pool's list of those in use or in doubt */
 	char name[CW_NAME_MAX];
 	int64_t born_ms; /* as in its entry */
 	int has_ended;	 /* the same name started again: what ran here is lost */
@@ -118,8 +123,6 @@
 
 TAILQ_HEAD(cw_server_list, cw_server);
 
-struct cw_pool;
-
 struct cw_choice {
 	const char *service;
 	uint64_t version;	    /* cw_pool_version of "MODEL/VERSION"; 0 for a plain service */
@@ -244,5 +247,8 @@
 int cw_pool_is_usable(const struct cw_server *server,
 		      int64_t now_ms); /* not leaving, breaker lets one through */
 const struct cw_server_list *cw_pool_servers(const struct cw_pool *pool);
+const struct cw_server_list *
+cw_pool_active(const struct cw_pool *pool); /* by active_link: all with requests of this instance,
+					       or that may not be reached; few of many thousands */
 
 #endif
--- a/packages/pool/src/pool.c
+++ b/packages/pool/src/pool.c
@@ -16,6 +16,9 @@
 #define NEWCOMER_MS	   2000 /* the order that brings a version is known within it */
 #define KNOWN_MS	   1000 /* a list is collected within it, in any order */
 
+static void deactivate(struct cw_server *server);
+static void set_gone(struct cw_server *server, int64_t gone_ms);
+static void forget_gone(struct cw_pool *pool, int64_t now_ms);
 static struct cw_server *add(struct cw_pool *pool, const char *name, int64_t born_ms);
 static void set_place(const struct cw_pool *pool, struct cw_server *server, const char *service,
 		      const char *address, const char *failure_domain);
@@ -35,6 +38,7 @@
 	pool->drains = cw_drains_create();
 	pool->regions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	TAILQ_INIT(&pool->servers);
+	TAILQ_INIT(&pool->active);
 	pool->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	pool->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	return pool;
@@ -157,7 +161,7 @@
 		server->slots = entry->slots;
 	server->leaving = entry->leaving;
 	server->gone = 0;
-	server->gone_ms = 0;
+	set_gone(server, 0);
 	server->listed_ms = now_ms;
 	return listing;
 }
@@ -180,7 +184,7 @@
 {
 	if (server->gone_ms)
 		return;
-	server->gone_ms = MAX(until_ms, now_ms);
+	set_gone(server, MAX(until_ms, now_ms));
 	if (until_ms <= now_ms)
 		server->gone = 1;
 	if (server->gone)
@@ -196,7 +200,23 @@
 			cw_pool_delist(pool, server, until_ms, now_ms);
 }
 
+/* Few of many thousands of servers are in use or gone at a time; the others cost nothing here. */
 void cw_pool_sweep(struct cw_pool *pool, int64_t now_ms)
+{
+	struct cw_server *server = TAILQ_FIRST(&pool->active);
+
+	while (server) {
+		struct cw_server *next = TAILQ_NEXT(server, active_link);
+
+		if (server->own_running == 0 && !server->is_unreachable && !server->is_doubted)
+			deactivate(server);
+		server = next;
+	}
+	if (pool->delisted > 0)
+		forget_gone(pool, now_ms);
+}
+
+static void forget_gone(struct cw_pool *pool, int64_t now_ms)
 {
 	struct cw_server *server = TAILQ_FIRST(&pool->servers);
 
@@ -225,6 +245,8 @@
 
 void cw_pool_forget(struct cw_pool *pool, struct cw_server *server)
 {
+	deactivate(server);
+	set_gone(server, 0);
 	TAILQ_REMOVE(&pool->servers, server, link);
 	g_hash_table_remove(pool->by_id, &server->id);
 	if (cw_pool_find_name(pool, server->name) == server)
@@ -286,6 +308,7 @@
 
 void cw_pool_dispatched(struct cw_server *server, int64_t now_ms)
 {
+	pool_activate(server);
 	server->own_running++;
 	server->sent_ms = now_ms;
 	cw_warmup_sent(&server->warmup, now_ms);
@@ -409,6 +432,34 @@
 	return &pool->servers;
 }
 
+const struct cw_server_list *cw_pool_active(const struct cw_pool *pool)
+{
+	return &pool->active;
+}
+
+void pool_activate(struct cw_server *server)
+{
+	if (server->is_active)
+		return;
+	server->is_active = 1;
+	TAILQ_INSERT_TAIL(&server->pool->active, server, active_link);
+}
+
+static void deactivate(struct cw_server *server)
+{
+	if (!server->is_active)
+		return;
+	server->is_active = 0;
+	TAILQ_REMOVE(&server->pool->active, server, active_link);
+}
+
+static void set_gone(struct cw_server *server, int64_t gone_ms)
+{
+	server->pool->delisted += (size_t)(gone_ms != 0);
+	server->pool->delisted -= (size_t)(server->gone_ms != 0);
+	server->gone_ms = gone_ms;
+}
+
 static struct cw_server *add(struct cw_pool *pool, const char *name, int64_t born_ms)
 {
 	struct cw_server *server;
@@ -416,6 +467,7 @@
 	if (g_hash_table_size(pool->by_id) >= CW_MAX_SERVERS)
 		return NULL;
 	server = g_new0(struct cw_server, 1);
+	server->pool = pool;
 	server->policy = pool->policy;
 	g_strlcpy(server->name, name, CW_NAME_MAX);
 	server->born_ms = born_ms;
@@ -488,7 +540,7 @@
 	server->has_ended = 1;
 	server->leaving = 1;
 	server->gone = 1;
-	server->gone_ms = MAX(now_ms, 1);
+	set_gone(server, MAX(now_ms, 1));
 	g_hash_table_remove(pool->by_name, server->name);
 }
 
--- a/packages/pool/src/pool_internal.h
+++ b/packages/pool/src/pool_internal.h
@@ -24,10 +24,13 @@
 	void (*find_place)(void *context, uint64_t server, struct cw_warmup_place *place);
 	void *place_context;
 	struct cw_server_list servers;
+	struct cw_server_list active; /* by active_link */
+	size_t delisted;	      /* servers with gone_ms */
 	GHashTable *by_id;
 	GHashTable *by_name; /* the newest start of each */
 	struct software software[SOFTWARE_MAX];
 	size_t software_count;
 };
+void pool_activate(struct cw_server *server); /* until the next sweep that finds it unused */
 
 #endif
--- a/packages/pool/src/reach.c
+++ b/packages/pool/src/reach.c
@@ -2,7 +2,7 @@
  * Can a server be reached? A cut shows as silence, and so does a server that reads a long prompt.
  * A connection that opens, or does not, tells them apart in two ways of the network.
  */
-#include "cw_pool.h"
+#include "pool_internal.h"
 
 #include <glib.h>
 #include <string.h>
@@ -45,6 +45,7 @@
 
 void cw_pool_unheard(struct cw_server *server)
 {
+	pool_activate(server);
 	server->is_unreachable = 1;
 	server->is_doubted = 0;
 	server->probe_gap_ms = 0;
@@ -71,6 +72,7 @@
 		if (server->gone || server->is_unreachable || server->is_doubted || count == max ||
 		    !(is_beside || is_far) || now_ms - server->heard_ms < JUST_HEARD_MS)
 			continue;
+		pool_activate(server);
 		server->is_doubted = 1;
 		server->probed_ms = now_ms;
 		doubted[count++] = server;
