membership: a member of a thousand is live though it is named every few seconds only

Cause: a message names three others in turn, so that of 985 members one is heard of every 4.6 s at the mean, and 2 s of silence counted as its end: half of them were silent at any time, others for each instance.

Mend: the limit grows with the number of members (15 ms each, so 2 s up to 133 of them). Ranks keep the limit that was set: whoever is first is named in each message, and is missed after 2 s as before.

--- a/packages/membership/include/cw_membership.h
+++ b/packages/membership/include/cw_membership.h
@@ -40,8 +40,9 @@
 void cw_membership_listed(struct cw_member *member, int leaving, int64_t now_ms);
 void cw_membership_forget(struct cw_membership *membership, int64_t now_ms,
 			  int64_t keep_ms); /* drops who is unheard and unlisted that long */
-int cw_membership_is_live(const struct cw_membership *membership, const struct cw_member *member,
-			  int64_t now_ms);
+int cw_membership_is_live(
+	const struct cw_membership *membership, const struct cw_member *member,
+	int64_t now_ms); /* heard within the limit, which grows with hundreds of members */
 int cw_membership_is_gone(const struct cw_membership *membership, const struct cw_member *member,
 			  int64_t now_ms); /* silent for four times the limit, or a new boot */
 size_t cw_membership_homes(const struct cw_membership *membership, uint64_t key, int64_t now_ms,
@@ -50,12 +51,13 @@
 size_t cw_membership_sample(
 	const struct cw_membership *membership, uint64_t random, struct cw_member **members,
 	size_t count); /* for gossip: silent ones too, so that a healed cut is noticed */
-size_t
-cw_membership_first(const struct cw_membership *membership, uint64_t key, int64_t now_ms,
-		    struct cw_member **members,
-		    size_t count); /* the first of the live others by rendezvous, best first */
+size_t cw_membership_first(const struct cw_membership *membership, uint64_t key, int64_t now_ms,
+			   struct cw_member **members,
+			   size_t count); /* the first others by rendezvous, best first, of those
+					     heard within the limit that was set: whoever is first
+					     is named in each message, and missed at once */
 size_t cw_membership_rank(const struct cw_membership *membership, uint64_t key,
-			  int64_t now_ms); /* 0: first by rendezvous among the live */
+			  int64_t now_ms); /* 0: first by rendezvous among these */
 void cw_membership_settle(struct cw_membership *membership, int64_t now_ms, int64_t settle_ms,
 			  int is_only); /* for so long after the start, or after many others became
 					   known, a place isn't; is_only: there are no others */
@@ -64,6 +66,8 @@
 						  most are heard: a cut makes nobody the first of
 						  itself alone; instances: that were ranked, 0: the
 						  place isn't known */
+int cw_membership_is_calm(const struct cw_membership *membership, int64_t now_ms,
+			  int64_t calm_ms); /* 1: not many others became known for so long */
 size_t cw_membership_size(const struct cw_membership *membership); /* itself included */
 size_t cw_membership_live(const struct cw_membership *membership,
 			  int64_t now_ms); /* itself included */
--- a/packages/membership/src/membership.c
+++ b/packages/membership/src/membership.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #define GONE_FACTOR 4	 /* silences after which a member counts as gone */
+#define MEMBER_MS   15	 /* between two words of a member, at most, for each member that there is */
 #define GROWN	    1.25 /* by more than a quarter: many had not been known */
 
 struct cw_membership {
@@ -21,6 +22,7 @@
 	int is_only;
 };
 
+static int is_heard_within(const struct cw_member *member, int64_t limit_ms, int64_t now_ms);
 static int is_settled(const struct cw_membership *membership, int64_t now_ms);
 static void note_growth(struct cw_membership *membership, int64_t now_ms);
 static int has_grown(const struct cw_membership *membership);
@@ -127,11 +129,21 @@
 	membership->grown_to = MIN(membership->grown_to, membership->size + 1);
 }
 
+/*
+ * Load pattern: a thousand members. Each message names a few, so that a member is heard of every
+ * few seconds: by a fixed limit half of them were silent at any time, other ones for each instance.
+ */
 int cw_membership_is_live(const struct cw_membership *membership, const struct cw_member *member,
 			  int64_t now_ms)
 {
-	return !member->leaving && member->heard_ms >= 0 &&
-	       now_ms - member->heard_ms <= membership->silent_ms;
+	int64_t usual_ms = (int64_t)membership->size * MEMBER_MS;
+
+	return is_heard_within(member, MAX(membership->silent_ms, usual_ms), now_ms);
+}
+
+static int is_heard_within(const struct cw_member *member, int64_t limit_ms, int64_t now_ms)
+{
+	return !member->leaving && member->heard_ms >= 0 && now_ms - member->heard_ms <= limit_ms;
 }
 
 int cw_membership_is_gone(const struct cw_membership *membership, const struct cw_member *member,
@@ -193,7 +205,7 @@
 		double score = cw_rendezvous(key, member->id, 1);
 		size_t at = found;
 
-		if (!*member->address || !cw_membership_is_live(membership, member, now_ms))
+		if (!*member->address || !is_heard_within(member, membership->silent_ms, now_ms))
 			continue;
 		while (at > 0 && cw_rendezvous(key, members[at - 1]->id, 1) < score)
 			at--;
@@ -214,7 +226,7 @@
 	size_t rank = 0;
 
 	TAILQ_FOREACH(member, &membership->members, link) {
-		if (cw_membership_is_live(membership, member, now_ms) &&
+		if (is_heard_within(member, membership->silent_ms, now_ms) &&
 		    cw_rendezvous(key, member->id, 1) > own)
 			rank++;
 	}
@@ -255,6 +267,11 @@
 	return rank;
 }
 
+int cw_membership_is_calm(const struct cw_membership *membership, int64_t now_ms, int64_t calm_ms)
+{
+	return now_ms - membership->grown_ms >= calm_ms && !has_grown(membership);
+}
+
 size_t cw_membership_size(const struct cw_membership *membership)
 {
 	return membership->size + 1;
@@ -282,7 +299,7 @@
  */
 static int is_settled(const struct cw_membership *membership, int64_t now_ms)
 {
-	return now_ms - membership->grown_ms >= membership->settle_ms && !has_grown(membership);
+	return cw_membership_is_calm(membership, now_ms, membership->settle_ms);
 }
 
 static void note_growth(struct cw_membership *membership, int64_t now_ms)
