--- a/packages/pool/src/candidates.c
+++ b/packages/pool/src/candidates.c
@@ -93,6 +93,9 @@
 		if (is_candidate(pool, server, choice))
 			draw(is_own ? &own : &others, server, cw_rendezvous_bits(key, server->id));
 	}
+	/* Enough near ones: what goes to another domain costs more than a prompt read again there. */
+	if (own.count == OWN_CANDIDATES)
+		return own.count;
 	memcpy(candidates + own.count, foreign, others.count * sizeof(*foreign));
 	return own.count + others.count;
 }
