--- /dev/null
+++ b/tests/bench/fleet/fleet_world.c
@@ -0,0 +1,631 @@
+#include "fleet.h"
+#include "cw_audience.h"
+#include "cw_hash.h"
+#include "cw_readers.h"
+#include "cw_uplink.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#define ROUND_MS       150
+#define CHECK_MS       100
+#define WAY_MS	       1
+#define SILENT_MS      2000
+#define SETTLE_MS      2000
+#define CALM_MS	       500
+#define ALONE_MS       3000
+#define CALL_MS	       4    /* of the store, without the bytes */
+#define GIVE_UP_MS     1000 /* an instance waits so long for the store */
+#define OVERLOAD_MS    2000 /* of waiting reads: the store rejects further ones */
+#define POLL_MS	       700  /* of a reader's call without news */
+#define PAGE_ENTRIES   500
+#define FETCH_GAP_MS   100
+#define DECLINED_MS    1000
+#define STAGGER_MS     300 /* all start within */
+#define SEEDS	       3
+#define INTRODUCTIONS  400
+#define ANSWERS	       8
+#define READERS_KEY    1
+#define MESSAGE_BYTES  (16 * 1024)
+#define READERS_DIE_MS 200 /* before the change */
+
+enum kind { ROUND, CHECK, ASK, CALLED, MESSAGE, FETCHED };
+enum topic { OPERATOR, SERVERS, TOPICS };
+
+struct event {
+	enum kind kind;
+	size_t node;
+	uint64_t boot; /* of the node that it is for */
+	enum topic topic;
+	int is_good;
+	uint64_t value;
+	GBytes *bytes;
+};
+
+/* How one instance comes to one topic's state. */
+struct reading {
+	uint64_t version; /* 0: none */
+	int has_rested;
+	int is_asking;
+	unsigned int failures;
+	size_t pages_left; /* of a list that is being read */
+	int is_fetching;
+	int64_t tried_ms;
+	int64_t declined_ms;
+};
+
+struct node {
+	char name[CW_NAME_MAX];
+	char domain[CW_NAME_MAX];
+	char address[CW_ADDRESS_MAX];
+	struct cw_membership *membership;
+	struct cw_follow follow;
+	struct cw_uplink uplink;
+	struct reading topics[TOPICS];
+	int64_t started_ms;
+	uint64_t boot;
+	int is_up;
+	int is_seed;
+	int introductions;
+	int answers;
+	unsigned int rounds;
+	int64_t ready_ms;  /* -1: not yet */
+	int64_t change_ms; /* when it had the change, -1: not yet */
+};
+
+struct world {
+	const struct fleet_options *options;
+	struct fleet_report *report;
+	struct node *nodes;
+	GHashTable *by_address;
+	GPtrArray **agenda; /* events of each millisecond */
+	GRand *random;
+	int64_t now_ms;
+	double store_free_ms; /* its reads are done by then */
+	uint64_t version;     /* of the configuration */
+	double messages;
+	double bytes;
+};
+
+/* Since when the costs of a calm time are counted. */
+static int64_t steady_ms(const struct world *world)
+{
+	return world->options->change_ms / 2;
+}
+
+static uint64_t draw(struct world *world)
+{
+	return (uint64_t)g_rand_int(world->random) << 32 | g_rand_int(world->random);
+}
+
+static void plan(struct world *world, int64_t at_ms, struct event event)
+{
+	at_ms = MAX(at_ms, world->now_ms + 1);
+	if (at_ms >= world->options->end_ms) {
+		g_clear_pointer(&event.bytes, g_bytes_unref);
+		return;
+	}
+	event.boot = world->nodes[event.node].boot;
+	if (!world->agenda[at_ms])
+		world->agenda[at_ms] = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(world->agenda[at_ms], g_memdup2(&event, sizeof(event)));
+}
+
+static size_t index_of(const struct world *world, const struct node *node)
+{
+	return (size_t)(node - world->nodes);
+}
+
+static int is_ready(const struct node *node)
+{
+	return node->topics[OPERATOR].version && node->topics[SERVERS].version;
+}
+
+static int is_settled(const struct world *world, const struct node *node)
+{
+	int64_t running_ms = world->now_ms - node->started_ms;
+
+	if (running_ms < CW_READERS_KNOWN_MS ||
+	    (cw_membership_size(node->membership) == 1 && running_ms < ALONE_MS))
+		return 0;
+	return cw_membership_is_calm(node->membership, world->now_ms, CALM_MS);
+}
+
+static size_t rank_of(const struct world *world, const struct node *node)
+{
+	return cw_membership_rank(node->membership, READERS_KEY, world->now_ms);
+}
+
+static int is_reader(const struct world *world, const struct node *node)
+{
+	return is_settled(world, node) && cw_readers_is_first(rank_of(world, node));
+}
+
+static void note_state(struct world *world, struct node *node)
+{
+	if (is_ready(node) && node->ready_ms < 0)
+		node->ready_ms = world->now_ms;
+	if (node->topics[OPERATOR].version > 1 && node->change_ms < 0)
+		node->change_ms = world->now_ms;
+}
+
+/* The store answers in turn, as fast as its bytes allow; who gave up costs as much. */
+static void call_store(struct world *world, struct node *node, enum topic topic, double bytes,
+		       int64_t wait_ms)
+{
+	double waiting_ms = MAX(world->store_free_ms - (double)world->now_ms, 0);
+	struct event event = {.kind = CALLED, .node = index_of(world, node), .topic = topic};
+	int64_t took_ms;
+
+	node->topics[topic].is_asking = 1;
+	world->report->store_calls++;
+	if (waiting_ms > OVERLOAD_MS) {
+		plan(world, world->now_ms + CALL_MS, event);
+		return;
+	}
+	world->store_free_ms = MAX(world->store_free_ms, (double)world->now_ms) +
+			       bytes / (world->options->store_mb_per_s * 1000);
+	world->report->store_mb += bytes / 1e6;
+	took_ms = CALL_MS + (int64_t)(world->store_free_ms - (double)world->now_ms);
+	event.is_good = took_ms <= GIVE_UP_MS;
+	event.value = world->version;
+	plan(world, world->now_ms + MIN(took_ms, GIVE_UP_MS) + wait_ms, event);
+}
+
+static double page_bytes(const struct world *world, enum topic topic)
+{
+	double entries = (double)world->options->servers;
+
+	if (topic == OPERATOR)
+		return world->options->config_bytes;
+	if (world->options->scenario == FLEET_START)
+		return 0;
+	return MIN(entries, PAGE_ENTRIES) * world->options->entry_bytes;
+}
+
+static void ask_at(struct world *world, struct node *node, enum topic topic, int64_t at_ms)
+{
+	plan(world, at_ms,
+	     (struct event){.kind = ASK, .node = index_of(world, node), .topic = topic});
+}
+
+static void on_ask(struct world *world, struct node *node, enum topic topic)
+{
+	struct reading *reading = &node->topics[topic];
+	struct cw_readers_view view = {
+		.is_seed = node->is_seed,
+		.is_coming = reading->is_fetching ||
+			     (reading->declined_ms &&
+			      world->now_ms - reading->declined_ms < DECLINED_MS),
+		.has_rested = reading->has_rested,
+		.knows_peers = cw_membership_size(node->membership) > 1,
+		.running_ms = world->now_ms - node->started_ms,
+	};
+
+	if (reading->version || reading->is_asking)
+		return;
+	switch (cw_readers_next(&view)) {
+	case CW_READERS_ASK:
+		call_store(world, node, topic, page_bytes(world, topic), 0);
+		break;
+	case CW_READERS_AWAIT:
+		ask_at(world, node, topic, world->now_ms + CHECK_MS);
+		break;
+	case CW_READERS_REST:
+		reading->has_rested = 1;
+		ask_at(world, node, topic, world->now_ms + cw_readers_rest_ms(draw(world)));
+		break;
+	}
+}
+
+static void read_on(struct world *world, struct node *node)
+{
+	struct reading *list = &node->topics[SERVERS];
+	size_t pages = (world->options->servers + PAGE_ENTRIES - 1) / PAGE_ENTRIES;
+	int is_first = list->pages_left == 0;
+
+	if (world->options->scenario == FLEET_START)
+		pages = 1;
+	list->pages_left = is_first ? pages - 1 : list->pages_left - 1;
+	if (list->pages_left == 0) {
+		list->version = 1;
+		cw_follow_answered(&node->follow, world->now_ms);
+		return;
+	}
+	if (is_first && !node->is_seed)
+		ask_at(world, node, SERVERS, world->now_ms + cw_readers_rest_ms(draw(world)));
+	else
+		call_store(world, node, SERVERS, page_bytes(world, SERVERS), 0);
+}
+
+static void on_called(struct world *world, struct node *node, const struct event *event)
+{
+	struct reading *reading = &node->topics[event->topic];
+	size_t rank = rank_of(world, node);
+
+	reading->is_asking = 0;
+	if (!event->is_good) {
+		world->report->calls_failed++;
+		reading->failures++;
+		ask_at(world, node, event->topic,
+		       world->now_ms + cw_readers_again_ms(rank, reading->failures, draw(world)));
+		return;
+	}
+	reading->failures = 0;
+	if (event->topic == OPERATOR)
+		reading->version = MAX(reading->version, event->value);
+	else if (!reading->version)
+		read_on(world, node);
+	else
+		cw_follow_answered(&node->follow, world->now_ms);
+	note_state(world, node);
+}
+
+/* What a reader or one that steps in learns: is there anything new? */
+static void follow(struct world *world, struct node *node)
+{
+	struct reading *operator= & node->topics[OPERATOR];
+	struct reading *servers = &node->topics[SERVERS];
+	size_t rank = rank_of(world, node);
+	int reads = is_reader(world, node);
+
+	if (!is_ready(node) || !is_settled(world, node))
+		return;
+	if (!servers->is_asking && (reads || cw_follow_reads(&node->follow, rank, world->now_ms)))
+		call_store(world, node, SERVERS, 0, reads ? POLL_MS : 0);
+	else if (!reads)
+		return;
+	/* A long poll ends as soon as there is news. */
+	if (!operator->is_asking && operator->version<world->version)
+		call_store(world, node, OPERATOR, world->options->config_bytes, 0);
+}
+
+static void send_message(struct world *world, const char *address, GBytes *message)
+{
+	struct node *to = g_hash_table_lookup(world->by_address, address);
+
+	if (world->now_ms >= steady_ms(world)) {
+		world->messages++;
+		world->bytes += (double)g_bytes_get_size(message);
+	}
+	if (!to || g_rand_int_range(world->random, 0, 1000) < world->options->lost_per_mille)
+		return;
+	plan(world, world->now_ms + WAY_MS,
+	     (struct event){
+		     .kind = MESSAGE, .node = index_of(world, to), .bytes = g_bytes_ref(message)});
+}
+
+static GBytes *write_message(struct world *world, const struct node *node, int is_bare)
+{
+	struct cw_gossip *gossip = g_new0(struct cw_gossip, 1);
+	char *bytes = g_malloc(MESSAGE_BYTES);
+	size_t size;
+
+	g_strlcpy(gossip->sender.instance, node->name, CW_NAME_MAX);
+	g_strlcpy(gossip->sender.failure_domain, node->domain, CW_NAME_MAX);
+	g_strlcpy(gossip->sender.address, node->address, CW_ADDRESS_MAX);
+	gossip->boot = node->boot;
+	gossip->servers_age_ms = CW_GOSSIP_NO_AGE;
+	if (!is_bare)
+		gossip->operator_offset = node->topics[OPERATOR].version;
+	if (!is_bare && node->topics[SERVERS].version) {
+		gossip->servers_offset = node->follow.from;
+		gossip->servers_age_ms = (uint32_t)(world->now_ms - node->follow.fresh_ms);
+		gossip->servers_proof = node->follow.proof;
+	}
+	cw_gossip_name(gossip, node->membership, READERS_KEY, draw(world), world->now_ms);
+	size = cw_gossip_encode(gossip, bytes, MESSAGE_BYTES);
+	g_free(gossip);
+	return g_bytes_new_take(g_realloc(bytes, size), size);
+}
+
+static void tell(struct world *world, struct node *node, const char *address, int is_bare)
+{
+	GBytes *message = write_message(world, node, is_bare);
+
+	send_message(world, address, message);
+	g_bytes_unref(message);
+}
+
+static void on_round(struct world *world, struct node *node)
+{
+	GBytes *message = write_message(world, node, 0);
+	struct cw_audience audience;
+
+	node->introductions = INTRODUCTIONS;
+	node->answers = ANSWERS;
+	cw_membership_forget(node->membership, world->now_ms, 60000);
+	cw_audience_choose(&audience, node->membership, node->domain, draw(world));
+	for (size_t i = 0; i < audience.whole_count; i++)
+		send_message(world, audience.members[i]->address, message);
+	cw_audience_clear(&audience);
+	if (node->rounds++ % 8 == 0 || cw_audience_needs_seeds(node->membership, is_ready(node)))
+		for (size_t i = 0; i < MIN(SEEDS, world->options->instances); i++)
+			if (&world->nodes[i] != node)
+				send_message(world, world->nodes[i].address, message);
+	g_bytes_unref(message);
+	plan(world, world->now_ms + ROUND_MS,
+	     (struct event){.kind = ROUND, .node = index_of(world, node)});
+}
+
+static void fetch(struct world *world, struct node *node, enum topic topic, struct node *peer)
+{
+	struct reading *reading = &node->topics[topic];
+	double size = topic == OPERATOR
+			      ? world->options->config_packed
+			      : (double)world->options->servers * world->options->entry_packed;
+	double per_ms = world->options->link_mbps * 125;
+	struct event event = {.kind = FETCHED, .node = index_of(world, node), .topic = topic};
+
+	if (reading->is_fetching || world->now_ms - reading->tried_ms < FETCH_GAP_MS)
+		return;
+	if (topic == SERVERS && world->options->scenario == FLEET_START)
+		size = 0;
+	reading->is_fetching = 1;
+	reading->tried_ms = world->now_ms;
+	world->report->fetches++;
+	event.is_good = cw_uplink_admits(&peer->uplink, world->now_ms);
+	event.value = peer->topics[topic].version;
+	if (event.is_good)
+		cw_uplink_sent(&peer->uplink, (size_t)size, world->now_ms);
+	else
+		world->report->declined++;
+	plan(world, world->now_ms + 4 * WAY_MS + (event.is_good ? (int64_t)(2 * size / per_ms) : 0),
+	     event);
+}
+
+static void on_fetched(struct world *world, struct node *node, const struct event *event)
+{
+	struct reading *reading = &node->topics[event->topic];
+
+	reading->is_fetching = 0;
+	if (!event->is_good) {
+		reading->declined_ms = world->now_ms;
+		return;
+	}
+	if (event->topic == SERVERS && !reading->version)
+		node->follow.fresh_ms = world->now_ms;
+	reading->version = MAX(reading->version, event->value);
+	note_state(world, node);
+}
+
+static void on_message(struct world *world, struct node *node, GBytes *bytes)
+{
+	struct cw_gossip *gossip = g_new0(struct cw_gossip, 1);
+	struct cw_follow_word word = {0};
+	struct node *sender;
+	gsize size;
+	const char *text = g_bytes_get_data(bytes, &size);
+	int is_new;
+
+	if (cw_gossip_decode(text, size, gossip) != CW_OK ||
+	    !cw_gossip_learn(gossip, node->membership, &is_new, world->now_ms)) {
+		g_free(gossip);
+		return;
+	}
+	sender = g_hash_table_lookup(world->by_address, gossip->sender.address);
+	if (is_new && node->introductions-- > 0)
+		tell(world, node, gossip->sender.address, 1);
+	if (gossip->operator_offset == 0 && is_ready(node) && node->answers-- > 0)
+		tell(world, node, gossip->sender.address, 0);
+	if (gossip->operator_offset > node->topics[OPERATOR].version)
+		fetch(world, node, OPERATOR, sender);
+	word.from = gossip->servers_offset;
+	word.age_ms = gossip->servers_age_ms;
+	word.proof = gossip->servers_proof;
+	if (gossip->servers_age_ms == CW_GOSSIP_NO_AGE)
+		;
+	else if (!node->topics[SERVERS].version)
+		fetch(world, node, SERVERS, sender);
+	else
+		cw_follow_hear(&node->follow, NULL, 0, &word, world->now_ms, NULL, NULL);
+	g_free(gossip);
+}
+
+static void start_node(struct world *world, size_t number)
+{
+	struct node *node = &world->nodes[number];
+	struct cw_readers_start start = {
+		.is_first = world->options->scenario == FLEET_START,
+		.is_seed = number < SEEDS,
+		.random = draw(world),
+	};
+	struct cw_readers_first first;
+
+	node->membership = cw_membership_create(node->name, node->domain, SILENT_MS);
+	cw_membership_settle(node->membership, world->now_ms, SETTLE_MS, 0);
+	node->is_up = 1;
+	node->is_seed = start.is_seed;
+	node->started_ms = world->now_ms;
+	node->boot = draw(world) | 1;
+	node->follow.self = node->boot;
+	node->introductions = INTRODUCTIONS;
+	cw_uplink_open(&node->uplink, world->options->link_mbps);
+	cw_readers_start(&start, &first);
+	for (enum topic topic = OPERATOR; topic < TOPICS; topic++) {
+		node->topics[topic].has_rested = first.is_early;
+		node->topics[topic].tried_ms = -FETCH_GAP_MS;
+		ask_at(world, node, topic, world->now_ms + first.wait_ms);
+	}
+	plan(world, world->now_ms + 10, (struct event){.kind = ROUND, .node = number});
+	plan(world, world->now_ms + CHECK_MS, (struct event){.kind = CHECK, .node = number});
+}
+
+static void kill_readers(struct world *world)
+{
+	for (size_t i = 0; i < world->options->instances; i++) {
+		struct node *node = &world->nodes[i];
+
+		if (is_reader(world, node))
+			node->is_up = 0;
+	}
+}
+
+static void carry_out(struct world *world, const struct event *event)
+{
+	struct node *node = &world->nodes[event->node];
+
+	if (!node->is_up || node->boot != event->boot)
+		return;
+	switch (event->kind) {
+	case ROUND:
+		on_round(world, node);
+		break;
+	case CHECK:
+		follow(world, node);
+		plan(world, world->now_ms + CHECK_MS,
+		     (struct event){.kind = CHECK, .node = event->node});
+		break;
+	case ASK:
+		on_ask(world, node, event->topic);
+		break;
+	case CALLED:
+		on_called(world, node, event);
+		break;
+	case MESSAGE:
+		on_message(world, node, event->bytes);
+		break;
+	case FETCHED:
+		on_fetched(world, node, event);
+		break;
+	}
+}
+
+static void pass(struct world *world)
+{
+	GPtrArray *events = world->agenda[world->now_ms];
+
+	world->agenda[world->now_ms] = NULL;
+	for (guint i = 0; events && i < events->len; i++) {
+		struct event *event = events->pdata[i];
+
+		carry_out(world, event);
+		g_clear_pointer(&event->bytes, g_bytes_unref);
+	}
+	if (events)
+		g_ptr_array_unref(events);
+}
+
+static void count_readers(struct world *world)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < world->options->instances; i++)
+		count += world->nodes[i].is_up && is_reader(world, &world->nodes[i]);
+	world->report->readers_most = MAX(world->report->readers_most, count);
+}
+
+static gint by_time(gconstpointer one, gconstpointer other)
+{
+	int64_t first = *(const int64_t *)one;
+	int64_t second = *(const int64_t *)other;
+
+	return first < second ? -1 : first > second;
+}
+
+/* times of those that are up; -1: never. Until 50, 99 and 100 in 100 of them. */
+static void parts_of(int64_t *times, size_t count, int64_t since_ms, int64_t parts[3])
+{
+	static const double part[] = {0.5, 0.99, 1};
+
+	for (size_t i = 0; i < count; i++)
+		times[i] = times[i] < 0 ? G_MAXINT64 : times[i] - since_ms;
+	qsort(times, count, sizeof(*times), by_time);
+	for (size_t i = 0; i < G_N_ELEMENTS(part); i++) {
+		size_t at = (size_t)(part[i] * (double)(count - 1) + 0.5);
+
+		parts[i] = times[at] == G_MAXINT64 ? -1 : times[at];
+	}
+}
+
+static void report_on(struct world *world)
+{
+	size_t instances = world->options->instances;
+	int64_t *ready = g_new(int64_t, instances);
+	int64_t *change = g_new(int64_t, instances);
+	double seconds = (double)(world->options->end_ms - steady_ms(world)) / 1000;
+	size_t up = 0;
+
+	world->report->members_least = instances;
+	for (size_t i = 0; i < instances; i++) {
+		struct node *node = &world->nodes[i];
+
+		if (!node->is_up)
+			continue;
+		ready[up] = node->ready_ms;
+		change[up++] = node->change_ms;
+		world->report->members_least =
+			MIN(world->report->members_least, cw_membership_size(node->membership));
+	}
+	parts_of(ready, up, 0, world->report->ready_ms);
+	parts_of(change, up, world->options->change_ms, world->report->change_ms);
+	world->report->messages = world->messages / seconds / (double)instances;
+	world->report->bytes = world->bytes / seconds / (double)instances;
+	world->report->fetches /= (double)instances;
+	world->report->declined /= (double)instances;
+	g_free(ready);
+	g_free(change);
+}
+
+void fleet_defaults(struct fleet_options *options)
+{
+	*options = (struct fleet_options){
+		.instances = 200,
+		.servers = 2000,
+		.domains = 6,
+		.scenario = FLEET_RESTART,
+		.seed = 1,
+		.link_mbps = 20,
+		.store_mb_per_s = 20,
+		.config_bytes = 113000,
+		.config_packed = 30000,
+		.entry_bytes = 385,
+		.entry_packed = 45,
+		.end_ms = 15000,
+		.change_ms = 10000,
+	};
+}
+
+void fleet_play(const struct fleet_options *options, struct fleet_report *report)
+{
+	struct world world = {.options = options, .report = report, .version = 1};
+
+	memset(report, 0, sizeof(*report));
+	world.random = g_rand_new_with_seed(options->seed);
+	world.nodes = g_new0(struct node, options->instances);
+	world.agenda = g_new0(GPtrArray *, options->end_ms);
+	world.by_address = g_hash_table_new(g_str_hash, g_str_equal);
+	for (size_t i = 0; i < options->instances; i++) {
+		struct node *node = &world.nodes[i];
+
+		snprintf(node->name, CW_NAME_MAX, "edge-%zu", i);
+		snprintf(node->domain, CW_NAME_MAX, "domain-%zu", i % options->domains);
+		snprintf(node->address, CW_ADDRESS_MAX, "10.%zu.%zu.%zu:7000", i % options->domains,
+			 i / 250, i % 250);
+		node->ready_ms = node->change_ms = -1;
+		g_hash_table_insert(world.by_address, node->address, node);
+	}
+	for (; world.now_ms < options->end_ms; world.now_ms++) {
+		for (size_t i = 0; world.now_ms < STAGGER_MS && i < options->instances; i++)
+			if (!world.nodes[i].membership &&
+			    (int64_t)(cw_hash(&i, sizeof(i), options->seed) % STAGGER_MS) <=
+				    world.now_ms)
+				start_node(&world, i);
+		if (options->scenario == FLEET_READERS &&
+		    world.now_ms == options->change_ms - READERS_DIE_MS)
+			kill_readers(&world);
+		if (world.now_ms == options->change_ms)
+			world.version = 2;
+		pass(&world);
+		if (world.now_ms % 1000 == 0 && world.now_ms >= steady_ms(&world))
+			count_readers(&world);
+	}
+	report_on(&world);
+	for (size_t i = 0; i < options->instances; i++)
+		cw_membership_destroy(world.nodes[i].membership);
+	g_hash_table_destroy(world.by_address);
+	g_rand_free(world.random);
+	g_free(world.agenda);
+	g_free(world.nodes);
+}
