feed, gate, bench: files with one job each

The model's report is apart from its world. No behaviour changes: unit tests as before, the model's figures the same.

--- a/apps/corianderwalk/entry_feed.h
+++ b/apps/corianderwalk/entry_feed.h
@@ -93,8 +93,13 @@
 	int64_t started_ms;
 };
 
-/* entry_feed.c */
-int topic_is_reader(const struct topic *topic); /* reads for all instances */
+/* entry_feed.c: feed_create and others of entry.h */
+
+/* entry_topic.c */
+void topic_open(struct feed *feed, struct topic *topic, enum cw_up_topic which, const char *name);
+void topic_close(struct topic *topic);
+void topic_ask_in(struct topic *topic, int64_t wait_ms); /* or what is due by then in its place */
+int topic_is_reader(const struct topic *topic);		 /* reads for all instances */
 uint64_t topic_next_offset(const struct topic *topic);
 void topic_start_over(struct topic *topic); /* reads the newest records again */
 void topic_ask_store(struct topic *topic);  /* now, whatever waits */
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -14,8 +14,6 @@
 #define CONNECT_LEFT_MIN  20	 /* less time than this left: nothing can be answered */
 
 static int find_target(struct cw_call *call, struct cw_step *step);
-static int begin_trial(struct cw_call *call);
-static int refuse_held(struct cw_call *call, struct cw_step *step);
 static void send_first(struct cw_call *call, int64_t now_ms, struct cw_step *step);
 static void note_kinds(struct cw_call *call);
 static int send(struct cw_call *call, int64_t now_ms, struct cw_step *step);
@@ -26,10 +24,6 @@
 static int64_t pause_ms(const struct cw_call *call);
 static void leave_server(struct cw_call *call, int64_t now_ms, int is_answered);
 static void give_up_server(struct cw_call *call, int64_t now_ms);
-static void note_left(struct cw_call *call, const struct cw_server *server, int64_t now_ms);
-static void note_end(struct cw_call *call, int64_t now_ms);
-static struct cw_quarantine_request as_quarantined(const struct cw_call *call);
-static int64_t ran_ms(const struct cw_call *call, int64_t now_ms);
 static void note_failure(struct cw_call *call, int64_t now_ms);
 static int may_repeat(const struct cw_call *call);
 static int can_send_again(struct cw_call *call, int64_t now_ms);
@@ -56,7 +50,7 @@
 		return call;
 	}
 	call->config = cw_config_ref(gate->config);
-	if (find_target(call, step) && !refuse_held(call, step))
+	if (find_target(call, step) && !call_refuse_held(call, step))
 		send_first(call, now_ms, step);
 	return call;
 }
@@ -175,9 +169,9 @@
 	}
 	call->may_have_run = 1;
 	if (how == CW_BREAK_BROKEN)
-		note_end(call, now_ms);
+		call_note_end(call, now_ms);
 	else
-		note_left(call, call->server, now_ms);
+		call_note_left(call, call->server, now_ms);
 	note_failure(call, now_ms);
 	leave_server(call, now_ms, 0);
 	again_or_fail(call, now_ms, step, "the backend server's answer was not whole");
@@ -189,10 +183,10 @@
 		return;
 	call_work_done(call, now_ms);
 	if (call->is_continued)
-		note_left(call, call->server, now_ms);
+		call_note_left(call, call->server, now_ms);
 	else
 		cw_quarantine_answered(call->gate->quarantine, call->fingerprint, call->server->id,
-				       ran_ms(call, now_ms), now_ms);
+				       call_ran_ms(call, now_ms), now_ms);
 	cw_pool_succeeded(call->server, now_ms);
 	leave_server(call, now_ms, 1);
 }
@@ -210,16 +204,6 @@
 	step->run = call->may_have_run || call->attempts > 0 ? CW_RUN_UNKNOWN : CW_RUN_NOT;
 }
 
-int cw_call_is_held(const struct cw_call *call)
-{
-	return !call->is_trial && cw_quarantine_holds(call->gate->quarantine, call->fingerprint);
-}
-
-int call_is_once(const struct cw_call *call)
-{
-	return call->is_trial || cw_call_is_held(call);
-}
-
 /* A copy that waits in a server's queue ends that server too, unless it is taken out in time. */
 void cw_call_stop(struct cw_call *call, int64_t now_ms, struct cw_step *step)
 {
@@ -332,33 +316,6 @@
 	return 1;
 }
 
-/*
- * Each server that begins to run it ends, with all that it was running. Its caller is told that it
- * was not run, and no time to come back at: it would be refused again.
- */
-static int refuse_held(struct cw_call *call, struct cw_step *step)
-{
-	if (!cw_call_is_held(call))
-		return 0;
-	if (begin_trial(call))
-		return 0;
-	call_refuse(step, 503, "quarantined: servers ended under it");
-	return 1;
-}
-
-/* By one instance of all that hear of each other: a trial may cost a server. */
-static int begin_trial(struct cw_call *call)
-{
-	struct cw_quarantine *quarantine = call->gate->quarantine;
-
-	if (!cw_quarantine_wants_trial(quarantine, call->fingerprint, call->opened_ms) ||
-	    !cw_pool_owns(call->gate->pool, call->fingerprint))
-		return 0;
-	cw_quarantine_try(quarantine, call->fingerprint, call->opened_ms);
-	call->is_trial = 1;
-	return 1;
-}
-
 static void send_first(struct cw_call *call, int64_t now_ms, struct cw_step *step)
 {
 	int64_t limit_ms = call->opened_ms + call->route->limit_ms;
@@ -439,7 +396,7 @@
 static int send_instead(struct cw_call *call, int64_t now_ms, struct cw_step *step)
 {
 	struct cw_server *previous = call->server;
-	int64_t previous_ran_ms = ran_ms(call, now_ms);
+	int64_t previous_ran_ms = call_ran_ms(call, now_ms);
 
 	call_work_end(call);
 	if (!send(call, now_ms, step))
@@ -515,44 +472,10 @@
 /* It may still run there, and end the server. */
 static void give_up_server(struct cw_call *call, int64_t now_ms)
 {
-	note_left(call, call->server, now_ms);
+	call_note_left(call, call->server, now_ms);
 	leave_server(call, now_ms, 0);
 }
 
-static void note_left(struct cw_call *call, const struct cw_server *server, int64_t now_ms)
-{
-	cw_quarantine_left(call->gate->quarantine, call->fingerprint, server->id,
-			   ran_ms(call, now_ms), now_ms);
-}
-
-/* The connection broke. A server that leaves, or whose version was replaced, stops by plan. */
-static void note_end(struct cw_call *call, int64_t now_ms)
-{
-	const struct cw_server *server = call->server;
-	struct cw_quarantine_request request = as_quarantined(call);
-
-	if (server->leaving || server->gone || server->is_unreachable ||
-	    cw_rollouts_is_retired(call->gate->rollouts, call->service_name, server->software))
-		return;
-	cw_quarantine_broke(call->gate->quarantine, &request, server->id, ran_ms(call, now_ms),
-			    call->is_head_seen, now_ms);
-}
-
-static struct cw_quarantine_request as_quarantined(const struct cw_call *call)
-{
-	return (struct cw_quarantine_request){
-		.fingerprint = call->fingerprint,
-		.organisation = cw_call_organisation(call),
-		.target = call->route->name,
-	};
-}
-
-/* From its first byte where one came: a request that waited in a queue was not run meanwhile. */
-static int64_t ran_ms(const struct cw_call *call, int64_t now_ms)
-{
-	return now_ms - (call->is_head_seen ? call->head_ms : call->sent_ms);
-}
-
 static void note_failure(struct cw_call *call, int64_t now_ms)
 {
 	/* A cut says nothing of the server or of what it runs, nor does an earlier start of it. */
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -97,9 +97,13 @@
 double gate_rejected_part(struct cw_gate *gate, const char *service, int64_t now_ms); /* 0 to 1 */
 struct cw_repeats *gate_repeats(struct cw_gate *gate, const char *service);
 
-/* call.c */
+/* call_held.c: requests under which servers end */
 int call_is_once(const struct cw_call *call); /* 1: its request is held, or on trial: no further
 						 server is risked */
+int call_refuse_held(struct cw_call *call, struct cw_step *step); /* 0: it may be sent */
+void call_note_left(struct cw_call *call, const struct cw_server *server, int64_t now_ms);
+void call_note_end(struct cw_call *call, int64_t now_ms);	 /* the connection broke */
+int64_t call_ran_ms(const struct cw_call *call, int64_t now_ms); /* at the attempt's server */
 
 /* call_choice.c */
 struct cw_server *call_choose(struct cw_call *call, int64_t now_ms,
--- a/tests/bench/fleet/fleet_world.c
+++ b/tests/bench/fleet/fleet_world.c
@@ -1,8 +1,7 @@
-#include "fleet.h"
+#include "fleet_internal.h"
 #include "cw_audience.h"
 #include "cw_hash.h"
 #include "cw_readers.h"
-#include "cw_uplink.h"
 
 #include <glib.h>
 #include <stdio.h>
@@ -30,70 +29,6 @@
 #define MESSAGE_BYTES  (16 * 1024)
 #define READERS_DIE_MS 200 /* before the change */
 
-enum kind { ROUND, CHECK, ASK, CALLED, MESSAGE, FETCHED };
-enum topic { OPERATOR, SERVERS, TOPICS };
-
-struct event {
-	enum kind kind;
-	size_t node;
-	uint64_t boot; /* of the node that it is for */
-	enum topic topic;
-	int is_good;
-	uint64_t value;
-	GBytes *bytes;
-};
-
-/* How one instance comes to one topic's state. */
-struct reading {
-	uint64_t version; /* 0: none */
-	int has_rested;
-	int is_asking;
-	unsigned int failures;
-	size_t pages_left; /* of a list that is being read */
-	int is_fetching;
-	int64_t tried_ms;
-	int64_t declined_ms;
-};
-
-struct node {
-	char name[CW_NAME_MAX];
-	char domain[CW_NAME_MAX];
-	char address[CW_ADDRESS_MAX];
-	struct cw_membership *membership;
-	struct cw_follow follow;
-	struct cw_uplink uplink;
-	struct reading topics[TOPICS];
-	int64_t started_ms;
-	uint64_t boot;
-	int is_up;
-	int is_seed;
-	int introductions;
-	int answers;
-	unsigned int rounds;
-	int64_t ready_ms;  /* -1: not yet */
-	int64_t change_ms; /* when it had the change, -1: not yet */
-};
-
-struct world {
-	const struct fleet_options *options;
-	struct fleet_report *report;
-	struct node *nodes;
-	GHashTable *by_address;
-	GPtrArray **agenda; /* events of each millisecond */
-	GRand *random;
-	int64_t now_ms;
-	double store_free_ms; /* its reads are done by then */
-	uint64_t version;     /* of the configuration */
-	double messages;
-	double bytes;
-};
-
-/* Since when the costs of a calm time are counted. */
-static int64_t steady_ms(const struct world *world)
-{
-	return world->options->change_ms / 2;
-}
-
 static uint64_t draw(struct world *world)
 {
 	return (uint64_t)g_rand_int(world->random) << 32 | g_rand_int(world->random);
@@ -285,7 +220,7 @@
 {
 	struct node *to = g_hash_table_lookup(world->by_address, address);
 
-	if (world->now_ms >= steady_ms(world)) {
+	if (world->now_ms >= fleet_steady_ms(world)) {
 		world->messages++;
 		world->bytes += (double)g_bytes_get_size(message);
 	}
@@ -516,58 +451,6 @@
 	world->report->readers_most = MAX(world->report->readers_most, count);
 }
 
-static gint by_time(gconstpointer one, gconstpointer other)
-{
-	int64_t first = *(const int64_t *)one;
-	int64_t second = *(const int64_t *)other;
-
-	return first < second ? -1 : first > second;
-}
-
-/* times of those that are up; -1: never. Until 50, 99 and 100 in 100 of them. */
-static void parts_of(int64_t *times, size_t count, int64_t since_ms, int64_t parts[3])
-{
-	static const double part[] = {0.5, 0.99, 1};
-
-	for (size_t i = 0; i < count; i++)
-		times[i] = times[i] < 0 ? G_MAXINT64 : times[i] - since_ms;
-	qsort(times, count, sizeof(*times), by_time);
-	for (size_t i = 0; i < G_N_ELEMENTS(part); i++) {
-		size_t at = (size_t)(part[i] * (double)(count - 1) + 0.5);
-
-		parts[i] = times[at] == G_MAXINT64 ? -1 : times[at];
-	}
-}
-
-static void report_on(struct world *world)
-{
-	size_t instances = world->options->instances;
-	int64_t *ready = g_new(int64_t, instances);
-	int64_t *change = g_new(int64_t, instances);
-	double seconds = (double)(world->options->end_ms - steady_ms(world)) / 1000;
-	size_t up = 0;
-
-	world->report->members_least = instances;
-	for (size_t i = 0; i < instances; i++) {
-		struct node *node = &world->nodes[i];
-
-		if (!node->is_up)
-			continue;
-		ready[up] = node->ready_ms;
-		change[up++] = node->change_ms;
-		world->report->members_least =
-			MIN(world->report->members_least, cw_membership_size(node->membership));
-	}
-	parts_of(ready, up, 0, world->report->ready_ms);
-	parts_of(change, up, world->options->change_ms, world->report->change_ms);
-	world->report->messages = world->messages / seconds / (double)instances;
-	world->report->bytes = world->bytes / seconds / (double)instances;
-	world->report->fetches /= (double)instances;
-	world->report->declined /= (double)instances;
-	g_free(ready);
-	g_free(change);
-}
-
 void fleet_defaults(struct fleet_options *options)
 {
 	*options = (struct fleet_options){
@@ -618,10 +501,10 @@
 		if (world.now_ms == options->change_ms)
 			world.version = 2;
 		pass(&world);
-		if (world.now_ms % 1000 == 0 && world.now_ms >= steady_ms(&world))
+		if (world.now_ms % 1000 == 0 && world.now_ms >= fleet_steady_ms(&world))
 			count_readers(&world);
 	}
-	report_on(&world);
+	fleet_report_on(&world);
 	for (size_t i = 0; i < options->instances; i++)
 		cw_membership_destroy(world.nodes[i].membership);
 	g_hash_table_destroy(world.by_address);
