--- a/packages/gossip/src/audience.c
+++ b/packages/gossip/src/audience.c
@@ -42,7 +42,8 @@
 			cut[cut_count++] = members[i];
 		*left -= *left > 0;
 	}
-	memcpy(members + audience->whole_count, cut, cut_count * sizeof(*cut));
+	for (size_t i = 0; i < cut_count; i++)
+		members[audience->whole_count + i] = cut[i];
 	audience->count = audience->whole_count + cut_count;
 	g_free(cut);
 }
--- a/packages/pool/src/candidates.c
+++ b/packages/pool/src/candidates.c
@@ -93,10 +93,12 @@
 		if (is_candidate(pool, server, choice))
 			draw(is_own ? &own : &others, server, cw_rendezvous_bits(key, server->id));
 	}
-	/* Enough near ones: what goes to another domain costs more than a prompt read again there. */
+	/* Enough near ones: what goes to another domain costs more than a prompt read again there.
+	 */
 	if (own.count == OWN_CANDIDATES)
 		return own.count;
-	memcpy(candidates + own.count, foreign, others.count * sizeof(*foreign));
+	for (size_t i = 0; i < others.count; i++)
+		candidates[own.count + i] = foreign[i];
 	return own.count + others.count;
 }
 
--- a/tests/bench/fleet/fleet.c
+++ b/tests/bench/fleet/fleet.c
@@ -99,6 +99,48 @@
 	return -1;
 }
 
+/* The growth between the smallest and the largest size. */
+static void print_growth(const struct fleet_report *first, const struct fleet_report *last,
+			 double factor)
+{
+	print_power("time until all can serve", (double)first->ready_ms[2],
+		    (double)last->ready_ms[2], factor);
+	print_power("time of a change to all", (double)first->change_ms[2],
+		    (double)last->change_ms[2], factor);
+	print_power("calls of the store", (double)first->store_calls, (double)last->store_calls,
+		    factor);
+	print_power("bytes of messages, an instance", first->bytes, last->bytes, factor);
+}
+
+/* The exit code: 0, 1 where a bound is passed, 2 where the file can't be written. */
+static int play_sizes(struct fleet_options *options, const int *sizes, size_t count,
+		      const char *json)
+{
+	struct fleet_report reports[SIZES_MAX] = {0};
+	FILE *file = NULL;
+	int failures = 0;
+
+	if (json && !(file = fopen(json, "a"))) {
+		fprintf(stderr, "%s: can't be written\n", json);
+		return 2;
+	}
+	for (size_t i = 0; i < count; i++) {
+		options->instances = (size_t)MAX(sizes[i], 1);
+		options->servers = options->instances * SERVERS_EACH;
+		fleet_play(options, &reports[i]);
+		print_report(options, &reports[i]);
+		failures += check(options, &reports[i]);
+		if (file)
+			write_json(file, options, &reports[i]);
+	}
+	if (count > 1)
+		print_growth(&reports[0], &reports[count - 1],
+			     (double)sizes[count - 1] / MAX(sizes[0], 1));
+	if (file)
+		fclose(file);
+	return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+}
+
 int main(int argc, char **argv)
 {
 	struct arg_int *sizes = arg_intn("n", "instances", "N", 1, SIZES_MAX, "sizes, small first");
@@ -110,50 +152,24 @@
 	struct arg_lit *help = arg_lit0("h", "help", "prints this");
 	struct arg_end *end = arg_end(10);
 	void *table[] = {sizes, scenario, seed, lost, json, help, end};
-	struct fleet_report reports[SIZES_MAX];
-	struct fleet_options options;
-	FILE *file = NULL;
-	int failures = 0;
 	int errors = arg_parse(argc, argv, table);
+	int code = 2;
 
 	if (help->count > 0 || errors > 0 || find_scenario(scenario->sval[0]) < 0) {
 		arg_print_errors(stderr, end, argv[0]);
 		arg_print_syntax(stderr, table, "\n");
 		arg_print_glossary(stderr, table, "  %-22s %s\n");
-		return help->count > 0 ? EXIT_SUCCESS : 2;
-	}
-	if (json->count > 0 && !(file = fopen(json->filename[0], "a"))) {
-		fprintf(stderr, "%s: can't be written\n", json->filename[0]);
-		return 2;
-	}
-	fleet_defaults(&options);
-	options.scenario = (enum fleet_scenario)find_scenario(scenario->sval[0]);
-	options.seed = seed->count > 0 ? (uint32_t)seed->ival[0] : options.seed;
-	options.lost_per_mille = lost->count > 0 ? lost->ival[0] : 0;
-	for (int i = 0; i < sizes->count; i++) {
-		options.instances = (size_t)MAX(sizes->ival[i], 1);
-		options.servers = options.instances * SERVERS_EACH;
-		fleet_play(&options, &reports[i]);
-		print_report(&options, &reports[i]);
-		failures += check(&options, &reports[i]);
-		if (file)
-			write_json(file, &options, &reports[i]);
-	}
-	if (sizes->count > 1) {
-		const struct fleet_report *first = &reports[0];
-		const struct fleet_report *last = &reports[sizes->count - 1];
-		double factor = (double)sizes->ival[sizes->count - 1] / sizes->ival[0];
-
-		print_power("time until all can serve", (double)first->ready_ms[2],
-			    (double)last->ready_ms[2], factor);
-		print_power("time of a change to all", (double)first->change_ms[2],
-			    (double)last->change_ms[2], factor);
-		print_power("calls of the store", (double)first->store_calls,
-			    (double)last->store_calls, factor);
-		print_power("bytes of messages, an instance", first->bytes, last->bytes, factor);
+		code = help->count > 0 ? EXIT_SUCCESS : code;
+	} else {
+		struct fleet_options options = {0};
+
+		fleet_defaults(&options);
+		options.scenario = (enum fleet_scenario)find_scenario(scenario->sval[0]);
+		options.seed = seed->count > 0 ? (uint32_t)seed->ival[0] : options.seed;
+		options.lost_per_mille = lost->count > 0 ? lost->ival[0] : 0;
+		code = play_sizes(&options, sizes->ival, (size_t)sizes->count,
+				  json->count > 0 ? json->filename[0] : NULL);
 	}
-	if (file)
-		fclose(file);
 	arg_freetable(table, G_N_ELEMENTS(table));
-	return failures ? EXIT_FAILURE : EXIT_SUCCESS;
+	return code;
 }
--- a/tests/unit/test_many.c
+++ b/tests/unit/test_many.c
@@ -63,9 +63,12 @@
 		uint64_t prefix = cw_hash(&i, sizeof(i), 2);
 		struct cw_choice choice = choice_of(prefix);
 		struct cw_server *server = cw_pool_choose(pool, &choice);
+		uint64_t number;
 
 		assert_string_equal(server->failure_domain, "d1");
-		most = MAX(most, ++used[g_ascii_strtoull(server->name + 1, NULL, 10)]);
+		number = g_ascii_strtoull(server->name + 1, NULL, 10);
+		used[number]++;
+		most = MAX(most, used[number]);
 	}
 	for (int i = 1; i < SERVERS; i += DOMAINS)
 		idle += used[i] == 0;
