--- a/tests/bench/fleet/fleet.c
+++ b/tests/bench/fleet/fleet.c
@@ -27,6 +27,11 @@
 	[FLEET_READERS] = "readers",
 };
 
+static const char *name_of(enum fleet_scenario scenario)
+{
+	return (size_t)scenario < G_N_ELEMENTS(scenarios) ? scenarios[scenario] : "-";
+}
+
 static int fails(const char *what, double value, double bound)
 {
 	if (value <= bound)
@@ -60,7 +65,7 @@
 	printf("%-8s %5zu instances %6zu servers: ready %ld %ld %ld ms, change %ld %ld %ld ms, "
 	       "calls %zu (%zu failed, %.1f MB), readers %zu, messages %.0f/s %.1f kB/s, fetches "
 	       "%.1f (%.1f declined)\n",
-	       scenarios[options->scenario], options->instances, options->servers,
+	       name_of(options->scenario), options->instances, options->servers,
 	       (long)report->ready_ms[0], (long)report->ready_ms[1], (long)report->ready_ms[2],
 	       (long)report->change_ms[0], (long)report->change_ms[1], (long)report->change_ms[2],
 	       report->store_calls, report->calls_failed, report->store_mb, report->readers_most,
@@ -76,7 +81,7 @@
 		"\"ready_ms\":[%ld,%ld,%ld],\"change_ms\":[%ld,%ld,%ld],\"store_calls\":%zu,"
 		"\"calls_failed\":%zu,\"store_mb\":%.2f,\"readers\":%zu,\"messages\":%.1f,"
 		"\"bytes\":%.0f,\"fetches\":%.2f,\"declined\":%.2f}\n",
-		scenarios[options->scenario], options->instances, options->servers, options->seed,
+		name_of(options->scenario), options->instances, options->servers, options->seed,
 		(long)report->ready_ms[0], (long)report->ready_ms[1], (long)report->ready_ms[2],
 		(long)report->change_ms[0], (long)report->change_ms[1], (long)report->change_ms[2],
 		report->store_calls, report->calls_failed, report->store_mb, report->readers_most,
