--- a/packages/pool/src/candidates.c
+++ b/packages/pool/src/candidates.c
@@ -5,10 +5,8 @@
 #include <math.h>
 #include <string.h>
 
-#define NARROW_MIN 2 /* servers: on a single one a burst looks like a slow version */
-#define OWN_CANDIDATES                                                                             \
-	192 /* of the asking instance's domain, where there are more than, in all,                 \
-	     */
+#define NARROW_MIN	2   /* servers: on a single one a burst looks like a slow version */
+#define OWN_CANDIDATES	192 /* near ones: with so many no others are needed */
 #define MAX_CANDIDATES	256
 #define PLACE_MS	1000 /* between two looks at the members: of hundreds, for hundreds of servers */
 #define FILL_BACKLOG_MS 800.0 /* prompts that wait there: half of the usual objective */
