pool: a server's own sends are remembered only where there were any

Mend: allocated with the first send. 944 bytes a server (sizeof, with the list's entry). test_many guards it.

--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -53,6 +53,12 @@
 
 struct cw_pool;
 
+/* One of this instance's requests came to a server, or ended there. */
+struct cw_pool_change {
+	int64_t ms;
+	int change; /* 1 dispatched, -1 ended */
+};
+
 /* One start of a backend server: the same name started again is another one. */
 struct cw_server {
 	struct cw_pool *pool;
@@ -90,10 +96,7 @@
 	unsigned int own_running;
 	unsigned int peers_running; /* dispatched by other instances, from gossip */
 	int64_t peers_ms;
-	struct {
-		int64_t ms;
-		int change; /* 1 dispatched, -1 ended */
-	} history[CW_POOL_HISTORY];
+	struct cw_pool_change *history; /* CW_POOL_HISTORY; NULL: nothing was ever sent there */
 	size_t history_next;
 	double service_ms; /* smoothed time of one request */
 
--- a/packages/pool/src/pool.c
+++ b/packages/pool/src/pool.c
@@ -252,6 +252,7 @@
 	if (cw_pool_find_name(pool, server->name) == server)
 		g_hash_table_remove(pool->by_name, server->name);
 	g_free(server->versions);
+	g_free(server->history);
 	g_free(server);
 }
 
@@ -399,7 +400,7 @@
 
 	if (server->sampled_ms >= 0 && now_ms - server->sampled_ms <= REPORT_FRESH_MS) {
 		load = server->running + server->queued;
-		for (size_t i = 0; i < CW_POOL_HISTORY; i++)
+		for (size_t i = 0; server->history && i < CW_POOL_HISTORY; i++)
 			if (server->history[i].ms > server->sampled_ms)
 				load += server->history[i].change;
 		return MAX(load, (double)server->own_running);
@@ -546,6 +547,8 @@
 
 static void remember(struct cw_server *server, int64_t now_ms, int change)
 {
+	if (!server->history)
+		server->history = g_new0(struct cw_pool_change, CW_POOL_HISTORY);
 	server->history[server->history_next].ms = now_ms;
 	server->history[server->history_next].change = change;
 	server->history_next = (server->history_next + 1) % CW_POOL_HISTORY;
--- a/tests/unit/test_many.c
+++ b/tests/unit/test_many.c
@@ -119,6 +119,22 @@
 	cw_pool_destroy(pool);
 }
 
+/* An instance sends to few of the servers that it knows: memory for the others' requests was half
+ * of it.
+ */
+static void a_server_that_gets_nothing_takes_little(void **state)
+{
+	struct cw_pool *pool = pool_in_order(0, 1);
+	struct cw_server *server = cw_pool_find_name(pool, "s7");
+
+	assert_true(sizeof(*server) <= 1024);
+	assert_null(server->history);
+	assert_true(cw_pool_load(server, NOW) == 0);
+	cw_pool_dispatched(server, NOW);
+	assert_non_null(server->history);
+	cw_pool_destroy(pool);
+}
+
 /* One that leaves is forgotten, and one that is listed again in time isn't. */
 static void servers_that_are_gone_are_still_found_among_many(void **state)
 {
@@ -189,6 +205,7 @@
 		cmocka_unit_test(requests_spread_over_all_servers),
 		cmocka_unit_test(the_same_prompt_goes_to_the_same_server_from_every_instance),
 		cmocka_unit_test(only_servers_in_use_are_passed_over),
+		cmocka_unit_test(a_server_that_gets_nothing_takes_little),
 		cmocka_unit_test(servers_that_are_gone_are_still_found_among_many),
 		cmocka_unit_test(members_that_are_named_now_and_then_are_live),
 		cmocka_unit_test(a_first_member_that_falls_silent_is_replaced_at_once),
