feed: whoever others wait for collects a long list at once, the rest from peers

Cause: the drawn wait after a long list's first page held for readers too. For up to six seconds they followed nothing, every list grew old, hundreds stepped in, found the history gone and collected twenty pages each.

Mend: seeds and the first ten by rank never rest; the others, where what they follow is gone, await the list from peers that have a newer one, or rest first.

--- a/apps/corianderwalk/entry_hear.c
+++ b/apps/corianderwalk/entry_hear.c
@@ -68,8 +68,13 @@
 			share_fetch_list(feed->share, gossip->sender.address);
 		return;
 	}
-	if (servers->phase != PHASE_FOLLOW ||
-	    cw_follow_hear(&feed->list, gossip->changes, gossip->change_count, &word, now_ms,
+	if (servers->phase != PHASE_FOLLOW) {
+		if (gossip->servers_age_ms != CW_GOSSIP_NO_AGE && is_reading_nothing(servers) &&
+		    gossip->servers_offset > feed->list.from)
+			share_fetch_list(feed->share, gossip->sender.address);
+		return;
+	}
+	if (cw_follow_hear(&feed->list, gossip->changes, gossip->change_count, &word, now_ms,
 			   news_take_followed, feed))
 		return;
 	if (topic_is_reader(servers))
--- a/apps/corianderwalk/entry_topic.c
+++ b/apps/corianderwalk/entry_topic.c
@@ -26,12 +26,14 @@
 static size_t rank_of(const struct topic *topic);
 static int64_t poll_wait_ms(const struct topic *topic);
 static void on_timer(uv_timer_t *timer);
+static int is_awaited(const struct topic *topic);
 static void ask_newest(struct topic *topic);
 static void rest(struct topic *topic);
 static void on_head(void *context, const struct cw_message *answer);
 static void on_data(void *context, const char *data, size_t size);
 static void on_end(void *context);
 static void on_failed(void *context, enum cw_flow_failure failure);
+static void start_over(struct topic *topic);
 static enum cw_status read_answer(struct topic *topic, struct cw_up_page *page,
 				  struct cw_error *error);
 static void take_newest(struct topic *topic, struct cw_up_page *page);
@@ -209,11 +211,19 @@
 		topic_ask_in(topic, STALE_CHECK_MS);
 }
 
+/* The seeds, and by rank those that read for all, or step in for them. */
+static int is_awaited(const struct topic *topic)
+{
+	const struct feed *feed = topic->feed;
+
+	return feed->is_seed || (is_settled(feed) && rank_of(topic) < CW_READERS_STAND_IN);
+}
+
 static void ask_newest(struct topic *topic)
 {
 	struct feed *feed = topic->feed;
 	struct cw_readers_view view = {
-		.is_seed = feed->is_seed,
+		.is_awaited = is_awaited(topic),
 		.is_coming = share_is_coming(feed->share, topic),
 		.has_rested = topic->has_rested,
 		.knows_peers = peers_known(feed->entry->peers) > 0,
@@ -275,13 +285,30 @@
 	} else if (status == CW_EXPIRED) {
 		cw_event("feed", "expired", "topic=%s from=%lu first=%lu", topic->name,
 			 (unsigned long)topic_next_offset(topic), (unsigned long)page.first);
-		topic_start_over(topic);
+		start_over(topic);
 	} else {
 		failed(topic, error.message);
 	}
 	cw_up_page_clear(&page);
 }
 
+/*
+ * Load pattern: the store drops its history, and of a thousand instances hundreds had stepped in
+ * for the readers. Each collected the whole list, and kept the readers from it. Those that others
+ * wait for collect it at once; the rest get it from them, or read it after a drawn wait.
+ */
+static void start_over(struct topic *topic)
+{
+	if (topic->topic != CW_UP_SERVERS && topic->topic != CW_UP_OPERATOR) {
+		topic_start_over(topic);
+		return;
+	}
+	topic->has_rested = 0;
+	topic->phase = PHASE_NEWEST;
+	*topic->after = '\0';
+	ask_newest(topic);
+}
+
 static enum cw_status read_answer(struct topic *topic, struct cw_up_page *page,
 				  struct cw_error *error)
 {
@@ -323,7 +350,7 @@
 	int is_first_page = !*topic->after;
 
 	g_strlcpy(topic->after, after, sizeof(topic->after));
-	if (is_first_page && !topic->feed->is_seed && peers_known(topic->feed->entry->peers) > 0)
+	if (is_first_page && !is_awaited(topic) && peers_known(topic->feed->entry->peers) > 0)
 		rest(topic);
 	else
 		ask(topic);
--- a/packages/follow/include/cw_readers.h
+++ b/packages/follow/include/cw_readers.h
@@ -29,7 +29,7 @@
 
 /* What an instance that has not read a topic knows, as it would read it. */
 struct cw_readers_view {
-	int is_seed;	    /* the others ask this one first */
+	int is_awaited;	    /* the others wait for what this one reads */
 	int is_coming;	    /* a peer sends the state, or would soon */
 	int has_rested;	    /* once since the start */
 	int knows_peers;    /* of any other instance */
--- a/packages/follow/src/readers.c
+++ b/packages/follow/src/readers.c
@@ -86,7 +86,7 @@
 /* State that peers have is awaited from them; a long list is sent to some of those that ask. */
 enum cw_readers_step cw_readers_next(const struct cw_readers_view *view)
 {
-	if (view->is_seed)
+	if (view->is_awaited)
 		return CW_READERS_ASK;
 	if (view->is_coming && view->running_ms < PATIENCE_MS)
 		return CW_READERS_AWAIT;
--- a/tests/bench/fleet/fleet_world.c
+++ b/tests/bench/fleet/fleet_world.c
@@ -77,6 +77,12 @@
 	return is_settled(world, node) && cw_readers_is_first(rank_of(world, node));
 }
 
+static int is_awaited(const struct world *world, const struct node *node)
+{
+	return node->is_seed ||
+	       (is_settled(world, node) && rank_of(world, node) < CW_READERS_STAND_IN);
+}
+
 static void note_state(struct world *world, struct node *node)
 {
 	if (is_ready(node) && node->ready_ms < 0)
@@ -129,7 +135,7 @@
 {
 	struct reading *reading = &node->topics[topic];
 	struct cw_readers_view view = {
-		.is_seed = node->is_seed,
+		.is_awaited = is_awaited(world, node),
 		.is_coming = reading->is_fetching ||
 			     (reading->declined_ms &&
 			      world->now_ms - reading->declined_ms < DECLINED_MS),
@@ -168,7 +174,7 @@
 		cw_follow_answered(&node->follow, world->now_ms);
 		return;
 	}
-	if (is_first && !node->is_seed)
+	if (is_first && !is_awaited(world, node))
 		ask_at(world, node, SERVERS, world->now_ms + cw_readers_rest_ms(draw(world)));
 	else
 		call_store(world, node, SERVERS, page_bytes(world, SERVERS), 0);
--- a/tests/unit/test_readers.c
+++ b/tests/unit/test_readers.c
@@ -128,6 +128,22 @@
 		assert_true(calls[second] < 80);
 }
 
+/* Whose list the others wait for must not wait itself: servers that left would get requests. */
+static void who_is_awaited_never_rests(void **state)
+{
+	struct cw_readers_view view = {.knows_peers = 1};
+
+	assert_int_equal(cw_readers_next(&view), CW_READERS_REST);
+	view.is_coming = 1;
+	assert_int_equal(cw_readers_next(&view), CW_READERS_AWAIT);
+	view.is_awaited = 1;
+	assert_int_equal(cw_readers_next(&view), CW_READERS_ASK);
+	view.is_awaited = view.is_coming = view.knows_peers = 0;
+	assert_int_equal(cw_readers_next(&view), CW_READERS_ASK);
+	view.knows_peers = view.has_rested = 1;
+	assert_int_equal(cw_readers_next(&view), CW_READERS_ASK);
+}
+
 /* A long list must not be read by all that start together: a few of a thousand, as of a hundred. */
 static void a_long_list_is_read_on_by_few(void **state)
 {
@@ -192,6 +208,7 @@
 		cmocka_unit_test(the_first_by_rank_can_be_named),
 		cmocka_unit_test(of_those_that_start_together_the_seeds_read),
 		cmocka_unit_test(a_thousand_with_an_old_list_leave_a_slow_store_room),
+		cmocka_unit_test(who_is_awaited_never_rests),
 		cmocka_unit_test(a_long_list_is_read_on_by_few),
 	};
 
