--- a/packages/base/include/cw_config.h
+++ b/packages/base/include/cw_config.h
@@ -8,7 +8,7 @@
 #define CW_MESSAGE_MAX	   256	   /* bytes of an error's message */
 #define CW_TOKEN_MAX	   512	   /* bytes of a session token */
 #define CW_MAX_INSTANCES   4096	   /* instances one node knows, 0.4 kB each */
-#define CW_MAX_SERVERS	   65536   /* backend servers one node knows, 1.3 kB each */
+#define CW_MAX_SERVERS	   65536   /* backend servers one node knows, 0.9 kB each */
 #define CW_TRACKED_SERVERS 32	   /* of each service that it asks for their load and sends to */
 #define CW_MAX_VERSIONS	   64	   /* versions one request may choose among */
 #define CW_MAX_REQUESTS	   4096	   /* requests in progress on one node */
