quarantine: each outage is logged, and each decision names the outages behind it

Change: `server_outage server= outage= age_ms= finding=` when an outage is detected, confirmed (and how) or found a false alarm, in both faces, from a bounded queue; `quarantined` and `quarantine_released` list the outages that count. Decisions are unchanged.

--- a/apps/corianderwalk/entry_quarantine.c
+++ b/apps/corianderwalk/entry_quarantine.c
@@ -14,6 +14,7 @@
 
 static void report_changes(struct quarantine_sync *sync, int64_t now_ms);
 static void log_change(const struct cw_quarantine_change *change);
+static void log_outages(struct entry *entry);
 static void write_next(struct quarantine_sync *sync, int64_t now_ms);
 static void on_written(void *context, enum cw_status status, const char *why);
 
@@ -45,6 +46,7 @@
 	struct cw_quarantine_change change;
 	int has_changes = 0;
 
+	log_outages(entry);
 	while (cw_quarantine_next_change(quarantine, &change)) {
 		has_changes = 1;
 		log_change(&change);
@@ -61,17 +63,35 @@
 {
 	const struct cw_quarantine_record *record = &change->record;
 	char label[32];
+	char outages[CW_QUARANTINE_EVIDENCE_MAX * 11];
 
+	cw_quarantine_format_outages(change, outages, sizeof(outages));
 	g_snprintf(label, sizeof(label), "source=\"%s\"",
 		   cw_quarantine_source_name(change->source));
 	cw_counter_add(record->is_released ? "quarantine_released" : "quarantine_held", label, 1);
 	cw_event("gate", record->is_released ? "quarantine_released" : "quarantined",
 		 "fingerprint=%016lx organisation=%s route=%s ends=%u rivals=%u age_ms=%u "
-		 "source=%s",
+		 "source=%s outages=%s",
 		 (unsigned long)record->fingerprint,
 		 *record->organisation ? record->organisation : "-",
 		 *record->target ? record->target : "-", record->crash_count, change->alternatives,
-		 record->age_ms, cw_quarantine_source_name(change->source));
+		 record->age_ms, cw_quarantine_source_name(change->source),
+		 *outages ? outages : "-");
+}
+
+/* The outages that quarantined lines refer to by number. */
+static void log_outages(struct entry *entry)
+{
+	struct cw_quarantine_outage outage;
+
+	while (cw_quarantine_next_outage(cw_gate_quarantine(entry->gate), &outage)) {
+		const struct cw_server *server =
+			cw_pool_find(cw_gate_pool(entry->gate), outage.server);
+
+		cw_event("gate", "server_outage", "server=%s outage=%u age_ms=%u finding=%s",
+			 server ? server->name : "-", outage.number, outage.age_ms,
+			 cw_quarantine_finding_name(outage.finding));
+	}
 }
 
 static void write_next(struct quarantine_sync *sync, int64_t now_ms)
--- a/packages/node/src/node_quarantine.c
+++ b/packages/node/src/node_quarantine.c
@@ -14,6 +14,7 @@
 static struct cw_quarantine_request to_quarantine_request(const struct request *request);
 static int64_t attempt_run_ms(const struct cw_node *node, const struct request *request);
 static void log_quarantine_change(struct cw_node *node, const struct cw_quarantine_change *change);
+static void log_outages(struct cw_node *node);
 static void abort_quarantined(struct cw_node *node);
 static void write_next_record(struct cw_node *node);
 static struct json_object *record_to_json(const struct cw_quarantine_record *record);
@@ -113,6 +114,7 @@
 	int any = 0;
 
 	cw_quarantine_tick(node->quarantine, node->now_ms);
+	log_outages(node);
 	while (cw_quarantine_next_change(node->quarantine, &change)) {
 		any = 1;
 		log_quarantine_change(node, &change);
@@ -250,14 +252,32 @@
 static void log_quarantine_change(struct cw_node *node, const struct cw_quarantine_change *change)
 {
 	const struct cw_quarantine_record *record = &change->record;
+	char outages[CW_QUARANTINE_EVIDENCE_MAX * 11];
 
+	cw_quarantine_format_outages(change, outages, sizeof(outages));
 	node_log_event(node, "request", record->is_released ? "quarantine_released" : "quarantined",
 		       "fingerprint=%016" G_GINT64_MODIFIER
-		       "x organisation=%s target=%s ends=%u rivals=%u age_ms=%u source=%s",
+		       "x organisation=%s target=%s ends=%u rivals=%u age_ms=%u source=%s "
+		       "outages=%s",
 		       record->fingerprint, *record->organisation ? record->organisation : "-",
 		       *record->target ? record->target : "-", record->crash_count,
 		       change->alternatives, record->age_ms,
-		       cw_quarantine_source_name(change->source));
+		       cw_quarantine_source_name(change->source), *outages ? outages : "-");
+}
+
+/* The outages that quarantined lines refer to by number. */
+static void log_outages(struct cw_node *node)
+{
+	struct cw_quarantine_outage outage;
+
+	while (cw_quarantine_next_outage(node->quarantine, &outage)) {
+		const struct cw_server *server = cw_pool_find(node->pool, outage.server);
+
+		node_log_event(node, "request", "server_outage",
+			       "server=%s outage=%u age_ms=%u finding=%s",
+			       server ? server->name : "-", outage.number, outage.age_ms,
+			       cw_quarantine_finding_name(outage.finding));
+	}
 }
 
 /* A quarantined request that still waits in the queue of an engine would crash that engine too,
--- a/packages/quarantine/include/cw_quarantine.h
+++ b/packages/quarantine/include/cw_quarantine.h
@@ -19,10 +19,11 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define CW_QUARANTINE_MAX	  64	     /* requests quarantined at a time */
-#define CW_QUARANTINE_CRASHES_MAX 32	     /* per message to a peer */
-#define CW_QUARANTINE_RECORDS_MAX 16	     /* per message to a peer */
-#define CW_QUARANTINE_NEVER	  UINT32_MAX /* an age: has not happened */
+#define CW_QUARANTINE_MAX	   64	      /* requests quarantined at a time */
+#define CW_QUARANTINE_CRASHES_MAX  32	      /* per message to a peer */
+#define CW_QUARANTINE_RECORDS_MAX  16	      /* per message to a peer */
+#define CW_QUARANTINE_EVIDENCE_MAX 16	      /* newest crashes kept per request */
+#define CW_QUARANTINE_NEVER	   UINT32_MAX /* an age: has not happened */
 
 /* A request as this module identifies it; the strings are for operators only. */
 struct cw_quarantine_request {
@@ -69,6 +70,26 @@
 	struct cw_quarantine_record record;
 	enum cw_quarantine_source source;
 	unsigned int alternatives; /* alternative suspects: in two or more of the crashes */
+	uint32_t outages[CW_QUARANTINE_EVIDENCE_MAX]; /* that count against the request */
+	size_t outage_count;
+};
+
+/* What became known of a server's outage. */
+enum cw_quarantine_finding {
+	CW_QUARANTINE_DETECTED,	   /* a request broke on the server */
+	CW_QUARANTINE_UNREACHABLE, /* confirmed: the server refused connections, or was removed */
+	CW_QUARANTINE_BURST,	   /* confirmed: many requests broke at once */
+	CW_QUARANTINE_NO_SERVER,   /* confirmed: a request sent during the outage broke at once */
+	CW_QUARANTINE_REPORTED,	   /* confirmed by a peer */
+	CW_QUARANTINE_FALSE_ALARM, /* the server stayed up */
+};
+
+/* An outage as this instance knows it, for logs. */
+struct cw_quarantine_outage {
+	uint32_t number; /* local to the instance, in order of detection */
+	uint64_t server;
+	uint32_t age_ms; /* since the server crashed */
+	enum cw_quarantine_finding finding;
 };
 
 struct cw_quarantine;
@@ -116,6 +137,8 @@
 			int64_t now_ms); /* judges; call a few times a second */
 int cw_quarantine_next_change(struct cw_quarantine *quarantine,
 			      struct cw_quarantine_change *change); /* 0: none left */
+int cw_quarantine_next_outage(struct cw_quarantine *quarantine,
+			      struct cw_quarantine_outage *outage); /* 0: none left */
 size_t cw_quarantine_list(const struct cw_quarantine *quarantine, int64_t now_ms,
 			  struct cw_quarantine_record *records, size_t max);
 int cw_quarantine_release(struct cw_quarantine *quarantine, uint64_t fingerprint,
@@ -136,6 +159,9 @@
 	struct cw_quarantine_record *record); /* 1: found; the oldest to write */
 void cw_quarantine_mark_written(struct cw_quarantine *quarantine, uint64_t fingerprint,
 				int is_released, int64_t now_ms);
-const char *cw_quarantine_source_name(enum cw_quarantine_source source); /* for logs */
+const char *cw_quarantine_source_name(enum cw_quarantine_source source);    /* for logs */
+const char *cw_quarantine_finding_name(enum cw_quarantine_finding finding); /* for logs */
+size_t cw_quarantine_format_outages(const struct cw_quarantine_change *change, char *text,
+				    size_t size); /* "3,5,6", for logs */
 
 #endif
--- a/packages/quarantine/src/outages.c
+++ b/packages/quarantine/src/outages.c
@@ -10,8 +10,11 @@
 				     int64_t at_ms);
 static struct outage *find_outage(const struct cw_quarantine *quarantine, uint32_t number);
 static void remove_crashes(struct cw_quarantine *quarantine, const struct outage *outage);
+static void queue_finding(struct cw_quarantine *quarantine, const struct outage *outage,
+			  enum cw_quarantine_finding finding, int64_t now_ms);
 
-uint32_t outage_find_or_add(struct cw_quarantine *quarantine, const struct crash *crash)
+uint32_t outage_find_or_add(struct cw_quarantine *quarantine, const struct crash *crash,
+			    int64_t now_ms)
 {
 	struct outage *outage = find_outage_at(quarantine, crash->server, crash->at_ms);
 
@@ -31,6 +34,7 @@
 				  .at_ms = crash->at_ms,
 				  .detected_ms = crash->at_ms};
 	quarantine->newest_outage_ms = MAX(quarantine->newest_outage_ms, crash->at_ms);
+	queue_finding(quarantine, outage, CW_QUARANTINE_DETECTED, now_ms);
 	return outage->number;
 }
 
@@ -48,7 +52,8 @@
 	return outage && outage->is_confirmed;
 }
 
-void outage_confirm(struct cw_quarantine *quarantine, uint32_t number)
+void outage_confirm(struct cw_quarantine *quarantine, uint32_t number,
+		    enum cw_quarantine_finding finding, int64_t now_ms)
 {
 	struct outage *outage = find_outage(quarantine, number);
 	struct suspect *suspect;
@@ -57,6 +62,7 @@
 		return;
 	outage->is_confirmed = 1;
 	quarantine->is_dirty = 1;
+	queue_finding(quarantine, outage, finding, now_ms);
 	TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
 		struct crash *crash = suspect_find_crash(suspect, number);
 
@@ -65,7 +71,7 @@
 	}
 }
 
-void outage_add_break(struct cw_quarantine *quarantine, const struct crash *crash)
+void outage_add_break(struct cw_quarantine *quarantine, const struct crash *crash, int64_t now_ms)
 {
 	struct outage *outage = find_outage(quarantine, crash->outage);
 
@@ -73,11 +79,11 @@
 		return;
 	if (!outage_covers(quarantine, crash)) {
 		if (!crash->is_running && crash->ran_ms <= IMMEDIATE_BREAK_MS)
-			outage_confirm(quarantine, crash->outage);
+			outage_confirm(quarantine, crash->outage, CW_QUARANTINE_NO_SERVER, now_ms);
 		return;
 	}
 	if (ABS(crash->at_ms - outage->detected_ms) <= BURST_MS && ++outage->breaks >= BURST_BREAKS)
-		outage_confirm(quarantine, crash->outage);
+		outage_confirm(quarantine, crash->outage, CW_QUARANTINE_BURST, now_ms);
 }
 
 /*
@@ -101,7 +107,7 @@
 	}
 	if (!newest || newest->is_confirmed)
 		return;
-	outage_confirm(quarantine, newest->number);
+	outage_confirm(quarantine, newest->number, CW_QUARANTINE_UNREACHABLE, now_ms);
 	quarantine_judge(quarantine, now_ms);
 }
 
@@ -137,6 +143,7 @@
 	outage->is_false_alarm = 1;
 	outage->last_seen_ms = at_ms;
 	outage->updated_ms = now_ms;
+	queue_finding(quarantine, outage, CW_QUARANTINE_FALSE_ALARM, now_ms);
 	remove_crashes(quarantine, outage);
 }
 
@@ -160,6 +167,44 @@
 	return count;
 }
 
+int cw_quarantine_next_outage(struct cw_quarantine *quarantine, struct cw_quarantine_outage *outage)
+{
+	if (quarantine->finding_count == 0)
+		return 0;
+	*outage = quarantine->findings[quarantine->finding_first % FINDINGS_KEPT];
+	quarantine->finding_first++;
+	quarantine->finding_count--;
+	return 1;
+}
+
+const char *cw_quarantine_finding_name(enum cw_quarantine_finding finding)
+{
+	static const char *const names[] = {
+		[CW_QUARANTINE_DETECTED] = "detected", [CW_QUARANTINE_UNREACHABLE] = "unreachable",
+		[CW_QUARANTINE_BURST] = "burst",       [CW_QUARANTINE_NO_SERVER] = "no_server",
+		[CW_QUARANTINE_REPORTED] = "reported", [CW_QUARANTINE_FALSE_ALARM] = "false_alarm",
+	};
+
+	return names[finding];
+}
+
+/* Drops the oldest finding when the queue is full. */
+static void queue_finding(struct cw_quarantine *quarantine, const struct outage *outage,
+			  enum cw_quarantine_finding finding, int64_t now_ms)
+{
+	if (quarantine->finding_count == FINDINGS_KEPT) {
+		quarantine->finding_first++;
+		quarantine->finding_count--;
+	}
+	quarantine->findings[(quarantine->finding_first + quarantine->finding_count++) %
+			     FINDINGS_KEPT] = (struct cw_quarantine_outage){
+		.number = outage->number,
+		.server = outage->server,
+		.age_ms = (uint32_t)MAX(now_ms - outage->at_ms, 0),
+		.finding = finding,
+	};
+}
+
 /*
  * Returns the outage that covers at_ms, else the earliest one that began up to DETECTION_LAG_MS
  * later, as far as this instance knew. NULL: none.
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -162,6 +162,18 @@
 	return 1;
 }
 
+size_t cw_quarantine_format_outages(const struct cw_quarantine_change *change, char *text,
+				    size_t size)
+{
+	size_t used = 0;
+
+	*text = 0;
+	for (size_t i = 0; i < change->outage_count && used + 1 < size; i++)
+		used += (size_t)g_snprintf(text + used, size - used, "%s%u", i ? "," : "",
+					   change->outages[i]);
+	return MIN(used, size - 1);
+}
+
 size_t cw_quarantine_list(const struct cw_quarantine *quarantine, int64_t now_ms,
 			  struct cw_quarantine_record *records, size_t max)
 {
@@ -238,11 +250,11 @@
 	struct crash *known;
 	size_t at;
 
-	observed.outage = outage_find_or_add(quarantine, crash);
+	observed.outage = outage_find_or_add(quarantine, crash, now_ms);
 	if (!observed.outage)
 		return 0;
 	if (!outage_covers(quarantine, &observed)) {
-		outage_add_break(quarantine, &observed);
+		outage_add_break(quarantine, &observed, now_ms);
 		return 0;
 	}
 	observed.is_confirmed = outage_is_confirmed(quarantine, observed.outage);
@@ -263,7 +275,7 @@
 	for (; at > 0 && suspect->crashes[at - 1].at_ms > crash->at_ms; at--)
 		suspect->crashes[at] = suspect->crashes[at - 1];
 	suspect->crashes[at] = observed;
-	outage_add_break(quarantine, &observed);
+	outage_add_break(quarantine, &observed, now_ms);
 	suspect->crashes_seen++;
 	suspect->updated_ms = now_ms;
 	quarantine->is_dirty = 1;
@@ -525,6 +537,9 @@
 	suspect_fill_record(suspect, now_ms, &change->record);
 	change->source = source;
 	change->alternatives = suspect->alternatives;
+	change->outage_count = suspect->crash_count;
+	for (size_t i = 0; i < suspect->crash_count; i++)
+		change->outages[i] = suspect->crashes[i].outage;
 }
 
 static int has_expired(const struct suspect *suspect, int64_t now_ms)
--- a/packages/quarantine/src/quarantine_internal.h
+++ b/packages/quarantine/src/quarantine_internal.h
@@ -10,8 +10,8 @@
 #define SUSPECTS_MAX			 256 /* suspect requests, 0.6 KB each */
 #define SUSPECTS_PER_ORGANISATION_MAX	 64  /* no organisation evicts the suspects of others */
 #define QUARANTINED_PER_ORGANISATION_MAX 16
-#define CRASHES_KEPT			 16 /* newest crashes kept per suspect */
-#define CRASHES_TO_QUARANTINE		 3  /* server crashes that quarantine a request */
+#define CRASHES_KEPT			 CW_QUARANTINE_EVIDENCE_MAX
+#define CRASHES_TO_QUARANTINE		 3 /* server crashes that quarantine a request */
 #define OUTAGE_MS			 1000 /* breaks this soon after a crash belong to the same outage */
 #define DETECTION_LAG_MS		 500 /* a peer may detect an outage this much earlier */
 #define SKEW_MS				 10 /* error of a send time relative to an outage's start */
@@ -90,6 +90,7 @@
 #define ANNOUNCED_FALSE_ALARMS_MAX 8   /* per message */
 #define ANSWERED_SLOTS		   512 /* completely answered requests, by fingerprint */
 #define CHANGES_KEPT		   64
+#define FINDINGS_KEPT		   64
 
 /* The time from a server's crash until the server is seen alive. */
 struct outage {
@@ -120,6 +121,8 @@
 	struct answered answered[ANSWERED_SLOTS];
 	struct cw_quarantine_change changes[CHANGES_KEPT];
 	size_t change_first, change_count;
+	struct cw_quarantine_outage findings[FINDINGS_KEPT];
+	size_t finding_first, finding_count;
 	struct outage outages[OUTAGES_KEPT];
 	uint64_t outage_next;
 	int64_t newest_outage_ms;
@@ -154,15 +157,15 @@
 			 struct cw_quarantine_record *record);
 
 /* outages.c */
-uint32_t outage_find_or_add(struct cw_quarantine *quarantine,
-			    const struct crash *crash); /* the outage's number; 0: a false alarm */
+uint32_t outage_find_or_add(struct cw_quarantine *quarantine, const struct crash *crash,
+			    int64_t now_ms); /* the outage's number; 0: a false alarm */
 int outage_covers(const struct cw_quarantine *quarantine,
 		  const struct crash *crash); /* 1: the request ran when the outage began */
 int outage_is_confirmed(const struct cw_quarantine *quarantine, uint32_t number);
-void outage_confirm(struct cw_quarantine *quarantine, uint32_t number);
-void outage_add_break(
-	struct cw_quarantine *quarantine,
-	const struct crash *crash); /* by a request sent before or during the outage */
+void outage_confirm(struct cw_quarantine *quarantine, uint32_t number,
+		    enum cw_quarantine_finding finding, int64_t now_ms);
+void outage_add_break(struct cw_quarantine *quarantine, const struct crash *crash,
+		      int64_t now_ms); /* by a request sent before or during the outage */
 void outage_mark_false_alarm(struct cw_quarantine *quarantine, uint64_t server, int64_t at_ms,
 			     int64_t now_ms); /* a byte that arrived at at_ms proves it */
 size_t outages_announce_false_alarms(const struct cw_quarantine *quarantine, int64_t now_ms,
--- a/packages/quarantine/src/share.c
+++ b/packages/quarantine/src/share.c
@@ -97,7 +97,8 @@
 	if (suspect_add_crash(quarantine, suspect, &crash, now_ms))
 		quarantine_charge_finished(quarantine, crash.server, crash.at_ms, now_ms);
 	if (report->is_confirmed)
-		outage_confirm(quarantine, outage_find_or_add(quarantine, &crash));
+		outage_confirm(quarantine, outage_find_or_add(quarantine, &crash, now_ms),
+			       CW_QUARANTINE_REPORTED, now_ms);
 }
 
 /*
