quarantine, gossip, membership: a crash that is reported late counts once

Cause: reports carry ages, and an instance that had been stopped read those that had arrived meanwhile as if they came now. It placed crashes it knew up to 0.8 s later, behind the server's restart, took them for further ones, and announced them to its peers. A first byte that was read 10 ms after a crash passed for a restart as well, and a break read after a stall of more than 0.5 s for a second outage.

Change: the wait of a datagram in the socket is read from the kernel's arrival time and added to the ages of the message (crashes, answers, quarantined requests, members, age of the server list; the earliest start of a roll-out counts anyway). Over the own interface the same is found from the sender's clock in the heartbeat, by the fastest message of its process. No format changes. Runs that began less than 100 ms after a crash show no restart: no server restarts in less. A break that is read after a stall may be as old as the stall.

Tests that fail before: a_break_read_after_a_stall_belongs_to_the_outage_that_peers_report, a_first_byte_read_late_shows_no_restart.

--- a/apps/corianderwalk/entry_peers.c
+++ b/apps/corianderwalk/entry_peers.c
@@ -98,6 +98,7 @@
 		peers_destroy(peers);
 		return NULL;
 	}
+	cw_flow_datagram_delay_ms(&peers->socket);
 	uv_timer_start(&peers->timer, on_timer, FIRST_ROUND_MS, GOSSIP_INTERVAL_MS);
 	cw_pool_set_place_lookup(cw_gate_pool(entry->gate), find_warmup_place, peers);
 	return peers;
@@ -219,10 +220,12 @@
 	if (size <= 0)
 		return;
 	gossip = g_new0(struct cw_gossip, 1);
-	if (cw_gossip_decode(buffer->base, (size_t)size, gossip) == CW_OK)
+	if (cw_gossip_decode(buffer->base, (size_t)size, gossip) == CW_OK) {
+		cw_gossip_add_delay(gossip, cw_flow_datagram_delay_ms(socket));
 		merge_announcement(peers, gossip);
-	else
+	} else {
 		cw_counter_add("peer_messages_ignored", "", 1);
+	}
 	g_free(gossip);
 }
 
--- a/packages/flow/include/cw_flow.h
+++ b/packages/flow/include/cw_flow.h
@@ -111,5 +111,8 @@
 uint64_t cw_client_count_opened(const struct cw_client *client); /* connections since creation */
 
 enum cw_status cw_flow_parse_address(const char *text, struct sockaddr_in *address); /* "IP:PORT" */
+uint32_t cw_flow_datagram_delay_ms(
+	uv_udp_t *socket); /* from the arrival of the datagram just received to uv_now; 0: unknown,
+			      as before the first call, which makes the kernel note arrivals */
 
 #endif
--- a/packages/flow/src/socket.c
+++ b/packages/flow/src/socket.c
@@ -1,10 +1,18 @@
 #include "flow_internal.h"
 
+#include <glib.h>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <time.h>
+
+#define DATAGRAM_DELAY_MAX_MS 10000 /* more is a step of the system's clock */
+#define MS_PER_S	      1000
+#define NS_PER_MS	      1000000
 
 static const char *const failure_names[] = {
 	[CW_FLOW_NO_CONNECTION] = "unsent",   [CW_FLOW_CONNECTION_REFUSED] = "refused",
@@ -35,6 +43,25 @@
 	return uv_ip4_addr(host, (int)port, address) ? CW_INVALID : CW_OK;
 }
 
+uint32_t cw_flow_datagram_delay_ms(uv_udp_t *socket)
+{
+	struct timespec arrival;
+	struct timespec now;
+	uv_os_fd_t fd;
+	int64_t waited_ms;
+	int64_t since_loop_ms;
+
+	if (uv_fileno((uv_handle_t *)socket, &fd) || ioctl(fd, SIOCGSTAMPNS, &arrival) ||
+	    clock_gettime(CLOCK_REALTIME, &now))
+		return 0;
+	waited_ms = (int64_t)(now.tv_sec - arrival.tv_sec) * MS_PER_S +
+		    (now.tv_nsec - arrival.tv_nsec) / NS_PER_MS;
+	since_loop_ms = (int64_t)(uv_hrtime() / NS_PER_MS) - (int64_t)uv_now(socket->loop);
+	if (waited_ms > DATAGRAM_DELAY_MAX_MS)
+		return 0;
+	return (uint32_t)MAX(waited_ms - since_loop_ms, 0);
+}
+
 /* Each read is consumed before the next one starts, so one buffer serves all connections. */
 void flow_provide_buffer(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer)
 {
--- a/packages/gossip/include/cw_gossip.h
+++ b/packages/gossip/include/cw_gossip.h
@@ -88,6 +88,8 @@
 enum cw_status cw_gossip_list_decode(const char *bytes, size_t size,
 				     struct cw_gossip_list *list); /* g_free(list->entries) */
 void cw_gossip_trim(struct cw_gossip *gossip); /* keeps only what all instances need at once */
+void cw_gossip_add_delay(struct cw_gossip *gossip,
+			 uint32_t delay_ms); /* a received message: makes its ages count from now */
 size_t cw_gossip_encode(const struct cw_gossip *gossip, char *bytes,
 			size_t size); /* 0: it does not fit */
 enum cw_status cw_gossip_decode(const char *bytes, size_t size, struct cw_gossip *gossip);
--- a/packages/gossip/src/gossip.c
+++ b/packages/gossip/src/gossip.c
@@ -8,6 +8,7 @@
 
 #define GOSSIP_MAGIC 0x6377303a /* identifies the layout below; other values are rejected */
 
+static void add_age(uint32_t *age_ms, uint32_t delay_ms);
 static bool_t code(XDR *xdr, struct cw_gossip *gossip);
 static bool_t code_member(XDR *xdr, struct cw_gossip_member *member);
 static bool_t code_address(XDR *xdr, char *address);
@@ -40,6 +41,32 @@
 			gossip->rollouts[i].session_count = CW_GOSSIP_TRIMMED_SESSIONS;
 }
 
+/*
+ * Symptom this prevents: an instance that had been stopped read the messages that had arrived
+ * meanwhile, and placed the server crashes they report half a second too late. It took known
+ * crashes for further ones, and announced them. Ages of roll-outs need no correction: their
+ * earliest start counts.
+ */
+void cw_gossip_add_delay(struct cw_gossip *gossip, uint32_t delay_ms)
+{
+	add_age(&gossip->servers_age_ms, delay_ms);
+	for (size_t i = 0; i < gossip->member_count; i++)
+		add_age(&gossip->members[i].age_ms, delay_ms);
+	for (size_t i = 0; i < gossip->crash_count; i++) {
+		add_age(&gossip->crashes[i].age_ms, delay_ms);
+		add_age(&gossip->crashes[i].answered_ms, delay_ms);
+	}
+	for (size_t i = 0; i < gossip->quarantined_count; i++)
+		add_age(&gossip->quarantined[i].age_ms, delay_ms);
+}
+
+/* UINT32_MAX is no age: CW_GOSSIP_NO_AGE, CW_QUARANTINE_NEVER. */
+static void add_age(uint32_t *age_ms, uint32_t delay_ms)
+{
+	if (*age_ms < UINT32_MAX - delay_ms)
+		*age_ms += delay_ms;
+}
+
 size_t cw_gossip_encode(const struct cw_gossip *gossip, char *bytes, size_t size)
 {
 	XDR xdr;
--- a/packages/membership/include/cw_membership.h
+++ b/packages/membership/include/cw_membership.h
@@ -23,6 +23,9 @@
 	int is_leaving;
 	int is_configured; /* named by the settings */
 	uint64_t table_offset;
+	int64_t clock_lead_ms; /* of this instance's clock over the member's, and the delay of */
+	int has_clock_lead;    /* the fastest message; 1: clock_lead_ms is known */
+	int64_t drift_ms;      /* time up to which clock_lead_ms allows for drift */
 };
 
 TAILQ_HEAD(cw_member_list, cw_member);
@@ -43,6 +46,9 @@
 				     const char *instance); /* NULL: unknown */
 void cw_membership_mark_seen(struct cw_member *member, uint64_t boot, int is_leaving,
 			     int64_t now_ms);
+uint32_t cw_membership_delay_ms(struct cw_member *member, int64_t sent_ms,
+				int64_t now_ms); /* of a message of this member, sent at sent_ms by
+						    its clock, beyond the fastest one */
 void cw_membership_mark_listed(struct cw_member *member, int is_leaving, int64_t now_ms);
 void cw_membership_remove_stale(
 	struct cw_membership *membership, int64_t now_ms,
--- a/packages/membership/src/membership.c
+++ b/packages/membership/src/membership.c
@@ -6,6 +6,7 @@
 
 #define UNREACHABLE_FACTOR   4	  /* time-outs without a sign of life */
 #define REPORT_MS_PER_MEMBER 15	  /* longest usual gap between two reports of one member */
+#define DRIFT_STEP_MS	     1000 /* two clocks drift by less than 1 ms in this time */
 #define SIGNIFICANT_GROWTH   1.25 /* ratio of sizes: many members had been unknown */
 
 struct cw_membership {
@@ -98,11 +99,31 @@
 void cw_membership_mark_seen(struct cw_member *member, uint64_t boot, int is_leaving,
 			     int64_t now_ms)
 {
+	if (member->boot != boot)
+		member->has_clock_lead = 0;
 	member->boot = boot;
 	member->is_leaving = is_leaving;
 	member->last_seen_ms = now_ms;
 }
 
+/* A message that waits for a stopped receiver carries ages that are too small by the wait. */
+uint32_t cw_membership_delay_ms(struct cw_member *member, int64_t sent_ms, int64_t now_ms)
+{
+	int64_t lead_ms = now_ms - sent_ms;
+
+	if (!member->has_clock_lead) {
+		member->has_clock_lead = 1;
+		member->clock_lead_ms = lead_ms;
+		member->drift_ms = now_ms;
+	}
+	if (now_ms - member->drift_ms >= DRIFT_STEP_MS) {
+		member->clock_lead_ms += (now_ms - member->drift_ms) / DRIFT_STEP_MS;
+		member->drift_ms = now_ms;
+	}
+	member->clock_lead_ms = MIN(member->clock_lead_ms, lead_ms);
+	return (uint32_t)MIN(lead_ms - member->clock_lead_ms, UINT32_MAX);
+}
+
 void cw_membership_mark_listed(struct cw_member *member, int is_leaving, int64_t now_ms)
 {
 	member->listed_ms = now_ms;
--- a/packages/node/src/node_gossip.c
+++ b/packages/node/src/node_gossip.c
@@ -354,7 +354,8 @@
 	merge_evidence(node, member, heartbeat);
 	merge_ratings(node, member, heartbeat);
 	merge_loads(node, heartbeat);
-	quarantine_merge(node, heartbeat);
+	quarantine_merge(node, heartbeat,
+			 cw_membership_delay_ms(member, heartbeat->asked_ms, node->now_ms));
 	grant_loans(node, member, heartbeat);
 	if (heartbeat->table_offset < cw_table_offset(node->table))
 		send_table(node, member, heartbeat->table_offset);
--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -323,7 +323,8 @@
 			 struct peer_held quarantined[CW_QUARANTINE_RECORDS_MAX],
 			 struct cw_quarantine_record records[CW_QUARANTINE_RECORDS_MAX],
 			 struct peer_heartbeat *heartbeat); /* points into the arrays */
-void quarantine_merge(struct cw_node *node, const struct peer_heartbeat *heartbeat);
+void quarantine_merge(struct cw_node *node, const struct peer_heartbeat *heartbeat,
+		      uint32_t delay_ms);
 char *quarantine_to_json(struct cw_node *node); /* list for operators; g_free */
 int quarantine_release(struct cw_node *node, const char *fingerprint); /* 0: not quarantined */
 
--- a/packages/node/src/node_quarantine.c
+++ b/packages/node/src/node_quarantine.c
@@ -15,6 +15,7 @@
 static int64_t attempt_run_ms(const struct cw_node *node, const struct request *request);
 static void log_quarantine_change(struct cw_node *node, const struct cw_quarantine_change *change);
 static void log_outages(struct cw_node *node);
+static uint32_t add_delay(uint32_t age_ms, uint32_t delay_ms);
 static void abort_quarantined(struct cw_node *node);
 static void write_next_record(struct cw_node *node);
 static struct json_object *record_to_json(const struct cw_quarantine_record *record);
@@ -189,7 +190,8 @@
 	heartbeat->held.held_val = quarantined;
 }
 
-void quarantine_merge(struct cw_node *node, const struct peer_heartbeat *heartbeat)
+void quarantine_merge(struct cw_node *node, const struct peer_heartbeat *heartbeat,
+		      uint32_t delay_ms)
 {
 	for (u_int i = 0; i < heartbeat->ends.ends_len; i++) {
 		const struct peer_end *peer = &heartbeat->ends.ends_val[i];
@@ -197,11 +199,11 @@
 			.fingerprint = peer->fingerprint,
 			.server = peer->server,
 			.is_alive = peer->alive != 0,
-			.age_ms = peer->age_ms,
+			.age_ms = add_delay(peer->age_ms, delay_ms),
 			.ran_ms = peer->ran_ms,
 			.is_running = peer->running != 0,
 			.is_confirmed = peer->confirmed != 0,
-			.answered_ms = peer->answered_ms,
+			.answered_ms = add_delay(peer->answered_ms, delay_ms),
 		};
 
 		cw_quarantine_merge_crash(node->quarantine, &crash, node->now_ms);
@@ -211,7 +213,7 @@
 		struct cw_quarantine_record record = {
 			.fingerprint = peer->fingerprint,
 			.crash_count = peer->ends,
-			.age_ms = peer->age_ms,
+			.age_ms = add_delay(peer->age_ms, delay_ms),
 			.is_released = peer->released != 0,
 			.is_written = peer->written != 0,
 		};
@@ -223,6 +225,12 @@
 	}
 }
 
+/* CW_QUARANTINE_NEVER stays. */
+static uint32_t add_delay(uint32_t age_ms, uint32_t delay_ms)
+{
+	return age_ms < UINT32_MAX - delay_ms ? age_ms + delay_ms : age_ms;
+}
+
 char *quarantine_to_json(struct cw_node *node)
 {
 	struct cw_quarantine_record records[CW_QUARANTINE_MAX];
--- a/packages/quarantine/src/outages.c
+++ b/packages/quarantine/src/outages.c
@@ -13,6 +13,15 @@
 static void queue_finding(struct cw_quarantine *quarantine, const struct outage *outage,
 			  enum cw_quarantine_finding finding, int64_t now_ms);
 
+int64_t quarantine_stall_ms(const struct cw_quarantine *quarantine, int64_t now_ms)
+{
+	int64_t gap_ms = now_ms - quarantine->tick_ms;
+
+	if (quarantine->tick_ms && gap_ms > STALL_MS)
+		return gap_ms;
+	return now_ms < quarantine->stalled_until_ms ? quarantine->stall_ms : 0;
+}
+
 uint32_t outage_find_or_add(struct cw_quarantine *quarantine, const struct crash *crash,
 			    int64_t now_ms)
 {
@@ -20,7 +29,8 @@
 
 	/* The server had recovered in between; other instances may have noticed or may have had no
 	 * request for the server. */
-	if (outage && crash->is_running && crash->at_ms - crash->ran_ms > outage->at_ms + SKEW_MS) {
+	if (outage && crash->is_running &&
+	    crash->at_ms - crash->ran_ms > outage->at_ms + RESTART_MS + crash->lag_ms) {
 		outage->recovered_ms = crash->at_ms - crash->ran_ms;
 		outage = find_outage_at(quarantine, crash->server, crash->at_ms);
 	}
@@ -32,7 +42,8 @@
 	*outage = (struct outage){.number = (uint32_t)quarantine->outage_next,
 				  .server = crash->server,
 				  .at_ms = crash->at_ms,
-				  .detected_ms = crash->at_ms};
+				  .detected_ms = crash->at_ms,
+				  .lag_ms = DETECTION_LAG_MS + crash->lag_ms};
 	quarantine->newest_outage_ms = MAX(quarantine->newest_outage_ms, crash->at_ms);
 	queue_finding(quarantine, outage, CW_QUARANTINE_DETECTED, now_ms);
 	return outage->number;
@@ -206,8 +217,8 @@
 }
 
 /*
- * Returns the outage that covers at_ms, else the earliest one that began up to DETECTION_LAG_MS
- * later, as far as this instance knew. NULL: none.
+ * Returns the outage that covers at_ms, else the earliest one that began up to its lag later, as
+ * far as this instance knew. NULL: none.
  */
 static struct outage *find_outage_at(struct cw_quarantine *quarantine, uint64_t server,
 				     int64_t at_ms)
@@ -223,7 +234,7 @@
 			continue;
 		if (at_ms >= outage->at_ms)
 			return outage;
-		if (at_ms >= outage->detected_ms - DETECTION_LAG_MS && !outage->recovered_ms &&
+		if (at_ms >= outage->detected_ms - outage->lag_ms && !outage->recovered_ms &&
 		    (!later || outage->at_ms < later->at_ms))
 			later = outage;
 	}
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -70,8 +70,11 @@
 			      const struct cw_quarantine_request *request, uint64_t server,
 			      int64_t ran_ms, int is_running, int64_t now_ms)
 {
-	struct crash crash = {
-		.server = server, .at_ms = now_ms, .ran_ms = ran_ms, .is_running = is_running};
+	struct crash crash = {.server = server,
+			      .at_ms = now_ms,
+			      .ran_ms = ran_ms,
+			      .is_running = is_running,
+			      .lag_ms = quarantine_stall_ms(quarantine, now_ms)};
 	struct suspect *suspect = suspect_find_or_add(
 		quarantine, request->fingerprint, request->organisation, request->target, now_ms);
 
@@ -126,8 +129,10 @@
 {
 	struct suspect *suspect;
 
-	if (now_ms - quarantine->tick_ms > STALL_MS)
+	if (now_ms - quarantine->tick_ms > STALL_MS) {
+		quarantine->stall_ms = quarantine->tick_ms ? now_ms - quarantine->tick_ms : 0;
 		quarantine->stalled_until_ms = now_ms + STALL_MS;
+	}
 	quarantine->tick_ms = now_ms;
 	verify_answers(quarantine, now_ms);
 	if (quarantine->is_dirty)
--- a/packages/quarantine/src/quarantine_internal.h
+++ b/packages/quarantine/src/quarantine_internal.h
@@ -15,6 +15,7 @@
 #define OUTAGE_MS			 1000 /* breaks this soon after a crash belong to the same outage */
 #define DETECTION_LAG_MS		 500 /* a peer may detect an outage this much earlier */
 #define SKEW_MS				 10 /* error of a send time relative to an outage's start */
+#define RESTART_MS			 100 /* no server restarts and runs requests in less time */
 /* Servers that crash within this time share a cause, which charges a known request only once. */
 #define COMMON_CAUSE_MS 300
 #define BURST_MS	20 /* BURST_BREAKS requests that break within this time confirm a crash */
@@ -47,6 +48,7 @@
 	int64_t ran_ms;	  /* how long the request had run by then */
 	int is_running;	  /* not queued: ran_ms counts from the first byte of the answer */
 	int is_confirmed; /* the server crashed, rather than only dropped the connection */
+	int64_t lag_ms;	  /* at_ms may be late by as much */
 };
 
 /* A request that was running on a server when it crashed, or that is quarantined. */
@@ -98,6 +100,7 @@
 	uint64_t server;
 	int64_t at_ms;	      /* the earliest break */
 	int64_t detected_ms;  /* the break that this instance learned of first */
+	int64_t lag_ms;	      /* other instances may have detected the outage this much earlier */
 	int64_t recovered_ms; /* when the server was seen alive after the outage, 0: not yet */
 	unsigned int breaks;  /* requests that broke within BURST_MS of detected_ms */
 	int is_confirmed;     /* a crash, by more evidence than one broken request */
@@ -128,6 +131,7 @@
 	int64_t newest_outage_ms;
 	int64_t tick_ms;
 	int64_t stalled_until_ms; /* until then, bytes just read may have arrived long ago */
+	int64_t stall_ms;	  /* length of that stall */
 	size_t single_turn;	  /* round-robin position among the suspects with a single crash */
 	size_t record_turn; /* round-robin position among the records that did not change lately */
 	int is_dirty;	    /* crashes or answers arrived since the last judgement */
@@ -157,6 +161,8 @@
 			 struct cw_quarantine_record *record);
 
 /* outages.c */
+int64_t quarantine_stall_ms(const struct cw_quarantine *quarantine,
+			    int64_t now_ms); /* what is read now may have arrived this long ago */
 uint32_t outage_find_or_add(struct cw_quarantine *quarantine, const struct crash *crash,
 			    int64_t now_ms); /* the outage's number; 0: a false alarm */
 int outage_covers(const struct cw_quarantine *quarantine,
--- a/tests/unit/test_gossip.c
+++ b/tests/unit/test_gossip.c
@@ -1,5 +1,6 @@
 /* Gossip messages: decoding restores what was encoded, and rejects anything else. */
 #include "cw_gossip.h"
+#include "cw_membership.h"
 #include "unit.h"
 
 #include <glib.h>
@@ -100,6 +101,41 @@
 	assert_int_equal(read.servers_offset, 0);
 }
 
+/* Guards against crashes that an instance places too late, since it was stopped meanwhile. */
+static void ages_include_the_wait_of_the_message(void **state)
+{
+	struct cw_gossip gossip = {.servers_age_ms = CW_GOSSIP_NO_AGE,
+				   .crash_count = 2,
+				   .quarantined_count = 1,
+				   .member_count = 1};
+
+	gossip.crashes[0].age_ms = 40;
+	gossip.crashes[0].answered_ms = CW_QUARANTINE_NEVER;
+	gossip.crashes[1].answered_ms = 2000;
+	cw_gossip_add_delay(&gossip, 475);
+	assert_int_equal(gossip.crashes[0].age_ms, 515);
+	assert_int_equal(gossip.crashes[0].answered_ms, CW_QUARANTINE_NEVER);
+	assert_int_equal(gossip.crashes[1].age_ms, 475);
+	assert_int_equal(gossip.crashes[1].answered_ms, 2475);
+	assert_int_equal(gossip.quarantined[0].age_ms, 475);
+	assert_int_equal(gossip.members[0].age_ms, 475);
+	assert_int_equal(gossip.servers_age_ms, CW_GOSSIP_NO_AGE);
+}
+
+/* The two clocks differ by an unknown amount; the fastest message shows it. */
+static void the_wait_of_a_message_is_its_delay_beyond_the_fastest(void **state)
+{
+	struct cw_member member = {0};
+
+	cw_membership_mark_seen(&member, 7, 0, 1000);
+	assert_int_equal(cw_membership_delay_ms(&member, 90003, 1000), 0);
+	assert_int_equal(cw_membership_delay_ms(&member, 90103, 1098), 0);
+	assert_int_equal(cw_membership_delay_ms(&member, 90203, 1673), 475);
+	/* After a restart its clock may be another one. */
+	cw_membership_mark_seen(&member, 8, 0, 2000);
+	assert_int_equal(cw_membership_delay_ms(&member, 3, 2000), 0);
+}
+
 static void a_truncated_message_is_rejected(void **state)
 {
 	struct cw_gossip sent;
@@ -200,6 +236,8 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_message_is_decoded_as_it_was_encoded),
 		cmocka_unit_test(a_trimmed_message_is_small),
+		cmocka_unit_test(ages_include_the_wait_of_the_message),
+		cmocka_unit_test(the_wait_of_a_message_is_its_delay_beyond_the_fastest),
 		cmocka_unit_test(a_truncated_message_is_rejected),
 		cmocka_unit_test(a_message_with_any_byte_changed_does_no_harm),
 		cmocka_unit_test(a_message_larger_than_the_buffer_is_not_encoded),
--- a/tests/unit/test_quarantine_peers.c
+++ b/tests/unit/test_quarantine_peers.c
@@ -121,6 +121,53 @@
 	cw_quarantine_destroy(other);
 }
 
+/* Guards against a crash that counts twice: it came during a stall of this instance. */
+static void a_break_read_after_a_stall_belongs_to_the_outage_that_peers_report(void **state)
+{
+	struct cw_quarantine *quarantine = cw_quarantine_create();
+	struct cw_quarantine_crash report = {.fingerprint = POISON,
+					     .ran_ms = 40,
+					     .is_running = 1,
+					     .is_confirmed = 1,
+					     .age_ms = 700,
+					     .answered_ms = CW_QUARANTINE_NEVER};
+
+	cw_quarantine_tick(quarantine, NOW);
+	for (report.server = 1; report.server <= 2; report.server++) {
+		struct cw_quarantine_request poison = fixture_make_request(POISON, "museo");
+
+		cw_quarantine_note_break(quarantine, &poison, report.server, 740, 0, NOW + 800);
+		cw_quarantine_note_unreachable(quarantine, report.server, NOW + 800);
+		cw_quarantine_merge_crash(quarantine, &report, NOW + 800);
+	}
+	fixture_run_ticks(quarantine, NOW + 800, NOW + 800 + DECISION_MS);
+	assert_false(cw_quarantine_contains(quarantine, POISON));
+	cw_quarantine_destroy(quarantine);
+}
+
+/* Guards against a crash that counts twice: this instance read the answer's first byte late. */
+static void a_first_byte_read_late_shows_no_restart(void **state)
+{
+	struct cw_quarantine *quarantine = cw_quarantine_create();
+	struct cw_quarantine_crash report = {.fingerprint = POISON,
+					     .ran_ms = 40,
+					     .is_running = 1,
+					     .is_confirmed = 1,
+					     .answered_ms = CW_QUARANTINE_NEVER};
+
+	cw_quarantine_tick(quarantine, NOW);
+	for (report.server = 1; report.server <= 2; report.server++) {
+		struct cw_quarantine_request poison = fixture_make_request(POISON, "museo");
+
+		cw_quarantine_merge_crash(quarantine, &report, NOW);
+		cw_quarantine_note_break(quarantine, &poison, report.server, 20, 1, NOW + 50);
+		cw_quarantine_note_unreachable(quarantine, report.server, NOW + 50);
+	}
+	fixture_run_ticks(quarantine, NOW + 50, NOW + 50 + DECISION_MS);
+	assert_false(cw_quarantine_contains(quarantine, POISON));
+	cw_quarantine_destroy(quarantine);
+}
+
 /*
  * Guards against an instance that learns of the poison request too late: a hundred harmless
  * requests were on the same servers, sixty of them on two. A message holds few crashes, and they
@@ -181,6 +228,9 @@
 		cmocka_unit_test(records_alone_quarantine_a_request),
 		cmocka_unit_test(a_released_request_stays_released),
 		cmocka_unit_test(a_sign_of_life_at_a_peer_disproves_a_crash),
+		cmocka_unit_test(
+			a_break_read_after_a_stall_belongs_to_the_outage_that_peers_report),
+		cmocka_unit_test(a_first_byte_read_late_shows_no_restart),
 		cmocka_unit_test(the_request_with_the_most_crashes_is_announced_first),
 		cmocka_unit_test(unchanged_records_take_turns_in_messages),
 	};
