quarantine: the answer that releases a request reaches the peers

What callers saw: a harmless request that was quarantined with a poison request, and then answered in its trial, went on being rejected by all instances but the one that had run the trial, for up to ten minutes.

Cause: an answer is announced with the crashes of its request, four each, and 32 crashes fit in a message. Each answer of a request that had once been in a crash puts it into the messages again for a second, and those with more crashes come first. With eight or more frequent requests the released one never came.

Change: of the crashes before the last complete answer one is announced; it carries the answer, and the others no longer count.

Test that fails before: answers_of_frequent_requests_displace_no_release.

--- a/packages/quarantine/src/share.c
+++ b/packages/quarantine/src/share.c
@@ -165,7 +165,11 @@
 	suspect->changed_ms = now_ms;
 }
 
-/* Fills in the newest crashes; each carries the time of the last complete answer. */
+/*
+ * Fills in the newest crashes; each carries the time of the last complete answer, so one of those
+ * before it is enough. With four of each request, the answers of a few frequent ones filled every
+ * message, and peers did not learn of the answer that releases a quarantined request.
+ */
 static size_t announce_suspect(const struct suspect *suspect, int64_t now_ms,
 			       struct cw_quarantine_crash *crashes, size_t max)
 {
@@ -174,6 +178,8 @@
 	for (size_t i = suspect->crash_count; i-- > 0 && count < MIN(max, ANNOUNCED_CRASHES_MAX);) {
 		const struct crash *crash = &suspect->crashes[i];
 
+		if (count > 0 && crash->at_ms <= suspect->answered_ms)
+			break;
 		crashes[count++] = (struct cw_quarantine_crash){
 			.fingerprint = suspect->fingerprint,
 			.server = crash->server,
--- a/tests/unit/test_quarantine_peers.c
+++ b/tests/unit/test_quarantine_peers.c
@@ -121,6 +121,38 @@
 	cw_quarantine_destroy(other);
 }
 
+/*
+ * Guards against a harmless request that stays quarantined at all instances but the one that
+ * answered it: the answers of other requests fill the messages.
+ */
+static void answers_of_frequent_requests_displace_no_release(void **state)
+{
+	struct cw_quarantine *one = cw_quarantine_create();
+	struct cw_quarantine *other = cw_quarantine_create();
+
+	for (int server = 1; server <= 4; server++) {
+		for (int i = 0; i < 12; i++)
+			fixture_crash_server(one, HARMLESS + (uint64_t)i, (uint64_t)server,
+					     NOW + server * 50);
+		if (server > 1)
+			fixture_crash_server(other, HARMLESS + 20, (uint64_t)server,
+					     NOW + server * 50);
+		if (server > 2)
+			fixture_crash_server(one, HARMLESS + 20, (uint64_t)server,
+					     NOW + server * 50);
+	}
+	assert_true(cw_quarantine_contains(other, HARMLESS + 20));
+	cw_quarantine_note_answer(one, HARMLESS + 20, 9, 100, NOW + 1000);
+	for (int i = 0; i < 12; i++)
+		cw_quarantine_note_answer(one, HARMLESS + (uint64_t)i, 9, 100, NOW + 1000);
+	fixture_run_ticks(one, NOW + 1000, NOW + 2000);
+	fixture_run_ticks(other, NOW + 1000, NOW + 2000);
+	fixture_announce(one, other, NOW + 2000);
+	assert_false(cw_quarantine_contains(other, HARMLESS + 20));
+	cw_quarantine_destroy(one);
+	cw_quarantine_destroy(other);
+}
+
 /* Guards against a crash that counts twice: it came during a stall of this instance. */
 static void a_break_read_after_a_stall_belongs_to_the_outage_that_peers_report(void **state)
 {
@@ -228,6 +260,7 @@
 		cmocka_unit_test(records_alone_quarantine_a_request),
 		cmocka_unit_test(a_released_request_stays_released),
 		cmocka_unit_test(a_sign_of_life_at_a_peer_disproves_a_crash),
+		cmocka_unit_test(answers_of_frequent_requests_displace_no_release),
 		cmocka_unit_test(
 			a_break_read_after_a_stall_belongs_to_the_outage_that_peers_report),
 		cmocka_unit_test(a_first_byte_read_late_shows_no_restart),
