quarantine: a crash of another cause releases no request

What callers saw: a request that crashes each server that runs it goes on being sent; the other callers' streams break with the servers, and harmless requests are rejected in its place.

Cause: all was judged anew at each crash, by who took part in the most. A request that is quarantined takes part in no further crash, the harmless ones do: the next crash of any cause, also a network path that only looks like one, let the poison request go. Then each instance held another one of the tied requests.

Change: a decision stands once the peers' reports have had 200 ms to arrive; until then only crashes up to the decision count. If another request then explains the crashes better (it took part in more of them during the quarantine than the quarantined one did without it), it is quarantined as well. Both are doubtful: each gets a trial run, the less likely one after 1 s, the other after 5 s. A crash in a trial proves nothing while another suspect was there. A request that is often answered never supersedes one that never was. Decisions between equals are announced after 2 s, not 5: two instances that hold different ones of a tie send each other's, and the aim is 3 s for all.

Why it works: the state after a wrong first decision (both held, a trial to tell) costs the poison request one more crash, and the right first decision can't be undone by crashes alone.

--- a/packages/quarantine/src/judge.c
+++ b/packages/quarantine/src/judge.c
@@ -7,11 +7,17 @@
  */
 #include "quarantine_internal.h"
 
-static void mark_ambiguous(struct cw_quarantine *quarantine, int64_t now_ms);
-static int is_covered_by_other(const struct cw_quarantine *quarantine,
-			       const struct suspect *suspect, int64_t since_ms, int64_t now_ms);
-static int crashed_without(const struct cw_quarantine *quarantine, const struct suspect *other,
-			   const struct suspect *suspect, int64_t since_ms, int64_t now_ms);
+static int64_t unsettled_since_ms(const struct cw_quarantine *quarantine, int64_t now_ms);
+static int stands(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+		  int64_t now_ms);
+static void mark_doubtful(struct cw_quarantine *quarantine, int64_t now_ms);
+static int is_covered(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+		      int64_t now_ms);
+static int is_superseded(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+			 int64_t now_ms);
+static size_t count_crashes_without(const struct cw_quarantine *quarantine,
+				    const struct suspect *other, const struct suspect *suspect,
+				    int64_t since_ms, int64_t now_ms);
 static void find_culprits(struct cw_quarantine *quarantine, int64_t now_ms);
 static struct suspect *find_likeliest(struct cw_quarantine *quarantine, int64_t now_ms);
 static int is_likelier(const struct suspect *suspect, size_t count, const struct suspect *likeliest,
@@ -24,24 +30,38 @@
 static int64_t mean_ran_ms(const struct suspect *suspect);
 static unsigned int count_alternatives(const struct cw_quarantine *quarantine,
 				       struct suspect *suspect, int64_t now_ms);
+static size_t count_evidence(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+			     int64_t now_ms);
 static size_t count_shared(const struct cw_quarantine *quarantine, const struct suspect *suspect,
 			   const struct suspect *other, int64_t now_ms, size_t *own);
 static int are_reports_settled(const struct cw_quarantine *quarantine,
 			       const struct suspect *suspect, int64_t now_ms);
 
 /*
- * Judges from scratch each time, except for committed decisions, which peers know. An instance
- * learns of a crash from its own requests first, so a harmless request may have the most crashes
- * until the reports of the peers have arrived.
+ * Judges from scratch each time, except for decisions that stand. An instance learns of a crash
+ * from its own requests first, so a harmless request may have the most crashes until the reports of
+ * the peers have arrived.
+ *
+ * Symptom this prevents: a poison request was released whenever a server crashed for another
+ * reason. It can't take part in further crashes while it is quarantined, and the harmless requests
+ * can, so their crash counts exceed its own. So a later crash quarantines another request as well
+ * at most, and a trial run tells which of the two is harmless.
  */
 void quarantine_judge(struct cw_quarantine *quarantine, int64_t now_ms)
 {
 	struct suspect *suspect;
 
 	quarantine->is_dirty = 0;
-	mark_ambiguous(quarantine, now_ms);
+	quarantine->judged_until_ms = unsettled_since_ms(quarantine, now_ms);
+	if (quarantine->judged_until_ms < INT64_MAX)
+		quarantine->is_dirty = 1;
+	mark_doubtful(quarantine, now_ms);
 	TAILQ_FOREACH(suspect, &quarantine->suspects, link)
-		suspect->is_culprit = suspect->quarantined_ms && suspect->is_committed;
+		suspect->is_culprit =
+			suspect->quarantined_ms && stands(quarantine, suspect, now_ms);
+	TAILQ_FOREACH(suspect, &quarantine->suspects, link)
+		if (suspect->is_culprit && !suspect->is_committed)
+			suspect->alternatives = count_alternatives(quarantine, suspect, now_ms);
 	find_culprits(quarantine, now_ms);
 	TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
 		if (suspect->is_culprit && !suspect->quarantined_ms)
@@ -49,6 +69,66 @@
 		else if (!suspect->is_culprit && suspect->quarantined_ms)
 			suspect_withdraw(quarantine, suspect, now_ms);
 	}
+	quarantine->judged_until_ms = INT64_MAX;
+}
+
+/*
+ * Whether a quarantined request may be in the place of another one. The other one is in quarantine
+ * too, so no crash will tell them apart. The likelier one waits longer for its trial: if the first
+ * trial ends with an answer, no other is needed.
+ */
+int suspect_is_doubtful(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+			int64_t now_ms)
+{
+	const struct suspect *other;
+	size_t own = count_evidence(quarantine, suspect, now_ms);
+	int is_likeliest = 1;
+	size_t left = 0;
+
+	for (size_t i = 0; i < suspect->crash_count; i++) {
+		const struct crash *crash = &suspect->crashes[i];
+		int is_shared = 0;
+
+		if (!is_evidence(quarantine, suspect, crash, now_ms))
+			continue;
+		TAILQ_FOREACH(other, &quarantine->suspects, link) {
+			if (other == suspect || !other->quarantined_ms ||
+			    !suspect_find_crash(other, crash->outage))
+				continue;
+			is_shared = 1;
+			is_likeliest &= own > count_evidence(quarantine, other, now_ms);
+		}
+		left += !is_shared;
+	}
+	return left < CRASHES_TO_QUARANTINE && left < own &&
+	       now_ms - suspect->quarantined_ms >= (is_likeliest ? LIKELIER_TRIAL_MS : COMMIT_MS);
+}
+
+/*
+ * A run that began during the quarantine, as a trial or at an instance that had not learned of the
+ * quarantine, crashed its server, which proves a poison request. It proves nothing if another
+ * suspect may have crashed the server.
+ */
+int suspect_is_proven(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+		      int64_t now_ms)
+{
+	for (size_t i = 0; i < suspect->crash_count; i++) {
+		const struct crash *crash = &suspect->crashes[i];
+		const struct suspect *other;
+
+		if (crash->at_ms - crash->ran_ms <= suspect->quarantined_ms)
+			continue;
+		TAILQ_FOREACH(other, &quarantine->suspects, link) {
+			const struct crash *same = suspect_find_crash(other, crash->outage);
+
+			if (other != suspect && same &&
+			    count_evidence(quarantine, other, now_ms) >= CRASHES_TO_QUARANTINE)
+				break;
+		}
+		if (!other)
+			return 1;
+	}
+	return 0;
 }
 
 struct crash *suspect_find_crash(const struct suspect *suspect, uint32_t outage)
@@ -59,32 +139,50 @@
 	return NULL;
 }
 
+/* Start of the earliest quarantine that reports still under way may change; INT64_MAX: none. */
+static int64_t unsettled_since_ms(const struct cw_quarantine *quarantine, int64_t now_ms)
+{
+	const struct suspect *suspect;
+	int64_t since_ms = INT64_MAX;
+
+	TAILQ_FOREACH(suspect, &quarantine->suspects, link)
+		if (suspect->quarantined_ms && !suspect->is_committed && !suspect->is_short &&
+		    now_ms - suspect->quarantined_ms < SETTLE_MS)
+			since_ms = MIN(since_ms, suspect->quarantined_ms);
+	return since_ms;
+}
+
+static int stands(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+		  int64_t now_ms)
+{
+	if (suspect->is_committed)
+		return 1;
+	return !suspect->is_short && now_ms - suspect->quarantined_ms >= SETTLE_MS &&
+	       count_evidence(quarantine, suspect, now_ms) >= CRASHES_TO_QUARANTINE;
+}
+
 /*
  * Symptom this prevents: a body that all callers send stays quarantined for ten minutes because it
  * took part in the same crashes as the request that caused them. Where two requests crash servers,
  * sharing the crashes does not clear a request either, so an ambiguous request gets a trial run
  * before its release.
  */
-static void mark_ambiguous(struct cw_quarantine *quarantine, int64_t now_ms)
+static void mark_doubtful(struct cw_quarantine *quarantine, int64_t now_ms)
 {
 	struct suspect *suspect;
 
 	TAILQ_FOREACH(suspect, &quarantine->suspects, link) {
-		if (!suspect->quarantined_ms || !suspect->is_committed ||
-		    suspect->crash_count < CRASHES_TO_QUARANTINE)
+		if (!suspect->quarantined_ms || suspect->crash_count < CRASHES_TO_QUARANTINE)
 			continue;
-		suspect->is_ambiguous |= is_covered_by_other(quarantine, suspect, 0, now_ms);
-		suspect->is_superseded |=
-			is_covered_by_other(quarantine, suspect, suspect->quarantined_ms, now_ms);
+		suspect->is_superseded = is_superseded(quarantine, suspect, now_ms);
+		if (suspect->is_committed)
+			suspect->is_ambiguous |= is_covered(quarantine, suspect, now_ms);
 	}
 }
 
-/*
- * Whether another suspect took part in all crashes of `suspect` and, if since_ms is set, in one
- * more crash after since_ms.
- */
-static int is_covered_by_other(const struct cw_quarantine *quarantine,
-			       const struct suspect *suspect, int64_t since_ms, int64_t now_ms)
+/* Whether another suspect took part in all crashes of `suspect`. */
+static int is_covered(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+		      int64_t now_ms)
 {
 	const struct suspect *other;
 
@@ -95,24 +193,55 @@
 		if (other == suspect || other->crash_count < CRASHES_TO_QUARANTINE)
 			continue;
 		shared = count_shared(quarantine, suspect, other, now_ms, &own);
-		if (own > 0 && shared == own &&
-		    (!since_ms || crashed_without(quarantine, other, suspect, since_ms, now_ms)))
+		if (own > 0 && shared == own)
 			return 1;
 	}
 	return 0;
 }
 
-static int crashed_without(const struct cw_quarantine *quarantine, const struct suspect *other,
-			   const struct suspect *suspect, int64_t since_ms, int64_t now_ms)
+/*
+ * Whether another suspect explains the crashes of `suspect` better: without the crashes they share
+ * `suspect` would not be quarantined, and the other one took part in more crashes during the
+ * quarantine than `suspect` did without the other one.
+ */
+static int is_superseded(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+			 int64_t now_ms)
 {
-	for (size_t i = 0; i < other->crash_count; i++)
-		if (other->crashes[i].at_ms > since_ms &&
-		    is_evidence(quarantine, other, &other->crashes[i], now_ms) &&
-		    !suspect_find_crash(suspect, other->crashes[i].outage))
+	const struct suspect *other;
+
+	if (suspect_is_proven(quarantine, suspect, now_ms))
+		return 0;
+	TAILQ_FOREACH(other, &quarantine->suspects, link) {
+		size_t own;
+		size_t alone;
+
+		if (other == suspect || other->crash_count < CRASHES_TO_QUARANTINE ||
+		    (other->answered_ms >= 0 && suspect->answered_ms < 0))
+			continue;
+		alone = count_shared(quarantine, suspect, other, now_ms, &own);
+		alone = own - alone;
+		if (own > 0 && alone < CRASHES_TO_QUARANTINE &&
+		    count_crashes_without(quarantine, other, suspect, suspect->quarantined_ms,
+					  now_ms) > alone)
 			return 1;
+	}
 	return 0;
 }
 
+/* Counts the crashes of `other` later than since_ms that `suspect` took no part in. */
+static size_t count_crashes_without(const struct cw_quarantine *quarantine,
+				    const struct suspect *other, const struct suspect *suspect,
+				    int64_t since_ms, int64_t now_ms)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < other->crash_count; i++)
+		count += other->crashes[i].at_ms > since_ms &&
+			 is_evidence(quarantine, other, &other->crashes[i], now_ms) &&
+			 !suspect_find_crash(suspect, other->crashes[i].outage);
+	return count;
+}
+
 static void find_culprits(struct cw_quarantine *quarantine, int64_t now_ms)
 {
 	struct suspect *suspect;
@@ -195,8 +324,9 @@
 static int is_evidence(const struct cw_quarantine *quarantine, const struct suspect *suspect,
 		       const struct crash *crash, int64_t now_ms)
 {
-	return crash->at_ms > suspect->answered_ms && now_ms - crash->at_ms < EVIDENCE_MS &&
-	       crash->is_confirmed && outage_covers(quarantine, crash);
+	return crash->at_ms > suspect->answered_ms && crash->at_ms <= quarantine->judged_until_ms &&
+	       now_ms - crash->at_ms < EVIDENCE_MS && crash->is_confirmed &&
+	       outage_covers(quarantine, crash);
 }
 
 /* The crashes of a superseded request count against the other request as well. */
@@ -244,6 +374,16 @@
 	return alternatives;
 }
 
+static size_t count_evidence(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+			     int64_t now_ms)
+{
+	size_t count = 0;
+
+	for (size_t i = 0; i < suspect->crash_count; i++)
+		count += is_evidence(quarantine, suspect, &suspect->crashes[i], now_ms);
+	return count;
+}
+
 /*
  * Counts the crashes that both took part in; *own receives how many of the crashes of suspect are
  * evidence.
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -3,7 +3,6 @@
 
 #include <string.h>
 
-static int crashed_in_trial(const struct suspect *suspect);
 static void verify_answers(struct cw_quarantine *quarantine, int64_t now_ms);
 static void evict_suspect(struct cw_quarantine *quarantine, const char *organisation);
 static struct suspect *find_least_likely(struct cw_quarantine *quarantine,
@@ -21,6 +20,7 @@
 
 	TAILQ_INIT(&quarantine->suspects);
 	quarantine->by_fingerprint = g_hash_table_new(g_int64_hash, g_int64_equal);
+	quarantine->judged_until_ms = INT64_MAX;
 	return quarantine;
 }
 
@@ -51,10 +51,11 @@
 {
 	const struct suspect *suspect = suspect_find(quarantine, fingerprint);
 
-	if (!suspect || !suspect->quarantined_ms || !suspect->is_ambiguous ||
-	    crashed_in_trial(suspect))
+	if (!suspect || !suspect->quarantined_ms ||
+	    (suspect->trial_ms && now_ms - suspect->trial_ms < TRIAL_GAP_MS))
 		return 0;
-	return !suspect->trial_ms || now_ms - suspect->trial_ms >= TRIAL_GAP_MS;
+	return (suspect->is_ambiguous || suspect_is_doubtful(quarantine, suspect, now_ms)) &&
+	       !suspect_is_proven(quarantine, suspect, now_ms);
 }
 
 void cw_quarantine_begin_trial(struct cw_quarantine *quarantine, uint64_t fingerprint,
@@ -141,7 +142,7 @@
 	while (suspect) {
 		struct suspect *next = TAILQ_NEXT(suspect, link);
 
-		if (suspect->quarantined_ms && !suspect->is_short &&
+		if (suspect->quarantined_ms && !suspect->is_short && !suspect->is_superseded &&
 		    now_ms - suspect->quarantined_ms >=
 			    (suspect->is_sole_candidate ? COMMIT_MS : COMMIT_AMBIGUOUS_MS) &&
 		    !suspect->is_committed) {
@@ -407,19 +408,6 @@
 	}
 }
 
-/*
- * A run that began during the quarantine, as a trial at any instance, crashed its server, which
- * proves a poison request.
- */
-static int crashed_in_trial(const struct suspect *suspect)
-{
-	for (size_t i = 0; i < suspect->crash_count; i++)
-		if (suspect->crashes[i].at_ms - suspect->crashes[i].ran_ms >
-		    suspect->quarantined_ms)
-			return 1;
-	return 0;
-}
-
 /*
  * Marks requests as answered if their servers stayed up for FINISHED_MS after the complete answer.
  */
--- a/packages/quarantine/src/quarantine_internal.h
+++ b/packages/quarantine/src/quarantine_internal.h
@@ -28,7 +28,8 @@
 #define IN_FLIGHT_MS	      50 /* after a crash; bytes sent before have been read by then */
 #define SETTLE_MS	      200 /* after a crash; peers' reports of the crash have arrived by then */
 #define COMMIT_MS	      1000 /* a decision that stands this long is announced and persisted */
-#define COMMIT_AMBIGUOUS_MS   5000 /* the same if another request took part in as many crashes */
+#define COMMIT_AMBIGUOUS_MS   2000 /* the same if another request took part in as many crashes */
+#define LIKELIER_TRIAL_MS     5000 /* wait of the likelier of two doubtful requests */
 #define QUARANTINE_MS	      600000 /* a poison request costs three crashes in ten minutes */
 #define SHORT_QUARANTINE_MS   10000  /* for a request answered before: servers may be at fault */
 #define EVIDENCE_MS	      600000 /* age up to which a crash counts as evidence */
@@ -71,7 +72,7 @@
 	int is_culprit;		/* found by the judgement that is running */
 	int is_sole_candidate;	/* no other request took part in as many of its crashes */
 	int is_ambiguous;  /* while quarantined: another request took part in all of its crashes */
-	int is_superseded; /* such a request took part in one more crash since */
+	int is_superseded; /* while quarantined: another request explains its crashes better */
 	int64_t trial_ms;  /* last trial run by this instance during the quarantine, 0: none */
 	unsigned int alternatives; /* alternative suspects, in two or more of its crashes */
 };
@@ -133,6 +134,7 @@
 	int64_t stalled_until_ms; /* until then, bytes just read may have arrived long ago */
 	int64_t stall_ms;	  /* length of that stall */
 	size_t single_turn;	  /* round-robin position among the suspects with a single crash */
+	int64_t judged_until_ms;  /* later crashes do not count in the judgement that is running */
 	size_t record_turn; /* round-robin position among the records that did not change lately */
 	int is_dirty;	    /* crashes or answers arrived since the last judgement */
 };
@@ -179,6 +181,10 @@
 
 /* judge.c */
 struct crash *suspect_find_crash(const struct suspect *suspect, uint32_t outage); /* NULL: none */
+int suspect_is_doubtful(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+			int64_t now_ms); /* another quarantined request explains its crashes */
+int suspect_is_proven(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+		      int64_t now_ms); /* crashed a server alone during its quarantine */
 void quarantine_judge(struct cw_quarantine *quarantine, int64_t now_ms);
 
 #endif
