quarantine: a crash long after a trial's answer proves nothing

What callers saw: a harmless request was quarantined with a poison request, its trial run was answered, and it stayed rejected for ten minutes. A poison request in the same state got a trial every ten seconds, each of which cost a server.

Cause: a request that was answered within the second before a crash is charged with the crash, since a short answer can be complete before its request crashes the server. So a network path that failed 0.2 to 1 s after the answer of a trial counted as proof, and a second failure of that server in the same second too. The harmless request's late charge then stood beside the poison request's crash in its trial, which proved nothing while another suspect was there.

Evidence: test_quarantine_storm (three instances, two servers, eight callers of eleven bodies, a poison request, paths that fail, stopped instances, in virtual time).

Change: a crash later than 100 ms after the answer proves nothing, does not count for a doubt, and is not announced; only the first crash after an answer is charged. It still counts towards the three crashes that quarantine a request, and such an answer still clears nothing.

--- a/packages/quarantine/src/judge.c
+++ b/packages/quarantine/src/judge.c
@@ -98,7 +98,7 @@
 			is_shared = 1;
 			is_likeliest &= own > count_evidence(quarantine, other, now_ms);
 		}
-		left += !is_shared;
+		left += !is_shared && !crash->is_late;
 	}
 	return left < CRASHES_TO_QUARANTINE && left < own &&
 	       now_ms - suspect->quarantined_ms >= (is_likeliest ? LIKELIER_TRIAL_MS : COMMIT_MS);
@@ -106,8 +106,8 @@
 
 /*
  * A run that began during the quarantine, as a trial or at an instance that had not learned of the
- * quarantine, crashed its server, which proves a poison request. It proves nothing if another
- * suspect may have crashed the server.
+ * quarantine, crashed its server, which proves a poison request. It proves nothing if the answer
+ * was complete long before, or if another suspect may have crashed the server.
  */
 int suspect_is_proven(const struct cw_quarantine *quarantine, const struct suspect *suspect,
 		      int64_t now_ms)
@@ -116,12 +116,12 @@
 		const struct crash *crash = &suspect->crashes[i];
 		const struct suspect *other;
 
-		if (crash->at_ms - crash->ran_ms <= suspect->quarantined_ms)
+		if (crash->is_late || crash->at_ms - crash->ran_ms <= suspect->quarantined_ms)
 			continue;
 		TAILQ_FOREACH(other, &quarantine->suspects, link) {
 			const struct crash *same = suspect_find_crash(other, crash->outage);
 
-			if (other != suspect && same &&
+			if (other != suspect && same && !same->is_late &&
 			    count_evidence(quarantine, other, now_ms) >= CRASHES_TO_QUARANTINE)
 				break;
 		}
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -395,12 +395,18 @@
 	for (size_t i = 0; i < FINISHED_KEPT; i++) {
 		struct finished *finished = &quarantine->finished[i];
 		struct crash crash = {
-			.server = server, .at_ms = at_ms, .ran_ms = at_ms - finished->sent_ms};
+			.server = server,
+			.at_ms = at_ms,
+			.ran_ms = at_ms - finished->sent_ms,
+			.is_late = finished->is_answered &&
+				   at_ms - finished->finished_ms > ANSWER_CRASH_MS,
+		};
 
 		if (finished->server != server || !finished->finished_ms ||
-		    finished->finished_ms > at_ms || at_ms - finished->finished_ms > FINISHED_MS)
+		    finished->finished_ms > at_ms || at_ms - finished->finished_ms > FINISHED_MS ||
+		    (finished->charged_ms && at_ms > finished->charged_ms + RESTART_MS))
 			continue;
-		finished->is_answered = 0;
+		finished->charged_ms = at_ms;
 		suspect_add_crash(
 			quarantine,
 			suspect_find_or_add(quarantine, finished->fingerprint, "", "", now_ms),
@@ -425,7 +431,7 @@
 		if (now_ms - finished->finished_ms < FINISHED_MS)
 			return;
 		quarantine->finished_verified++;
-		if (!finished->is_answered)
+		if (!finished->is_answered || finished->charged_ms)
 			continue;
 		answered->fingerprint = finished->fingerprint;
 		answered->at_ms = finished->finished_ms;
--- a/packages/quarantine/src/quarantine_internal.h
+++ b/packages/quarantine/src/quarantine_internal.h
@@ -39,6 +39,7 @@
 #define ANNOUNCED_CRASHES_MAX 4	    /* newest crashes announced per suspect */
 #define ANNOUNCED_SINGLES_MAX 8	    /* suspects with a single crash, per message */
 #define FINISHED_MS	      1000 /* a finished request may still crash its server for this long */
+#define ANSWER_CRASH_MS	      100  /* a crash this soon after an answer is due to its request */
 #define TRIAL_GAP_MS	      10000 /* least time between two trials of a quarantined request */
 
 /* A server crash that a suspect request took part in. */
@@ -49,6 +50,7 @@
 	int64_t ran_ms;	  /* how long the request had run by then */
 	int is_running;	  /* not queued: ran_ms counts from the first byte of the answer */
 	int is_confirmed; /* the server crashed, rather than only dropped the connection */
+	int is_late;	  /* longer than ANSWER_CRASH_MS after the run's complete answer */
 	int64_t lag_ms;	  /* at_ms may be late by as much */
 };
 
@@ -85,7 +87,8 @@
 	uint64_t server;
 	int64_t sent_ms;
 	int64_t finished_ms;
-	int is_answered; /* completely: the request is harmless if the server stays up */
+	int is_answered;    /* completely: the request is harmless if the server stays up */
+	int64_t charged_ms; /* the crash of the server since, 0: none */
 };
 
 #define FINISHED_KEPT		   256 /* requests finished in the last second */
--- a/packages/quarantine/src/share.c
+++ b/packages/quarantine/src/share.c
@@ -180,6 +180,8 @@
 
 		if (count > 0 && crash->at_ms <= suspect->answered_ms)
 			break;
+		if (crash->is_late)
+			continue;
 		crashes[count++] = (struct cw_quarantine_crash){
 			.fingerprint = suspect->fingerprint,
 			.server = crash->server,
--- a/tests/unit/test_quarantine_doubt.c
+++ b/tests/unit/test_quarantine_doubt.c
@@ -107,6 +107,28 @@
 	cw_quarantine_destroy(quarantine);
 }
 
+/* Guards against a harmless request that is taken for proven: its server crashed later on. */
+static void a_crash_long_after_the_answer_of_a_trial_proves_nothing(void **state)
+{
+	struct cw_quarantine *quarantine = cw_quarantine_create();
+
+	for (int server = 1; server <= 3; server++)
+		crash_both(quarantine, (uint64_t)server, 10, NOW + server * 50);
+	fixture_run_ticks(quarantine, NOW + 200, NOW + 8000);
+	fixture_crash_server(quarantine, POISON, 4, NOW + 8000);
+	assert_true(cw_quarantine_contains(quarantine, HARMLESS));
+	fixture_run_ticks(quarantine, NOW + 8000, NOW + 9500);
+	cw_quarantine_begin_trial(quarantine, HARMLESS, NOW + 9500);
+	cw_quarantine_note_answer(quarantine, HARMLESS, 5, 100, NOW + 9600);
+	/* Crashes of another cause, the second one after a restart of the server. */
+	fixture_crash_server(quarantine, HARMLESS + 1, 5, NOW + 9900);
+	fixture_crash_server(quarantine, HARMLESS + 2, 5, NOW + 10580);
+	fixture_run_ticks(quarantine, NOW + 10580, NOW + 20000);
+	assert_true(cw_quarantine_contains(quarantine, POISON));
+	assert_true(cw_quarantine_wants_trial(quarantine, HARMLESS, NOW + 20000));
+	cw_quarantine_destroy(quarantine);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -114,6 +136,7 @@
 		cmocka_unit_test(a_request_quarantined_in_place_of_another_is_tried_within_seconds),
 		cmocka_unit_test(a_trial_that_another_suspect_may_have_crashed_proves_nothing),
 		cmocka_unit_test(crashes_of_a_second_poison_request_quarantine_it_too),
+		cmocka_unit_test(a_crash_long_after_the_answer_of_a_trial_proves_nothing),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
