rollout: slow answers of one server whose waits overlap are one observation

Cause: each slow answer counted as evidence of its own. Prompts that wait for each other at one server say one thing, that its queue was long.

Change: evidence carries its server and how long the request waited. A slow answer whose request was sent before the last counted slow answer of that server, for the same version, is left out of the counts, if the server has answered in time within the last 8 s: a version that is slow itself does not, and all its slow answers count. Slow event gaps of overlapping streams are treated alike.

--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -187,7 +187,8 @@
 
 	if (call->events_forwarded < STREAM_SAMPLE_MIN_EVENTS)
 		return;
-	gap_ms = (double)(now_ms - call->head_ms) / call->events_forwarded;
+	answer.waited_ms = now_ms - call->head_ms;
+	gap_ms = (double)answer.waited_ms / call->events_forwarded;
 	if (timing->event_gap_ms > 0 && gap_ms > SLOW_FACTOR * timing->event_gap_ms)
 		cw_rollouts_mark_answer_slow(call->gate->rollouts, &answer, now_ms);
 	if (timing->event_gap_ms <= 0)
@@ -288,6 +289,7 @@
 
 	answer.is_failure = is_failure;
 	answer.is_slow = is_slow;
+	answer.waited_ms = now_ms - call->sent_ms;
 	cw_rollouts_record_answer(call->gate->rollouts, &answer, now_ms);
 }
 
@@ -298,5 +300,6 @@
 		.software = call->server->software,
 		.route = call->route_hash,
 		.is_loaded = call->server_was_loaded,
+		.server = call->server->id,
 	};
 }
--- a/packages/rollout/include/cw_rollout.h
+++ b/packages/rollout/include/cw_rollout.h
@@ -80,7 +80,9 @@
 	const char *service;
 	const char *software;
 	uint64_t route;
-	int is_loaded; /* over half of the server's slots were in use at dispatch */
+	int is_loaded;	   /* over half of the server's slots were in use at dispatch */
+	uint64_t server;   /* cw_server.id */
+	int64_t waited_ms; /* from the request's send, or the stream's begin, to the answer */
 	int is_failure;
 	int is_slow; /* latency far above the prediction */
 };
--- a/packages/rollout/src/evidence.c
+++ b/packages/rollout/src/evidence.c
@@ -36,6 +36,10 @@
 
 static struct rollout_dispatches sum_dispatches(const struct rollout *rollout);
 static int is_slowness_counted(const struct rollout *rollout, int64_t now_ms);
+static int is_repeated_wait(struct rollout *rollout, const struct cw_rollout_answer *answer,
+			    int64_t now_ms);
+static struct rollout_server *find_server(struct rollout *rollout,
+					  const struct cw_rollout_answer *answer);
 static struct cw_rollout_evidence *
 find_own_kind(struct rollout *rollout, const struct cw_rollout_answer *answer, int64_t now_ms);
 static struct cw_rollout_evidence *find_kind(struct cw_rollout_evidence *kinds, size_t *count,
@@ -56,13 +60,19 @@
 {
 	struct rollout *rollout = rollout_find(rollouts, answer->service);
 	struct cw_rollout_evidence *kind;
+	int is_slow;
 	int is_bad;
 
 	if (!rollout)
 		return;
-	is_bad = answer->is_failure || (answer->is_slow && is_slowness_counted(rollout, now_ms));
+	is_slow = !answer->is_failure && answer->is_slow && is_slowness_counted(rollout, now_ms);
+	is_bad = answer->is_failure || is_slow;
 	rollout_compare_answer(rollout, answer);
 	kind = find_own_kind(rollout, answer, now_ms);
+	if (!is_bad)
+		find_server(rollout, answer)->in_time_ms = now_ms;
+	if (is_slow && is_repeated_wait(rollout, answer, now_ms))
+		return;
 	if (!strcmp(rollout->target, answer->software)) {
 		kind->new_answers += 1;
 		kind->new_bad += (float)is_bad;
@@ -82,16 +92,57 @@
 {
 	struct rollout *rollout = rollout_find(rollouts, answer->service);
 	struct cw_rollout_evidence *kind;
+	int is_target;
 
 	if (!rollout || !is_slowness_counted(rollout, now_ms))
 		return;
 	kind = find_own_kind(rollout, answer, now_ms);
-	if (!strcmp(rollout->target, answer->software))
+	is_target = !strcmp(rollout->target, answer->software);
+	if (is_repeated_wait(rollout, answer, now_ms)) {
+		/* Counted as good when it began, which it is not. */
+		if (is_target)
+			kind->new_answers = MAX(kind->new_answers - 1, kind->new_bad);
+		else
+			kind->old_answers = MAX(kind->old_answers - 1, kind->old_bad);
+		return;
+	}
+	if (is_target)
 		kind->new_bad = MIN(kind->new_bad + 1, kind->new_answers);
 	else
 		kind->old_bad = MIN(kind->old_bad + 1, kind->old_answers);
 }
 
+/*
+ * Symptom this prevents: a good version was rolled back for eleven slow answers of 26 that had
+ * waited for each other at one server. Slow answers of a server whose waits overlap are one
+ * observation, of its queue, if the server has lately answered in time: a version that is slow
+ * itself does not.
+ */
+static int is_repeated_wait(struct rollout *rollout, const struct cw_rollout_answer *answer,
+			    int64_t now_ms)
+{
+	struct rollout_server *server = find_server(rollout, answer);
+
+	if (server->counted_ms >= 0 && now_ms - answer->waited_ms <= server->counted_ms &&
+	    server->in_time_ms >= 0 && now_ms - server->in_time_ms < DECAY_MS)
+		return 1;
+	server->counted_ms = now_ms;
+	return 0;
+}
+
+static struct rollout_server *find_server(struct rollout *rollout,
+					  const struct cw_rollout_answer *answer)
+{
+	int is_target = !strcmp(rollout->target, answer->software);
+	struct rollout_server *server =
+		&rollout->servers[is_target][answer->server % ROLLOUT_SERVERS];
+
+	if (server->server != answer->server || !server->is_used)
+		*server = (struct rollout_server){
+			.server = answer->server, .is_used = 1, .in_time_ms = -1, .counted_ms = -1};
+	return server;
+}
+
 void rollout_decay_evidence(struct rollout *rollout, int64_t now_ms)
 {
 	float elapsed_ms = (float)(now_ms - rollout->decayed_ms);
--- a/packages/rollout/src/rollout_internal.h
+++ b/packages/rollout/src/rollout_internal.h
@@ -58,6 +58,16 @@
 	double llr;
 };
 
+/* Newest answers of one server, to tell its queue from a slow version. */
+struct rollout_server {
+	uint64_t server; /* cw_server.id */
+	int is_used;
+	int64_t in_time_ms; /* last answer that was not slow, -1: none */
+	int64_t counted_ms; /* last slow answer that counted, -1: none */
+};
+
+#define ROLLOUT_SERVERS 128 /* kept per version; of two that share a slot the newer one stays */
+
 struct rollout {
 	TAILQ_ENTRY(rollout) link;
 	char service[CW_NAME_MAX];
@@ -73,6 +83,7 @@
 	int is_ordered; /* 0: only the published status is known */
 	size_t kind_count;
 	struct cw_rollout_evidence kinds[CW_ROLLOUT_MAX_KINDS];
+	struct rollout_server servers[2][ROLLOUT_SERVERS]; /* of the old version, of the target */
 	int has_loaded_answer; /* here or at a peer: a server of the target answered under load */
 	int has_passed_trial;  /* here or at a peer: the target passed the trial under load */
 	int64_t effective_ms[CW_ROLLOUT_STEP_COUNT]; /* start of each step, since the order */
