gate, pool: a wait behind prompts of other instances is no slow answer

Cause: an answer is slow if it takes four times what was predicted at the send. Gossip is 150 ms and more old; when dozens of instances send their first prompts for a new version to the same few servers within one round, each predicts a wait without the others' prompts.

Change: the work that peers have announced at the server by the time of the answer, beyond what was known at the send, is added to what was expected, before the answer is called slow. Placement and learned timing are unchanged. `answer_head` logs late_work_ms and slow.

Why it holds for versions that are slow themselves: the work of prompts is counted as predicted, for a usual version; four times that and more is still slow.

Test: a_wait_behind_work_of_other_instances_is_not_slow; its third case fails without the added work.

--- a/apps/corianderwalk/entry_peers.c
+++ b/apps/corianderwalk/entry_peers.c
@@ -436,4 +436,9 @@
 			server->peers_work_ms += loads->loads[i].work_ms;
 		}
 	}
+	for (guint i = 0; i < peers->loaded_servers->len; i++) {
+		server = cw_pool_find(pool, g_array_index(peers->loaded_servers, uint64_t, i));
+		if (server)
+			cw_pool_record_peers_work(server, now_ms);
+	}
 }
--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -315,10 +315,12 @@
 
 	cw_event("gate", "answer_head",
 		 "request=%s status=%u sealed=%d not_run=%d predicted_ms=%.0f took_ms=%ld "
-		 "running=%u queued=%u loaded=%d confidence=%d asked=%d next=%s why=%s",
+		 "late_work_ms=%.0f slow=%d running=%u queued=%u loaded=%d confidence=%d asked=%d "
+		 "next=%s why=%s",
 		 relay->request_info.id, head->status, head->is_signed, head->is_not_run,
-		 predicted_ms, (long)took_ms, head->running, head->queued, step->was_under_load,
-		 head->confidence, step->confidence_threshold, step_names[step->kind],
+		 predicted_ms, (long)took_ms, step->late_work_ms, step->is_slow, head->running,
+		 head->queued, step->was_under_load, head->confidence, step->confidence_threshold,
+		 step_names[step->kind],
 		 step->kind == CW_STEP_FORWARD && step->reason ? step->reason : "-");
 }
 
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -42,6 +42,8 @@
 	int64_t retry_after_ms;	  /* -1: none */
 	const char *reason;	  /* CW_STEP_REJECT: message; CW_STEP_FORWARD: why not escalated */
 	int was_under_load;	  /* after an answer: the server was under load when it answered */
+	int is_slow;		  /* after an answer: evidence against the server's version */
+	double late_work_ms;	  /* after an answer: work of others learned of since the send */
 	int confidence_threshold; /* CW_STEP_FORWARD: threshold that applied; -1: none did */
 };
 
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -117,6 +117,8 @@
 	}
 	if (answer->status < 500)
 		call_work_record_head(call, now_ms);
+	step->is_slow = call->is_slow;
+	step->late_work_ms = call->late_work_ms;
 	if (!call->has_forwarded && call_model_should_escalate(call, answer, now_ms, step)) {
 		size_t small_index = call->model_index;
 
--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -34,6 +34,7 @@
 static double token_time_ms(const struct cw_call *call, const struct gate_timing *timing);
 static double uncached_tokens(const struct cw_call *call, int is_affinity_server);
 static double prefix_tokens(const struct cw_request_info *info);
+static double late_work_ms(const struct cw_call *call, int64_t now_ms);
 static void learn_timing(struct cw_call *call, double took_ms);
 static int is_on_target_version(const struct cw_call *call);
 static void report_to_rollout(struct cw_call *call, int is_failure, int is_slow, int64_t now_ms);
@@ -143,6 +144,8 @@
 	struct gate_timing *work;
 
 	call->is_head_seen = 0;
+	call->is_slow = 0;
+	call->late_work_ms = 0;
 	call->events_forwarded = 0;
 	call->server_was_loaded = cw_pool_load(server, now_ms) >= LOADED_FRACTION * server->slots;
 	call->server_reported_loaded = server->sampled_ms >= 0 &&
@@ -150,6 +153,7 @@
 				       is_under_load(server->running, server->slots);
 	call->server_was_idle = server->own_work_ms + server->peers_work_ms <= IDLE_BACKLOG_MAX_MS;
 	call->predicted_ms = call_work_predict_ms(call, server, is_affinity_server, now_ms);
+	call->peers_work_ms = server->peers_work_ms;
 	call->uncached_tokens = 0;
 	if (call->info.segment_count == 0)
 		return;
@@ -163,19 +167,34 @@
 void call_work_record_head(struct cw_call *call, int64_t now_ms)
 {
 	double took_ms = (double)(now_ms - call->sent_ms);
-	double ratio = took_ms / (call->predicted_ms + SLOW_MARGIN_MS);
+	double expected_ms = call->predicted_ms + SLOW_MARGIN_MS;
+	double ratio = took_ms / expected_ms;
 	int is_plain = call->info.segment_count == 0;
-	int is_slow = ratio > (is_plain ? PLAIN_SLOW_FACTOR : SLOW_FACTOR);
+	double factor = is_plain ? PLAIN_SLOW_FACTOR : SLOW_FACTOR;
 
 	if (call->is_head_seen)
 		return;
 	call->is_head_seen = 1;
 	call->head_ms = now_ms;
+	call->late_work_ms = late_work_ms(call, now_ms);
+	call->is_slow = took_ms > factor * (expected_ms + call->late_work_ms);
 	if (!is_on_target_version(call))
 		learn_timing(call, took_ms);
 	call_work_end(call);
 	cw_pool_record_outcome(call->server, 0, MAX(ratio, 1), now_ms);
-	report_to_rollout(call, is_plain && is_slow, is_slow, now_ms);
+	report_to_rollout(call, is_plain && call->is_slow, call->is_slow, now_ms);
+}
+
+/*
+ * Work of other instances at the server that this one has learned of since the send. Symptom this
+ * prevents: a good version was rolled back. Dozens of instances send their first prompts for it to
+ * the same few servers within one round of gossip, and each predicts a wait without the others'.
+ */
+static double late_work_ms(const struct cw_call *call, int64_t now_ms)
+{
+	if (call->info.segment_count == 0)
+		return 0;
+	return MAX(cw_pool_recent_peers_work_ms(call->server, now_ms) - call->peers_work_ms, 0);
 }
 
 /* The event gap of long streams shows slow servers long before the time to the first event. */
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -72,10 +72,13 @@
 	double uncached_tokens; /* prompt tokens not expected in the server's prefix cache */
 	double work_ms;		/* predicted prompt work, counted in server->own_work_ms */
 	double predicted_ms;	/* from the attempt's send to the response head */
+	double peers_work_ms;	/* of other instances at the server, as known at the send */
 	int is_output_heavy; /* the route's requests make more output per prompt token than most */
 	int server_was_idle; /* almost no other prompt work was queued at the server */
 	int server_was_loaded;	    /* half of its slots or more were taken */
 	int server_reported_loaded; /* the same, by the server's last report before the send */
+	int is_slow;		    /* the response head came far later than expected */
+	double late_work_ms;	    /* of other instances at the server, learned of by the head */
 	int is_head_seen;
 	int64_t head_ms;	       /* time of the response head */
 	unsigned int events_forwarded; /* by the current attempt */
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -100,12 +100,14 @@
 	size_t history_next;
 	double service_ms; /* smoothed time that one request takes */
 
-	double own_work_ms;   /* predicted work of own prompts whose answers have not begun */
-	double work_until_ms; /* predicted time at which all of them are processed */
-	double peers_work_ms; /* the same work of other instances, from gossip */
-	double failure_rate;  /* part of recent answers that failed, 0 to 1; decays */
-	double slowness;      /* measured over predicted time, 1: as predicted; decays */
-	int64_t evidence_ms;  /* last update of failure_rate and slowness */
+	double own_work_ms;	    /* predicted work of own prompts whose answers have not begun */
+	double work_until_ms;	    /* predicted time at which all of them are processed */
+	double peers_work_ms;	    /* the same work of other instances, from gossip */
+	double peers_work_peak_ms;  /* its recent maximum; decays */
+	int64_t peers_work_peak_at; /* last update of the maximum, ms */
+	double failure_rate;	    /* part of recent answers that failed, 0 to 1; decays */
+	double slowness;	    /* measured over predicted time, 1: as predicted; decays */
+	int64_t evidence_ms;	    /* last update of failure_rate and slowness */
 
 	int64_t crash_ms;	 /* last broken connection that counted as a new crash */
 	int64_t last_seen_ms;	 /* last byte received from the server */
@@ -242,6 +244,10 @@
 void cw_pool_end_work(struct cw_server *server, double work_ms); /* the answer began or failed */
 double cw_pool_own_work_ms(const struct cw_server *server,
 			   int64_t now_ms); /* predicted work left of own prompts */
+void cw_pool_record_peers_work(struct cw_server *server,
+			       int64_t now_ms); /* after an update of peers_work_ms */
+double cw_pool_recent_peers_work_ms(const struct cw_server *server,
+				    int64_t now_ms); /* maximum of the last second or so */
 double cw_pool_backlog_ms(const struct cw_server *server, double mean_work_ms,
 			  int64_t now_ms); /* predicted work queued, of all instances */
 double cw_pool_failure_rate(const struct cw_server *server, int64_t now_ms);
--- a/packages/pool/src/placement.c
+++ b/packages/pool/src/placement.c
@@ -13,6 +13,7 @@
 #define FAILURE_RATE_GAIN 0.25 /* weight of the newest attempt */
 #define SLOWNESS_GAIN	  0.3  /* weight of the newest attempt */
 #define SLOWNESS_MAX	  20.0
+#define PEERS_PEAK_MS	  500 /* time constant: announcements are 150 ms apart, and may get lost */
 
 static double cost_of(const struct cw_server *server, const struct cw_choice *choice,
 		      int is_affinity_server);
@@ -64,6 +65,20 @@
 	return MIN(server->own_work_ms, left_ms);
 }
 
+void cw_pool_record_peers_work(struct cw_server *server, int64_t now_ms)
+{
+	server->peers_work_peak_ms =
+		MAX(cw_pool_recent_peers_work_ms(server, now_ms), server->peers_work_ms);
+	server->peers_work_peak_at = now_ms;
+}
+
+double cw_pool_recent_peers_work_ms(const struct cw_server *server, int64_t now_ms)
+{
+	double age_ms = (double)(now_ms - server->peers_work_peak_at);
+
+	return server->peers_work_peak_ms * exp(-age_ms / PEERS_PEAK_MS);
+}
+
 /*
  * With dozens of instances that each send a few requests to the same servers, gossip about the
  * peers' work is a second old. The queue length that a server reports with each answer is newer but
--- a/tests/unit/test_gate.c
+++ b/tests/unit/test_gate.c
@@ -341,6 +341,35 @@
 	}
 }
 
+/* Guards against a good version that is rolled back for the queue at its first servers. */
+static void a_wait_behind_work_of_other_instances_is_not_slow(void **state)
+{
+	static const struct {
+		double peers_work_ms; /* learned of after the send */
+		int64_t took_ms;
+		int is_slow;
+	} cases[] = {{0, 400, 1}, {0, 100, 0}, {300, 400, 0}, {300, 2500, 1}};
+	struct cw_response_head head = {
+		.status = 200, .is_signed = 1, .is_event_stream = 1, .confidence = 90};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(cases); i++) {
+		struct fixture fixture;
+		struct cw_server *server;
+
+		fixture_open(&fixture);
+		fixture.info.segment_count = 2;
+		fixture.info.prompt_tokens = 100;
+		fixture_open_call(&fixture, "/chat/x");
+		server = cw_pool_find(cw_gate_pool(fixture.gate), fixture.step.server->id);
+		server->peers_work_ms = cases[i].peers_work_ms;
+		cw_pool_record_peers_work(server, FIXTURE_NOW_MS + cases[i].took_ms - 20);
+		cw_call_handle_head(fixture.call, &head, FIXTURE_NOW_MS + cases[i].took_ms,
+				    &fixture.step);
+		assert_int_equal(fixture.step.is_slow, cases[i].is_slow);
+		fixture_close(&fixture);
+	}
+}
+
 /*
  * Guards against sessions of the old version on the new one in the first seconds of a roll-out: the
  * new version's servers are listed 3 s before the roll-out order is known, and without an order any
@@ -409,6 +438,7 @@
 		cmocka_unit_test(the_connect_timeout_leaves_time_for_another_server),
 		cmocka_unit_test(a_stream_may_resume_on_a_restarted_server),
 		cmocka_unit_test(an_answer_counts_as_loaded_only_by_the_engines_report),
+		cmocka_unit_test(a_wait_behind_work_of_other_instances_is_not_slow),
 		cmocka_unit_test(a_new_version_waits_for_its_rollout_order),
 	};
 
