http: a body over the limit is rejected before it is sent

What callers saw: one that announced a body over max_body_bytes and waited for an answer got none in 20 s (large_body). One that asked with Expect: 100-continue was told to send it. One that sent chunks past the limit, and read then, got a reset and no answer.

Cause: ulfius hands a request over only with its whole body, so the limit was checked after it.

Change: the server is built on libmicrohttpd, the library under ulfius, which was used for draining already: its first call has the header fields. 413 is answered by the length, so no 100 Continue is sent; within a chunked body it is written to the connection, encrypted where that is.

--- a/packages/http/include/cw_http_server.h
+++ b/packages/http/include/cw_http_server.h
@@ -1,4 +1,5 @@
-/* HTTP server (ulfius), one thread per connection; answers are sent at once or as a stream. */
+/* HTTP server (libmicrohttpd), one thread per connection; answers are sent at once or as a stream.
+ */
 #ifndef CW_HTTP_SERVER_H
 #define CW_HTTP_SERVER_H
 
@@ -16,8 +17,8 @@
 	const char *path; /* as sent, with its query */
 	const char *body;
 	size_t body_size;
-	const char *peer;    /* IP address of the caller */
-	const void *headers; /* for cw_http_request_header */
+	const char *peer; /* IP address of the caller */
+	void *connection; /* for cw_http_request_header */
 };
 
 struct cw_chunk { /* part of a streamed answer, made by cw_chunk_create */
--- a/packages/http/src/server.c
+++ b/packages/http/src/server.c
@@ -1,30 +1,38 @@
-#include "cw_http_server.h"
+/*
+ * On libmicrohttpd. ulfius, which is built on it, hands a request over only with its whole body, so
+ * a body over the limit could not be rejected by its length.
+ */
+#include "server_internal.h"
+#include "cw_timeline.h"
 
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <glib.h>
-#include <microhttpd.h>
-#include <netinet/in.h>
 #include <poll.h>
 #include <stdio.h>
 #include <string.h>
-#include <sys/socket.h>
-#include <ulfius.h>
 #include <unistd.h>
 
 #define STREAM_BLOCK_BYTES  16384
 #define STREAM_POLL_MS	    100
 #define ACCEPT_IDLE_MS	    20
 #define ACCEPT_DRAIN_MAX_MS 2000
-#define FREE_PORT_ATTEMPTS  8
 #define STEP		    "http.listen"
 
 struct cw_http_server {
-	struct _u_instance instance;
+	struct MHD_Daemon *daemon; /* NULL: not started */
 	struct cw_http_server_options options;
 	char *tls_cert;
 	char *tls_key;
-	int is_started;
+	int is_stopping; /* atomic */
+};
+
+/* A request while it is received and answered. */
+struct request {
+	char *target; /* as sent, with its query */
+	GByteArray *body;
+	int has_head;	  /* its header fields were checked */
+	int is_too_large; /* rejected; the rest of its body is discarded */
 };
 
 struct stream_context {
@@ -35,14 +43,24 @@
 	void *context;
 };
 
-static int on_request(const struct _u_request *request, struct _u_response *response, void *data);
-static void send_body(struct cw_http_response *out, struct _u_response *response);
-static void send_stream(struct cw_http_response *out, struct _u_response *response);
+static void *on_target(void *context, const char *target, struct MHD_Connection *connection);
+static enum MHD_Result on_request(void *context, struct MHD_Connection *connection, const char *url,
+				  const char *method, const char *version, const char *data,
+				  size_t *size, void **state);
+static enum MHD_Result receive_body(struct cw_http_server *server, struct request *request,
+				    struct MHD_Connection *connection, const char *data,
+				    size_t size);
+static enum MHD_Result answer(struct cw_http_server *server, struct request *request,
+			      struct MHD_Connection *connection, const char *method);
+static void on_completed(void *context, struct MHD_Connection *connection, void **state,
+			 enum MHD_RequestTerminationCode reason);
+static void on_library_log(void *context, const char *format, va_list args)
+	__attribute__((format(printf, 2, 0)));
+static struct MHD_Response *create_response(struct cw_http_response *out);
+static struct MHD_Response *create_stream(struct cw_http_response *out);
 static ssize_t on_stream(void *data, uint64_t offset, char *buffer, size_t max);
 static void on_stream_end(void *data);
-static int is_body_too_large(const struct _u_request *request, size_t max_body);
 static int start_on_port(struct cw_http_server *server, const char *host, int port);
-static int find_free_port(const char *host);
 static char *read_file(const char *path, struct cw_error *error);
 
 struct cw_http_server *cw_http_server_create(const struct cw_http_server_options *options,
@@ -51,7 +69,6 @@
 	struct cw_http_server *server = g_new0(struct cw_http_server, 1);
 	char host[64];
 	int port;
-	int attempts = 1;
 
 	server->options = *options;
 	if (cw_http_parse_address(options->address, host, sizeof(host), &port)) {
@@ -67,13 +84,7 @@
 			return NULL;
 		}
 	}
-	/* ulfius accepts no port 0, and another process may bind the port found: then retry. */
-	if (port == 0)
-		attempts = FREE_PORT_ATTEMPTS;
-	while (attempts-- > 0 && !server->is_started)
-		server->is_started =
-			start_on_port(server, host, port ? port : find_free_port(host)) == 0;
-	if (server->is_started)
+	if (start_on_port(server, host, port) == 0)
 		return server;
 	cw_error_set(error, CW_UNREACHABLE, STEP, options->address, "cannot listen there");
 	cw_http_server_destroy(server);
@@ -87,13 +98,14 @@
  */
 void cw_http_server_stop_accepting(struct cw_http_server *server)
 {
-	MHD_socket listener = MHD_quiesce_daemon(server->instance.mhd_daemon);
+	MHD_socket listener = MHD_quiesce_daemon(server->daemon);
 	struct pollfd wait = {.fd = listener, .events = POLLIN};
 	int64_t deadline_us = g_get_monotonic_time() + ACCEPT_DRAIN_MAX_MS * 1000;
 	struct sockaddr_in address;
 	socklen_t size = sizeof(address);
 	int fd;
 
+	__atomic_store_n(&server->is_stopping, 1, __ATOMIC_RELAXED);
 	if (listener == MHD_INVALID_SOCKET)
 		return;
 	fcntl(listener, F_SETFL, fcntl(listener, F_GETFL) | O_NONBLOCK);
@@ -101,8 +113,7 @@
 	while (poll(&wait, 1, ACCEPT_IDLE_MS) > 0 && g_get_monotonic_time() < deadline_us) {
 		fd = accept4(listener, (struct sockaddr *)&address, &size, SOCK_CLOEXEC);
 		if (fd >= 0)
-			MHD_add_connection(server->instance.mhd_daemon, fd,
-					   (struct sockaddr *)&address, size);
+			MHD_add_connection(server->daemon, fd, (struct sockaddr *)&address, size);
 		size = sizeof(address);
 	}
 	close(listener);
@@ -112,10 +123,9 @@
 {
 	if (!server)
 		return;
-	if (server->is_started)
-		ulfius_stop_framework(&server->instance);
-	if (server->is_started)
-		ulfius_clean_instance(&server->instance);
+	__atomic_store_n(&server->is_stopping, 1, __ATOMIC_RELAXED);
+	if (server->daemon)
+		MHD_stop_daemon(server->daemon);
 	g_free(server->tls_cert);
 	g_free(server->tls_key);
 	g_free(server);
@@ -123,20 +133,23 @@
 
 int cw_http_server_port(const struct cw_http_server *server)
 {
-	return (int)server->instance.port;
+	const union MHD_DaemonInfo *info =
+		MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_BIND_PORT);
+
+	return info ? info->port : 0;
 }
 
 unsigned int cw_http_server_count_connections(const struct cw_http_server *server)
 {
-	const union MHD_DaemonInfo *info = MHD_get_daemon_info(server->instance.mhd_daemon,
-							       MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
+	const union MHD_DaemonInfo *info =
+		MHD_get_daemon_info(server->daemon, MHD_DAEMON_INFO_CURRENT_CONNECTIONS);
 
 	return info ? info->num_connections : 0;
 }
 
 const char *cw_http_request_header(const struct cw_http_request *in, const char *name)
 {
-	return u_map_get_case(in->headers, name);
+	return MHD_lookup_connection_value(in->connection, MHD_HEADER_KIND, name);
 }
 
 void cw_http_response_add_header(struct cw_http_response *out, const char *name, const char *value)
@@ -181,55 +194,127 @@
 	return 0;
 }
 
-static int on_request(const struct _u_request *request, struct _u_response *response, void *data)
+static void *on_target(void *context, const char *target, struct MHD_Connection *connection)
+{
+	struct request *request = g_new0(struct request, 1);
+
+	request->target = g_strdup(target);
+	request->body = g_byte_array_new();
+	return request;
+}
+
+/* Called with the header fields, then with each part of the body, then with the whole request. */
+static enum MHD_Result on_request(void *context, struct MHD_Connection *connection, const char *url,
+				  const char *method, const char *version, const char *data,
+				  size_t *size, void **state)
+{
+	struct cw_http_server *server = context;
+	struct request *request = *state;
+	size_t received = *size;
+
+	if (!request->has_head) {
+		request->has_head = 1;
+		request->is_too_large = oversize_is_announced(connection, server->options.max_body);
+		return request->is_too_large ? oversize_reject(connection) : MHD_YES;
+	}
+	if (received == 0)
+		return answer(server, request, connection, method);
+	*size = 0;
+	return receive_body(server, request, connection, data, received);
+}
+
+static enum MHD_Result receive_body(struct cw_http_server *server, struct request *request,
+				    struct MHD_Connection *connection, const char *data,
+				    size_t size)
+{
+	if (request->body->len + size <= server->options.max_body) {
+		g_byte_array_append(request->body, (const guint8 *)data, (guint)size);
+		return MHD_YES;
+	}
+	/* Only a chunked body gets here, and the library takes no answer within a body. */
+	request->is_too_large = 1;
+	oversize_send_raw(connection);
+	return MHD_NO;
+}
+
+static enum MHD_Result answer(struct cw_http_server *server, struct request *request,
+			      struct MHD_Connection *connection, const char *method)
 {
-	struct cw_http_server *server = data;
+	const union MHD_ConnectionInfo *info =
+		MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CLIENT_ADDRESS);
 	struct cw_http_response out = {.status = 500};
 	char peer[INET_ADDRSTRLEN] = "";
 	struct cw_http_request in = {
-		.method = request->http_verb,
-		.path = request->http_url,
-		.body = request->binary_body ? request->binary_body : "",
-		.body_size = request->binary_body_length,
-		.headers = request->map_header,
+		.method = method,
+		.path = request->target,
+		.body_size = request->body->len,
+		.connection = connection,
 		.peer = peer,
 	};
+	struct MHD_Response *response;
+	enum MHD_Result result;
 
-	if (request->client_address && request->client_address->sa_family == AF_INET)
-		inet_ntop(AF_INET, &((struct sockaddr_in *)request->client_address)->sin_addr, peer,
+	g_byte_array_append(request->body, (const guint8 *)"", 1);
+	in.body = (const char *)request->body->data;
+	if (info && info->client_addr->sa_family == AF_INET)
+		inet_ntop(AF_INET, &((struct sockaddr_in *)info->client_addr)->sin_addr, peer,
 			  sizeof(peer));
-	if (is_body_too_large(request, server->options.max_body))
-		cw_http_response_set_json(
-			&out, 413,
-			g_strdup("{\"error\":{\"code\":\"bad_request\",\"message\":\"the "
-				 "body is too large\","
-				 "\"run\":\"not_run\",\"retry_after_ms\":0}}"));
-	else
-		server->options.handle(server->options.context, &in, &out);
-	for (size_t i = 0; i < out.header_count; i++) {
-		char **pair = g_strsplit(out.headers[i], ": ", 2);
-
-		u_map_put(response->map_header, pair[0], pair[1]);
-		g_strfreev(pair);
-		g_free(out.headers[i]);
-	}
-	if (*out.content_type)
-		u_map_put(response->map_header, "Content-Type", out.content_type);
-	if (out.stream || out.pull)
-		send_stream(&out, response);
-	else
-		send_body(&out, response);
-	return U_CALLBACK_COMPLETE;
+	server->options.handle(server->options.context, &in, &out);
+	response = create_response(&out);
+	result = MHD_queue_response(connection, (unsigned int)out.status, response);
+	MHD_destroy_response(response);
+	return result;
+}
+
+/* The connection is closed after this if the request was rejected. */
+static void on_completed(void *context, struct MHD_Connection *connection, void **state,
+			 enum MHD_RequestTerminationCode reason)
+{
+	struct cw_http_server *server = context;
+	struct request *request = *state;
+
+	if (!request)
+		return;
+	if (request->is_too_large)
+		oversize_drain(connection, &server->is_stopping);
+	g_free(request->target);
+	g_byte_array_unref(request->body);
+	g_free(request);
+	*state = NULL;
 }
 
-static void send_body(struct cw_http_response *out, struct _u_response *response)
+static void on_library_log(void *context, const char *format, va_list args)
 {
-	ulfius_set_binary_body_response(response, (unsigned int)out->status,
-					out->body ? out->body : "", out->body_size);
-	g_free(out->body);
+	char *text = g_strdup_vprintf(format, args);
+
+	cw_event("http", "library", "text=\"%s\"", g_strdelimit(g_strchomp(text), "\"\n", ' '));
+	g_free(text);
 }
 
-static void send_stream(struct cw_http_response *out, struct _u_response *response)
+static struct MHD_Response *create_response(struct cw_http_response *out)
+{
+	struct MHD_Response *response;
+
+	if (out->stream || out->pull) {
+		response = create_stream(out);
+	} else {
+		response = MHD_create_response_from_buffer(
+			out->body_size, out->body ? out->body : "", MHD_RESPMEM_MUST_COPY);
+		g_free(out->body);
+	}
+	for (size_t i = 0; i < out->header_count; i++) {
+		char **pair = g_strsplit(out->headers[i], ": ", 2);
+
+		MHD_add_response_header(response, pair[0], pair[1]);
+		g_strfreev(pair);
+		g_free(out->headers[i]);
+	}
+	if (*out->content_type)
+		MHD_add_response_header(response, MHD_HTTP_HEADER_CONTENT_TYPE, out->content_type);
+	return response;
+}
+
+static struct MHD_Response *create_stream(struct cw_http_response *out)
 {
 	struct stream_context *stream = g_new0(struct stream_context, 1);
 
@@ -237,8 +322,8 @@
 	stream->pull = out->pull;
 	stream->on_end = out->on_end;
 	stream->context = out->context;
-	ulfius_set_stream_response(response, (unsigned int)out->status, on_stream, on_stream_end,
-				   U_STREAM_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, stream);
+	return MHD_create_response_from_callback(MHD_SIZE_UNKNOWN, STREAM_BLOCK_BYTES, on_stream,
+						 stream, on_stream_end);
 }
 
 static ssize_t on_stream(void *data, uint64_t offset, char *buffer, size_t max)
@@ -251,13 +336,13 @@
 	if (stream->pull) {
 		pulled = stream->pull(stream->context, buffer, max);
 		if (pulled == CW_PULL_ABORT)
-			return U_STREAM_ERROR;
-		return pulled == CW_PULL_END ? U_STREAM_END : pulled;
+			return MHD_CONTENT_READER_END_WITH_ERROR;
+		return pulled == CW_PULL_END ? MHD_CONTENT_READER_END_OF_STREAM : pulled;
 	}
 	while (!stream->chunk) {
 		stream->chunk = cw_ring_pop(stream->ring, STREAM_POLL_MS);
 		if (!stream->chunk && cw_ring_is_drained(stream->ring))
-			return U_STREAM_END;
+			return MHD_CONTENT_READER_END_OF_STREAM;
 	}
 	chunk = stream->chunk;
 	copied = MIN(max, chunk->size - chunk->sent);
@@ -282,52 +367,28 @@
 	g_free(stream);
 }
 
-/* ulfius silently truncates a body at its limit, so the length is checked. */
-static int is_body_too_large(const struct _u_request *request, size_t max_body)
-{
-	const char *length = u_map_get_case(request->map_header, "Content-Length");
-
-	if (length && g_ascii_strtoull(length, NULL, 10) > max_body)
-		return 1;
-	return request->binary_body_length > max_body;
-}
-
 static int start_on_port(struct cw_http_server *server, const char *host, int port)
 {
 	struct sockaddr_in address = {.sin_family = AF_INET, .sin_port = htons((uint16_t)port)};
-	int failed;
+	struct MHD_OptionItem tls[] = {
+		{MHD_OPTION_HTTPS_MEM_KEY, 0, server->tls_key},
+		{MHD_OPTION_HTTPS_MEM_CERT, 0, server->tls_cert},
+		{MHD_OPTION_END, 0, NULL},
+	};
+	struct MHD_OptionItem plain[] = {{MHD_OPTION_END, 0, NULL}};
+	unsigned int flags = MHD_USE_THREAD_PER_CONNECTION | MHD_USE_INTERNAL_POLLING_THREAD |
+			     MHD_USE_POLL | MHD_USE_ITC | MHD_USE_ERROR_LOG;
 
 	inet_pton(AF_INET, host, &address.sin_addr);
-	if (ulfius_init_instance(&server->instance, (unsigned int)port, &address, NULL) != U_OK)
-		return -1;
-	server->instance.max_post_body_size = server->options.max_body + 1;
-	server->instance.timeout = server->options.idle_s;
-	server->instance.mhd_response_copy_data = 0;
-	server->instance.check_utf8 = 0;
-	ulfius_add_endpoint_by_val(&server->instance, "*", NULL, "*", 0, on_request, server);
 	if (server->tls_cert)
-		failed = ulfius_start_secure_framework(&server->instance, server->tls_key,
-						       server->tls_cert) != U_OK;
-	else
-		failed = ulfius_start_framework(&server->instance) != U_OK;
-	if (failed)
-		ulfius_clean_instance(&server->instance);
-	return failed;
-}
-
-static int find_free_port(const char *host)
-{
-	struct sockaddr_in address = {.sin_family = AF_INET};
-	socklen_t size = sizeof(address);
-	int fd = socket(AF_INET, SOCK_STREAM, 0);
-	int port = 0;
-
-	inet_pton(AF_INET, host, &address.sin_addr);
-	if (bind(fd, (struct sockaddr *)&address, sizeof(address)) == 0 &&
-	    getsockname(fd, (struct sockaddr *)&address, &size) == 0)
-		port = ntohs(address.sin_port);
-	close(fd);
-	return port;
+		flags |= MHD_USE_TLS;
+	server->daemon = MHD_start_daemon(
+		flags, (uint16_t)port, NULL, NULL, on_request, server, MHD_OPTION_EXTERNAL_LOGGER,
+		on_library_log, NULL, MHD_OPTION_SOCK_ADDR, &address, MHD_OPTION_CONNECTION_TIMEOUT,
+		server->options.idle_s, MHD_OPTION_URI_LOG_CALLBACK, on_target, server,
+		MHD_OPTION_NOTIFY_COMPLETED, on_completed, server, MHD_OPTION_ARRAY,
+		server->tls_cert ? tls : plain, MHD_OPTION_END);
+	return server->daemon ? 0 : -1;
 }
 
 static char *read_file(const char *path, struct cw_error *error)
--- a/tests/runs/tls.sh
+++ b/tests/runs/tls.sh
@@ -1,6 +1,6 @@
 # Guards against API keys that cross the network in plain text, and against an instance that starts with an
 # invalid certificate. An instance with a certificate and key is called over TLS, then by plain HTTP; others
-# are started with an invalid and with a missing certificate. The ulfius library provides TLS for callers;
+# are started with an invalid and with a missing certificate. libmicrohttpd provides TLS for callers;
 # the two files named in the settings must be readable and match.
 . tests/lib.sh
 openssl req -x509 -newkey rsa:2048 -nodes -keyout "$DIR/key.pem" -out "$DIR/cert.pem" -days 2 -subj /CN=localhost \
