--- a/tests/lib.sh
+++ b/tests/lib.sh
@@ -1,7 +1,8 @@
 # Functions shared by the demo, the scripted runs, the soak and the benchmarks. Source this file with BUILD
 # set to the absolute path of a build folder. Processes are killed by the ids recorded in PIDS; every wait
 # is for a condition and has a time limit. Set in the environment: WAIT_S, the limit in seconds; KEEP, to
-# keep the folder with logs and settings; TAIL and TRACE, lines of each log and sanitizer report printed.
+# keep the folder with logs and settings; KEEP_LOGS, a folder that gets the logs; TAIL and TRACE, lines of
+# each log and sanitizer report printed.
 set -u
 DIR=$(mktemp -d)
 PIDS=""
@@ -22,6 +23,7 @@
 	fi
 	for pid in $PIDS; do kill -CONT "$pid" 2>/dev/null; kill -KILL "$pid" 2>/dev/null; done
 	wait 2>/dev/null
+	[ -z "${KEEP_LOGS:-}" ] || cp "$DIR"/*.log "$KEEP_LOGS"
 	if [ "${KEEP:-}" ]; then echo "kept: $DIR"; else rm -rf "$DIR"; fi
 	exit $code
 }
