quarantine, gate, node: instances take turns at the trial of a doubtful request

What callers saw: a harmless request that was quarantined with a poison request stayed rejected for ten minutes, if its callers never asked the instance that is first by rendezvous for it.

Cause: only the first instance ran the trial. Of 16 or 24 instances a caller that keeps to one rarely meets it.

Change: the instance of rank r may run the trial (r + 1) seconds after the decision, 15 s at most, the first at once as before. A trial elsewhere that crashed its server counts for the gap of 10 s between two trials, so that an inconclusive one is not repeated by the next instance.

Test that fails before: a_later_instance_runs_the_trial_in_its_turn.

--- a/packages/gate/src/call_held.c
+++ b/packages/gate/src/call_held.c
@@ -29,13 +29,15 @@
 	return 1;
 }
 
-/* Of instances that know each other only one runs a trial, since a trial may crash a server. */
+/* Instances that know each other take turns, since a trial may crash a server. */
 static int start_trial(struct cw_call *call)
 {
 	struct cw_quarantine *quarantine = call->gate->quarantine;
 
-	if (!cw_quarantine_wants_trial(quarantine, call->fingerprint, call->opened_ms) ||
-	    !cw_pool_is_owner(call->gate->pool, call->fingerprint))
+	size_t rank;
+
+	if (!cw_pool_find_rank(call->gate->pool, call->fingerprint, &rank) ||
+	    !cw_quarantine_admits_trial(quarantine, call->fingerprint, rank, call->opened_ms))
 		return 0;
 	cw_quarantine_begin_trial(quarantine, call->fingerprint, call->opened_ms);
 	call->is_trial = 1;
--- a/packages/node/src/node_quarantine.c
+++ b/packages/node/src/node_quarantine.c
@@ -31,15 +31,17 @@
 	return 1;
 }
 
-/* Only one of the instances that receive heartbeats of each other begins the trial, and sends the
- * request once, as a trial may crash a server. */
+/* The instances that receive heartbeats of each other take turns, and each sends the request once,
+ * as a trial may crash a server. */
 static int begin_trial(struct cw_node *node, struct request *request)
 {
 	if (request->is_trial)
 		return request->attempt_count == 0;
 	if (request->attempt_count > 0 ||
-	    !cw_quarantine_wants_trial(node->quarantine, request->fingerprint, node->now_ms) ||
-	    cw_membership_rank(node->membership, request->fingerprint, node->now_ms) > 0)
+	    !cw_quarantine_admits_trial(
+		    node->quarantine, request->fingerprint,
+		    cw_membership_rank(node->membership, request->fingerprint, node->now_ms),
+		    node->now_ms))
 		return 0;
 	cw_quarantine_begin_trial(node->quarantine, request->fingerprint, node->now_ms);
 	request->is_trial = 1;
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -178,9 +178,8 @@
 			      void (*find)(void *context, uint64_t server,
 					   struct cw_warmup_place *place),
 			      void *context); /* without a lookup, no other instance is assumed */
-int cw_pool_is_owner(
-	const struct cw_pool *pool,
-	uint64_t key); /* 1: of the known instances, this one ranks first for the key */
+int cw_pool_find_rank(const struct cw_pool *pool, uint64_t key,
+		      size_t *rank); /* of this instance for the key, 0: first; 0: not known yet */
 void cw_pool_set_region(struct cw_pool *pool, const char *failure_domain,
 			const char *region); /* call before its servers are added */
 int cw_pool_drain(struct cw_pool *pool, const struct cw_drain_order *order,
--- a/packages/pool/src/pool.c
+++ b/packages/pool/src/pool.c
@@ -73,13 +73,14 @@
 	pool->place_context = context;
 }
 
-int cw_pool_is_owner(const struct cw_pool *pool, uint64_t key)
+int cw_pool_find_rank(const struct cw_pool *pool, uint64_t key, size_t *rank)
 {
 	struct cw_warmup_place place = {.instances = 1};
 
 	if (pool->find_place)
 		pool->find_place(pool->place_context, key, &place);
-	return place.instances > 0 && place.rank == 0;
+	*rank = place.rank;
+	return place.instances > 0;
 }
 
 void cw_pool_set_region(struct cw_pool *pool, const char *failure_domain, const char *region)
--- a/packages/quarantine/include/cw_quarantine.h
+++ b/packages/quarantine/include/cw_quarantine.h
@@ -109,9 +109,11 @@
 int cw_quarantine_wants_trial(const struct cw_quarantine *quarantine, uint64_t fingerprint,
 			      int64_t now_ms); /* 1: alternative suspects may explain all crashes; a
 						  trial run would tell */
-void cw_quarantine_begin_trial(
-	struct cw_quarantine *quarantine, uint64_t fingerprint,
-	int64_t now_ms); /* a trial run begins; only one instance may start one */
+int cw_quarantine_admits_trial(const struct cw_quarantine *quarantine, uint64_t fingerprint,
+			       size_t rank, int64_t now_ms); /* the same, at the instance of this
+								rank (0: first) in its turn */
+void cw_quarantine_begin_trial(struct cw_quarantine *quarantine, uint64_t fingerprint,
+			       int64_t now_ms); /* a trial run begins at this instance */
 void cw_quarantine_note_break(struct cw_quarantine *quarantine,
 			      const struct cw_quarantine_request *request, uint64_t server,
 			      int64_t ran_ms, int is_running,
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -3,6 +3,7 @@
 
 #include <string.h>
 
+static int was_tried_lately(const struct suspect *suspect, int64_t now_ms);
 static void verify_answers(struct cw_quarantine *quarantine, int64_t now_ms);
 static void evict_suspect(struct cw_quarantine *quarantine, const char *organisation);
 static struct suspect *find_least_likely(struct cw_quarantine *quarantine,
@@ -51,13 +52,41 @@
 {
 	const struct suspect *suspect = suspect_find(quarantine, fingerprint);
 
-	if (!suspect || !suspect->quarantined_ms ||
-	    (suspect->trial_ms && now_ms - suspect->trial_ms < TRIAL_GAP_MS))
+	if (!suspect || !suspect->quarantined_ms || was_tried_lately(suspect, now_ms))
 		return 0;
 	return (suspect->is_ambiguous || suspect_is_doubtful(quarantine, suspect, now_ms)) &&
 	       !suspect_is_proven(quarantine, suspect, now_ms);
 }
 
+/* At this instance, or at another one where the run ended in a crash. */
+static int was_tried_lately(const struct suspect *suspect, int64_t now_ms)
+{
+	if (suspect->trial_ms && now_ms - suspect->trial_ms < TRIAL_GAP_MS)
+		return 1;
+	for (size_t i = 0; i < suspect->crash_count; i++)
+		if (suspect->crashes[i].at_ms - suspect->crashes[i].ran_ms >
+			    suspect->quarantined_ms &&
+		    now_ms - suspect->crashes[i].at_ms < TRIAL_GAP_MS)
+			return 1;
+	return 0;
+}
+
+/*
+ * A trial may crash a server, so the instances take turns: its caller may ask only one of them,
+ * which need not be the first. An earlier one's trial has ended by the next turn, and its outcome
+ * is known.
+ */
+int cw_quarantine_admits_trial(const struct cw_quarantine *quarantine, uint64_t fingerprint,
+			       size_t rank, int64_t now_ms)
+{
+	const struct suspect *suspect = suspect_find(quarantine, fingerprint);
+	int64_t turn_ms = TRIAL_TURN_MS * (int64_t)MIN(rank + 1, TRIAL_TURNS_MAX);
+
+	if (!suspect || (rank > 0 && now_ms - suspect->quarantined_ms < turn_ms))
+		return 0;
+	return cw_quarantine_wants_trial(quarantine, fingerprint, now_ms);
+}
+
 void cw_quarantine_begin_trial(struct cw_quarantine *quarantine, uint64_t fingerprint,
 			       int64_t now_ms)
 {
--- a/packages/quarantine/src/quarantine_internal.h
+++ b/packages/quarantine/src/quarantine_internal.h
@@ -40,6 +40,8 @@
 #define ANNOUNCED_SINGLES_MAX 8	    /* suspects with a single crash, per message */
 #define FINISHED_MS	      1000 /* a finished request may still crash its server for this long */
 #define ANSWER_CRASH_MS	      100  /* a crash this soon after an answer is due to its request */
+#define TRIAL_TURN_MS	      1000 /* between two instances that may try the same request */
+#define TRIAL_TURNS_MAX	      15   /* all further instances have the last turn */
 #define TRIAL_GAP_MS	      10000 /* least time between two trials of a quarantined request */
 
 /* A server crash that a suspect request took part in. */
--- a/tests/unit/test_gate_quarantine.c
+++ b/tests/unit/test_gate_quarantine.c
@@ -223,6 +223,24 @@
 	fixture_close(&fixture);
 }
 
+/*
+ * Guards against a harmless request that stays quarantined for ten minutes: its caller never asks
+ * the first instance.
+ */
+static void a_later_instance_runs_the_trial_in_its_turn(void **state)
+{
+	struct fixture fixture;
+
+	fixture_open(&fixture);
+	quarantine_suspect(&fixture);
+	cw_pool_set_place_lookup(cw_gate_pool(fixture.gate), set_second_place, NULL);
+	cw_call_close(fixture.call, FIXTURE_NOW_MS);
+	fixture.call = cw_call_open(fixture.gate, &fixture.info, FIXTURE_NOW_MS + 7000,
+				    FIXTURE_NOW_MS + 7000, &fixture.step);
+	assert_int_equal(fixture.step.kind, CW_STEP_SEND);
+	fixture_close(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -234,6 +252,7 @@
 		cmocka_unit_test(a_dropped_answer_counts_on_the_server_that_began_it),
 		cmocka_unit_test(a_suspect_request_is_tried_once_on_one_server),
 		cmocka_unit_test(only_the_first_instance_runs_a_trial),
+		cmocka_unit_test(a_later_instance_runs_the_trial_in_its_turn),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
