quarantine: requests tied in all crashes are quarantined in growing groups, and announced at once

What callers saw: with 16 and 24 instances and 40 and 60 callers a request that crashes servers ran 5 to 9 times later than 3 s after the third crash.

Cause: all eleven harmless bodies run at nearly every crash, so nothing tells them from the poison request. Each instance quarantined one of them at each crash, not the same one, and told the others after 2 s, while these sent it on. A tie of twelve took up to six rounds of two servers.

Change: a decision that stands is announced after 0.4 s, tie or not; it is not undone by later crashes any more. Each time all requests quarantined so far are superseded, as many of those tied with the new one are quarantined as well. Announced that early, a decision may come before an answer from before it is verified: such an answer now releases the request if fewer than three crashes are left. A crash more than 100 ms after a run was broken off proves as little as one after an answer. Whether another request was present at all crashes is looked at 5 s after the decision, as before, when harmless ones have been answered.

Test that fails before: requests_tied_in_all_crashes_are_quarantined_in_growing_groups (12 crashes, 7 allowed). New: an_answer_before_the_decision_clears_a_request_when_it_is_verified, which fails with the early announcement alone.

--- a/packages/quarantine/src/judge.c
+++ b/packages/quarantine/src/judge.c
@@ -11,14 +11,17 @@
 static int stands(const struct cw_quarantine *quarantine, const struct suspect *suspect,
 		  int64_t now_ms);
 static void mark_doubtful(struct cw_quarantine *quarantine, int64_t now_ms);
-static int is_covered(const struct cw_quarantine *quarantine, const struct suspect *suspect,
-		      int64_t now_ms);
 static int is_superseded(const struct cw_quarantine *quarantine, const struct suspect *suspect,
 			 int64_t now_ms);
 static size_t count_crashes_without(const struct cw_quarantine *quarantine,
 				    const struct suspect *other, const struct suspect *suspect,
 				    int64_t since_ms, int64_t now_ms);
 static void find_culprits(struct cw_quarantine *quarantine, int64_t now_ms);
+static size_t count_superseded(const struct cw_quarantine *quarantine);
+static void add_tied_culprits(struct cw_quarantine *quarantine, const struct suspect *culprit,
+			      size_t count, int64_t now_ms);
+static struct suspect *find_tied(const struct cw_quarantine *quarantine,
+				 const struct suspect *culprit, int64_t now_ms);
 static struct suspect *find_likeliest(struct cw_quarantine *quarantine, int64_t now_ms);
 static int is_likelier(const struct suspect *suspect, size_t count, const struct suspect *likeliest,
 		       size_t likeliest_count);
@@ -101,13 +104,38 @@
 		left += !is_shared && !crash->is_late;
 	}
 	return left < CRASHES_TO_QUARANTINE && left < own &&
-	       now_ms - suspect->quarantined_ms >= (is_likeliest ? LIKELIER_TRIAL_MS : COMMIT_MS);
+	       now_ms - suspect->quarantined_ms >=
+		       (is_likeliest ? LIKELIER_TRIAL_MS : TRIAL_WAIT_MS);
+}
+
+/*
+ * Whether another suspect took part in all crashes of `suspect`, long enough after the decision for
+ * the harmless ones to have been answered.
+ */
+int suspect_is_covered(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+		       int64_t now_ms)
+{
+	const struct suspect *other;
+
+	if (now_ms - suspect->quarantined_ms < LIKELIER_TRIAL_MS)
+		return 0;
+	TAILQ_FOREACH(other, &quarantine->suspects, link) {
+		size_t own;
+		size_t shared;
+
+		if (other == suspect || other->crash_count < CRASHES_TO_QUARANTINE)
+			continue;
+		shared = count_shared(quarantine, suspect, other, now_ms, &own);
+		if (own > 0 && shared == own)
+			return 1;
+	}
+	return 0;
 }
 
 /*
  * A run that began during the quarantine, as a trial or at an instance that had not learned of the
- * quarantine, crashed its server, which proves a poison request. It proves nothing if the answer
- * was complete long before, or if another suspect may have crashed the server.
+ * quarantine, crashed its server, which proves a poison request. It proves nothing if the run had
+ * ended long before, or if another suspect may have crashed the server.
  */
 int suspect_is_proven(const struct cw_quarantine *quarantine, const struct suspect *suspect,
 		      int64_t now_ms)
@@ -176,29 +204,10 @@
 			continue;
 		suspect->is_superseded = is_superseded(quarantine, suspect, now_ms);
 		if (suspect->is_committed)
-			suspect->is_ambiguous |= is_covered(quarantine, suspect, now_ms);
+			suspect->is_ambiguous |= suspect_is_covered(quarantine, suspect, now_ms);
 	}
 }
 
-/* Whether another suspect took part in all crashes of `suspect`. */
-static int is_covered(const struct cw_quarantine *quarantine, const struct suspect *suspect,
-		      int64_t now_ms)
-{
-	const struct suspect *other;
-
-	TAILQ_FOREACH(other, &quarantine->suspects, link) {
-		size_t own;
-		size_t shared;
-
-		if (other == suspect || other->crash_count < CRASHES_TO_QUARANTINE)
-			continue;
-		shared = count_shared(quarantine, suspect, other, now_ms, &own);
-		if (own > 0 && shared == own)
-			return 1;
-	}
-	return 0;
-}
-
 /*
  * Whether another suspect explains the crashes of `suspect` better: without the crashes they share
  * `suspect` would not be quarantined, and the other one took part in more crashes during the
@@ -213,13 +222,14 @@
 		return 0;
 	TAILQ_FOREACH(other, &quarantine->suspects, link) {
 		size_t own;
+		size_t shared;
 		size_t alone;
 
 		if (other == suspect || other->crash_count < CRASHES_TO_QUARANTINE ||
 		    (other->answered_ms >= 0 && suspect->answered_ms < 0))
 			continue;
-		alone = count_shared(quarantine, suspect, other, now_ms, &own);
-		alone = own - alone;
+		shared = count_shared(quarantine, suspect, other, now_ms, &own);
+		alone = own - shared;
 		if (own > 0 && alone < CRASHES_TO_QUARANTINE &&
 		    count_crashes_without(quarantine, other, suspect, suspect->quarantined_ms,
 					  now_ms) > alone)
@@ -244,6 +254,7 @@
 
 static void find_culprits(struct cw_quarantine *quarantine, int64_t now_ms)
 {
+	size_t superseded = count_superseded(quarantine);
 	struct suspect *suspect;
 
 	while ((suspect = find_likeliest(quarantine, now_ms))) {
@@ -255,7 +266,58 @@
 			return;
 		}
 		suspect->is_culprit = 1;
+		if (superseded > 1)
+			add_tied_culprits(quarantine, suspect, superseded - 1, now_ms);
+	}
+}
+
+static size_t count_superseded(const struct cw_quarantine *quarantine)
+{
+	const struct suspect *suspect;
+	size_t count = 0;
+
+	TAILQ_FOREACH(suspect, &quarantine->suspects, link)
+		count += suspect->is_culprit && suspect->is_superseded;
+	return count;
+}
+
+/*
+ * Load pattern: forty callers send eleven harmless bodies, and all of them run at nearly every
+ * crash that a poison request causes. Quarantined one by one, they cost two servers each until the
+ * poison request's turn. So each time all requests quarantined so far turn out to be others, as
+ * many further ones are quarantined. The harmless ones are released by their trials.
+ */
+static void add_tied_culprits(struct cw_quarantine *quarantine, const struct suspect *culprit,
+			      size_t count, int64_t now_ms)
+{
+	struct suspect *tied;
+
+	while (count-- > 0 && (tied = find_tied(quarantine, culprit, now_ms)))
+		tied->is_culprit = 1;
+}
+
+/* Of the requests that took part in the same crashes, the one with the most. NULL: none is left. */
+static struct suspect *find_tied(const struct cw_quarantine *quarantine,
+				 const struct suspect *culprit, int64_t now_ms)
+{
+	struct suspect *tied = NULL;
+	struct suspect *other;
+	size_t tied_count = 0;
+
+	TAILQ_FOREACH(other, &quarantine->suspects, link) {
+		size_t count;
+		size_t own;
+
+		if (other->is_culprit || other->crash_count < CRASHES_TO_QUARANTINE ||
+		    (other->answered_ms >= 0 && culprit->answered_ms < 0))
+			continue;
+		count = count_shared(quarantine, other, culprit, now_ms, &own);
+		if (count >= CRASHES_TO_QUARANTINE && own > tied_count) {
+			tied = other;
+			tied_count = own;
+		}
 	}
+	return tied;
 }
 
 /*
--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 static int was_tried_lately(const struct suspect *suspect, int64_t now_ms);
+static int is_cleared_by_answer(const struct suspect *suspect);
 static void verify_answers(struct cw_quarantine *quarantine, int64_t now_ms);
 static void evict_suspect(struct cw_quarantine *quarantine, const char *organisation);
 static struct suspect *find_least_likely(struct cw_quarantine *quarantine,
@@ -172,13 +173,16 @@
 		struct suspect *next = TAILQ_NEXT(suspect, link);
 
 		if (suspect->quarantined_ms && !suspect->is_short && !suspect->is_superseded &&
-		    now_ms - suspect->quarantined_ms >=
-			    (suspect->is_sole_candidate ? COMMIT_MS : COMMIT_AMBIGUOUS_MS) &&
-		    !suspect->is_committed) {
+		    now_ms - suspect->quarantined_ms >= COMMIT_MS && !suspect->is_committed) {
 			suspect->is_committed = 1;
 			suspect->changed_ms = now_ms;
 			quarantine->is_dirty = 1;
 		}
+		if (suspect->quarantined_ms && !suspect->is_reviewed &&
+		    now_ms - suspect->quarantined_ms >= LIKELIER_TRIAL_MS) {
+			suspect->is_reviewed = 1;
+			quarantine->is_dirty = 1;
+		}
 		if (suspect->quarantined_ms && has_expired(suspect, now_ms))
 			suspect_release(quarantine, suspect, CW_QUARANTINE_EXPIRED, now_ms);
 		else if (!suspect->quarantined_ms && has_expired(suspect, now_ms))
@@ -347,17 +351,31 @@
 	suspect->answered_ms = at_ms;
 	suspect->updated_ms = now_ms;
 	quarantine->is_dirty = 1;
-	if (suspect->quarantined_ms && at_ms > suspect->quarantined_ms)
+	if (suspect->quarantined_ms &&
+	    (at_ms > suspect->quarantined_ms || is_cleared_by_answer(suspect)))
 		suspect_release(quarantine, suspect, CW_QUARANTINE_ANSWER, now_ms);
 }
 
+/*
+ * An answer is verified after FINISHED_MS, and crashes may quarantine its request meanwhile. Of the
+ * crashes that did, too few are left then.
+ */
+static int is_cleared_by_answer(const struct suspect *suspect)
+{
+	size_t later = 0;
+
+	for (size_t i = 0; i < suspect->crash_count; i++)
+		later += suspect->crashes[i].at_ms > suspect->answered_ms;
+	return later < suspect->crash_count && later < CRASHES_TO_QUARANTINE;
+}
+
 void suspect_quarantine(struct cw_quarantine *quarantine, struct suspect *suspect,
 			enum cw_quarantine_source source, int64_t since_ms, int64_t now_ms)
 {
 	if (suspect->quarantined_ms)
 		return;
 	suspect->quarantined_ms = MAX(since_ms, 1);
-	suspect->is_ambiguous = suspect->is_superseded = 0;
+	suspect->is_ambiguous = suspect->is_superseded = suspect->is_reviewed = 0;
 	suspect->trial_ms = 0;
 	suspect->released_ms = 0;
 	suspect->is_committed = source != CW_QUARANTINE_OWN;
@@ -427,8 +445,7 @@
 			.server = server,
 			.at_ms = at_ms,
 			.ran_ms = at_ms - finished->sent_ms,
-			.is_late = finished->is_answered &&
-				   at_ms - finished->finished_ms > ANSWER_CRASH_MS,
+			.is_late = at_ms - finished->finished_ms > LATE_CRASH_MS,
 		};
 
 		if (finished->server != server || !finished->finished_ms ||
--- a/packages/quarantine/src/quarantine_internal.h
+++ b/packages/quarantine/src/quarantine_internal.h
@@ -27,9 +27,9 @@
 #define STALL_MS	      300
 #define IN_FLIGHT_MS	      50 /* after a crash; bytes sent before have been read by then */
 #define SETTLE_MS	      200 /* after a crash; peers' reports of the crash have arrived by then */
-#define COMMIT_MS	      1000 /* a decision that stands this long is announced and persisted */
-#define COMMIT_AMBIGUOUS_MS   2000 /* the same if another request took part in as many crashes */
-#define LIKELIER_TRIAL_MS     5000 /* wait of the likelier of two doubtful requests */
+#define COMMIT_MS	      400  /* a decision that stands this long is announced and persisted */
+#define TRIAL_WAIT_MS	      1000 /* of the less likely of two doubtful requests */
+#define LIKELIER_TRIAL_MS     5000 /* of the likelier one */
 #define QUARANTINE_MS	      600000 /* a poison request costs three crashes in ten minutes */
 #define SHORT_QUARANTINE_MS   10000  /* for a request answered before: servers may be at fault */
 #define EVIDENCE_MS	      600000 /* age up to which a crash counts as evidence */
@@ -39,7 +39,7 @@
 #define ANNOUNCED_CRASHES_MAX 4	    /* newest crashes announced per suspect */
 #define ANNOUNCED_SINGLES_MAX 8	    /* suspects with a single crash, per message */
 #define FINISHED_MS	      1000 /* a finished request may still crash its server for this long */
-#define ANSWER_CRASH_MS	      100  /* a crash this soon after an answer is due to its request */
+#define LATE_CRASH_MS	      100  /* a crash this soon after a run's end is due to its request */
 #define TRIAL_TURN_MS	      1000 /* between two instances that may try the same request */
 #define TRIAL_TURNS_MAX	      15   /* all further instances have the last turn */
 #define TRIAL_GAP_MS	      10000 /* least time between two trials of a quarantined request */
@@ -52,7 +52,7 @@
 	int64_t ran_ms;	  /* how long the request had run by then */
 	int is_running;	  /* not queued: ran_ms counts from the first byte of the answer */
 	int is_confirmed; /* the server crashed, rather than only dropped the connection */
-	int is_late;	  /* longer than ANSWER_CRASH_MS after the run's complete answer */
+	int is_late;	  /* longer than LATE_CRASH_MS after the run's end */
 	int64_t lag_ms;	  /* at_ms may be late by as much */
 };
 
@@ -76,6 +76,7 @@
 	int is_culprit;		/* found by the judgement that is running */
 	int is_sole_candidate;	/* no other request took part in as many of its crashes */
 	int is_ambiguous;  /* while quarantined: another request took part in all of its crashes */
+	int is_reviewed;   /* judged again LIKELIER_TRIAL_MS after the decision */
 	int is_superseded; /* while quarantined: another request explains its crashes better */
 	int64_t trial_ms;  /* last trial run by this instance during the quarantine, 0: none */
 	unsigned int alternatives; /* alternative suspects, in two or more of its crashes */
@@ -188,6 +189,8 @@
 struct crash *suspect_find_crash(const struct suspect *suspect, uint32_t outage); /* NULL: none */
 int suspect_is_doubtful(const struct cw_quarantine *quarantine, const struct suspect *suspect,
 			int64_t now_ms); /* another quarantined request explains its crashes */
+int suspect_is_covered(const struct cw_quarantine *quarantine, const struct suspect *suspect,
+		       int64_t now_ms); /* another suspect was present at all its crashes */
 int suspect_is_proven(const struct cw_quarantine *quarantine, const struct suspect *suspect,
 		      int64_t now_ms); /* crashed a server alone during its quarantine */
 void quarantine_judge(struct cw_quarantine *quarantine, int64_t now_ms);
--- a/tests/unit/test_quarantine_doubt.c
+++ b/tests/unit/test_quarantine_doubt.c
@@ -129,6 +129,53 @@
 	cw_quarantine_destroy(quarantine);
 }
 
+/*
+ * Guards against a harmless request that stays quarantined though it was answered: the answer is
+ * verified after the decision.
+ */
+static void an_answer_before_the_decision_clears_a_request_when_it_is_verified(void **state)
+{
+	struct cw_quarantine *quarantine = cw_quarantine_create();
+
+	fixture_crash_server(quarantine, HARMLESS, 1, NOW);
+	fixture_crash_server(quarantine, HARMLESS, 2, NOW + 100);
+	cw_quarantine_note_answer(quarantine, HARMLESS, 9, 100, NOW + 150);
+	fixture_crash_server(quarantine, HARMLESS, 3, NOW + 200);
+	assert_true(cw_quarantine_contains(quarantine, HARMLESS));
+	fixture_run_ticks(quarantine, NOW + 200, NOW + 1300);
+	assert_false(cw_quarantine_contains(quarantine, HARMLESS));
+	cw_quarantine_destroy(quarantine);
+}
+
+/*
+ * Guards against a poison request that crashes two servers for each harmless one that is
+ * quarantined before it. All of twelve requests run at each crash, and the poison request has the
+ * longest runs.
+ */
+static void requests_tied_in_all_crashes_are_quarantined_in_growing_groups(void **state)
+{
+	struct cw_quarantine *quarantine = cw_quarantine_create();
+	int crashes = 0;
+
+	for (; crashes < 12 && !cw_quarantine_contains(quarantine, POISON); crashes++) {
+		int64_t now_ms = NOW + crashes * 600;
+
+		for (uint64_t i = 0; i < 11; i++) {
+			struct cw_quarantine_request request =
+				fixture_make_request(HARMLESS + i, "others");
+
+			if (!cw_quarantine_contains(quarantine, HARMLESS + i))
+				cw_quarantine_note_break(quarantine, &request, (uint64_t)crashes,
+							 (int64_t)i + 5, 0, now_ms);
+		}
+		fixture_crash_server(quarantine, POISON, (uint64_t)crashes, now_ms);
+		fixture_run_ticks(quarantine, now_ms, now_ms + 500);
+	}
+	/* Three crashes, then rounds of 1, 1, 2, 4 and 8 requests. */
+	assert_in_range(crashes, 3, 7);
+	cw_quarantine_destroy(quarantine);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -137,6 +184,9 @@
 		cmocka_unit_test(a_trial_that_another_suspect_may_have_crashed_proves_nothing),
 		cmocka_unit_test(crashes_of_a_second_poison_request_quarantine_it_too),
 		cmocka_unit_test(a_crash_long_after_the_answer_of_a_trial_proves_nothing),
+		cmocka_unit_test(
+			an_answer_before_the_decision_clears_a_request_when_it_is_verified),
+		cmocka_unit_test(requests_tied_in_all_crashes_are_quarantined_in_growing_groups),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
