--- a/packages/quarantine/src/quarantine.c
+++ b/packages/quarantine/src/quarantine.c
@@ -59,19 +59,6 @@
 	       !suspect_is_proven(quarantine, suspect, now_ms);
 }
 
-/* At this instance, or at another one where the run ended in a crash. */
-static int was_tried_lately(const struct suspect *suspect, int64_t now_ms)
-{
-	if (suspect->trial_ms && now_ms - suspect->trial_ms < TRIAL_GAP_MS)
-		return 1;
-	for (size_t i = 0; i < suspect->crash_count; i++)
-		if (suspect->crashes[i].at_ms - suspect->crashes[i].ran_ms >
-			    suspect->quarantined_ms &&
-		    now_ms - suspect->crashes[i].at_ms < TRIAL_GAP_MS)
-			return 1;
-	return 0;
-}
-
 /*
  * A trial may crash a server, so the instances take turns: its caller may ask only one of them,
  * which need not be the first. An earlier one's trial has ended by the next turn, and its outcome
@@ -356,19 +343,6 @@
 		suspect_release(quarantine, suspect, CW_QUARANTINE_ANSWER, now_ms);
 }
 
-/*
- * An answer is verified after FINISHED_MS, and crashes may quarantine its request meanwhile. Of the
- * crashes that did, too few are left then.
- */
-static int is_cleared_by_answer(const struct suspect *suspect)
-{
-	size_t later = 0;
-
-	for (size_t i = 0; i < suspect->crash_count; i++)
-		later += suspect->crashes[i].at_ms > suspect->answered_ms;
-	return later < suspect->crash_count && later < CRASHES_TO_QUARANTINE;
-}
-
 void suspect_quarantine(struct cw_quarantine *quarantine, struct suspect *suspect,
 			enum cw_quarantine_source source, int64_t since_ms, int64_t now_ms)
 {
@@ -460,6 +434,32 @@
 	}
 }
 
+/* At this instance, or at another one where the run ended in a crash. */
+static int was_tried_lately(const struct suspect *suspect, int64_t now_ms)
+{
+	if (suspect->trial_ms && now_ms - suspect->trial_ms < TRIAL_GAP_MS)
+		return 1;
+	for (size_t i = 0; i < suspect->crash_count; i++)
+		if (suspect->crashes[i].at_ms - suspect->crashes[i].ran_ms >
+			    suspect->quarantined_ms &&
+		    now_ms - suspect->crashes[i].at_ms < TRIAL_GAP_MS)
+			return 1;
+	return 0;
+}
+
+/*
+ * An answer is verified after FINISHED_MS, and crashes may quarantine its request meanwhile. Of the
+ * crashes that did, too few are left then.
+ */
+static int is_cleared_by_answer(const struct suspect *suspect)
+{
+	size_t later = 0;
+
+	for (size_t i = 0; i < suspect->crash_count; i++)
+		later += suspect->crashes[i].at_ms > suspect->answered_ms;
+	return later < suspect->crash_count && later < CRASHES_TO_QUARANTINE;
+}
+
 /*
  * Marks requests as answered if their servers stayed up for FINISHED_MS after the complete answer.
  */
