--- a/packages/membership/include/cw_membership.h
+++ b/packages/membership/include/cw_membership.h
@@ -23,8 +23,8 @@
 	int is_leaving;
 	int is_configured; /* named by the settings */
 	uint64_t table_offset;
-	int64_t clock_lead_ms; /* of this instance's clock over the member's, and the delay of */
-	int has_clock_lead;    /* the fastest message; 1: clock_lead_ms is known */
+	int has_clock_lead;
+	int64_t clock_lead_ms; /* of this clock over the member's, with the fastest delay */
 	int64_t drift_ms;      /* time up to which clock_lead_ms allows for drift */
 };
 
