platform, gate: a rate limit that a server reports in its answers is read and logged

Each instance now keeps the newest report of each start of a server and logs its changes (server_limit, server_limit_lifted, server_report_invalid; metrics server_limits, server_reports_invalid). Placement is unchanged.

--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -66,6 +66,10 @@
 void reach_probe_crashed(struct entry *entry,
 			 struct cw_server *server); /* whether its process has terminated */
 
+/* entry_reports.c: what backend servers report about themselves */
+void reports_log(const struct cw_server *server, const struct cw_response_head *head,
+		 const struct cw_server_news *news);
+
 /* entry_feed.c: state read from the shared store */
 struct feed *feed_create(struct entry *entry, struct cw_error *error); /* NULL: see error */
 void feed_destroy(struct feed *feed);
--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -286,11 +286,13 @@
 	struct cw_response_head head;
 	struct cw_step step;
 	double predicted_ms = cw_call_predicted_ms(relay->call);
+	const struct cw_server *server = cw_call_server(relay->call);
 	int64_t now_ms = entry_now_ms(relay->entry);
 
 	record_data_received(relay);
 	cw_up_parse_answer_head(answer, &head);
 	cw_call_handle_head(relay->call, &head, now_ms, &step);
+	reports_log(server, &head, cw_call_server_news(relay->call));
 	log_head(relay, &head, &step, predicted_ms, now_ms - relay->sent_ms);
 	if (step.kind == CW_STEP_FORWARD && !relay->is_head_sent) {
 		relay->http_status = head.status;
--- a/packages/gate/include/cw_facts.h
+++ b/packages/gate/include/cw_facts.h
@@ -39,6 +39,12 @@
 	int is_head;		 /* HEAD request: the answer has no body */
 };
 
+enum cw_field_state {
+	CW_FIELD_ABSENT,
+	CW_FIELD_VALID,
+	CW_FIELD_INVALID, /* not readable, or repeated */
+};
+
 /* The head of a backend server's response. */
 struct cw_response_head {
 	unsigned int status;
@@ -52,6 +58,8 @@
 	int64_t cold_ms; /* remaining warm-up time, in which the server handles few requests */
 	int has_load;
 	unsigned int running, queued, slots;
+	enum cw_field_state rate_limit; /* CW_FIELD_ABSENT: the server takes any rate */
+	double rate_limit_per_s;	/* requests that it takes from all instances together */
 };
 
 /* Values that one attempt sends to the backend server along with the request. */
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -80,6 +80,7 @@
 	}
 	if (answer->has_warmup_time)
 		cw_warmup_set_cold(&call->server->warmup, answer->cold_ms, now_ms);
+	call_apply_reports(call, answer, now_ms);
 	step->was_under_load = call->server_was_loaded;
 	if (answer->is_not_run) {
 		release_server(call, now_ms, 0);
@@ -267,6 +268,11 @@
 	return call->fingerprint;
 }
 
+const struct cw_server_news *cw_call_server_news(const struct cw_call *call)
+{
+	return &call->server_news;
+}
+
 unsigned int cw_call_attempts(const struct cw_call *call)
 {
 	return call->attempts;
--- /dev/null
+++ b/packages/gate/src/call_reports.c
@@ -0,0 +1,33 @@
+/* What a backend server reports about itself in the head of an answer. */
+#include "gate_internal.h"
+
+#include <string.h>
+
+static void apply_rate_limit(struct cw_call *call, const struct cw_response_head *answer,
+			     int64_t now_ms);
+
+/* An answer of another server at a reused address reports nothing about this one. */
+void call_apply_reports(struct cw_call *call, const struct cw_response_head *answer, int64_t now_ms)
+{
+	memset(&call->server_news, 0, sizeof(call->server_news));
+	if (answer->is_other_server)
+		return;
+	apply_rate_limit(call, answer, now_ms);
+}
+
+/* A rejection may come from a server's front end, which reports no limits: it lifts none. */
+static void apply_rate_limit(struct cw_call *call, const struct cw_response_head *answer,
+			     int64_t now_ms)
+{
+	struct cw_rate_limit_report report = {
+		.is_limited = answer->rate_limit == CW_FIELD_VALID,
+		.per_s = answer->rate_limit_per_s,
+		.sent_ms = call->sent_ms,
+		.received_ms = now_ms,
+	};
+
+	if (answer->rate_limit == CW_FIELD_INVALID || (!report.is_limited && !answer->is_signed))
+		return;
+	call->server_news.is_rate_limit_changed =
+		cw_rate_limit_apply(&call->server->rate_limit, &report);
+}
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -79,6 +79,7 @@
 	int server_reported_loaded; /* the same, by the server's last report before the send */
 	int is_slow;		    /* the response head came far later than expected */
 	double late_work_ms;	    /* of other instances at the server, learned of by the head */
+	struct cw_server_news server_news; /* of the newest response head */
 	int is_head_seen;
 	int64_t head_ms;	       /* time of the response head */
 	unsigned int events_forwarded; /* by the current attempt */
@@ -108,6 +109,10 @@
 void call_record_crash(struct cw_call *call, int64_t now_ms);	      /* the connection broke */
 int64_t call_run_time_ms(const struct cw_call *call, int64_t now_ms); /* at the attempt's server */
 
+/* call_reports.c: what a server reports about itself in an answer */
+void call_apply_reports(struct cw_call *call, const struct cw_response_head *answer,
+			int64_t now_ms);
+
 /* call_choice.c: choice of a server */
 struct cw_server *
 call_choose_server(struct cw_call *call, int64_t now_ms,
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -9,6 +9,7 @@
 #include "cw_drain.h"
 #include "cw_home.h"
 #include "cw_policy.h"
+#include "cw_rate_limit.h"
 #include "cw_status.h"
 #include "cw_warmup.h"
 
@@ -79,6 +80,7 @@
 	int is_leaving;
 	int is_drained; /* the failure domain is drained: no new requests */
 	struct cw_warmup warmup;
+	struct cw_rate_limit rate_limit;
 	int is_removed;		    /* no longer listed: freed once its last request ends */
 	int64_t removed_ms;	    /* time from which the server counts as removed, 0: listed */
 	char software[CW_NAME_MAX]; /* version of the server's software; empty: unknown */
--- /dev/null
+++ b/tests/unit/test_up_answers.c
@@ -0,0 +1,61 @@
+/* Fields of answer heads in which backend servers report about themselves, valid and invalid. */
+#include "cw_message.h"
+#include "cw_up.h"
+#include "unit.h"
+
+#include <string.h>
+
+static void add_field(struct cw_message *message, const char *name, const char *value)
+{
+	cw_message_add_name(message, name, strlen(name));
+	cw_message_add_value(message, value, strlen(value));
+}
+
+/* Parses an answer with up to two values of one field; NULL: none. */
+static struct cw_response_head parse(const char *name, const char *first, const char *second)
+{
+	struct cw_message *answer = cw_message_create();
+	struct cw_response_head head;
+
+	answer->status = 200;
+	if (first)
+		add_field(answer, name, first);
+	if (second)
+		add_field(answer, name, second);
+	cw_message_end_fields(answer);
+	cw_up_parse_answer_head(answer, &head);
+	cw_message_destroy(answer);
+	return head;
+}
+
+static void a_rate_limit_is_a_decimal_number(void **state)
+{
+	struct cw_response_head head = parse("Server-Limit", "2.3", NULL);
+
+	assert_int_equal(head.rate_limit, CW_FIELD_VALID);
+	assert_true(head.rate_limit_per_s > 2.29 && head.rate_limit_per_s < 2.31);
+	assert_int_equal(parse("Server-Limit", "0", NULL).rate_limit, CW_FIELD_VALID);
+	assert_int_equal(parse("Server-Limit", NULL, NULL).rate_limit, CW_FIELD_ABSENT);
+}
+
+/* An unreadable limit must not count as none: the server would get the full load. */
+static void an_invalid_rate_limit_is_not_an_absent_one(void **state)
+{
+	static const char *const values[] = {"",      "-1",  "inf",	    "nan",
+					     "1e999", "2,3", "2.3 a second"};
+
+	for (size_t i = 0; i < sizeof(values) / sizeof(values[0]); i++)
+		assert_int_equal(parse("Server-Limit", values[i], NULL).rate_limit,
+				 CW_FIELD_INVALID);
+	assert_int_equal(parse("Server-Limit", "2", "3").rate_limit, CW_FIELD_INVALID);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(a_rate_limit_is_a_decimal_number),
+		cmocka_unit_test(an_invalid_rate_limit_is_not_an_absent_one),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
