--- a/tests/standins/users_runner.c
+++ b/tests/standins/users_runner.c
@@ -13,8 +13,13 @@
  *   cut     a stream breaks within an event after two events
  *   end     the server crashes at once
  * Any other name acts as ok, also unframed (meant for a body without a length) and extra.
+ * POST /admin/limit?m=N names the rate limit N in each answer from then on; without N: none.
  * GET /admin/runs lists the requests that began to run: id, model, organisation, last event before.
  *
+ * Prints what it received and answered, with the time of the monotonic clock in ms:
+ *   got MS ID          a request
+ *   limit MS ID N      an answer that names the rate limit N
+ *
  * With --fatal TEXT a request whose body contains TEXT crashes the server after --fatal-ms: all
  * connections break, and new ones are refused for --down-ms.
  */
@@ -42,6 +47,7 @@
 static uv_loop_t loop;
 static TAILQ_HEAD(, run) runs = TAILQ_HEAD_INITIALIZER(runs);
 static char mode[16] = "ok";
+static char rate_limit[16]; /* empty: none is named */
 static GString *journal;
 static const char *name;
 static const char *confidence;
@@ -49,6 +55,11 @@
 static unsigned int running;
 static struct crash crash;
 
+static long now_ms(void)
+{
+	return (long)(g_get_monotonic_time() / 1000);
+}
+
 static void on_timer_closed(uv_handle_t *handle)
 {
 	g_free(handle->data);
@@ -110,6 +121,11 @@
 	g_string_append_printf(fields,
 			       "Server-Seal: %s.%s\r\nAttempt-Id: %s\r\nServer-Load: %u,0,64\r\n%s",
 			       name, id, id, running, more);
+	if (*rate_limit) {
+		g_string_append_printf(fields, "Server-Limit: %s\r\n", rate_limit);
+		printf("limit %ld %s %s\n", now_ms(), id, rate_limit);
+		fflush(stdout);
+	}
 	if (confidence)
 		g_string_append_printf(fields, "Confidence: %s\r\n", confidence);
 	cw_caller_send_head(caller, status, fields->str, length);
@@ -156,7 +172,9 @@
 
 	if (m && !strcmp(m + 3, "end"))
 		crash_now(&crash);
-	if (m)
+	if (g_str_has_prefix(request->target->str, "/admin/limit"))
+		g_strlcpy(rate_limit, m ? m + 3 : "", sizeof(rate_limit));
+	else if (m)
 		g_strlcpy(mode, m + 3, sizeof(mode));
 	cw_caller_send_head(caller, 200, "", (int64_t)journal->len);
 	cw_caller_send_body(caller, journal->str, journal->len);
@@ -171,7 +189,11 @@
 
 	if (g_str_has_prefix(request->target->str, "/admin/")) {
 		on_admin(caller, request);
-	} else if (expected && strcmp(expected, name) != 0) {
+		return;
+	}
+	printf("got %ld %s\n", now_ms(), cw_message_find(request, "Attempt-Id"));
+	fflush(stdout);
+	if (expected && strcmp(expected, name) != 0) {
 		send_head(caller, request, 421, "Instance-Id: other\r\n", 0);
 		cw_caller_end_answer(caller);
 	} else if (!strcmp(mode, "notrun")) {
