pool, gate, gossip: all instances together keep a rate limit that a server reports

LIMIT: a server that named a limit of 1.3 requests a second got 20 in 4 s. Class: a signal of another party that is received and not acted on.

Each choice of a server now asks the pool whether the server admits a request. What one instance is told goes to the peers in a datagram of its own, which earlier builds ignore. An answer that was overtaken neither lifts nor raises a limit; a rejection without a seal lifts none; an unreadable report changes nothing; a new start begins without a limit. Callers that no server admits are rejected at once with the time until one does.

--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -9,6 +9,7 @@
 #include "cw_flow.h"
 #include "cw_gate.h"
 #include "cw_gossip.h"
+#include "cw_gossip_reports.h"
 #include "cw_policy.h"
 #include "cw_up.h"
 
@@ -69,6 +70,8 @@
 /* entry_reports.c: what backend servers report about themselves */
 void reports_log(const struct cw_server *server, const struct cw_response_head *head,
 		 const struct cw_server_news *news);
+void reports_merge(struct entry *entry, const struct cw_gossip_reports *message,
+		   uint32_t delay_ms); /* of a peer; delay_ms: it waited so long to be read */
 
 /* entry_feed.c: state read from the shared store */
 struct feed *feed_create(struct entry *entry, struct cw_error *error); /* NULL: see error */
--- a/apps/corianderwalk/entry_peers.c
+++ b/apps/corianderwalk/entry_peers.c
@@ -55,8 +55,9 @@
 static void fill_announcement(struct peers *peers, struct cw_gossip *gossip);
 static void add_members(const struct peers *peers, struct cw_gossip *gossip, int64_t now_ms);
 static void encode_message(struct datagram *message, const struct cw_gossip *gossip);
+static void encode_reports(const struct peers *peers, struct datagram *message);
 static void send_to_members(struct peers *peers, const struct datagram *full,
-			    const struct datagram *trimmed);
+			    const struct datagram *trimmed, const struct datagram *reports);
 static void send_to(struct peers *peers, const char *address, const struct datagram *message);
 static void merge_announcement(struct peers *peers, const struct cw_gossip *gossip);
 static void send_introduction(struct peers *peers, const char *address);
@@ -137,6 +138,7 @@
 	struct cw_gossip *gossip = g_new0(struct cw_gossip, 1);
 	struct datagram full;
 	struct datagram trimmed = {0};
+	struct datagram reports;
 
 	fill_announcement(peers, gossip);
 	encode_message(&full, gossip);
@@ -149,7 +151,8 @@
 		encode_message(&trimmed, gossip);
 	}
 	g_free(gossip);
-	send_to_members(peers, &full, &trimmed);
+	encode_reports(peers, &reports);
+	send_to_members(peers, &full, &trimmed, &reports);
 	if (peers->round_count++ % SEED_INTERVAL_ROUNDS == 0 ||
 	    cw_audience_needs_seeds(peers->membership, entry_is_synced(peers->entry)))
 		for (size_t i = 0; i < settings->seed_count; i++)
@@ -164,8 +167,24 @@
 		cw_warn("peers", "message_too_large", "limit=%d", CW_GOSSIP_BYTES);
 }
 
+/* Without reports there is no message. */
+static void encode_reports(const struct peers *peers, struct datagram *message)
+{
+	const struct entry *entry = peers->entry;
+	struct cw_gossip_reports reports;
+	uint64_t random;
+
+	cw_random_bytes(&random, sizeof(random));
+	cw_gossip_fill_reports(&reports, entry->settings.instance, cw_gate_pool(entry->gate),
+			       random, entry_now_ms(entry));
+	message->size = 0;
+	if (reports.count > 0)
+		message->size =
+			cw_gossip_encode_reports(&reports, message->bytes, sizeof(message->bytes));
+}
+
 static void send_to_members(struct peers *peers, const struct datagram *full,
-			    const struct datagram *trimmed)
+			    const struct datagram *trimmed, const struct datagram *reports)
 {
 	struct cw_audience audience;
 	uint64_t random;
@@ -176,6 +195,8 @@
 	for (size_t i = 0; i < audience.count; i++)
 		send_to(peers, audience.members[i]->address,
 			i < audience.full_count ? full : trimmed);
+	for (size_t i = 0; i < audience.full_count; i++)
+		send_to(peers, audience.members[i]->address, reports);
 	cw_audience_clear(&audience);
 }
 
@@ -215,6 +236,7 @@
 			const struct sockaddr *from, unsigned int flags)
 {
 	struct peers *peers = socket->data;
+	struct cw_gossip_reports reports;
 	struct cw_gossip *gossip;
 
 	if (size <= 0)
@@ -223,6 +245,8 @@
 	if (cw_gossip_decode(buffer->base, (size_t)size, gossip) == CW_OK) {
 		cw_gossip_add_delay(gossip, cw_flow_datagram_delay_ms(socket));
 		merge_announcement(peers, gossip);
+	} else if (cw_gossip_decode_reports(buffer->base, (size_t)size, &reports) == CW_OK) {
+		reports_merge(peers->entry, &reports, cw_flow_datagram_delay_ms(socket));
 	} else {
 		cw_counter_add("peer_messages_ignored", "", 1);
 	}
@@ -284,13 +308,15 @@
 					     gossip->drains, CW_DRAINS_MAX);
 }
 
-/* This instance's rank among those that may send requests to a cold server. */
+/* This instance's rank among those that may send requests to a cold or rate-limited server. */
 static void find_warmup_place(void *context, uint64_t server, struct cw_warmup_place *place)
 {
 	const struct peers *peers = context;
 
 	place->rank = cw_membership_stable_rank(peers->membership, server,
 						entry_now_ms(peers->entry), &place->instances);
+	place->may_be_split =
+		!cw_membership_is_complete(peers->membership, entry_now_ms(peers->entry));
 }
 
 static void add_members(const struct peers *peers, struct cw_gossip *gossip, int64_t now_ms)
@@ -391,6 +417,8 @@
 	encode_message(&message, gossip);
 	g_free(gossip);
 	send_to(peers, address, &message);
+	encode_reports(peers, &message);
+	send_to(peers, address, &message);
 }
 
 /* Clears only servers that a peer has reported on: there may be many thousands of others. */
--- a/apps/corianderwalk/entry_reports.c
+++ b/apps/corianderwalk/entry_reports.c
@@ -19,14 +19,31 @@
 	}
 }
 
+void reports_merge(struct entry *entry, const struct cw_gossip_reports *message, uint32_t delay_ms)
+{
+	int64_t now_ms = entry_now_ms(entry);
+
+	for (size_t i = 0; i < message->count; i++) {
+		struct cw_server *server =
+			cw_pool_find(cw_gate_pool(entry->gate), message->reports[i].server);
+		struct cw_rate_limit_report report;
+
+		if (!server)
+			continue;
+		cw_gossip_read_report(&message->reports[i], &report, now_ms - delay_ms);
+		if (cw_pool_apply_rate_limit(server, &report, now_ms))
+			log_rate_limit(server, message->sender);
+	}
+}
+
 static void log_rate_limit(const struct cw_server *server, const char *source)
 {
-	if (!cw_rate_limit_is_in_force(&server->rate_limit)) {
+	if (!cw_pool_is_rate_limited(server)) {
 		cw_event("gate", "server_limit_lifted", "server=%s source=%s", server->name,
 			 source);
 		return;
 	}
 	cw_counter_add("server_limits", "", 1);
 	cw_event("gate", "server_limit", "server=%s per_s=%.3f source=%s", server->name,
-		 server->rate_limit.newest.per_s, source);
+		 server->reports->rate_limit.newest.per_s, source);
 }
--- a/packages/gate/src/call_choice.c
+++ b/packages/gate/src/call_choice.c
@@ -71,12 +71,12 @@
 	return server;
 }
 
-int64_t call_warmup_wait_ms(struct cw_call *call, int64_t now_ms)
+int64_t call_admission_wait_ms(struct cw_call *call, int64_t now_ms, enum cw_admission *cause)
 {
 	struct cw_choice choice;
 
 	fill_choice(call, now_ms, &choice);
-	return cw_pool_cold_wait_ms(call->gate->pool, &choice);
+	return cw_pool_wait_for_admission_ms(call->gate->pool, &choice, cause);
 }
 
 /* Fills all fields except those of the roll-out. */
--- a/packages/gate/src/call_refuse.c
+++ b/packages/gate/src/call_refuse.c
@@ -52,20 +52,25 @@
 }
 
 /*
- * Load pattern: all servers of a service restart. Cold servers admit a few requests a second, and a
- * caller that retries too early is rejected again, so Retry-After covers the wait for a cold
- * server.
+ * Load pattern: all servers of a service restart, or limit the requests that they take. They admit
+ * a few requests a second, and a caller that retries too early is rejected again, so Retry-After
+ * covers the wait for a server.
  */
 void call_reject_unsent(struct cw_call *call, struct cw_step *step, int64_t now_ms)
 {
-	int64_t cold_ms = call_warmup_wait_ms(call, now_ms);
+	static const char *const reasons[] = {
+		[CW_ADMISSION_COLD] = "the backend servers are warming up",
+		[CW_ADMISSION_RATE_LIMITED] = "the backend servers limit their requests",
+	};
+	enum cw_admission cause;
+	int64_t wait_ms = call_admission_wait_ms(call, now_ms, &cause);
 
-	if (cold_ms <= 0) {
+	if (wait_ms <= 0) {
 		call_reject_not_run(call, step, "no backend server may take it", now_ms);
 		return;
 	}
-	call_reject_not_run(call, step, "the backend servers are warming up", now_ms);
-	step->retry_after_ms = CLAMP(cold_ms + call_retry_after_ms(call), 1,
+	call_reject_not_run(call, step, reasons[cause], now_ms);
+	step->retry_after_ms = CLAMP(wait_ms + call_retry_after_ms(call), 1,
 				     (int64_t)max_retry_wait_ms(call, now_ms));
 }
 
--- a/packages/gate/src/call_reports.c
+++ b/packages/gate/src/call_reports.c
@@ -29,5 +29,5 @@
 	if (answer->rate_limit == CW_FIELD_INVALID || (!report.is_limited && !answer->is_signed))
 		return;
 	call->server_news.is_rate_limit_changed =
-		cw_rate_limit_apply(&call->server->rate_limit, &report);
+		cw_pool_apply_rate_limit(call->server, &report, now_ms);
 }
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -117,8 +117,9 @@
 struct cw_server *
 call_choose_server(struct cw_call *call, int64_t now_ms,
 		   int *is_affinity_server); /* NULL: no server may run the request */
-int64_t call_warmup_wait_ms(struct cw_call *call,
-			    int64_t now_ms); /* until a cold server admits it; -1: no cold server */
+int64_t
+call_admission_wait_ms(struct cw_call *call, int64_t now_ms,
+		       enum cw_admission *cause); /* until a server admits it; -1: none will */
 struct cw_rollout_request call_rollout_request(const struct cw_call *call);
 
 /* call_refuse.c: rejection of requests: status, message and time to retry */
--- a/packages/membership/include/cw_membership.h
+++ b/packages/membership/include/cw_membership.h
@@ -85,6 +85,8 @@
 						 count too unless a majority is live: no instance in
 						 a network partition ranks itself alone; instances:
 						 ranked ones, 0: the rank is unknown */
+int cw_membership_is_complete(const struct cw_membership *membership,
+			      int64_t now_ms); /* 1: all known members are live or leaving */
 int cw_membership_is_stable(const struct cw_membership *membership, int64_t now_ms,
 			    int64_t calm_ms); /* 1: no growth by a quarter within calm_ms */
 size_t cw_membership_size(const struct cw_membership *membership); /* counts this instance */
--- a/packages/membership/src/membership.c
+++ b/packages/membership/src/membership.c
@@ -292,6 +292,16 @@
 	return rank;
 }
 
+int cw_membership_is_complete(const struct cw_membership *membership, int64_t now_ms)
+{
+	const struct cw_member *member;
+
+	TAILQ_FOREACH(member, &membership->members, link)
+		if (!member->is_leaving && !cw_membership_is_live(membership, member, now_ms))
+			return 0;
+	return 1;
+}
+
 int cw_membership_is_stable(const struct cw_membership *membership, int64_t now_ms, int64_t calm_ms)
 {
 	return now_ms - membership->grown_ms >= calm_ms && !has_grown(membership);
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -60,6 +60,15 @@
 	int change; /* 1 request dispatched, -1 request ended */
 };
 
+/* What one start of a server has reported about itself in its answers. */
+struct cw_server_reports {
+	TAILQ_ENTRY(cw_server_reports) link;
+	struct cw_server *server;
+	struct cw_rate_limit rate_limit;
+};
+
+TAILQ_HEAD(cw_server_reports_list, cw_server_reports);
+
 /* One start of a backend server: a restart under the same name is another struct cw_server. */
 struct cw_server {
 	struct cw_pool *pool;
@@ -80,8 +89,8 @@
 	int is_leaving;
 	int is_drained; /* the failure domain is drained: no new requests */
 	struct cw_warmup warmup;
-	struct cw_rate_limit rate_limit;
-	int is_removed;		    /* no longer listed: freed once its last request ends */
+	struct cw_server_reports *reports; /* NULL: none, as of most servers */
+	int is_removed;			   /* no longer listed: freed once its last request ends */
 	int64_t removed_ms;	    /* time from which the server counts as removed, 0: listed */
 	char software[CW_NAME_MAX]; /* version of the server's software; empty: unknown */
 	double track_score;	    /* rendezvous score by which servers are selected */
@@ -157,6 +166,12 @@
 				    chosen */
 };
 
+/* Why a server that may serve a request admits none now. */
+enum cw_admission {
+	CW_ADMISSION_COLD,	   /* the quota of a cold server is used up */
+	CW_ADMISSION_RATE_LIMITED, /* this instance's part of its rate limit is used up */
+};
+
 /* A strategy that chooses among the servers that may serve a request. */
 struct cw_choice_policy {
 	const char *name;
@@ -217,9 +232,12 @@
 uint64_t cw_pool_version_hash(const char *model, const char *version); /* hash of the two */
 struct cw_server *cw_pool_choose(struct cw_pool *pool,
 				 const struct cw_choice *choice); /* NULL: no server may serve */
-int64_t cw_pool_cold_wait_ms(struct cw_pool *pool,
-			     const struct cw_choice *choice); /* until a cold server admits a
-								 request; -1: no cold server */
+int64_t cw_pool_wait_for_admission_ms(
+	struct cw_pool *pool, const struct cw_choice *choice,
+	enum cw_admission *cause); /* until the first server admits a request; -1: none will */
+int cw_pool_apply_rate_limit(struct cw_server *server, const struct cw_rate_limit_report *report,
+			     int64_t now_ms); /* 1: the server's limit changed */
+int cw_pool_is_rate_limited(const struct cw_server *server);
 int cw_pool_serves(const struct cw_server *server,
 		   uint64_t version); /* 1: the version is loaded, or the loaded ones are unknown */
 void cw_pool_record_dispatch(struct cw_server *server, int64_t now_ms);
@@ -264,6 +282,8 @@
 	const struct cw_server *server,
 	int64_t now_ms); /* not leaving, reachable, and the breaker admits a request */
 const struct cw_server_list *cw_pool_servers(const struct cw_pool *pool);
+const struct cw_server_reports_list *
+cw_pool_reports(const struct cw_pool *pool); /* those that peers are to know */
 const struct cw_server_list *
 cw_pool_active(const struct cw_pool *pool); /* linked by active_link: servers with own requests,
 					       unreachable or suspect; few of many thousands */
--- a/packages/pool/include/cw_warmup.h
+++ b/packages/pool/include/cw_warmup.h
@@ -18,10 +18,11 @@
 #define CW_WARMUP_ASSUMED_COLD_MS                                                                  \
 	2000 /* a server that was unreachable has reported its warm-up time by then */
 
-/* The rank of this instance among those that may send to one cold server. */
+/* The rank of this instance among those that may send to one cold or rate-limited server. */
 struct cw_warmup_place {
 	size_t rank;	  /* 0: first */
 	size_t instances; /* known instances, this one included; 0: too few are known yet */
+	int may_be_split; /* known instances are unreachable and may send as well */
 };
 
 /* Requests a second that a cold server of a service handles, from all instances together. */
--- a/packages/pool/src/candidates.c
+++ b/packages/pool/src/candidates.c
@@ -33,6 +33,8 @@
 			     const struct cw_choice *choice);
 static struct cw_server *choose_server_to_fill(struct cw_server **candidates, size_t count,
 					       const struct cw_choice *choice);
+static int64_t admission_wait_ms(struct cw_pool *pool, struct cw_server *server,
+				 const struct cw_choice *choice, enum cw_admission *cause);
 static int is_tried(const struct cw_choice *choice, uint64_t id);
 static int may_serve(const struct cw_server *server, const struct cw_choice *choice);
 static void update_place(const struct cw_pool *pool, struct cw_server *server, int64_t now_ms);
@@ -131,30 +133,54 @@
 static int is_candidate(struct cw_pool *pool, struct cw_server *server,
 			const struct cw_choice *choice)
 {
-	if (!may_serve(server, choice))
-		return 0;
-	update_place(pool, server, choice->now_ms);
-	return cw_warmup_admits(&server->warmup, &choice->cold, choice->now_ms);
+	enum cw_admission cause;
+
+	return may_serve(server, choice) && admission_wait_ms(pool, server, choice, &cause) == 0;
 }
 
-int64_t cw_pool_cold_wait_ms(struct cw_pool *pool, const struct cw_choice *choice)
+int64_t cw_pool_wait_for_admission_ms(struct cw_pool *pool, const struct cw_choice *choice,
+				      enum cw_admission *cause)
 {
 	struct cw_server *server;
 	int64_t least_ms = -1;
 
 	TAILQ_FOREACH(server, &pool->servers, link) {
+		enum cw_admission server_cause;
 		int64_t wait_ms;
 
 		if (!may_serve(server, choice))
 			continue;
-		update_place(pool, server, choice->now_ms);
-		wait_ms = cw_warmup_wait_ms(&server->warmup, &choice->cold, choice->now_ms);
-		if (wait_ms > 0 && (least_ms < 0 || wait_ms < least_ms))
-			least_ms = wait_ms;
+		wait_ms = admission_wait_ms(pool, server, choice, &server_cause);
+		if (wait_ms <= 0 || (least_ms >= 0 && wait_ms >= least_ms))
+			continue;
+		least_ms = wait_ms;
+		*cause = server_cause;
 	}
 	return least_ms;
 }
 
+/* Until the server admits a request of this instance, 0: now; sets the cause of the longest wait.
+ */
+static int64_t admission_wait_ms(struct cw_pool *pool, struct cw_server *server,
+				 const struct cw_choice *choice, enum cw_admission *cause)
+{
+	int64_t now_ms = choice->now_ms;
+	int64_t longest_ms;
+	int64_t wait_ms;
+
+	update_place(pool, server, now_ms);
+	longest_ms = cw_warmup_wait_ms(&server->warmup, &choice->cold, now_ms);
+	*cause = CW_ADMISSION_COLD;
+	if (!server->reports)
+		return longest_ms;
+	wait_ms = cw_rate_limit_wait_ms(&server->reports->rate_limit, now_ms);
+	if (wait_ms > longest_ms) {
+		longest_ms = wait_ms;
+		*cause = CW_ADMISSION_RATE_LIMITED;
+	}
+	return longest_ms;
+}
+
 static int may_serve(const struct cw_server *server, const struct cw_choice *choice)
 {
 	if (!server->is_tracked || strcmp(server->service, choice->service) != 0)
@@ -178,12 +204,17 @@
 static void update_place(const struct cw_pool *pool, struct cw_server *server, int64_t now_ms)
 {
 	struct cw_warmup *warmup = &server->warmup;
+	int is_limited = cw_pool_is_rate_limited(server);
 
-	if (!pool->find_place || !cw_warmup_is_cold(warmup, now_ms) ||
-	    (warmup->place_ms && now_ms - warmup->place_ms < PLACE_REFRESH_MS))
+	if (!is_limited && !cw_warmup_is_cold(warmup, now_ms))
 		return;
-	pool->find_place(pool->place_context, server->id, &warmup->place);
-	warmup->place_ms = now_ms;
+	if (pool->find_place &&
+	    (!warmup->place_ms || now_ms - warmup->place_ms >= PLACE_REFRESH_MS)) {
+		pool->find_place(pool->place_context, server->id, &warmup->place);
+		warmup->place_ms = now_ms;
+	}
+	if (is_limited)
+		cw_rate_limit_set_place(&server->reports->rate_limit, &warmup->place, now_ms);
 }
 
 /*
--- a/packages/pool/src/pool.c
+++ b/packages/pool/src/pool.c
@@ -39,6 +39,7 @@
 	pool->regions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	TAILQ_INIT(&pool->servers);
 	TAILQ_INIT(&pool->active);
+	TAILQ_INIT(&pool->reports);
 	pool->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	pool->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	return pool;
@@ -221,6 +222,7 @@
 			deactivate(server);
 		server = next;
 	}
+	pool_sweep_reports(pool, now_ms);
 	if (pool->delisted > 0)
 		free_removed(pool, now_ms);
 }
@@ -255,6 +257,7 @@
 void cw_pool_remove(struct cw_pool *pool, struct cw_server *server)
 {
 	deactivate(server);
+	pool_free_reports(server);
 	set_removed_ms(server, 0);
 	TAILQ_REMOVE(&pool->servers, server, link);
 	g_hash_table_remove(pool->by_id, &server->id);
@@ -323,6 +326,8 @@
 	server->own_running++;
 	server->sent_ms = now_ms;
 	cw_warmup_record_send(&server->warmup, now_ms);
+	if (server->reports)
+		cw_rate_limit_record_send(&server->reports->rate_limit, now_ms);
 	if (server->breaker_open_until_ms && now_ms >= server->breaker_open_until_ms)
 		server->is_probing = 1;
 	record_change(server, now_ms, 1);
--- a/packages/pool/src/pool_internal.h
+++ b/packages/pool/src/pool_internal.h
@@ -26,12 +26,15 @@
 	void *place_context;
 	struct cw_server_list servers;
 	struct cw_server_list active; /* linked by active_link */
-	size_t delisted;	      /* number of servers with removed_ms set */
+	struct cw_server_reports_list reports;
+	size_t delisted; /* number of servers with removed_ms set */
 	GHashTable *by_id;
 	GHashTable *by_name; /* the newest start of each server */
 	struct software software[SOFTWARE_MAX];
 	size_t software_count;
 };
 void pool_activate(struct cw_server *server); /* until a sweep finds it unused */
+void pool_free_reports(struct cw_server *server);
+void pool_sweep_reports(struct cw_pool *pool, int64_t now_ms);
 
 #endif
--- /dev/null
+++ b/packages/pool/src/reports.c
@@ -0,0 +1,53 @@
+/* What servers report about themselves in their answers, kept while an instance is to know it. */
+#include "pool_internal.h"
+
+static struct cw_server_reports *get_reports(struct cw_server *server);
+
+int cw_pool_apply_rate_limit(struct cw_server *server, const struct cw_rate_limit_report *report,
+			     int64_t now_ms)
+{
+	if (!server->reports && !report->is_limited)
+		return 0;
+	return cw_rate_limit_apply(&get_reports(server)->rate_limit, report, now_ms);
+}
+
+int cw_pool_is_rate_limited(const struct cw_server *server)
+{
+	return server->reports && cw_rate_limit_is_in_force(&server->reports->rate_limit);
+}
+
+const struct cw_server_reports_list *cw_pool_reports(const struct cw_pool *pool)
+{
+	return &pool->reports;
+}
+
+void pool_sweep_reports(struct cw_pool *pool, int64_t now_ms)
+{
+	struct cw_server_reports *reports = TAILQ_FIRST(&pool->reports);
+
+	while (reports) {
+		struct cw_server_reports *next = TAILQ_NEXT(reports, link);
+
+		if (!cw_rate_limit_is_announced(&reports->rate_limit, now_ms))
+			pool_free_reports(reports->server);
+		reports = next;
+	}
+}
+
+void pool_free_reports(struct cw_server *server)
+{
+	if (!server->reports)
+		return;
+	TAILQ_REMOVE(&server->pool->reports, server->reports, link);
+	g_clear_pointer(&server->reports, g_free);
+}
+
+static struct cw_server_reports *get_reports(struct cw_server *server)
+{
+	if (server->reports)
+		return server->reports;
+	server->reports = g_new0(struct cw_server_reports, 1);
+	server->reports->server = server;
+	TAILQ_INSERT_TAIL(&server->pool->reports, server->reports, link);
+	return server->reports;
+}
--- a/tests/unit/test_gate_limit.c
+++ b/tests/unit/test_gate_limit.c
@@ -148,10 +148,121 @@
 		}
 }
 
+/* The server reports a limit whose first part is granted later than the test ends. */
+static void limit_server(struct fixture *fixture, const char *name)
+{
+	struct cw_rate_limit_report report = {.is_limited = 1,
+					      .per_s = 1,
+					      .sent_ms = FIXTURE_NOW_MS,
+					      .received_ms = FIXTURE_NOW_MS};
+
+	cw_pool_apply_rate_limit(cw_pool_find_name(cw_gate_pool(fixture->gate), name), &report,
+				 FIXTURE_NOW_MS);
+}
+
+/* Guards against a way to a limited server beside the first attempt. */
+static void no_retry_escalation_or_resumption_passes_a_limit(void **state)
+{
+	struct cw_response_head unsure = {.status = 200,
+					  .is_signed = 1,
+					  .is_event_stream = 1,
+					  .confidence = 3,
+					  .rate_limit = CW_FIELD_VALID,
+					  .rate_limit_per_s = 1};
+	struct fixture fixture;
+
+	fixture_open(&fixture);
+	fixture_open_call(&fixture, "/read/x");
+	limit_server(&fixture, "s1");
+	limit_server(&fixture, "s2");
+	cw_call_handle_failure(fixture.call, CW_ATTEMPT_CONNECTION_LOST, FIXTURE_NOW_MS + 5,
+			       &fixture.step);
+	fixture_assert_rejected(&fixture, 502, CW_RUN_UNKNOWN);
+	fixture_open_call(&fixture, "/chat/x");
+	limit_server(&fixture, "e1");
+	limit_server(&fixture, "e2");
+	cw_call_handle_head(fixture.call, &unsure, FIXTURE_NOW_MS + 10, &fixture.step);
+	assert_int_equal(fixture.step.kind, CW_STEP_FORWARD);
+	cw_call_add_event(fixture.call, 1, FIXTURE_NOW_MS + 11);
+	cw_call_handle_failure(fixture.call, CW_ATTEMPT_CONNECTION_LOST, FIXTURE_NOW_MS + 15,
+			       &fixture.step);
+	assert_int_equal(fixture.step.kind, CW_STEP_ABORT);
+	fixture_close(&fixture);
+}
+
+/* Guards against callers that wait for their deadline while no server admits them. */
+static void a_request_to_limited_servers_is_rejected_at_once(void **state)
+{
+	struct fixture fixture;
+
+	fixture_open(&fixture);
+	limit_server(&fixture, "s1");
+	limit_server(&fixture, "s2");
+	fixture_open_call(&fixture, "/once/x");
+	fixture_assert_rejected(&fixture, 503, CW_RUN_NOT_EXECUTED);
+	assert_string_equal(fixture.step.reason, "the backend servers limit their requests");
+	assert_in_range(fixture.step.retry_after_ms, 1, 800 / 3);
+	fixture_close(&fixture);
+}
+
+/* Guards against a limit of an earlier start that stays in force after a restart. */
+static void a_restarted_server_begins_without_a_limit(void **state)
+{
+	struct cw_server_entry entry = {.slots = 8, .process_start_ms = 1000};
+	struct fixture fixture;
+	struct cw_pool *pool;
+
+	fixture_open(&fixture);
+	pool = cw_gate_pool(fixture.gate);
+	strcpy(entry.name, "s9");
+	strcpy(entry.service, "orders");
+	strcpy(entry.address, "10.0.0.9:80");
+	strcpy(entry.failure_domain, "d1");
+	cw_pool_apply_entry(pool, &entry, FIXTURE_NOW_MS);
+	limit_server(&fixture, "s9");
+	assert_true(cw_pool_is_rate_limited(cw_pool_find_name(pool, "s9")));
+	entry.process_start_ms = 2000;
+	assert_int_equal(cw_pool_apply_entry(pool, &entry, FIXTURE_NOW_MS + 10),
+			 CW_LISTING_RESTARTED);
+	assert_false(cw_pool_is_rate_limited(cw_pool_find_name(pool, "s9")));
+	fixture_close(&fixture);
+}
+
+/* Guards against reports that are taken from a server at a reused address, or lift a limit unread.
+ */
+static void only_a_readable_report_of_the_server_itself_counts(void **state)
+{
+	struct cw_response_head head = {.status = 421,
+					.is_not_run = 1,
+					.is_other_server = 1,
+					.rate_limit = CW_FIELD_VALID,
+					.rate_limit_per_s = 1};
+	struct fixture fixture;
+	struct cw_server *server;
+
+	fixture_open(&fixture);
+	fixture_open_call(&fixture, "/read/x");
+	server = fixture.step.server;
+	cw_call_handle_head(fixture.call, &head, FIXTURE_NOW_MS + 5, &fixture.step);
+	assert_false(cw_pool_is_rate_limited(server));
+	server = fixture.step.server;
+	limit_server(&fixture, server->name);
+	head = (struct cw_response_head){
+		.status = 200, .is_signed = 1, .rate_limit = CW_FIELD_INVALID};
+	cw_call_handle_head(fixture.call, &head, FIXTURE_NOW_MS + 10, &fixture.step);
+	assert_int_equal(fixture.step.kind, CW_STEP_FORWARD);
+	assert_true(cw_pool_is_rate_limited(server));
+	fixture_close(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(all_instances_together_keep_a_reported_limit),
+		cmocka_unit_test(no_retry_escalation_or_resumption_passes_a_limit),
+		cmocka_unit_test(a_request_to_limited_servers_is_rejected_at_once),
+		cmocka_unit_test(a_restarted_server_begins_without_a_limit),
+		cmocka_unit_test(only_a_readable_report_of_the_server_itself_counts),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
