platform, gate: a server's report that it leaves is read and logged

DRAIN could not be traced: no log line said what an answer reports about its server. Each instance now keeps the report for the rest of that start of the server and logs it (server_leaving; metric servers_leaving).

--- a/apps/corianderwalk/entry_reports.c
+++ b/apps/corianderwalk/entry_reports.c
@@ -6,17 +6,20 @@
 #define SOURCE_ANSWER "answer" /* in logs, in place of the peer that announced a report */
 
 static void log_rate_limit(const struct cw_server *server, const char *source);
+static void log_leaving(const struct cw_server *server, const char *source);
+static void log_invalid(const struct cw_server *server, const char *field);
 
 void reports_log(const struct cw_server *server, const struct cw_response_head *head,
 		 const struct cw_server_news *news)
 {
 	if (news->is_rate_limit_changed)
 		log_rate_limit(server, SOURCE_ANSWER);
-	if (head->rate_limit == CW_FIELD_INVALID) {
-		cw_counter_add("server_reports_invalid", "", 1);
-		cw_warn("gate", "server_report_invalid", "server=%s field=rate_limit",
-			server->name);
-	}
+	if (news->is_leaving)
+		log_leaving(server, SOURCE_ANSWER);
+	if (head->rate_limit == CW_FIELD_INVALID)
+		log_invalid(server, "rate_limit");
+	if (head->leaving == CW_FIELD_INVALID)
+		log_invalid(server, "leaving");
 }
 
 void reports_merge(struct entry *entry, const struct cw_gossip_reports *message, uint32_t delay_ms)
@@ -47,3 +50,15 @@
 	cw_event("gate", "server_limit", "server=%s per_s=%.3f source=%s", server->name,
 		 server->reports->rate_limit.newest.per_s, source);
 }
+
+static void log_leaving(const struct cw_server *server, const char *source)
+{
+	cw_counter_add("servers_leaving", "", 1);
+	cw_event("gate", "server_leaving", "server=%s source=%s", server->name, source);
+}
+
+static void log_invalid(const struct cw_server *server, const char *field)
+{
+	cw_counter_add("server_reports_invalid", "", 1);
+	cw_warn("gate", "server_report_invalid", "server=%s field=%s", server->name, field);
+}
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -50,6 +50,7 @@
 /* What the newest response head changed in the knowledge of its server. */
 struct cw_server_news {
 	int is_rate_limit_changed; /* named, changed or lifted */
+	int is_leaving;		   /* reported for the first time */
 };
 
 /* How an attempt failed. */
--- a/packages/gate/src/call_reports.c
+++ b/packages/gate/src/call_reports.c
@@ -13,6 +13,8 @@
 	if (answer->is_other_server)
 		return;
 	apply_rate_limit(call, answer, now_ms);
+	if (answer->leaving == CW_FIELD_VALID && answer->is_leaving)
+		call->server_news.is_leaving = cw_pool_report_leaving(call->server);
 }
 
 /* A rejection may come from a server's front end, which reports no limits: it lifts none. */
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -65,6 +65,7 @@
 	TAILQ_ENTRY(cw_server_reports) link;
 	struct cw_server *server;
 	struct cw_rate_limit rate_limit;
+	int is_leaving; /* for the rest of this start */
 };
 
 TAILQ_HEAD(cw_server_reports_list, cw_server_reports);
@@ -236,7 +237,8 @@
 	struct cw_pool *pool, const struct cw_choice *choice,
 	enum cw_admission *cause); /* until the first server admits a request; -1: none will */
 int cw_pool_apply_rate_limit(struct cw_server *server, const struct cw_rate_limit_report *report,
-			     int64_t now_ms); /* 1: the server's limit changed */
+			     int64_t now_ms);	      /* 1: the server's limit changed */
+int cw_pool_report_leaving(struct cw_server *server); /* 1: reported for the first time */
 int cw_pool_is_rate_limited(const struct cw_server *server);
 int cw_pool_serves(const struct cw_server *server,
 		   uint64_t version); /* 1: the version is loaded, or the loaded ones are unknown */
--- a/packages/pool/src/reports.c
+++ b/packages/pool/src/reports.c
@@ -11,6 +11,16 @@
 	return cw_rate_limit_apply(&get_reports(server)->rate_limit, report, now_ms);
 }
 
+int cw_pool_report_leaving(struct cw_server *server)
+{
+	struct cw_server_reports *reports = get_reports(server);
+
+	if (reports->is_leaving)
+		return 0;
+	reports->is_leaving = 1;
+	return 1;
+}
+
 int cw_pool_is_rate_limited(const struct cw_server *server)
 {
 	return server->reports && cw_rate_limit_is_in_force(&server->reports->rate_limit);
@@ -28,7 +38,8 @@
 	while (reports) {
 		struct cw_server_reports *next = TAILQ_NEXT(reports, link);
 
-		if (!cw_rate_limit_is_announced(&reports->rate_limit, now_ms))
+		if (!reports->is_leaving &&
+		    !cw_rate_limit_is_announced(&reports->rate_limit, now_ms))
 			pool_free_reports(reports->server);
 		reports = next;
 	}
--- a/tests/unit/test_up_answers.c
+++ b/tests/unit/test_up_answers.c
@@ -50,11 +50,27 @@
 	assert_int_equal(parse("Server-Limit", "2", "3").rate_limit, CW_FIELD_INVALID);
 }
 
+static void a_leaving_flag_is_0_or_1(void **state)
+{
+	struct cw_response_head head = parse("Server-Leaving", "1", NULL);
+
+	assert_int_equal(head.leaving, CW_FIELD_VALID);
+	assert_true(head.is_leaving);
+	head = parse("Server-Leaving", "0", NULL);
+	assert_int_equal(head.leaving, CW_FIELD_VALID);
+	assert_false(head.is_leaving);
+	assert_int_equal(parse("Server-Leaving", NULL, NULL).leaving, CW_FIELD_ABSENT);
+	assert_int_equal(parse("Server-Leaving", "yes", NULL).leaving, CW_FIELD_INVALID);
+	assert_int_equal(parse("Server-Leaving", "", NULL).leaving, CW_FIELD_INVALID);
+	assert_int_equal(parse("Server-Leaving", "1", "0").leaving, CW_FIELD_INVALID);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_rate_limit_is_a_decimal_number),
 		cmocka_unit_test(an_invalid_rate_limit_is_not_an_absent_one),
+		cmocka_unit_test(a_leaving_flag_is_0_or_1),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
