--- a/tests/standins/users_runner.c
+++ b/tests/standins/users_runner.c
@@ -14,11 +14,13 @@
  *   end     the server crashes at once
  * Any other name acts as ok, also unframed (meant for a body without a length) and extra.
  * POST /admin/limit?m=N names the rate limit N in each answer from then on; without N: none.
+ * POST /admin/leaving?m=1 says in each answer from then on that the server leaves.
  * GET /admin/runs lists the requests that began to run: id, model, organisation, last event before.
  *
  * Prints what it received and answered, with the time of the monotonic clock in ms:
  *   got MS ID          a request
  *   limit MS ID N      an answer that names the rate limit N
+ *   leaving MS ID      an answer that says that the server leaves
  *
  * With --fatal TEXT a request whose body contains TEXT crashes the server after --fatal-ms: all
  * connections break, and new ones are refused for --down-ms.
@@ -48,6 +50,7 @@
 static TAILQ_HEAD(, run) runs = TAILQ_HEAD_INITIALIZER(runs);
 static char mode[16] = "ok";
 static char rate_limit[16]; /* empty: none is named */
+static int is_leaving;
 static GString *journal;
 static const char *name;
 static const char *confidence;
@@ -126,6 +129,11 @@
 		printf("limit %ld %s %s\n", now_ms(), id, rate_limit);
 		fflush(stdout);
 	}
+	if (is_leaving) {
+		g_string_append(fields, "Server-Leaving: 1\r\n");
+		printf("leaving %ld %s\n", now_ms(), id);
+		fflush(stdout);
+	}
 	if (confidence)
 		g_string_append_printf(fields, "Confidence: %s\r\n", confidence);
 	cw_caller_send_head(caller, status, fields->str, length);
@@ -174,6 +182,8 @@
 		crash_now(&crash);
 	if (g_str_has_prefix(request->target->str, "/admin/limit"))
 		g_strlcpy(rate_limit, m ? m + 3 : "", sizeof(rate_limit));
+	else if (g_str_has_prefix(request->target->str, "/admin/leaving"))
+		is_leaving = 1;
 	else if (m)
 		g_strlcpy(mode, m + 3, sizeof(mode));
 	cw_caller_send_head(caller, 200, "", (int64_t)journal->len);
