pool, gate, gossip: a server that reports that it leaves gets no request, whatever its entry says

Cause: what an answer reports about its server was dropped in the parser; that a server leaves was known from its entry in the store alone, and set from each entry anew. Class: a signal that is received and not acted on; and one source of a fact that is unavailable when the fact changes.

The report is kept for the rest of that start and outweighs any entry, also one that expired and came back (reports of removed servers are kept for 60 s). Each choice of a server checks it; peers are told, so that an instance needs no request of its own to know. The end of such a server is a planned one: the requests on it are not charged.

--- a/apps/corianderwalk/entry_reports.c
+++ b/apps/corianderwalk/entry_reports.c
@@ -36,6 +36,8 @@
 		cw_gossip_read_report(&message->reports[i], &report, now_ms - delay_ms);
 		if (cw_pool_apply_rate_limit(server, &report, now_ms))
 			log_rate_limit(server, message->sender);
+		if (message->reports[i].is_leaving && cw_pool_report_leaving(server))
+			log_leaving(server, message->sender);
 	}
 }
 
--- a/packages/gate/src/call_held.c
+++ b/packages/gate/src/call_held.c
@@ -56,7 +56,7 @@
 	const struct cw_server *server = call->server;
 	struct cw_quarantine_request request = quarantine_request(call);
 
-	if (server->is_leaving || server->is_removed || server->is_unreachable ||
+	if (cw_pool_is_leaving(server) || server->is_removed || server->is_unreachable ||
 	    cw_rollouts_is_retired(call->gate->rollouts, call->service_name, server->software))
 		return;
 	cw_quarantine_note_break(call->gate->quarantine, &request, server->id,
--- a/packages/gossip/include/cw_gossip_reports.h
+++ b/packages/gossip/include/cw_gossip_reports.h
@@ -18,6 +18,7 @@
 /* What a backend server has reported in an answer to the sender or to others. */
 struct cw_gossip_report {
 	uint64_t server; /* cw_server.id */
+	int is_leaving;
 	int is_limited;
 	float per_s;	      /* its rate limit, 0: none */
 	uint32_t sent_ms;     /* age of the request that was answered */
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -87,7 +87,7 @@
 	uint64_t id;		  /* hash of name and process_start_ms */
 	int checks_fencing;
 	int is_configured;
-	int is_leaving;
+	int is_leaving; /* by its entry; see cw_pool_is_leaving() */
 	int is_drained; /* the failure domain is drained: no new requests */
 	struct cw_warmup warmup;
 	struct cw_server_reports *reports; /* NULL: none, as of most servers */
@@ -237,8 +237,9 @@
 	struct cw_pool *pool, const struct cw_choice *choice,
 	enum cw_admission *cause); /* until the first server admits a request; -1: none will */
 int cw_pool_apply_rate_limit(struct cw_server *server, const struct cw_rate_limit_report *report,
-			     int64_t now_ms);	      /* 1: the server's limit changed */
-int cw_pool_report_leaving(struct cw_server *server); /* 1: reported for the first time */
+			     int64_t now_ms);		/* 1: the server's limit changed */
+int cw_pool_report_leaving(struct cw_server *server);	/* 1: reported for the first time */
+int cw_pool_is_leaving(const struct cw_server *server); /* by its entry or its own report */
 int cw_pool_is_rate_limited(const struct cw_server *server);
 int cw_pool_serves(const struct cw_server *server,
 		   uint64_t version); /* 1: the version is loaded, or the loaded ones are unknown */
--- a/packages/pool/src/candidates.c
+++ b/packages/pool/src/candidates.c
@@ -185,7 +185,7 @@
 {
 	if (!server->is_tracked || strcmp(server->service, choice->service) != 0)
 		return 0;
-	if (server->is_leaving || server->is_drained || is_tried(choice, server->id))
+	if (cw_pool_is_leaving(server) || server->is_drained || is_tried(choice, server->id))
 		return 0;
 	if (!cw_home_regions_allow(choice->route_regions, server->region) ||
 	    !cw_home_regions_allow(choice->organisation_regions, server->region))
--- a/packages/pool/src/pool.c
+++ b/packages/pool/src/pool.c
@@ -237,7 +237,7 @@
 		if (server->removed_ms && now_ms >= server->removed_ms) {
 			server->is_removed = 1;
 			server->is_leaving = 1;
-			if (server->own_running == 0)
+			if (server->own_running == 0 && !pool_needs_reports(server, now_ms))
 				cw_pool_remove(pool, server);
 		}
 		server = next;
@@ -437,7 +437,7 @@
 
 int cw_pool_is_usable(const struct cw_server *server, int64_t now_ms)
 {
-	if (server->is_leaving || server->is_unreachable || server->is_suspect)
+	if (cw_pool_is_leaving(server) || server->is_unreachable || server->is_suspect)
 		return 0;
 	if (!server->breaker_open_until_ms)
 		return 1;
--- a/packages/pool/src/pool_internal.h
+++ b/packages/pool/src/pool_internal.h
@@ -35,6 +35,8 @@
 };
 void pool_activate(struct cw_server *server); /* until a sweep finds it unused */
 void pool_free_reports(struct cw_server *server);
+int pool_needs_reports(const struct cw_server *server,
+		       int64_t now_ms); /* 1: a removed server may be listed again */
 void pool_sweep_reports(struct cw_pool *pool, int64_t now_ms);
 
 #endif
--- a/packages/pool/src/reports.c
+++ b/packages/pool/src/reports.c
@@ -1,6 +1,8 @@
 /* What servers report about themselves in their answers, kept while an instance is to know it. */
 #include "pool_internal.h"
 
+#define RETENTION_MS 60000 /* of the reports of a removed server */
+
 static struct cw_server_reports *get_reports(struct cw_server *server);
 
 int cw_pool_apply_rate_limit(struct cw_server *server, const struct cw_rate_limit_report *report,
@@ -21,6 +23,12 @@
 	return 1;
 }
 
+/* Its entry in the server list may be older than the report, and set is_leaving back. */
+int cw_pool_is_leaving(const struct cw_server *server)
+{
+	return server->is_leaving || (server->reports && server->reports->is_leaving);
+}
+
 int cw_pool_is_rate_limited(const struct cw_server *server)
 {
 	return server->reports && cw_rate_limit_is_in_force(&server->reports->rate_limit);
@@ -45,6 +53,16 @@
 	}
 }
 
+/*
+ * An entry that expired while the store was unavailable comes back. The server would then be used
+ * as if it had reported nothing.
+ */
+int pool_needs_reports(const struct cw_server *server, int64_t now_ms)
+{
+	return server->reports && !server->is_superseded &&
+	       now_ms - server->removed_ms < RETENTION_MS;
+}
+
 void pool_free_reports(struct cw_server *server)
 {
 	if (!server->reports)
--- a/tests/unit/test_gate_leaving.c
+++ b/tests/unit/test_gate_leaving.c
@@ -64,6 +64,22 @@
 	fixture_close(&fixture);
 }
 
+/* Guards against an entry that expired while the store was away, and came back. */
+static void a_leaving_server_that_is_listed_again_gets_no_request(void **state)
+{
+	struct fixture fixture;
+	struct cw_pool *pool;
+
+	fixture_open(&fixture);
+	pool = cw_gate_pool(fixture.gate);
+	let_answer(&fixture, "/read/x", "s1", &leaving);
+	cw_pool_delist(pool, cw_pool_find_name(pool, "s1"), FIXTURE_NOW_MS, FIXTURE_NOW_MS);
+	cw_pool_sweep(pool, FIXTURE_NOW_MS + 1000);
+	fixture_add_server(&fixture, "s1", "orders", "v1");
+	assert_unused(&fixture, "/read/x", "s1");
+	fixture_close(&fixture);
+}
+
 /* Guards against retries, escalations and resumptions that go to a leaving server. */
 static void no_kind_of_attempt_reaches_a_leaving_server(void **state)
 {
@@ -166,6 +182,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_server_that_reports_leaving_gets_no_request),
 		cmocka_unit_test(an_older_entry_does_not_bring_a_leaving_server_back),
+		cmocka_unit_test(a_leaving_server_that_is_listed_again_gets_no_request),
 		cmocka_unit_test(no_kind_of_attempt_reaches_a_leaving_server),
 		cmocka_unit_test(an_escalation_leaves_the_server_that_reports_leaving),
 		cmocka_unit_test(requests_are_rejected_at_once_while_all_servers_leave),
--- a/tests/unit/test_rate_limit.c
+++ b/tests/unit/test_rate_limit.c
@@ -275,11 +275,14 @@
 
 	sent.reports[0] = (struct cw_gossip_report){
 		.server = 7, .is_limited = 1, .per_s = 2.5F, .sent_ms = 90, .received_ms = 40};
-	sent.reports[1] = (struct cw_gossip_report){.server = 8, .sent_ms = 9, .received_ms = 4};
+	sent.reports[1] = (struct cw_gossip_report){
+		.server = 8, .is_leaving = 1, .sent_ms = 9, .received_ms = 4};
 	size = cw_gossip_encode_reports(&sent, bytes, sizeof(bytes));
 	assert_int_equal(cw_gossip_decode_reports(bytes, size, &read), CW_OK);
 	assert_string_equal(read.sender, "n1");
 	assert_int_equal(read.count, 2);
+	assert_false(read.reports[0].is_leaving);
+	assert_true(read.reports[1].is_leaving);
 	cw_gossip_read_report(&read.reports[0], &known, NOW);
 	assert_true(known.is_limited && known.per_s == 2.5);
 	assert_int_equal(known.sent_ms, NOW - 90);
