platform, gate: a server's request for rest is read and logged

Each instance now keeps until when a server wants no request of it, ten minutes at most, and logs it (server_rest; metric server_rests).

--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -69,7 +69,7 @@
 
 /* entry_reports.c: what backend servers report about themselves */
 void reports_log(const struct cw_server *server, const struct cw_response_head *head,
-		 const struct cw_server_news *news);
+		 const struct cw_server_news *news, int64_t now_ms);
 void reports_merge(struct entry *entry, const struct cw_gossip_reports *message,
 		   uint32_t delay_ms); /* of a peer; delay_ms: it waited so long to be read */
 
--- a/apps/corianderwalk/entry_reports.c
+++ b/apps/corianderwalk/entry_reports.c
@@ -7,19 +7,24 @@
 
 static void log_rate_limit(const struct cw_server *server, const char *source);
 static void log_leaving(const struct cw_server *server, const char *source);
+static void log_rest(const struct cw_server *server, int64_t now_ms);
 static void log_invalid(const struct cw_server *server, const char *field);
 
 void reports_log(const struct cw_server *server, const struct cw_response_head *head,
-		 const struct cw_server_news *news)
+		 const struct cw_server_news *news, int64_t now_ms)
 {
 	if (news->is_rate_limit_changed)
 		log_rate_limit(server, SOURCE_ANSWER);
 	if (news->is_leaving)
 		log_leaving(server, SOURCE_ANSWER);
+	if (news->has_asked_for_rest)
+		log_rest(server, now_ms);
 	if (head->rate_limit == CW_FIELD_INVALID)
 		log_invalid(server, "rate_limit");
 	if (head->leaving == CW_FIELD_INVALID)
 		log_invalid(server, "leaving");
+	if (head->rest == CW_FIELD_INVALID)
+		log_invalid(server, "rest");
 }
 
 void reports_merge(struct entry *entry, const struct cw_gossip_reports *message, uint32_t delay_ms)
@@ -59,6 +64,13 @@
 	cw_event("gate", "server_leaving", "server=%s source=%s", server->name, source);
 }
 
+static void log_rest(const struct cw_server *server, int64_t now_ms)
+{
+	cw_counter_add("server_rests", "", 1);
+	cw_event("gate", "server_rest", "server=%s rest_ms=%ld", server->name,
+		 (long)cw_pool_rest_ms(server, now_ms));
+}
+
 static void log_invalid(const struct cw_server *server, const char *field)
 {
 	cw_counter_add("server_reports_invalid", "", 1);
--- a/packages/gate/include/cw_facts.h
+++ b/packages/gate/include/cw_facts.h
@@ -62,6 +62,8 @@
 	double rate_limit_per_s;	/* requests that it takes from all instances together */
 	enum cw_field_state leaving;
 	int is_leaving; /* the server shuts down soon, whatever the server list says */
+	enum cw_field_state rest;
+	double rest_s; /* the server wants no request of this instance for so long */
 };
 
 /* Values that one attempt sends to the backend server along with the request. */
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -51,6 +51,7 @@
 struct cw_server_news {
 	int is_rate_limit_changed; /* named, changed or lifted */
 	int is_leaving;		   /* reported for the first time */
+	int has_asked_for_rest;
 };
 
 /* How an attempt failed. */
--- a/packages/gate/src/call_reports.c
+++ b/packages/gate/src/call_reports.c
@@ -15,6 +15,10 @@
 	apply_rate_limit(call, answer, now_ms);
 	if (answer->leaving == CW_FIELD_VALID && answer->is_leaving)
 		call->server_news.is_leaving = cw_pool_report_leaving(call->server);
+	if (answer->rest == CW_FIELD_VALID) {
+		cw_pool_request_rest(call->server, answer->rest_s * 1000, now_ms);
+		call->server_news.has_asked_for_rest = 1;
+	}
 }
 
 /* A rejection may come from a server's front end, which reports no limits: it lifts none. */
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -65,7 +65,8 @@
 	TAILQ_ENTRY(cw_server_reports) link;
 	struct cw_server *server;
 	struct cw_rate_limit rate_limit;
-	int is_leaving; /* for the rest of this start */
+	int is_leaving;	       /* for the rest of this start */
+	int64_t rest_until_ms; /* the server wants no request of this instance until then */
 };
 
 TAILQ_HEAD(cw_server_reports_list, cw_server_reports);
@@ -237,8 +238,11 @@
 	struct cw_pool *pool, const struct cw_choice *choice,
 	enum cw_admission *cause); /* until the first server admits a request; -1: none will */
 int cw_pool_apply_rate_limit(struct cw_server *server, const struct cw_rate_limit_report *report,
-			     int64_t now_ms);		/* 1: the server's limit changed */
-int cw_pool_report_leaving(struct cw_server *server);	/* 1: reported for the first time */
+			     int64_t now_ms);	      /* 1: the server's limit changed */
+int cw_pool_report_leaving(struct cw_server *server); /* 1: reported for the first time */
+void cw_pool_request_rest(struct cw_server *server, double rest_ms,
+			  int64_t now_ms); /* capped; a longer one stays in force */
+int64_t cw_pool_rest_ms(const struct cw_server *server, int64_t now_ms); /* left; 0: none */
 int cw_pool_is_leaving(const struct cw_server *server); /* by its entry or its own report */
 int cw_pool_is_rate_limited(const struct cw_server *server);
 int cw_pool_serves(const struct cw_server *server,
--- a/packages/pool/src/reports.c
+++ b/packages/pool/src/reports.c
@@ -1,6 +1,9 @@
 /* What servers report about themselves in their answers, kept while an instance is to know it. */
 #include "pool_internal.h"
 
+#include <math.h>
+
+#define REST_MAX_MS  600000.0
 #define RETENTION_MS 60000 /* of the reports of a removed server */
 
 static struct cw_server_reports *get_reports(struct cw_server *server);
@@ -23,6 +26,20 @@
 	return 1;
 }
 
+/* A value that is far too large is an error of the server: it would be lost until its restart. */
+void cw_pool_request_rest(struct cw_server *server, double rest_ms, int64_t now_ms)
+{
+	struct cw_server_reports *reports = get_reports(server);
+	int64_t until_ms = now_ms + (int64_t)ceil(MIN(rest_ms, REST_MAX_MS));
+
+	reports->rest_until_ms = MAX(reports->rest_until_ms, until_ms);
+}
+
+int64_t cw_pool_rest_ms(const struct cw_server *server, int64_t now_ms)
+{
+	return server->reports ? MAX(server->reports->rest_until_ms - now_ms, 0) : 0;
+}
+
 /* Its entry in the server list may be older than the report, and set is_leaving back. */
 int cw_pool_is_leaving(const struct cw_server *server)
 {
@@ -46,7 +63,7 @@
 	while (reports) {
 		struct cw_server_reports *next = TAILQ_NEXT(reports, link);
 
-		if (!reports->is_leaving &&
+		if (!reports->is_leaving && reports->rest_until_ms <= now_ms &&
 		    !cw_rate_limit_is_announced(&reports->rate_limit, now_ms))
 			pool_free_reports(reports->server);
 		reports = next;
--- a/tests/unit/test_up_answers.c
+++ b/tests/unit/test_up_answers.c
@@ -12,12 +12,13 @@
 }
 
 /* Parses an answer with up to two values of one field; NULL: none. */
-static struct cw_response_head parse(const char *name, const char *first, const char *second)
+static struct cw_response_head parse_status(unsigned int status, const char *name,
+					    const char *first, const char *second)
 {
 	struct cw_message *answer = cw_message_create();
 	struct cw_response_head head;
 
-	answer->status = 200;
+	answer->status = status;
 	if (first)
 		add_field(answer, name, first);
 	if (second)
@@ -28,6 +29,11 @@
 	return head;
 }
 
+static struct cw_response_head parse(const char *name, const char *first, const char *second)
+{
+	return parse_status(200, name, first, second);
+}
+
 static void a_rate_limit_is_a_decimal_number(void **state)
 {
 	struct cw_response_head head = parse("Server-Limit", "2.3", NULL);
@@ -65,12 +71,27 @@
 	assert_int_equal(parse("Server-Leaving", "1", "0").leaving, CW_FIELD_INVALID);
 }
 
+/* Guards against the Retry-After of an answer of another kind, which is meant for the caller. */
+static void only_a_503_asks_for_rest(void **state)
+{
+	struct cw_response_head head = parse_status(503, "Retry-After", "2.5", NULL);
+
+	assert_int_equal(head.rest, CW_FIELD_VALID);
+	assert_true(head.rest_s == 2.5);
+	assert_int_equal(parse_status(503, "Retry-After", NULL, NULL).rest, CW_FIELD_ABSENT);
+	assert_int_equal(parse_status(503, "Retry-After", "soon", NULL).rest, CW_FIELD_INVALID);
+	assert_int_equal(parse_status(503, "Retry-After", "-3", NULL).rest, CW_FIELD_INVALID);
+	assert_int_equal(parse_status(503, "Retry-After", "3", "4").rest, CW_FIELD_INVALID);
+	assert_int_equal(parse("Retry-After", "3", NULL).rest, CW_FIELD_ABSENT);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_rate_limit_is_a_decimal_number),
 		cmocka_unit_test(an_invalid_rate_limit_is_not_an_absent_one),
 		cmocka_unit_test(a_leaving_flag_is_0_or_1),
+		cmocka_unit_test(only_a_503_asks_for_rest),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
