--- a/tests/standins/users_runner.c
+++ b/tests/standins/users_runner.c
@@ -15,12 +15,15 @@
  * Any other name acts as ok, also unframed (meant for a body without a length) and extra.
  * POST /admin/limit?m=N names the rate limit N in each answer from then on; without N: none.
  * POST /admin/leaving?m=1 says in each answer from then on that the server leaves.
+ * POST /admin/rest?m=S rejects each request from then on and asks for S seconds of rest; without S:
+ * no more.
  * GET /admin/runs lists the requests that began to run: id, model, organisation, last event before.
  *
  * Prints what it received and answered, with the time of the monotonic clock in ms:
  *   got MS ID          a request
  *   limit MS ID N      an answer that names the rate limit N
  *   leaving MS ID      an answer that says that the server leaves
+ *   rest MS ID S       a rejection that asks for S seconds of rest
  *
  * With --fatal TEXT a request whose body contains TEXT crashes the server after --fatal-ms: all
  * connections break, and new ones are refused for --down-ms.
@@ -51,6 +54,7 @@
 static char mode[16] = "ok";
 static char rate_limit[16]; /* empty: none is named */
 static int is_leaving;
+static char rest_s[16]; /* empty: requests are not rejected */
 static GString *journal;
 static const char *name;
 static const char *confidence;
@@ -184,6 +188,8 @@
 		g_strlcpy(rate_limit, m ? m + 3 : "", sizeof(rate_limit));
 	else if (g_str_has_prefix(request->target->str, "/admin/leaving"))
 		is_leaving = 1;
+	else if (g_str_has_prefix(request->target->str, "/admin/rest"))
+		g_strlcpy(rest_s, m ? m + 3 : "", sizeof(rest_s));
 	else if (m)
 		g_strlcpy(mode, m + 3, sizeof(mode));
 	cw_caller_send_head(caller, 200, "", (int64_t)journal->len);
@@ -191,6 +197,17 @@
 	cw_caller_end_answer(caller);
 }
 
+static void ask_for_rest(struct cw_caller *caller, const struct cw_message *request)
+{
+	char fields[64];
+
+	printf("rest %ld %s %s\n", now_ms(), cw_message_find(request, "Attempt-Id"), rest_s);
+	fflush(stdout);
+	snprintf(fields, sizeof(fields), "Not-Executed: 1\r\nRetry-After: %s\r\n", rest_s);
+	send_head(caller, request, 503, fields, 0);
+	cw_caller_end_answer(caller);
+}
+
 static void on_request(void *context, struct cw_caller *caller, struct cw_message *request)
 {
 	const char *expected = cw_message_find(request, "Expect-Instance");
@@ -206,6 +223,8 @@
 	if (expected && strcmp(expected, name) != 0) {
 		send_head(caller, request, 421, "Instance-Id: other\r\n", 0);
 		cw_caller_end_answer(caller);
+	} else if (*rest_s) {
+		ask_for_rest(caller, request);
 	} else if (!strcmp(mode, "notrun")) {
 		send_head(caller, request, 503, "Not-Executed: 1\r\n", 0);
 		cw_caller_end_answer(caller);
