pool, gate: a server that asks for rest gets no request of this instance meanwhile

BUDGET: a server answered 503 with 3 s to wait and got 5 and 6 requests of the same instance in that time; some callers got a 503 after three servers had rejected them. Class: a signal that is received and not acted on; and a load signal that a rejecting server lowers itself.

Each choice of a server, whatever kind of attempt, also the last resort among unusable or tried servers, asks whether the server rests. The rest is this instance's alone. Where no server is left, the caller is rejected at once with the time until the first is due; that holds also after the last server has rejected the request itself.

--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -90,11 +90,12 @@
 			gate_count_rejected(call->gate, call->service_name, now_ms);
 		if (take_retry(call, now_ms) && dispatch_attempt(call, now_ms, step))
 			return;
-		if (call->has_forwarded)
+		if (call->has_forwarded) {
 			step->kind = CW_STEP_ABORT;
-		else
-			call_reject_not_run(call, step, "the backend servers did not take it",
-					    now_ms);
+			return;
+		}
+		call_reject_not_run(call, step, "the backend servers did not take it", now_ms);
+		call_extend_retry_after(call, step, now_ms);
 		return;
 	}
 	call->may_have_run = 1;
--- a/packages/gate/src/call_choice.c
+++ b/packages/gate/src/call_choice.c
@@ -76,6 +76,7 @@
 	struct cw_choice choice;
 
 	fill_choice(call, now_ms, &choice);
+	choice.tried_count = 0;
 	return cw_pool_wait_for_admission_ms(call->gate->pool, &choice, cause);
 }
 
--- a/packages/gate/src/call_refuse.c
+++ b/packages/gate/src/call_refuse.c
@@ -51,25 +51,36 @@
 	step->retry_after_ms = overload_retry_after_ms(call, now_ms);
 }
 
-/*
- * Load pattern: all servers of a service restart, or limit the requests that they take. They admit
- * a few requests a second, and a caller that retries too early is rejected again, so Retry-After
- * covers the wait for a server.
- */
 void call_reject_unsent(struct cw_call *call, struct cw_step *step, int64_t now_ms)
 {
 	static const char *const reasons[] = {
 		[CW_ADMISSION_COLD] = "the backend servers are warming up",
 		[CW_ADMISSION_RATE_LIMITED] = "the backend servers limit their requests",
+		[CW_ADMISSION_RESTING] = "the backend servers asked for rest",
 	};
 	enum cw_admission cause;
 	int64_t wait_ms = call_admission_wait_ms(call, now_ms, &cause);
 
-	if (wait_ms <= 0) {
-		call_reject_not_run(call, step, "no backend server may take it", now_ms);
+	call_reject_not_run(call, step,
+			    wait_ms > 0 ? reasons[cause] : "no backend server may take it", now_ms);
+	call_extend_retry_after(call, step, now_ms);
+}
+
+/*
+ * Load pattern: all servers of a service restart, limit the requests that they take, or ask for
+ * rest. They admit few requests or none, and a caller that retries too early is rejected again, so
+ * Retry-After covers the wait for a server.
+ */
+void call_extend_retry_after(struct cw_call *call, struct cw_step *step, int64_t now_ms)
+{
+	enum cw_admission cause;
+	int64_t wait_ms = call_admission_wait_ms(call, now_ms, &cause);
+	int is_affinity_server;
+
+	if (step->run != CW_RUN_NOT_EXECUTED || wait_ms <= 0)
+		return;
+	if (call_choose_server(call, now_ms, &is_affinity_server))
 		return;
-	}
-	call_reject_not_run(call, step, reasons[cause], now_ms);
 	step->retry_after_ms = CLAMP(wait_ms + call_retry_after_ms(call), 1,
 				     (int64_t)max_retry_wait_ms(call, now_ms));
 }
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -129,6 +129,8 @@
 			 int64_t now_ms); /* retry later; call_fail() if it may have run */
 void call_reject_unsent(struct cw_call *call, struct cw_step *step,
 			int64_t now_ms); /* no server may run it: retry when one may */
+void call_extend_retry_after(struct cw_call *call, struct cw_step *step,
+			     int64_t now_ms); /* a step that rejects: until a server may run it */
 void call_fail(struct cw_call *call, struct cw_step *step, const char *reason); /* may have run */
 int64_t call_retry_after_ms(struct cw_call *call);
 
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -172,6 +172,8 @@
 enum cw_admission {
 	CW_ADMISSION_COLD,	   /* the quota of a cold server is used up */
 	CW_ADMISSION_RATE_LIMITED, /* this instance's part of its rate limit is used up */
+	CW_ADMISSION_RESTING,	   /* the server asked this instance for rest */
+	CW_ADMISSION_CAUSES,	   /* their number */
 };
 
 /* A strategy that chooses among the servers that may serve a request. */
@@ -236,7 +238,8 @@
 				 const struct cw_choice *choice); /* NULL: no server may serve */
 int64_t cw_pool_wait_for_admission_ms(
 	struct cw_pool *pool, const struct cw_choice *choice,
-	enum cw_admission *cause); /* until the first server admits a request; -1: none will */
+	enum cw_admission *cause); /* until the first of those that admit none now admits a
+				      request; -1: all admit one */
 int cw_pool_apply_rate_limit(struct cw_server *server, const struct cw_rate_limit_report *report,
 			     int64_t now_ms);	      /* 1: the server's limit changed */
 int cw_pool_report_leaving(struct cw_server *server); /* 1: reported for the first time */
--- a/packages/pool/src/candidates.c
+++ b/packages/pool/src/candidates.c
@@ -165,20 +165,19 @@
 				 const struct cw_choice *choice, enum cw_admission *cause)
 {
 	int64_t now_ms = choice->now_ms;
-	int64_t longest_ms;
-	int64_t wait_ms;
+	int64_t waits[CW_ADMISSION_CAUSES] = {0};
 
 	update_place(pool, server, now_ms);
-	longest_ms = cw_warmup_wait_ms(&server->warmup, &choice->cold, now_ms);
+	waits[CW_ADMISSION_COLD] = cw_warmup_wait_ms(&server->warmup, &choice->cold, now_ms);
+	waits[CW_ADMISSION_RESTING] = cw_pool_rest_ms(server, now_ms);
+	if (server->reports)
+		waits[CW_ADMISSION_RATE_LIMITED] =
+			cw_rate_limit_wait_ms(&server->reports->rate_limit, now_ms);
 	*cause = CW_ADMISSION_COLD;
-	if (!server->reports)
-		return longest_ms;
-	wait_ms = cw_rate_limit_wait_ms(&server->reports->rate_limit, now_ms);
-	if (wait_ms > longest_ms) {
-		longest_ms = wait_ms;
-		*cause = CW_ADMISSION_RATE_LIMITED;
-	}
-	return longest_ms;
+	for (int i = 0; i < CW_ADMISSION_CAUSES; i++)
+		if (waits[i] > waits[*cause])
+			*cause = (enum cw_admission)i;
+	return waits[*cause];
 }
 
 static int may_serve(const struct cw_server *server, const struct cw_choice *choice)
--- a/tests/lib_reports.sh
+++ b/tests/lib_reports.sh
@@ -16,3 +16,18 @@
 		END { printf "%d\n", most + 0 }' "$1"
 }
 requests_since_limit() { awk '$1 == "limit" { seen = 1 } $1 == "got" && seen { n++ } END { print n + 0 }' "$1"; }
+# most_in_rest LOG [INSTANCE_OF]: the most requests of one instance that a server got from half a second after it had
+# asked for rest until the end of that time; 2 are allowed. INSTANCE_OF names a file with an id and its instance a line;
+# without it all requests are of one instance.
+most_in_rest() {
+	awk -v names="${2:-}" '
+		BEGIN { while (names && (getline line < names) > 0) { split(line, f, " "); of[f[1]] = f[2] } }
+		{ instance = of[$3] }
+		$1 == "rest" { n = ++rests[instance]; from[instance, n] = $2 + 500; to[instance, n] = $2 + $4 * 1000 }
+		$1 == "got" {
+			for (i = rests[instance]; i > 0 && i > rests[instance] - 20; i--)
+				if ($2 > from[instance, i] && $2 < to[instance, i] && ++got[instance, i] > most)
+					most = got[instance, i]
+		}
+		END { print most + 0 }' "$1"
+}
--- a/tests/unit/test_gate_rest.c
+++ b/tests/unit/test_gate_rest.c
@@ -108,6 +108,22 @@
 	fixture_close(&fixture);
 }
 
+/* Guards against a caller that is sent away for less time than the rest of the last server. */
+static void a_rejection_by_the_last_server_covers_its_rest(void **state)
+{
+	const struct cw_response_head rejection = make_rejection(0.2);
+	struct fixture fixture;
+
+	fixture_open(&fixture);
+	open_call_at(&fixture, "/read/x", FIXTURE_NOW_MS);
+	cw_call_handle_head(fixture.call, &rejection, FIXTURE_NOW_MS + 5, &fixture.step);
+	assert_int_equal(fixture.step.kind, CW_STEP_SEND);
+	cw_call_handle_head(fixture.call, &rejection, FIXTURE_NOW_MS + 10, &fixture.step);
+	fixture_assert_rejected(&fixture, 503, CW_RUN_NOT_EXECUTED);
+	assert_in_range(fixture.step.retry_after_ms, 195, 800 / 3);
+	fixture_close(&fixture);
+}
+
 static void rest(struct fixture *fixture, const char *name, double rest_ms, int64_t now_ms)
 {
 	cw_pool_request_rest(cw_pool_find_name(cw_gate_pool(fixture->gate), name), rest_ms, now_ms);
@@ -171,6 +187,7 @@
 		cmocka_unit_test(a_server_that_asked_for_rest_gets_no_request),
 		cmocka_unit_test(the_only_servers_get_their_rest_too),
 		cmocka_unit_test(a_request_to_resting_servers_is_rejected_at_once),
+		cmocka_unit_test(a_rejection_by_the_last_server_covers_its_rest),
 		cmocka_unit_test(no_kind_of_attempt_disturbs_a_rest),
 		cmocka_unit_test(the_longest_rest_counts_up_to_a_limit),
 	};
