--- a/apps/corianderwalk/job_attempt.c
+++ b/apps/corianderwalk/job_attempt.c
@@ -156,6 +156,7 @@
 	message->attempt.attempt = effect->dispatch.attempt;
 	message->attempt.result = job->result;
 	message->attempt.http_status = answer->status;
+	message->attempt.retry_after_ms = answer->retry_after_ms;
 	message->attempt.is_closed_by_server = answer->is_closed_by_peer;
 	message->attempt.prompt_tokens = prompt;
 	message->attempt.completion_tokens = completion;
--- a/packages/http/src/client.c
+++ b/packages/http/src/client.c
@@ -3,13 +3,15 @@
 
 #include <curl/curl.h>
 #include <glib.h>
+#include <math.h>
 #include <pthread.h>
 #include <stdio.h>
 #include <string.h>
 #include <strings.h>
 
-#define MAX_IDLE_HANDLES	   64 /* idle handles kept, with their connections */
-#define MAX_CONNECTIONS_PER_HANDLE 32 /* keep-alive connections of a handle */
+#define MAX_IDLE_HANDLES	   64	   /* idle handles kept, with their connections */
+#define MAX_CONNECTIONS_PER_HANDLE 32	   /* keep-alive connections of a handle */
+#define RETRY_AFTER_MAX_S	   86400.0 /* a day; no caller waits for longer */
 #define STEP			   "http.call"
 
 struct transfer {
@@ -36,6 +38,7 @@
 static void return_handle(CURL *curl);
 static void set_options(struct transfer *transfer, struct curl_slist *headers, const char *url);
 static struct curl_slist *build_header_list(const struct cw_http_call *call);
+static int64_t parse_retry_after_ms(const char *value);
 static size_t on_header(char *data, size_t unit, size_t count, void *context);
 static size_t on_body(char *data, size_t unit, size_t count, void *context);
 static int on_progress(void *context, curl_off_t download_size, curl_off_t downloaded,
@@ -185,6 +188,17 @@
 	return list;
 }
 
+/* Seconds; a date or an invalid number counts as none. */
+static int64_t parse_retry_after_ms(const char *value)
+{
+	char *end;
+	double seconds = g_ascii_strtod(value, &end);
+
+	if (end == value || *end || !isfinite(seconds) || seconds < 0)
+		return 0;
+	return (int64_t)(MIN(seconds, RETRY_AFTER_MAX_S) * 1000);
+}
+
 static size_t on_header(char *data, size_t unit, size_t count, void *context)
 {
 	struct transfer *transfer = context;
@@ -200,8 +214,7 @@
 		else if (!strcasecmp(line, "X-Request-Id"))
 			g_strlcpy(transfer->answer->request_id, value, CW_ID_MAX);
 		else if (!strcasecmp(line, "Retry-After"))
-			transfer->answer->retry_after_ms =
-				(int64_t)(g_ascii_strtod(value, NULL) * 1000);
+			transfer->answer->retry_after_ms = parse_retry_after_ms(value);
 	}
 	g_free(line);
 	return unit * count;
--- a/packages/node/src/request_attempt.c
+++ b/packages/node/src/request_attempt.c
@@ -4,12 +4,17 @@
 
 #include <string.h>
 
-#define BATCH_WAIT_FACTOR 5 /* batch requests accept a longer predicted wait */
-#define RATING_TIMEOUT_MS 3000
+#define BATCH_WAIT_FACTOR  5 /* batch requests accept a longer predicted wait */
+#define RATING_TIMEOUT_MS  3000
+#define NO_SERVER_RETRY_MS 500 /* until another server is listed or usable */
 
 static void send_attempt(struct cw_node *node, struct request *request, struct cw_server *server,
 			 enum cw_dispatch_mode mode);
 static struct cw_server *choose_server(struct cw_node *node, struct request *request);
+static void fill_choice(struct cw_node *node, const struct request *request,
+			struct cw_choice *choice);
+static int64_t rest_retry_after_ms(struct cw_node *node, const struct request *request);
+static int is_resting(struct cw_node *node, uint64_t server);
 static void record_attempt(struct cw_node *node, struct request *request,
 			   const struct cw_attempt_end *end);
 static void handle_answer(struct cw_node *node, struct request *request,
@@ -109,7 +114,7 @@
 					    : choose_server(node, request);
 	if (!server) {
 		request_reject(node, request, CW_CODE_NO_BACKEND_SERVER,
-			       request_retry_after_ms(node, 500),
+			       rest_retry_after_ms(node, request),
 			       "no backend server can take %s%s%s", request->model,
 			       *request->version ? "/" : "", request->version);
 		return;
@@ -168,7 +173,24 @@
 
 static struct cw_server *choose_server(struct cw_node *node, struct request *request)
 {
-	struct cw_choice choice = {
+	struct cw_choice choice;
+	struct cw_server *server;
+
+	fill_choice(node, request, &choice);
+	server = cw_pool_choose(node->pool, &choice);
+	if (server || request->attempt_count == 0)
+		return server;
+	/* All servers were tried or are unusable: servers that were already tried may be chosen
+	 * again, as often as the retry budget allows. */
+	choice.tried_count = 0;
+	request->tried_count = 0;
+	return cw_pool_choose(node->pool, &choice);
+}
+
+static void fill_choice(struct cw_node *node, const struct request *request,
+			struct cw_choice *choice)
+{
+	*choice = (struct cw_choice){
 		.service = request->in.flags & CW_REQUEST_SERVICE ? request->in.target : "llm",
 		.version = request->in.flags & CW_REQUEST_SERVICE ? 0 : request->version_id,
 		.prefix = request->in.prefix,
@@ -178,16 +200,19 @@
 		.now_ms = node->now_ms,
 		.random = node_random(node),
 	};
+}
 
-	struct cw_server *server = cw_pool_choose(node->pool, &choice);
+/* No server takes the request: until the first of those that asked for rest does. */
+static int64_t rest_retry_after_ms(struct cw_node *node, const struct request *request)
+{
+	struct cw_choice choice;
+	enum cw_admission cause;
+	int64_t wait_ms;
 
-	if (server || request->attempt_count == 0)
-		return server;
-	/* All servers were tried or are unusable: servers that were already tried may be chosen
-	 * again, as often as the retry budget allows. */
+	fill_choice(node, request, &choice);
 	choice.tried_count = 0;
-	request->tried_count = 0;
-	return cw_pool_choose(node->pool, &choice);
+	wait_ms = cw_pool_wait_for_admission_ms(node->pool, &choice, &cause);
+	return MAX(wait_ms, 0) + request_retry_after_ms(node, NO_SERVER_RETRY_MS);
 }
 
 int64_t request_retry_after_ms(struct cw_node *node, double wait_ms)
@@ -198,6 +223,13 @@
 	return base / 2 + (int64_t)(node_random(node) % (uint64_t)base) + 1;
 }
 
+static int is_resting(struct cw_node *node, uint64_t server)
+{
+	const struct cw_server *found = cw_pool_find(node->pool, server);
+
+	return found && cw_pool_rest_ms(found, node->now_ms) > 0;
+}
+
 static void record_attempt(struct cw_node *node, struct request *request,
 			   const struct cw_attempt_end *end)
 {
@@ -222,6 +254,12 @@
 		request->may_have_run = 1;
 	if (server)
 		quarantine_record_attempt(node, request, server, end);
+	if (server && end->result == CW_ATTEMPT_BUSY && end->retry_after_ms > 0) {
+		cw_pool_request_rest(server, (double)end->retry_after_ms, node->now_ms);
+		node_log_event(node, "request", "server_rest",
+			       "server=%s rest_ms=%" G_GINT64_FORMAT, server->name,
+			       cw_pool_rest_ms(server, node->now_ms));
+	}
 	if (server) {
 		cw_pool_record_end(server, node->now_ms, answered ? end->total_ms : -1);
 		if (answered)
@@ -324,7 +362,8 @@
 	}
 	/* A broken stream is resumed once on its server. If the resumed stream fails too, another
 	 * server continues from the text that was forwarded. */
-	if (end->result == CW_ATTEMPT_INTERRUPTED && !request->is_resumed) {
+	if (end->result == CW_ATTEMPT_INTERRUPTED && !request->is_resumed &&
+	    !is_resting(node, request->server)) {
 		request->is_resumed = 1;
 		request->tried_count--;
 		request_dispatch(node, request, CW_DISPATCH_RESUME);
--- a/tests/fake/servers.c
+++ b/tests/fake/servers.c
@@ -205,6 +205,10 @@
 	if (server->down) {
 		post_attempt_end(world, run, CW_ATTEMPT_NOT_SENT, 0);
 		event_destroy(run);
+	} else if (server->rest_ms > 0) {
+		run->end.retry_after_ms = server->rest_ms;
+		post_attempt_end(world, run, CW_ATTEMPT_BUSY, 503);
+		event_destroy(run);
 	} else if (server->queued >= server->slots * QUEUE_FACTOR) {
 		post_attempt_end(world, run, CW_ATTEMPT_BUSY, 429);
 		event_destroy(run);
--- a/tests/fake/world.h
+++ b/tests/fake/world.h
@@ -65,6 +65,7 @@
 	int domain;
 	int slots, running, queued;
 	int down;
+	int64_t rest_ms; /* above 0: rejects each attempt and asks for so much time without */
 	int64_t fencing;
 	int checks_fencing;
 	uint64_t cache[64]; /* hashes of cached prompt prefixes, most recently used first */
