entry: metrics count the servers of which a report is in force

servers_reporting{report="limit"|"leaving"|"rest"}, written when the metrics are read: a person sees at once how many servers limit, leave or rest as this instance knows it. users_limit checks it.

--- a/apps/corianderwalk/entry.c
+++ b/apps/corianderwalk/entry.c
@@ -192,8 +192,10 @@
 
 static void on_metrics_request(void *context, struct cw_caller *caller, struct cw_message *request)
 {
-	char *text = cw_counters_format();
+	char *text;
 
+	reports_update_gauges(context);
+	text = cw_counters_format();
 	cw_caller_send_head(caller, HTTP_STATUS_OK, "Content-Type: text/plain; version=0.0.4\r\n",
 			    (int64_t)strlen(text));
 	cw_caller_send_body(caller, text, strlen(text));
--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -72,6 +72,7 @@
 		 const struct cw_server_news *news, int64_t now_ms);
 void reports_merge(struct entry *entry, const struct cw_gossip_reports *message,
 		   uint32_t delay_ms); /* of a peer; delay_ms: it waited so long to be read */
+void reports_update_gauges(const struct entry *entry);
 
 /* entry_feed.c: state read from the shared store */
 struct feed *feed_create(struct entry *entry, struct cw_error *error); /* NULL: see error */
--- a/apps/corianderwalk/entry_reports.c
+++ b/apps/corianderwalk/entry_reports.c
@@ -46,6 +46,24 @@
 	}
 }
 
+void reports_update_gauges(const struct entry *entry)
+{
+	const struct cw_server_reports *reports;
+	int64_t now_ms = entry_now_ms(entry);
+	uint64_t limited = 0;
+	uint64_t leaving = 0;
+	uint64_t resting = 0;
+
+	TAILQ_FOREACH(reports, cw_pool_reports(cw_gate_pool(entry->gate)), link) {
+		limited += cw_pool_is_rate_limited(reports->server) != 0;
+		leaving += reports->is_leaving != 0;
+		resting += cw_pool_rest_ms(reports->server, now_ms) > 0;
+	}
+	cw_gauge_set("servers_reporting", "report=\"limit\"", limited);
+	cw_gauge_set("servers_reporting", "report=\"leaving\"", leaving);
+	cw_gauge_set("servers_reporting", "report=\"rest\"", resting);
+}
+
 static void log_rate_limit(const struct cw_server *server, const char *source)
 {
 	if (!cw_pool_is_rate_limited(server)) {
--- a/tests/runs/users_limit.sh
+++ b/tests/runs/users_limit.sh
@@ -31,6 +31,7 @@
 check_limit 2.3
 echo "-- one of 0.8"
 check_limit 0.8
+[ "$(metric n1 'servers_reporting{report="limit"}')" = 1 ] && echo "counted in the metrics"
 echo "-- an instance restarts and learns the limit from its peers"
 stop_now n3
 : >"$DIR/n3.log"
