fuzz: heads of answers report limits, leaving and rest

The oracle follows what each start of a server has reported: no request may go to one that reported leaving, or before the end of a rest.

--- a/tests/fuzz/users_input.c
+++ b/tests/fuzz/users_input.c
@@ -2,14 +2,23 @@
 
 #include "cw_gate.h"
 #include "cw_gossip.h"
+#include "cw_gossip_reports.h"
 #include "cw_up.h"
 
 #include <glib.h>
 #include <stdio.h>
 #include <string.h>
 
-#define SERVERS	 4
-#define START_MS 100000
+#define SERVERS	     4
+#define START_MS     100000
+#define REPORTED_MAX 64
+
+/* What one start of a server has reported in its answers. */
+struct reported {
+	uint64_t server;
+	int is_leaving;
+	int64_t rest_until_ms;
+};
 
 /* What the oracle knows of one call: only what callers and backend servers can observe. */
 struct call_state {
@@ -20,6 +29,7 @@
 	int sends;		 /* attempts that reached a backend server */
 	int is_partly_delivered; /* the caller got a part of the answer */
 	int is_over;		 /* the caller got a final answer or a broken connection */
+	uint64_t server;	 /* that got the newest attempt */
 };
 
 struct harness {
@@ -31,6 +41,8 @@
 	struct cw_request_info info;
 	struct cw_step step;
 	int64_t now_ms;
+	struct reported
+		reported[REPORTED_MAX]; /* by the hash of the server; others are forgotten */
 };
 
 static void fuzz_decoders(const uint8_t *bytes, size_t size);
@@ -43,6 +55,9 @@
 		      enum cw_retry_policy retry_policy, int attempts);
 static void change_server(struct harness *harness);
 static void execute_event(struct harness *harness);
+static struct reported *get_reported(struct harness *harness, uint64_t server);
+static void report_in_answer(struct harness *harness, int choice, struct cw_response_head *answer);
+static void ask_for_rest(struct harness *harness, int choice, struct cw_response_head *answer);
 static void open_call(struct harness *harness);
 static void end_call(struct harness *harness);
 static void check_step(struct harness *harness);
@@ -66,6 +81,7 @@
 	size_t length = size - 1;
 	GString *body = g_string_new_len(text, (gssize)length);
 	struct cw_gossip *gossip = g_new0(struct cw_gossip, 1);
+	struct cw_gossip_reports reports;
 	struct cw_gossip_list list;
 	struct cw_error error = {0};
 	struct cw_up_page page;
@@ -84,6 +100,7 @@
 		break;
 	case 3:
 		cw_gossip_decode(text, length, gossip);
+		cw_gossip_decode_reports(text, length, &reports);
 		break;
 	case 4:
 		fuzz_server_entry(bytes + 1, length);
@@ -297,6 +314,7 @@
 	switch (choice % 8) {
 	case 0:
 	case 1:
+		report_in_answer(harness, choice / 8, &answer);
 		answer.status = choice % 16 == 1 ? 500 : 200;
 		answer.is_signed = choice % 32 < 28;
 		answer.confidence = choice;
@@ -308,6 +326,8 @@
 	case 2:
 		answer.status = 503;
 		answer.is_not_run = 1;
+		if (choice & 64)
+			ask_for_rest(harness, choice / 8, &answer);
 		cw_call_handle_head(call_state->call, &answer, harness->now_ms, &harness->step);
 		break;
 	case 3:
@@ -342,6 +362,39 @@
 	check_step(harness);
 }
 
+static struct reported *get_reported(struct harness *harness, uint64_t server)
+{
+	struct reported *reported = &harness->reported[server % REPORTED_MAX];
+
+	if (reported->server != server)
+		*reported = (struct reported){.server = server};
+	return reported;
+}
+
+static void report_in_answer(struct harness *harness, int choice, struct cw_response_head *answer)
+{
+	if (choice % 16 == 5) {
+		answer->leaving = CW_FIELD_VALID;
+		answer->is_leaving = 1;
+		get_reported(harness, harness->call_state.server)->is_leaving = 1;
+	} else if (choice % 16 == 9) {
+		answer->rate_limit = CW_FIELD_VALID;
+		answer->rate_limit_per_s = choice / 8.0;
+	} else if (choice % 16 == 13) {
+		answer->rate_limit = CW_FIELD_INVALID;
+	}
+}
+
+static void ask_for_rest(struct harness *harness, int choice, struct cw_response_head *answer)
+{
+	struct reported *reported = get_reported(harness, harness->call_state.server);
+
+	answer->rest = CW_FIELD_VALID;
+	answer->rest_s = choice / 16.0;
+	reported->rest_until_ms =
+		MAX(reported->rest_until_ms, harness->now_ms + (int64_t)(answer->rest_s * 1000));
+}
+
 static void open_call(struct harness *harness)
 {
 	static const char *const paths[] = {"/once/x", "/any/x", "/stream/x", "/none/x"};
@@ -373,12 +426,18 @@
 {
 	struct call_state *call_state = &harness->call_state;
 	const struct cw_step *step = &harness->step;
+	const struct reported *reported;
 
 	switch (step->kind) {
 	case CW_STEP_SEND:
 		call_state->sends++;
 		call_state->is_head_forwarded = 0;
+		call_state->server = step->server->id;
+		reported = get_reported(harness, step->server->id);
 		check(!step->server->is_leaving, "a leaving server got a request");
+		check(!reported->is_leaving, "a server that reported leaving got a request");
+		check(harness->now_ms >= reported->rest_until_ms,
+		      "a server that asked for rest got a request");
 		check(!step->server->is_superseded,
 		      "a superseded incarnation of a server got a request");
 		check(call_state->route->retry_policy != CW_RETRY_NEVER ||
