soak: servers report limits, that they leave and that they want rest

A fifth argument "reports" adds six kinds of faults; without it a seed injects the same faults as before. A check of each server's log against what it had reported runs every second and once at the end; a restart or freeze excuses an instance, a fault of its link a server.

--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -1,13 +1,18 @@
 # Randomized soak test of the entry: real processes, injected faults, and checks of the guarantees against what
 # callers and backend servers observed.
-#   bash tests/soak/soak.sh SEED SECONDS [INSTANCES [CALLERS [domains]]]     (BUILD: the build folder)
+#   bash tests/soak/soak.sh SEED SECONDS [INSTANCES [CALLERS [domains|reports|domains,reports]]]   (BUILD: the build folder)
 # With "domains" the servers e2 and a2 are in the failure domain z2, which is drained and restored at random.
+# With "reports" servers also report rate limits, that they leave and that they want rest; what they then get is checked
+# every second.
 # Prints the faults in order if a guarantee was violated, the seed, and a verdict. The same seed injects the same
 # faults.
-SEED_NUMBER=$1 DURATION_S=$2 INSTANCE_COUNT=${3:-3} CALLER_COUNT=${4:-12} DOMAINS=${5:-}
+SEED_NUMBER=$1 DURATION_S=$2 INSTANCE_COUNT=${3:-3} CALLER_COUNT=${4:-12} DOMAINS="" REPORTS=""
+case ",${5:-}," in *,domains,*) DOMAINS=domains ;; esac
+case ",${5:-}," in *,reports,*) REPORTS=reports ;; esac
 . tests/lib.sh
 . tests/lib_users.sh
 . tests/lib_fatal.sh
+. tests/lib_reports.sh
 QUARANTINE_MS=3000 # from the third server crash under one request until all instances have quarantined the request
 RANDOM=$SEED_NUMBER
 now_ms() { echo $(($(date +%s%N) / 1000000)); }
@@ -62,6 +67,23 @@
 "$BUILD/tests/soak-callers" $HOSTS --port "$P_FRONT" --seed "$SEED_NUMBER" --seconds "$DURATION_S" \
 	--callers "$CALLER_COUNT" >"$DIR/callers" 2>"$DIR/callers.err" &
 CALLERS=$!
+for n in $NAMES; do eval "echo \$HOST_$n $n"; done >"$DIR/hosts"
+check_reports() { # prints a line for each violation
+	local log
+	for log in "$DIR"/[ea][12]g*.log; do
+		awk -v server="$(basename "$log" .log)" -v faults="$FAULTS" -v callers="$DIR/callers" -v hosts="$DIR/hosts" \
+			-f tests/soak/check_reports.awk "$log"
+	done
+}
+check_reports_while_it_runs() {
+	while kill -0 $CALLERS 2>/dev/null; do
+		sleep 1
+		check_reports >"$DIR/reports.now"
+		[ -s "$DIR/reports.now" ] && cat "$DIR/reports.now" >>"$DIR/reports.broken"
+	done
+}
+check_reports_while_it_runs &
+CHECKER=$!
 # One more caller sends a poison request, which crashes each engine that runs it, to all instances in turn.
 poison_caller() {
 	local hosts=($NAMES) n=0 until=$((SECONDS + DURATION_S))
@@ -88,13 +110,19 @@
 END=$((SECONDS + DURATION_S - 3))
 DOMAIN_FAULTS=0
 [ -z "$DOMAINS" ] || DOMAIN_FAULTS=2
+# The kinds of faults are numbered in the order of the cases below; without "reports" theirs are left out, and the same
+# seed injects the same faults as ever.
+REPORT_FAULTS=0
+[ -z "$REPORTS" ] || REPORT_FAULTS=6
+draw_fault() { FAULT=$((RANDOM % (14 + REPORT_FAULTS + DOMAIN_FAULTS))); [ $FAULT -lt 14 ] || FAULT=$((FAULT + 6 - REPORT_FAULTS)); }
 all_instances_are() { for n in $NAMES; do tail -c 200000 "$DIR/$n.log" | grep -o "event=domain_[a-z]* domain=z2" | tail -n 1 | grep -q "_$1" || return 1; done; }
 VERSION=1
 while [ $SECONDS -lt $END ]; do
 	pick "$NAMES"; n=$PICKED
 	pick "e1 e2 a1 a2"; slot=$PICKED
 	eval "server=\$CURRENT_$slot service=\$SERVICE_$slot"
-	case $((RANDOM % (DOMAIN_FAULTS + 14))) in
+	draw_fault
+	case $FAULT in
 	0) record_fault kill "$n"; kill -KILL "$(pid_of "$n")"; restart_instance "$n" ;;
 	1) record_fault term "$n"; kill -TERM "$(pid_of "$n")"; (sleep 0.1) ; pause; restart_instance "$n" ;;
 	2) record_fault stop "$n"; kill -STOP "$(pid_of "$n")"; pause; kill -CONT "$(pid_of "$n")" ;;
@@ -109,7 +137,13 @@
 	11) record_fault replace "$server"; list "$server" "$service" v1 draining
 		server "$slot" "$service" $FATAL; put keyed.servers "$server" "" ;;
 	12) record_fault crash "$server"; kill -KILL "$(pid_of "$server")"; put keyed.servers "$server" ""; server "$slot" "$service" $FATAL ;;
-	14 | 15) record_fault drain z2; put keyed.op evacuate/z2 "{}"; wait_for "all instances have drained z2" all_instances_are drained
+	14 | 15) pick "0.5 1.3 2.3 6"; record_fault limit "$server" "$PICKED"; eval "curl -s -o /dev/null -X POST http://\$DIRECT_$server/admin/limit?m=$PICKED" ;;
+	16) record_fault unlimit "$server"; eval "curl -s -o /dev/null -X POST http://\$DIRECT_$server/admin/limit" ;;
+	17) record_fault leave "$server"; eval "curl -s -o /dev/null -X POST http://\$DIRECT_$server/admin/leaving?m=1"
+		server "$slot" "$service" $FATAL; list "$server" "$service" v1 ready ;;
+	18 | 19) pick "0.5 1 2"; record_fault rest "$server" "$PICKED"; eval "curl -s -o /dev/null -X POST http://\$DIRECT_$server/admin/rest?m=$PICKED"; pause; pause
+		eval "curl -s -o /dev/null -X POST http://\$DIRECT_$server/admin/rest" ;;
+	20 | 21) record_fault drain z2; put keyed.op evacuate/z2 "{}"; wait_for "all instances have drained z2" all_instances_are drained
 		before=$(runs_in_z2); pause; pause; after=$(runs_in_z2)
 		[ "$before" = "$after" ] || echo "z2 $before $after" >>"$DIR/undrained"
 		record_fault restore z2; put keyed.op evacuate/z2 ""; wait_for "all instances have restored z2" all_instances_are restored ;;
@@ -119,6 +153,7 @@
 done
 wait $CALLERS
 wait $POISON_CALLER
+wait $CHECKER
 for n in $NAMES; do wait_for "$n ready again" ready "$n"; done
 serves_request() { [ "$(ask "$1" GET /read/1 "after$RANDOM" | head -1)" = 200 ]; }
 for n in $NAMES; do wait_for "$n serves again" serves_request "$n"; done
@@ -142,9 +177,12 @@
 		echo "$id $kind $host"
 done | grep . && report_violation "a request got no answer, and no fault was injected into the instance"
 [ -s "$DIR/undrained" ] && report_violation "a drained failure domain got requests (domain, runs before, runs after): $(head -n 1 "$DIR/undrained")"
+check_reports >>"$DIR/reports.broken"
+[ -s "$DIR/reports.broken" ] && report_violation "a server got more than it had reported: $(sort -u "$DIR/reports.broken" | head -n 3)"
 late=$(count_late_runs $QUARANTINE_MS)
 [ "$late" -le 3 ] || report_violation "a poison request ran $late times later than $QUARANTINE_MS ms after the third server crash under it"
 echo "$(crash_times | wc -l) server crashes under one poison request, $late runs of it later than $QUARANTINE_MS ms after the third"
+[ -z "$REPORTS" ] || echo "reports: $(cat "$DIR"/[ea][12]g*.log | awk '$1 == "limit" { l++ } $1 == "leaving" { d++ } $1 == "rest" { r++ } END { print l + 0 " answers with a limit, " d + 0 " with leaving, " r + 0 " rejections with rest" }')"
 echo "seed $SEED_NUMBER: $(wc -l <"$DIR/callers") requests, $(grep -c ' ok ' "$DIR/callers") ok, $(wc -l <"$FAULTS") faults"
 [ $bad -eq 0 ] || { cat "$FAULTS"; KEEP=${KEEP_BAD:-}; echo "verdict: broken"; exit 1; }
 echo "verdict: kept"
--- a/tests/standins/users_runner.c
+++ b/tests/standins/users_runner.c
@@ -24,6 +24,7 @@
  *   limit MS ID N      an answer that names the rate limit N
  *   leaving MS ID      an answer that says that the server leaves
  *   rest MS ID S       a rejection that asks for S seconds of rest
+ *   admin MS limit N   the rate limit is N from now on; without N: none
  *
  * With --fatal TEXT a request whose body contains TEXT crashes the server after --fatal-ms: all
  * connections break, and new ones are refused for --down-ms.
@@ -184,14 +185,17 @@
 
 	if (m && !strcmp(m + 3, "end"))
 		crash_now(&crash);
-	if (g_str_has_prefix(request->target->str, "/admin/limit"))
+	if (g_str_has_prefix(request->target->str, "/admin/limit")) {
 		g_strlcpy(rate_limit, m ? m + 3 : "", sizeof(rate_limit));
-	else if (g_str_has_prefix(request->target->str, "/admin/leaving"))
+		printf("admin %ld limit %s\n", now_ms(), rate_limit);
+		fflush(stdout);
+	} else if (g_str_has_prefix(request->target->str, "/admin/leaving")) {
 		is_leaving = 1;
-	else if (g_str_has_prefix(request->target->str, "/admin/rest"))
+	} else if (g_str_has_prefix(request->target->str, "/admin/rest")) {
 		g_strlcpy(rest_s, m ? m + 3 : "", sizeof(rest_s));
-	else if (m)
+	} else if (m) {
 		g_strlcpy(mode, m + 3, sizeof(mode));
+	}
 	cw_caller_send_head(caller, 200, "", (int64_t)journal->len);
 	cw_caller_send_body(caller, journal->str, journal->len);
 	cw_caller_end_answer(caller);
