--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -40,6 +40,7 @@
 	int64_t last_request_ms;
 	int was_ready;
 	unsigned int tick_count;
+	int64_t report_warning_ms; /* of the last log line on an invalid report */
 	int metrics_port;
 };
 
@@ -68,8 +69,8 @@
 			 struct cw_server *server); /* whether its process has terminated */
 
 /* entry_reports.c: what backend servers report about themselves */
-void reports_log(const struct cw_server *server, const struct cw_response_head *head,
-		 const struct cw_server_news *news, int64_t now_ms);
+void reports_log(struct entry *entry, const struct cw_server *server,
+		 const struct cw_response_head *head, const struct cw_report_changes *changes);
 void reports_merge(struct entry *entry, const struct cw_gossip_reports *message,
 		   uint32_t delay_ms); /* of a peer; delay_ms: it waited so long to be read */
 void reports_update_gauges(const struct entry *entry);
--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -292,7 +292,7 @@
 	record_data_received(relay);
 	cw_up_parse_answer_head(answer, &head);
 	cw_call_handle_head(relay->call, &head, now_ms, &step);
-	reports_log(server, &head, cw_call_server_news(relay->call), now_ms);
+	reports_log(relay->entry, server, &head, cw_call_report_changes(relay->call));
 	log_head(relay, &head, &step, predicted_ms, now_ms - relay->sent_ms);
 	if (step.kind == CW_STEP_FORWARD && !relay->is_head_sent) {
 		relay->http_status = head.status;
--- a/apps/corianderwalk/entry_reports.c
+++ b/apps/corianderwalk/entry_reports.c
@@ -3,28 +3,29 @@
 #include "cw_timeline.h"
 #include "entry.h"
 
-#define SOURCE_ANSWER "answer" /* in logs, in place of the peer that announced a report */
+#define SOURCE_ANSWER	    "answer" /* in logs, in place of the peer that announced a report */
+#define WARNING_INTERVAL_MS 1000
 
 static void log_rate_limit(const struct cw_server *server, const char *source);
 static void log_leaving(const struct cw_server *server, const char *source);
 static void log_rest(const struct cw_server *server, int64_t now_ms);
-static void log_invalid(const struct cw_server *server, const char *field);
+static void log_invalid(struct entry *entry, const struct cw_server *server, const char *field);
 
-void reports_log(const struct cw_server *server, const struct cw_response_head *head,
-		 const struct cw_server_news *news, int64_t now_ms)
+void reports_log(struct entry *entry, const struct cw_server *server,
+		 const struct cw_response_head *head, const struct cw_report_changes *changes)
 {
-	if (news->is_rate_limit_changed)
+	if (changes->is_rate_limit_changed)
 		log_rate_limit(server, SOURCE_ANSWER);
-	if (news->is_leaving)
+	if (changes->is_leaving)
 		log_leaving(server, SOURCE_ANSWER);
-	if (news->has_asked_for_rest)
-		log_rest(server, now_ms);
+	if (changes->has_asked_for_rest)
+		log_rest(server, entry_now_ms(entry));
 	if (head->rate_limit == CW_FIELD_INVALID)
-		log_invalid(server, "rate_limit");
+		log_invalid(entry, server, "rate_limit");
 	if (head->leaving == CW_FIELD_INVALID)
-		log_invalid(server, "leaving");
+		log_invalid(entry, server, "leaving");
 	if (head->rest == CW_FIELD_INVALID)
-		log_invalid(server, "rest");
+		log_invalid(entry, server, "rest");
 }
 
 void reports_merge(struct entry *entry, const struct cw_gossip_reports *message, uint32_t delay_ms)
@@ -89,8 +90,15 @@
 		 (long)cw_pool_rest_ms(server, now_ms));
 }
 
-static void log_invalid(const struct cw_server *server, const char *field)
+/* Each answer of such a server is invalid: one line a second is enough, the counter has them all.
+ */
+static void log_invalid(struct entry *entry, const struct cw_server *server, const char *field)
 {
+	int64_t now_ms = entry_now_ms(entry);
+
 	cw_counter_add("server_reports_invalid", "", 1);
+	if (entry->report_warning_ms && now_ms - entry->report_warning_ms < WARNING_INTERVAL_MS)
+		return;
+	entry->report_warning_ms = now_ms;
 	cw_warn("gate", "server_report_invalid", "server=%s field=%s", server->name, field);
 }
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -47,8 +47,8 @@
 	int confidence_threshold; /* CW_STEP_FORWARD: threshold that applied; -1: none did */
 };
 
-/* What the newest response head changed in the knowledge of its server. */
-struct cw_server_news {
+/* What the newest response head changed in what is known of its server's reports. */
+struct cw_report_changes {
 	int is_rate_limit_changed; /* named, changed or lifted */
 	int is_leaving;		   /* reported for the first time */
 	int has_asked_for_rest;
@@ -118,7 +118,7 @@
 struct cw_server *cw_call_server(const struct cw_call *call);
 uint64_t
 cw_call_fingerprint(const struct cw_call *call); /* cw_quarantine_fingerprint; 0: no route */
-const struct cw_server_news *cw_call_server_news(const struct cw_call *call);
+const struct cw_report_changes *cw_call_report_changes(const struct cw_call *call);
 unsigned int cw_call_attempts(const struct cw_call *call);
 double cw_call_predicted_ms(const struct cw_call *call); /* until the response head */
 
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -269,9 +269,9 @@
 	return call->fingerprint;
 }
 
-const struct cw_server_news *cw_call_server_news(const struct cw_call *call)
+const struct cw_report_changes *cw_call_report_changes(const struct cw_call *call)
 {
-	return &call->server_news;
+	return &call->report_changes;
 }
 
 unsigned int cw_call_attempts(const struct cw_call *call)
--- a/packages/gate/src/call_reports.c
+++ b/packages/gate/src/call_reports.c
@@ -9,15 +9,15 @@
 /* An answer of another server at a reused address reports nothing about this one. */
 void call_apply_reports(struct cw_call *call, const struct cw_response_head *answer, int64_t now_ms)
 {
-	memset(&call->server_news, 0, sizeof(call->server_news));
+	memset(&call->report_changes, 0, sizeof(call->report_changes));
 	if (answer->is_other_server)
 		return;
 	apply_rate_limit(call, answer, now_ms);
 	if (answer->leaving == CW_FIELD_VALID && answer->is_leaving)
-		call->server_news.is_leaving = cw_pool_report_leaving(call->server);
+		call->report_changes.is_leaving = cw_pool_report_leaving(call->server);
 	if (answer->rest == CW_FIELD_VALID) {
 		cw_pool_request_rest(call->server, answer->rest_s * 1000, now_ms);
-		call->server_news.has_asked_for_rest = 1;
+		call->report_changes.has_asked_for_rest = 1;
 	}
 }
 
@@ -34,6 +34,6 @@
 
 	if (answer->rate_limit == CW_FIELD_INVALID || (!report.is_limited && !answer->is_signed))
 		return;
-	call->server_news.is_rate_limit_changed =
+	call->report_changes.is_rate_limit_changed =
 		cw_pool_apply_rate_limit(call->server, &report, now_ms);
 }
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -79,7 +79,7 @@
 	int server_reported_loaded; /* the same, by the server's last report before the send */
 	int is_slow;		    /* the response head came far later than expected */
 	double late_work_ms;	    /* of other instances at the server, learned of by the head */
-	struct cw_server_news server_news; /* of the newest response head */
+	struct cw_report_changes report_changes; /* of the newest response head */
 	int is_head_seen;
 	int64_t head_ms;	       /* time of the response head */
 	unsigned int events_forwarded; /* by the current attempt */
--- a/packages/gossip/include/cw_gossip.h
+++ b/packages/gossip/include/cw_gossip.h
@@ -1,8 +1,8 @@
 /*
  * The datagram that instances send each other several times a second: live members, the versions of
  * the sender's state, its load on the backend servers, the progress of roll-outs, poison requests,
- * drained failure domains. Encoded with ONC RPC's XDR. A
- * lost or old datagram does no harm, since the next one carries the state again.
+ * drained failure domains. Encoded with ONC RPC's XDR. A lost or old datagram does no harm, since
+ * the next one carries the state again.
  */
 #ifndef CW_GOSSIP_H
 #define CW_GOSSIP_H
--- a/packages/gossip/src/reports.c
+++ b/packages/gossip/src/reports.c
@@ -17,26 +17,25 @@
 void cw_gossip_fill_reports(struct cw_gossip_reports *message, const char *sender,
 			    const struct cw_pool *pool, uint64_t random, int64_t now_ms)
 {
-	const struct cw_server_reports_list *list = cw_pool_reports(pool);
 	const struct cw_server_reports *reports;
 	size_t count = 0;
-	size_t skipped;
+	size_t first;
+	size_t at = 0;
 
 	memset(message, 0, sizeof(*message));
 	g_strlcpy(message->sender, sender, sizeof(message->sender));
-	TAILQ_FOREACH(reports, list, link)
-		count++;
+	TAILQ_FOREACH(reports, cw_pool_reports(pool), link)
+		count += (size_t)cw_pool_is_announced(reports, now_ms);
 	if (count == 0)
 		return;
-	skipped = count > CW_GOSSIP_REPORTS ? random % count : 0;
-	reports = TAILQ_FIRST(list);
-	for (size_t i = 0; i < skipped; i++)
-		reports = TAILQ_NEXT(reports, link);
-	for (size_t i = 0; i < MIN(count, CW_GOSSIP_REPORTS); i++) {
-		add_report(message, reports, now_ms);
-		reports = TAILQ_NEXT(reports, link);
-		if (!reports)
-			reports = TAILQ_FIRST(list);
+	first = count > CW_GOSSIP_REPORTS ? random % count : 0;
+	TAILQ_FOREACH(reports, cw_pool_reports(pool), link) {
+		if (!cw_pool_is_announced(reports, now_ms))
+			continue;
+		/* A run of CW_GOSSIP_REPORTS that begins with the first, and continues at the head.
+		 */
+		if ((at++ + count - first) % count < CW_GOSSIP_REPORTS)
+			add_report(message, reports, now_ms);
 	}
 }
 
--- a/packages/node/include/cw_node.h
+++ b/packages/node/include/cw_node.h
@@ -89,8 +89,7 @@
 	unsigned int attempt;
 	enum cw_attempt_result result;
 	int http_status;
-	int64_t retry_after_ms;	 /* the server wants no request of this instance for so long; 0: any
-				  */
+	int64_t retry_after_ms;	 /* for which the server wants no request; 0: not stated */
 	int is_closed_by_server; /* neither a time limit nor the caller ended the connection */
 	unsigned int prompt_tokens;
 	unsigned int completion_tokens;
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -293,7 +293,9 @@
 	int64_t now_ms); /* not leaving, reachable, and the breaker admits a request */
 const struct cw_server_list *cw_pool_servers(const struct cw_pool *pool);
 const struct cw_server_reports_list *
-cw_pool_reports(const struct cw_pool *pool); /* those that peers are to know */
+cw_pool_reports(const struct cw_pool *pool); /* of all servers that have any */
+int cw_pool_is_announced(const struct cw_server_reports *reports,
+			 int64_t now_ms); /* 1: peers are to know them; a rest is not */
 const struct cw_server_list *
 cw_pool_active(const struct cw_pool *pool); /* linked by active_link: servers with own requests,
 					       unreachable or suspect; few of many thousands */
--- a/packages/pool/include/cw_rate_limit.h
+++ b/packages/pool/include/cw_rate_limit.h
@@ -3,8 +3,8 @@
  * from all instances together, in force until an answer reports none. Sans-I/O.
  *
  * Instances share no counter: a few of them, chosen by rendezvous hashing, each take an equal part
- * of the limit, and the others send nothing. The server therefore gets no more than its limit plus
- * one request of each sender, while all instances see the same members.
+ * of the limit, and the others send nothing. While all instances see the same members, the server
+ * therefore gets no more than its limit, plus one request or one second's part of each sender.
  *
  * A report was made between the send of its request and the arrival of its answer. Answers may
  * overtake each other, so a report that lifts or raises the limit counts only if its request was
--- a/packages/pool/src/candidates.c
+++ b/packages/pool/src/candidates.c
@@ -159,8 +159,7 @@
 	return least_ms;
 }
 
-/* Until the server admits a request of this instance, 0: now; sets the cause of the longest wait.
- */
+/* Until the server admits a request, 0: now; the cause is that of the longest wait. */
 static int64_t admission_wait_ms(struct cw_pool *pool, struct cw_server *server,
 				 const struct cw_choice *choice, enum cw_admission *cause)
 {
--- a/packages/pool/src/reports.c
+++ b/packages/pool/src/reports.c
@@ -4,7 +4,7 @@
 #include <math.h>
 
 #define REST_MAX_MS  600000.0
-#define RETENTION_MS 60000 /* of the reports of a removed server */
+#define RETENTION_MS 60000 /* of a removed server's reports, and of a lifted limit */
 
 static struct cw_server_reports *get_reports(struct cw_server *server);
 
@@ -51,11 +51,17 @@
 	return server->reports && cw_rate_limit_is_in_force(&server->reports->rate_limit);
 }
 
+int cw_pool_is_announced(const struct cw_server_reports *reports, int64_t now_ms)
+{
+	return reports->is_leaving || cw_rate_limit_is_announced(&reports->rate_limit, now_ms);
+}
+
 const struct cw_server_reports_list *cw_pool_reports(const struct cw_pool *pool)
 {
 	return &pool->reports;
 }
 
+/* A lifted limit is kept longer than it is announced: a peer that was cut off may announce it. */
 void pool_sweep_reports(struct cw_pool *pool, int64_t now_ms)
 {
 	struct cw_server_reports *reports = TAILQ_FIRST(&pool->reports);
@@ -63,8 +69,8 @@
 	while (reports) {
 		struct cw_server_reports *next = TAILQ_NEXT(reports, link);
 
-		if (!reports->is_leaving && reports->rest_until_ms <= now_ms &&
-		    !cw_rate_limit_is_announced(&reports->rate_limit, now_ms))
+		if (!cw_pool_is_announced(reports, now_ms) && reports->rest_until_ms <= now_ms &&
+		    now_ms - reports->rate_limit.newest.received_ms >= RETENTION_MS)
 			pool_free_reports(reports->server);
 		reports = next;
 	}
--- a/tests/unit/test_rate_limit.c
+++ b/tests/unit/test_rate_limit.c
@@ -4,6 +4,8 @@
 #include "unit.h"
 
 #include <glib.h>
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #define NOW	      100000
@@ -299,6 +301,67 @@
 	assert_int_equal(size, 0);
 }
 
+static void add_server(struct cw_pool *pool, int number)
+{
+	struct cw_server_entry entry = {.slots = 8};
+
+	snprintf(entry.name, sizeof(entry.name), "s%d", number);
+	strcpy(entry.service, "llm");
+	strcpy(entry.address, "10.0.0.1:80");
+	strcpy(entry.failure_domain, "d1");
+	cw_pool_apply_entry(pool, &entry, NOW);
+}
+
+/* Guards against servers that no message ever names, and against a rest that is told to others. */
+static void messages_name_all_reporting_servers_in_turn(void **state)
+{
+	struct cw_pool *pool = cw_pool_create(&cw_choice_cost);
+	struct cw_rate_limit_report limited = report(2, NOW, NOW);
+	int is_named[100] = {0};
+	struct cw_server *server;
+
+	for (int i = 0; i < 100; i++)
+		add_server(pool, i);
+	TAILQ_FOREACH(server, cw_pool_servers(pool), link) {
+		cw_pool_request_rest(server, 3000, NOW);
+		if (atoi(server->name + 1) % 2)
+			cw_pool_apply_rate_limit(server, &limited, NOW);
+	}
+	for (uint64_t random = 0; random < 50; random++) {
+		struct cw_gossip_reports message;
+
+		cw_gossip_fill_reports(&message, "n1", pool, random, NOW);
+		assert_int_equal(message.count, CW_GOSSIP_REPORTS);
+		for (size_t i = 0; i < message.count; i++) {
+			server = cw_pool_find(pool, message.reports[i].server);
+			is_named[atoi(server->name + 1)]++;
+		}
+	}
+	for (int i = 0; i < 100; i++)
+		assert_int_equal(is_named[i], i % 2 ? CW_GOSSIP_REPORTS : 0);
+	cw_pool_destroy(pool);
+}
+
+/* Guards against a peer that was cut off and still announces a limit that was lifted since. */
+static void a_lifted_limit_is_remembered_longer_than_it_is_announced(void **state)
+{
+	struct cw_pool *pool = cw_pool_create(&cw_choice_cost);
+	struct cw_rate_limit_report limited = report(2, NOW, NOW + 10);
+	struct cw_rate_limit_report lifted = report(-1, NOW + 20, NOW + 30);
+	struct cw_server *server;
+
+	add_server(pool, 1);
+	server = cw_pool_find_name(pool, "s1");
+	assert_true(cw_pool_apply_rate_limit(server, &limited, NOW + 10));
+	assert_true(cw_pool_apply_rate_limit(server, &lifted, NOW + 30));
+	cw_pool_sweep(pool, NOW + 20000);
+	assert_false(cw_pool_apply_rate_limit(server, &limited, NOW + 20000));
+	assert_false(cw_pool_is_rate_limited(server));
+	cw_pool_sweep(pool, NOW + 100000);
+	assert_null(server->reports);
+	cw_pool_destroy(pool);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -307,6 +370,8 @@
 		cmocka_unit_test(the_shares_of_all_instances_sum_to_the_limit),
 		cmocka_unit_test(all_instances_together_keep_a_changing_limit),
 		cmocka_unit_test(reports_are_decoded_as_they_were_encoded),
+		cmocka_unit_test(messages_name_all_reporting_servers_in_turn),
+		cmocka_unit_test(a_lifted_limit_is_remembered_longer_than_it_is_announced),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
