gate: a server that asks for rest is no sign of overload

One rejection of two sends counts as overload (0.143 of the assumed seven, above full_part). Shedding saves attempts at servers that go on rejecting; one that rests gets none. Such a rejection is no longer counted.

--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -85,8 +85,9 @@
 	if (answer->is_not_run) {
 		release_server(call, now_ms, 0);
 		call_model_fall_back(call);
-		/* A different server at a reused address is no evidence of overload. */
-		if (!answer->is_other_server)
+		/* No evidence of overload: a different server at a reused address, and a server
+		 * that gets nothing more until its rest ends. */
+		if (!answer->is_other_server && answer->rest != CW_FIELD_VALID)
 			gate_count_rejected(call->gate, call->service_name, now_ms);
 		if (take_retry(call, now_ms) && dispatch_attempt(call, now_ms, step))
 			return;
--- a/tests/unit/test_gate_rest.c
+++ b/tests/unit/test_gate_rest.c
@@ -125,6 +125,27 @@
 	fixture_close(&fixture);
 }
 
+/* Guards against callers that are rejected for overload while another server has room. */
+static void a_request_for_rest_is_no_sign_of_overload(void **state)
+{
+	const struct cw_response_head rejection = make_rejection(REST_MS / 1000.0);
+	struct cw_organisation *organisation;
+	struct fixture fixture;
+
+	fixture_open(&fixture);
+	organisation = (struct cw_organisation *)cw_config_find_organisation(fixture.config, "key");
+	organisation->has_priority = 1;
+	organisation->priority = 2;
+	open_call_at(&fixture, "/read/x", FIXTURE_NOW_MS);
+	cw_call_handle_head(fixture.call, &rejection, FIXTURE_NOW_MS + 5, &fixture.step);
+	assert_int_equal(fixture.step.kind, CW_STEP_SEND);
+	for (int i = 0; i < 100; i++) {
+		open_call_at(&fixture, "/read/x", FIXTURE_NOW_MS + 10);
+		assert_int_equal(fixture.step.kind, CW_STEP_SEND);
+	}
+	fixture_close(&fixture);
+}
+
 static void rest(struct fixture *fixture, const char *name, double rest_ms, int64_t now_ms)
 {
 	cw_pool_request_rest(cw_pool_find_name(cw_gate_pool(fixture->gate), name), rest_ms, now_ms);
@@ -189,6 +210,7 @@
 		cmocka_unit_test(the_only_servers_get_their_rest_too),
 		cmocka_unit_test(a_request_to_resting_servers_is_rejected_at_once),
 		cmocka_unit_test(a_rejection_by_the_last_server_covers_its_rest),
+		cmocka_unit_test(a_request_for_rest_is_no_sign_of_overload),
 		cmocka_unit_test(no_kind_of_attempt_disturbs_a_rest),
 		cmocka_unit_test(the_longest_rest_counts_up_to_a_limit),
 	};
--- a/tests/unit/test_rate_limit.c
+++ b/tests/unit/test_rate_limit.c
@@ -324,7 +324,7 @@
 		add_server(pool, i);
 	TAILQ_FOREACH(server, cw_pool_servers(pool), link) {
 		cw_pool_request_rest(server, 3000, NOW);
-		if (atoi(server->name + 1) % 2)
+		if ((int)strtol(server->name + 1, NULL, 10) % 2)
 			cw_pool_apply_rate_limit(server, &limited, NOW);
 	}
 	for (uint64_t random = 0; random < 50; random++) {
@@ -334,7 +334,7 @@
 		assert_int_equal(message.count, CW_GOSSIP_REPORTS);
 		for (size_t i = 0; i < message.count; i++) {
 			server = cw_pool_find(pool, message.reports[i].server);
-			is_named[atoi(server->name + 1)]++;
+			is_named[(int)strtol(server->name + 1, NULL, 10)]++;
 		}
 	}
 	for (int i = 0; i < 100; i++)
