--- a/apps/corianderwalk/entry_reports.c
+++ b/apps/corianderwalk/entry_reports.c
@@ -90,8 +90,7 @@
 		 (long)cw_pool_rest_ms(server, now_ms));
 }
 
-/* Each answer of such a server is invalid: one line a second is enough, the counter has them all.
- */
+/* Such a server's every answer is invalid: one line a second, and a counter of all. */
 static void log_invalid(struct entry *entry, const struct cw_server *server, const char *field)
 {
 	int64_t now_ms = entry_now_ms(entry);
--- a/packages/gossip/src/reports.c
+++ b/packages/gossip/src/reports.c
@@ -32,8 +32,7 @@
 	TAILQ_FOREACH(reports, cw_pool_reports(pool), link) {
 		if (!cw_pool_is_announced(reports, now_ms))
 			continue;
-		/* A run of CW_GOSSIP_REPORTS that begins with the first, and continues at the head.
-		 */
+		/* CW_GOSSIP_REPORTS in a row from the first on, past the end from the head. */
 		if ((at++ + count - first) % count < CW_GOSSIP_REPORTS)
 			add_report(message, reports, now_ms);
 	}
--- a/tests/unit/test_gate_leaving.c
+++ b/tests/unit/test_gate_leaving.c
@@ -39,8 +39,7 @@
 	}
 }
 
-/* Guards against requests to a server whose entry in the list is late, as while the store is away.
- */
+/* Guards against requests to a server whose entry is late, as while the store is away. */
 static void a_server_that_reports_leaving_gets_no_request(void **state)
 {
 	struct fixture fixture;
--- a/tests/unit/test_gate_limit.c
+++ b/tests/unit/test_gate_limit.c
@@ -228,8 +228,7 @@
 	fixture_close(&fixture);
 }
 
-/* Guards against reports that are taken from a server at a reused address, or lift a limit unread.
- */
+/* Guards against reports of a server at a reused address, and limits lifted unread. */
 static void only_a_readable_report_of_the_server_itself_counts(void **state)
 {
 	struct cw_response_head head = {.status = 421,
--- a/tests/unit/test_rate_limit.c
+++ b/tests/unit/test_rate_limit.c
@@ -53,8 +53,7 @@
 	assert_false(cw_rate_limit_is_in_force(&limit));
 }
 
-/* Guards against a limit that comes back by the messages of instances that still know the old one.
- */
+/* Guards against a limit that comes back from peers that still know the old one. */
 static void an_old_report_of_a_peer_renews_no_lifted_limit(void **state)
 {
 	struct cw_rate_limit limit = {0};
@@ -312,7 +311,7 @@
 	cw_pool_apply_entry(pool, &entry, NOW);
 }
 
-/* Guards against servers that no message ever names, and against a rest that is told to others. */
+/* Guards against servers that no message ever names, and against a rest that is announced. */
 static void messages_name_all_reporting_servers_in_turn(void **state)
 {
 	struct cw_pool *pool = cw_pool_create(&cw_choice_cost);
