gossip: an announced limit equals the one that was reported

A soak's logs showed a limit of 2.3 "changing" ten times a second: the message carried it in single precision, so that a peer's report differed from the own one. Each such report counted as a change: log lines, and a report that is renewed by a message's delay each time, which the margin for renewals is to prevent. The message now carries it whole.

--- a/packages/gossip/include/cw_gossip_reports.h
+++ b/packages/gossip/include/cw_gossip_reports.h
@@ -20,7 +20,7 @@
 	uint64_t server; /* cw_server.id */
 	int is_leaving;
 	int is_limited;
-	float per_s;	      /* its rate limit, 0: none */
+	double per_s;	      /* its rate limit, 0: none */
 	uint32_t sent_ms;     /* age of the request that was answered */
 	uint32_t received_ms; /* age of the answer */
 };
--- a/packages/gossip/src/reports.c
+++ b/packages/gossip/src/reports.c
@@ -82,7 +82,7 @@
 	report->server = reports->server->id;
 	report->is_leaving = reports->is_leaving;
 	report->is_limited = newest->is_limited;
-	report->per_s = (float)MIN(newest->per_s, (double)G_MAXFLOAT);
+	report->per_s = newest->per_s;
 	report->sent_ms = age_ms(newest->sent_ms, now_ms);
 	report->received_ms = age_ms(newest->received_ms, now_ms);
 }
@@ -110,7 +110,7 @@
 static bool_t code_report(XDR *xdr, struct cw_gossip_report *report)
 {
 	return xdr_uint64_t(xdr, &report->server) && xdr_int(xdr, &report->is_leaving) &&
-	       xdr_int(xdr, &report->is_limited) && xdr_float(xdr, &report->per_s) &&
+	       xdr_int(xdr, &report->is_limited) && xdr_double(xdr, &report->per_s) &&
 	       isfinite(report->per_s) && report->per_s >= 0 && xdr_u_int(xdr, &report->sent_ms) &&
 	       xdr_u_int(xdr, &report->received_ms);
 }
--- a/tests/unit/test_rate_limit.c
+++ b/tests/unit/test_rate_limit.c
@@ -278,7 +278,7 @@
 	size_t size;
 
 	sent.reports[0] = (struct cw_gossip_report){
-		.server = 7, .is_limited = 1, .per_s = 2.5F, .sent_ms = 90, .received_ms = 40};
+		.server = 7, .is_limited = 1, .per_s = 2.5, .sent_ms = 90, .received_ms = 40};
 	sent.reports[1] = (struct cw_gossip_report){
 		.server = 8, .is_leaving = 1, .sent_ms = 9, .received_ms = 4};
 	size = cw_gossip_encode_reports(&sent, bytes, sizeof(bytes));
@@ -300,6 +300,25 @@
 	assert_int_equal(size, 0);
 }
 
+/* Guards against a limit that differs from itself once a peer has announced it. */
+static void an_announced_limit_equals_the_reported_one(void **state)
+{
+	struct cw_gossip_reports sent = {.sender = "n1", .count = 1};
+	struct cw_gossip_reports read;
+	struct cw_rate_limit limit = {0};
+	struct cw_rate_limit_report known;
+	char bytes[4096];
+	size_t size;
+
+	assert_true(apply(&limit, 2.3, NOW - 90, NOW - 40));
+	sent.reports[0] = (struct cw_gossip_report){
+		.is_limited = 1, .per_s = 2.3, .sent_ms = 50, .received_ms = 10};
+	size = cw_gossip_encode_reports(&sent, bytes, sizeof(bytes));
+	assert_int_equal(cw_gossip_decode_reports(bytes, size, &read), CW_OK);
+	cw_gossip_read_report(&read.reports[0], &known, NOW);
+	assert_false(cw_rate_limit_apply(&limit, &known, NOW));
+}
+
 static void add_server(struct cw_pool *pool, int number)
 {
 	struct cw_server_entry entry = {.slots = 8};
@@ -369,6 +388,7 @@
 		cmocka_unit_test(the_shares_of_all_instances_sum_to_the_limit),
 		cmocka_unit_test(all_instances_together_keep_a_changing_limit),
 		cmocka_unit_test(reports_are_decoded_as_they_were_encoded),
+		cmocka_unit_test(an_announced_limit_equals_the_reported_one),
 		cmocka_unit_test(messages_name_all_reporting_servers_in_turn),
 		cmocka_unit_test(a_lifted_limit_is_remembered_longer_than_it_is_announced),
 	};
