soak: a server that crashed and started again reports no limit

Trace: the server crashed under the poison request 40 ms after it had named the limit, started again without one, answered without the field 10.7 s later, and the instances lifted the limit (server_limit_lifted at that answer). The check went on counting the old limit; it now ends with the crash.

--- a/tests/soak/check_reports.awk
+++ b/tests/soak/check_reports.awk
@@ -66,6 +66,8 @@
 	if ($4 != "") first_limit_ms = first_limit_ms ? first_limit_ms : $2
 	if ($4 == "") first_limit_ms = 0
 }
+# A server that crashed and started again reports no limit any more.
+$1 == "ended" { changed_ms[++change_count] = $2; changed_to[change_count] = ""; first_limit_ms = 0 }
 { instance = instance_of[$3] }
 $1 == "limit" && instance && !told_ms[instance] && !is_link_faulty($2, $2) { told_ms[instance] = $2 }
 $1 == "leaving" && instance && !leaving_ms[instance] && !is_link_faulty($2, $2) { leaving_ms[instance] = $2 }
