feed: the era of the store is logged and counted

Store-Era of every answer, also of appends and of failed calls, is parsed; a change is a line with the positions before, a gauge and a counter. Nothing acts on it yet. The stand-in store names an era and can go back to a copy of itself.

--- a/apps/corianderwalk/entry_append.c
+++ b/apps/corianderwalk/entry_append.c
@@ -18,7 +18,9 @@
 		.read_timeout_ms = FEED_CALL_MS,
 	};
 
+	append->feed = feed;
 	append->http_status = 0;
+	append->answer_era = CW_ERA_UNKNOWN;
 	cw_counter_add("store_calls", "", 1);
 	append->exchange = cw_client_send(feed->client, &request, &append_ops, append);
 }
@@ -35,6 +37,7 @@
 	struct append *append = context;
 
 	append->http_status = answer->status;
+	append->answer_era = cw_up_parse_store_era(answer);
 }
 
 static void on_data(void *context, const char *data, size_t size)
@@ -48,6 +51,7 @@
 	enum cw_status status = cw_up_parse_append(append->http_status, &error);
 
 	append->exchange = NULL;
+	feed_note_era(append->feed, append->answer_era, "append");
 	append->done(append->context, status, error.message);
 }
 
@@ -57,5 +61,6 @@
 	struct append *append = context;
 
 	append->exchange = NULL;
+	feed_note_era(append->feed, append->answer_era, "append");
 	append->done(append->context, CW_UNKNOWN, cw_flow_failure_name(failure));
 }
--- a/apps/corianderwalk/entry_feed.h
+++ b/apps/corianderwalk/entry_feed.h
@@ -29,6 +29,7 @@
 	uv_timer_t timer;	      /* for the next call */
 	GString *body;
 	unsigned int http_status;
+	uint64_t answer_era; /* of the store, as the answer to the pending call names it */
 	int64_t call_began_ms;
 	int64_t last_answer_ms;	 /* when a valid answer came last, -1: never */
 	int64_t recovered_ms;	 /* when the store last answered again after failures */
@@ -43,8 +44,10 @@
 
 /* One record that is being appended to the shared store. */
 struct append {
+	struct feed *feed;
 	struct cw_exchange *exchange; /* NULL: no append is pending */
 	unsigned int http_status;
+	uint64_t answer_era;
 	void (*done)(void *context, enum cw_status status,
 		     const char *why); /* CW_UNKNOWN: the record may have been written */
 	void *context;
@@ -92,6 +95,7 @@
 	struct lag config_lag;
 	struct lag server_list_lag;
 	int64_t started_ms;
+	uint64_t era; /* of the store, the newest one known; CW_ERA_UNKNOWN: none yet */
 };
 
 /* entry_feed.c: feed_create and other functions of entry.h */
@@ -107,6 +111,10 @@
 void topic_recheck(struct topic *topic);     /* replaces the pending long poll by a call at once */
 void topic_mark_synced(struct topic *topic); /* a peer has sent the topic's state */
 
+/* entry_era.c: the era of the store */
+void feed_note_era(struct feed *feed, uint64_t era,
+		   const char *source); /* source, for the log: a topic or a peer's name */
+
 /* entry_hear.c: feed_fill_announcement and feed_merge_announcement of entry.h */
 
 /* entry_news.c: applies records */
--- a/apps/corianderwalk/entry_topic.c
+++ b/apps/corianderwalk/entry_topic.c
@@ -133,6 +133,7 @@
 		cw_follow_begin_read(&feed->server_list);
 	g_string_truncate(topic->body, 0);
 	topic->http_status = 0;
+	topic->answer_era = CW_ERA_UNKNOWN;
 	cw_counter_add("store_calls", "", 1);
 	topic->exchange = cw_client_send(feed->client, &request, &exchange_ops, topic);
 }
@@ -265,6 +266,7 @@
 	struct topic *topic = context;
 
 	topic->http_status = answer->status;
+	topic->answer_era = cw_up_parse_store_era(answer);
 }
 
 static void on_data(void *context, const char *data, size_t size)
@@ -282,6 +284,7 @@
 	enum cw_status status;
 
 	topic->exchange = NULL;
+	feed_note_era(topic->feed, topic->answer_era, topic->name);
 	status = read_answer(topic, &page, &error);
 	if (status == CW_OK) {
 		handle_success(topic);
@@ -337,6 +340,7 @@
 	struct topic *topic = context;
 
 	topic->exchange = NULL;
+	feed_note_era(topic->feed, topic->answer_era, topic->name);
 	handle_failure(topic, cw_flow_failure_name(failure));
 }
 
--- a/tests/lib_users.sh
+++ b/tests/lib_users.sh
@@ -88,3 +88,23 @@
 		-H 'Prefix-Hash: aa:40,bb:60' "$@" | grep -E '^[0-9]+$|^id:' | tr '\n' ' '
 	echo
 }
+store_count() { curl -s "http://$STORE/admin/count?topic=$1&key=$2"; } # records of a key
+store_newest() { curl -s "http://$STORE/admin/newest?topic=$1&key=$2"; }
+# store_restore [HOW]: the store goes back to its last copy and begins the next era; the operator writes again what was
+# lost. HOW: see standin-users-store.
+store_restore() {
+	store "restore?reads=${1:-broken}"
+	store "rewrite?topic=keyed.op"
+}
+now_ms() { echo $(($(date +%s%N) / 1000000)); }
+# in_time LIMIT_MS COMMAND...: repeats the command until it succeeds; prints whether that took longer than the limit.
+in_time() {
+	local limit_ms=$1 began_ms
+	began_ms=$(now_ms)
+	shift
+	while ! "$@" >/dev/null 2>&1; do
+		[ $(($(now_ms) - began_ms)) -le $((limit_ms + 1000)) ] || { echo "late"; return; }
+		sleep 0.05
+	done
+	[ $(($(now_ms) - began_ms)) -le "$limit_ms" ] && echo "in time" || echo "late"
+}
--- a/tests/standins/users_store.c
+++ b/tests/standins/users_store.c
@@ -8,8 +8,13 @@
  *   POST /admin/expire?topic=T       the records of T so far can be read only by log-newest
  *   POST /admin/deaf?topic=T         the reads that now wait on T are never answered
  *   POST /admin/miss?topic=T         the reads that now wait on T are answered at their time-out
- *   GET /admin/calls                 prints the number of other calls so far
- *   GET /admin/newest?topic=T&key=K  prints the newest value of K
+ *   POST /admin/copy                 takes a copy of all topics
+ *   POST /admin/restore?reads=HOW    goes back to that copy and begins the next era; reads that
+ * wait are broken, or kept: they go on waiting POST /admin/rewrite?topic=T      appends the newest
+ * lost record of each key again POST /admin/era?is=TEXT          names TEXT as the era in later
+ * answers; empty: names none GET /admin/calls                 prints the number of other calls so
+ * far GET /admin/count?topic=T&key=K   prints the number of records of K that T holds GET
+ * /admin/newest?topic=T&key=K  prints the newest value of K
  */
 #include "cw_flow.h"
 
@@ -32,6 +37,8 @@
 	const char *name;
 	GPtrArray *records; /* index = offset */
 	size_t first;	    /* lowest offset that can still be read */
+	size_t copied;	    /* number of records in the copy */
+	GPtrArray *lost;    /* records that the last restoration dropped */
 };
 
 struct waiting_read {
@@ -45,13 +52,14 @@
 };
 
 static uv_loop_t loop;
-static struct topic topics[] = {{"keyed.op", NULL, 0},
-				{"keyed.servers", NULL, 0},
-				{"keyed.status", NULL, 0},
-				{"keyed.quarantine", NULL, 0}};
+static struct topic topics[] = {{.name = "keyed.op"},
+				{.name = "keyed.servers"},
+				{.name = "keyed.status"},
+				{.name = "keyed.quarantine"}};
 static TAILQ_HEAD(, waiting_read) waiting_reads = TAILQ_HEAD_INITIALIZER(waiting_reads);
 static char mode[16] = "ok";
 static unsigned long calls;
+static char era[32] = "1";
 
 static void get_query(const char *target, const char *name, char *value, size_t size)
 {
@@ -87,7 +95,11 @@
 
 static void reply(struct cw_caller *caller, unsigned int status, const char *bytes, size_t size)
 {
-	cw_caller_send_head(caller, status, "", (int64_t)size);
+	char fields[64] = "";
+
+	if (*era)
+		snprintf(fields, sizeof(fields), "Store-Era: %s\r\n", era);
+	cw_caller_send_head(caller, status, fields, (int64_t)size);
 	cw_caller_send_body(caller, bytes, size);
 	cw_caller_end_answer(caller);
 }
@@ -107,10 +119,24 @@
 	g_ptr_array_add(topic->records, record);
 }
 
+/* The records at that offset were dropped, or are not there yet. */
+static void answer_gone(struct cw_caller *caller, const struct topic *topic)
+{
+	char text[64];
+
+	snprintf(text, sizeof(text), "{\"first_offset\":%zu}", topic->first);
+	reply(caller, 410, text, strlen(text));
+}
+
 static void answer_read(struct cw_caller *caller, const struct topic *topic, size_t from)
 {
-	GString *out = g_string_new(NULL);
+	GString *out;
 
+	if (from < topic->first || from > topic->records->len) {
+		answer_gone(caller, topic);
+		return;
+	}
+	out = g_string_new(NULL);
 	put_number(out, topic->records->len, 8);
 	put_number(out, topic->first, 8);
 	for (size_t i = from; i < topic->records->len; i++) {
@@ -218,6 +244,55 @@
 {
 }
 
+static void break_waiting_reads(void)
+{
+	struct waiting_read *waiting_read;
+
+	while ((waiting_read = TAILQ_FIRST(&waiting_reads))) {
+		TAILQ_REMOVE(&waiting_reads, waiting_read, link);
+		cw_caller_abort(waiting_read->caller);
+		g_free(waiting_read);
+	}
+}
+
+static void restore_copy(struct topic *topic)
+{
+	g_ptr_array_set_size(topic->lost, 0);
+	while (topic->records->len > topic->copied)
+		g_ptr_array_insert(
+			topic->lost, 0,
+			g_ptr_array_remove_index(topic->records, topic->records->len - 1));
+	topic->first = MIN(topic->first, topic->copied);
+}
+
+static void rewrite_lost(struct topic *topic)
+{
+	for (size_t i = 0; i < topic->lost->len; i++) {
+		const struct record *record = g_ptr_array_index(topic->lost, i);
+		int is_newest = 1;
+
+		for (size_t j = i + 1; j < topic->lost->len; j++)
+			is_newest &=
+				strcmp(record->key,
+				       ((struct record *)g_ptr_array_index(topic->lost, j))->key) !=
+				0;
+		if (is_newest)
+			append(topic, record->key, record->value->str, record->value->len);
+	}
+}
+
+static void begin_era(const char *target)
+{
+	char reads[16];
+
+	get_query(target, "reads", reads, sizeof(reads));
+	for (size_t i = 0; i < G_N_ELEMENTS(topics); i++)
+		restore_copy(&topics[i]);
+	snprintf(era, sizeof(era), "%lu", strtoul(era, NULL, 10) + 1);
+	if (strcmp(reads, "kept") != 0)
+		break_waiting_reads();
+}
+
 static void on_admin(struct cw_caller *caller, const struct cw_message *request)
 {
 	const char *target = request->target->str;
@@ -240,10 +315,28 @@
 		TAILQ_FOREACH(waiting_read, &waiting_reads, link)
 			if (waiting_read->topic == topic)
 				waiting_read->not_before_ms = waiting_read->until_ms;
+	} else if (g_str_has_prefix(target, "/admin/copy")) {
+		for (size_t i = 0; i < G_N_ELEMENTS(topics); i++)
+			topics[i].copied = topics[i].records->len;
+	} else if (g_str_has_prefix(target, "/admin/restore")) {
+		begin_era(target);
+	} else if (g_str_has_prefix(target, "/admin/rewrite")) {
+		rewrite_lost(topic);
+	} else if (g_str_has_prefix(target, "/admin/era")) {
+		get_query(target, "is", era, sizeof(era));
 	} else if (g_str_has_prefix(target, "/admin/calls")) {
 		snprintf(text, sizeof(text), "%lu\n", calls);
 		reply(caller, 200, text, strlen(text));
 		return;
+	} else if (g_str_has_prefix(target, "/admin/count")) {
+		unsigned int count = 0;
+
+		for (size_t i = 0; i < topic->records->len; i++)
+			count += !strcmp(
+				((struct record *)g_ptr_array_index(topic->records, i))->key, key);
+		snprintf(text, sizeof(text), "%u\n", count);
+		reply(caller, 200, text, strlen(text));
+		return;
 	} else if (g_str_has_prefix(target, "/admin/newest")) {
 		const struct record *newest = NULL;
 
@@ -283,9 +376,9 @@
 	} else {
 		get_query(target, "from", from, sizeof(from));
 		get_query(target, "wait_ms", wait_ms, sizeof(wait_ms));
-		if (strtoul(from, NULL, 10) < topic->first) {
-			snprintf(from, sizeof(from), "{\"first_offset\":%zu}", topic->first);
-			reply(caller, 410, from, strlen(from));
+		if (strtoul(from, NULL, 10) < topic->first ||
+		    strtoul(from, NULL, 10) > topic->records->len) {
+			answer_gone(caller, topic);
 			return;
 		}
 		add_waiting_read(caller, topic, strtoul(from, NULL, 10), strtol(wait_ms, NULL, 10),
@@ -316,8 +409,10 @@
 		return help->count ? 0 : 2;
 	}
 	uv_loop_init(&loop);
-	for (size_t i = 0; i < G_N_ELEMENTS(topics); i++)
+	for (size_t i = 0; i < G_N_ELEMENTS(topics); i++) {
 		topics[i].records = g_ptr_array_new();
+		topics[i].lost = g_ptr_array_new();
+	}
 	if (!cw_listener_create(&loop, listen->sval[0], &ops, NULL, &error)) {
 		fprintf(stderr, "%s: %s\n", error.peer, error.message);
 		return 3;
--- a/tests/unit/test_up_answers.c
+++ b/tests/unit/test_up_answers.c
@@ -85,9 +85,37 @@
 	assert_int_equal(parse("Retry-After", "3", NULL).rest, CW_FIELD_ABSENT);
 }
 
+static uint64_t parse_era(const char *first)
+{
+	struct cw_message *answer = cw_message_create();
+	uint64_t era;
+
+	if (first)
+		add_field(answer, "Store-Era", first);
+	cw_message_end_fields(answer);
+	era = cw_up_parse_store_era(answer);
+	cw_message_destroy(answer);
+	return era;
+}
+
+/* An unreadable era must not count as a new one: all state would be read again. */
+static void the_stores_era_is_a_whole_number(void **state)
+{
+	static const char *const invalid[] = {
+		"", "-1", "1.5", "0x2", "two", "1 ", "99999999999999999999"};
+
+	assert_int_equal(parse_era("0"), 1);
+	assert_int_equal(parse_era("41"), 42);
+	assert_int_equal(cw_era_number(parse_era("41")), 41);
+	assert_int_equal(parse_era(NULL), CW_ERA_UNKNOWN);
+	for (size_t i = 0; i < sizeof(invalid) / sizeof(invalid[0]); i++)
+		assert_int_equal(parse_era(invalid[i]), CW_ERA_UNKNOWN);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(the_stores_era_is_a_whole_number),
 		cmocka_unit_test(a_rate_limit_is_a_decimal_number),
 		cmocka_unit_test(an_invalid_rate_limit_is_not_an_absent_one),
 		cmocka_unit_test(a_leaving_flag_is_0_or_1),
