--- a/apps/corianderwalk/entry_append.c
+++ b/apps/corianderwalk/entry_append.c
@@ -51,7 +51,10 @@
 	enum cw_status status = cw_up_parse_append(append->http_status, &error);
 
 	append->exchange = NULL;
-	feed_note_era(append->feed, append->answer_era, "append");
+	/* A condition that held in another era than it was meant for proves nothing. */
+	if (feed_note_era(append->feed, append->answer_era, "append", 1) != ERA_CURRENT)
+		status = cw_error_set(&error, CW_UNKNOWN, "append", "",
+				      "store answered in another era");
 	append->done(append->context, status, error.message);
 }
 
@@ -61,6 +64,6 @@
 	struct append *append = context;
 
 	append->exchange = NULL;
-	feed_note_era(append->feed, append->answer_era, "append");
+	feed_note_era(append->feed, append->answer_era, "append", 1);
 	append->done(append->context, CW_UNKNOWN, cw_flow_failure_name(failure));
 }
--- a/apps/corianderwalk/entry_feed.c
+++ b/apps/corianderwalk/entry_feed.c
@@ -84,6 +84,7 @@
 void feed_tick(struct feed *feed, int64_t now_ms)
 {
 	cw_pool_sweep(cw_gate_pool(feed->entry->gate), now_ms);
+	feed_settle(feed, now_ms);
 	verdict_tick(&feed->verdict, now_ms);
 	quarantine_sync_tick(&feed->quarantine_sync, now_ms);
 }
--- a/apps/corianderwalk/entry_feed.h
+++ b/apps/corianderwalk/entry_feed.h
@@ -20,9 +20,9 @@
 	enum cw_up_topic topic;
 	const char *name;
 	enum feed_phase phase;
-	uint64_t next_offset; /* of the next record; for the servers see
-				 feed->server_list.next_offset */
-	uint64_t read_from;   /* of the pending call; records from peers may move next_offset on */
+	struct cw_position next;      /* of the next record; for the servers see
+					 feed->server_list.next */
+	struct cw_position read_from; /* of the pending call; records from peers may move next on */
 	char after_key[CW_UP_KEY_MAX]; /* last key of the snapshot's pages so far; empty: none */
 	int64_t snapshot_began_ms; /* servers that the snapshot has not listed since are removed */
 	struct cw_exchange *exchange; /* the pending call, NULL: none */
@@ -71,9 +71,9 @@
 	struct append append;
 };
 
-/* How long peers have announced records past the next offset of this instance. */
+/* How long peers have announced records past the read position of this instance. */
 struct lag {
-	uint64_t next_offset;
+	struct cw_position next;
 	int64_t since_ms; /* 0: no peer has */
 };
 
@@ -95,7 +95,9 @@
 	struct lag config_lag;
 	struct lag server_list_lag;
 	int64_t started_ms;
-	uint64_t era; /* of the store, the newest one known; CW_ERA_UNKNOWN: none yet */
+	uint64_t era;	    /* of the store, the newest one known; CW_ERA_UNKNOWN: none yet */
+	int64_t settled_ms; /* until then, orders that the store lacks may be written again; 0: none
+			       are awaited */
 };
 
 /* entry_feed.c: feed_create and other functions of entry.h */
@@ -104,16 +106,29 @@
 void topic_open(struct feed *feed, struct topic *topic, enum cw_up_topic which, const char *name);
 void topic_close(struct topic *topic);
 void topic_schedule(struct topic *topic,
-		    int64_t wait_ms);		/* a call after the wait, if one is still due */
-int topic_is_reader(const struct topic *topic); /* this instance reads the store for all others */
-uint64_t topic_next_offset(const struct topic *topic);
-void topic_reload(struct topic *topic);	     /* reads the newest records again */
-void topic_recheck(struct topic *topic);     /* replaces the pending long poll by a call at once */
+		    int64_t wait_ms);		 /* a call after the wait, if one is still due */
+int topic_is_reader(const struct topic *topic);	 /* this instance reads the store for all others */
+int feed_is_rank_known(const struct feed *feed); /* 0: just started, its peers are not known yet */
+struct cw_position topic_next(const struct topic *topic);
+void topic_reload(struct topic *topic); /* reads the newest records again */
+void topic_restart(struct topic *topic,
+		   int64_t wait_ms);	 /* the same, after the wait, in place of a pending call */
+void topic_forget(struct topic *topic);	 /* it counts as never read, and is not read again now */
+void topic_recheck(struct topic *topic); /* replaces the pending long poll by a call at once */
 void topic_mark_synced(struct topic *topic); /* a peer has sent the topic's state */
 
 /* entry_era.c: the era of the store */
-void feed_note_era(struct feed *feed, uint64_t era,
-		   const char *source); /* source, for the log: a topic or a peer's name */
+enum era_relation {
+	ERA_CURRENT, /* also: none is named, so the newest one known is assumed */
+	ERA_EARLIER, /* a late answer or message: what it says of positions must not be used */
+	ERA_BEGUN,   /* a new one: all topics are read again */
+};
+
+enum era_relation feed_note_era(struct feed *feed, uint64_t era, const char *source,
+				int is_own_answer); /* source, for the log: a topic or a peer;
+						       is_own_answer: the store said so itself */
+int feed_is_settling(const struct feed *feed);	    /* the store's copy may lack orders */
+void feed_settle(struct feed *feed, int64_t now_ms);
 
 /* entry_hear.c: feed_fill_announcement and feed_merge_announcement of entry.h */
 
--- a/apps/corianderwalk/entry_news.c
+++ b/apps/corianderwalk/entry_news.c
@@ -6,6 +6,7 @@
 
 #include <string.h>
 
+static int is_maybe_superseded(const struct topic *topic, const struct cw_drain_order *order);
 static void apply_config(struct feed *feed, const struct cw_up_record *record);
 static void apply_server(struct feed *feed, const struct cw_server_entry *entry, int64_t now_ms);
 static void reread_orders(struct feed *feed, const struct cw_server_entry *entry, int64_t now_ms);
@@ -15,6 +16,7 @@
 {
 	struct feed *feed = topic->feed;
 	struct cw_rollouts *rollouts = cw_gate_rollouts(feed->entry->gate);
+	struct cw_position position = {feed->era, record->offset};
 	int64_t now_ms = entry_now_ms(feed->entry);
 
 	switch (record->kind) {
@@ -22,7 +24,7 @@
 		apply_config(feed, record);
 		break;
 	case CW_UP_RECORD_ROLLOUT_ORDER:
-		if (cw_rollouts_apply_order(rollouts, &record->order, record->offset, now_ms))
+		if (cw_rollouts_apply_order(rollouts, &record->order, position, now_ms))
 			cw_event("feed", "rollout_ordered",
 				 "service=%s target=%s duration_ms=%ld offset=%lu",
 				 record->order.service, record->order.target,
@@ -35,7 +37,9 @@
 				 record->status.state);
 		break;
 	case CW_UP_RECORD_DRAIN_ORDER:
-		feed_apply_drain(feed, &record->drain, "store");
+		record->drain.position = position;
+		if (!is_maybe_superseded(topic, &record->drain))
+			feed_apply_drain(feed, &record->drain, "store");
 		break;
 	case CW_UP_RECORD_SERVER:
 		apply_server(feed, &record->server, now_ms);
@@ -81,10 +85,20 @@
 	cw_counter_add(order->is_drained ? "domains_drained" : "domains_restored", "", 1);
 	cw_event("feed", order->is_drained ? "domain_drained" : "domain_restored",
 		 "domain=%s offset=%lu source=%s", order->failure_domain,
-		 (unsigned long)order->offset, source);
+		 (unsigned long)order->position.offset, source);
 	peers_announce(entry->peers);
 }
 
+/* The copy from which the store was restored may lack the newest order on the domain. */
+static int is_maybe_superseded(const struct topic *topic, const struct cw_drain_order *order)
+{
+	const struct feed *feed = topic->feed;
+	struct cw_drains *drains = cw_pool_drains(cw_gate_pool(feed->entry->gate));
+
+	return topic->phase == PHASE_SNAPSHOT && feed_is_settling(feed) &&
+	       cw_drains_has_order(drains, order->failure_domain);
+}
+
 static void apply_config(struct feed *feed, const struct cw_up_record *record)
 {
 	struct entry *entry = feed->entry;
--- a/apps/corianderwalk/entry_peers.c
+++ b/apps/corianderwalk/entry_peers.c
@@ -356,6 +356,7 @@
 			 member->failure_domain, member->address, (unsigned long)gossip->boot);
 	if (is_new && peers->introductions_left > 0)
 		send_introduction(peers, gossip->sender.address);
+	feed_merge_era(entry->feed, gossip);
 	loads = g_hash_table_lookup(peers->loads, &member->id);
 	if (!loads) {
 		loads = g_new0(struct peer_loads, 1);
@@ -382,7 +383,7 @@
 	for (size_t i = 0; i < gossip->drain_count; i++)
 		feed_apply_drain(entry->feed, &gossip->drains[i], member->instance);
 	feed_merge_announcement(entry->feed, gossip);
-	if (gossip->operator_offset == 0 && entry_is_synced(entry) && peers->replies_left > 0)
+	if (gossip->operator_next.offset == 0 && entry_is_synced(entry) && peers->replies_left > 0)
 		reply_to_new_instance(peers, gossip->sender.address);
 }
 
--- a/apps/corianderwalk/entry_share.c
+++ b/apps/corianderwalk/entry_share.c
@@ -14,9 +14,11 @@
 
 #define PATH_CONFIG	    "/config"
 #define PATH_LIST	    "/servers"
-#define PATH_CHANGES	    "/changes/" /* then an offset: records of the list from there on */
-#define OFFSET_FIELD	    "X-Offset"	/* next offset of the sender in the operator's topic */
-#define AGE_FIELD	    "X-Age-Ms"	/* age of the encoded list */
+#define PATH_CHANGES	    "/changes/"	  /* then an offset: records of the list from there on */
+#define OFFSET_FIELD	    "X-Offset"	  /* next offset of the sender in the operator's topic */
+#define AGE_FIELD	    "X-Age-Ms"	  /* age of the encoded list */
+#define ERA_FIELD	    "X-Store-Era" /* of the position that is sent; earlier builds send none */
+#define ERA_QUERY	    "?era="	  /* after the offset: the era that it counts in */
 #define CONNECT_TIMEOUT_MS  150
 #define RESPONSE_TIMEOUT_MS 400 /* without a byte; then another peer or the store is asked */
 #define REUSE_IDLE_MS	    10000
@@ -39,6 +41,7 @@
 	unsigned int http_status;
 	unsigned int failures; /* in a row */
 	uint64_t offset;
+	uint64_t era; /* of the peer's position; CW_ERA_UNKNOWN: it names none */
 	uint32_t age_ms;
 	int64_t last_try_ms;
 	int64_t declined_ms; /* when a peer that has the state was too busy to send it, 0: never */
@@ -48,7 +51,7 @@
 struct snapshot {
 	char *bytes; /* NULL: not encoded yet */
 	size_t size;
-	uint64_t next_offset;
+	struct cw_position next;
 	int64_t encoded_ms;
 };
 
@@ -69,7 +72,7 @@
 static int is_listed(const struct cw_server *server);
 static void send_list(struct share *share, struct cw_caller *caller);
 static void encode_snapshot(struct share *share, int64_t now_ms);
-static void send_changes(struct share *share, struct cw_caller *caller, uint64_t first_offset);
+static void send_changes(struct share *share, struct cw_caller *caller, const char *from);
 static void decline(struct cw_caller *caller, unsigned int status);
 static void init_fetch(struct share *share, struct fetch *fetch, const char *path,
 		       struct topic *topic, void (*done)(struct fetch *fetch));
@@ -81,7 +84,8 @@
 static void finish_config_fetch(struct fetch *fetch);
 static void finish_list_fetch(struct fetch *fetch);
 static void finish_changes_fetch(struct fetch *fetch);
-static void apply_list(struct feed *feed, const struct cw_gossip_list *list);
+static void apply_list(struct feed *feed, const struct cw_gossip_list *list,
+		       struct cw_position next);
 
 static const struct cw_listener_ops listener_ops = {on_request, ignore_event, ignore_event, NULL};
 static const struct cw_exchange_ops exchange_ops = {on_head, on_data, on_end, on_failed};
@@ -154,8 +158,7 @@
 	else if (!strcmp(target, PATH_LIST) && has_list)
 		send_list(share, caller);
 	else if (g_str_has_prefix(target, PATH_CHANGES) && has_list)
-		send_changes(share, caller,
-			     g_ascii_strtoull(target + strlen(PATH_CHANGES), NULL, 10));
+		send_changes(share, caller, target + strlen(PATH_CHANGES));
 	else
 		decline(caller, HTTP_STATUS_NOT_FOUND);
 }
@@ -168,14 +171,14 @@
 {
 	const struct feed *feed = share->feed;
 	int64_t now_ms = entry_now_ms(feed->entry);
-	char fields[64];
+	char fields[128];
 
 	if (!cw_uplink_admits(&share->uplink, now_ms)) {
 		decline(caller, HTTP_STATUS_SERVICE_UNAVAILABLE);
 		return;
 	}
-	snprintf(fields, sizeof(fields), OFFSET_FIELD ": %lu\r\n",
-		 (unsigned long)feed->operator.next_offset);
+	snprintf(fields, sizeof(fields), OFFSET_FIELD ": %lu\r\n" ERA_FIELD ": %lu\r\n",
+		 (unsigned long)feed->operator.next.offset, (unsigned long)feed->operator.next.era);
 	cw_caller_send_head(caller, HTTP_STATUS_OK, fields, (int64_t)feed->config_compressed_bytes);
 	cw_caller_send_body(caller, feed->config_compressed, feed->config_compressed_bytes);
 	cw_caller_end_answer(caller);
@@ -186,18 +189,19 @@
 {
 	int64_t now_ms = entry_now_ms(share->feed->entry);
 	struct snapshot *snapshot = &share->snapshot;
-	char fields[64];
+	char fields[128];
 
 	if (!cw_uplink_admits(&share->uplink, now_ms)) {
 		cw_counter_add("peer_lists_declined", "", 1);
 		decline(caller, HTTP_STATUS_SERVICE_UNAVAILABLE);
 		return;
 	}
-	if (!snapshot->bytes || snapshot->next_offset != share->feed->server_list.next_offset ||
+	if (!snapshot->bytes ||
+	    cw_position_compare(snapshot->next, share->feed->server_list.next) != 0 ||
 	    now_ms - snapshot->encoded_ms > SNAPSHOT_MAX_AGE_MS)
 		encode_snapshot(share, now_ms);
-	snprintf(fields, sizeof(fields), AGE_FIELD ": %ld\r\n",
-		 (long)(now_ms - snapshot->encoded_ms));
+	snprintf(fields, sizeof(fields), AGE_FIELD ": %ld\r\n" ERA_FIELD ": %lu\r\n",
+		 (long)(now_ms - snapshot->encoded_ms), (unsigned long)snapshot->next.era);
 	cw_caller_send_head(caller, HTTP_STATUS_OK, fields, (int64_t)snapshot->size);
 	cw_caller_send_body(caller, snapshot->bytes, snapshot->size);
 	cw_caller_end_answer(caller);
@@ -208,9 +212,10 @@
 static void encode_snapshot(struct share *share, int64_t now_ms)
 {
 	const struct feed *feed = share->feed;
-	const struct cw_server_list *servers = cw_pool_servers(cw_gate_pool(feed->entry->gate));
+	const struct cw_pool *pool = cw_gate_pool(feed->entry->gate);
+	const struct cw_server_list *servers = cw_pool_servers(pool);
 	struct cw_gossip_list list = {
-		.next_offset = feed->server_list.next_offset,
+		.next_offset = feed->server_list.next.offset,
 		.age_ms = (uint32_t)(now_ms - feed->server_list.fresh_ms),
 	};
 	const struct cw_server *server;
@@ -224,7 +229,7 @@
 			cw_pool_get_entry(server, &list.entries[list.count++], now_ms);
 	g_free(share->snapshot.bytes);
 	share->snapshot.bytes = cw_gossip_list_encode(&list, &share->snapshot.size);
-	share->snapshot.next_offset = list.next_offset;
+	share->snapshot.next = feed->server_list.next;
 	share->snapshot.encoded_ms = now_ms;
 	g_free(list.entries);
 }
@@ -233,18 +238,27 @@
  * Hundreds of servers may change in a second, and a message between instances holds few changes. An
  * instance that missed some gets them here, without the cost of the whole list.
  */
-static void send_changes(struct share *share, struct cw_caller *caller, uint64_t first_offset)
+static void send_changes(struct share *share, struct cw_caller *caller, const char *from)
 {
 	const struct feed *feed = share->feed;
 	int64_t now_ms = entry_now_ms(feed->entry);
 	struct cw_gossip_changes changes = {.peer_report = {
-						    .from = feed->server_list.next_offset,
+						    .next = feed->server_list.next,
 						    .age_ms = now_ms - feed->server_list.fresh_ms,
 						    .evidence = feed->server_list.evidence,
 					    }};
+	uint64_t first_offset = g_ascii_strtoull(from, NULL, 10);
+	const char *era = strstr(from, ERA_QUERY);
+	char fields[64];
 	size_t size;
 	char *bytes;
 
+	/* Offsets of another era name other records. */
+	if (era &&
+	    g_ascii_strtoull(era + strlen(ERA_QUERY), NULL, 10) != changes.peer_report.next.era) {
+		decline(caller, HTTP_STATUS_NOT_FOUND);
+		return;
+	}
 	changes.changes = g_new(struct cw_change, CW_TAIL_CHANGES);
 	changes.count = cw_tail_since(feed->tail, first_offset, changes.changes, CW_TAIL_CHANGES);
 	if (changes.count == 0) {
@@ -253,7 +267,9 @@
 		return;
 	}
 	bytes = cw_gossip_changes_encode(&changes, &size);
-	cw_caller_send_head(caller, HTTP_STATUS_OK, "", (int64_t)size);
+	snprintf(fields, sizeof(fields), ERA_FIELD ": %lu\r\n",
+		 (unsigned long)changes.peer_report.next.era);
+	cw_caller_send_head(caller, HTTP_STATUS_OK, fields, (int64_t)size);
 	cw_caller_send_body(caller, bytes, size);
 	cw_caller_end_answer(caller);
 	cw_uplink_add_transfer(&share->uplink, size, now_ms);
@@ -306,8 +322,9 @@
 	request.bytes = g_string_new(NULL);
 	g_string_printf(request.bytes, "GET %s", fetch->path);
 	if (fetch == &fetch->share->changes)
-		g_string_append_printf(request.bytes, "%lu",
-				       (unsigned long)fetch->share->feed->server_list.next_offset);
+		g_string_append_printf(request.bytes, "%lu" ERA_QUERY "%lu",
+				       (unsigned long)fetch->share->feed->server_list.next.offset,
+				       (unsigned long)fetch->share->feed->server_list.next.era);
 	g_string_append_printf(request.bytes, " HTTP/1.1\r\nHost: %s\r\n\r\n", peer);
 	cw_counter_add("peer_fetches", "", 1);
 	fetch->exchange = cw_client_send(fetch->share->client, &request, &exchange_ops, fetch);
@@ -318,9 +335,11 @@
 	struct fetch *fetch = context;
 	const char *offset = cw_message_find(answer, OFFSET_FIELD);
 	const char *age = cw_message_find(answer, AGE_FIELD);
+	const char *era = cw_message_find(answer, ERA_FIELD);
 
 	fetch->http_status = answer->status;
 	fetch->offset = offset ? g_ascii_strtoull(offset, NULL, 10) : 0;
+	fetch->era = era ? g_ascii_strtoull(era, NULL, 10) : CW_ERA_UNKNOWN;
 	fetch->age_ms = age ? (uint32_t)g_ascii_strtoull(age, NULL, 10) : 0;
 }
 
@@ -381,7 +400,13 @@
 	record_apply(&feed->operator, & record);
 	cw_config_unref(record.config);
 	g_free(record.text);
-	feed->operator.next_offset = MAX(feed->operator.next_offset, fetch->offset);
+	feed_note_era(feed, fetch->era, fetch->peer, 0);
+	/* A configuration of an earlier era is in force all the same, but other records follow it.
+	 */
+	if (fetch->era != feed->era)
+		return;
+	feed->operator.next = cw_position_max(feed->operator.next,
+					      (struct cw_position){fetch->era, fetch->offset});
 	topic_mark_synced(&feed->operator);
 }
 
@@ -389,15 +414,19 @@
 {
 	struct feed *feed = fetch->share->feed;
 	struct cw_gossip_list list;
+	struct cw_position next;
 
 	if (cw_gossip_list_decode(fetch->body->str, fetch->body->len, &list) != CW_OK) {
 		cw_warn("share", "not_understood", "what=servers bytes=%zu", fetch->body->len);
 		return;
 	}
 	list.age_ms += fetch->age_ms;
+	feed_note_era(feed, fetch->era, fetch->peer, 0);
+	next = (struct cw_position){fetch->era, list.next_offset};
 	/* Records that were read during the transfer may be newer than the list. */
-	if (!feed->servers.is_complete || list.next_offset > feed->server_list.next_offset)
-		apply_list(feed, &list);
+	if (next.era == feed->era &&
+	    (!feed->servers.is_complete || cw_position_compare(next, feed->server_list.next) > 0))
+		apply_list(feed, &list, next);
 	g_free(list.entries);
 }
 
@@ -410,6 +439,7 @@
 		cw_warn("share", "not_understood", "what=changes bytes=%zu", fetch->body->len);
 		return;
 	}
+	changes.peer_report.next.era = fetch->era;
 	if (feed->servers.is_complete && feed->servers.phase == PHASE_FOLLOW)
 		cw_follow_merge_changes(&feed->server_list, changes.changes, changes.count,
 					&changes.peer_report, entry_now_ms(feed->entry),
@@ -417,7 +447,8 @@
 	g_free(changes.changes);
 }
 
-static void apply_list(struct feed *feed, const struct cw_gossip_list *list)
+static void apply_list(struct feed *feed, const struct cw_gossip_list *list,
+		       struct cw_position next)
 {
 	int64_t now_ms = entry_now_ms(feed->entry);
 
@@ -428,10 +459,10 @@
 	}
 	cw_pool_delist_unlisted(cw_gate_pool(feed->entry->gate), now_ms,
 				feed_expiry_grace_until_ms(feed), now_ms);
-	cw_event("share", "list_taken", "from=%lu before=%lu servers=%zu age_ms=%u",
-		 (unsigned long)list->next_offset, (unsigned long)feed->server_list.next_offset,
-		 list->count, list->age_ms);
-	cw_follow_reset(&feed->server_list, list->next_offset);
+	cw_event("share", "list_taken", "from=%lu before=%lu era=%ld servers=%zu age_ms=%u",
+		 (unsigned long)next.offset, (unsigned long)feed->server_list.next.offset,
+		 (long)cw_era_number(next.era), list->count, list->age_ms);
+	cw_follow_reset(&feed->server_list, next);
 	feed->server_list.fresh_ms = MAX(feed->server_list.fresh_ms, now_ms - list->age_ms);
 	topic_mark_synced(&feed->servers);
 }
--- a/apps/corianderwalk/entry_topic.c
+++ b/apps/corianderwalk/entry_topic.c
@@ -23,7 +23,6 @@
 
 static void send_call(struct topic *topic);
 static void begin_snapshot(struct topic *topic);
-static int is_rank_known(const struct feed *feed);
 static size_t reader_rank(const struct topic *topic);
 static int64_t poll_wait_ms(const struct topic *topic);
 static void on_timer(uv_timer_t *timer);
@@ -34,6 +33,7 @@
 static void on_data(void *context, const char *data, size_t size);
 static void on_end(void *context);
 static void on_failed(void *context, enum cw_flow_failure failure);
+static int is_of_current_era(struct topic *topic);
 static void reload_expired(struct topic *topic);
 static enum cw_status read_answer(struct topic *topic, struct cw_up_page *page,
 				  struct cw_error *error);
@@ -43,6 +43,7 @@
 static void apply_record(struct topic *topic, struct cw_up_record *record);
 static void report_unreadable(struct topic *topic, const struct cw_up_record *record);
 static void finish_snapshot(struct topic *topic);
+static void schedule_follow(struct topic *topic);
 static void restore_unseen_drains(struct topic *topic);
 static void handle_failure(struct topic *topic, const char *why);
 static void handle_success(struct topic *topic);
@@ -65,11 +66,11 @@
 
 	if (!topic->is_complete)
 		cw_event("feed", "taken_from_peer", "topic=%s from=%lu", topic->name,
-			 (unsigned long)topic_next_offset(topic));
+			 (unsigned long)topic_next(topic).offset);
 	topic->is_complete = 1;
 	if (topic->phase == PHASE_SNAPSHOT) {
 		cancel_call(topic);
-		topic_schedule(topic, CW_READERS_DISCOVERY_MS);
+		schedule_follow(topic);
 	}
 	topic->phase = PHASE_FOLLOW;
 	*topic->after_key = '\0';
@@ -84,6 +85,23 @@
 	send_call(topic);
 }
 
+void topic_restart(struct topic *topic, int64_t wait_ms)
+{
+	cancel_call(topic);
+	topic->phase = PHASE_SNAPSHOT;
+	topic->is_jitter_done = 0;
+	*topic->after_key = '\0';
+	topic_schedule(topic, wait_ms);
+}
+
+void topic_forget(struct topic *topic)
+{
+	cancel_call(topic);
+	topic->phase = PHASE_SNAPSHOT;
+	topic->is_complete = 0;
+	*topic->after_key = '\0';
+}
+
 void topic_open(struct feed *feed, struct topic *topic, enum cw_up_topic which, const char *name)
 {
 	topic->feed = feed;
@@ -124,11 +142,11 @@
 	} else {
 		int64_t wait_ms = poll_wait_ms(topic);
 
-		cw_up_format_log_read(topic->topic, topic_next_offset(topic), wait_ms, store,
+		cw_up_format_log_read(topic->topic, topic_next(topic).offset, wait_ms, store,
 				      bytes);
 		request.read_timeout_ms += wait_ms;
 	}
-	topic->read_from = topic->next_offset;
+	topic->read_from = topic->next;
 	if (topic->topic == CW_UP_TOPIC_SERVERS)
 		cw_follow_begin_read(&feed->server_list);
 	g_string_truncate(topic->body, 0);
@@ -150,10 +168,9 @@
 	uv_timer_start(&topic->timer, on_timer, (uint64_t)MAX(wait_ms, 0), 0);
 }
 
-uint64_t topic_next_offset(const struct topic *topic)
+struct cw_position topic_next(const struct topic *topic)
 {
-	return topic->topic == CW_UP_TOPIC_SERVERS ? topic->feed->server_list.next_offset
-						   : topic->next_offset;
+	return topic->topic == CW_UP_TOPIC_SERVERS ? topic->feed->server_list.next : topic->next;
 }
 
 /*
@@ -164,10 +181,10 @@
  */
 int topic_is_reader(const struct topic *topic)
 {
-	return is_rank_known(topic->feed) && cw_readers_is_reader(reader_rank(topic));
+	return feed_is_rank_known(topic->feed) && cw_readers_is_reader(reader_rank(topic));
 }
 
-static int is_rank_known(const struct feed *feed)
+int feed_is_rank_known(const struct feed *feed)
 {
 	int64_t now_ms = entry_now_ms(feed->entry);
 
@@ -209,7 +226,7 @@
 		read_snapshot(topic);
 	else if (topic_is_reader(topic))
 		send_call(topic);
-	else if (topic->topic == CW_UP_TOPIC_SERVERS && is_rank_known(feed) &&
+	else if (topic->topic == CW_UP_TOPIC_SERVERS && feed_is_rank_known(feed) &&
 		 cw_follow_is_reader(&feed->server_list, reader_rank(topic),
 				     entry_now_ms(feed->entry)))
 		send_call(topic);
@@ -225,7 +242,8 @@
 {
 	const struct feed *feed = topic->feed;
 
-	return feed->is_seed || (is_rank_known(feed) && reader_rank(topic) < CW_READERS_STANDBY);
+	return feed->is_seed ||
+	       (feed_is_rank_known(feed) && reader_rank(topic) < CW_READERS_STANDBY);
 }
 
 static void read_snapshot(struct topic *topic)
@@ -284,7 +302,8 @@
 	enum cw_status status;
 
 	topic->exchange = NULL;
-	feed_note_era(topic->feed, topic->answer_era, topic->name);
+	if (!is_of_current_era(topic))
+		return;
 	status = read_answer(topic, &page, &error);
 	if (status == CW_OK) {
 		handle_success(topic);
@@ -295,7 +314,7 @@
 			apply_followed_page(topic, &page);
 	} else if (status == CW_EXPIRED) {
 		cw_event("feed", "expired", "topic=%s from=%lu first=%lu", topic->name,
-			 (unsigned long)topic_next_offset(topic), (unsigned long)page.first_offset);
+			 (unsigned long)topic_next(topic).offset, (unsigned long)page.first_offset);
 		reload_expired(topic);
 	} else {
 		handle_failure(topic, error.message);
@@ -303,6 +322,25 @@
 	cw_up_page_clear(&page);
 }
 
+/*
+ * A page of another era continues nothing that was read before, and its offsets mean other records
+ * than the call asked for.
+ */
+static int is_of_current_era(struct topic *topic)
+{
+	switch (feed_note_era(topic->feed, topic->answer_era, topic->name, 1)) {
+	case ERA_CURRENT:
+		return 1;
+	case ERA_EARLIER:
+		handle_failure(topic, "answer of an earlier era");
+		return 0;
+	case ERA_BEGUN:
+		handle_success(topic);
+		return 0;
+	}
+	return 0;
+}
+
 /*
  * Load pattern: the store drops its history, and of a thousand instances hundreds had taken over
  * from the readers. Each read the whole list, which kept the readers from reading it. So only the
@@ -325,8 +363,8 @@
 				  struct cw_error *error)
 {
 	uint64_t read_from = topic->topic == CW_UP_TOPIC_SERVERS
-				     ? topic->feed->server_list.read_from
-				     : topic->read_from;
+				     ? topic->feed->server_list.read_from.offset
+				     : topic->read_from.offset;
 
 	if (topic->phase == PHASE_SNAPSHOT)
 		return cw_up_parse_log_newest(topic->topic, topic->http_status, topic->body, page,
@@ -340,8 +378,8 @@
 	struct topic *topic = context;
 
 	topic->exchange = NULL;
-	feed_note_era(topic->feed, topic->answer_era, topic->name);
-	handle_failure(topic, cw_flow_failure_name(failure));
+	if (feed_note_era(topic->feed, topic->answer_era, topic->name, 1) != ERA_BEGUN)
+		handle_failure(topic, cw_flow_failure_name(failure));
 }
 
 /* Pages read one after another are no consistent snapshot: records that are appended meanwhile are
@@ -353,7 +391,7 @@
 		record_apply(topic, &page->log_record[i]);
 	}
 	if (!*topic->after_key)
-		topic->next_offset = page->end_offset;
+		topic->next = (struct cw_position){topic->feed->era, page->end_offset};
 	if (page->has_more) {
 		read_next_page(topic, page->after);
 		return;
@@ -377,12 +415,14 @@
 
 static void apply_followed_page(struct topic *topic, struct cw_up_page *page)
 {
+	struct cw_position end = {topic->feed->era, page->end_offset};
+
 	for (size_t i = 0; i < page->count; i++)
 		if (topic->topic == CW_UP_TOPIC_SERVERS ||
-		    page->log_record[i].offset >= topic->next_offset)
+		    page->log_record[i].offset >= topic->next.offset)
 			apply_record(topic, &page->log_record[i]);
 	if (topic->topic != CW_UP_TOPIC_SERVERS) {
-		topic->next_offset = MAX(topic->next_offset, page->end_offset);
+		topic->next = cw_position_max(topic->next, end);
 		topic_schedule(topic, topic_is_reader(topic) ? 0 : STALE_CHECK_MS);
 		return;
 	}
@@ -441,17 +481,18 @@
 	topic->is_complete = 1;
 	topic->phase = PHASE_FOLLOW;
 	*topic->after_key = '\0';
-	cw_event("feed", "collected", "topic=%s end=%lu", topic->name,
-		 (unsigned long)topic->next_offset);
+	cw_event("feed", "collected", "topic=%s end=%lu era=%ld", topic->name,
+		 (unsigned long)topic->next.offset, (long)cw_era_number(topic->next.era));
 	if (topic->topic == CW_UP_TOPIC_SERVERS) {
 		cw_pool_delist_unlisted(cw_gate_pool(entry->gate), topic->snapshot_began_ms,
 					feed_expiry_grace_until_ms(feed), topic->last_answer_ms);
-		cw_follow_reset(&feed->server_list, topic->next_offset);
+		cw_follow_reset(&feed->server_list, topic->next);
 		cw_follow_end_read(&feed->server_list, topic->snapshot_began_ms);
-		topic_schedule(topic, CW_READERS_DISCOVERY_MS);
+		schedule_follow(topic);
 	} else if (topic->topic == CW_UP_TOPIC_OPERATOR) {
-		restore_unseen_drains(topic);
-		topic_schedule(topic, CW_READERS_DISCOVERY_MS);
+		if (!feed_is_settling(feed))
+			restore_unseen_drains(topic);
+		schedule_follow(topic);
 		/* The status topic holds the outcomes of roll-outs: without a roll-out it is not
 		 * read. */
 		if (cw_rollouts_has_any(cw_gate_rollouts(entry->gate)) && !feed->status.is_complete)
@@ -461,10 +502,19 @@
 	} else {
 		topic_schedule(topic, 0);
 	}
+	/* Peers await the state of a new era. */
+	if (feed_is_settling(feed))
+		peers_announce(entry->peers);
 	if (entry_is_synced(entry))
 		relay_open_pending(entry);
 }
 
+/* An instance that has just started does not know yet whether it is to read the store. */
+static void schedule_follow(struct topic *topic)
+{
+	topic_schedule(topic, feed_is_rank_known(topic->feed) ? 0 : CW_READERS_DISCOVERY_MS);
+}
+
 /* A drain that the snapshot does not contain was withdrawn, by a record that is no longer in the
  * store's history: new requests are sent to the failure domain again. */
 static void restore_unseen_drains(struct topic *topic)
@@ -472,7 +522,7 @@
 	struct cw_drains *drains = cw_pool_drains(cw_gate_pool(topic->feed->entry->gate));
 	struct cw_drain_order drain;
 
-	while (cw_drains_next_unseen(drains, topic->next_offset, &drain))
+	while (cw_drains_next_unseen(drains, topic->next, &drain))
 		feed_apply_drain(topic->feed, &drain, "store");
 }
 
@@ -505,7 +555,7 @@
 	topic->is_down = 0;
 	topic->recovered_ms = entry_now_ms(topic->feed->entry);
 	cw_event("feed", "store_regained", "topic=%s from=%lu", topic->name,
-		 (unsigned long)topic_next_offset(topic));
+		 (unsigned long)topic_next(topic).offset);
 	if (topic->topic != CW_UP_TOPIC_QUARANTINE)
 		recheck_others(topic);
 }
--- a/apps/corianderwalk/entry_verdict.c
+++ b/apps/corianderwalk/entry_verdict.c
@@ -93,9 +93,9 @@
 	GString *bytes = g_string_sized_new(256);
 
 	verdict->status = *status;
-	cw_up_format_status_append(status, feed->status.next_offset, store, bytes);
+	cw_up_format_status_append(status, feed->status.next.offset, store, bytes);
 	cw_event("feed", "rollout_writing", "service=%s target=%s state=%d at=%lu", status->service,
-		 status->target, status->state, (unsigned long)feed->status.next_offset);
+		 status->target, status->state, (unsigned long)feed->status.next.offset);
 	append_begin(&verdict->append, feed, bytes);
 }
 
--- a/apps/cwctl/domains.c
+++ b/apps/cwctl/domains.c
@@ -34,15 +34,17 @@
 		const char *state = orders[i].is_drained ? "drained" : "in use";
 		char revision[32];
 
-		g_snprintf(revision, sizeof(revision), "%" G_GUINT64_FORMAT, orders[i].offset);
+		g_snprintf(revision, sizeof(revision), "%" G_GUINT64_FORMAT,
+			   orders[i].position.offset);
 		if (options->json) {
 			struct json_object *line = json_object_new_object();
 
 			json_object_object_add(line, "failure_domain",
 					       json_object_new_string(orders[i].failure_domain));
 			json_object_object_add(line, "state", json_object_new_string(state));
-			json_object_object_add(line, "revision",
-					       json_object_new_int64((int64_t)orders[i].offset));
+			json_object_object_add(
+				line, "revision",
+				json_object_new_int64((int64_t)orders[i].position.offset));
 			print_json_line(line);
 		} else {
 			grid_add_row(grid, (const char *const[]){orders[i].failure_domain, state,
--- a/packages/drain/include/cw_drain.h
+++ b/packages/drain/include/cw_drain.h
@@ -1,13 +1,14 @@
 /*
  * Failure domains that an operator has drained: their backend servers get no new requests until the
  * domain is restored. Orders come from a log, read by this instance or forwarded by peers, in any
- * order and more than once. For each domain the order with the highest offset is in force, so a
+ * order and more than once. For each domain the order with the latest position is in force, so a
  * superseded order never takes effect again. Sans-I/O.
  */
 #ifndef CW_DRAIN_H
 #define CW_DRAIN_H
 
 #include "cw_config.h"
+#include "cw_position.h"
 
 #include <stddef.h>
 #include <stdint.h>
@@ -17,8 +18,8 @@
 /* The newest order of an operator on a failure domain. */
 struct cw_drain_order {
 	char failure_domain[CW_NAME_MAX];
-	uint64_t offset; /* offset of the order's record in the operators' log */
-	int is_drained;	 /* 0: restored */
+	struct cw_position position; /* of the order's record in the operators' log */
+	int is_drained;		     /* 0: restored */
 };
 
 struct cw_drains;
@@ -29,6 +30,8 @@
 		    const struct cw_drain_order *order); /* 1: the domain's drained state changed */
 int cw_drains_is_drained(const struct cw_drains *drains,
 			 const char *failure_domain); /* 1: drained */
+int cw_drains_has_order(const struct cw_drains *drains,
+			const char *failure_domain); /* 1: an order is known, of either kind */
 size_t cw_drains_list(const struct cw_drains *drains, struct cw_drain_order *orders,
 		      size_t max); /* all orders, restored domains included */
 
@@ -39,7 +42,7 @@
  */
 void cw_drains_begin_scan(struct cw_drains *drains);
 int cw_drains_next_unseen(
-	struct cw_drains *drains, uint64_t end,
+	struct cw_drains *drains, struct cw_position end,
 	struct cw_drain_order *restored); /* order that restores a domain without a
 					     record before end; 0: none is left */
 
--- a/packages/drain/src/drain.c
+++ b/packages/drain/src/drain.c
@@ -36,9 +36,9 @@
 	if (!drain)
 		return 0;
 	drain->is_seen = 1;
-	if (order->offset < drain->order.offset)
+	if (cw_position_compare(order->position, drain->order.position) < 0)
 		return 0;
-	drain->order.offset = order->offset;
+	drain->order.position = order->position;
 	drain->order.is_drained = order->is_drained;
 	return was_drained != order->is_drained;
 }
@@ -50,6 +50,11 @@
 	return drain && drain->order.is_drained;
 }
 
+int cw_drains_has_order(const struct cw_drains *drains, const char *failure_domain)
+{
+	return find(drains, failure_domain) != NULL;
+}
+
 size_t cw_drains_list(const struct cw_drains *drains, struct cw_drain_order *orders, size_t max)
 {
 	size_t count = MIN(drains->count, max);
@@ -70,15 +75,21 @@
  * unknown. The last offset before the end of the scan is newer than that of the drain and older
  * than that of any order that follows.
  */
-int cw_drains_next_unseen(struct cw_drains *drains, uint64_t end, struct cw_drain_order *restored)
+int cw_drains_next_unseen(struct cw_drains *drains, struct cw_position end,
+			  struct cw_drain_order *restored)
 {
+	struct cw_position last = {end.era, end.offset - 1};
+
+	if (end.offset == 0)
+		return 0;
 	for (size_t i = 0; i < drains->count; i++) {
 		struct drain *drain = &drains->drains[i];
 
-		if (!drain->order.is_drained || drain->is_seen || drain->order.offset + 1 >= end)
+		if (!drain->order.is_drained || drain->is_seen ||
+		    cw_position_compare(drain->order.position, last) >= 0)
 			continue;
 		*restored = drain->order;
-		restored->offset = end - 1;
+		restored->position = last;
 		restored->is_drained = 0;
 		return 1;
 	}
--- a/packages/follow/include/cw_follow.h
+++ b/packages/follow/include/cw_follow.h
@@ -1,12 +1,14 @@
 /*
  * One instance's read position in the server list, which is a log of records, and the records that
  * it announces to peers. Records arrive by own reads and from peers, out of order and repeatedly;
- * each is applied once, in the order of offsets, without a gap. Sans-I/O.
+ * each is applied once, in the order of offsets, without a gap. Records of another era than the
+ * read position's are not applied: a snapshot of that era comes first. Sans-I/O.
  */
 #ifndef CW_FOLLOW_H
 #define CW_FOLLOW_H
 
 #include "cw_pool.h"
+#include "cw_position.h"
 
 #include <stddef.h>
 #include <stdint.h>
@@ -32,8 +34,8 @@
 
 /* A peer's report on its copy of the server list. */
 struct cw_follow_report {
-	uint64_t from;
-	int64_t age_ms; /* since the copy was known to be current */
+	struct cw_position next; /* of the peer's next record */
+	int64_t age_ms;		 /* since the copy was known to be current */
 	struct cw_follow_evidence evidence;
 };
 
@@ -43,16 +45,18 @@
 	uint64_t answer_count;		    /* of the shared store to this instance, so far */
 	struct cw_follow_evidence newest_evidence[CW_FOLLOW_READERS]; /* one per reader */
 	size_t next_evidence_slot;				      /* to reuse */
-	uint64_t next_offset; /* offset of the next record */
-	uint64_t read_from;   /* first offset of the own read in progress */
-	int64_t fresh_ms;     /* when the list was last known to be current */
+	struct cw_position next;				      /* of the next record */
+	struct cw_position read_from; /* where the own read in progress began */
+	int64_t fresh_ms;	      /* when the list was last known to be current */
 	size_t count;
-	struct cw_change changes[CW_FOLLOW_CHANGES]; /* consecutive; the last is next_offset - 1 */
+	struct cw_change
+		changes[CW_FOLLOW_CHANGES]; /* consecutive, of next.era; the last is before next */
 	int64_t applied_ms[CW_FOLLOW_CHANGES];
 };
 
-void cw_follow_reset(struct cw_follow *follow, uint64_t from); /* a snapshot was applied */
-void cw_follow_begin_read(struct cw_follow *follow); /* a read from follow->next_offset begins */
+void cw_follow_reset(struct cw_follow *follow,
+		     struct cw_position next);	     /* a snapshot was applied */
+void cw_follow_begin_read(struct cw_follow *follow); /* a read from follow->next begins */
 int cw_follow_apply_record(struct cw_follow *follow, const struct cw_change *change,
 			   int64_t now_ms); /* 1: the next record, to be applied */
 void cw_follow_skip(struct cw_follow *follow,
@@ -64,7 +68,9 @@
 int cw_follow_merge_changes(struct cw_follow *follow, const struct cw_change *changes, size_t count,
 			    const struct cw_follow_report *peer_report, int64_t now_ms,
 			    void (*apply)(void *context, const struct cw_change *change),
-			    void *context); /* 0: records are missing: read them */
+			    void *context); /* 0: records are missing: read them; changes and
+					       report are of one era, a report of another era
+					       than follow->next.era has no effect */
 int cw_follow_is_reader(
 	const struct cw_follow *follow, size_t rank,
 	int64_t now_ms); /* 1: the instance of this rank reads the shared store now */
--- a/packages/follow/src/follow.c
+++ b/packages/follow/src/follow.c
@@ -13,15 +13,15 @@
  * were applied twice, the read position was 423 in a log of 283 records, and 78 of 80 instances
  * applied no record for 14 s, while 37 servers left.
  */
-void cw_follow_reset(struct cw_follow *follow, uint64_t from)
+void cw_follow_reset(struct cw_follow *follow, struct cw_position next)
 {
-	follow->next_offset = from;
+	follow->next = next;
 	follow->count = 0;
 }
 
 void cw_follow_begin_read(struct cw_follow *follow)
 {
-	follow->read_from = follow->next_offset;
+	follow->read_from = follow->next;
 }
 
 /*
@@ -31,18 +31,18 @@
  */
 int cw_follow_apply_record(struct cw_follow *follow, const struct cw_change *change, int64_t now_ms)
 {
-	if (change->offset != follow->next_offset)
+	if (change->offset != follow->next.offset)
 		return 0;
-	follow->next_offset++;
+	follow->next.offset++;
 	append_change(follow, change, now_ms);
 	return 1;
 }
 
 void cw_follow_skip(struct cw_follow *follow, uint64_t offset)
 {
-	if (offset != follow->next_offset)
+	if (offset != follow->next.offset)
 		return;
-	follow->next_offset++;
+	follow->next.offset++;
 	follow->count = 0;
 }
 
@@ -69,10 +69,12 @@
 			    void (*apply)(void *context, const struct cw_change *change),
 			    void *context)
 {
+	if (!cw_position_is_same_era(follow->next, peer_report->next))
+		return 1;
 	for (size_t i = 0; i < count; i++)
 		if (cw_follow_apply_record(follow, &changes[i], now_ms))
 			apply(context, &changes[i]);
-	if (follow->next_offset < peer_report->from)
+	if (cw_position_compare(follow->next, peer_report->next) < 0)
 		return 0;
 	/* A peer's list is as old as the last answer of the shared store that it rests on. */
 	if (is_new_evidence(follow, &peer_report->evidence) &&
--- a/packages/follow/src/tail.c
+++ b/packages/follow/src/tail.c
@@ -7,7 +7,6 @@
 };
 
 static const struct cw_change *newest(const struct cw_tail *tail);
-static void clear(struct cw_tail *tail);
 
 struct cw_tail *cw_tail_create(void)
 {
@@ -21,7 +20,7 @@
 {
 	if (!tail)
 		return;
-	clear(tail);
+	cw_tail_clear(tail);
 	g_free(tail);
 }
 
@@ -30,12 +29,18 @@
 	const struct cw_change *last = newest(tail);
 
 	if (last && change->offset != last->offset + 1)
-		clear(tail);
+		cw_tail_clear(tail);
 	g_queue_push_tail(&tail->records, g_memdup2(change, sizeof(*change)));
 	if (tail->records.length > CW_TAIL_CHANGES)
 		g_free(g_queue_pop_head(&tail->records));
 }
 
+void cw_tail_clear(struct cw_tail *tail)
+{
+	while (tail->records.length > 0)
+		g_free(g_queue_pop_head(&tail->records));
+}
+
 size_t cw_tail_since(const struct cw_tail *tail, uint64_t from, struct cw_change *changes,
 		     size_t max)
 {
@@ -59,9 +64,3 @@
 {
 	return tail->records.tail ? tail->records.tail->data : NULL;
 }
-
-static void clear(struct cw_tail *tail)
-{
-	while (tail->records.length > 0)
-		g_free(g_queue_pop_head(&tail->records));
-}
--- a/packages/gossip/include/cw_gossip.h
+++ b/packages/gossip/include/cw_gossip.h
@@ -45,11 +45,13 @@
 	uint64_t boot; /* drawn at each start */
 	int is_leaving;
 	uint64_t config_version;
-	uint64_t operator_offset; /* the sender's read position in the operator's topic */
-	uint64_t servers_offset;  /* the sender's read position in the server list */
-	uint32_t servers_age_ms;  /* since the server list was known to be current */
+	uint64_t store_era; /* the newest era that the sender knows of; an instance of an earlier
+			       build names none, also not in the positions below */
+	struct cw_position operator_next; /* the sender's read position in the operator's topic */
+	struct cw_position servers_next;  /* the sender's read position in the server list */
+	uint32_t servers_age_ms;	  /* since the server list was known to be current */
 	struct cw_follow_evidence servers_evidence;
-	size_t change_count; /* all records from the first one's offset to servers_offset */
+	size_t change_count; /* all records from the first one's offset to servers_next */
 	struct cw_change changes[CW_FOLLOW_CHANGES];
 	size_t member_count;
 	struct cw_gossip_member members[CW_GOSSIP_MEMBERS];
@@ -67,13 +69,14 @@
 
 /* Snapshot of the server list, for an instance that can't read it from the shared store. */
 struct cw_gossip_list {
-	uint64_t next_offset; /* offset of the next record */
+	uint64_t next_offset; /* of the next record; the era is sent beside the snapshot */
 	uint32_t age_ms;
 	size_t count;
 	struct cw_server_entry *entries;
 };
 
-/* Reply to a peer that has missed records: all from its offset up to peer_report.from. */
+/* Reply to a peer that has missed records: all from its offset up to peer_report.next, whose era
+ * is sent beside the reply. */
 struct cw_gossip_changes {
 	struct cw_follow_report peer_report;
 	size_t count;
--- a/packages/gossip/src/gossip.c
+++ b/packages/gossip/src/gossip.c
@@ -10,6 +10,7 @@
 
 static void add_age(uint32_t *age_ms, uint32_t delay_ms);
 static bool_t code(XDR *xdr, struct cw_gossip *gossip);
+static bool_t code_eras(XDR *xdr, struct cw_gossip *gossip);
 static bool_t code_member(XDR *xdr, struct cw_gossip_member *member);
 static bool_t code_address(XDR *xdr, char *address);
 static bool_t code_load(XDR *xdr, struct cw_gossip_load *load);
@@ -34,7 +35,7 @@
 	gossip->change_count = 0;
 	gossip->crash_count = 0;
 	gossip->quarantined_count = 0;
-	gossip->servers_offset = 0;
+	gossip->servers_next = (struct cw_position){0};
 	gossip->servers_age_ms = CW_GOSSIP_NO_AGE;
 	for (size_t i = 0; i < gossip->rollout_count; i++)
 		if (gossip->rollouts[i].session_count > CW_GOSSIP_TRIMMED_SESSIONS)
@@ -74,7 +75,7 @@
 
 	xdrmem_create(&xdr, bytes, (u_int)size, XDR_ENCODE);
 	/* One function codes both directions; encoding doesn't write to the message. */
-	if (code(&xdr, (struct cw_gossip *)gossip))
+	if (code(&xdr, (struct cw_gossip *)gossip) && code_eras(&xdr, (struct cw_gossip *)gossip))
 		used = xdr_getpos(&xdr);
 	xdr_destroy(&xdr);
 	return used;
@@ -103,10 +104,29 @@
 	memset(gossip, 0, sizeof(*gossip));
 	xdrmem_create(&xdr, (char *)bytes, (u_int)size, XDR_DECODE);
 	is_complete = code(&xdr, gossip);
+	/* Earlier builds send no eras, and ignore what follows the part that they know. */
+	if (is_complete && xdr_getpos(&xdr) < size)
+		is_complete = code_eras(&xdr, gossip);
 	xdr_destroy(&xdr);
 	return is_complete ? CW_OK : CW_INVALID;
 }
 
+/* The eras of all positions, in the order in which the message holds their offsets. */
+static bool_t code_eras(XDR *xdr, struct cw_gossip *gossip)
+{
+	if (!xdr_uint64_t(xdr, &gossip->store_era) ||
+	    !xdr_uint64_t(xdr, &gossip->operator_next.era) ||
+	    !xdr_uint64_t(xdr, &gossip->servers_next.era))
+		return FALSE;
+	for (size_t i = 0; i < gossip->rollout_count; i++)
+		if (!xdr_uint64_t(xdr, &gossip->rollouts[i].position.era))
+			return FALSE;
+	for (size_t i = 0; i < gossip->drain_count; i++)
+		if (!xdr_uint64_t(xdr, &gossip->drains[i].position.era))
+			return FALSE;
+	return TRUE;
+}
+
 static bool_t code(XDR *xdr, struct cw_gossip *gossip)
 {
 	u_int magic = GOSSIP_MAGIC;
@@ -115,8 +135,8 @@
 		return FALSE;
 	if (!code_member(xdr, &gossip->sender) || !xdr_uint64_t(xdr, &gossip->boot) ||
 	    !xdr_int(xdr, &gossip->is_leaving) || !xdr_uint64_t(xdr, &gossip->config_version) ||
-	    !xdr_uint64_t(xdr, &gossip->operator_offset) ||
-	    !xdr_uint64_t(xdr, &gossip->servers_offset) ||
+	    !xdr_uint64_t(xdr, &gossip->operator_next.offset) ||
+	    !xdr_uint64_t(xdr, &gossip->servers_next.offset) ||
 	    !xdr_u_int(xdr, &gossip->servers_age_ms) ||
 	    !xdr_uint64_t(xdr, &gossip->servers_evidence.reader) ||
 	    !xdr_uint64_t(xdr, &gossip->servers_evidence.number))
@@ -179,7 +199,7 @@
 static bool_t code_drain(XDR *xdr, struct cw_drain_order *order)
 {
 	return gossip_code_text(xdr, order->failure_domain, CW_NAME_MAX) &&
-	       xdr_uint64_t(xdr, &order->offset) && xdr_int(xdr, &order->is_drained);
+	       xdr_uint64_t(xdr, &order->position.offset) && xdr_int(xdr, &order->is_drained);
 }
 
 static bool_t code_member(XDR *xdr, struct cw_gossip_member *member)
@@ -245,7 +265,7 @@
 
 	if (!gossip_code_text(xdr, announcement->service, CW_NAME_MAX) ||
 	    !gossip_code_text(xdr, announcement->target, CW_NAME_MAX) ||
-	    !xdr_uint64_t(xdr, &announcement->offset) ||
+	    !xdr_uint64_t(xdr, &announcement->position.offset) ||
 	    !gossip_code_int64(xdr, &announcement->elapsed_ms) ||
 	    !gossip_code_int64(xdr, &announcement->duration_ms) || !xdr_int(xdr, &state) ||
 	    !xdr_int(xdr, &announcement->is_written) || !xdr_uint64_t(xdr, &announcement->sent) ||
--- a/packages/gossip/src/list.c
+++ b/packages/gossip/src/list.c
@@ -113,7 +113,7 @@
 	u_int magic = CHANGES_MAGIC;
 
 	if (!xdr_u_int(xdr, &magic) || magic != CHANGES_MAGIC ||
-	    !xdr_uint64_t(xdr, &changes->peer_report.from) ||
+	    !xdr_uint64_t(xdr, &changes->peer_report.next.offset) ||
 	    !gossip_code_int64(xdr, &changes->peer_report.age_ms) ||
 	    !xdr_uint64_t(xdr, &changes->peer_report.evidence.reader) ||
 	    !xdr_uint64_t(xdr, &changes->peer_report.evidence.number) ||
--- a/packages/node/src/node_log.c
+++ b/packages/node/src/node_log.c
@@ -227,7 +227,7 @@
 			node_log_event(node, "table",
 				       orders[i].is_drained ? "domain_drained" : "domain_restored",
 				       "domain=%s offset=%" G_GUINT64_FORMAT,
-				       orders[i].failure_domain, orders[i].offset);
+				       orders[i].failure_domain, orders[i].position.offset);
 }
 
 static void reader_handle_failure(struct cw_node *node, struct log_reader *reader)
--- a/packages/rollout/include/cw_rollout.h
+++ b/packages/rollout/include/cw_rollout.h
@@ -15,6 +15,7 @@
 #define CW_ROLLOUT_H
 
 #include "cw_config.h"
+#include "cw_position.h"
 
 #include <stddef.h>
 #include <stdint.h>
@@ -119,7 +120,7 @@
 struct cw_rollout_announcement {
 	char service[CW_NAME_MAX];
 	char target[CW_NAME_MAX];
-	uint64_t offset; /* of the order's record in the shared store */
+	struct cw_position position; /* of the order's record in the shared store */
 	int64_t elapsed_ms;
 	int64_t duration_ms;
 	enum cw_rollout_state state;
@@ -171,7 +172,7 @@
 struct cw_rollouts *cw_rollouts_create(const struct cw_rollout_options *options);
 void cw_rollouts_destroy(struct cw_rollouts *rollouts);
 int cw_rollouts_apply_order(struct cw_rollouts *rollouts, const struct cw_rollout_order *order,
-			    uint64_t offset, int64_t now_ms); /* 1: the order is new */
+			    struct cw_position position, int64_t now_ms); /* 1: the order is new */
 int cw_rollouts_apply_status(
 	struct cw_rollouts *rollouts,
 	const struct cw_rollout_status *status);	     /* from the store; 1: changed */
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -10,8 +10,11 @@
 #define WRITE_TURN_MS	  250 /* a write takes 4 ms, and its announcement 150 ms at most */
 
 static struct rollout *add(struct cw_rollouts *rollouts, const char *service);
-static void start(struct rollout *rollout, const struct cw_rollout_order *order, uint64_t offset,
-		  int64_t started_ms, int64_t now_ms);
+static void start(struct rollout *rollout, const struct cw_rollout_order *order,
+		  struct cw_position position, int64_t started_ms, int64_t now_ms);
+static void adopt_position(struct rollout *rollout, struct cw_position position);
+static int is_same_order(const struct rollout *rollout, const char *target,
+			 struct cw_position position);
 static void set_target(struct rollout *rollout, const char *target);
 static int64_t completion_ms(const struct cw_rollouts *rollouts, const struct rollout *rollout);
 static enum cw_rollout_state evaluate(const struct cw_rollouts *rollouts, struct rollout *rollout,
@@ -45,21 +48,27 @@
 }
 
 int cw_rollouts_apply_order(struct cw_rollouts *rollouts, const struct cw_rollout_order *order,
-			    uint64_t offset, int64_t now_ms)
+			    struct cw_position position, int64_t now_ms)
 {
 	struct rollout *rollout = rollout_find(rollouts, order->service);
 
-	if (rollout && rollout->is_ordered && offset <= rollout->offset)
-		return 0;
+	if (rollout && rollout->is_ordered) {
+		if (cw_position_compare(position, rollout->position) <= 0)
+			return 0;
+		if (is_same_order(rollout, order->target, position)) {
+			adopt_position(rollout, position);
+			return 0;
+		}
+	}
 	if (rollout && !rollout->is_ordered && !strcmp(rollout->target, order->target)) {
 		/* A starting instance may read the status of an order before the order. */
-		rollout->offset = offset;
+		rollout->position = position;
 		rollout->is_ordered = 1;
 		return 1;
 	}
 	if (!rollout)
 		rollout = add(rollouts, order->service);
-	start(rollout, order, offset, now_ms, now_ms);
+	start(rollout, order, position, now_ms, now_ms);
 	return 1;
 }
 
@@ -279,7 +288,7 @@
 		memset(out, 0, sizeof(*out));
 		g_strlcpy(out->service, rollout->service, CW_NAME_MAX);
 		g_strlcpy(out->target, rollout->target, CW_NAME_MAX);
-		out->offset = rollout->offset;
+		out->position = rollout->position;
 		out->elapsed_ms = now_ms - rollout->started_ms;
 		out->duration_ms = rollout->duration_ms;
 		out->state = rollout->state;
@@ -303,16 +312,20 @@
 	struct rollout *rollout = rollout_find(rollouts, update->service);
 	enum cw_rollout_state before;
 
-	if (rollout && rollout->is_ordered && update->offset < rollout->offset)
-		return 0;
+	if (rollout && rollout->is_ordered) {
+		if (is_same_order(rollout, update->target, update->position))
+			adopt_position(rollout, update->position);
+		else if (cw_position_compare(update->position, rollout->position) < 0)
+			return 0;
+	}
 	if (!rollout)
 		rollout = add(rollouts, update->service);
-	if (!rollout->is_ordered || update->offset > rollout->offset) {
+	if (!rollout->is_ordered || cw_position_compare(update->position, rollout->position) > 0) {
 		struct cw_rollout_order order = {.duration_ms = update->duration_ms};
 
 		g_strlcpy(order.service, update->service, CW_NAME_MAX);
 		g_strlcpy(order.target, update->target, CW_NAME_MAX);
-		start(rollout, &order, update->offset, now_ms - update->elapsed_ms, now_ms);
+		start(rollout, &order, update->position, now_ms - update->elapsed_ms, now_ms);
 	}
 	/* The earliest start is the most accurate: a restarted instance learned of it later. */
 	rollout->started_ms = MIN(rollout->started_ms, now_ms - update->elapsed_ms);
@@ -350,11 +363,40 @@
 	return rollout;
 }
 
-static void start(struct rollout *rollout, const struct cw_rollout_order *order, uint64_t offset,
-		  int64_t started_ms, int64_t now_ms)
+/*
+ * A record of another era with the same target is the same order: kept by the store's copy, or
+ * written again. Else a roll-out that is under way or over would begin again, and what peers
+ * announce of it would be ignored until they know the new position too. The operator orders a
+ * target again only after that record, and then at a later position of the same era.
+ */
+static int is_same_order(const struct rollout *rollout, const char *target,
+			 struct cw_position position)
+{
+	if (strcmp(rollout->target, target) != 0)
+		return 0;
+	if (position.era > rollout->position.era)
+		return 1;
+	if (position.era == CW_ERA_UNKNOWN)
+		return position.offset == rollout->position.offset ||
+		       position.offset == rollout->earlier.offset;
+	return cw_position_compare(position, rollout->position) == 0 ||
+	       cw_position_compare(position, rollout->earlier) == 0;
+}
+
+static void adopt_position(struct rollout *rollout, struct cw_position position)
+{
+	if (position.era <= rollout->position.era)
+		return;
+	rollout->earlier = rollout->position;
+	rollout->position = position;
+}
+
+static void start(struct rollout *rollout, const struct cw_rollout_order *order,
+		  struct cw_position position, int64_t started_ms, int64_t now_ms)
 {
 	set_target(rollout, order->target);
-	rollout->offset = offset;
+	rollout->position = position;
+	rollout->earlier = (struct cw_position){0};
 	rollout->started_ms = started_ms;
 	rollout->learned_ms = now_ms;
 	rollout->duration_ms = order->duration_ms;
--- a/packages/rollout/src/rollout_internal.h
+++ b/packages/rollout/src/rollout_internal.h
@@ -74,7 +74,8 @@
 	char target[CW_NAME_MAX];
 	uint64_t service_hash;
 	uint64_t target_hash;
-	uint64_t offset; /* of the order's record in the shared store */
+	struct cw_position position; /* of the order's record in the shared store */
+	struct cw_position earlier;  /* of the same order in the era before; else zero */
 	int64_t started_ms;
 	int64_t learned_ms; /* when this process learned of the order */
 	int64_t duration_ms;
--- a/packages/table/src/table.c
+++ b/packages/table/src/table.c
@@ -356,7 +356,7 @@
 	if (!json_object_object_get_ex(source, "drained", &drained) ||
 	    !json_object_is_type(drained, json_type_boolean) || !*name)
 		return 0;
-	order->offset = offset;
+	order->position = (struct cw_position){.offset = offset};
 	order->is_drained = json_object_get_boolean(drained);
 	return g_strlcpy(order->failure_domain, name, CW_NAME_MAX) < CW_NAME_MAX;
 }
@@ -375,7 +375,7 @@
 		json_object_object_add(out, "drained",
 				       json_object_new_boolean(orders[i].is_drained));
 		json_object_object_add(out, "offset",
-				       json_object_new_int64((int64_t)orders[i].offset));
+				       json_object_new_int64((int64_t)orders[i].position.offset));
 		json_object_array_add(list, out);
 	}
 	return list;
--- a/tests/bench/fleet/fleet_world.c
+++ b/tests/bench/fleet/fleet_world.c
@@ -267,9 +267,9 @@
 	gossip->boot = instance->boot;
 	gossip->servers_age_ms = CW_GOSSIP_NO_AGE;
 	if (!omits_state)
-		gossip->operator_offset = instance->topics[TOPIC_CONFIG].version;
+		gossip->operator_next.offset = instance->topics[TOPIC_CONFIG].version;
 	if (!omits_state && instance->topics[TOPIC_SERVERS].version) {
-		gossip->servers_offset = instance->follow.next_offset;
+		gossip->servers_next = instance->follow.next;
 		gossip->servers_age_ms = (uint32_t)(fleet->now_ms - instance->follow.fresh_ms);
 		gossip->servers_evidence = instance->follow.evidence;
 	}
@@ -377,11 +377,11 @@
 	sender = g_hash_table_lookup(fleet->instances_by_address, gossip->sender.address);
 	if (is_new && instance->introductions_left-- > 0)
 		send_to_peer(fleet, instance, gossip->sender.address, 1);
-	if (gossip->operator_offset == 0 && is_ready(instance) && instance->answers_left-- > 0)
+	if (gossip->operator_next.offset == 0 && is_ready(instance) && instance->answers_left-- > 0)
 		send_to_peer(fleet, instance, gossip->sender.address, 0);
-	if (gossip->operator_offset > instance->topics[TOPIC_CONFIG].version)
+	if (gossip->operator_next.offset > instance->topics[TOPIC_CONFIG].version)
 		fetch_from_peer(fleet, instance, TOPIC_CONFIG, sender);
-	peer_report.from = gossip->servers_offset;
+	peer_report.next = gossip->servers_next;
 	peer_report.age_ms = gossip->servers_age_ms;
 	peer_report.evidence = gossip->servers_evidence;
 	if (gossip->servers_age_ms == CW_GOSSIP_NO_AGE)
--- a/tests/unit/rollout_bed.c
+++ b/tests/unit/rollout_bed.c
@@ -15,7 +15,9 @@
 {
 	struct cw_rollouts *rollouts = cw_rollouts_create(&rollout_fixture_options);
 
-	assert_int_equal(cw_rollouts_apply_order(rollouts, &rollout_fixture_order, 7, now_ms), 1);
+	assert_int_equal(cw_rollouts_apply_order(rollouts, &rollout_fixture_order,
+						 (struct cw_position){1, 7}, now_ms),
+			 1);
 	return rollouts;
 }
 
--- a/tests/unit/test_drain.c
+++ b/tests/unit/test_drain.c
@@ -7,7 +7,7 @@
 
 static int apply(struct cw_drains *drains, const char *domain, uint64_t offset, int is_drained)
 {
-	struct cw_drain_order order = {.offset = offset, .is_drained = is_drained};
+	struct cw_drain_order order = {.position = {1, offset}, .is_drained = is_drained};
 
 	strncpy(order.failure_domain, domain, CW_NAME_MAX - 1);
 	return cw_drains_apply(drains, &order);
@@ -44,6 +44,21 @@
 	cw_drains_destroy(drains);
 }
 
+/* Guards against an order that is ignored, as its offset was given out before. */
+static void an_order_of_a_later_era_is_newer(void **state)
+{
+	struct cw_drains *drains = cw_drains_create();
+	struct cw_drain_order restored = {"d1", {2, 3}, 0};
+
+	assert_true(apply(drains, "d1", 7, 1));
+	assert_true(cw_drains_apply(drains, &restored));
+	assert_false(apply(drains, "d1", 9, 1));
+	assert_false(cw_drains_is_drained(drains, "d1"));
+	assert_true(cw_drains_has_order(drains, "d1"));
+	assert_false(cw_drains_has_order(drains, "d2"));
+	cw_drains_destroy(drains);
+}
+
 /*
  * Guards against a domain that stays drained forever, because the record that restored it was
  * dropped from the history.
@@ -58,12 +73,12 @@
 	apply(drains, "d3", 30, 1);
 	cw_drains_begin_scan(drains);
 	apply(drains, "d2", 6, 1);
-	assert_true(cw_drains_next_unseen(drains, 20, &restored));
+	assert_true(cw_drains_next_unseen(drains, (struct cw_position){1, 20}, &restored));
 	assert_string_equal(restored.failure_domain, "d1");
 	assert_false(restored.is_drained);
 	assert_true(cw_drains_apply(drains, &restored));
 	/* The order on d3 came from a peer, and its record lies past the end of the scan. */
-	assert_false(cw_drains_next_unseen(drains, 20, &restored));
+	assert_false(cw_drains_next_unseen(drains, (struct cw_position){1, 20}, &restored));
 	assert_false(cw_drains_is_drained(drains, "d1"));
 	assert_true(cw_drains_is_drained(drains, "d2"));
 	assert_true(cw_drains_is_drained(drains, "d3"));
@@ -95,6 +110,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_domain_is_drained_until_it_is_restored),
 		cmocka_unit_test(an_older_order_is_ignored),
+		cmocka_unit_test(an_order_of_a_later_era_is_newer),
 		cmocka_unit_test(a_drain_without_a_record_is_restored),
 		cmocka_unit_test(a_full_table_replaces_only_restored_domains),
 	};
--- a/tests/unit/test_follow.c
+++ b/tests/unit/test_follow.c
@@ -20,6 +20,11 @@
 	applied->offsets[applied->count++] = change->offset;
 }
 
+static struct cw_position at(uint64_t offset)
+{
+	return (struct cw_position){1, offset};
+}
+
 static struct cw_change record(uint64_t offset)
 {
 	struct cw_change change = {.offset = offset, .is_removed = 1};
@@ -41,18 +46,18 @@
 	struct cw_change received[] = {record(5), record(6)};
 	struct cw_change change;
 
-	cw_follow_reset(&follow, 5);
+	cw_follow_reset(&follow, at(5));
 	cw_follow_begin_read(&follow);
 	assert_int_equal(cw_follow_merge_changes(&follow, received, 2,
-						 &(struct cw_follow_report){.from = 7}, NOW, apply,
-						 &applied),
+						 &(struct cw_follow_report){.next = at(7)}, NOW,
+						 apply, &applied),
 			 1);
 	assert_int_equal(applied.count, 2);
-	for (uint64_t offset = follow.read_from; offset < 8; offset++) {
+	for (uint64_t offset = follow.read_from.offset; offset < 8; offset++) {
 		change = record(offset);
 		assert_int_equal(cw_follow_apply_record(&follow, &change, NOW), offset == 7);
 	}
-	assert_int_equal(follow.next_offset, 8);
+	assert_int_equal(follow.next.offset, 8);
 	change = record(8);
 	assert_int_equal(cw_follow_apply_record(&follow, &change, NOW), 1);
 }
@@ -63,13 +68,13 @@
 	struct applied applied = {0};
 	struct cw_change received[] = {record(7), record(8)};
 
-	cw_follow_reset(&follow, 5);
+	cw_follow_reset(&follow, at(5));
 	assert_int_equal(cw_follow_merge_changes(&follow, received, 2,
-						 &(struct cw_follow_report){.from = 9}, NOW, apply,
-						 &applied),
+						 &(struct cw_follow_report){.next = at(9)}, NOW,
+						 apply, &applied),
 			 0);
 	assert_int_equal(applied.count, 0);
-	assert_int_equal(follow.next_offset, 5);
+	assert_int_equal(follow.next.offset, 5);
 	assert_int_equal(cw_follow_is_reader(&follow, CW_READERS, NOW), 1);
 }
 
@@ -77,9 +82,8 @@
 static void deliver(const struct cw_follow *from, struct cw_follow *to, int64_t sent_ms,
 		    int64_t now_ms)
 {
-	struct cw_follow_report peer_report = {.from = from->next_offset,
-					       .age_ms = sent_ms - from->fresh_ms,
-					       .evidence = from->evidence};
+	struct cw_follow_report peer_report = {
+		.next = from->next, .age_ms = sent_ms - from->fresh_ms, .evidence = from->evidence};
 
 	cw_follow_merge_changes(to, NULL, 0, &peer_report, now_ms, apply, NULL);
 }
@@ -96,7 +100,7 @@
 
 	for (size_t i = 0; i < 12; i++) {
 		nodes[i] = (struct cw_follow){.self = i + 1};
-		cw_follow_reset(&nodes[i], 5);
+		cw_follow_reset(&nodes[i], at(5));
 	}
 	cw_follow_end_read(&nodes[0], NOW);
 	for (now_ms = NOW; now_ms < NOW + 1700; now_ms += 50)
@@ -121,8 +125,8 @@
 	struct cw_follow other = {.self = 2};
 	struct cw_change changes[CW_FOLLOW_CHANGES];
 
-	cw_follow_reset(&reader, 5);
-	cw_follow_reset(&other, 5);
+	cw_follow_reset(&reader, at(5));
+	cw_follow_reset(&other, at(5));
 	cw_follow_end_read(&reader, NOW);
 	for (int64_t now_ms = NOW; now_ms < NOW + CW_FOLLOW_STALE_MS; now_ms += 150) {
 		assert_int_equal(cw_follow_collect_changes(&reader, now_ms, changes), 0);
@@ -144,22 +148,46 @@
 	struct cw_follow follow = {0};
 	int applied = 0;
 
-	cw_follow_reset(&follow, 143);
+	cw_follow_reset(&follow, at(143));
 	cw_follow_begin_read(&follow);
-	cw_follow_reset(&follow, 283);
-	assert_int_equal(follow.read_from, 143);
+	cw_follow_reset(&follow, at(283));
+	assert_int_equal(follow.read_from.offset, 143);
 	for (uint64_t i = 0; i < 140; i++) {
-		struct cw_change change = {.offset = follow.read_from + i};
+		struct cw_change change = {.offset = follow.read_from.offset + i};
 
 		applied += cw_follow_apply_record(&follow, &change, NOW);
 	}
 	assert_int_equal(applied, 0);
-	assert_int_equal(follow.next_offset, 283);
+	assert_int_equal(follow.next.offset, 283);
 	/* The next read begins at the new position, and its records are new. */
 	cw_follow_begin_read(&follow);
-	assert_int_equal(cw_follow_apply_record(
-				 &follow, &(struct cw_change){.offset = follow.read_from}, NOW),
-			 1);
+	assert_int_equal(
+		cw_follow_apply_record(&follow,
+				       &(struct cw_change){.offset = follow.read_from.offset}, NOW),
+		1);
+}
+
+/*
+ * Guards against records that are applied or skipped by offsets of another era, and against a list
+ * that counts as fresh on such evidence.
+ */
+static void records_of_another_era_have_no_effect(void **state)
+{
+	struct cw_follow follow = {0};
+	struct applied applied = {0};
+	struct cw_change received[] = {record(5), record(6)};
+
+	cw_follow_reset(&follow, at(5));
+	for (uint64_t era = 0; era <= 2; era += 2) {
+		struct cw_follow_report report = {.next = {era, 7}, .evidence = {3, 1 + era}};
+
+		assert_int_equal(cw_follow_merge_changes(&follow, received, 2, &report, NOW, apply,
+							 &applied),
+				 1);
+	}
+	assert_int_equal(applied.count, 0);
+	assert_int_equal(follow.next.offset, 5);
+	assert_int_equal(follow.fresh_ms, 0);
 }
 
 static void records_are_announced_for_a_limited_time(void **state)
@@ -168,7 +196,7 @@
 	struct cw_change changes[CW_FOLLOW_CHANGES];
 	struct cw_change change;
 
-	cw_follow_reset(&follow, 0);
+	cw_follow_reset(&follow, at(0));
 	for (uint64_t offset = 0; offset < 40; offset++) {
 		change = record(offset);
 		cw_follow_apply_record(&follow, &change, NOW);
@@ -193,6 +221,7 @@
 		cmocka_unit_test(a_list_is_as_old_as_the_last_answer_of_the_store),
 		cmocka_unit_test(a_forwarded_answer_becomes_stale),
 		cmocka_unit_test(a_snapshot_applied_during_a_read_keeps_the_reads_offset),
+		cmocka_unit_test(records_of_another_era_have_no_effect),
 		cmocka_unit_test(records_are_announced_for_a_limited_time),
 	};
 
--- a/tests/unit/test_gate.c
+++ b/tests/unit/test_gate.c
@@ -200,7 +200,8 @@
 	struct fixture fixture;
 
 	fixture_open(&fixture);
-	cw_rollouts_apply_order(cw_gate_rollouts(fixture.gate), &order, 3, FIXTURE_NOW_MS);
+	cw_rollouts_apply_order(cw_gate_rollouts(fixture.gate), &order, (struct cw_position){1, 3},
+				FIXTURE_NOW_MS);
 	fixture_open_call(&fixture, "/once/x");
 	assert_int_equal(fixture.step.kind, CW_STEP_SEND);
 	cw_rollouts_apply_status(cw_gate_rollouts(fixture.gate), &back);
@@ -330,7 +331,8 @@
 		int64_t now_ms = FIXTURE_NOW_MS + 5000;
 
 		fixture_open(&fixture);
-		cw_rollouts_apply_order(cw_gate_rollouts(fixture.gate), &order, 3, FIXTURE_NOW_MS);
+		cw_rollouts_apply_order(cw_gate_rollouts(fixture.gate), &order,
+					(struct cw_position){1, 3}, FIXTURE_NOW_MS);
 		run_request_with_load(&fixture, cases[i].before, cases[i].now, cases[i].took_ms,
 				      now_ms);
 		cw_rollouts_announce(cw_gate_rollouts(fixture.gate), now_ms + cases[i].took_ms,
@@ -397,7 +399,8 @@
 		assert_string_equal(fixture.step.server->software, "v1");
 	}
 	/* Once the order is known the roll-out assigns sessions to the new version. */
-	cw_rollouts_apply_order(cw_gate_rollouts(fixture.gate), &order, 3, FIXTURE_NOW_MS + 5200);
+	cw_rollouts_apply_order(cw_gate_rollouts(fixture.gate), &order, (struct cw_position){1, 3},
+				FIXTURE_NOW_MS + 5200);
 	for (int i = 0; !used && i < 1000; i++) {
 		old.session = (uint64_t)i << 50;
 		used = cw_rollouts_choose_variant(cw_gate_rollouts(fixture.gate), &old,
--- a/tests/unit/test_gate_drain.c
+++ b/tests/unit/test_gate_drain.c
@@ -25,7 +25,7 @@
 
 static void drain(struct fixture *fixture, const char *domain, uint64_t offset, int is_drained)
 {
-	struct cw_drain_order order = {.offset = offset, .is_drained = is_drained};
+	struct cw_drain_order order = {.position = {1, offset}, .is_drained = is_drained};
 
 	g_strlcpy(order.failure_domain, domain, CW_NAME_MAX);
 	cw_pool_drain(cw_gate_pool(fixture->gate), &order, FIXTURE_NOW_MS);
--- a/tests/unit/test_gossip.c
+++ b/tests/unit/test_gossip.c
@@ -8,6 +8,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* Of init_message: the store's, two read positions, one roll-out, two drains. */
+#define ERAS_BYTES (6 * sizeof(uint64_t))
+
 static void init_message(struct cw_gossip *gossip)
 {
 	memset(gossip, 0, sizeof(*gossip));
@@ -17,8 +20,9 @@
 	gossip->boot = 77;
 	gossip->is_leaving = 1;
 	gossip->config_version = 12;
-	gossip->operator_offset = 3;
-	gossip->servers_offset = 1ULL << 40;
+	gossip->store_era = 5;
+	gossip->operator_next = (struct cw_position){4, 3};
+	gossip->servers_next = (struct cw_position){5, 1ULL << 40};
 	gossip->servers_age_ms = 20;
 	gossip->change_count = 2;
 	gossip->changes[0].offset = 41;
@@ -35,6 +39,7 @@
 	gossip->loads[1] = (struct cw_gossip_load){5, 6, 7};
 	gossip->rollout_count = 1;
 	strcpy(gossip->rollouts[0].service, "llm");
+	gossip->rollouts[0].position = (struct cw_position){5, 31};
 	gossip->rollouts[0].elapsed_ms = -5;
 	gossip->rollouts[0].state = CW_ROLLOUT_ROLLED_BACK;
 	gossip->rollouts[0].effective_ms[CW_ROLLOUT_STEP_FULL] = 14000;
@@ -50,8 +55,8 @@
 	gossip->rollouts[0].sessions[0] = (struct cw_rollout_session){8, 400};
 	gossip->changes[0].entry.cold_ms = 2400;
 	gossip->drain_count = 2;
-	gossip->drains[0] = (struct cw_drain_order){"d1", 12, 1};
-	gossip->drains[1] = (struct cw_drain_order){"d2", 14, 0};
+	gossip->drains[0] = (struct cw_drain_order){"d1", {4, 12}, 1};
+	gossip->drains[1] = (struct cw_drain_order){"d2", {5, 14}, 0};
 }
 
 static void a_message_is_decoded_as_it_was_encoded(void **state)
@@ -98,7 +103,7 @@
 	assert_int_equal(read.rollouts[0].session_count, CW_GOSSIP_TRIMMED_SESSIONS);
 	/* An offset without the records before it would be a gap, which makes recipients read the
 	 * shared store. */
-	assert_int_equal(read.servers_offset, 0);
+	assert_int_equal(read.servers_next.offset, 0);
 }
 
 /* Guards against crashes that an instance places too late, since it was stopped meanwhile. */
@@ -146,7 +151,27 @@
 	init_message(&sent);
 	size = cw_gossip_encode(&sent, bytes, sizeof(bytes));
 	for (size_t length = 0; length < size; length++)
-		assert_int_equal(cw_gossip_decode(bytes, length, &read), CW_INVALID);
+		if (length != size - ERAS_BYTES)
+			assert_int_equal(cw_gossip_decode(bytes, length, &read), CW_INVALID);
+}
+
+/* Guards against offsets of an earlier build that count as of the present era. */
+static void a_message_of_an_earlier_build_names_no_era(void **state)
+{
+	struct cw_gossip sent;
+	struct cw_gossip read;
+	char bytes[CW_GOSSIP_BYTES];
+	size_t size;
+
+	init_message(&sent);
+	size = cw_gossip_encode(&sent, bytes, sizeof(bytes));
+	assert_int_equal(cw_gossip_decode(bytes, size - ERAS_BYTES, &read), CW_OK);
+	assert_int_equal(read.store_era, CW_ERA_UNKNOWN);
+	assert_int_equal(read.operator_next.offset, sent.operator_next.offset);
+	assert_int_equal(read.operator_next.era, CW_ERA_UNKNOWN);
+	assert_int_equal(read.servers_next.era, CW_ERA_UNKNOWN);
+	assert_int_equal(read.rollouts[0].position.era, CW_ERA_UNKNOWN);
+	assert_int_equal(read.drains[1].position.era, CW_ERA_UNKNOWN);
 }
 
 /* A count or a number out of range must be rejected, whatever else the message contains. */
@@ -239,6 +264,7 @@
 		cmocka_unit_test(ages_include_the_wait_of_the_message),
 		cmocka_unit_test(the_wait_of_a_message_is_its_delay_beyond_the_fastest),
 		cmocka_unit_test(a_truncated_message_is_rejected),
+		cmocka_unit_test(a_message_of_an_earlier_build_names_no_era),
 		cmocka_unit_test(a_message_with_any_byte_changed_does_no_harm),
 		cmocka_unit_test(a_message_larger_than_the_buffer_is_not_encoded),
 		cmocka_unit_test(a_list_snapshot_is_decoded_as_it_was_encoded),
--- a/tests/unit/test_readers.c
+++ b/tests/unit/test_readers.c
@@ -23,7 +23,7 @@
 	int64_t stale_ms = NOW + CW_FOLLOW_STALE_MS;
 	size_t reading = 0;
 
-	cw_follow_reset(&follow, 5);
+	cw_follow_reset(&follow, (struct cw_position){1, 5});
 	cw_follow_end_read(&follow, NOW);
 	assert_int_equal(cw_follow_is_reader(&follow, 0, NOW), 1);
 	assert_int_equal(cw_follow_is_reader(&follow, 1, NOW), 1);
--- a/tests/unit/test_rollout.c
+++ b/tests/unit/test_rollout.c
@@ -22,7 +22,7 @@
 		    CW_ROLLOUT_VARIANT_NEW)
 			chosen = rollout_fixture_session(i);
 	cw_rollouts_record_dispatch(first, "llm", chosen, "v1", 900);
-	cw_rollouts_apply_order(first, &rollout_fixture_order, 7, 1000);
+	cw_rollouts_apply_order(first, &rollout_fixture_order, (struct cw_position){1, 7}, 1000);
 	assert_int_equal(rollout_fixture_variant(first, chosen, 2500), CW_ROLLOUT_VARIANT_OLD);
 	assert_int_equal(cw_rollouts_announce(first, 1100, &update, 1), 1);
 	assert_int_equal(update.session_count, 1);
@@ -62,7 +62,8 @@
 	rollout_fixture_evaluate(rollouts, 1000 + ROLLOUT_DURATION_MS, &verdict);
 	assert_int_equal(verdict, CW_ROLLOUT_COMPLETED);
 	cw_rollouts_record_dispatch(rollouts, "llm", chosen, "v2", 1000 + ROLLOUT_DURATION_MS);
-	cw_rollouts_apply_order(rollouts, &next, 8, 1100 + ROLLOUT_DURATION_MS);
+	cw_rollouts_apply_order(rollouts, &next, (struct cw_position){1, 8},
+				1100 + ROLLOUT_DURATION_MS);
 	assert_int_equal(rollout_fixture_variant(rollouts, chosen, 3000 + ROLLOUT_DURATION_MS),
 			 CW_ROLLOUT_VARIANT_OLD);
 	cw_rollouts_announce(rollouts, 1200 + ROLLOUT_DURATION_MS, &update, 1);
@@ -111,7 +112,7 @@
 	struct cw_rollouts *rollouts = cw_rollouts_create(&rollout_fixture_options);
 	enum cw_rollout_state verdict;
 
-	cw_rollouts_apply_order(rollouts, &usual, 1, 0);
+	cw_rollouts_apply_order(rollouts, &usual, (struct cw_position){1, 1}, 0);
 	assert_true(rollout_fixture_share(rollouts, 16000) < 1);
 	rollout_fixture_pass_trial(rollouts, 14380);
 	assert_true(rollout_fixture_share(rollouts, 16099) < 1);
@@ -121,7 +122,7 @@
 	assert_int_equal(rollout_fixture_evaluate(rollouts, 16100 + ROLLOUT_SESSION_MS, &verdict),
 			 1);
 	/* With less time than the idle time, the ordered duration takes precedence. */
-	cw_rollouts_apply_order(rollouts, &hasty, 2, 20000);
+	cw_rollouts_apply_order(rollouts, &hasty, (struct cw_position){1, 2}, 20000);
 	rollout_fixture_pass_trial(rollouts, 26000);
 	assert_int_equal(rollout_fixture_evaluate(rollouts, 27600, &verdict), 0);
 	assert_int_equal(rollout_fixture_evaluate(rollouts, 27900, &verdict), 1);
@@ -434,8 +435,12 @@
 	cw_rollouts_apply_status(rollouts, &status);
 	assert_int_equal(rollout_fixture_variant(rollouts, rollout_fixture_session(1), 99000),
 			 CW_ROLLOUT_VARIANT_OLD);
-	assert_int_equal(cw_rollouts_apply_order(rollouts, &rollout_fixture_order, 7, 99000), 0);
-	assert_int_equal(cw_rollouts_apply_order(rollouts, &rollout_fixture_order, 8, 99000), 1);
+	assert_int_equal(cw_rollouts_apply_order(rollouts, &rollout_fixture_order,
+						 (struct cw_position){1, 7}, 99000),
+			 0);
+	assert_int_equal(cw_rollouts_apply_order(rollouts, &rollout_fixture_order,
+						 (struct cw_position){1, 8}, 99000),
+			 1);
 	cw_rollouts_destroy(rollouts);
 }
 
@@ -453,10 +458,10 @@
 	struct cw_rollout_order next = {"llm", "v3", ROLLOUT_DURATION_MS};
 
 	assert_int_equal(cw_rollouts_apply_status(rollouts, &status), 1);
-	cw_rollouts_apply_order(rollouts, &rollout_fixture_order, 7, 1000);
+	cw_rollouts_apply_order(rollouts, &rollout_fixture_order, (struct cw_position){1, 7}, 1000);
 	assert_int_equal(rollout_fixture_variant(rollouts, rollout_fixture_session(1), 2500),
 			 CW_ROLLOUT_VARIANT_NEW);
-	cw_rollouts_apply_order(rollouts, &next, 8, 3000);
+	cw_rollouts_apply_order(rollouts, &next, (struct cw_position){1, 8}, 3000);
 	assert_int_equal(rollout_fixture_variant(rollouts, rollout_fixture_session(1), 3500),
 			 CW_ROLLOUT_VARIANT_OLD);
 	cw_rollouts_destroy(rollouts);
--- a/tests/unit/test_session_version.c
+++ b/tests/unit/test_session_version.c
@@ -50,7 +50,8 @@
 	fixture_open(fixture);
 	fixture_add_server(fixture, "e3", "llm", "v2");
 	fixture_add_server(fixture, "e4", "llm", "v2");
-	cw_rollouts_apply_order(rollouts(fixture), &order, 7, FIXTURE_NOW_MS);
+	cw_rollouts_apply_order(rollouts(fixture), &order, (struct cw_position){1, 7},
+				FIXTURE_NOW_MS);
 }
 
 /* The periodic evaluation and announcement of all instances, at the same time. */
--- a/tests/unit/test_tail.c
+++ b/tests/unit/test_tail.c
@@ -86,7 +86,9 @@
 {
 	struct cw_change sent[2] = {record(7), {.offset = 8, .is_removed = 1}};
 	struct cw_gossip_changes changes = {
-		.peer_report = {.from = 9, .age_ms = 70, .evidence = {.reader = 3, .number = 4}},
+		.peer_report = {.next = {.offset = 9},
+				.age_ms = 70,
+				.evidence = {.reader = 3, .number = 4}},
 		.count = 2,
 		.changes = sent,
 	};
--- a/tests/unit/test_up_store.c
+++ b/tests/unit/test_up_store.c
@@ -138,7 +138,7 @@
 		assert_int_equal(record->kind, CW_UP_RECORD_DRAIN_ORDER);
 		assert_string_equal(record->drain.failure_domain, "z1");
 		assert_int_equal(record->drain.is_drained, 1);
-		assert_int_equal(record->drain.offset, 7);
+		assert_int_equal(record->drain.position.offset, 7);
 		cw_up_page_clear(&page);
 	}
 	record = parse_operator_record(&page, "evacuate/z1", "");
