pool: an older entry of a server does not undo what is known of it

Callers saw: requests went to a server after its removal, or would go again to one that had left, when the store came back from an older copy of the server list (users_restored_servers failed before: the removal came late, a3 was still used).

Change: what was known before the new era outweighs an entry by which a server is ready that is leaving or was removed. The entry is held until three heartbeat intervals past the time in which servers renew theirs: if it is listed then, the server lives. Later records of the server, a newer start, and all that was learned in the present era count at once. Held entries are part of the list that peers send.

--- a/apps/corianderwalk/entry_era.c
+++ b/apps/corianderwalk/entry_era.c
@@ -9,10 +9,12 @@
 #include "entry_feed.h"
 
 #define ORDERS_SETTLE_MS   2000 /* by then the operator has written again what was lost */
+#define SERVERS_SETTLE_MS  2000 /* by then servers that live have renewed their entries */
+#define EXPIRY_HEARTBEATS  3	/* an entry expires after so many intervals without a heartbeat */
 #define PEER_STATE_WAIT_MS 300	/* for the state of the peer that announced the era */
 
-static int has_state(const struct feed *feed);
-static void begin_era(struct feed *feed, const char *source, int64_t now_ms);
+static int has_state(const struct topic *topic);
+static void begin_era(struct feed *feed, int64_t now_ms);
 static void restart_topics(struct feed *feed, int is_own_answer);
 
 enum era_relation feed_note_era(struct feed *feed, uint64_t era, const char *source,
@@ -34,9 +36,9 @@
 		 (unsigned long)feed->operator.next.offset,
 		 (unsigned long)feed->server_list.next.offset,
 		 (unsigned long)feed->status.next.offset);
-	if (before == CW_ERA_UNKNOWN && !has_state(feed))
+	if (before == CW_ERA_UNKNOWN && !has_state(&feed->operator) && !has_state(&feed->servers))
 		return ERA_CURRENT;
-	begin_era(feed, source, entry_now_ms(feed->entry));
+	begin_era(feed, entry_now_ms(feed->entry));
 	restart_topics(feed, is_own_answer);
 	return ERA_BEGUN;
 }
@@ -52,6 +54,11 @@
  */
 void feed_settle(struct feed *feed, int64_t now_ms)
 {
+	struct cw_pool *pool = cw_gate_pool(feed->entry->gate);
+	struct cw_server_entry entry;
+
+	while (cw_pool_next_settled(pool, &entry, now_ms))
+		record_apply_change(feed, &(struct cw_change){.entry = entry});
 	if (!feed->settled_ms || now_ms < feed->settled_ms || !feed_is_rank_known(feed))
 		return;
 	feed->settled_ms = 0;
@@ -60,19 +67,22 @@
 }
 
 /* Without any state there is nothing that rests on an earlier era. */
-static int has_state(const struct feed *feed)
+static int has_state(const struct topic *topic)
 {
-	return feed->operator.is_complete || feed->servers.is_complete || * feed->
-	operator.after_key || * feed->servers.after_key;
+	return topic->is_complete || *topic->after_key;
 }
 
-static void begin_era(struct feed *feed, const char *source, int64_t now_ms)
+static void begin_era(struct feed *feed, int64_t now_ms)
 {
+	struct cw_gate *gate = feed->entry->gate;
+	int64_t expiry_ms = EXPIRY_HEARTBEATS * feed->entry->settings.heartbeat_ms;
+
 	cw_counter_add("store_eras_begun", "", 1);
 	feed->settled_ms = now_ms + ORDERS_SETTLE_MS;
 	feed->servers.recovered_ms = now_ms;
 	feed->verdict.is_status_fresh = 0;
 	cw_tail_clear(feed->tail);
+	cw_pool_begin_era(cw_gate_pool(gate), now_ms + SERVERS_SETTLE_MS + expiry_ms, now_ms);
 	/* Peers learn of the era at once, and of its state when this instance has read it. */
 	peers_announce(feed->entry->peers);
 }
--- a/apps/corianderwalk/entry_news.c
+++ b/apps/corianderwalk/entry_news.c
@@ -124,6 +124,7 @@
 		[CW_LISTING_FULL] = "not_kept", [CW_LISTING_STALE] = "late",
 		[CW_LISTING_SAME] = "same",	[CW_LISTING_CHANGED] = "changed",
 		[CW_LISTING_NEW] = "new",	[CW_LISTING_RESTARTED] = "restarted",
+		[CW_LISTING_HELD] = "held",
 	};
 	enum cw_listing listing =
 		cw_pool_apply_entry(cw_gate_pool(feed->entry->gate), entry, now_ms);
@@ -174,6 +175,7 @@
 	struct cw_server *server = cw_pool_find_name(pool, name);
 	int64_t until_ms = feed_expiry_grace_until_ms(feed);
 
+	cw_pool_drop_held(pool, name);
 	if (!server || server->is_removed)
 		return;
 	cw_quarantine_note_unreachable(cw_gate_quarantine(feed->entry->gate), server->id, now_ms);
--- a/apps/corianderwalk/entry_share.c
+++ b/apps/corianderwalk/entry_share.c
@@ -227,11 +227,13 @@
 	TAILQ_FOREACH(server, servers, link)
 		if (is_listed(server))
 			cw_pool_get_entry(server, &list.entries[list.count++], now_ms);
+	list.held = g_new0(struct cw_server_entry, cw_pool_held_count(pool) + 1);
+	list.held_count = cw_pool_list_held(pool, list.held, cw_pool_held_count(pool));
 	g_free(share->snapshot.bytes);
 	share->snapshot.bytes = cw_gossip_list_encode(&list, &share->snapshot.size);
 	share->snapshot.next = feed->server_list.next;
 	share->snapshot.encoded_ms = now_ms;
-	g_free(list.entries);
+	cw_gossip_list_clear(&list);
 }
 
 /*
@@ -427,7 +429,7 @@
 	if (next.era == feed->era &&
 	    (!feed->servers.is_complete || cw_position_compare(next, feed->server_list.next) > 0))
 		apply_list(feed, &list, next);
-	g_free(list.entries);
+	cw_gossip_list_clear(&list);
 }
 
 static void finish_changes_fetch(struct fetch *fetch)
@@ -457,6 +459,8 @@
 
 		record_apply_change(feed, &change);
 	}
+	for (size_t i = 0; i < list->held_count; i++)
+		cw_pool_hold_entry(cw_gate_pool(feed->entry->gate), &list->held[i], now_ms);
 	cw_pool_delist_unlisted(cw_gate_pool(feed->entry->gate), now_ms,
 				feed_expiry_grace_until_ms(feed), now_ms);
 	cw_event("share", "list_taken", "from=%lu before=%lu era=%ld servers=%zu age_ms=%u",
--- a/packages/gossip/include/cw_gossip.h
+++ b/packages/gossip/include/cw_gossip.h
@@ -73,6 +73,8 @@
 	uint32_t age_ms;
 	size_t count;
 	struct cw_server_entry *entries;
+	size_t held_count;
+	struct cw_server_entry *held; /* entries that the sender holds; see cw_pool_begin_era() */
 };
 
 /* Reply to a peer that has missed records: all from its offset up to peer_report.next, whose era
@@ -88,8 +90,8 @@
 cw_gossip_changes_decode(const char *bytes, size_t size,
 			 struct cw_gossip_changes *changes); /* g_free(changes->changes) */
 char *cw_gossip_list_encode(const struct cw_gossip_list *list, size_t *size); /* g_free */
-enum cw_status cw_gossip_list_decode(const char *bytes, size_t size,
-				     struct cw_gossip_list *list); /* g_free(list->entries) */
+enum cw_status cw_gossip_list_decode(const char *bytes, size_t size, struct cw_gossip_list *list);
+void cw_gossip_list_clear(struct cw_gossip_list *list); /* frees the entries */
 void cw_gossip_trim(struct cw_gossip *gossip); /* keeps only what all instances need at once */
 void cw_gossip_add_delay(struct cw_gossip *gossip,
 			 uint32_t delay_ms); /* a received message: makes its ages count from now */
--- a/packages/gossip/src/list.c
+++ b/packages/gossip/src/list.c
@@ -15,11 +15,12 @@
 #define RAW_MAX_BYTES (HEADER_BYTES + CW_MAX_SERVERS * ENTRY_BYTES)
 
 static bool_t code_list(XDR *xdr, struct cw_gossip_list *list);
+static bool_t code_entries(XDR *xdr, size_t *count, struct cw_server_entry **entries);
 static bool_t code_changes(XDR *xdr, struct cw_gossip_changes *changes);
 
 char *cw_gossip_list_encode(const struct cw_gossip_list *list, size_t *size)
 {
-	size_t capacity = HEADER_BYTES + list->count * ENTRY_BYTES;
+	size_t capacity = HEADER_BYTES + (list->count + list->held_count) * ENTRY_BYTES;
 	char *raw = g_malloc(capacity);
 	char *bytes;
 	XDR xdr;
@@ -27,6 +28,8 @@
 	xdrmem_create(&xdr, raw, (u_int)capacity, XDR_ENCODE);
 	/* Can't fail: the buffer has the largest size that the entries can take. */
 	code_list(&xdr, (struct cw_gossip_list *)list);
+	code_entries(&xdr, &((struct cw_gossip_list *)list)->held_count,
+		     &((struct cw_gossip_list *)list)->held);
 	bytes = cw_pack(raw, xdr_getpos(&xdr), size);
 	xdr_destroy(&xdr);
 	g_free(raw);
@@ -44,16 +47,25 @@
 	if (raw) {
 		xdrmem_create(&xdr, raw, (u_int)raw_size, XDR_DECODE);
 		is_complete = code_list(&xdr, list);
+		/* Earlier builds send no held entries, and ignore what follows the others. */
+		if (is_complete && xdr_getpos(&xdr) < raw_size)
+			is_complete = code_entries(&xdr, &list->held_count, &list->held);
 		xdr_destroy(&xdr);
 	}
 	g_free(raw);
 	if (is_complete)
 		return CW_OK;
-	g_clear_pointer(&list->entries, g_free);
-	list->count = 0;
+	cw_gossip_list_clear(list);
 	return CW_INVALID;
 }
 
+void cw_gossip_list_clear(struct cw_gossip_list *list)
+{
+	g_free(list->entries);
+	g_free(list->held);
+	memset(list, 0, sizeof(*list));
+}
+
 char *cw_gossip_changes_encode(const struct cw_gossip_changes *changes, size_t *size)
 {
 	size_t capacity = HEADER_BYTES + changes->count * ENTRY_BYTES;
@@ -96,14 +108,20 @@
 	u_int magic = LIST_MAGIC;
 
 	if (!xdr_u_int(xdr, &magic) || magic != LIST_MAGIC ||
-	    !xdr_uint64_t(xdr, &list->next_offset) || !xdr_u_int(xdr, &list->age_ms) ||
-	    !gossip_code_count(xdr, &list->count, CW_MAX_SERVERS))
+	    !xdr_uint64_t(xdr, &list->next_offset) || !xdr_u_int(xdr, &list->age_ms))
+		return FALSE;
+	return code_entries(xdr, &list->count, &list->entries);
+}
+
+static bool_t code_entries(XDR *xdr, size_t *count, struct cw_server_entry **entries)
+{
+	if (!gossip_code_count(xdr, count, CW_MAX_SERVERS))
 		return FALSE;
 	if (xdr->x_op == XDR_DECODE)
-		list->entries = g_new0(struct cw_server_entry, list->count + 1);
-	for (size_t i = 0; i < list->count; i++)
-		if (!gossip_code_text(xdr, list->entries[i].name, CW_NAME_MAX) ||
-		    !gossip_code_entry(xdr, &list->entries[i]))
+		*entries = g_new0(struct cw_server_entry, *count + 1);
+	for (size_t i = 0; i < *count; i++)
+		if (!gossip_code_text(xdr, (*entries)[i].name, CW_NAME_MAX) ||
+		    !gossip_code_entry(xdr, &(*entries)[i]))
 			return FALSE;
 	return TRUE;
 }
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -46,6 +46,7 @@
 enum cw_listing {
 	CW_LISTING_FULL,      /* ignored: the pool has no room for another server */
 	CW_LISTING_STALE,     /* ignored: written by an earlier start of the server */
+	CW_LISTING_HELD,      /* maybe superseded: see cw_pool_begin_era() */
 	CW_LISTING_SAME,      /* no change of state */
 	CW_LISTING_CHANGED,   /* the server's leaving, cold or listed state changed */
 	CW_LISTING_NEW,	      /* the first entry of the server */
@@ -88,8 +89,9 @@
 	uint64_t id;		  /* hash of name and process_start_ms */
 	int checks_fencing;
 	int is_configured;
-	int is_leaving; /* by its entry; see cw_pool_is_leaving() */
-	int is_drained; /* the failure domain is drained: no new requests */
+	int is_leaving;	 /* by its entry; see cw_pool_is_leaving() */
+	int64_t left_ms; /* since when it is leaving or removed; 0: it is not */
+	int is_drained;	 /* the failure domain is drained: no new requests */
 	struct cw_warmup warmup;
 	struct cw_server_reports *reports; /* NULL: none, as of most servers */
 	int is_removed;			   /* no longer listed: freed once its last request ends */
@@ -223,6 +225,20 @@
 		    int64_t now_ms); /* removed at until_ms unless listed again before */
 void cw_pool_delist_unlisted(struct cw_pool *pool, int64_t since_ms, int64_t until_ms,
 			     int64_t now_ms); /* delists all servers not listed since since_ms */
+void cw_pool_begin_era(
+	struct cw_pool *pool, int64_t settled_ms,
+	int64_t now_ms); /* the server list was restored from an older copy: until settled_ms, an
+			    entry by which a server is ready that left or was removed before now is
+			    held, as a later entry may be missing */
+int cw_pool_hold_entry(struct cw_pool *pool, const struct cw_server_entry *entry,
+		       int64_t now_ms); /* as a peer holds it; 0: the server is known as ready, or
+					   the list has settled */
+void cw_pool_drop_held(struct cw_pool *pool, const char *name); /* the entry was removed */
+int cw_pool_next_settled(struct cw_pool *pool, struct cw_server_entry *entry,
+			 int64_t now_ms); /* 1: a held entry that now counts; to be applied */
+size_t cw_pool_held_count(const struct cw_pool *pool);
+size_t cw_pool_list_held(const struct cw_pool *pool, struct cw_server_entry *entries,
+			 size_t max); /* for peers */
 void cw_pool_sweep(struct cw_pool *pool,
 		   int64_t now_ms); /* frees removed servers without requests */
 struct cw_server *cw_pool_find_name(struct cw_pool *pool,
--- a/packages/pool/src/pool.c
+++ b/packages/pool/src/pool.c
@@ -18,6 +18,7 @@
 
 static void deactivate(struct cw_server *server);
 static void set_removed_ms(struct cw_server *server, int64_t removed_ms);
+static void note_left(struct cw_server *server, int64_t now_ms);
 static void free_removed(struct cw_pool *pool, int64_t now_ms);
 static struct cw_server *add(struct cw_pool *pool, const char *name, int64_t process_start_ms);
 static void set_location(const struct cw_pool *pool, struct cw_server *server, const char *service,
@@ -40,6 +41,8 @@
 	TAILQ_INIT(&pool->servers);
 	TAILQ_INIT(&pool->active);
 	TAILQ_INIT(&pool->reports);
+	TAILQ_INIT(&pool->departed);
+	TAILQ_INIT(&pool->held);
 	pool->by_id = g_hash_table_new(g_int64_hash, g_int64_equal);
 	pool->by_name = g_hash_table_new(g_str_hash, g_str_equal);
 	return pool;
@@ -58,6 +61,7 @@
 		return;
 	while ((server = TAILQ_FIRST(&pool->servers)))
 		cw_pool_remove(pool, server);
+	pool_free_restored(pool);
 	g_hash_table_destroy(pool->by_id);
 	g_hash_table_destroy(pool->by_name);
 	cw_drains_destroy(pool->drains);
@@ -142,6 +146,12 @@
 		server->listed_ms = now_ms;
 		return CW_LISTING_STALE;
 	}
+	if (pool_hold_if_superseded(pool, entry, now_ms)) {
+		if (server)
+			server->listed_ms = now_ms;
+		return CW_LISTING_HELD;
+	}
+	cw_pool_drop_held(pool, entry->name);
 	if (server && server->process_start_ms > 0 &&
 	    entry->process_start_ms > server->process_start_ms) {
 		retire_start(pool, server, now_ms);
@@ -166,6 +176,7 @@
 		server->slots = entry->slots;
 	server->is_leaving = entry->is_leaving;
 	server->is_removed = 0;
+	note_left(server, now_ms);
 	set_removed_ms(server, 0);
 	server->listed_ms = now_ms;
 	return listing;
@@ -195,6 +206,7 @@
 		server->is_removed = 1;
 	if (server->is_removed)
 		server->is_leaving = 1;
+	note_left(server, now_ms);
 }
 
 void cw_pool_delist_unlisted(struct cw_pool *pool, int64_t since_ms, int64_t until_ms,
@@ -223,6 +235,7 @@
 		server = next;
 	}
 	pool_sweep_reports(pool, now_ms);
+	pool_sweep_departed(pool, now_ms);
 	if (pool->delisted > 0)
 		free_removed(pool, now_ms);
 }
@@ -237,8 +250,13 @@
 		if (server->removed_ms && now_ms >= server->removed_ms) {
 			server->is_removed = 1;
 			server->is_leaving = 1;
-			if (server->own_running == 0 && !pool_needs_reports(server, now_ms))
-				cw_pool_remove(pool, server);
+			note_left(server, now_ms);
+			if (server->own_running > 0 || pool_needs_reports(server, now_ms)) {
+				server = next;
+				continue;
+			}
+			pool_note_departed(pool, server);
+			cw_pool_remove(pool, server);
 		}
 		server = next;
 	}
@@ -477,6 +495,14 @@
 	server->removed_ms = removed_ms;
 }
 
+static void note_left(struct cw_server *server, int64_t now_ms)
+{
+	if (!server->is_leaving)
+		server->left_ms = 0;
+	else if (!server->left_ms)
+		server->left_ms = now_ms;
+}
+
 static struct cw_server *add(struct cw_pool *pool, const char *name, int64_t process_start_ms)
 {
 	struct cw_server *server;
--- a/packages/pool/src/pool_internal.h
+++ b/packages/pool/src/pool_internal.h
@@ -17,6 +17,22 @@
 	int is_new; /* another version of the service was known for LIST_ARRIVAL_MS before */
 };
 
+/* A server that was removed, to recognize an older entry of it. */
+struct departed {
+	TAILQ_ENTRY(departed) link;
+	char name[CW_NAME_MAX];
+	int64_t process_start_ms;
+	int64_t left_ms;
+};
+
+TAILQ_HEAD(departed_list, departed);
+
+/* An entry that may be superseded. */
+struct held_entry {
+	TAILQ_ENTRY(held_entry) link;
+	struct cw_server_entry entry;
+};
+
 struct cw_pool {
 	const struct cw_choice_policy *choice;
 	const struct cw_policy *policy;
@@ -32,11 +48,25 @@
 	GHashTable *by_name; /* the newest start of each server */
 	struct software software[SOFTWARE_MAX];
 	size_t software_count;
+	struct departed_list departed; /* oldest first */
+	size_t departed_count;
+	TAILQ_HEAD(, held_entry) held;
+	size_t held_count;
+	int64_t era_began_ms; /* of the server list */
+	int64_t settled_ms;   /* until then, entries may be superseded ones */
 };
+
 void pool_activate(struct cw_server *server); /* until a sweep finds it unused */
 void pool_free_reports(struct cw_server *server);
 int pool_needs_reports(const struct cw_server *server,
 		       int64_t now_ms); /* 1: a removed server may be listed again */
 void pool_sweep_reports(struct cw_pool *pool, int64_t now_ms);
 
+/* restored.c */
+void pool_note_departed(struct cw_pool *pool, const struct cw_server *server);
+void pool_sweep_departed(struct cw_pool *pool, int64_t now_ms);
+int pool_hold_if_superseded(struct cw_pool *pool, const struct cw_server_entry *entry,
+			    int64_t now_ms); /* 1: held, as what is known may be newer */
+void pool_free_restored(struct cw_pool *pool);
+
 #endif
--- a/tests/fuzz/users_input.c
+++ b/tests/fuzz/users_input.c
@@ -110,7 +110,7 @@
 		break;
 	default:
 		if (cw_gossip_list_decode(text, length, &list) == CW_OK)
-			g_free(list.entries);
+			cw_gossip_list_clear(&list);
 	}
 	g_free(gossip);
 	g_string_free(body, TRUE);
