soak: the store goes back to an older copy of itself

With "eras" the store loses up to five configurations and the entries written since its copy, also during outages and drains and twice in a row, with reads broken or kept; the operator and the servers write again within a second. Checked while it runs: three seconds later a configuration is in force everywhere within two, drained domains get nothing. At the end: no server that was removed gets requests; all that the soak checked before. Old seeds inject the same faults as before.

--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -1,21 +1,25 @@
 # Randomized soak test of the entry: real processes, injected faults, and checks of the guarantees against what
 # callers and backend servers observed.
-#   bash tests/soak/soak.sh SEED SECONDS [INSTANCES [CALLERS [domains|reports|domains,reports]]]   (BUILD: the build folder)
+#   bash tests/soak/soak.sh SEED SECONDS [INSTANCES [CALLERS [WITH]]]   (BUILD: the build folder; WITH: any of
+#   domains, reports and eras, separated by commas)
 # With "domains" the servers e2 and a2 are in the failure domain z2, which is drained and restored at random.
 # With "reports" servers also report rate limits, that they leave and that they want rest; what they then get is checked
 # every second.
+# With "eras" the store goes back to an older copy of itself, also during outages and drains and twice in a row; what the
+# operator and the servers wrote is written again up to a second later. Three seconds later a configuration must be in
+# force everywhere within two, and no server that was removed gets requests.
 # Prints the faults in order if a guarantee was violated, the seed, and a verdict. The same seed injects the same
 # faults.
-SEED_NUMBER=$1 DURATION_S=$2 INSTANCE_COUNT=${3:-3} CALLER_COUNT=${4:-12} DOMAINS="" REPORTS=""
+SEED_NUMBER=$1 DURATION_S=$2 INSTANCE_COUNT=${3:-3} CALLER_COUNT=${4:-12} DOMAINS="" REPORTS="" ERAS=""
 case ",${5:-}," in *,domains,*) DOMAINS=domains ;; esac
 case ",${5:-}," in *,reports,*) REPORTS=reports ;; esac
+case ",${5:-}," in *,eras,*) ERAS=eras ;; esac
 . tests/lib.sh
 . tests/lib_users.sh
 . tests/lib_fatal.sh
 . tests/lib_reports.sh
 QUARANTINE_MS=3000 # from the third server crash under one request until all instances have quarantined the request
 RANDOM=$SEED_NUMBER
-now_ms() { echo $(($(date +%s%N) / 1000000)); }
 ACTS=""
 FAULTS="$DIR/faults"
 : >"$FAULTS"
@@ -108,13 +112,38 @@
 runs_in_z2() { cat "$DIR"/e2g*.log "$DIR"/a2g*.log | grep -c '^run '; }
 pause() { sleep "0.$((RANDOM % 8 + 1))"; }
 END=$((SECONDS + DURATION_S - 3))
-DOMAIN_FAULTS=0
-[ -z "$DOMAINS" ] || DOMAIN_FAULTS=2
-# The kinds of faults are numbered in the order of the cases below; without "reports" theirs are left out, and the same
-# seed injects the same faults as ever.
-REPORT_FAULTS=0
-[ -z "$REPORTS" ] || REPORT_FAULTS=6
-draw_fault() { FAULT=$((RANDOM % (14 + REPORT_FAULTS + DOMAIN_FAULTS))); [ $FAULT -lt 14 ] || FAULT=$((FAULT + 6 - REPORT_FAULTS)); }
+# The kinds of faults, numbered as in the cases below. Those of an option that is not given are left out, and the same seed
+# then injects the same faults as ever.
+KINDS=(0 1 2 3 4 5 6 7 8 9 10 11 12 13)
+[ -z "$REPORTS" ] || KINDS+=(14 15 16 17 18 19)
+[ -z "$DOMAINS" ] || KINDS+=(20 21)
+[ -z "$ERAS" ] || KINDS+=(22 23 24 25)
+draw_fault() { FAULT=${KINDS[$((RANDOM % ${#KINDS[@]}))]}; }
+WRITERS=""
+restore_store() { # HOW: the store goes back to its copy; what was lost is written again after a wait
+	local wait_s="0.$((RANDOM % 10))" how=$1
+	record_fault restore "$how" "$wait_s"
+	case $how in
+	kept | broken) store "restore?reads=$how" ;;
+	*) store_mode "$how"; pause; store restore; store_mode ok ;;
+	esac
+	(sleep "$wait_s"; store "rewrite?topic=keyed.op"; store "rewrite?topic=keyed.servers") &
+	WRITERS="$WRITERS $!"
+}
+publish() { # COUNT: that many configurations
+	local i
+	for i in $(seq "$1"); do VERSION=$((VERSION + 1)); config "$VERSION" k1; done
+	record_fault config "$VERSION"
+}
+lose_records() { # takes the copy, then publishes configurations that it lacks
+	store copy
+	publish $((RANDOM % 6))
+	pause
+}
+wait_for_writers() { wait $WRITERS; WRITERS=""; }
+all_have_newest() { for n in $NAMES; do has_config "$n" "$VERSION" || return 1; done; }
+remove_server() { put keyed.servers "$1" ""; echo "$(awk '{print int($1 * 1000)}' /proc/uptime) $1" >>"$DIR/removed"; }
+: >"$DIR/removed"
 all_instances_are() { for n in $NAMES; do tail -c 200000 "$DIR/$n.log" | grep -o "event=domain_[a-z]* domain=z2" | tail -n 1 | grep -q "_$1" || return 1; done; }
 VERSION=1
 while [ $SECONDS -lt $END ]; do
@@ -135,7 +164,7 @@
 		eval "curl -s -o /dev/null -X POST http://\$DIRECT_$server/admin/mode?m=$PICKED"; pause
 		eval "curl -s -o /dev/null -X POST http://\$DIRECT_$server/admin/mode?m=ok" ;;
 	11) record_fault replace "$server"; list "$server" "$service" v1 draining
-		server "$slot" "$service" $FATAL; put keyed.servers "$server" "" ;;
+		server "$slot" "$service" $FATAL; remove_server "$server" ;;
 	12) record_fault crash "$server"; kill -KILL "$(pid_of "$server")"; put keyed.servers "$server" ""; server "$slot" "$service" $FATAL ;;
 	14 | 15) pick "0.5 1.3 2.3 6"; record_fault limit "$server" "$PICKED"; eval "curl -s -o /dev/null -X POST http://\$DIRECT_$server/admin/limit?m=$PICKED" ;;
 	16) record_fault unlimit "$server"; eval "curl -s -o /dev/null -X POST http://\$DIRECT_$server/admin/limit" ;;
@@ -144,9 +173,16 @@
 	18 | 19) pick "0.5 1 2"; record_fault rest "$server" "$PICKED"; eval "curl -s -o /dev/null -X POST http://\$DIRECT_$server/admin/rest?m=$PICKED"; pause; pause
 		eval "curl -s -o /dev/null -X POST http://\$DIRECT_$server/admin/rest" ;;
 	20 | 21) record_fault drain z2; put keyed.op evacuate/z2 "{}"; wait_for "all instances have drained z2" all_instances_are drained
-		before=$(runs_in_z2); pause; pause; after=$(runs_in_z2)
+		before=$(runs_in_z2); [ -z "$ERAS" ] || { pick "kept broken silent"; restore_store "$PICKED"; wait_for_writers; }
+		pause; pause; after=$(runs_in_z2)
 		[ "$before" = "$after" ] || echo "z2 $before $after" >>"$DIR/undrained"
 		record_fault restore z2; put keyed.op evacuate/z2 ""; wait_for "all instances have restored z2" all_instances_are restored ;;
+	22) record_fault copy; store copy; [ $((RANDOM % 2)) -eq 0 ] || list "$server" "$service" v1 ready ;;
+	23) lose_records; pick "kept broken silent reset busy"; restore_store "$PICKED"; publish $((RANDOM % 3)); wait_for_writers ;;
+	24) lose_records; pick "kept broken reset"; restore_store "$PICKED"; pause; pick "kept broken silent"; restore_store "$PICKED"; wait_for_writers ;;
+	25) lose_records; pick "kept broken silent"; restore_store "$PICKED"; wait_for_writers; publish $((RANDOM % 4))
+		sleep 3; VERSION=$((VERSION + 1)); record_fault calm_config "$VERSION"; config "$VERSION" k1
+		[ "$(in_time 2000 all_have_newest)" = "in time" ] || echo "configuration $VERSION" >>"$DIR/late" ;;
 	13) VERSION=$((VERSION + 1)); record_fault config "$VERSION"; config "$VERSION" k1 ;;
 	esac
 	[ $((RANDOM % 3)) -eq 0 ] || pause
@@ -159,7 +195,6 @@
 for n in $NAMES; do wait_for "$n serves again" serves_request "$n"; done
 serves_stream() { stream "$1" 5 "again$RANDOM" | grep -q 'id: 5 '; }
 for n in $NAMES; do wait_for "$n streams again" serves_stream "$n"; done
-all_have_newest() { for n in $NAMES; do has_config "$n" "$VERSION" || return 1; done; }
 wait_for "all instances have configuration $VERSION" all_have_newest
 cat "$DIR"/e*g*.log "$DIR"/a*g*.log | sed -n 's/^run //p' >"$DIR/ran"
 bad=0
@@ -177,6 +212,16 @@
 		echo "$id $kind $host"
 done | grep . && report_violation "a request got no answer, and no fault was injected into the instance"
 [ -s "$DIR/undrained" ] && report_violation "a drained failure domain got requests (domain, runs before, runs after): $(head -n 1 "$DIR/undrained")"
+[ -s "$DIR/late" ] && report_violation "not in force everywhere within 2 s, without a fault: $(head -n 1 "$DIR/late")"
+# An instance that starts while the copy is in force knows no better, until the servers have written again.
+while read -r at name; do
+	awk -v at="$at" -v faults="$FAULTS" -v name="$name" '
+		BEGIN { while ((getline line < faults) > 0) { split(line, f, " "); if (f[2] == "restore") restored[++n] = f[1] } }
+		$1 == "got" && $2 > at + 4000 {
+			for (i = 1; i <= n; i++) if ($2 > restored[i] && $2 < restored[i] + 5000) next
+			print name, $3
+		}' "$DIR/$name.log"
+done <"$DIR/removed" | grep . && report_violation "a server got requests long after its removal"
 check_reports >>"$DIR/reports.broken"
 [ -s "$DIR/reports.broken" ] && report_violation "a server got more than it had reported: $(sort -u "$DIR/reports.broken" | head -n 3)"
 late=$(count_late_runs $QUARANTINE_MS)
--- a/tests/standins/users_store.c
+++ b/tests/standins/users_store.c
@@ -10,11 +10,13 @@
  *   POST /admin/miss?topic=T         the reads that now wait on T are answered at their time-out
  *   POST /admin/copy                 takes a copy of all topics
  *   POST /admin/restore?reads=HOW    goes back to that copy and begins the next era; reads that
- * wait are broken, or kept: they go on waiting POST /admin/rewrite?topic=T      appends the newest
- * lost record of each key again POST /admin/era?is=TEXT          names TEXT as the era in later
- * answers; empty: names none GET /admin/calls                 prints the number of other calls so
- * far GET /admin/count?topic=T&key=K   prints the number of records of K that T holds GET
- * /admin/newest?topic=T&key=K  prints the newest value of K
+ *                                    wait are broken, or kept: they go on waiting
+ *   POST /admin/rewrite?topic=T      appends the newest lost record of each key again, also of
+ *                                    what earlier restorations dropped
+ *   POST /admin/era?is=TEXT          names TEXT as the era in later answers; empty: names none
+ *   GET /admin/calls                 prints the number of other calls so far
+ *   GET /admin/count?topic=T&key=K   prints the number of records of K that T holds
+ *   GET /admin/newest?topic=T&key=K  prints the newest value of K
  */
 #include "cw_flow.h"
 
@@ -38,7 +40,7 @@
 	GPtrArray *records; /* index = offset */
 	size_t first;	    /* lowest offset that can still be read */
 	size_t copied;	    /* number of records in the copy */
-	GPtrArray *lost;    /* records that the last restoration dropped */
+	GPtrArray *lost;    /* records that were dropped and not written again */
 };
 
 struct waiting_read {
@@ -257,11 +259,9 @@
 
 static void restore_copy(struct topic *topic)
 {
-	g_ptr_array_set_size(topic->lost, 0);
-	while (topic->records->len > topic->copied)
-		g_ptr_array_insert(
-			topic->lost, 0,
-			g_ptr_array_remove_index(topic->records, topic->records->len - 1));
+	for (size_t i = topic->copied; i < topic->records->len; i++)
+		g_ptr_array_add(topic->lost, g_ptr_array_index(topic->records, i));
+	g_ptr_array_set_size(topic->records, (gint)MIN(topic->copied, topic->records->len));
 	topic->first = MIN(topic->first, topic->copied);
 }
 
@@ -279,6 +279,7 @@
 		if (is_newest)
 			append(topic, record->key, record->value->str, record->value->len);
 	}
+	g_ptr_array_set_size(topic->lost, 0);
 }
 
 static void begin_era(const char *target)
