topic: a read past the end of a log begins a new era, if the store names none

A store that names no era shows a restoration only by 410 for a position past the end. Such an answer now counts as the next era, which the other instances learn as any other; when the store names one later, that counts. A log that has grown past the old position shows by nothing then.

Measured: users_restored has two further parts (no era is named, and named again) and passes.

--- a/apps/corianderwalk/entry_topic.c
+++ b/apps/corianderwalk/entry_topic.c
@@ -34,7 +34,9 @@
 static void on_end(void *context);
 static void on_failed(void *context, enum cw_flow_failure failure);
 static int is_of_current_era(struct topic *topic);
+static int is_past_end(const struct topic *topic, const struct cw_up_page *page);
 static void reload_expired(struct topic *topic);
+static uint64_t call_offset(const struct topic *topic);
 static enum cw_status read_answer(struct topic *topic, struct cw_up_page *page,
 				  struct cw_error *error);
 static void apply_snapshot_page(struct topic *topic, struct cw_up_page *page);
@@ -315,7 +317,10 @@
 	} else if (status == CW_EXPIRED) {
 		cw_event("feed", "expired", "topic=%s from=%lu first=%lu", topic->name,
 			 (unsigned long)topic_next(topic).offset, (unsigned long)page.first_offset);
-		reload_expired(topic);
+		if (is_past_end(topic, &page))
+			feed_note_era(topic->feed, topic->feed->era + 1, topic->name, 1);
+		else
+			reload_expired(topic);
 	} else {
 		handle_failure(topic, error.message);
 	}
@@ -337,6 +342,15 @@
 	return relation == ERA_CURRENT;
 }
 
+/*
+ * The log holds older records but not the one that the call asked for, so it is shorter than it
+ * was. A store that names no eras shows a restoration only by this.
+ */
+static int is_past_end(const struct topic *topic, const struct cw_up_page *page)
+{
+	return topic->answer_era == CW_ERA_UNKNOWN && page->first_offset <= call_offset(topic);
+}
+
 /*
  * Load pattern: the store drops its history, and of a thousand instances hundreds had taken over
  * from the readers. Each read the whole list, which kept the readers from reading it. So only the
@@ -351,18 +365,21 @@
 		topic_reload(topic);
 }
 
+/* Where the answered read began. */
+static uint64_t call_offset(const struct topic *topic)
+{
+	return topic->topic == CW_UP_TOPIC_SERVERS ? topic->feed->server_list.read_from.offset
+						   : topic->read_from.offset;
+}
+
 static enum cw_status read_answer(struct topic *topic, struct cw_up_page *page,
 				  struct cw_error *error)
 {
-	uint64_t read_from = topic->topic == CW_UP_TOPIC_SERVERS
-				     ? topic->feed->server_list.read_from.offset
-				     : topic->read_from.offset;
-
 	if (topic->phase == PHASE_SNAPSHOT)
 		return cw_up_parse_log_newest(topic->topic, topic->http_status, topic->body, page,
 					      error);
-	return cw_up_parse_log_read(topic->topic, topic->http_status, topic->body, read_from, page,
-				    error);
+	return cw_up_parse_log_read(topic->topic, topic->http_status, topic->body,
+				    call_offset(topic), page, error);
 }
 
 static void on_failed(void *context, enum cw_flow_failure failure)
--- a/tests/runs/users_restored.sh
+++ b/tests/runs/users_restored.sh
@@ -65,6 +65,16 @@
 store_restore
 for i in 1 2; do publish "twice$i"; done
 revoke fifth
+echo "-- the store names no era, and the log is shorter than before"
+store "era?is="
+lose 6
+store_restore
+revoke sixth
+echo "-- it names one again"
+store "era?is=9"
+lose 2
+store_restore
+revoke seventh
 echo "-- an instance starts after it"
 lose 5
 store_restore
@@ -72,4 +82,4 @@
 entry n4
 wait_for "n4 ready" ready n4
 ALL="n1 n2 n3 n4"
-revoke sixth
+revoke eighth
--- a/tests/standins/users_store.c
+++ b/tests/standins/users_store.c
@@ -289,7 +289,8 @@
 	get_query(target, "reads", reads, sizeof(reads));
 	for (size_t i = 0; i < G_N_ELEMENTS(topics); i++)
 		restore_copy(&topics[i]);
-	snprintf(era, sizeof(era), "%lu", strtoul(era, NULL, 10) + 1);
+	if (*era)
+		snprintf(era, sizeof(era), "%lu", strtoul(era, NULL, 10) + 1);
 	if (strcmp(reads, "kept") != 0)
 		break_waiting_reads();
 }
