--- a/tests/fuzz/users_input.c
+++ b/tests/fuzz/users_input.c
@@ -12,11 +12,13 @@
 #define SERVERS	     4
 #define START_MS     100000
 #define REPORTED_MAX 64
+#define SETTLE_MS    500 /* after the server list was restored from an older copy */
 
-/* What one start of a server has reported in its answers. */
+/* What one start of a server has reported in its answers, or its entry said. */
 struct reported {
 	uint64_t server;
 	int is_leaving;
+	int64_t left_ms; /* by its entry, or its removal; 0: it is ready */
 	int64_t rest_until_ms;
 };
 
@@ -43,17 +45,23 @@
 	int64_t now_ms;
 	struct reported
 		reported[REPORTED_MAX]; /* by the hash of the server; others are forgotten */
+	int64_t era_began_ms;		/* of the server list */
+	int64_t newest_start_ms[SERVERS];
 };
 
 static void fuzz_decoders(const uint8_t *bytes, size_t size);
 static void fuzz_server_entry(const uint8_t *bytes, size_t size);
 static void fuzz_quarantine(const uint8_t *bytes, size_t size);
+static void fuzz_orders(const uint8_t *bytes, size_t size);
 static void fuzz_calls(const uint8_t *bytes, size_t size);
 static int next_byte(struct harness *harness);
 static void harness_init(struct harness *harness);
 static void add_route(struct cw_config *config, const char *prefix,
 		      enum cw_retry_policy retry_policy, int attempts);
 static void change_server(struct harness *harness);
+static void remove_server(struct harness *harness);
+static void begin_era(struct harness *harness);
+static int may_be_superseded(const struct harness *harness, const struct reported *reported);
 static void execute_event(struct harness *harness);
 static struct reported *get_reported(struct harness *harness, uint64_t server);
 static void report_in_answer(struct harness *harness, int choice, struct cw_response_head *answer);
@@ -86,16 +94,16 @@
 	struct cw_error error = {0};
 	struct cw_up_page page;
 
-	switch (bytes[0] % 7) {
+	switch (bytes[0] % 8) {
 	case 0:
 		cw_config_unref(cw_up_parse_config(text, length, &error));
 		break;
 	case 1:
-		cw_up_parse_log_read(bytes[0] / 7 % 4, 200, body, 7, &page, &error);
+		cw_up_parse_log_read(bytes[0] / 8 % 4, 200, body, 7, &page, &error);
 		cw_up_page_clear(&page);
 		break;
 	case 2:
-		cw_up_parse_log_newest(bytes[0] / 7 % 4, 200, body, &page, &error);
+		cw_up_parse_log_newest(bytes[0] / 8 % 4, 200, body, &page, &error);
 		cw_up_page_clear(&page);
 		break;
 	case 3:
@@ -108,6 +116,9 @@
 	case 5:
 		fuzz_quarantine(bytes + 1, length);
 		break;
+	case 6:
+		fuzz_orders(bytes + 1, length);
+		break;
 	default:
 		if (cw_gossip_list_decode(text, length, &list) == CW_OK)
 			cw_gossip_list_clear(&list);
@@ -209,6 +220,68 @@
 	cw_quarantine_destroy(quarantine);
 }
 
+/*
+ * Orders of several eras in any order: of each domain the order with the latest position is in
+ * force; an outcome of a roll-out is due exactly while it is not published in the present era, and
+ * the same order at a position of another era does not begin it again.
+ */
+static void fuzz_orders(const uint8_t *bytes, size_t size)
+{
+	struct cw_rollout_options options = {
+		.session_ms = 5000, .exposed_share = 0.15, .exposed_slack = 30};
+	struct cw_rollout_order order = {"s", "v2", 20000};
+	struct cw_rollout_status status = {"s", "v2", CW_ROLLOUT_ROLLED_BACK};
+	struct cw_rollouts *rollouts = cw_rollouts_create(&options);
+	struct cw_drains *drains = cw_drains_create();
+	struct cw_drain_order newest[2] = {0};
+	struct cw_rollout_verdict verdict;
+	struct cw_position ordered = {1, 5};
+	int is_published = 1;
+
+	cw_rollouts_apply_order(rollouts, &order, ordered, START_MS);
+	cw_rollouts_apply_status(rollouts, &status);
+	for (size_t i = 0; i + 1 < size; i += 2) {
+		struct cw_position position = {bytes[i] / 4 % 4, bytes[i + 1] / 2};
+		struct cw_drain_order drain = {.position = position,
+					       .is_drained = bytes[i + 1] % 2};
+		struct cw_drain_order *known = &newest[bytes[i] / 16 % 2];
+
+		switch (bytes[i] % 4) {
+		case 0:
+			cw_rollouts_begin_era(rollouts, START_MS + 2000);
+			is_published = 0;
+			break;
+		case 1:
+			cw_rollouts_apply_status(rollouts, &status);
+			is_published = 1;
+			break;
+		case 2:
+			if (position.era <= ordered.era)
+				break;
+			ordered = position;
+			check(!cw_rollouts_apply_order(rollouts, &order, position, START_MS + 1000),
+			      "an order began a roll-out again at a position of another era");
+			break;
+		default:
+			g_snprintf(drain.failure_domain, sizeof(drain.failure_domain), "d%d",
+				   bytes[i] / 16 % 2);
+			cw_drains_apply(drains, &drain);
+			if (cw_position_compare(position, known->position) >= 0)
+				*known = drain;
+		}
+		check(cw_rollouts_evaluate(rollouts, START_MS + 1000, &verdict, 1) ==
+			      (is_published ? 0 : 1),
+		      "an outcome is due though it is published, or missing");
+		for (size_t k = 0; k < G_N_ELEMENTS(newest); k++)
+			check(!*newest[k].failure_domain ||
+				      cw_drains_is_drained(drains, newest[k].failure_domain) ==
+					      newest[k].is_drained,
+			      "a superseded drain order is in force");
+	}
+	cw_drains_destroy(drains);
+	cw_rollouts_destroy(rollouts);
+}
+
 static void fuzz_calls(const uint8_t *bytes, size_t size)
 {
 	struct harness harness = {.at = bytes, .end = bytes + size, .now_ms = START_MS};
@@ -285,13 +358,68 @@
 		.is_leaving = choice / SERVERS % 4 == 3,
 		.process_start_ms = 1 + choice / 16 % 4,
 	};
+	const struct cw_server *server;
+	struct reported *reported;
+	int64_t *newest_start_ms;
+	int is_known;
 
+	/* An earlier start writes late entries, but none once the later one was removed. */
 	snprintf(entry.name, sizeof(entry.name), "s%d", choice % SERVERS);
+	newest_start_ms = &harness->newest_start_ms[choice % SERVERS];
+	is_known = cw_pool_find_name(cw_gate_pool(harness->gate), entry.name) != NULL;
+	if (!is_known)
+		entry.process_start_ms = MAX(entry.process_start_ms, *newest_start_ms);
+	*newest_start_ms = MAX(entry.process_start_ms, *newest_start_ms);
 	snprintf(entry.failure_domain, sizeof(entry.failure_domain), "d%d", choice % 2);
 	g_strlcpy(entry.service, "s", sizeof(entry.service));
 	g_strlcpy(entry.software, choice & 64 ? "v2" : "v1", sizeof(entry.software));
 	g_strlcpy(entry.address, "10.0.0.1:80", sizeof(entry.address));
 	cw_pool_apply_entry(cw_gate_pool(harness->gate), &entry, harness->now_ms);
+	server = cw_pool_find_name(cw_gate_pool(harness->gate), entry.name);
+	if (!server || server->process_start_ms != entry.process_start_ms)
+		return;
+	reported = get_reported(harness, server->id);
+	/* Listed anew as leaving: a later entry is newer than that. */
+	if (entry.is_leaving && (!is_known || !reported->left_ms))
+		reported->left_ms = harness->now_ms;
+	else if (!entry.is_leaving && !may_be_superseded(harness, reported))
+		reported->left_ms = 0;
+}
+
+static void remove_server(struct harness *harness)
+{
+	struct cw_pool *pool = cw_gate_pool(harness->gate);
+	struct cw_server *server;
+	struct reported *reported;
+	char name[CW_NAME_MAX];
+
+	snprintf(name, sizeof(name), "s%d", next_byte(harness) % SERVERS);
+	cw_pool_drop_held(pool, name);
+	server = cw_pool_find_name(pool, name);
+	if (!server)
+		return;
+	reported = get_reported(harness, server->id);
+	if (!reported->left_ms)
+		reported->left_ms = harness->now_ms;
+	cw_pool_delist(pool, server, harness->now_ms, harness->now_ms);
+	cw_pool_sweep(pool, harness->now_ms);
+}
+
+/* The server list is restored from an older copy; what it holds is applied by change_server(). */
+static void begin_era(struct harness *harness)
+{
+	struct cw_pool *pool = cw_gate_pool(harness->gate);
+
+	harness->era_began_ms = harness->now_ms;
+	cw_pool_begin_era(pool, harness->now_ms + SETTLE_MS, harness->now_ms);
+	check(cw_pool_held_count(pool) == 0, "an entry of an earlier era is held");
+}
+
+/* An entry by which the server is ready may be older than what is known. */
+static int may_be_superseded(const struct harness *harness, const struct reported *reported)
+{
+	return reported->left_ms && reported->left_ms < harness->era_began_ms &&
+	       harness->now_ms < harness->era_began_ms + SETTLE_MS;
 }
 
 static void execute_event(struct harness *harness)
@@ -305,6 +433,10 @@
 		end_call(harness);
 		if (choice % 4 == 0)
 			change_server(harness);
+		else if (choice % 32 == 5)
+			begin_era(harness);
+		else if (choice % 32 == 9)
+			remove_server(harness);
 		open_call(harness);
 		return;
 	}
@@ -436,6 +568,8 @@
 		reported = get_reported(harness, step->server->id);
 		check(!step->server->is_leaving, "a leaving server got a request");
 		check(!reported->is_leaving, "a server that reported leaving got a request");
+		check(!may_be_superseded(harness, reported),
+		      "a server that had left got a request by an entry of an older copy");
 		check(harness->now_ms >= reported->rest_until_ms,
 		      "a server that asked for rest got a request");
 		check(!step->server->is_superseded,
