--- a/tests/standins/platform.c
+++ b/tests/standins/platform.c
@@ -6,6 +6,8 @@
  *   lose_answers  the next N appends are stored but answered with 500
  *   refuse        the next N appends are answered with 429 and not stored
  *   expire        {"STREAM":FIRST}: removes the stream's records before offset FIRST
+ *   lose          {"STREAM":N}: removes the stream's newest N records; their offsets are given out
+ *                 again
  *   members       the server list
  *   scores        {"MODEL/VERSION":S}: the rating service's scores
  */
@@ -56,6 +58,7 @@
 static struct stream *get_stream(struct platform *platform, const char *name);
 static void expire(struct platform *platform, struct stream *stream);
 static void remove_before(struct stream *stream, uint64_t first);
+static void remove_newest(struct stream *stream, guint count);
 static void wait_for_append(struct platform *platform, struct stream *stream, uint64_t from,
 			    int wait_ms);
 static void reply_error(struct cw_http_response *out, int status);
@@ -249,6 +252,13 @@
 				      (uint64_t)json_object_get_int64(first));
 		}
 	}
+	if (json_object_object_get_ex(parsed, "lose", &value)) {
+		json_object_object_foreach(value, name, count)
+		{
+			remove_newest(get_stream(platform, name),
+				      (guint)json_object_get_int64(count));
+		}
+	}
 	json_object_object_add(body, "appends", json_object_new_int64((int64_t)platform->appends));
 	json_object_object_add(body, "reads", json_object_new_int64((int64_t)platform->reads));
 	pthread_cond_broadcast(&platform->appended);
@@ -295,6 +305,18 @@
 	}
 }
 
+static void remove_newest(struct stream *stream, guint count)
+{
+	while (count-- > 0 && stream->records->len > 0) {
+		guint last = stream->records->len - 1;
+		struct record *record = g_ptr_array_index(stream->records, last);
+
+		g_free(record->data);
+		g_free(record);
+		g_ptr_array_remove_index(stream->records, last);
+	}
+}
+
 static void wait_for_append(struct platform *platform, struct stream *stream, uint64_t from,
 			    int wait_ms)
 {
