--- a/tests/standins/users_store.c
+++ b/tests/standins/users_store.c
@@ -265,6 +265,14 @@
 	topic->first = MIN(topic->first, topic->copied);
 }
 
+/* A later value of the key was written, so the lost one is not written again. */
+static void forget_lost(struct topic *topic, const char *key)
+{
+	for (size_t i = topic->lost->len; i-- > 0;)
+		if (!strcmp(((struct record *)g_ptr_array_index(topic->lost, i))->key, key))
+			g_ptr_array_remove_index(topic->lost, (guint)i);
+}
+
 static void rewrite_lost(struct topic *topic)
 {
 	for (size_t i = 0; i < topic->lost->len; i++) {
@@ -308,6 +316,7 @@
 		get_query(target, "m", mode, sizeof(mode));
 	} else if (g_str_has_prefix(target, "/admin/put")) {
 		append(topic, key, request->body->str, request->body->len);
+		forget_lost(topic, key);
 	} else if (g_str_has_prefix(target, "/admin/expire")) {
 		topic->first = topic->records->len;
 	} else if (g_str_has_prefix(target, "/admin/deaf")) {
