--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -40,12 +40,13 @@
 start_proxy store "$STORE"
 config 1 k1
 GENERATION=0
+zone_of() { case "$DOMAINS$1" in domains?2) echo z2 ;; *) echo z1 ;; esac; } # SLOT
 server() { # NAME SERVICE ARGS...: starts a new incarnation of a backend server behind a fault proxy
 	local slot=$1 service=$2
 	shift 2
 	GENERATION=$((GENERATION + 1))
-	local name=${slot}g$GENERATION ZONE=z1
-	case "$DOMAINS$slot" in domains?2) ZONE=z2 ;; esac
+	local name=${slot}g$GENERATION ZONE
+	ZONE=$(zone_of "$slot")
 	runner "$name" "$service" v1 "$@"
 	eval "local direct=\$ADDR_$name"
 	start_proxy "$name" "$direct"
@@ -177,7 +178,7 @@
 		pause; pause; after=$(runs_in_z2)
 		[ "$before" = "$after" ] || echo "z2 $before $after" >>"$DIR/undrained"
 		record_fault restore z2; put keyed.op evacuate/z2 ""; wait_for "all instances have restored z2" all_instances_are restored ;;
-	22) record_fault copy; store copy; [ $((RANDOM % 2)) -eq 0 ] || list "$server" "$service" v1 ready ;;
+	22) record_fault copy; store copy; [ $((RANDOM % 2)) -eq 0 ] || ZONE=$(zone_of "$slot") list "$server" "$service" v1 ready ;;
 	23) lose_records; pick "kept broken silent reset busy"; restore_store "$PICKED"; publish $((RANDOM % 3)); wait_for_writers ;;
 	24) lose_records; pick "kept broken reset"; restore_store "$PICKED"; pause; pick "kept broken silent"; restore_store "$PICKED"; wait_for_writers ;;
 	25) lose_records; pick "kept broken silent"; restore_store "$PICKED"; wait_for_writers; publish $((RANDOM % 4))
