--- a/tests/unit/test_gossip.c
+++ b/tests/unit/test_gossip.c
@@ -1,6 +1,7 @@
 /* Gossip messages: decoding restores what was encoded, and rejects anything else. */
 #include "cw_gossip.h"
 #include "cw_membership.h"
+#include "cw_pack.h"
 #include "unit.h"
 
 #include <glib.h>
@@ -174,6 +175,28 @@
 	assert_int_equal(read.drains[1].position.era, CW_ERA_UNKNOWN);
 }
 
+/* Guards against a list of an earlier build, which ends before the held entries, that is rejected.
+ */
+static void a_list_without_held_entries_is_accepted(void **state)
+{
+	struct cw_server_entry entry = {.name = "s1", .slots = 6};
+	struct cw_gossip_list list = {.next_offset = 9, .count = 1, .entries = &entry};
+	struct cw_gossip_list read;
+	size_t size;
+	size_t raw_size;
+	char *bytes = cw_gossip_list_encode(&list, &size);
+	char *raw = cw_unpack(bytes, size, 4096, &raw_size);
+
+	g_free(bytes);
+	bytes = cw_pack(raw, raw_size - sizeof(uint32_t), &size);
+	assert_int_equal(cw_gossip_list_decode(bytes, size, &read), CW_OK);
+	assert_string_equal(read.entries[0].name, "s1");
+	assert_int_equal(read.held_count, 0);
+	cw_gossip_list_clear(&read);
+	g_free(bytes);
+	g_free(raw);
+}
+
 /* A count or a number out of range must be rejected, whatever else the message contains. */
 static void a_message_with_any_byte_changed_does_no_harm(void **state)
 {
@@ -211,8 +234,12 @@
 static void a_list_snapshot_is_decoded_as_it_was_encoded(void **state)
 {
 	struct cw_server_entry entries[300] = {0};
-	struct cw_gossip_list sent = {
-		.next_offset = 9, .age_ms = 70, .count = 300, .entries = entries};
+	struct cw_gossip_list sent = {.next_offset = 9,
+				      .age_ms = 70,
+				      .count = 300,
+				      .entries = entries,
+				      .held_count = 2,
+				      .held = &entries[7]};
 	struct cw_gossip_list read;
 	size_t size;
 	char *bytes;
@@ -231,7 +258,9 @@
 	assert_int_equal(read.next_offset, 9);
 	assert_int_equal(read.count, 300);
 	assert_memory_equal(read.entries, entries, sizeof(entries));
-	g_free(read.entries);
+	assert_int_equal(read.held_count, 2);
+	assert_memory_equal(read.held, &entries[7], 2 * sizeof(entries[0]));
+	cw_gossip_list_clear(&read);
 	assert_int_equal(cw_gossip_list_decode(bytes, size - 1, &read), CW_INVALID);
 	assert_null(read.entries);
 	g_free(bytes);
@@ -265,6 +294,7 @@
 		cmocka_unit_test(the_wait_of_a_message_is_its_delay_beyond_the_fastest),
 		cmocka_unit_test(a_truncated_message_is_rejected),
 		cmocka_unit_test(a_message_of_an_earlier_build_names_no_era),
+		cmocka_unit_test(a_list_without_held_entries_is_accepted),
 		cmocka_unit_test(a_message_with_any_byte_changed_does_no_harm),
 		cmocka_unit_test(a_message_larger_than_the_buffer_is_not_encoded),
 		cmocka_unit_test(a_list_snapshot_is_decoded_as_it_was_encoded),
