--- a/apps/corianderwalk/entry_share.c
+++ b/apps/corianderwalk/entry_share.c
@@ -14,11 +14,11 @@
 
 #define PATH_CONFIG	    "/config"
 #define PATH_LIST	    "/servers"
-#define PATH_CHANGES	    "/changes/"	  /* then an offset: records of the list from there on */
-#define OFFSET_FIELD	    "X-Offset"	  /* next offset of the sender in the operator's topic */
-#define AGE_FIELD	    "X-Age-Ms"	  /* age of the encoded list */
-#define ERA_FIELD	    "X-Store-Era" /* of the position that is sent; earlier builds send none */
-#define ERA_QUERY	    "?era="	  /* after the offset: the era that it counts in */
+#define PATH_CHANGES	    "/changes/" /* then an offset: records of the list from there on */
+#define OFFSET_FIELD	    "X-Offset"	/* next offset of the sender in the operator's topic */
+#define AGE_FIELD	    "X-Age-Ms"	/* age of the encoded list */
+#define ERA_FIELD	    "X-Era"	/* of the position that is sent; earlier builds send none */
+#define ERA_QUERY	    "?era="	/* after the offset: the era that it counts in */
 #define CONNECT_TIMEOUT_MS  150
 #define RESPONSE_TIMEOUT_MS 400 /* without a byte; then another peer or the store is asked */
 #define REUSE_IDLE_MS	    10000
