tests: the restored runs share their start in lib_users.sh

Three copies of starting instances and waiting until they know each other became one. The checks are the same; these three and users_drain, users_gap and users_leaving pass.

--- a/tests/lib_users.sh
+++ b/tests/lib_users.sh
@@ -108,3 +108,16 @@
 	done
 	[ $(($(now_ms) - began_ms)) -le "$limit_ms" ] && echo "in time" || echo "late"
 }
+# start_instances NAME...: starts entry instances and waits until all are ready and know each other; sets ALL.
+start_instances() {
+	ALL=$*
+	local n
+	for n in $ALL; do entry $n; done
+	wait_for "all ready" on_all ready
+	wait_for "all know each other" on_all knows_peers $(($# - 1))
+}
+on_all() { # COMMAND...: with each instance appended
+	local n
+	for n in $ALL; do "$@" $n || return 1; done
+}
+knows_peers() { [ "$(grep -c 'event=peer ' "$DIR/$2.log")" -ge "$1" ]; } # COUNT INSTANCE
--- a/tests/runs/users_restored.sh
+++ b/tests/runs/users_restored.sh
@@ -6,14 +6,7 @@
 store_start
 config 1 k1
 runner a1 app v1
-ALL="n1 n2 n3"
-for n in $ALL; do entry $n; done
-on_all() { # COMMAND...: with each instance appended
-	for n in $ALL; do "$@" $n || return 1; done
-}
-wait_for "all ready" on_all ready
-knows_peers() { [ "$(grep -c 'event=peer ' "$DIR/$1.log")" -ge 2 ]; }
-wait_for "all know each other" on_all knows_peers
+start_instances n1 n2 n3
 VERSION=1
 CURRENT_KEY=k1
 publish() { # KEY: the next configuration, with this key alone
--- a/tests/runs/users_restored_orders.sh
+++ b/tests/runs/users_restored_orders.sh
@@ -7,14 +7,7 @@
 config 1 k1
 runner a1 app v1
 ZONE=z2 runner a2 app v1
-ALL="n1 n2 n3"
-for n in $ALL; do entry $n; done
-on_all() { # COMMAND...: with each instance appended
-	for n in $ALL; do "$@" $n || return 1; done
-}
-wait_for "all ready" on_all ready
-knows_peers() { [ "$(grep -c 'event=peer ' "$DIR/$1.log")" -ge 2 ]; }
-wait_for "all know each other" on_all knows_peers
+start_instances n1 n2 n3
 outcome() { store_newest keyed.status rollout/app | sed -n 's/.*"state":"\([a-z_]*\)".*/\1/p'; }
 is_published() { [ "$(outcome)" = reverted ]; }
 in_era() { [ "$(metric "$1" store_era)" = "$ERA" ]; }
--- a/tests/runs/users_restored_servers.sh
+++ b/tests/runs/users_restored_servers.sh
@@ -6,14 +6,7 @@
 store_start
 config 1 k1
 for a in a1 a2 a3; do runner $a app v1; done
-ALL="n1 n2 n3"
-for n in $ALL; do entry $n; done
-on_all() { # COMMAND...: with each instance appended
-	for n in $ALL; do "$@" $n || return 1; done
-}
-wait_for "all ready" on_all ready
-knows_peers() { [ "$(grep -c 'event=peer ' "$DIR/$1.log")" -ge 2 ]; }
-wait_for "all know each other" on_all knows_peers
+start_instances n1 n2 n3
 press() { for i in $(seq 12); do for n in $ALL; do ask $n GET /read/1 "p$RANDOM$i$n" | head -n 1; done; done | grep -vc 200; }
 use_of() { # NAME...: which of the servers get requests now, and how many requests fail
 	local name failed
