--- a/tests/lib_users.sh
+++ b/tests/lib_users.sh
@@ -64,7 +64,7 @@
 		"bounds":{"drain_ms":2000,"config_apply_ms":2000,"grace_s":8,"session_s":5,"retry_budget_ratio":0.9,"budget_window_s":10,"retry_budget_slack":50},
 		"platform":{"address":"$STORE"}}
 	SETTINGS
-	CORIANDERWALK_CONFIG="$DIR/$1.json" start "$1" "$BUILD/corianderwalk" --platform --metrics-port "$P_METRICS"
+	CUT_FILE="$DIR/$1.cut" CORIANDERWALK_CONFIG="$DIR/$1.json" start "$1" "$BUILD/${INSTANCE_PROGRAM:-corianderwalk}" --platform --metrics-port "$P_METRICS"
 }
 ready() { eval "local host=\$HOST_$1"; [ "$(curl -s -o /dev/null -w '%{http_code}' "http://$host:$P_READY/v1/readyz")" = 200 ]; }
 metric() { eval "local host=\$HOST_$1"; curl -s "http://$host:$P_METRICS/metrics" | sed -n "s/^corianderwalk_$2 //p"; }
--- a/tests/soak/soak_callers.c
+++ b/tests/soak/soak_callers.c
@@ -217,10 +217,12 @@
 	struct arg_int *seed = arg_int1(NULL, "seed", "N", "seed of the callers' random choices");
 	struct arg_int *seconds = arg_int1(NULL, "seconds", "N", "seconds to send requests for");
 	struct arg_int *count = arg_int1(NULL, "callers", "N", "number of concurrent callers");
+	struct arg_int *first = arg_int0(NULL, "first", "N", "number of the first caller, in ids");
 	struct arg_end *end = arg_end(4);
-	void *table[] = {hosts, to, seed, seconds, count, end};
+	void *table[] = {hosts, to, seed, seconds, count, first, end};
 	struct caller *callers;
 
+	first->ival[0] = 0;
 	if (arg_parse(argc, argv, table)) {
 		arg_print_errors(stderr, end, "soak-callers");
 		return 2;
@@ -232,7 +234,7 @@
 	end_us = g_get_monotonic_time() + (gint64)seconds->ival[0] * G_USEC_PER_SEC;
 	callers = g_new0(struct caller, count->ival[0]);
 	for (int i = 0; i < count->ival[0]; i++) {
-		callers[i].number = (guint32)i;
+		callers[i].number = (guint32)(first->ival[0] + i);
 		callers[i].fd = -1;
 		callers[i].random = g_rand_new_with_seed((guint32)(seed->ival[0] * 1000 + i));
 		pthread_create(&callers[i].thread, NULL, run, &callers[i]);
