--- a/apps/corianderwalk/entry.c
+++ b/apps/corianderwalk/entry.c
@@ -55,6 +55,7 @@
 	TAILQ_INIT(&entry.relays);
 	open_gate(&entry);
 	entry.server_client = cw_client_create(&entry.loop);
+	entry.forwards = forwards_create(&entry);
 	code = open_listeners(&entry);
 	if (code == 0) {
 
@@ -112,6 +113,7 @@
 	};
 
 	cw_listener_set_limits(entry->caller_listener, &limits);
+	feed_set_body_limit(entry->feed, limits.header_bytes + limits.body_bytes);
 }
 
 static void open_gate(struct entry *entry)
@@ -258,7 +260,7 @@
 			 entry->relay_count);
 	entry->was_ready = is_ready;
 	feed_tick(entry->feed, now_ms);
-	reach_probe_silent(entry, now_ms);
+	reach_tick(entry, now_ms);
 	if (entry->tick_count++ % LOG_FLUSH_TICKS == 0)
 		cw_timeline_flush();
 	if (!entry->stop_requested_ms)
@@ -268,7 +270,7 @@
 		cw_listener_close(entry->caller_listener);
 	if (since_stop_ms < entry->settings.stop_grace_ms - STOP_MARGIN_MS &&
 	    (since_stop_ms < STOP_ACCEPT_MS || entry->relay_count > 0 ||
-	     now_ms - entry->last_request_ms < STOP_IDLE_MS))
+	     forwards_count(entry->forwards) > 0 || now_ms - entry->last_request_ms < STOP_IDLE_MS))
 		return;
 	uv_stop(&entry->loop);
 }
@@ -276,6 +278,7 @@
 static void close_all(struct entry *entry)
 {
 	relay_abort_all(entry);
+	forwards_destroy(entry->forwards);
 	peers_destroy(entry->peers);
 	feed_destroy(entry->feed);
 	cw_listener_destroy(entry->caller_listener);
--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -18,6 +18,7 @@
 struct relay;
 struct feed;
 struct peers;
+struct forwards;
 
 struct entry {
 	struct cw_up_settings settings;
@@ -34,6 +35,7 @@
 	struct cw_gate *gate;
 	struct feed *feed;
 	struct peers *peers;
+	struct forwards *forwards;
 	TAILQ_HEAD(, relay) relays;
 	size_t relay_count;
 	int64_t stop_requested_ms; /* 0: no stop requested */
@@ -64,10 +66,26 @@
 void relay_abort_all(struct entry *entry); /* requests that are left when the process ends */
 
 /* entry_reach.c: whether backend servers can be reached */
-void reach_probe_silent(struct entry *entry, int64_t now_ms); /* those with requests */
+void reach_note_contact(struct entry *entry,
+			struct cw_server *server); /* a byte arrived, directly */
+void reach_note_loss(struct entry *entry,
+		     struct cw_server *server); /* a direct connection broke or did not open */
+void reach_note_unanswered(struct entry *entry,
+			   struct cw_server *server); /* the host did not answer */
+void reach_note_forwarded(struct entry *entry, struct cw_server *server,
+			  int is_refusing); /* a peer reached it; see cw_gate_note_forwarded */
+void reach_note_ended(struct entry *entry); /* peers are refused by a lost server, too */
+void reach_tick(struct entry *entry, int64_t now_ms);
 void reach_probe_crashed(struct entry *entry,
 			 struct cw_server *server); /* whether its process has terminated */
 
+/* entry_forward.c: requests of peers that do not reach the server; see also entry_forward.h */
+struct forwards *forwards_create(struct entry *entry);
+void forwards_destroy(struct forwards *forwards);
+uint64_t forwards_key(const struct forwards *forwards); /* that a peer's request must carry */
+size_t forwards_count(const struct forwards *forwards); /* in progress */
+void forwards_fail_unreachable(struct forwards *forwards, const struct cw_server *server);
+
 /* entry_reports.c: what backend servers report about themselves */
 void reports_log(struct entry *entry, const struct cw_server *server,
 		 const struct cw_response_head *head, const struct cw_report_changes *changes);
@@ -78,6 +96,7 @@
 /* entry_feed.c: state read from the shared store */
 struct feed *feed_create(struct entry *entry, struct cw_error *error); /* NULL: see error */
 void feed_destroy(struct feed *feed);
+void feed_set_body_limit(struct feed *feed, size_t bytes); /* of a request that a peer sends */
 int feed_is_complete(const struct feed *feed); /* configuration and server list were read once */
 void feed_tick(struct feed *feed, int64_t now_ms);
 int64_t feed_expiry_grace_until_ms(const struct feed *feed); /* unlisted servers are kept so long */
@@ -95,6 +114,10 @@
 size_t peers_count(const struct peers *peers); /* other instances that are known */
 int peers_is_stable(const struct peers *peers,
 		    int64_t now_ms); /* 0: no peer known yet, or many joined just now */
+struct cw_member *peers_choose_forwarder(struct peers *peers, const uint64_t *tried,
+					 size_t tried_count); /* NULL: none */
+void peers_end_forward(struct peers *peers, const char *instance,
+		       int is_avoided); /* is_avoided: it gets no request for a while */
 size_t peers_rank(const struct peers *peers, uint64_t key,
 		  int64_t now_ms); /* 0: this instance is the first to act on the key */
 
--- a/apps/corianderwalk/entry_feed.c
+++ b/apps/corianderwalk/entry_feed.c
@@ -32,6 +32,11 @@
 	return feed;
 }
 
+void feed_set_body_limit(struct feed *feed, size_t bytes)
+{
+	share_set_body_limit(feed->share, bytes);
+}
+
 static void schedule_first_reads(struct feed *feed)
 {
 	const struct cw_up_settings *settings = &feed->entry->settings;
--- a/apps/corianderwalk/entry_peers.c
+++ b/apps/corianderwalk/entry_peers.c
@@ -1,6 +1,7 @@
 #include "entry.h"
 #include "cw_audience.h"
 #include "cw_counters.h"
+#include "cw_forwarder.h"
 #include "cw_hash.h"
 #include "cw_membership.h"
 #include "cw_timeline.h"
@@ -14,9 +15,10 @@
 #define STABLE_MS		500  /* ranks are valid after so long without many new peers */
 #define ISOLATED_MS		3000 /* without peers by then, an instance is alone or partitioned */
 #define SEED_INTERVAL_ROUNDS	8 /* between messages to the seeds, of which some may never answer */
-#define FIRST_ROUND_MS		10  /* after the start; a peer's state arrives within 20 ms */
-#define REPLIES_PER_ROUND	8   /* to instances that have no state yet */
-#define INTRODUCTIONS_PER_ROUND 400 /* to instances that are new here: 0.3 kB each */
+#define FIRST_ROUND_MS		10   /* after the start; a peer's state arrives within 20 ms */
+#define FORWARD_AVOIDED_MS	1000 /* a peer that did not forward: it may be partitioned too */
+#define REPLIES_PER_ROUND	8    /* to instances that have no state yet */
+#define INTRODUCTIONS_PER_ROUND 400  /* to instances that are new here: 0.3 kB each */
 #define RECEIVE_BUFFER_BYTES	(20 * 1024) /* larger than any message */
 
 struct peer_loads {
@@ -131,6 +133,37 @@
 	return cw_membership_rank(peers->membership, key, now_ms);
 }
 
+struct cw_member *peers_choose_forwarder(struct peers *peers, const uint64_t *tried,
+					 size_t tried_count)
+{
+	struct cw_forwarder_choice choice = {
+		.failure_domain = peers->entry->settings.failure_domain,
+		.tried = tried,
+		.tried_count = tried_count,
+		.now_ms = entry_now_ms(peers->entry),
+	};
+	struct cw_member *member;
+
+	cw_random_bytes(&choice.random, sizeof(choice.random));
+	member = cw_forwarder_choose(peers->membership, &choice);
+	if (member)
+		member->forwards++;
+	return member;
+}
+
+/* The membership may have dropped the peer meanwhile, or counts for a new start of it. */
+void peers_end_forward(struct peers *peers, const char *instance, int is_avoided)
+{
+	struct cw_member *member = cw_membership_find(peers->membership, instance);
+
+	if (!member)
+		return;
+	if (member->forwards > 0)
+		member->forwards--;
+	if (is_avoided)
+		member->avoided_until_ms = entry_now_ms(peers->entry) + FORWARD_AVOIDED_MS;
+}
+
 void peers_announce(struct peers *peers)
 {
 	const struct cw_up_settings *settings = &peers->entry->settings;
@@ -273,6 +306,9 @@
 	g_strlcpy(gossip->sender.address, entry->settings.peers_listen, CW_ADDRESS_MAX);
 	gossip->boot = peers->boot_id;
 	gossip->is_leaving = entry->stop_requested_ms != 0;
+	gossip->forward_key = forwards_key(entry->forwards);
+	gossip->is_partitioned =
+		cw_partition_is_cut_off(cw_gate_partition(entry->gate), entry_now_ms(entry));
 }
 
 static void fill_announcement(struct peers *peers, struct cw_gossip *gossip)
--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -1,11 +1,13 @@
-#include "entry.h"
 #include "cw_counters.h"
 #include "cw_events.h"
+#include "cw_forwarder.h"
+#include "entry_forward.h"
 #include "cw_timeline.h"
 
 #include <string.h>
 
 #define SYNC_WAIT_MS	  700 /* for configuration and server list: reading them takes 10 to 300 ms */
+#define PEER_CONNECT_MS	  100		    /* to the peer that is to forward a request */
 #define BUFFERED_BODY_MAX (4 * 1024 * 1024) /* of a response that is not streamed */
 
 struct relay {
@@ -16,6 +18,13 @@
 	struct cw_request_info request_info;
 	struct cw_call *call;
 	struct cw_exchange *exchange;
+	struct cw_step step;			   /* the current attempt */
+	char peer[CW_NAME_MAX];			   /* that forwards it now; empty: none */
+	uint64_t peers_tried[CW_FORWARDERS_TRIED]; /* cw_member.id */
+	size_t peers_tried_count;
+	size_t peers_refused;		/* of these, by the server */
+	int is_peer_head_seen;		/* of the server's answer, through the peer */
+	enum cw_attempt_failure unsent; /* why the attempt was not sent directly, or by peers */
 	uv_timer_t deadline_timer;
 	struct cw_events *event_parser;
 	GString *response_fields; /* header fields of the response */
@@ -42,6 +51,17 @@
 static void open_call(struct relay *relay);
 static void apply_step(struct relay *relay, const struct cw_step *step);
 static void send_attempt(struct relay *relay, const struct cw_step *step);
+static void send_on_path(struct relay *relay);
+static void send_directly(struct relay *relay);
+static int send_by_peer(struct relay *relay);
+static GString *format_attempt(const struct relay *relay);
+static void log_dispatch(const struct relay *relay);
+static int read_peer_head(struct relay *relay, const struct cw_message *answer);
+static void handle_peer_failure(struct relay *relay, enum cw_flow_failure failure);
+static void try_next_peer(struct relay *relay, const char *why);
+static void handle_direct_failure(struct relay *relay, enum cw_flow_failure failure);
+static void report_failure(struct relay *relay, enum cw_attempt_failure failure);
+static void end_forward(struct relay *relay, int is_peer_avoided);
 static void record_data_received(struct relay *relay);
 static void cancel_exchange(struct relay *relay);
 static void reject(struct relay *relay, const struct cw_step *step);
@@ -55,7 +75,7 @@
 static const char *const failure_names[] = {
 	[CW_ATTEMPT_NO_CONNECTION] = "unsent",	 [CW_ATTEMPT_CONNECTION_REFUSED] = "refused",
 	[CW_ATTEMPT_CONNECTION_LOST] = "broken", [CW_ATTEMPT_MALFORMED] = "garbled",
-	[CW_ATTEMPT_TIMED_OUT] = "silent",
+	[CW_ATTEMPT_TIMED_OUT] = "silent",	 [CW_ATTEMPT_PEER_LOST] = "peer_lost",
 };
 
 void relay_start(struct entry *entry, struct cw_caller *caller, struct cw_message *request)
@@ -177,7 +197,7 @@
 	while (relay) {
 		struct relay *next = TAILQ_NEXT(relay, link);
 
-		if (relay->exchange && cw_call_server(relay->call) == server &&
+		if (relay->exchange && !*relay->peer && cw_call_server(relay->call) == server &&
 		    cw_call_may_change_server(relay->call)) {
 			cancel_exchange(relay);
 			on_failed(relay, CW_FLOW_TIMED_OUT);
@@ -237,15 +257,45 @@
 
 static void send_attempt(struct relay *relay, const struct cw_step *step)
 {
-	static const char *const variant_names[] = {
-		[CW_ROLLOUT_VARIANT_ANY] = "any",
-		[CW_ROLLOUT_VARIANT_OLD] = "old",
-		[CW_ROLLOUT_VARIANT_NEW] = "new",
-	};
-	GString *bytes = g_string_sized_new(relay->request->body->len + 512);
+	cancel_exchange(relay);
+	relay->step = *step;
+	relay->sent_ms = entry_now_ms(relay->entry);
+	relay->peers_tried_count = 0;
+	relay->peers_refused = 0;
+	relay->unsent = CW_ATTEMPT_NO_CONNECTION;
+	if (relay->event_parser)
+		cw_events_clear(relay->event_parser);
+	g_string_truncate(relay->response_body, 0);
+	cw_counter_add("attempts", "", 1);
+	log_dispatch(relay);
+	send_on_path(relay);
+}
+
+/*
+ * An unreachable server is chosen only if no other one can be used. A peer may reach it; without
+ * such a peer the attempt fails at once, as the next probe finds out sooner than this request
+ * would.
+ */
+static void send_on_path(struct relay *relay)
+{
+	const struct cw_server *server = relay->step.server;
+	int is_direct = !server->is_unreachable && server->path == CW_PATH_DIRECT;
+
+	if (server->path == CW_PATH_KEPT && !server->is_unreachable)
+		is_direct = cw_client_has_idle(relay->entry->server_client, server->address,
+					       relay->step.reuse_idle_ms);
+	if (is_direct)
+		send_directly(relay);
+	else if (!send_by_peer(relay))
+		report_failure(relay, relay->unsent);
+}
+
+static void send_directly(struct relay *relay)
+{
+	const struct cw_step *step = &relay->step;
 	struct cw_exchange_request request = {
 		.address = step->server->address,
-		.bytes = bytes,
+		.bytes = format_attempt(relay),
 		.is_head = relay->request_info.is_head,
 		.reuse_idle_ms = step->reuse_idle_ms,
 		.connect_ms = step->connect_ms,
@@ -254,10 +304,75 @@
 		.echo_value = relay->request_info.id,
 	};
 
-	cancel_exchange(relay);
-	relay->sent_ms = entry_now_ms(relay->entry);
-	cw_up_format_request(relay->request, &step->dispatch, step->server->address, bytes);
-	cw_counter_add("attempts", "", 1);
+	relay->exchange =
+		cw_client_send(relay->entry->server_client, &request, &exchange_ops, relay);
+}
+
+/* 0: there is no peer left to ask, or no time. */
+static int send_by_peer(struct relay *relay)
+{
+	const struct cw_step *step = &relay->step;
+	struct entry *entry = relay->entry;
+	struct cw_exchange_request request = {
+		.reuse_idle_ms = step->reuse_idle_ms,
+		.connect_ms = PEER_CONNECT_MS,
+		.read_timeout_ms = step->read_timeout_ms,
+		.echo_name = cw_up_echoed_field_name(),
+		.echo_value = relay->request_info.id,
+	};
+	struct forward_request forward = {
+		.server = step->server->id,
+		.id = relay->request_info.id,
+		.instance = entry->settings.instance,
+		.reuse_idle_ms = step->reuse_idle_ms,
+	};
+	struct cw_member *peer;
+	GString *bytes;
+
+	if (relay->peers_tried_count == CW_FORWARDERS_TRIED ||
+	    entry_now_ms(entry) >= cw_call_deadline_ms(relay->call))
+		return 0;
+	peer = peers_choose_forwarder(entry->peers, relay->peers_tried, relay->peers_tried_count);
+	if (!peer)
+		return 0;
+	relay->peers_tried[relay->peers_tried_count++] = peer->id;
+	relay->is_peer_head_seen = 0;
+	g_strlcpy(relay->peer, peer->instance, sizeof(relay->peer));
+	forward.peer_address = request.address = peer->address;
+	forward.key = peer->forward_key;
+	bytes = format_attempt(relay);
+	request.bytes = forward_format_request(&forward, bytes);
+	g_string_free(bytes, TRUE);
+	cw_call_set_via_peer(relay->call);
+	cw_counter_add("forwards_asked", "", 1);
+	cw_event("gate", "forward", "request=%s peer=%s domain=%s server=%s asked=%zu",
+		 relay->request_info.id, peer->instance, peer->failure_domain, step->server->name,
+		 relay->peers_tried_count);
+	relay->exchange = cw_client_send(entry->server_client, &request, &exchange_ops, relay);
+	return 1;
+}
+
+/* The request to the server; what other paths have taken of its time is gone. */
+static GString *format_attempt(const struct relay *relay)
+{
+	GString *bytes = g_string_sized_new(relay->request->body->len + 512);
+	struct cw_dispatch dispatch = relay->step.dispatch;
+
+	dispatch.allowed_ms =
+		MAX(dispatch.allowed_ms - (entry_now_ms(relay->entry) - relay->sent_ms), 1);
+	cw_up_format_request(relay->request, &dispatch, relay->step.server->address, bytes);
+	return bytes;
+}
+
+static void log_dispatch(const struct relay *relay)
+{
+	static const char *const variant_names[] = {
+		[CW_ROLLOUT_VARIANT_ANY] = "any",
+		[CW_ROLLOUT_VARIANT_OLD] = "old",
+		[CW_ROLLOUT_VARIANT_NEW] = "new",
+	};
+	const struct cw_step *step = &relay->step;
+
 	cw_event("gate", "dispatch",
 		 "request=%s attempt=%u server=%s address=%s software=%s route=%s model=%s "
 		 "allowed_ms=%ld "
@@ -273,11 +388,6 @@
 		 *relay->request_info.session ? relay->request_info.session : "-",
 		 variant_names[step->assignment.variant], step->assignment.share,
 		 step->assignment.point, (unsigned long)cw_call_fingerprint(relay->call));
-	if (relay->event_parser)
-		cw_events_clear(relay->event_parser);
-	g_string_truncate(relay->response_body, 0);
-	relay->exchange =
-		cw_client_send(relay->entry->server_client, &request, &exchange_ops, relay);
 }
 
 static void on_head(void *context, const struct cw_message *answer)
@@ -289,8 +399,13 @@
 	const struct cw_server *server = cw_call_server(relay->call);
 	int64_t now_ms = entry_now_ms(relay->entry);
 
+	if (*relay->peer && !read_peer_head(relay, answer))
+		return;
 	record_data_received(relay);
 	cw_up_parse_answer_head(answer, &head);
+	if (*relay->peer && !head.is_other_server)
+		reach_note_forwarded(relay->entry, cw_call_server(relay->call),
+				     relay->unsent == CW_ATTEMPT_CONNECTION_REFUSED);
 	cw_call_handle_head(relay->call, &head, now_ms, &step);
 	reports_log(relay->entry, server, &head, cw_call_report_changes(relay->call));
 	log_head(relay, &head, &step, predicted_ms, now_ms - relay->sent_ms);
@@ -387,6 +502,7 @@
 	struct cw_step step;
 
 	relay->exchange = NULL;
+	end_forward(relay, 0);
 	if (relay->is_stream && cw_events_count_pending_bytes(relay->event_parser) > 0) {
 		cw_call_handle_failure(relay->call, CW_ATTEMPT_CONNECTION_LOST, now_ms, &step);
 		apply_step(relay, &step);
@@ -409,6 +525,19 @@
 }
 
 static void on_failed(void *context, enum cw_flow_failure failure)
+{
+	struct relay *relay = context;
+
+	relay->exchange = NULL;
+	if (*relay->peer)
+		handle_peer_failure(relay, failure);
+	else
+		handle_direct_failure(relay, failure);
+}
+
+/* A request of which no byte was sent goes to the same server through a peer, as part of the same
+ * attempt. */
+static void handle_direct_failure(struct relay *relay, enum cw_flow_failure failure)
 {
 	static const enum cw_attempt_failure attempt_failures[] = {
 		[CW_FLOW_NO_CONNECTION] = CW_ATTEMPT_NO_CONNECTION,
@@ -417,25 +546,120 @@
 		[CW_FLOW_MALFORMED] = CW_ATTEMPT_MALFORMED,
 		[CW_FLOW_TIMED_OUT] = CW_ATTEMPT_TIMED_OUT,
 	};
-	struct relay *relay = context;
 	struct cw_server *server = cw_call_server(relay->call);
-	struct cw_step step;
 
-	relay->exchange = NULL;
-	if (failure == CW_FLOW_CONNECTION_LOST && server)
+	relay->unsent = attempt_failures[failure];
+	switch (failure) {
+	case CW_FLOW_NO_CONNECTION:
+		reach_note_unanswered(relay->entry, server);
+		if (send_by_peer(relay))
+			return;
+		break;
+	case CW_FLOW_CONNECTION_REFUSED:
+		reach_note_loss(relay->entry, server);
+		if (send_by_peer(relay))
+			return;
+		break;
+	case CW_FLOW_CONNECTION_LOST:
+		reach_note_loss(relay->entry, server);
 		reach_probe_crashed(relay->entry, server);
+		break;
+	case CW_FLOW_MALFORMED:
+	case CW_FLOW_TIMED_OUT:
+		break;
+	}
+	report_failure(relay, attempt_failures[failure]);
+}
+
+static void handle_peer_failure(struct relay *relay, enum cw_flow_failure failure)
+{
+	switch (failure) {
+	case CW_FLOW_NO_CONNECTION:
+	case CW_FLOW_CONNECTION_REFUSED:
+		try_next_peer(relay, "peer_unreachable");
+		return;
+	case CW_FLOW_TIMED_OUT:
+		end_forward(relay, 0);
+		report_failure(relay, CW_ATTEMPT_TIMED_OUT);
+		return;
+	case CW_FLOW_CONNECTION_LOST:
+	case CW_FLOW_MALFORMED:
+		/* After the head the server may have broken off, which the peer passes on. */
+		end_forward(relay, !relay->is_peer_head_seen);
+		report_failure(relay, CW_ATTEMPT_PEER_LOST);
+		return;
+	}
+}
+
+/* 0: the head is none of the server, and what follows from it is done. */
+static int read_peer_head(struct relay *relay, const struct cw_message *answer)
+{
+	struct cw_server *server = cw_call_server(relay->call);
+	enum cw_forward_result result = forward_read_head(answer, server->id);
+
+	switch (result) {
+	case CW_FORWARD_ANSWERED:
+		relay->is_peer_head_seen = 1;
+		return 1;
+	case CW_FORWARD_REFUSED:
+		relay->unsent = CW_ATTEMPT_CONNECTION_REFUSED;
+		relay->peers_refused++;
+		try_next_peer(relay, forward_result_name(result));
+		return 0;
+	case CW_FORWARD_DECLINED:
+	case CW_FORWARD_UNSENT:
+		try_next_peer(relay, forward_result_name(result));
+		return 0;
+	case CW_FORWARD_BROKEN:
+	case CW_FORWARD_MALFORMED:
+	case CW_FORWARD_SILENT:
+		break;
+	}
+	cancel_exchange(relay);
+	report_failure(relay, result == CW_FORWARD_BROKEN      ? CW_ATTEMPT_CONNECTION_LOST
+			      : result == CW_FORWARD_MALFORMED ? CW_ATTEMPT_MALFORMED
+							       : CW_ATTEMPT_PEER_LOST);
+	return 0;
+}
+
+/* The peer has not sent the request. */
+static void try_next_peer(struct relay *relay, const char *why)
+{
+	cw_event("gate", "forward_failed", "request=%s peer=%s why=%s", relay->request_info.id,
+		 relay->peer, why);
+	cw_counter_add("forwards_failed", "", 1);
+	end_forward(relay, 1);
+	cancel_exchange(relay);
+	if (send_by_peer(relay))
+		return;
+	if (relay->peers_refused == relay->peers_tried_count)
+		reach_note_ended(relay->entry);
+	report_failure(relay, relay->unsent);
+}
+
+static void report_failure(struct relay *relay, enum cw_attempt_failure failure)
+{
+	const struct cw_server *server = cw_call_server(relay->call);
+	struct cw_step step;
+
 	cw_event("gate", "attempt_failed",
 		 "request=%s server=%s how=%s shown_ms=%ld sent_ms_ago=%ld fingerprint=%016lx",
-		 relay->request_info.id, server ? server->name : "-",
-		 failure_names[attempt_failures[failure]],
+		 relay->request_info.id, server ? server->name : "-", failure_names[failure],
 		 relay->first_byte_ms < 0 ? -1L : (long)(relay->first_byte_ms - relay->opened_ms),
 		 (long)(entry_now_ms(relay->entry) - relay->sent_ms),
 		 (unsigned long)cw_call_fingerprint(relay->call));
-	cw_call_handle_failure(relay->call, attempt_failures[failure], entry_now_ms(relay->entry),
-			       &step);
+	cw_call_handle_failure(relay->call, failure, entry_now_ms(relay->entry), &step);
 	apply_step(relay, &step);
 }
 
+static void end_forward(struct relay *relay, int is_peer_avoided)
+{
+	if (!*relay->peer)
+		return;
+	peers_end_forward(relay->entry->peers, relay->peer, is_peer_avoided);
+	*relay->peer = '\0';
+}
+
 static void on_deadline(uv_timer_t *timer)
 {
 	struct relay *relay = timer->data;
@@ -456,7 +680,8 @@
 
 	if (!server)
 		return;
-	cw_pool_mark_seen(server, entry_now_ms(relay->entry));
+	if (!*relay->peer)
+		reach_note_contact(relay->entry, server);
 	cw_quarantine_note_received(cw_gate_quarantine(relay->entry->gate), server->id,
 				    relay->sent_ms, entry_now_ms(relay->entry));
 }
@@ -466,6 +691,7 @@
 	if (relay->exchange)
 		cw_exchange_cancel(relay->exchange);
 	relay->exchange = NULL;
+	end_forward(relay, 0);
 }
 
 static void send_head(struct relay *relay, int64_t length)
--- a/apps/corianderwalk/entry_share.c
+++ b/apps/corianderwalk/entry_share.c
@@ -8,6 +8,7 @@
 #include "cw_timeline.h"
 #include "cw_uplink.h"
 #include "entry_feed.h"
+#include "entry_forward.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -27,6 +28,9 @@
 #define DECLINED_WAIT_MS    1000 /* after a peer that has the state was too busy to send it */
 #define FAILURES_MAX	    2	 /* in a row, before the store is asked */
 #define MISSES_MAX	    3 /* peers in a row without the records, before the list is fetched */
+#define PEER_HEADER_BYTES   (16 * 1024) /* also what is added to a forwarded request */
+#define PEER_REQUEST_MS	    5000	/* to read a peer's request */
+#define PEER_IDLE_MS	    60000
 #define CONFIG_BYTES_MAX    (16 * 1024 * 1024) /* uncompressed */
 
 /* One kind of state that is fetched, from one peer at a time. */
@@ -67,7 +71,6 @@
 };
 
 static void on_request(void *context, struct cw_caller *caller, struct cw_message *request);
-static void ignore_event(void *request);
 static void send_config(struct share *share, struct cw_caller *caller);
 static int is_listed(const struct cw_server *server);
 static void send_list(struct share *share, struct cw_caller *caller);
@@ -87,7 +90,9 @@
 static void apply_list(struct feed *feed, const struct cw_gossip_list *list,
 		       struct cw_position next);
 
-static const struct cw_listener_ops listener_ops = {on_request, ignore_event, ignore_event, NULL};
+/* Only forwarded requests take longer than their reading. */
+static const struct cw_listener_ops listener_ops = {on_request, forward_handle_disconnect,
+						    forward_resume, NULL};
 static const struct cw_exchange_ops exchange_ops = {on_head, on_data, on_end, on_failed};
 
 struct share *share_create(struct feed *feed, struct cw_error *error)
@@ -122,6 +127,18 @@
 	g_free(share);
 }
 
+void share_set_body_limit(struct share *share, size_t bytes)
+{
+	struct cw_flow_limits limits = {
+		.header_bytes = PEER_HEADER_BYTES,
+		.body_bytes = bytes + PEER_HEADER_BYTES,
+		.header_ms = PEER_REQUEST_MS,
+		.idle_ms = PEER_IDLE_MS,
+	};
+
+	cw_listener_set_limits(share->listener, &limits);
+}
+
 void share_fetch_config(struct share *share, const char *peer)
 {
 	start_fetch(&share->config, peer);
@@ -153,7 +170,9 @@
 	const char *target = request->target->str;
 	int has_list = share->feed->servers.is_complete;
 
-	if (!strcmp(target, PATH_CONFIG) && share->feed->config_compressed)
+	if (forward_is_request(request))
+		forward_start(share->feed->entry->forwards, caller, request);
+	else if (!strcmp(target, PATH_CONFIG) && share->feed->config_compressed)
 		send_config(share, caller);
 	else if (!strcmp(target, PATH_LIST) && has_list)
 		send_list(share, caller);
@@ -163,10 +182,6 @@
 		decline(caller, HTTP_STATUS_NOT_FOUND);
 }
 
-static void ignore_event(void *request)
-{
-}
-
 static void send_config(struct share *share, struct cw_caller *caller)
 {
 	const struct feed *feed = share->feed;
--- a/packages/flow/include/cw_flow.h
+++ b/packages/flow/include/cw_flow.h
@@ -51,7 +51,8 @@
 			   void *request); /* passed to disconnected and writable */
 int cw_caller_is_listener_closed(const struct cw_caller *caller); /* cw_listener_close was called */
 void cw_caller_send_head(struct cw_caller *caller, unsigned int status, const char *fields,
-			 int64_t length); /* fields: header lines, each ended by CR LF */
+			 int64_t length);	/* fields: header lines, each ended by CR LF */
+void cw_caller_flush(struct cw_caller *caller); /* sends the head before the body begins */
 int cw_caller_send_body(struct cw_caller *caller, const char *data,
 			size_t size); /* 1: over the high watermark, pause the source */
 void cw_caller_end_answer(struct cw_caller *caller); /* the answer is complete */
@@ -70,6 +71,12 @@
 	CW_FLOW_TIMED_OUT,	    /* no byte was received within the read timeout */
 };
 
+enum cw_probe_result {
+	CW_PROBE_SILENT,  /* the host did not answer */
+	CW_PROBE_REFUSED, /* the host refused the connection */
+	CW_PROBE_OPENED,
+};
+
 const char *cw_flow_failure_name(enum cw_flow_failure failure);
 
 struct cw_exchange_ops {
@@ -104,8 +111,11 @@
 void cw_exchange_pause(struct cw_exchange *exchange, int paused);
 void cw_exchange_set_read_timeout(struct cw_exchange *exchange, int64_t read_timeout_ms);
 void cw_client_probe(struct cw_client *client, const char *address, int64_t connect_ms,
-		     void (*report)(void *context, const char *address, int is_reachable),
+		     void (*report)(void *context, const char *address,
+				    enum cw_probe_result result),
 		     void *context); /* an opened connection is kept for requests */
+int cw_client_has_idle(struct cw_client *client, const char *address,
+		       int64_t reuse_idle_ms); /* a request would reuse a connection */
 void cw_client_close_idle(struct cw_client *client,
 			  const char *address);			 /* closes idle connections */
 uint64_t cw_client_count_opened(const struct cw_client *client); /* connections since creation */
--- a/packages/flow/src/client.c
+++ b/packages/flow/src/client.c
@@ -13,6 +13,8 @@
 static void free_address(gpointer data);
 static struct connection *take_idle_connection(struct address *address, uint64_t now_ms,
 					       int64_t reuse_ms);
+static struct connection *find_idle_connection(struct address *address, uint64_t now_ms,
+					       int64_t reuse_ms);
 static int has_no_input(struct connection *connection);
 static int was_reset(struct connection *connection);
 static void start_write(struct connection *connection);
@@ -149,6 +151,13 @@
 	restart_timer(exchange);
 }
 
+int cw_client_has_idle(struct cw_client *client, const char *text, int64_t reuse_idle_ms)
+{
+	struct address *address = g_hash_table_lookup(client->addresses, text);
+
+	return address && find_idle_connection(address, uv_now(client->loop), reuse_idle_ms);
+}
+
 void cw_client_close_idle(struct cw_client *client, const char *text)
 {
 	struct address *address = g_hash_table_lookup(client->addresses, text);
@@ -204,9 +213,22 @@
 	return address;
 }
 
-/* Takes the most recently used connection, so that surplus connections reach their idle timeout. */
 static struct connection *take_idle_connection(struct address *address, uint64_t now_ms,
 					       int64_t reuse_ms)
+{
+	struct connection *connection = find_idle_connection(address, now_ms, reuse_ms);
+
+	if (!connection)
+		return NULL;
+	TAILQ_REMOVE(&address->idle, connection, link);
+	address->idle_count--;
+	connection->idle_since_ms = 0;
+	return connection;
+}
+
+/* The most recently used connection, so that surplus connections reach their idle timeout. */
+static struct connection *find_idle_connection(struct address *address, uint64_t now_ms,
+					       int64_t reuse_ms)
 {
 	struct connection *connection;
 
@@ -219,9 +241,6 @@
 			flow_close_connection(connection);
 			continue;
 		}
-		TAILQ_REMOVE(&address->idle, connection, link);
-		address->idle_count--;
-		connection->idle_since_ms = 0;
 		return connection;
 	}
 	return NULL;
@@ -297,7 +316,8 @@
 		int has_host_answered = status == UV_ECONNREFUSED || status == UV_ECONNRESET;
 
 		if (connection->probe)
-			flow_probe_report(connection->probe, has_host_answered);
+			flow_probe_report(connection->probe,
+					  has_host_answered ? CW_PROBE_REFUSED : CW_PROBE_SILENT);
 		else
 			fail_exchange(connection->exchange, has_host_answered
 								    ? CW_FLOW_CONNECTION_REFUSED
@@ -308,7 +328,7 @@
 	flow_tune_socket(&connection->tcp);
 	uv_read_start((uv_stream_t *)&connection->tcp, flow_provide_buffer, on_read);
 	if (connection->probe)
-		flow_probe_report(connection->probe, 1);
+		flow_probe_report(connection->probe, CW_PROBE_OPENED);
 	else
 		start_write(connection);
 }
--- a/packages/flow/src/client_internal.h
+++ b/packages/flow/src/client_internal.h
@@ -58,7 +58,7 @@
 	TAILQ_ENTRY(probe) link;
 	struct connection *connection;
 	uv_timer_t timer;
-	void (*report)(void *context, const char *address, int is_reachable);
+	void (*report)(void *context, const char *address, enum cw_probe_result result);
 	void *context;
 	int had_final_iteration;
 };
@@ -78,7 +78,7 @@
 void flow_keep_idle(struct connection *connection); /* adds it to the idle connections */
 int flow_start_final_iteration(uv_timer_t *timer, uv_timer_cb callback,
 			       int *had_final_iteration); /* 0: the final iteration has passed */
-void flow_probe_report(struct probe *probe, int is_reachable);
+void flow_probe_report(struct probe *probe, enum cw_probe_result result);
 void flow_probe_destroy(struct probe *probe);
 
 #endif
--- a/packages/flow/src/listener.c
+++ b/packages/flow/src/listener.c
@@ -206,6 +206,12 @@
 	g_string_append(caller->out, caller->keep_alive ? "\r\n" : "Connection: close\r\n\r\n");
 }
 
+void cw_caller_flush(struct cw_caller *caller)
+{
+	if (caller->state == CALLER_ANSWERING)
+		flush_output(caller);
+}
+
 int cw_caller_send_body(struct cw_caller *caller, const char *data, size_t size)
 {
 	if (caller->state != CALLER_ANSWERING || size == 0)
--- a/packages/flow/src/probe.c
+++ b/packages/flow/src/probe.c
@@ -5,7 +5,8 @@
 static void on_probe_closed(uv_handle_t *handle);
 
 void cw_client_probe(struct cw_client *client, const char *text, int64_t connect_ms,
-		     void (*report)(void *context, const char *address, int is_reachable),
+		     void (*report)(void *context, const char *address,
+				    enum cw_probe_result result),
 		     void *context)
 {
 	struct probe *probe = g_new0(struct probe, 1);
@@ -22,7 +23,7 @@
 	uv_timer_start(&probe->timer, on_probe_timer, (uint64_t)connect_ms, 0);
 }
 
-void flow_probe_report(struct probe *probe, int is_reachable)
+void flow_probe_report(struct probe *probe, enum cw_probe_result result)
 {
 	struct connection *connection = probe->connection;
 
@@ -33,7 +34,7 @@
 	} else {
 		flow_close_connection(connection);
 	}
-	probe->report(probe->context, connection->address->text, is_reachable);
+	probe->report(probe->context, connection->address->text, result);
 	flow_probe_destroy(probe);
 }
 
@@ -48,7 +49,7 @@
 	struct probe *probe = timer->data;
 
 	if (!flow_start_final_iteration(timer, on_probe_timer, &probe->had_final_iteration))
-		flow_probe_report(probe, 0);
+		flow_probe_report(probe, CW_PROBE_SILENT);
 }
 
 static void on_probe_closed(uv_handle_t *handle)
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -12,6 +12,7 @@
 
 #include "cw_facts.h"
 #include "cw_limits.h"
+#include "cw_partition.h"
 #include "cw_policy.h"
 #include "cw_pool.h"
 #include "cw_quarantine.h"
@@ -61,6 +62,7 @@
 	CW_ATTEMPT_CONNECTION_LOST,    /* connection lost after the request was sent */
 	CW_ATTEMPT_MALFORMED,	       /* malformed, unsigned or encoded response */
 	CW_ATTEMPT_TIMED_OUT,	       /* idle timeout */
+	CW_ATTEMPT_PEER_LOST, /* lost by the peer that forwarded it: no fault of the server */
 };
 
 struct cw_gate_options {
@@ -90,6 +92,22 @@
 struct cw_rollouts *cw_gate_rollouts(struct cw_gate *gate);
 struct cw_quarantine *cw_gate_quarantine(struct cw_gate *gate);
 
+/*
+ * Whether this instance is partitioned from the backend servers. Each of the first four returns 1
+ * if that changed.
+ */
+int cw_gate_note_contact(struct cw_gate *gate,
+			 int64_t now_ms); /* a byte or a new connection, directly */
+int cw_gate_note_loss(struct cw_gate *gate, const struct cw_server *server,
+		      int64_t now_ms); /* a direct connection broke or did not open */
+int cw_gate_note_forwarded(struct cw_gate *gate, struct cw_server *server, int is_refusing,
+			   int64_t now_ms); /* a peer reached the server; is_refusing: this instance
+					       is refused new connections */
+int cw_gate_note_ended(struct cw_gate *gate,
+		       int64_t now_ms); /* peers are refused by a server that was lost, too */
+void cw_gate_settle_breaks(struct cw_gate *gate, int64_t now_ms); /* call a few times a second */
+const struct cw_partition *cw_gate_partition(const struct cw_gate *gate);
+
 struct cw_call *cw_call_open(struct cw_gate *gate, const struct cw_request_info *info,
 			     int64_t arrived_ms, /* start of the request's time limits */
 			     int64_t now_ms, struct cw_step *step);
@@ -97,6 +115,7 @@
 		    struct cw_step *step); /* only right after cw_call_open: not run, retry later */
 void cw_call_handle_head(struct cw_call *call, const struct cw_response_head *answer,
 			 int64_t now_ms, struct cw_step *step);
+void cw_call_set_via_peer(struct cw_call *call); /* a peer sends the attempt in progress */
 int cw_call_wants_event(const struct cw_call *call,
 			int64_t event); /* 0: the caller already has the event */
 void cw_call_add_event(struct cw_call *call, int64_t event,
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -138,6 +138,11 @@
 					: idle_timeout_ms(call, now_ms);
 }
 
+void cw_call_set_via_peer(struct cw_call *call)
+{
+	call->is_via_peer = 1;
+}
+
 int cw_call_wants_event(const struct cw_call *call, int64_t event)
 {
 	return event < 0 || event > call->last_event;
@@ -159,7 +164,9 @@
 		if (how == CW_ATTEMPT_NO_CONNECTION)
 			cw_pool_mark_unreachable(call->server);
 		cw_pool_record_refusal(call->server, now_ms, gate_random(call->gate));
-		cw_quarantine_note_unreachable(call->gate->quarantine, call->server->id, now_ms);
+		if (call->gate->partition.state != CW_PARTITION_CONFIRMED)
+			cw_quarantine_note_unreachable(call->gate->quarantine, call->server->id,
+						       now_ms);
 		release_server(call, now_ms, 0);
 		call->attempts--;
 		if (++call->connect_failures < CONNECT_FAILURES_MAX &&
@@ -178,7 +185,8 @@
 		call_record_crash(call, now_ms);
 	else
 		call_record_incomplete(call, call->server, now_ms);
-	record_failure(call, now_ms);
+	if (how != CW_ATTEMPT_PEER_LOST)
+		record_failure(call, now_ms);
 	release_server(call, now_ms, 0);
 	retry_or_fail(call, now_ms, step, "the backend server's answer was not whole");
 }
@@ -378,6 +386,7 @@
 	step->assignment = call->assignment;
 	call->is_resumed |= call->has_forwarded;
 	call->server = server;
+	call->is_via_peer = 0;
 	g_strlcpy(call->software, server->software, sizeof(call->software));
 	call->sent_ms = now_ms;
 	gate_count_sent(call->gate, call->service_name, now_ms);
@@ -496,7 +505,9 @@
 static void record_failure(struct cw_call *call, int64_t now_ms)
 {
 	/* A network partition or a restart of the server is no evidence against the version. */
-	if (!call->server->is_unreachable && !call->server->is_superseded &&
+	int is_own_link = !call->is_via_peer && gate_holds_breaks(call->gate, now_ms);
+
+	if (!call->server->is_unreachable && !call->server->is_superseded && !is_own_link &&
 	    cw_pool_record_crash(call->server, now_ms) &&
 	    !cw_quarantine_explains_crash(call->gate->quarantine, call->server->id, now_ms))
 		call_work_record_failure(call, now_ms);
--- a/packages/gate/src/call_held.c
+++ b/packages/gate/src/call_held.c
@@ -59,8 +59,13 @@
 	if (cw_pool_is_leaving(server) || server->is_removed || server->is_unreachable ||
 	    cw_rollouts_is_retired(call->gate->rollouts, call->service_name, server->software))
 		return;
-	cw_quarantine_note_break(call->gate->quarantine, &request, server->id,
-				 call_run_time_ms(call, now_ms), call->is_head_seen, now_ms);
+	if (!call->is_via_peer && gate_holds_breaks(call->gate, now_ms))
+		gate_hold_break(call->gate, &request, server->id, call_run_time_ms(call, now_ms),
+				call->is_head_seen, now_ms);
+	else
+		cw_quarantine_note_break(call->gate->quarantine, &request, server->id,
+					 call_run_time_ms(call, now_ms), call->is_head_seen,
+					 now_ms);
 }
 
 static struct cw_quarantine_request quarantine_request(const struct cw_call *call)
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -33,6 +33,7 @@
 	gate->output_ratios = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gate->load_stats = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gate->longest_waits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	gate->held_breaks = g_array_new(FALSE, FALSE, sizeof(struct gate_break));
 	return gate;
 }
 
@@ -49,6 +50,7 @@
 	g_hash_table_destroy(gate->output_ratios);
 	g_hash_table_destroy(gate->load_stats);
 	g_hash_table_destroy(gate->longest_waits);
+	g_array_unref(gate->held_breaks);
 	g_free(gate);
 }
 
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -25,6 +25,17 @@
 	int64_t updated_ms;   /* time to which the counters are decayed */
 };
 
+/* A connection that broke on a request, kept until it is known whether its server ended. */
+struct gate_break {
+	uint64_t fingerprint;
+	char organisation[CW_NAME_MAX];
+	char target[CW_NAME_MAX];
+	uint64_t server;
+	int64_t ran_ms;
+	int is_running;
+	int64_t at_ms;
+};
+
 struct cw_gate {
 	struct cw_gate_options options;
 	const struct cw_policy *policy;
@@ -39,6 +50,8 @@
 	GHashTable *load_stats;	   /* service -> struct gate_load_stats */
 	GHashTable *timings;	   /* model or plain service -> struct gate_timing */
 	uint64_t random;
+	struct cw_partition partition;
+	GArray *held_breaks;	   /* of struct gate_break */
 	GHashTable *longest_waits; /* route -> int64_t, longest time limit of its callers, ms */
 };
 
@@ -61,6 +74,7 @@
 	unsigned int attempts;	       /* sends that reached a server */
 	unsigned int connect_failures; /* attempts that could not connect; no byte was sent */
 	int may_have_run;
+	int is_via_peer;   /* the attempt in progress is sent by a peer */
 	int has_forwarded; /* a part of the answer went to the caller */
 	int is_resumed;	   /* the answer consists of more than one run */
 	int is_trial;	   /* trial run of a quarantined request: a single attempt */
@@ -101,6 +115,12 @@
 			      int64_t now_ms); /* 0 to 1 */
 struct cw_repeats *gate_get_retry_budget(struct cw_gate *gate, const char *service);
 
+/* links.c: whether this instance is partitioned from the servers */
+int gate_holds_breaks(const struct cw_gate *gate,
+		      int64_t now_ms); /* 1: maybe cut links, no crashes of servers */
+void gate_hold_break(struct cw_gate *gate, const struct cw_quarantine_request *request,
+		     uint64_t server, int64_t ran_ms, int is_running, int64_t now_ms);
+
 /* call_held.c: quarantine of poison requests; a run without a complete answer is incomplete */
 int call_has_single_attempt(
 	const struct cw_call *call); /* quarantined or on trial: no further server is risked */
--- /dev/null
+++ b/packages/gate/src/links.c
@@ -0,0 +1,111 @@
+/*
+ * Links to the backend servers. Symptom this prevents: an instance that was cut off took the broken
+ * connections for crashes of all servers. Requests that were running then were quarantined at all
+ * instances.
+ */
+#include "gate_internal.h"
+
+#define HELD_BREAKS_MAX 256 /* of more, the oldest ones suffice to find a poison request */
+
+static void forget_breaks(struct cw_gate *gate, int64_t now_ms);
+static void release_breaks(struct cw_gate *gate);
+
+int cw_gate_note_contact(struct cw_gate *gate, int64_t now_ms)
+{
+	int was_suspected = gate->partition.state == CW_PARTITION_SUSPECTED;
+
+	if (!cw_partition_note_contact(&gate->partition, now_ms))
+		return 0;
+	if (was_suspected)
+		release_breaks(gate);
+	g_array_set_size(gate->held_breaks, 0);
+	return 1;
+}
+
+int cw_gate_note_loss(struct cw_gate *gate, const struct cw_server *server, int64_t now_ms)
+{
+	return cw_partition_note_loss(&gate->partition, server->id, now_ms);
+}
+
+int cw_gate_note_forwarded(struct cw_gate *gate, struct cw_server *server, int is_refusing,
+			   int64_t now_ms)
+{
+	int is_changed = cw_partition_note_forwarded(&gate->partition, now_ms);
+
+	if (server->path == CW_PATH_DIRECT)
+		cw_quarantine_note_alive(gate->quarantine, server->id, now_ms);
+	cw_pool_mark_forwarded(server, is_refusing, now_ms);
+	if (is_changed)
+		forget_breaks(gate, now_ms);
+	return is_changed;
+}
+
+int cw_gate_note_ended(struct cw_gate *gate, int64_t now_ms)
+{
+	int is_changed = cw_partition_note_ended(&gate->partition, now_ms);
+
+	if (is_changed)
+		release_breaks(gate);
+	return is_changed;
+}
+
+void cw_gate_settle_breaks(struct cw_gate *gate, int64_t now_ms)
+{
+	if (!gate_holds_breaks(gate, now_ms))
+		release_breaks(gate);
+}
+
+const struct cw_partition *cw_gate_partition(const struct cw_gate *gate)
+{
+	return &gate->partition;
+}
+
+int gate_holds_breaks(const struct cw_gate *gate, int64_t now_ms)
+{
+	return gate->partition.state == CW_PARTITION_CONFIRMED ||
+	       !cw_partition_is_settled(&gate->partition, now_ms);
+}
+
+void gate_hold_break(struct cw_gate *gate, const struct cw_quarantine_request *request,
+		     uint64_t server, int64_t ran_ms, int is_running, int64_t now_ms)
+{
+	struct gate_break held = {
+		.fingerprint = request->fingerprint,
+		.server = server,
+		.ran_ms = ran_ms,
+		.is_running = is_running,
+		.at_ms = now_ms,
+	};
+
+	if (gate->held_breaks->len >= HELD_BREAKS_MAX)
+		return;
+	g_strlcpy(held.organisation, request->organisation, sizeof(held.organisation));
+	g_strlcpy(held.target, request->target, sizeof(held.target));
+	g_array_append_val(gate->held_breaks, held);
+}
+
+/* The links were cut: also the break that came before the partition was suspected is no crash. */
+static void forget_breaks(struct cw_gate *gate, int64_t now_ms)
+{
+	for (size_t i = 0; i < gate->partition.lost_count; i++)
+		cw_quarantine_note_alive(gate->quarantine, gate->partition.lost[i], now_ms);
+	g_array_set_size(gate->held_breaks, 0);
+}
+
+/* The servers did end. */
+static void release_breaks(struct cw_gate *gate)
+{
+	for (guint i = 0; i < gate->held_breaks->len; i++) {
+		const struct gate_break *held =
+			&g_array_index(gate->held_breaks, struct gate_break, i);
+		struct cw_quarantine_request request = {
+			.fingerprint = held->fingerprint,
+			.organisation = held->organisation,
+			.target = held->target,
+		};
+
+		cw_quarantine_note_break(gate->quarantine, &request, held->server, held->ran_ms,
+					 held->is_running, held->at_ms);
+	}
+	g_array_set_size(gate->held_breaks, 0);
+}
--- a/packages/gossip/include/cw_gossip.h
+++ b/packages/gossip/include/cw_gossip.h
@@ -65,6 +65,8 @@
 	struct cw_quarantine_record quarantined[CW_QUARANTINE_RECORDS_MAX];
 	size_t drain_count;
 	struct cw_drain_order drains[CW_DRAINS_MAX]; /* withdrawn ones included */
+	uint64_t forward_key; /* see cw_member; an instance of an earlier build sends neither */
+	int is_partitioned;   /* the sender reaches no backend server itself */
 };
 
 /* Snapshot of the server list, for an instance that can't read it from the shared store. */
--- a/packages/gossip/src/audience.c
+++ b/packages/gossip/src/audience.c
@@ -104,6 +104,8 @@
 		return NULL;
 	*is_new = member->boot != gossip->boot;
 	cw_membership_mark_seen(member, gossip->boot, gossip->is_leaving, now_ms);
+	member->forward_key = gossip->forward_key;
+	member->is_partitioned = gossip->is_partitioned;
 	for (size_t i = 0; i < gossip->member_count; i++)
 		merge_member(membership, &gossip->members[i], now_ms);
 	return member;
--- a/packages/gossip/src/gossip.c
+++ b/packages/gossip/src/gossip.c
@@ -11,6 +11,7 @@
 static void add_age(uint32_t *age_ms, uint32_t delay_ms);
 static bool_t code(XDR *xdr, struct cw_gossip *gossip);
 static bool_t code_eras(XDR *xdr, struct cw_gossip *gossip);
+static bool_t code_forwarding(XDR *xdr, struct cw_gossip *gossip);
 static bool_t code_member(XDR *xdr, struct cw_gossip_member *member);
 static bool_t code_address(XDR *xdr, char *address);
 static bool_t code_load(XDR *xdr, struct cw_gossip_load *load);
@@ -75,7 +76,8 @@
 
 	xdrmem_create(&xdr, bytes, (u_int)size, XDR_ENCODE);
 	/* One function codes both directions; encoding doesn't write to the message. */
-	if (code(&xdr, (struct cw_gossip *)gossip) && code_eras(&xdr, (struct cw_gossip *)gossip))
+	if (code(&xdr, (struct cw_gossip *)gossip) && code_eras(&xdr, (struct cw_gossip *)gossip) &&
+	    code_forwarding(&xdr, (struct cw_gossip *)gossip))
 		used = xdr_getpos(&xdr);
 	xdr_destroy(&xdr);
 	return used;
@@ -104,9 +106,12 @@
 	memset(gossip, 0, sizeof(*gossip));
 	xdrmem_create(&xdr, (char *)bytes, (u_int)size, XDR_DECODE);
 	is_complete = code(&xdr, gossip);
-	/* Earlier builds send no eras, and ignore what follows the part that they know. */
+	/* Earlier builds end before one of these, and ignore what follows the part that they know.
+	 */
 	if (is_complete && xdr_getpos(&xdr) < size)
 		is_complete = code_eras(&xdr, gossip);
+	if (is_complete && xdr_getpos(&xdr) < size)
+		is_complete = code_forwarding(&xdr, gossip);
 	xdr_destroy(&xdr);
 	return is_complete ? CW_OK : CW_INVALID;
 }
@@ -127,6 +132,11 @@
 	return TRUE;
 }
 
+static bool_t code_forwarding(XDR *xdr, struct cw_gossip *gossip)
+{
+	return xdr_uint64_t(xdr, &gossip->forward_key) && xdr_int(xdr, &gossip->is_partitioned);
+}
+
 static bool_t code(XDR *xdr, struct cw_gossip *gossip)
 {
 	u_int magic = GOSSIP_MAGIC;
--- a/packages/membership/include/cw_membership.h
+++ b/packages/membership/include/cw_membership.h
@@ -24,8 +24,12 @@
 	int is_configured; /* named by the settings */
 	uint64_t table_offset;
 	int has_clock_lead;
-	int64_t clock_lead_ms; /* of this clock over the member's, with the fastest delay */
-	int64_t drift_ms;      /* time up to which clock_lead_ms allows for drift */
+	int64_t clock_lead_ms;	  /* of this clock over the member's, with the fastest delay */
+	int64_t drift_ms;	  /* time up to which clock_lead_ms allows for drift */
+	uint64_t forward_key;	  /* forwards requests that carry it; 0: it forwards none */
+	int is_partitioned;	  /* by its own account, from the backend servers */
+	unsigned int forwards;	  /* requests that it forwards for this instance now */
+	int64_t avoided_until_ms; /* asked to forward nothing until then: it failed to */
 };
 
 TAILQ_HEAD(cw_member_list, cw_member);
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -53,6 +53,14 @@
 	CW_LISTING_RESTARTED, /* the server restarted: its earlier start is retired */
 };
 
+/* How this instance reaches a server. */
+enum cw_path {
+	CW_PATH_DIRECT,
+	CW_PATH_KEPT, /* on connections that are open; new ones are refused, so else through a peer
+		       */
+	CW_PATH_PEER, /* through a peer */
+};
+
 struct cw_pool;
 
 /* A change of this instance's own load on a server. */
@@ -78,7 +86,7 @@
 	const struct cw_policy *policy; /* the policy of the pool */
 	TAILQ_ENTRY(cw_server) link;
 	TAILQ_ENTRY(cw_server) active_link;
-	int is_active; /* on the pool's list of servers in use, unreachable or suspect */
+	int is_active; /* on the pool's list of servers in use, or not reached directly */
 	char name[CW_NAME_MAX];
 	int64_t process_start_ms; /* Unix time of the process start, as listed */
 	int is_superseded;	  /* the server has restarted: requests on this start are lost */
@@ -132,6 +140,8 @@
 	int is_unreachable;	 /* the last probe's connection did not open in time */
 	int64_t crash_probed_ms; /* last probe that followed a broken request */
 	int is_suspect; /* maybe behind the same partition as an unreachable server; probed */
+	enum cw_path path;
+	unsigned int peers_forwarded; /* requests that this instance forwards for peers now */
 
 	unsigned int consecutive_failures;
 	int64_t breaker_open_until_ms; /* the breaker is open until then, 0: closed */
@@ -278,6 +288,11 @@
 void cw_pool_mark_reachable(struct cw_server *server,
 			    int64_t now_ms); /* a probe's connection opened, no byte arrived */
 void cw_pool_mark_unreachable(struct cw_server *server); /* no connection opened in time */
+void cw_pool_mark_forwarded(struct cw_server *server, int is_refusing,
+			    int64_t now_ms); /* a peer reached it, and this instance does not;
+						is_refusing: new connections are refused */
+void cw_pool_begin_forward(struct cw_server *server, int64_t now_ms); /* for a peer */
+void cw_pool_end_forward(struct cw_server *server);
 size_t cw_pool_mark_suspects(struct cw_pool *pool, const struct cw_server *unreachable,
 			     const char *own_domain, struct cw_server **suspects, size_t max,
 			     int64_t now_ms); /* marks and returns servers to probe at once */
--- a/packages/pool/src/pool.c
+++ b/packages/pool/src/pool.c
@@ -229,7 +229,9 @@
 	while (server) {
 		struct cw_server *next = TAILQ_NEXT(server, active_link);
 
-		if (server->own_running == 0 && !server->is_unreachable && !server->is_suspect)
+		if (server->own_running == 0 && server->peers_forwarded == 0 &&
+		    !server->is_unreachable && !server->is_suspect &&
+		    server->path == CW_PATH_DIRECT)
 			deactivate(server);
 		server = next;
 	}
@@ -250,7 +252,8 @@
 			server->is_removed = 1;
 			server->is_leaving = 1;
 			pool_note_left(server, now_ms);
-			if (server->own_running == 0 && !pool_needs_reports(server, now_ms)) {
+			if (server->own_running == 0 && server->peers_forwarded == 0 &&
+			    !pool_needs_reports(server, now_ms)) {
 				pool_note_departed(pool, server);
 				cw_pool_remove(pool, server);
 			}
--- a/packages/pool/src/reach.c
+++ b/packages/pool/src/reach.c
@@ -40,6 +40,7 @@
 		cw_warmup_assume_cold(&server->warmup, now_ms);
 	server->is_unreachable = 0;
 	server->is_suspect = 0;
+	server->path = CW_PATH_DIRECT;
 	server->probe_gap_ms =
 		MIN(MAX(server->probe_gap_ms * 2, PROBE_INTERVAL_MS), PROBE_INTERVAL_MAX_MS);
 }
@@ -47,11 +48,37 @@
 void cw_pool_mark_unreachable(struct cw_server *server)
 {
 	pool_activate(server);
+	if (server->path == CW_PATH_KEPT)
+		server->path = CW_PATH_PEER;
 	server->is_unreachable = 1;
 	server->is_suspect = 0;
 	server->probe_gap_ms = 0;
 }
 
+void cw_pool_mark_forwarded(struct cw_server *server, int is_refusing, int64_t now_ms)
+{
+	pool_activate(server);
+	if (server->path == CW_PATH_DIRECT) {
+		server->path = is_refusing ? CW_PATH_KEPT : CW_PATH_PEER;
+		server->probed_ms = now_ms;
+	}
+	server->is_unreachable = 0;
+	server->is_suspect = 0;
+	server->probe_gap_ms = 0;
+}
+
+void cw_pool_begin_forward(struct cw_server *server, int64_t now_ms)
+{
+	pool_activate(server);
+	server->peers_forwarded++;
+	server->sent_ms = now_ms;
+}
+
+void cw_pool_end_forward(struct cw_server *server)
+{
+	server->peers_forwarded--;
+}
+
 /*
  * A request that moves from an unreachable server to another one behind the same network partition
  * loses time and an attempt. Behind the partition may be the failure domain of the server or, if
@@ -89,8 +116,8 @@
 	if (server->is_removed ||
 	    now_ms - server->probed_ms < MAX(server->probe_gap_ms, PROBE_INTERVAL_MS))
 		return 0;
-	if (server->is_unreachable)
+	if (server->is_unreachable || server->path != CW_PATH_DIRECT)
 		return 1;
-	return server->own_running > 0 &&
+	return server->own_running + server->peers_forwarded > 0 &&
 	       now_ms - MAX(server->last_seen_ms, server->sent_ms) >= server->policy->quiet_ms;
 }
--- a/packages/quarantine/include/cw_quarantine.h
+++ b/packages/quarantine/include/cw_quarantine.h
@@ -130,6 +130,8 @@
 	int64_t now_ms); /* the server refuses connections, or was removed */
 void cw_quarantine_note_received(struct cw_quarantine *quarantine, uint64_t server, int64_t sent_ms,
 				 int64_t now_ms); /* a byte arrived for a request sent at sent_ms */
+void cw_quarantine_note_alive(struct cw_quarantine *quarantine, uint64_t server,
+			      int64_t now_ms); /* the server never ended: its link was cut */
 int cw_quarantine_explains_crash(
 	const struct cw_quarantine *quarantine, uint64_t server,
 	int64_t now_ms); /* 1: the server just crashed running a quarantined request */
--- a/packages/quarantine/src/outages.c
+++ b/packages/quarantine/src/outages.c
@@ -144,6 +144,12 @@
 		outage_mark_false_alarm(quarantine, server, now_ms, now_ms);
 }
 
+void cw_quarantine_note_alive(struct cw_quarantine *quarantine, uint64_t server, int64_t now_ms)
+{
+	if (now_ms - quarantine->newest_outage_ms < OUTAGE_MS)
+		outage_mark_false_alarm(quarantine, server, now_ms, now_ms);
+}
+
 void outage_mark_false_alarm(struct cw_quarantine *quarantine, uint64_t server, int64_t at_ms,
 			     int64_t now_ms)
 {
--- a/tests/lib_cut.sh
+++ b/tests/lib_cut.sh
@@ -1,7 +1,7 @@
 # Partitions of instances from all backend servers, and what callers get meanwhile. Source this file after
 # tests/lib_users.sh: the instances then run as corianderwalk-cut (tests/tools/cut_links.c).
 INSTANCE_PROGRAM=tests/corianderwalk-cut
-export CUT_PORT=$P_R1
+export CUT_KEEP=$P_STORE,$P_PEER
 CUT_CONTACT_MS=3000 # from the begin of a partition until its instances must serve as the others do
 
 # set_links MODE NAME...: partitions these instances (hang, reset, refuse), or ends that (none).
@@ -42,6 +42,14 @@
 	[ $(($2 * 50)) -ge $(($3 * 49)) ] && echo "$1: served" || echo "$1: not served"
 }
 
+# judge_rejected FROM_MS TO_MS: whether requests sent meanwhile were rejected at once, "not run".
+judge_rejected() {
+	cat "$DIR"/callers.* | awk -v from="$1" -v to="$2" '
+		$2 != "badkey" && $6 >= from && $6 < to { all++; at_once += $5 == "refused" && $7 <= 250 }
+		END { print at_once " of " all " rejected at once" >"/dev/stderr"
+		      print (all >= 10 && at_once * 50 >= all * 49 ? "all: rejected at once" : "all: not rejected at once") }'
+}
+
 # Guarantees that hold at any time, of what the callers and the servers of this run have seen.
 check_guarantees() {
 	cat "$DIR"/[ea][0-9]*.log | sed -n 's/^run //p' >"$DIR/ran"
--- a/tests/lib_users.sh
+++ b/tests/lib_users.sh
@@ -32,6 +32,7 @@
 	put keyed.servers "$1" "{\"service\":\"$2\",\"address\":\"$address\",\"zone\":\"${ZONE:-z1}\",\"version\":\"$3\",\"slots\":64,\"state\":\"$4\",\"cold_left_ms\":${COLD_MS:-0},\"seq\":1}"
 }
 runner_mode() { eval "local address=\$ADDR_$1"; curl -s -o /dev/null -X POST "http://$address/admin/mode?m=$2"; }
+running() { eval "local address=\$ADDR_$1"; curl -s "http://$address/admin/running"; }
 runs() { eval "local address=\$ADDR_$1"; curl -s "http://$address/admin/runs"; }
 
 # config VERSION KEY [EXTRA_ROUTE]: publishes the routes /chat/ (streaming), /order/ (non-idempotent) and /read/
--- a/tests/standins/users_runner.c
+++ b/tests/standins/users_runner.c
@@ -17,6 +17,7 @@
  * POST /admin/leaving?m=1 says in each answer from then on that the server leaves.
  * POST /admin/rest?m=S rejects each request from then on and asks for S seconds of rest; without S:
  * no more.
+ * GET /admin/running prints the number of streams that run now.
  * GET /admin/runs lists the requests that began to run: id, model, organisation, last event before.
  *
  * Prints what it received and answered, with the time of the monotonic clock in ms:
@@ -185,6 +186,15 @@
 
 	if (m && !strcmp(m + 3, "end"))
 		crash_now(&crash);
+	if (!strcmp(request->target->str, "/admin/running")) {
+		char text[32];
+		int size = snprintf(text, sizeof(text), "%u\n", running);
+
+		cw_caller_send_head(caller, 200, "", size);
+		cw_caller_send_body(caller, text, (size_t)size);
+		cw_caller_end_answer(caller);
+		return;
+	}
 	if (g_str_has_prefix(request->target->str, "/admin/limit")) {
 		g_strlcpy(rate_limit, m ? m + 3 : "", sizeof(rate_limit));
 		printf("admin %ld limit %s\n", now_ms(), rate_limit);
--- a/tests/tools/cut_links.c
+++ b/tests/tools/cut_links.c
@@ -1,9 +1,13 @@
 /*
  * Partitions an instance from the backend servers. Linked into the test build corianderwalk-cut,
- * where these functions take the place of the C library's. CUT_PORT names the port of the servers,
- * CUT_FILE a file with the mode, which is read at each SIGUSR1: none    no partition hang nothing
- * passes: connections are silent, new ones do not open reset   connections end, new ones are
- * refused refuse  connections live on, new ones are refused
+ * where these functions take the place of the C library's. CUT_KEEP names the ports that
+ * connections live on to (the store, peers), separated by commas, CUT_FILE a file with the mode,
+ * which is read at each SIGUSR1:
+ *
+ * - none: no partition
+ * - hang: nothing passes, connections are silent and new ones do not open
+ * - reset: connections end, new ones are refused
+ * - refuse: connections live on, new ones are refused
  */
 #include <arpa/inet.h>
 #include <errno.h>
@@ -16,7 +20,8 @@
 #include <sys/syscall.h>
 #include <unistd.h>
 
-#define MAX_FDS 4096
+#define MAX_FDS	  4096
+#define MAX_PORTS 8 /* that connections live on to */
 
 enum link_state {
 	LINK_OTHER, /* no connection to a backend server */
@@ -27,7 +32,8 @@
 static unsigned char links[MAX_FDS];
 static volatile sig_atomic_t mode = 'n';
 static char mode_file[256];
-static int server_port;
+static long kept_ports[MAX_PORTS];
+static size_t kept_count;
 
 static int is_server_link(int fd)
 {
@@ -79,24 +85,38 @@
 
 __attribute__((constructor)) static void install(void)
 {
-	const char *port = getenv("CUT_PORT");
+	const char *ports = getenv("CUT_KEEP");
 	const char *file = getenv("CUT_FILE");
 	struct sigaction action = {.sa_handler = on_signal, .sa_flags = SA_RESTART};
 
-	if (!port || !file)
+	if (!ports || !file)
 		return;
-	server_port = (int)strtol(port, NULL, 10);
+	while (*ports && kept_count < MAX_PORTS) {
+		char *end;
+
+		kept_ports[kept_count++] = strtol(ports, &end, 10);
+		ports = *end ? end + 1 : end;
+	}
 	strncpy(mode_file, file, sizeof(mode_file) - 1);
 	sigaction(SIGUSR1, &action, NULL);
 	on_signal(SIGUSR1);
 }
 
-int connect(int fd, const struct sockaddr *address, socklen_t size)
+static int is_server(const struct sockaddr *address)
 {
 	const struct sockaddr_in *in = (const struct sockaddr_in *)address;
 
-	if (server_port > 0 && fd >= 0 && fd < MAX_FDS && address->sa_family == AF_INET &&
-	    ntohs(in->sin_port) == server_port) {
+	if (kept_count == 0 || address->sa_family != AF_INET)
+		return 0;
+	for (size_t i = 0; i < kept_count; i++)
+		if (ntohs(in->sin_port) == kept_ports[i])
+			return 0;
+	return 1;
+}
+
+int connect(int fd, const struct sockaddr *address, socklen_t size)
+{
+	if (fd >= 0 && fd < MAX_FDS && is_server(address)) {
 		links[fd] = LINK_SERVER;
 		if (mode == 'h')
 			drop_input(fd);
@@ -117,9 +137,27 @@
 	return (ssize_t)syscall(SYS_write, fd, bytes, size);
 }
 
-int close(int fd)
+/* A new descriptor may have the number of an old link, as the library closes some by system call.
+ */
+static int forget_link(int fd)
 {
 	if (fd >= 0 && fd < MAX_FDS)
 		links[fd] = LINK_OTHER;
+	return fd;
+}
+
+int socket(int family, int type, int protocol)
+{
+	return forget_link((int)syscall(SYS_socket, family, type, protocol));
+}
+
+int accept4(int listener, struct sockaddr *address, socklen_t *size, int flags)
+{
+	return forget_link((int)syscall(SYS_accept4, listener, address, size, flags));
+}
+
+int close(int fd)
+{
+	forget_link(fd);
 	return (int)syscall(SYS_close, fd);
 }
--- /dev/null
+++ b/tests/unit/test_gate_links.c
@@ -0,0 +1,177 @@
+/* An instance that is partitioned from the backend servers. */
+#include "gate_bed.h"
+
+#include <string.h>
+
+#define BODY	   77
+#define CONFIRM_MS 400 /* longer than a partition stays suspected */
+
+/*
+ * Sends a request whose connections break at each server, until its final answer; the servers are
+ * noted as lost, as the I/O layer does.
+ */
+static void break_everywhere(struct fixture *fixture, const char *path, int64_t now_ms)
+{
+	fixture->info.body = BODY;
+	fixture_open_call(fixture, path);
+	while (fixture->step.kind == CW_STEP_SEND) {
+		cw_gate_note_loss(fixture->gate, fixture->step.server, now_ms);
+		cw_call_handle_failure(fixture->call, CW_ATTEMPT_CONNECTION_LOST, now_ms,
+				       &fixture->step);
+	}
+}
+
+static void refuse_everywhere(struct fixture *fixture, int64_t now_ms)
+{
+	struct cw_server *server;
+
+	TAILQ_FOREACH(server, cw_pool_servers(cw_gate_pool(fixture->gate)), link) {
+		server->breaker_open_until_ms = 0;
+		cw_quarantine_note_unreachable(cw_gate_quarantine(fixture->gate), server->id,
+					       now_ms);
+	}
+	cw_quarantine_tick(cw_gate_quarantine(fixture->gate), now_ms);
+}
+
+static size_t count_quarantined(struct fixture *fixture, int64_t now_ms)
+{
+	struct cw_quarantine_record records[CW_QUARANTINE_MAX];
+
+	return cw_quarantine_list(cw_gate_quarantine(fixture->gate), now_ms, records,
+				  CW_QUARANTINE_MAX);
+}
+
+static struct cw_server *find(struct fixture *fixture, const char *name)
+{
+	return cw_pool_find_name(cw_gate_pool(fixture->gate), name);
+}
+
+static void open_with_six_engines(struct fixture *fixture)
+{
+	fixture_open(fixture);
+	fixture_add_server(fixture, "e3", "llm", "v1");
+	fixture_add_server(fixture, "e4", "llm", "v1");
+	fixture_add_server(fixture, "e5", "llm", "v1");
+	fixture_add_server(fixture, "e6", "llm", "v1");
+}
+
+/* Guards against requests that are quarantined everywhere as one instance loses its links to all
+ * servers. */
+static void links_that_are_cut_are_no_crashes(void **state)
+{
+	struct fixture fixture;
+	int64_t now_ms = FIXTURE_NOW_MS;
+
+	open_with_six_engines(&fixture);
+	for (int i = 0; i < 6; i++) {
+		break_everywhere(&fixture, "/chat/x", ++now_ms);
+		refuse_everywhere(&fixture, now_ms);
+	}
+	assert_int_equal(count_quarantined(&fixture, now_ms), 0);
+	assert_int_equal(cw_gate_partition(fixture.gate)->state, CW_PARTITION_SUSPECTED);
+	cw_gate_note_forwarded(fixture.gate, find(&fixture, "e3"), 1, ++now_ms);
+	assert_int_equal(cw_gate_partition(fixture.gate)->state, CW_PARTITION_CONFIRMED);
+	for (int i = 0; i < 6; i++)
+		break_everywhere(&fixture, "/chat/x", ++now_ms);
+	cw_gate_note_contact(fixture.gate, ++now_ms);
+	cw_gate_settle_breaks(fixture.gate, now_ms + CONFIRM_MS);
+	refuse_everywhere(&fixture, now_ms + CONFIRM_MS);
+	assert_int_equal(count_quarantined(&fixture, now_ms + CONFIRM_MS), 0);
+	fixture_close(&fixture);
+}
+
+/* Guards against a poison request that stays unknown, as its crashes look like a partition. */
+static void crashes_count_when_no_peer_reaches_the_servers(void **state)
+{
+	struct fixture fixture;
+
+	open_with_six_engines(&fixture);
+	for (int i = 0; i < 2; i++)
+		break_everywhere(&fixture, "/chat/x", FIXTURE_NOW_MS + i);
+	cw_gate_settle_breaks(fixture.gate, FIXTURE_NOW_MS + CONFIRM_MS);
+	refuse_everywhere(&fixture, FIXTURE_NOW_MS + CONFIRM_MS);
+	assert_int_equal(count_quarantined(&fixture, FIXTURE_NOW_MS + CONFIRM_MS), 1);
+	fixture_close(&fixture);
+}
+
+/* Guards against a single lost server that counts as a partition, and against one that is never
+ * over. */
+static void a_partition_takes_several_servers_and_ends_with_a_contact(void **state)
+{
+	struct fixture fixture;
+	const struct cw_partition *partition;
+
+	fixture_open(&fixture);
+	partition = cw_gate_partition(fixture.gate);
+	for (int i = 0; i < 3; i++)
+		assert_false(cw_gate_note_loss(fixture.gate, find(&fixture, "e1"), FIXTURE_NOW_MS));
+	assert_int_equal(partition->state, CW_PARTITION_NONE);
+	assert_false(cw_gate_note_contact(fixture.gate, FIXTURE_NOW_MS + 1));
+	assert_false(cw_gate_note_loss(fixture.gate, find(&fixture, "e2"), FIXTURE_NOW_MS + 2));
+	assert_true(cw_gate_note_loss(fixture.gate, find(&fixture, "e1"), FIXTURE_NOW_MS + 3));
+	assert_false(cw_partition_is_cut_off(partition, FIXTURE_NOW_MS + 4));
+	assert_true(cw_partition_is_cut_off(partition, FIXTURE_NOW_MS + CONFIRM_MS));
+	assert_true(cw_gate_note_contact(fixture.gate, FIXTURE_NOW_MS + 500));
+	assert_int_equal(partition->state, CW_PARTITION_NONE);
+	fixture_close(&fixture);
+}
+
+/* Guards against servers that peers reach and that get no request, or get it on dead connections.
+ */
+static void a_server_that_a_peer_reaches_is_used_through_peers_until_a_probe_opens(void **state)
+{
+	struct fixture fixture;
+	struct cw_server *server;
+
+	fixture_open(&fixture);
+	server = find(&fixture, "e1");
+	cw_pool_mark_unreachable(server);
+	assert_false(cw_pool_is_usable(server, FIXTURE_NOW_MS));
+	cw_gate_note_forwarded(fixture.gate, server, 0, FIXTURE_NOW_MS);
+	assert_true(cw_pool_is_usable(server, FIXTURE_NOW_MS));
+	assert_int_equal(server->path, CW_PATH_PEER);
+	assert_false(cw_pool_needs_probe(server, FIXTURE_NOW_MS + 100));
+	assert_true(cw_pool_needs_probe(server, FIXTURE_NOW_MS + 300));
+	cw_pool_mark_reachable(server, FIXTURE_NOW_MS + 310);
+	assert_int_equal(server->path, CW_PATH_DIRECT);
+	cw_gate_note_forwarded(fixture.gate, server, 1, FIXTURE_NOW_MS + 400);
+	assert_int_equal(server->path, CW_PATH_KEPT);
+	cw_pool_mark_unreachable(server);
+	assert_int_equal(server->path, CW_PATH_PEER);
+	fixture_close(&fixture);
+}
+
+/* Guards against evidence against a server or its version as the peer that forwards goes away. */
+static void a_lost_peer_is_no_fault_of_the_server(void **state)
+{
+	struct fixture fixture;
+	struct cw_server *server;
+
+	fixture_open(&fixture);
+	for (int i = 0; i < 8; i++) {
+		fixture_open_call(&fixture, "/once/x");
+		assert_int_equal(fixture.step.kind, CW_STEP_SEND);
+		server = fixture.step.server;
+		cw_call_set_via_peer(fixture.call);
+		cw_call_handle_failure(fixture.call, CW_ATTEMPT_PEER_LOST, FIXTURE_NOW_MS + i,
+				       &fixture.step);
+		fixture_assert_rejected(&fixture, 502, CW_RUN_UNKNOWN);
+		assert_int_equal(server->breaker_open_until_ms, 0);
+		assert_true(cw_pool_failure_rate(server, FIXTURE_NOW_MS + i) == 0);
+	}
+	fixture_close(&fixture);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(links_that_are_cut_are_no_crashes),
+		cmocka_unit_test(crashes_count_when_no_peer_reaches_the_servers),
+		cmocka_unit_test(a_partition_takes_several_servers_and_ends_with_a_contact),
+		cmocka_unit_test(
+			a_server_that_a_peer_reaches_is_used_through_peers_until_a_probe_opens),
+		cmocka_unit_test(a_lost_peer_is_no_fault_of_the_server),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
--- a/tests/unit/test_gossip.c
+++ b/tests/unit/test_gossip.c
@@ -1,4 +1,5 @@
 /* Gossip messages: decoding restores what was encoded, and rejects anything else. */
+#include "cw_audience.h"
 #include "cw_gossip.h"
 #include "cw_membership.h"
 #include "cw_pack.h"
@@ -10,7 +11,8 @@
 #include <string.h>
 
 /* Of init_message: the store's, two read positions, one roll-out, two drains. */
-#define ERAS_BYTES (6 * sizeof(uint64_t))
+#define ERAS_BYTES	 (6 * sizeof(uint64_t))
+#define FORWARDING_BYTES (sizeof(uint64_t) + sizeof(uint32_t)) /* what follows the eras */
 
 static void init_message(struct cw_gossip *gossip)
 {
@@ -58,6 +60,8 @@
 	gossip->drain_count = 2;
 	gossip->drains[0] = (struct cw_drain_order){"d1", {4, 12}, 1};
 	gossip->drains[1] = (struct cw_drain_order){"d2", {5, 14}, 0};
+	gossip->forward_key = 0x1234567890abcdef;
+	gossip->is_partitioned = 1;
 }
 
 static void a_message_is_decoded_as_it_was_encoded(void **state)
@@ -152,7 +156,8 @@
 	init_message(&sent);
 	size = cw_gossip_encode(&sent, bytes, sizeof(bytes));
 	for (size_t length = 0; length < size; length++)
-		if (length != size - ERAS_BYTES)
+		if (length != size - FORWARDING_BYTES &&
+		    length != size - FORWARDING_BYTES - ERAS_BYTES)
 			assert_int_equal(cw_gossip_decode(bytes, length, &read), CW_INVALID);
 }
 
@@ -166,7 +171,8 @@
 
 	init_message(&sent);
 	size = cw_gossip_encode(&sent, bytes, sizeof(bytes));
-	assert_int_equal(cw_gossip_decode(bytes, size - ERAS_BYTES, &read), CW_OK);
+	assert_int_equal(cw_gossip_decode(bytes, size - FORWARDING_BYTES - ERAS_BYTES, &read),
+			 CW_OK);
 	assert_int_equal(read.store_era, CW_ERA_UNKNOWN);
 	assert_int_equal(read.operator_next.offset, sent.operator_next.offset);
 	assert_int_equal(read.operator_next.era, CW_ERA_UNKNOWN);
@@ -175,6 +181,32 @@
 	assert_int_equal(read.drains[1].position.era, CW_ERA_UNKNOWN);
 }
 
+/* Guards against requests that are passed to an instance of an earlier build, which forwards none.
+ */
+static void a_message_of_an_earlier_build_offers_no_forwarding(void **state)
+{
+	struct cw_membership *membership = cw_membership_create("e9", "d1", 2000);
+	struct cw_gossip sent;
+	struct cw_gossip read;
+	char bytes[CW_GOSSIP_BYTES];
+	struct cw_member *member;
+	size_t size;
+	int is_new;
+
+	init_message(&sent);
+	size = cw_gossip_encode(&sent, bytes, sizeof(bytes));
+	assert_int_equal(cw_gossip_decode(bytes, size, &read), CW_OK);
+	member = cw_gossip_merge_members(&read, membership, &is_new, 100);
+	assert_true(member->forward_key == sent.forward_key);
+	assert_true(member->is_partitioned);
+	assert_int_equal(cw_gossip_decode(bytes, size - FORWARDING_BYTES, &read), CW_OK);
+	assert_int_equal(read.store_era, sent.store_era);
+	member = cw_gossip_merge_members(&read, membership, &is_new, 200);
+	assert_true(member->forward_key == 0);
+	assert_false(member->is_partitioned);
+	cw_membership_destroy(membership);
+}
+
 /* Guards against a list of an earlier build, which ends before the held entries, that is rejected.
  */
 static void a_list_without_held_entries_is_accepted(void **state)
@@ -294,6 +326,7 @@
 		cmocka_unit_test(the_wait_of_a_message_is_its_delay_beyond_the_fastest),
 		cmocka_unit_test(a_truncated_message_is_rejected),
 		cmocka_unit_test(a_message_of_an_earlier_build_names_no_era),
+		cmocka_unit_test(a_message_of_an_earlier_build_offers_no_forwarding),
 		cmocka_unit_test(a_list_without_held_entries_is_accepted),
 		cmocka_unit_test(a_message_with_any_byte_changed_does_no_harm),
 		cmocka_unit_test(a_message_larger_than_the_buffer_is_not_encoded),
