tests: brittle servers fall one after the other (known red)

Nothing in the router knows the header: a fall moves its load to the other servers, which fall next.

--- a/packages/membership/include/cw_forwarder.h
+++ b/packages/membership/include/cw_forwarder.h
@@ -14,7 +14,7 @@
 	const uint64_t *tried;	    /* cw_member.id of peers that did not reach the server */
 	size_t tried_count;
 	int allows_avoided; /* also peers that failed to forward just now */
-	uint64_t random; /* any number */
+	uint64_t random;    /* any number */
 	int64_t now_ms;
 };
 
--- a/tests/standins/users_runner.c
+++ b/tests/standins/users_runner.c
@@ -17,14 +17,19 @@
  * POST /admin/leaving?m=1 says in each answer from then on that the server leaves.
  * POST /admin/rest?m=S rejects each request from then on and asks for S seconds of rest; without S:
  * no more.
- * GET /admin/running prints the number of streams that run now.
- * GET /admin/runs lists the requests that began to run: id, model, organisation, last event before.
+ * POST /admin/brittle?m=N says in each answer from then on that the server is brittle: with more
+ * than N rejections for want of room within a second it crashes; without N: it says and does
+ * neither. POST /admin/places?m=N runs at most N requests at a time from then on, and rejects
+ * others. GET /admin/running prints the number of streams that run now. GET /admin/runs lists the
+ * requests that began to run: id, model, organisation, last event before.
  *
  * Prints what it received and answered, with the time of the monotonic clock in ms:
  *   got MS ID          a request
  *   limit MS ID N      an answer that names the rate limit N
  *   leaving MS ID      an answer that says that the server leaves
  *   rest MS ID S       a rejection that asks for S seconds of rest
+ *   full MS ID         a rejection for want of room
+ *   fell MS            a crash after too many of them
  *   admin MS limit N   the rate limit is N from now on; without N: none
  *
  * With --fatal TEXT a request whose body contains TEXT crashes the server after --fatal-ms: all
@@ -44,6 +49,8 @@
 
 struct run {
 	TAILQ_ENTRY(run) link;
+	char id[64];
+	int is_stream;
 	struct cw_caller *caller;
 	uv_timer_t timer;
 	long next; /* id of the next event */
@@ -62,6 +69,10 @@
 static const char *confidence;
 static long gap_ms;
 static unsigned int running;
+static long places;	    /* requests that run at a time; 0: any number */
+static long work_ms;	    /* of a request that is not streamed; 0: it is answered at once */
+static char brittle[16];    /* tolerated rejections in a second; empty: the server is not brittle */
+static GArray *rejected_ms; /* of long, within the last second */
 static struct crash crash;
 
 static long now_ms(void)
@@ -69,6 +80,13 @@
 	return (long)(g_get_monotonic_time() / 1000);
 }
 
+static const char *request_id(const struct cw_message *request)
+{
+	const char *id = cw_message_find(request, "Attempt-Id");
+
+	return id ? id : "-";
+}
+
 static void on_timer_closed(uv_handle_t *handle)
 {
 	g_free(handle->data);
@@ -90,6 +108,21 @@
 {
 }
 
+static void send_head(struct cw_caller *caller, const char *id, unsigned int status,
+		      const char *more, int64_t length);
+
+static void answer_run(struct run *run)
+{
+	struct cw_caller *caller = run->caller;
+	char id[sizeof(run->id)];
+
+	g_strlcpy(id, run->id, sizeof(id));
+	end_run(run);
+	send_head(caller, id, strcmp(mode, "error") ? 200 : 500, "", 5);
+	cw_caller_send_body(caller, "whole", 5);
+	cw_caller_end_answer(caller);
+}
+
 static void on_event(uv_timer_t *timer)
 {
 	struct run *run = timer->data;
@@ -97,6 +130,10 @@
 
 	if (!strcmp(mode, "hang"))
 		return;
+	if (!run->is_stream) {
+		answer_run(run);
+		return;
+	}
 	if (!strcmp(mode, "cut") && run->made == CUT_AFTER) {
 		struct cw_caller *caller = run->caller;
 
@@ -121,15 +158,16 @@
 	}
 }
 
-static void send_head(struct cw_caller *caller, const struct cw_message *request,
-		      unsigned int status, const char *more, int64_t length)
+static void send_head(struct cw_caller *caller, const char *id, unsigned int status,
+		      const char *more, int64_t length)
 {
 	GString *fields = g_string_new(NULL);
-	const char *id = cw_message_find(request, "Attempt-Id");
 
-	g_string_append_printf(fields,
-			       "Server-Seal: %s.%s\r\nAttempt-Id: %s\r\nServer-Load: %u,0,64\r\n%s",
-			       name, id, id, running, more);
+	g_string_append_printf(
+		fields, "Server-Seal: %s.%s\r\nAttempt-Id: %s\r\nServer-Load: %u,0,%ld\r\n%s", name,
+		id, id, running, places ? places : 64, more);
+	if (*brittle)
+		g_string_append_printf(fields, "Server-Brittle: %s\r\n", brittle);
 	if (*rate_limit) {
 		g_string_append_printf(fields, "Server-Limit: %s\r\n", rate_limit);
 		printf("limit %ld %s %s\n", now_ms(), id, rate_limit);
@@ -146,23 +184,51 @@
 	g_string_free(fields, TRUE);
 }
 
-static void start_stream(struct cw_caller *caller, const struct cw_message *request, long events)
+static struct run *start_run(struct cw_caller *caller, const struct cw_message *request)
 {
 	struct run *run = g_new0(struct run, 1);
-	const char *last = cw_message_find(request, "Last-Event-Id");
 
 	run->caller = caller;
-	run->next = last ? strtol(last, NULL, 10) + 1 : 1;
-	run->last = events;
+	g_strlcpy(run->id, request_id(request), sizeof(run->id));
 	uv_timer_init(&loop, &run->timer);
 	run->timer.data = run;
 	TAILQ_INSERT_TAIL(&runs, run, link);
 	running++;
 	cw_caller_set_request(caller, run);
-	send_head(caller, request, 200, "Content-Type: text/event-stream\r\n", CW_FLOW_CHUNKED);
+	return run;
+}
+
+static void start_stream(struct cw_caller *caller, const struct cw_message *request, long events)
+{
+	struct run *run = start_run(caller, request);
+	const char *last = cw_message_find(request, "Last-Event-Id");
+
+	run->is_stream = 1;
+	run->next = last ? strtol(last, NULL, 10) + 1 : 1;
+	run->last = events;
+	send_head(caller, run->id, 200, "Content-Type: text/event-stream\r\n", CW_FLOW_CHUNKED);
 	uv_timer_start(&run->timer, on_event, 5, (uint64_t)gap_ms);
 }
 
+/* A brittle server crashes with more rejections in a second than it tolerates. */
+static void reject_full(struct cw_caller *caller, const struct cw_message *request)
+{
+	long at_ms = now_ms();
+
+	printf("full %ld %s\n", at_ms, request_id(request));
+	send_head(caller, request_id(request), 503, "Not-Executed: 1\r\n", 0);
+	cw_caller_end_answer(caller);
+	g_array_append_val(rejected_ms, at_ms);
+	while (g_array_index(rejected_ms, long, 0) <= at_ms - 1000)
+		g_array_remove_index(rejected_ms, 0);
+	if (*brittle && rejected_ms->len > strtoul(brittle, NULL, 10)) {
+		printf("fell %ld\n", at_ms);
+		fflush(stdout);
+		crash_now(&crash);
+	}
+	fflush(stdout);
+}
+
 static void record_run(const struct cw_message *request)
 {
 	const char *model = cw_message_find(request, "Model");
@@ -201,6 +267,10 @@
 		fflush(stdout);
 	} else if (g_str_has_prefix(request->target->str, "/admin/leaving")) {
 		is_leaving = 1;
+	} else if (g_str_has_prefix(request->target->str, "/admin/brittle")) {
+		g_strlcpy(brittle, m ? m + 3 : "", sizeof(brittle));
+	} else if (g_str_has_prefix(request->target->str, "/admin/places")) {
+		places = m ? strtol(m + 3, NULL, 10) : 0;
 	} else if (g_str_has_prefix(request->target->str, "/admin/rest")) {
 		g_strlcpy(rest_s, m ? m + 3 : "", sizeof(rest_s));
 	} else if (m) {
@@ -218,7 +288,7 @@
 	printf("rest %ld %s %s\n", now_ms(), cw_message_find(request, "Attempt-Id"), rest_s);
 	fflush(stdout);
 	snprintf(fields, sizeof(fields), "Not-Executed: 1\r\nRetry-After: %s\r\n", rest_s);
-	send_head(caller, request, 503, fields, 0);
+	send_head(caller, request_id(request), 503, fields, 0);
 	cw_caller_end_answer(caller);
 }
 
@@ -235,13 +305,15 @@
 	printf("got %ld %s\n", now_ms(), cw_message_find(request, "Attempt-Id"));
 	fflush(stdout);
 	if (expected && strcmp(expected, name) != 0) {
-		send_head(caller, request, 421, "Instance-Id: other\r\n", 0);
+		send_head(caller, request_id(request), 421, "Instance-Id: other\r\n", 0);
 		cw_caller_end_answer(caller);
 	} else if (*rest_s) {
 		ask_for_rest(caller, request);
 	} else if (!strcmp(mode, "notrun")) {
-		send_head(caller, request, 503, "Not-Executed: 1\r\n", 0);
+		send_head(caller, request_id(request), 503, "Not-Executed: 1\r\n", 0);
 		cw_caller_end_answer(caller);
+	} else if (places && running >= (unsigned long)places) {
+		reject_full(caller, request);
 	} else if (!strcmp(mode, "garble")) {
 		record_run(request);
 		cw_caller_send_head(caller, 200, "\x01\x02 no field at all\r\n", 0);
@@ -253,12 +325,15 @@
 		record_run(request);
 	} else if (!strcmp(mode, "short")) {
 		record_run(request);
-		send_head(caller, request, 200, "", 100);
+		send_head(caller, request_id(request), 200, "", 100);
 		cw_caller_send_body(caller, "half", 4);
 		cw_caller_abort(caller);
+	} else if (work_ms) {
+		record_run(request);
+		uv_timer_start(&start_run(caller, request)->timer, on_event, (uint64_t)work_ms, 0);
 	} else {
 		record_run(request);
-		send_head(caller, request, strcmp(mode, "error") ? 200 : 500, "", 5);
+		send_head(caller, request_id(request), strcmp(mode, "error") ? 200 : 500, "", 5);
 		cw_caller_send_body(caller, "whole", 5);
 		cw_caller_end_answer(caller);
 	}
@@ -284,9 +359,16 @@
 					 "ms from the start of such a request to the crash (40)");
 	struct arg_int *down = arg_int0(NULL, "down-ms", "MS",
 					"ms from a crash until the server listens again (1500)");
+	struct arg_int *room =
+		arg_int0(NULL, "places", "N", "requests that run at a time (any number)");
+	struct arg_int *work =
+		arg_int0(NULL, "work-ms", "MS", "ms to answer a request that is not streamed (0)");
+	struct arg_str *brittle_option =
+		arg_str0(NULL, "brittle", "N", "tolerated rejections in a second");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help and exit");
 	struct arg_end *end = arg_end(4);
-	void *table[] = {listen, id, confidence_option, gap, text, after, down, help, end};
+	void *table[] = {listen, id,   confidence_option, gap,	text, after, down,
+			 room,	 work, brittle_option,	  help, end};
 	struct cw_error error = {0};
 	uv_signal_t term;
 
@@ -299,6 +381,11 @@
 	name = id->sval[0];
 	confidence = confidence_option->count ? confidence_option->sval[0] : NULL;
 	gap_ms = gap->count ? gap->ival[0] : 20;
+	places = room->count ? room->ival[0] : 0;
+	work_ms = work->count ? work->ival[0] : 0;
+	if (brittle_option->count)
+		g_strlcpy(brittle, brittle_option->sval[0], sizeof(brittle));
+	rejected_ms = g_array_new(FALSE, FALSE, sizeof(long));
 	crash.text = text->count ? text->sval[0] : NULL;
 	crash.after_ms = after->count ? after->ival[0] : 40;
 	crash.down_ms = down->count ? down->ival[0] : 1500;
