--- a/packages/pool/src/brittle.c
+++ b/packages/pool/src/brittle.c
@@ -15,8 +15,8 @@
 #define TOLERATED_PART                                                                             \
 	0.5 /* of the tolerated rejections that all instances may cause by their views */
 #define FREE_MIN     2.0 /* places, below which a view that is some hundred ms old shows none */
-#define BURST_ROOM	  2.0	/* standard deviations of the requests that run */
-#define TURN_PART	  0.5	/* of the places taken, up to which instances without one send */
+#define BURST_ROOM   2.0 /* standard deviations of the requests that run */
+#define TURN_PART    0.5 /* of the places taken, up to which instances without one send */
 #define PEAK_MS	     400 /* longer than a view is old */
 #define PAUSE_MIN_MS 50
 #define PAUSE_MAX_MS 1600
