soak: partitions of instances in series, brittle and silent servers

With "cuts" one to all but one of the instances are partitioned from all servers for 4.5 to 6.5 s, in three ways, again and again beside restarts and all other faults; check_cuts.awk holds what their callers get against the others, from 3 s after the begin.

--- a/tests/lib_cut.sh
+++ b/tests/lib_cut.sh
@@ -1,5 +1,5 @@
 # Partitions of instances from all backend servers, and what callers get meanwhile. Source this file after
-# tests/lib_users.sh: the instances then run as corianderwalk-cut (tests/tools/cut_links.c).
+# tests/lib_users.sh and tests/lib_fatal.sh: the instances then run as corianderwalk-cut (tests/tools/cut_links.c).
 INSTANCE_PROGRAM=tests/corianderwalk-cut
 export CUT_KEEP=$P_STORE,$P_PEER
 CUT_CONTACT_MS=3000 # from the begin of a partition until its instances must serve as the others do
@@ -58,4 +58,3 @@
 	awk '$2 == "order" && $5 == "refused" {print $1}' "$DIR"/callers* | sort >"$DIR/refused"
 	awk '{print $2}' "$DIR/ran" | sort -u | comm -12 - "$DIR/refused" | grep . || echo "orders: none refused that ran"
 }
-uptime_ms() { awk '{print int($1 * 1000)}' /proc/uptime; }
--- a/tests/runs/users_brittle.sh
+++ b/tests/runs/users_brittle.sh
@@ -4,6 +4,7 @@
 . tests/lib.sh
 . tests/lib_users.sh
 . tests/lib_reports.sh
+. tests/lib_fatal.sh
 . tests/lib_cut.sh
 store_start
 config 1 k1
@@ -25,7 +26,6 @@
 		($2 == "order" || $2 == "read") && $6 >= a && $6 < b { all++; ok += $5 == "ok" } END { print ok + 0, all + 0 }')
 	echo "served: $SERVED" >&2
 }
-at_most() { [ "$2" -le "$1" ] && echo "at most $1: yes" || echo "at most $1: no, $2"; }
 # in_hundred LEAST SERVED ALL
 in_hundred() { [ $(($2 * 100)) -ge $(($1 * $3)) ] && echo "at least $1 in 100: yes" || echo "at least $1 in 100: no, $2 of $3"; }
 echo "-- three servers, two thirds of the load that they can run"
--- a/tests/runs/users_cut.sh
+++ b/tests/runs/users_cut.sh
@@ -2,6 +2,7 @@
 # this prevents: their callers are rejected for as long as the partition lasts, while the other instances serve.
 . tests/lib.sh
 . tests/lib_users.sh
+. tests/lib_fatal.sh
 . tests/lib_cut.sh
 store_start
 config 1 k1
--- a/tests/runs/users_forward.sh
+++ b/tests/runs/users_forward.sh
@@ -2,6 +2,7 @@
 # for a request to a server does not hold for one that goes through a peer.
 . tests/lib.sh
 . tests/lib_users.sh
+. tests/lib_fatal.sh
 . tests/lib_cut.sh
 store_start
 config 1 k1
--- a/tests/soak/soak.sh
+++ b/tests/soak/soak.sh
@@ -1,23 +1,30 @@
 # Randomized soak test of the entry: real processes, injected faults, and checks of the guarantees against what
 # callers and backend servers observed.
 #   bash tests/soak/soak.sh SEED SECONDS [INSTANCES [CALLERS [WITH]]]   (BUILD: the build folder; WITH: any of
-#   domains, reports and eras, separated by commas)
+#   domains, reports, eras, cuts and brittle, separated by commas)
 # With "domains" the servers e2 and a2 are in the failure domain z2, which is drained and restored at random.
 # With "reports" servers also report rate limits, that they leave and that they want rest; what they then get is checked
 # every second.
 # With "eras" the store goes back to an older copy of itself, also during outages and drains and twice in a row; what the
 # operator and the servers wrote is written again up to a second later. Three seconds later a configuration must be in
 # force everywhere within two, and no server that was removed gets requests.
+# With "cuts" some instances, up to all but one, are partitioned from all servers for seconds, one such cut after the other
+# and beside all other faults. From three seconds after its begin their callers must be served nearly as the others.
+# With "brittle" the plain servers have places and at times are brittle: they crash after too many rejections. Servers also
+# stop for a second.
 # Prints the faults in order if a guarantee was violated, the seed, and a verdict. The same seed injects the same
 # faults.
-SEED_NUMBER=$1 DURATION_S=$2 INSTANCE_COUNT=${3:-3} CALLER_COUNT=${4:-12} DOMAINS="" REPORTS="" ERAS=""
+SEED_NUMBER=$1 DURATION_S=$2 INSTANCE_COUNT=${3:-3} CALLER_COUNT=${4:-12} DOMAINS="" REPORTS="" ERAS="" CUTS="" BRITTLE=""
 case ",${5:-}," in *,domains,*) DOMAINS=domains ;; esac
 case ",${5:-}," in *,reports,*) REPORTS=reports ;; esac
 case ",${5:-}," in *,eras,*) ERAS=eras ;; esac
+case ",${5:-}," in *,cuts,*) CUTS=cuts ;; esac
+case ",${5:-}," in *,brittle,*) BRITTLE=brittle ;; esac
 . tests/lib.sh
 . tests/lib_users.sh
 . tests/lib_fatal.sh
 . tests/lib_reports.sh
+[ -z "$CUTS" ] || . tests/lib_cut.sh
 QUARANTINE_MS=3000 # from the third server crash under one request until all instances have quarantined the request
 RANDOM=$SEED_NUMBER
 ACTS=""
@@ -55,11 +62,13 @@
 	eval "CURRENT_$slot=$name; SERVICE_$slot=$service; DIRECT_$name=$direct"
 }
 FATAL="--fatal deadly --down-ms 700"
+[ -z "$BRITTLE" ] || FATAL="$FATAL --work-ms 40"
 server e1 llm --confidence 90 $FATAL
 server e2 llm --confidence 40 $FATAL
-server a1 app
-server a2 app
+server a1 app $FATAL
+server a2 app $FATAL
 STORE=$PROXY_store
+[ -z "$CUTS" ] || export CUT_KEEP=${PROXY_store##*:},$P_PEER
 HOSTS=""
 NAMES=""
 for i in $(seq "$INSTANCE_COUNT"); do
@@ -119,6 +128,8 @@
 [ -z "$REPORTS" ] || KINDS+=(14 15 16 17 18 19)
 [ -z "$DOMAINS" ] || KINDS+=(20 21)
 [ -z "$ERAS" ] || KINDS+=(22 23 24 25)
+[ -z "$CUTS" ] || KINDS+=(26 27 28 29)
+[ -z "$BRITTLE" ] || KINDS+=(30 31 32 33)
 draw_fault() { FAULT=${KINDS[$((RANDOM % ${#KINDS[@]}))]}; }
 WRITERS=""
 restore_store() { # HOW: the store goes back to its copy; what was lost is written again after a wait
@@ -141,6 +152,38 @@
 	publish $((RANDOM % 6))
 	pause
 }
+CUT_END=0 CUT_NAMES=""
+: >"$DIR/cuts"
+begin_cut() { # MODE: of one instance or more, up to all but one
+	local count=$((RANDOM % (INSTANCE_COUNT - 1) + 1)) n at
+	[ $CUT_END -eq 0 ] || return 0
+	CUT_NAMES=$(for n in $NAMES; do echo "$RANDOM $n"; done | sort -n | head -n "$count" | cut -d' ' -f2 | tr '\n' ' ')
+	at=$(uptime_ms)
+	CUT_END=$((at + 4500 + RANDOM % 2000)) CUT_BEGAN=$at
+	record_fault cut "$1" "$CUT_NAMES"
+	for n in $CUT_NAMES; do set_link "$1" "$n"; done
+}
+set_link() { # MODE NAME: an instance that starts reads the mode by itself
+	echo "$1" >"$DIR/$2.cut"
+	has_started "$2" && kill -USR1 "$(pid_of "$2")" 2>/dev/null
+	return 0
+}
+end_cut() {
+	local n hosts=""
+	for n in $CUT_NAMES; do
+		set_link none "$n"
+		eval "hosts=\"$hosts \$HOST_$n\""
+	done
+	echo "$CUT_BEGAN $(uptime_ms)$hosts" >>"$DIR/cuts"
+	record_fault cut_end "$CUT_NAMES"
+	CUT_END=0
+}
+end_cut_in_time() { [ $CUT_END -eq 0 ] || [ "$(uptime_ms)" -lt $CUT_END ] || end_cut; }
+make_brittle() { # SERVER
+	eval "local direct=\$DIRECT_$1"
+	curl -s -o /dev/null -X POST "http://$direct/admin/places?m=6"
+	curl -s -o /dev/null -X POST "http://$direct/admin/brittle?m=4"
+}
 wait_for_writers() { wait $WRITERS; WRITERS=""; }
 all_have_newest() { for n in $NAMES; do has_config "$n" "$VERSION" || return 1; done; }
 remove_server() { put keyed.servers "$1" ""; echo "$(awk '{print int($1 * 1000)}' /proc/uptime) $1" >>"$DIR/removed"; }
@@ -151,6 +194,7 @@
 	pick "$NAMES"; n=$PICKED
 	pick "e1 e2 a1 a2"; slot=$PICKED
 	eval "server=\$CURRENT_$slot service=\$SERVICE_$slot"
+	end_cut_in_time
 	draw_fault
 	case $FAULT in
 	0) record_fault kill "$n"; kill -KILL "$(pid_of "$n")"; restart_instance "$n" ;;
@@ -184,10 +228,17 @@
 	25) lose_records; pick "kept broken silent"; restore_store "$PICKED"; wait_for_writers; publish $((RANDOM % 4))
 		sleep 3; VERSION=$((VERSION + 1)); record_fault calm_config "$VERSION"; config "$VERSION" k1
 		[ "$(in_time 2000 all_have_newest)" = "in time" ] || echo "configuration $VERSION" >>"$DIR/late" ;;
+	26) begin_cut hang ;;
+	27) begin_cut reset ;;
+	28 | 29) begin_cut refuse ;;
+	30 | 31) record_fault brittle; for slot in a1 a2; do eval "make_brittle \$CURRENT_$slot"; done ;;
+	32) record_fault sound; for slot in a1 a2; do eval "curl -s -o /dev/null -X POST http://\$(eval echo \\\$DIRECT_\$CURRENT_$slot)/admin/brittle"; done ;;
+	33) record_fault silent "$server"; kill -STOP "$(pid_of "$server")"; sleep 1; kill -CONT "$(pid_of "$server")" ;;
 	13) VERSION=$((VERSION + 1)); record_fault config "$VERSION"; config "$VERSION" k1 ;;
 	esac
 	[ $((RANDOM % 3)) -eq 0 ] || pause
 done
+[ $CUT_END -eq 0 ] || end_cut
 wait $CALLERS
 wait $POISON_CALLER
 wait $CHECKER
@@ -225,9 +276,16 @@
 done <"$DIR/removed" | grep . && report_violation "a server got requests long after its removal"
 check_reports >>"$DIR/reports.broken"
 [ -s "$DIR/reports.broken" ] && report_violation "a server got more than it had reported: $(sort -u "$DIR/reports.broken" | head -n 3)"
+for n in $NAMES; do eval "echo \$HOST_$n $n"; done >"$DIR/hosts"
+awk -v faults="$FAULTS" -v hosts="$DIR/hosts" -v callers="$DIR/callers" -f tests/soak/check_cuts.awk "$DIR/cuts" | grep . &&
+	report_violation "callers of partitioned instances were served far worse than others (begin, served, requests, the others)"
+fallen=$(cat "$DIR"/a[12]g*.log | grep -c '^fell ')
+[ -z "$BRITTLE" ] || [ "$fallen" -le 2 ] || report_violation "brittle servers fell $fallen times"
 late=$(count_late_runs $QUARANTINE_MS)
 [ "$late" -le 3 ] || report_violation "a poison request ran $late times later than $QUARANTINE_MS ms after the third server crash under it"
 echo "$(crash_times | wc -l) server crashes under one poison request, $late runs of it later than $QUARANTINE_MS ms after the third"
+[ -z "$CUTS" ] || echo "cuts: $(wc -l <"$DIR/cuts"), requests through peers: $(cat "$DIR"/n*.log | grep -c 'event=carried_end .*outcome=answered')"
+[ -z "$BRITTLE" ] || echo "brittle: $(cat "$DIR"/a[12]g*.log | grep -c '^full ') rejections, $fallen falls"
 [ -z "$REPORTS" ] || echo "reports: $(cat "$DIR"/[ea][12]g*.log | awk '$1 == "limit" { l++ } $1 == "leaving" { d++ } $1 == "rest" { r++ } END { print l + 0 " answers with a limit, " d + 0 " with leaving, " r + 0 " rejections with rest" }')"
 echo "seed $SEED_NUMBER: $(wc -l <"$DIR/callers") requests, $(grep -c ' ok ' "$DIR/callers") ok, $(wc -l <"$FAULTS") faults"
 [ $bad -eq 0 ] || { cat "$FAULTS"; KEEP=${KEEP_BAD:-}; echo "verdict: broken"; exit 1; }
