entry: the path of an attempt is a module of its own; what the linter found in tests

What sends an attempt directly or through a peer moves to entry_path.c, the struct that both use to entry_relay.h; names of shared functions get the prefix relay_. Lint: a float as loop counter, a char's sign, an integer division, all in tests.

--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -1,45 +1,13 @@
 #include "cw_counters.h"
 #include "cw_events.h"
-#include "cw_forwarder.h"
-#include "entry_forward.h"
 #include "cw_timeline.h"
+#include "entry_relay.h"
 
 #include <string.h>
 
 #define SYNC_WAIT_MS	  700 /* for configuration and server list: reading them takes 10 to 300 ms */
-#define PEER_CONNECT_MS	  100		    /* to the peer that is to forward a request */
 #define BUFFERED_BODY_MAX (4 * 1024 * 1024) /* of a response that is not streamed */
 
-struct relay {
-	TAILQ_ENTRY(relay) link;
-	struct entry *entry;
-	struct cw_caller *caller;   /* NULL: the caller has disconnected, or has its answer */
-	struct cw_message *request; /* owned by the caller's connection */
-	struct cw_request_info request_info;
-	struct cw_call *call;
-	struct cw_exchange *exchange;
-	struct cw_step step;			   /* the current attempt */
-	char peer[CW_NAME_MAX];			   /* that forwards it now; empty: none */
-	uint64_t peers_tried[CW_FORWARDERS_TRIED]; /* cw_member.id */
-	size_t peers_tried_count;
-	size_t peers_refused;		/* of these, by the server */
-	int is_peer_head_seen;		/* of the server's answer, through the peer */
-	enum cw_attempt_failure unsent; /* why the attempt was not sent directly, or by peers */
-	uv_timer_t deadline_timer;
-	struct cw_events *event_parser;
-	GString *response_fields; /* header fields of the response */
-	GString *response_body;
-	unsigned int http_status;
-	int is_stream;
-	int is_head_sent; /* to the caller */
-	int is_paused;	  /* the server is not read until the caller has read more */
-	int64_t opened_ms;
-	int64_t sent_ms;	  /* when the current attempt was sent */
-	int64_t first_byte_ms;	  /* when the first byte was sent to the caller, -1: not yet */
-	int64_t last_event_ms;	  /* when the newest event was received */
-	int64_t longest_pause_ms; /* between two events */
-};
-
 static void on_head(void *context, const struct cw_message *answer);
 static void log_head(const struct relay *relay, const struct cw_response_head *head,
 		     const struct cw_step *step, double predicted_ms, int64_t took_ms);
@@ -50,34 +18,16 @@
 static void on_closed(uv_handle_t *handle);
 static void open_call(struct relay *relay);
 static void start_deadline_timer(struct relay *relay);
-static void apply_step(struct relay *relay, const struct cw_step *step);
 static void send_attempt(struct relay *relay, const struct cw_step *step);
-static void send_on_path(struct relay *relay);
-static void send_directly(struct relay *relay);
-static int send_by_peer(struct relay *relay);
-static GString *format_attempt(const struct relay *relay);
 static void log_dispatch(const struct relay *relay);
-static int read_peer_head(struct relay *relay, const struct cw_message *answer);
-static void handle_peer_failure(struct relay *relay, enum cw_flow_failure failure);
-static void try_next_peer(struct relay *relay, const char *why);
-static void handle_direct_failure(struct relay *relay, enum cw_flow_failure failure);
-static void report_failure(struct relay *relay, enum cw_attempt_failure failure);
-static void end_forward(struct relay *relay, int is_peer_avoided);
 static void record_data_received(struct relay *relay);
-static void cancel_exchange(struct relay *relay);
 static void reject(struct relay *relay, const struct cw_step *step);
 static void forward_events(struct relay *relay);
 static void send_head(struct relay *relay, int64_t length);
 static void finish(struct relay *relay, const char *outcome);
 static void reject_bad_request(struct cw_caller *caller, const struct cw_error *error);
 
-static const struct cw_exchange_ops exchange_ops = {on_head, on_data, on_end, on_failed};
-
-static const char *const failure_names[] = {
-	[CW_ATTEMPT_NO_CONNECTION] = "unsent",	 [CW_ATTEMPT_CONNECTION_REFUSED] = "refused",
-	[CW_ATTEMPT_CONNECTION_LOST] = "broken", [CW_ATTEMPT_MALFORMED] = "garbled",
-	[CW_ATTEMPT_TIMED_OUT] = "silent",	 [CW_ATTEMPT_PEER_LOST] = "peer_lost",
-};
+const struct cw_exchange_ops relay_exchange_ops = {on_head, on_data, on_end, on_failed};
 
 void relay_start(struct entry *entry, struct cw_caller *caller, struct cw_message *request)
 {
@@ -141,7 +91,7 @@
 	if (cw_caller_is_listener_closed(relay->caller))
 		cw_call_reject(relay->call, now_ms, "this instance is stopping", &step);
 	start_deadline_timer(relay);
-	apply_step(relay, &step);
+	relay_apply_step(relay, &step);
 }
 
 static void start_deadline_timer(struct relay *relay)
@@ -189,8 +139,9 @@
 		if (server && server->is_superseded) {
 			int is_sent = cw_exchange_is_sent(relay->exchange);
 
-			cancel_exchange(relay);
-			on_failed(relay, is_sent ? CW_FLOW_CONNECTION_LOST : CW_FLOW_NO_CONNECTION);
+			relay_cancel_exchange(relay);
+			relay_handle_failure(relay, is_sent ? CW_FLOW_CONNECTION_LOST
+							    : CW_FLOW_NO_CONNECTION);
 		}
 		relay = next;
 	}
@@ -205,8 +156,8 @@
 
 		if (relay->exchange && !*relay->peer && cw_call_server(relay->call) == server &&
 		    cw_call_may_change_server(relay->call)) {
-			cancel_exchange(relay);
-			on_failed(relay, CW_FLOW_TIMED_OUT);
+			relay_cancel_exchange(relay);
+			relay_handle_failure(relay, CW_FLOW_TIMED_OUT);
 		}
 		relay = next;
 	}
@@ -222,7 +173,7 @@
 
 		if (relay->call && cw_call_is_quarantined(relay->call)) {
 			cw_call_abort(relay->call, entry_now_ms(entry), &step);
-			apply_step(relay, &step);
+			relay_apply_step(relay, &step);
 		}
 		relay = next;
 	}
@@ -240,7 +191,7 @@
 	}
 }
 
-static void apply_step(struct relay *relay, const struct cw_step *step)
+void relay_apply_step(struct relay *relay, const struct cw_step *step)
 {
 	switch (step->kind) {
 	case CW_STEP_SEND:
@@ -256,7 +207,7 @@
 		reject(relay, step);
 		break;
 	case CW_STEP_ABORT:
-		cancel_exchange(relay);
+		relay_cancel_exchange(relay);
 		cw_caller_abort(relay->caller);
 		relay->caller = NULL;
 		finish(relay, "aborted");
@@ -266,7 +217,7 @@
 
 static void send_attempt(struct relay *relay, const struct cw_step *step)
 {
-	cancel_exchange(relay);
+	relay_cancel_exchange(relay);
 	relay->step = *step;
 	relay->sent_ms = entry_now_ms(relay->entry);
 	relay->peers_tried_count = 0;
@@ -277,100 +228,7 @@
 	g_string_truncate(relay->response_body, 0);
 	cw_counter_add("attempts", "", 1);
 	log_dispatch(relay);
-	send_on_path(relay);
-}
-
-/*
- * An unreachable server is chosen only if no other one can be used. A peer may reach it; without
- * such a peer the attempt fails at once, as the next probe finds out sooner than this request
- * would.
- */
-static void send_on_path(struct relay *relay)
-{
-	const struct cw_server *server = relay->step.server;
-	int is_direct = !server->is_unreachable && server->path == CW_PATH_DIRECT;
-
-	if (server->path == CW_PATH_KEPT && !server->is_unreachable)
-		is_direct = cw_client_has_idle(relay->entry->server_client, server->address,
-					       relay->step.reuse_idle_ms);
-	if (is_direct)
-		send_directly(relay);
-	else if (!send_by_peer(relay))
-		report_failure(relay, relay->unsent);
-}
-
-static void send_directly(struct relay *relay)
-{
-	const struct cw_step *step = &relay->step;
-	struct cw_exchange_request request = {
-		.address = step->server->address,
-		.bytes = format_attempt(relay),
-		.is_head = relay->request_info.is_head,
-		.reuse_idle_ms = step->reuse_idle_ms,
-		.connect_ms = step->connect_ms,
-		.read_timeout_ms = step->read_timeout_ms,
-		.echo_name = cw_up_echoed_field_name(),
-		.echo_value = relay->request_info.id,
-	};
-
-	relay->exchange =
-		cw_client_send(relay->entry->server_client, &request, &exchange_ops, relay);
-}
-
-/* 0: there is no peer left to ask, or no time. */
-static int send_by_peer(struct relay *relay)
-{
-	const struct cw_step *step = &relay->step;
-	struct entry *entry = relay->entry;
-	struct cw_exchange_request request = {
-		.reuse_idle_ms = step->reuse_idle_ms,
-		.connect_ms = PEER_CONNECT_MS,
-		.read_timeout_ms = step->read_timeout_ms,
-		.echo_name = cw_up_echoed_field_name(),
-		.echo_value = relay->request_info.id,
-	};
-	struct forward_request forward = {
-		.server = step->server->id,
-		.id = relay->request_info.id,
-		.instance = entry->settings.instance,
-		.reuse_idle_ms = step->reuse_idle_ms,
-	};
-	struct cw_member *peer;
-	GString *bytes;
-
-	if (relay->peers_tried_count == CW_FORWARDERS_TRIED ||
-	    entry_now_ms(entry) >= cw_call_deadline_ms(relay->call))
-		return 0;
-	peer = peers_choose_forwarder(entry->peers, relay->peers_tried, relay->peers_tried_count);
-	if (!peer)
-		return 0;
-	relay->peers_tried[relay->peers_tried_count++] = peer->id;
-	relay->is_peer_head_seen = 0;
-	g_strlcpy(relay->peer, peer->instance, sizeof(relay->peer));
-	forward.peer_address = request.address = peer->address;
-	forward.key = peer->forward_key;
-	bytes = format_attempt(relay);
-	request.bytes = forward_format_request(&forward, bytes);
-	g_string_free(bytes, TRUE);
-	cw_call_set_via_peer(relay->call);
-	cw_counter_add("forwards_asked", "", 1);
-	cw_event("gate", "forward", "request=%s peer=%s domain=%s server=%s asked=%zu",
-		 relay->request_info.id, peer->instance, peer->failure_domain, step->server->name,
-		 relay->peers_tried_count);
-	relay->exchange = cw_client_send(entry->server_client, &request, &exchange_ops, relay);
-	return 1;
-}
-
-/* The request to the server; what other paths have taken of its time is gone. */
-static GString *format_attempt(const struct relay *relay)
-{
-	GString *bytes = g_string_sized_new(relay->request->body->len + 512);
-	struct cw_dispatch dispatch = relay->step.dispatch;
-
-	dispatch.allowed_ms =
-		MAX(dispatch.allowed_ms - (entry_now_ms(relay->entry) - relay->sent_ms), 1);
-	cw_up_format_request(relay->request, &dispatch, relay->step.server->address, bytes);
-	return bytes;
+	relay_send_on_path(relay);
 }
 
 static void log_dispatch(const struct relay *relay)
@@ -408,7 +266,7 @@
 	const struct cw_server *server = cw_call_server(relay->call);
 	int64_t now_ms = entry_now_ms(relay->entry);
 
-	if (*relay->peer && !read_peer_head(relay, answer))
+	if (*relay->peer && !relay_read_peer_head(relay, answer))
 		return;
 	record_data_received(relay);
 	cw_up_parse_answer_head(answer, &head);
@@ -426,7 +284,7 @@
 		g_string_truncate(relay->response_fields, 0);
 		cw_up_format_answer_fields(answer, relay->request_info.id, relay->response_fields);
 	}
-	apply_step(relay, &step);
+	relay_apply_step(relay, &step);
 }
 
 static void log_head(const struct relay *relay, const struct cw_response_head *head,
@@ -464,10 +322,10 @@
 		if (relay->response_body->len <= BUFFERED_BODY_MAX)
 			return;
 	}
-	cancel_exchange(relay);
+	relay_cancel_exchange(relay);
 	cw_call_handle_failure(relay->call, CW_ATTEMPT_MALFORMED, entry_now_ms(relay->entry),
 			       &step);
-	apply_step(relay, &step);
+	relay_apply_step(relay, &step);
 }
 
 /* Forwards the complete events in one write; drops events that the caller already has. */
@@ -509,10 +367,10 @@
 	struct cw_step step;
 
 	relay->exchange = NULL;
-	end_forward(relay, 0);
+	relay_end_forward(relay, 0);
 	if (relay->is_stream && cw_events_count_pending_bytes(relay->event_parser) > 0) {
 		cw_call_handle_failure(relay->call, CW_ATTEMPT_CONNECTION_LOST, now_ms, &step);
-		apply_step(relay, &step);
+		relay_apply_step(relay, &step);
 		return;
 	}
 	cw_call_complete(relay->call, now_ms);
@@ -533,138 +391,7 @@
 
 static void on_failed(void *context, enum cw_flow_failure failure)
 {
-	struct relay *relay = context;
-
-	relay->exchange = NULL;
-	if (*relay->peer)
-		handle_peer_failure(relay, failure);
-	else
-		handle_direct_failure(relay, failure);
-}
-
-/* A request of which no byte was sent goes to the same server through a peer, as part of the same
- * attempt. */
-static void handle_direct_failure(struct relay *relay, enum cw_flow_failure failure)
-{
-	static const enum cw_attempt_failure attempt_failures[] = {
-		[CW_FLOW_NO_CONNECTION] = CW_ATTEMPT_NO_CONNECTION,
-		[CW_FLOW_CONNECTION_REFUSED] = CW_ATTEMPT_CONNECTION_REFUSED,
-		[CW_FLOW_CONNECTION_LOST] = CW_ATTEMPT_CONNECTION_LOST,
-		[CW_FLOW_MALFORMED] = CW_ATTEMPT_MALFORMED,
-		[CW_FLOW_TIMED_OUT] = CW_ATTEMPT_TIMED_OUT,
-	};
-	struct cw_server *server = cw_call_server(relay->call);
-
-	relay->unsent = attempt_failures[failure];
-	switch (failure) {
-	case CW_FLOW_NO_CONNECTION:
-		reach_note_unanswered(relay->entry, server);
-		if (send_by_peer(relay))
-			return;
-		break;
-	case CW_FLOW_CONNECTION_REFUSED:
-		reach_note_loss(relay->entry, server);
-		if (send_by_peer(relay))
-			return;
-		break;
-	case CW_FLOW_CONNECTION_LOST:
-		reach_note_loss(relay->entry, server);
-		reach_probe_crashed(relay->entry, server);
-		break;
-	case CW_FLOW_MALFORMED:
-	case CW_FLOW_TIMED_OUT:
-		break;
-	}
-	report_failure(relay, attempt_failures[failure]);
-}
-
-static void handle_peer_failure(struct relay *relay, enum cw_flow_failure failure)
-{
-	switch (failure) {
-	case CW_FLOW_NO_CONNECTION:
-	case CW_FLOW_CONNECTION_REFUSED:
-		try_next_peer(relay, "peer_unreachable");
-		return;
-	case CW_FLOW_TIMED_OUT:
-		end_forward(relay, 0);
-		report_failure(relay, CW_ATTEMPT_TIMED_OUT);
-		return;
-	case CW_FLOW_CONNECTION_LOST:
-	case CW_FLOW_MALFORMED:
-		/* After the head the server may have broken off, which the peer passes on. */
-		end_forward(relay, !relay->is_peer_head_seen);
-		report_failure(relay, CW_ATTEMPT_PEER_LOST);
-		return;
-	}
-}
-
-/* 0: the head is none of the server, and what follows from it is done. */
-static int read_peer_head(struct relay *relay, const struct cw_message *answer)
-{
-	struct cw_server *server = cw_call_server(relay->call);
-	enum cw_forward_result result = forward_read_head(answer, server->id);
-
-	switch (result) {
-	case CW_FORWARD_ANSWERED:
-		relay->is_peer_head_seen = 1;
-		return 1;
-	case CW_FORWARD_REFUSED:
-		relay->unsent = CW_ATTEMPT_CONNECTION_REFUSED;
-		relay->peers_refused++;
-		try_next_peer(relay, forward_result_name(result));
-		return 0;
-	case CW_FORWARD_DECLINED:
-	case CW_FORWARD_UNSENT:
-		try_next_peer(relay, forward_result_name(result));
-		return 0;
-	case CW_FORWARD_BROKEN:
-	case CW_FORWARD_MALFORMED:
-	case CW_FORWARD_SILENT:
-		break;
-	}
-	cancel_exchange(relay);
-	report_failure(relay, result == CW_FORWARD_BROKEN      ? CW_ATTEMPT_CONNECTION_LOST
-			      : result == CW_FORWARD_MALFORMED ? CW_ATTEMPT_MALFORMED
-							       : CW_ATTEMPT_PEER_LOST);
-	return 0;
-}
-
-/* The peer has not sent the request. */
-static void try_next_peer(struct relay *relay, const char *why)
-{
-	cw_event("gate", "forward_failed", "request=%s peer=%s why=%s", relay->request_info.id,
-		 relay->peer, why);
-	cw_counter_add("forwards_failed", "", 1);
-	end_forward(relay, 1);
-	cancel_exchange(relay);
-	if (send_by_peer(relay))
-		return;
-	if (relay->peers_refused == relay->peers_tried_count)
-		reach_note_ended(relay->entry);
-	report_failure(relay, relay->unsent);
-}
-
-static void report_failure(struct relay *relay, enum cw_attempt_failure failure)
-{
-	const struct cw_server *server = cw_call_server(relay->call);
-	struct cw_step step;
-
-	cw_event("gate", "attempt_failed",
-		 "request=%s server=%s how=%s shown_ms=%ld sent_ms_ago=%ld fingerprint=%016lx",
-		 relay->request_info.id, server ? server->name : "-", failure_names[failure],
-		 relay->first_byte_ms < 0 ? -1L : (long)(relay->first_byte_ms - relay->opened_ms),
-		 (long)(entry_now_ms(relay->entry) - relay->sent_ms),
-		 (unsigned long)cw_call_fingerprint(relay->call));
-	cw_call_handle_failure(relay->call, failure, entry_now_ms(relay->entry), &step);
-	apply_step(relay, &step);
-}
-
-static void end_forward(struct relay *relay, int is_peer_avoided)
-{
-	if (!*relay->peer)
-		return;
-	peers_end_forward(relay->entry->peers, relay->peer, is_peer_avoided);
-	*relay->peer = '\0';
+	relay_handle_failure(context, failure);
 }
 
 static void on_deadline(uv_timer_t *timer)
@@ -679,12 +406,12 @@
 	if (cw_call_is_waiting(relay->call)) {
 		start_deadline_timer(relay);
 		cw_call_resume(relay->call, entry_now_ms(relay->entry), &step);
-		apply_step(relay, &step);
+		relay_apply_step(relay, &step);
 		return;
 	}
-	cancel_exchange(relay);
+	relay_cancel_exchange(relay);
 	cw_call_expire(relay->call, entry_now_ms(relay->entry), &step);
-	apply_step(relay, &step);
+	relay_apply_step(relay, &step);
 }
 
 static void record_data_received(struct relay *relay)
@@ -699,12 +426,12 @@
 				    relay->sent_ms, entry_now_ms(relay->entry));
 }
 
-static void cancel_exchange(struct relay *relay)
+void relay_cancel_exchange(struct relay *relay)
 {
 	if (relay->exchange)
 		cw_exchange_cancel(relay->exchange);
 	relay->exchange = NULL;
-	end_forward(relay, 0);
+	relay_end_forward(relay, 0);
 }
 
 static void send_head(struct relay *relay, int64_t length)
@@ -718,7 +445,7 @@
 {
 	GString *fields = g_string_sized_new(64);
 
-	cancel_exchange(relay);
+	relay_cancel_exchange(relay);
 	cw_up_format_rejection_fields(relay->request_info.id, step->retry_after_ms, fields);
 	relay->http_status = step->status;
 	cw_event("gate", "refused",
@@ -743,7 +470,7 @@
 	const struct cw_route *route = relay->call ? cw_call_route(relay->call) : NULL;
 	char label[64];
 
-	cancel_exchange(relay);
+	relay_cancel_exchange(relay);
 	g_snprintf(label, sizeof(label), "outcome=\"%s\"", outcome);
 	cw_counter_add("ended", label, 1);
 	if (route) {
--- /dev/null
+++ b/apps/corianderwalk/entry_relay.h
@@ -0,0 +1,54 @@
+/* One request between its caller and the backend servers; shared by entry_relay.c and entry_path.c.
+ */
+#ifndef ENTRY_RELAY_H
+#define ENTRY_RELAY_H
+
+#include "cw_events.h"
+#include "cw_forwarder.h"
+#include "entry.h"
+
+struct relay {
+	TAILQ_ENTRY(relay) link;
+	struct entry *entry;
+	struct cw_caller *caller;   /* NULL: the caller has disconnected, or has its answer */
+	struct cw_message *request; /* owned by the caller's connection */
+	struct cw_request_info request_info;
+	struct cw_call *call;
+	struct cw_exchange *exchange;
+	struct cw_step step;			   /* the current attempt */
+	char peer[CW_NAME_MAX];			   /* that forwards it now; empty: none */
+	uint64_t peers_tried[CW_FORWARDERS_TRIED]; /* cw_member.id */
+	size_t peers_tried_count;
+	size_t peers_refused;		/* of these, by the server */
+	int is_peer_head_seen;		/* of the server's answer, through the peer */
+	enum cw_attempt_failure unsent; /* why the attempt was not sent directly, or by peers */
+	uv_timer_t deadline_timer;
+	struct cw_events *event_parser;
+	GString *response_fields; /* header fields of the response */
+	GString *response_body;
+	unsigned int http_status;
+	int is_stream;
+	int is_head_sent; /* to the caller */
+	int is_paused;	  /* the server is not read until the caller has read more */
+	int64_t opened_ms;
+	int64_t sent_ms;	  /* when the current attempt was sent */
+	int64_t first_byte_ms;	  /* when the first byte was sent to the caller, -1: not yet */
+	int64_t last_event_ms;	  /* when the newest event was received */
+	int64_t longest_pause_ms; /* between two events */
+};
+
+/* entry_relay.c: functions of entry.h, and */
+extern const struct cw_exchange_ops relay_exchange_ops;
+void relay_apply_step(struct relay *relay, const struct cw_step *step);
+void relay_cancel_exchange(struct relay *relay);
+
+/* entry_path.c: sends the current attempt, directly or through a peer */
+void relay_send_on_path(struct relay *relay);
+void relay_handle_failure(struct relay *relay,
+			  enum cw_flow_failure failure); /* of the exchange in progress */
+int relay_read_peer_head(struct relay *relay,
+			 const struct cw_message *answer); /* 0: the head is none of the server,
+							      and what follows from it is done */
+void relay_end_forward(struct relay *relay, int is_peer_avoided); /* no peer has it any more */
+
+#endif
--- a/tests/fuzz/users_input.c
+++ b/tests/fuzz/users_input.c
@@ -564,7 +564,7 @@
 		answer->rate_limit = CW_FIELD_INVALID;
 	} else if (choice % 16 == 3) {
 		answer->brittle = CW_FIELD_VALID;
-		answer->tolerated_per_s = choice / 16;
+		answer->tolerated_per_s = choice / 16.0;
 	} else if (choice % 16 == 11) {
 		answer->brittle = CW_FIELD_INVALID;
 	}
--- a/tests/tools/cut_links.c
+++ b/tests/tools/cut_links.c
@@ -69,7 +69,7 @@
 			read_mode = !strncmp(text, "ref", 3) ? 'k' : text[0];
 		syscall(SYS_close, file);
 	}
-	mode = read_mode;
+	mode = (unsigned char)read_mode;
 	for (int fd = 0; fd < MAX_FDS; fd++) {
 		if (!is_server_link(fd))
 			continue;
--- a/tests/unit/test_brittle.c
+++ b/tests/unit/test_brittle.c
@@ -119,6 +119,14 @@
 	}
 }
 
+/* In one ms. */
+static int count_arrivals(struct scene *scene, double per_s)
+{
+	int whole = (int)(per_s / 1000);
+
+	return whole + ((double)(draw(scene) % 1000000) < (per_s / 1000 - whole) * 1000000);
+}
+
 /* per_s: requests that want to be sent to the server, by random instances. */
 static void play(struct scene *scene, double per_s, int64_t from_ms, int64_t to_ms)
 {
@@ -127,10 +135,8 @@
 		if (now_ms % VIEW_MS == 0)
 			for (int i = 0; i < scene->count; i++)
 				scene->instances[i].seen = scene->running;
-		for (double left = per_s / 1000; left > 0; left -= 1)
-			if (left >= 1 || (double)(draw(scene) % 1000000) < left * 1000000)
-				send_request(scene, (int)(draw(scene) % (uint64_t)scene->count),
-					     now_ms);
+		for (int left = count_arrivals(scene, per_s); left > 0; left--)
+			send_request(scene, (int)(draw(scene) % (uint64_t)scene->count), now_ms);
 	}
 }
 
