entry, pool: shorter, without a change of behaviour

probe_others drew random bytes once per server of the list; one draw and a hash do. Comments that the formatter had broken over lines, a constant's name, a comparison of keys that pretended to take constant time.

--- a/apps/corianderwalk/entry_forward.c
+++ b/apps/corianderwalk/entry_forward.c
@@ -11,7 +11,6 @@
 #include "cw_counters.h"
 #include "cw_hash.h"
 #include "cw_timeline.h"
-#include "entry_feed.h"
 #include "entry_forward.h"
 
 #include <stdio.h>
@@ -26,7 +25,6 @@
 #define FAILURE_FIELD  "X-Forward-Failure"
 #define CONNECT_MS     150  /* to the server: a path of 1 ms, and the accept of a busy server */
 #define FORWARDS_MAX   1024 /* at a time */
-#define REQUEST_ID_MAX CW_ID_MAX
 
 /* One request of a peer. */
 struct forward {
@@ -36,7 +34,7 @@
 	struct cw_exchange *exchange;
 	uint64_t server_id;
 	char server[CW_NAME_MAX];
-	char request_id[REQUEST_ID_MAX];
+	char request_id[CW_ID_MAX];
 	char instance[CW_NAME_MAX];
 	int64_t began_ms;
 	int is_head_request;
@@ -203,14 +201,13 @@
 	}
 }
 
-/* Compares all of the key, whatever the first difference. */
 static int is_authorised(const struct forwards *forwards, const struct cw_message *request)
 {
 	const char *text = cw_message_find(request, KEY_FIELD);
 	char *end = NULL;
 	uint64_t key = text ? g_ascii_strtoull(text, &end, 16) : 0;
 
-	return text && end != text && !*end && (key ^ forwards->key) == 0;
+	return text && end != text && !*end && key == forwards->key;
 }
 
 static struct cw_server *find_server(struct forwards *forwards, const struct cw_message *request)
--- a/apps/corianderwalk/entry_path.c
+++ b/apps/corianderwalk/entry_path.c
@@ -127,8 +127,7 @@
 		handle_direct_failure(relay, failure);
 }
 
-/* A request of which no byte was sent goes to the same server through a peer, as part of the same
- * attempt. */
+/* A request of which no byte was sent goes to the same server through a peer. */
 static void handle_direct_failure(struct relay *relay, enum cw_flow_failure failure)
 {
 	static const enum cw_attempt_failure attempt_failures[] = {
--- a/apps/corianderwalk/entry_reach.c
+++ b/apps/corianderwalk/entry_reach.c
@@ -156,15 +156,16 @@
 	struct cw_server *chosen[CONTACT_PROBES];
 	struct cw_server *server;
 	size_t seen = 0;
+	uint64_t seed;
 
+	cw_random_bytes(&seed, sizeof(seed));
 	TAILQ_FOREACH(server, cw_pool_servers(cw_gate_pool(entry->gate)), link) {
-		uint64_t random;
+		uint64_t random = cw_hash(&seen, sizeof(seen), seed);
 
 		if (server->is_removed || server->is_unreachable ||
 		    server->path != CW_PATH_DIRECT ||
 		    cw_partition_is_lost(cw_gate_partition(entry->gate), server->id))
 			continue;
-		cw_random_bytes(&random, sizeof(random));
 		if (seen < CONTACT_PROBES)
 			chosen[seen] = server;
 		else if (random % (seen + 1) < CONTACT_PROBES)
--- a/apps/corianderwalk/entry_relay.h
+++ b/apps/corianderwalk/entry_relay.h
@@ -1,5 +1,4 @@
-/* One request between its caller and the backend servers; shared by entry_relay.c and entry_path.c.
- */
+/* One request between its caller and the backend servers: shared by two files. */
 #ifndef ENTRY_RELAY_H
 #define ENTRY_RELAY_H
 
--- a/packages/pool/include/cw_brittle.h
+++ b/packages/pool/include/cw_brittle.h
@@ -3,9 +3,10 @@
  * requests in a second for want of room, whoever sent them. Sans-I/O.
  *
  * Instances share no counter. Each may always use its own part of the server's places, so that
- * together they never send more than fit. Beyond its part an instance may use places that its view
- * shows as free; that view is some hundred ms old, so each rejection it causes is paid from its
- * part of the rejections that the server tolerates.
+ * together they send no more than fit; of more instances than places the first ones by rank have
+ * one each. Beyond its part an instance may use places that its view has shown as free for some
+ * time; that view is some hundred ms old, so each such request is paid from the instance's part of
+ * the rejections that the server tolerates.
  */
 #ifndef CW_BRITTLE_H
 #define CW_BRITTLE_H
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -57,8 +57,7 @@
 /* How this instance reaches a server. */
 enum cw_path {
 	CW_PATH_DIRECT,
-	CW_PATH_KEPT, /* on connections that are open; new ones are refused, so else through a peer
-		       */
+	CW_PATH_KEPT, /* on connections that are open, else through a peer: new ones are refused */
 	CW_PATH_PEER, /* through a peer */
 };
 
--- a/packages/pool/src/brittle.c
+++ b/packages/pool/src/brittle.c
@@ -11,7 +11,7 @@
 #define RAMP_PART	  0.2	/* of its places, at first */
 #define LESS_ROOM_MS	  3000	/* a rejection shows for so long how much room there is */
 #define REGAIN_MS	  2000	/* then one more place is tried in this time */
-#define GOLDEN_RATIO	  0.618 /* its multiples, modulo 1, are spread evenly */
+#define INVERSE_GOLDEN	  0.618 /* its multiples, modulo 1, are spread evenly */
 #define TOLERATED_PART                                                                             \
 	0.5 /* of the tolerated rejections that all instances may cause by their views */
 #define FREE_MIN     2.0 /* places, below which a view that is some hundred ms old shows none */
@@ -101,8 +101,7 @@
 	       may_borrow(brittle, all, now_ms);
 }
 
-/* A request beyond the own part is paid for at once, and paid back if the server had room for it.
- */
+/* A request beyond the own part is paid for at once, and paid back if it was answered. */
 void cw_brittle_record_send(struct cw_brittle *brittle, const struct cw_brittle_load *load,
 			    int64_t now_ms)
 {
@@ -185,7 +184,7 @@
 	return brittle->place.instances ? (double)brittle->place.instances : UNKNOWN_INSTANCES;
 }
 
-/* All requests of a server may end at once, and then it looks idle: the most of some time counts.
+/* The requests of a server may end at once, and then it looks idle: the most of some time counts.
  */
 static void note_peak(struct cw_brittle *brittle, const struct cw_brittle_load *load,
 		      int64_t now_ms)
@@ -212,7 +211,7 @@
 static void restart_turns(struct cw_brittle *brittle, const struct cw_brittle_load *load,
 			  double all_places, int64_t now_ms)
 {
-	double phase = fmod((double)brittle->place.rank * GOLDEN_RATIO, 1);
+	double phase = fmod((double)brittle->place.rank * INVERSE_GOLDEN, 1);
 
 	refill(brittle, load, now_ms);
 	if (peak(brittle) > TURN_PART * all_places)
