--- a/apps/corianderwalk/entry_forward.c
+++ b/apps/corianderwalk/entry_forward.c
@@ -317,7 +317,7 @@
 				       cw_message_field_value(answer, i));
 	}
 	forward->is_head_sent = 1;
-	/* An end of the connection is no end of the answer: the length or the chunks tell it. */
+	/* The end of a connection to a peer is no end of the answer: that is the last chunk. */
 	cw_caller_send_head(forward->caller, answer->status, fields->str,
 			    has_no_body		       ? CW_FLOW_NO_BODY
 			    : forward->is_head_request ? 0
--- a/apps/corianderwalk/entry_path.c
+++ b/apps/corianderwalk/entry_path.c
@@ -1,7 +1,7 @@
 /*
  * The path of an attempt to its backend server: over an own connection, or through a peer that
- * reaches the server. An attempt of which no byte was sent on one path takes another one; the gate
- * hears of it only if all fail.
+ * reaches the server. An attempt of which no byte was sent on one path takes another one; it
+ * fails for the gate only if all paths do.
  */
 #include "cw_counters.h"
 #include "cw_timeline.h"
--- a/apps/corianderwalk/entry_reach.c
+++ b/apps/corianderwalk/entry_reach.c
@@ -209,7 +209,7 @@
 		report_partition(entry);
 }
 
-/* Peers are told at once: they then ask other instances to forward requests. */
+/* Announced at once, so that peers ask other instances to forward requests. */
 static void report_partition(struct entry *entry)
 {
 	static const char *const state_names[] = {
--- a/packages/pool/include/cw_brittle.h
+++ b/packages/pool/include/cw_brittle.h
@@ -1,6 +1,6 @@
 /*
  * Admission towards a brittle backend server: one that falls over when it rejects more than a few
- * requests in a second for want of room, whoever sent them. Sans-I/O.
+ * requests in a second for want of room, from all instances together. Sans-I/O.
  *
  * Instances share no counter. Each may always use its own part of the server's places, so that
  * together they send no more than fit; of more instances than places the first ones by rank have
--- a/tests/tools/cut_links.c
+++ b/tests/tools/cut_links.c
@@ -62,7 +62,7 @@
 	int file = (int)syscall(SYS_openat, AT_FDCWD, mode_file, O_RDONLY);
 
 	if (file >= 0) {
-		/* The first two letters tell "reset" and "refuse" apart. */
+		/* "reset" and "refuse" differ in the third letter. */
 		char text[3] = "";
 
 		if (read(file, text, sizeof(text)) == sizeof(text))
