--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -104,7 +104,7 @@
 		LIST_REMOVE(request, link);
 		g_free(request);
 	}
-	log_close(node);
+	table_close(node);
 	claims_close(node);
 	cw_table_destroy(node->table);
 	cw_claims_destroy(node->claims);
--- a/packages/node/src/node_gossip.c
+++ b/packages/node/src/node_gossip.c
@@ -68,11 +68,11 @@
 				&message.body.peer_body_u.records.records_val[i];
 			struct cw_log_record record = {peer->offset, peer->time_ms, peer->data};
 
-			log_apply_table_record(node, &record);
+			table_apply_record(node, &record);
 		}
 		break;
 	case PEER_SNAPSHOT:
-		log_load_table_snapshot(node, message.body.peer_body_u.snapshot);
+		table_load_snapshot(node, message.body.peer_body_u.snapshot);
 		break;
 	case PEER_BILLS:
 		bills_store_mirrors(node, message.from, message.boot,
--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -262,13 +262,10 @@
 
 /* node_log.c */
 void log_open(struct cw_node *node);
-void log_close(struct cw_node *node);
 void log_handle_records(struct cw_node *node, const struct cw_read_result *records);
 void log_handle_append(struct cw_node *node, const struct cw_append_result *appended);
 void log_tick(struct cw_node *node);
 int log_is_up(const struct cw_node *node, enum cw_stream stream);
-void log_apply_table_record(struct cw_node *node, const struct cw_log_record *record);
-void log_load_table_snapshot(struct cw_node *node, const char *snapshot);
 void claims_enqueue(struct cw_node *node, const struct cw_claim *claim, int kind, int status,
 		    const char *answer);
 uint64_t log_append(struct cw_node *node, enum cw_stream stream,
@@ -276,6 +273,14 @@
 void log_read(struct cw_node *node, enum cw_stream stream, uint64_t ticket, uint64_t from,
 	      int wait_ms);
 
+/* node_table.c */
+void table_close(struct cw_node *node);
+void table_apply_record(struct cw_node *node, const struct cw_log_record *record);
+void table_load_snapshot(struct cw_node *node, const char *snapshot);
+void table_track_snapshot_age(struct cw_node *node, const struct cw_log_record *record);
+void table_handle_append(struct cw_node *node, const struct cw_append_result *appended);
+void table_tick(struct cw_node *node);
+
 /* node_claims.c */
 void claims_tick(struct cw_node *node);
 void claims_handle_append(struct cw_node *node, const struct cw_append_result *appended);
--- a/packages/node/src/node_log.c
+++ b/packages/node/src/node_log.c
@@ -1,30 +1,17 @@
-/*
- * The log of the platform: reads its streams continuously, applies the records of the table in
- * order, and writes snapshots of the table before the records they cover expire.
- */
+/* The log of the platform: reads its streams continuously and in order. */
 #include "node_internal.h"
 
 #include <string.h>
 
-#define LONG_POLL_MS		  2000 /* a read at the end of a stream waits this long for records */
-#define READ_TIMEOUT_MS		  5000 /* a stream whose read takes longer counts as unreachable */
-#define BACKOFF_MIN_MS		  50
-#define BACKOFF_MAX_MS		  1000
-#define SNAPSHOT_RANK_DELAY_MS	  500  /* added delay for each rank among the live instances */
-#define SNAPSHOT_MAX_TAIL_RECORDS 2000 /* records after the newest snapshot */
+#define LONG_POLL_MS	2000 /* a read at the end of a stream waits this long for records */
+#define READ_TIMEOUT_MS 5000 /* a stream whose read takes longer counts as unreachable */
+#define BACKOFF_MIN_MS	50
+#define BACKOFF_MAX_MS	1000
 
-static void sync_table_reader(struct cw_node *node);
-static void apply_drains(struct cw_node *node);
 static void reader_handle_failure(struct cw_node *node, struct log_reader *reader);
 static void reader_handle_expiry(struct cw_node *node, struct log_reader *reader, uint64_t first);
 static void apply_record(struct cw_node *node, struct log_reader *reader,
 			 const struct cw_log_record *record);
-static void store_table_record(struct cw_node *node, const struct cw_log_record *from);
-static void handle_table_change(struct cw_node *node, uint64_t offset);
-static void track_snapshot_age(struct cw_node *node, const struct cw_log_record *record);
-static void track_snapshot(struct cw_node *node, const struct cw_log_record *record);
-static void schedule_snapshot(struct cw_node *node);
-static int is_snapshot_due(const struct cw_node *node);
 
 void log_open(struct cw_node *node)
 {
@@ -35,17 +22,6 @@
 	}
 }
 
-void log_close(struct cw_node *node)
-{
-	struct table_record *record;
-
-	while ((record = STAILQ_FIRST(&node->table_records))) {
-		STAILQ_REMOVE_HEAD(&node->table_records, link);
-		g_free(record->data);
-		g_free(record);
-	}
-}
-
 void log_read(struct cw_node *node, enum cw_stream stream, uint64_t ticket, uint64_t from,
 	      int wait_ms)
 {
@@ -104,10 +80,7 @@
 
 void log_handle_append(struct cw_node *node, const struct cw_append_result *appended)
 {
-	if (appended->ticket == node->snapshot_ticket) {
-		node->snapshot_ticket = 0;
-		node->snapshot_due_ms = 0;
-	}
+	table_handle_append(node, appended);
 	claims_handle_append(node, appended);
 	bills_handle_append(node, appended);
 	rollout_handle_append(node, appended);
@@ -128,7 +101,7 @@
 		log_read(node, reader->stream, reader->read_ticket, reader->next_offset,
 			 reader->is_caught_up ? LONG_POLL_MS : 0);
 	}
-	schedule_snapshot(node);
+	table_tick(node);
 }
 
 /* A stream is up if it was read to its end once and the last read was answered recently. A platform
@@ -141,95 +114,6 @@
 	       node->now_ms - reader->last_success_ms <= LONG_POLL_MS + READ_TIMEOUT_MS;
 }
 
-void log_apply_table_record(struct cw_node *node, const struct cw_log_record *record)
-{
-	uint64_t offset = record->offset;
-	struct cw_error error = {0};
-	enum cw_table_result outcome;
-
-	if (offset != cw_table_offset(node->table) + 1)
-		return;
-	cw_table_apply_record(node->table, offset, record->data, &outcome, &error);
-	track_snapshot_age(node, record);
-	store_table_record(node, record);
-	sync_table_reader(node);
-	switch (outcome) {
-	case CW_TABLE_APPLIED:
-		handle_table_change(node, offset);
-		break;
-	case CW_TABLE_SNAPSHOT:
-		break;
-	default:
-		node_log_event(node, "table",
-			       outcome == CW_TABLE_DUPLICATE ? "edit_repeated" : "edit_rejected",
-			       "offset=%" G_GUINT64_FORMAT " why=\"%s\"", offset, error.message);
-		break;
-	}
-}
-
-void log_load_table_snapshot(struct cw_node *node, const char *snapshot)
-{
-	struct table_record *record;
-
-	enum cw_status status = cw_table_load_snapshot(node->table, snapshot, NULL);
-
-	/* CW_REFUSED: records or a snapshot from a peer brought the table to the offset of this
-	 * snapshot, or past it. */
-	if (status == CW_REFUSED &&
-	    cw_table_offset(node->table) + 1 >= node->log_readers[CW_STREAM_TABLE].oldest_offset)
-		sync_table_reader(node);
-	if (status != CW_OK)
-		return;
-	/* The stored records must continue the table without a gap: older ones are dropped. */
-	while ((record = STAILQ_FIRST(&node->table_records))) {
-		STAILQ_REMOVE_HEAD(&node->table_records, link);
-		g_free(record->data);
-		g_free(record);
-	}
-	node->table_record_count = 0;
-	sync_table_reader(node);
-	apply_drains(node);
-	/* The age of the records in the snapshot is unknown: a new snapshot is due, unless one was
-	 * read from the log. */
-	if (!node->table_snapshot_wall_ms)
-		node->table_snapshot_wall_ms = 1;
-	node->routing_changed_ms = node->now_ms;
-	node_log_event(node, "table", "snapshot_loaded", "offset=%" G_GUINT64_FORMAT,
-		       cw_table_offset(node->table));
-}
-
-/*
- * Continues reading the log after the last record of the table, whether the log or a peer brought
- * that record. Otherwise a reader with an older read in progress, or one that waits for a snapshot,
- * would skip the next records of the table unnoticed: the table would stay at its offset while the
- * log is read.
- */
-static void sync_table_reader(struct cw_node *node)
-{
-	struct log_reader *reader = &node->log_readers[CW_STREAM_TABLE];
-
-	if (cw_table_offset(node->table) == 0)
-		return;
-	if (reader->next_offset != cw_table_offset(node->table) + 1)
-		reader->read_ticket = 0;
-	reader->next_offset = cw_table_offset(node->table) + 1;
-	reader->needs_snapshot = 0;
-}
-
-/* The table holds all drain orders; the pool applies those that are new to it. */
-static void apply_drains(struct cw_node *node)
-{
-	struct cw_drain_order orders[CW_DRAINS_MAX];
-	size_t count = cw_drains_list(cw_table_drains(node->table), orders, CW_DRAINS_MAX);
-
-	for (size_t i = 0; i < count; i++)
-		if (cw_pool_drain(node->pool, &orders[i], node->now_ms))
-			node_log_event(node, "table",
-				       orders[i].is_drained ? "domain_drained" : "domain_restored",
-				       "domain=%s offset=%" G_GUINT64_FORMAT,
-				       orders[i].failure_domain, orders[i].position.offset);
-}
-
 static void reader_handle_failure(struct cw_node *node, struct log_reader *reader)
 {
 	reader->read_ticket = 0;
@@ -268,7 +152,7 @@
 	uint64_t floor = cw_claims_floor(node->claims);
 
 	if (reader->stream == CW_STREAM_TABLE)
-		track_snapshot_age(node, record);
+		table_track_snapshot_age(node, record);
 	if (reader->stream == CW_STREAM_CLAIMS && !node->checkpoint_wall_ms)
 		node->checkpoint_wall_ms = record->time_ms;
 	if (record->offset != reader->next_offset)
@@ -277,9 +161,9 @@
 	switch (reader->stream) {
 	case CW_STREAM_TABLE:
 		if (reader->needs_snapshot)
-			log_load_table_snapshot(node, record->data);
+			table_load_snapshot(node, record->data);
 		else
-			log_apply_table_record(node, record);
+			table_apply_record(node, record);
 		break;
 	case CW_STREAM_CLAIMS:
 		cw_claims_apply_record(node->claims, record->offset, record->time_ms, record->data,
@@ -292,124 +176,3 @@
 		break;
 	}
 }
-
-static void store_table_record(struct cw_node *node, const struct cw_log_record *from)
-{
-	struct table_record *record = g_new0(struct table_record, 1);
-
-	record->offset = from->offset;
-	record->time_ms = from->time_ms;
-	record->data = g_strdup(from->data);
-	STAILQ_INSERT_TAIL(&node->table_records, record, link);
-	node->table_record_count++;
-	if (node->table_record_count <= CW_TABLE_RECORDS_KEPT)
-		return;
-	record = STAILQ_FIRST(&node->table_records);
-	STAILQ_REMOVE_HEAD(&node->table_records, link);
-	g_free(record->data);
-	g_free(record);
-	node->table_record_count--;
-}
-
-static void handle_table_change(struct cw_node *node, uint64_t offset)
-{
-	const struct cw_row *row;
-
-	apply_drains(node);
-	node_log_event(node, "table", "in_force", "offset=%" G_GUINT64_FORMAT, offset);
-	TAILQ_FOREACH(row, cw_table_rows(node->table), link) {
-		if (row->revision[CW_COLUMN_WEIGHT] != offset &&
-		    row->revision[CW_COLUMN_STATE] != offset)
-			continue;
-		node->routing_changed_ms = node->now_ms;
-		/* An operator's edit of the version overrides the earlier health evidence. */
-		cw_health_clear(node->health, cw_pool_version_hash(row->model, row->version));
-	}
-}
-
-/*
- * Tracks the age of the records that the next snapshot must cover. The age counts from the time of
- * the record, not from the start of this instance, for records from the log and from peers alike.
- * Otherwise instances that are restarted often, or get the table from peers only, would delay the
- * snapshot until the table has expired from the log.
- */
-static void track_snapshot_age(struct cw_node *node, const struct cw_log_record *record)
-{
-	if (!node->table_snapshot_wall_ms)
-		node->table_snapshot_wall_ms = record->time_ms;
-	if (record->offset > node->table_snapshot_record_offset &&
-	    strstr(record->data, "\"snapshot\""))
-		track_snapshot(node, record);
-}
-
-static void track_snapshot(struct cw_node *node, const struct cw_log_record *record)
-{
-	struct json_object *parsed = json_tokener_parse(record->data);
-	struct json_object *snapshot;
-	struct json_object *offset;
-
-	if (json_object_object_get_ex(parsed, "snapshot", &snapshot) &&
-	    json_object_object_get_ex(snapshot, "offset", &offset)) {
-		node->table_snapshot_covered =
-			MAX(node->table_snapshot_covered, (uint64_t)json_object_get_int64(offset));
-		node->table_snapshot_record_offset = record->offset;
-		node->table_snapshot_wall_ms = record->time_ms;
-		node->snapshot_due_ms = 0;
-	}
-	json_object_put(parsed);
-}
-
-/*
- * The table must be readable from the log even if all instances are lost. Before the oldest record
- * that is needed expires, one instance writes a snapshot: the first in the order of a rendezvous
- * hash, or the next one if that instance does not write. A second snapshot is harmless.
- */
-static void schedule_snapshot(struct cw_node *node)
-{
-	size_t rank;
-
-	if (node->snapshot_ticket || !is_snapshot_due(node)) {
-		if (!node->snapshot_ticket)
-			node->snapshot_due_ms = 0;
-		return;
-	}
-	if (node->snapshot_due_ms == 0) {
-		rank = cw_membership_rank(
-			node->membership,
-			cw_hash_text("snapshot", node->table_snapshot_record_offset), node->now_ms);
-		node->snapshot_due_ms = node->now_ms + 1 + SNAPSHOT_RANK_DELAY_MS * (int64_t)rank +
-					(int64_t)(node_random(node) % SNAPSHOT_RANK_DELAY_MS / 2);
-	}
-	if (node->now_ms < node->snapshot_due_ms)
-		return;
-	node->snapshot_ticket =
-		log_append(node, CW_STREAM_TABLE, cw_table_create_snapshot(node->table));
-	node_log_event(node, "table", "snapshot_written", "offset=%" G_GUINT64_FORMAT,
-		       cw_table_offset(node->table));
-}
-
-static int is_snapshot_due(const struct cw_node *node)
-{
-	const struct log_reader *reader = &node->log_readers[CW_STREAM_TABLE];
-	uint64_t end = reader->next_offset;
-	uint64_t covered = node->table_snapshot_covered;
-	int64_t half_retention_ms = node->config.log_retention_ms / 2;
-
-	if (!reader->is_caught_up || reader->needs_snapshot || cw_table_offset(node->table) == 0 ||
-	    reader->backoff_ms)
-		return 0;
-	if (covered && reader->oldest_offset > node->table_snapshot_record_offset)
-		return 1;
-	/* The snapshot is the only record after the offsets it covers: only its own age counts. */
-	if (node->table_snapshot_record_offset && node->table_snapshot_record_offset + 1 == end &&
-	    covered + 1 == node->table_snapshot_record_offset)
-		return node->table_snapshot_wall_ms &&
-		       node->wall_ms - node->table_snapshot_wall_ms > half_retention_ms;
-	if (reader->oldest_offset > 1 &&
-	    covered + 1 < reader->oldest_offset + (end - reader->oldest_offset) / 2)
-		return 1;
-	if (end - covered > SNAPSHOT_MAX_TAIL_RECORDS)
-		return 1;
-	return node->table_snapshot_wall_ms &&
-	       node->wall_ms - node->table_snapshot_wall_ms > half_retention_ms;
-}
--- a/tests/fake/controls.c
+++ b/tests/fake/controls.c
@@ -110,6 +110,19 @@
 	}
 }
 
+void world_lose_records(struct world *world, enum cw_stream stream, size_t count)
+{
+	GPtrArray *log = world->log[stream];
+
+	while (count-- > 0 && log->len >= world->first_offsets[stream]) {
+		struct world_record *record = g_ptr_array_index(log, log->len - 1);
+
+		g_ptr_array_set_size(log, (gint)log->len - 1);
+		g_free(record->data);
+		g_free(record);
+	}
+}
+
 int64_t world_now(const struct world *world)
 {
 	return world->now_ms;
--- a/tests/fake/world.h
+++ b/tests/fake/world.h
@@ -125,6 +125,8 @@
 void world_set_message_faults(struct world *world, int drop_per_mille,
 			      int duplicate_per_mille); /* of messages between instances */
 void world_expire_records(struct world *world);		/* removes records past the retention */
+void world_lose_records(struct world *world, enum cw_stream stream,
+			size_t count); /* the newest; their offsets are given out again */
 uint64_t world_append(struct world *world, enum cw_stream stream,
 		      const char *data); /* as an operator does; returns the record's offset */
 void world_profile(struct world *world, const struct world_profile *profile);
