claims: an order whose claim a restored log has lost does not run again

Callers saw: an order ran twice when its caller repeated it. A lost release left the key of an order that had not run claimed for ever.

Cause: what the log had acknowledged was taken to be there for ever. Running instances knew the claims, but nobody wrote them again, and an instance that starts knows only what the log holds.

Fix: when the claims reader notices that the log is shorter, it goes back to a record that the log still holds. Claims, outcomes and releases read from records behind it count as lost until they are read again; what remains is appended in the form of a checkpoint, by rank, so that usually one instance writes. Entries that were acknowledged but not read back yet are appended again too. Where two claims hold one key, the earlier one by the clock of the log wins, as offsets are given out again. Why it holds meanwhile: a claim read while records are missing is released and its request rejected as not run, and a claim that lands at an offset which a live peer had read before it was made (heartbeats carry the peers' position) proves a loss that the peer has not noticed yet, so nothing is sent for it.

test_node_restored before: 4 of 4 red (3, 3 and 2 orders ran twice; the repeat after the lost release ran 0 times). After: 4 of 4 pass; test_claims (four new tests), test_schedules, order_repeats, lost_append, kills, stops, partition, records_expired and bills_survive_kill pass.

--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -66,6 +66,9 @@
 	node->claims = cw_claims_create(CW_MAX_CLAIMS, config->claim_window_ms);
 	STAILQ_INIT(&node->claim_entries);
 	STAILQ_INIT(&node->claim_entries_sent);
+	STAILQ_INIT(&node->claim_entries_unread);
+	node->claims_doubted_ms = -1;
+	node->peer_claims_ends = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	node->ledger = cw_ledger_create();
 	node->bills_origin = g_strdup("");
 	node->bills_end_offset = 1;
@@ -117,6 +120,7 @@
 	cw_session_destroy(node->sessions);
 	cw_quarantine_destroy(node->quarantine);
 	g_hash_table_destroy(node->by_handle);
+	g_hash_table_destroy(node->peer_claims_ends);
 	g_hash_table_destroy(node->ratings_sent);
 	g_hash_table_destroy(node->ratings_received);
 	g_rand_free(node->random);
@@ -272,6 +276,14 @@
 	return node->next_ticket++;
 }
 
+uint64_t *node_new_u64(uint64_t value)
+{
+	uint64_t *copy = g_new(uint64_t, 1);
+
+	*copy = value;
+	return copy;
+}
+
 int node_rejects_requests(const struct cw_node *node)
 {
 	return node->is_stopping && node->now_ms - node->stop_ms >= node->config.stop_grace_ms;
--- a/packages/node/src/node_claims.c
+++ b/packages/node/src/node_claims.c
@@ -1,6 +1,7 @@
 /*
  * Appends claims, outcomes and releases to the claims stream in batches, and checkpoints: all
- * claimed keys again, then a floor, before the records that hold them expire.
+ * claimed keys again, then a floor, before the records that hold them expire. What a restored log
+ * has lost is appended again.
  */
 #include "node_internal.h"
 
@@ -9,6 +10,10 @@
 #define APPEND_RETRY_MS		 50
 #define CHECKPOINT_RANK_DELAY_MS 500 /* added delay for each rank among the live instances */
 #define CHECKPOINT_BATCH_KEYS	 256
+#define LOST_RANK_DELAY_MS	 500  /* added delay for each rank among the live instances */
+#define LOST_RETRY_MS		 1000 /* after an append: its record is read back by then */
+#define LOST_BATCH_ENTRIES	 128
+#define DOUBT_MS		 3000 /* until the peers have noticed a restored log and written what it lost */
 
 static void append_claim_entries(struct cw_node *node);
 static struct claim_entry *claim_entry_create(const struct cw_claim *claim, int kind, int status,
@@ -17,6 +22,8 @@
 static void schedule_checkpoint(struct cw_node *node);
 static int is_checkpoint_due(const struct cw_node *node);
 static void append_checkpoint(struct cw_node *node);
+static void schedule_lost_claims(struct cw_node *node);
+static void append_lost_claims(struct cw_node *node);
 
 void claims_enqueue(struct cw_node *node, const struct cw_claim *claim, int kind, int status,
 		    const char *answer)
@@ -31,6 +38,7 @@
 	if (!node->claim_entries_ticket && !STAILQ_EMPTY(&node->claim_entries) &&
 	    node->now_ms >= node->claim_entries_retry_ms)
 		append_claim_entries(node);
+	schedule_lost_claims(node);
 	schedule_checkpoint(node);
 }
 
@@ -38,6 +46,10 @@
 {
 	struct claim_entry *entry;
 
+	if (appended->ticket == node->lost_claims_ticket) {
+		node->lost_claims_ticket = 0;
+		return;
+	}
 	if (appended->ticket == node->checkpoint_ticket && node->checkpoint_ticket) {
 		node->checkpoint_ticket = 0;
 		/* A floor in the log without all of its keys would hide the missing keys. So any
@@ -60,10 +72,73 @@
 					       (int64_t)(node_random(node) % APPEND_RETRY_MS);
 		return;
 	}
-	while ((entry = STAILQ_FIRST(&node->claim_entries_sent))) {
-		STAILQ_REMOVE_HEAD(&node->claim_entries_sent, link);
-		claim_entry_destroy(entry);
+	STAILQ_FOREACH(entry, &node->claim_entries_sent, link)
+		entry->offset = appended->offset;
+	STAILQ_CONCAT(&node->claim_entries_unread, &node->claim_entries_sent);
+}
+
+/* Entries whose record was lost before it was read back are appended again: a claim is identified
+ * by its own number, and an outcome or a release counts once. */
+void claims_rewind(struct cw_node *node, uint64_t next_offset)
+{
+	cw_claims_rewind(node->claims, next_offset);
+	node->checkpoint_floor = 0;
+	node->lost_claims_due_ms = 0;
+	node->lost_claims_count = cw_claims_count_lost(node->claims);
+	STAILQ_CONCAT(&node->claim_entries_unread, &node->claim_entries);
+	STAILQ_CONCAT(&node->claim_entries, &node->claim_entries_unread);
+	node_log_event(node, "claims", "lost", "next=%" G_GUINT64_FORMAT " count=%zu", next_offset,
+		       node->lost_claims_count);
+}
+
+void claims_note_read(struct cw_node *node, uint64_t first, uint64_t last)
+{
+	struct claim_entry_list unread = STAILQ_HEAD_INITIALIZER(unread);
+	struct claim_entry *entry;
+
+	while ((entry = STAILQ_FIRST(&node->claim_entries_unread))) {
+		STAILQ_REMOVE_HEAD(&node->claim_entries_unread, link);
+		if (entry->offset >= first && entry->offset <= last)
+			claim_entry_destroy(entry);
+		else
+			STAILQ_INSERT_TAIL(&unread, entry, link);
+	}
+	STAILQ_CONCAT(&node->claim_entries_unread, &unread);
+}
+
+void claims_note_peer(struct cw_node *node, const struct cw_member *member, uint64_t offset)
+{
+	uint64_t *end = g_hash_table_lookup(node->peer_claims_ends, &member->id);
+
+	if (end)
+		*end = offset;
+	else
+		g_hash_table_insert(node->peer_claims_ends, node_new_u64(member->id),
+				    node_new_u64(offset));
+}
+
+uint64_t claims_find_floor(struct cw_node *node)
+{
+	const struct cw_member *member;
+	uint64_t floor = 0;
+
+	TAILQ_FOREACH(member, cw_membership_members(node->membership), link) {
+		const uint64_t *end = g_hash_table_lookup(node->peer_claims_ends, &member->id);
+
+		if (end && cw_membership_is_live(node->membership, member, node->now_ms))
+			floor = MAX(floor, *end);
 	}
+	return floor;
+}
+
+/*
+ * A claim that is read while lost records are missing from the log may hold its key here but not
+ * on an instance that starts later. So no request is sent for it.
+ */
+int claims_are_guarded(const struct cw_node *node)
+{
+	return cw_claims_is_complete(node->claims) && cw_claims_count_lost(node->claims) == 0 &&
+	       (node->claims_doubted_ms < 0 || node->now_ms - node->claims_doubted_ms > DOUBT_MS);
 }
 
 void claims_notify_requests(struct cw_node *node)
@@ -76,6 +151,7 @@
 	struct claim_entry *entry;
 
 	STAILQ_CONCAT(&node->claim_entries, &node->claim_entries_sent);
+	STAILQ_CONCAT(&node->claim_entries, &node->claim_entries_unread);
 	while ((entry = STAILQ_FIRST(&node->claim_entries))) {
 		STAILQ_REMOVE_HEAD(&node->claim_entries, link);
 		claim_entry_destroy(entry);
@@ -189,3 +265,37 @@
 		g_strdup(json_object_to_json_string_ext(record, JSON_C_TO_STRING_PLAIN)));
 	json_object_put(record);
 }
+
+/* The instances take turns by rank, so that usually one of them writes what all of them know. */
+static void schedule_lost_claims(struct cw_node *node)
+{
+	size_t count = cw_claims_count_lost(node->claims);
+	int is_written_by_peer = count < node->lost_claims_count && !node->lost_claims_ticket;
+	size_t rank;
+
+	node->lost_claims_count = count;
+	if (node->lost_claims_ticket || count == 0 || !log_is_up(node, CW_STREAM_CLAIMS))
+		return;
+	if (node->lost_claims_due_ms == 0 || is_written_by_peer) {
+		rank = cw_membership_rank(node->membership, cw_hash_text("lost claims", 0),
+					  node->now_ms);
+		node->lost_claims_due_ms = node->now_ms + LOST_RANK_DELAY_MS * (int64_t)rank;
+	}
+	if (node->now_ms >= node->lost_claims_due_ms)
+		append_lost_claims(node);
+}
+
+static void append_lost_claims(struct cw_node *node)
+{
+	struct json_object *record = json_object_new_object();
+	size_t count = cw_claims_add_lost(node->claims, record, LOST_BATCH_ENTRIES);
+
+	node->lost_claims_due_ms = node->now_ms + LOST_RETRY_MS;
+	node->lost_claims_ticket = log_append(
+		node, CW_STREAM_CLAIMS,
+		g_strdup(json_object_to_json_string_ext(record, JSON_C_TO_STRING_PLAIN)));
+	json_object_put(record);
+	node_log_event(node, "claims", "written_again", "count=%zu", count);
+	node_count(node, "log_written_again_total", count, "stream=\"%s\"",
+		   cw_stream_name(CW_STREAM_CLAIMS));
+}
--- a/packages/node/src/node_gossip.c
+++ b/packages/node/src/node_gossip.c
@@ -40,7 +40,6 @@
 static void merge_binding(struct cw_node *node, const struct peer_binding *bind, uint64_t handle);
 static void send_binding(struct cw_node *node, const struct cw_member *member,
 			 const struct peer_binding *query);
-static uint64_t *new_u64(uint64_t value);
 
 void gossip_handle_message(struct cw_node *node, const void *data, size_t size)
 {
@@ -320,8 +319,8 @@
 	size_t count = 0;
 
 	if (!sent) {
-		sent = new_u64(oldest);
-		g_hash_table_insert(node->ratings_sent, new_u64(member->id), sent);
+		sent = node_new_u64(oldest);
+		g_hash_table_insert(node->ratings_sent, node_new_u64(member->id), sent);
 	}
 	*sent = MAX(*sent, oldest);
 	*first = *sent;
@@ -347,6 +346,7 @@
 
 	cw_membership_mark_seen(member, message->boot, heartbeat->leaving != 0, node->now_ms);
 	member->table_offset = heartbeat->table_offset;
+	claims_note_peer(node, member, heartbeat->claims_offset);
 	if (was_live != cw_membership_is_live(node->membership, member, node->now_ms))
 		node_log_event(node, "membership", was_live ? "peer_leaving" : "peer_live",
 			       "peer=%s failure_domain=%s", member->instance,
@@ -396,7 +396,7 @@
 		received = g_new0(struct received_ratings, 1);
 		received->member = member->id;
 		received->next = 1;
-		g_hash_table_insert(node->ratings_received, new_u64(member->id), received);
+		g_hash_table_insert(node->ratings_received, node_new_u64(member->id), received);
 	}
 	if (received->boot != member->boot) {
 		received->boot = member->boot;
@@ -525,11 +525,3 @@
 	answer->model_version = (char *)(known ? known->version : "");
 	gossip_send(node, member, &message);
 }
-
-static uint64_t *new_u64(uint64_t value)
-{
-	uint64_t *copy = g_new(uint64_t, 1);
-
-	*copy = value;
-	return copy;
-}
--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -58,6 +58,8 @@
 	int is_rebound;			/* the version of its session was withdrawn */
 
 	struct cw_claim claim; /* claim 0: none */
+	uint64_t claim_floor;  /* a record of the claims stream that a live peer had read when the
+				  claim was made: the claim follows it in the log */
 
 	struct attempt attempts[CW_MAX_ATTEMPTS];
 	unsigned int attempt_count;
@@ -118,7 +120,7 @@
 	enum { CLAIM_ENTRY_CLAIM, CLAIM_ENTRY_OUTCOME, CLAIM_ENTRY_RELEASE } kind;
 	int status;
 	char *answer;
-	uint64_t ticket; /* unused */
+	uint64_t offset; /* of the record that holds it, 0: not appended yet */
 };
 
 STAILQ_HEAD(claim_entry_list, claim_entry);
@@ -177,15 +179,21 @@
 	int64_t snapshot_due_ms; /* 0: none scheduled */
 
 	struct cw_claims *claims;
-	struct claim_entry_list claim_entries;	    /* waiting for the next append */
-	struct claim_entry_list claim_entries_sent; /* in the append in progress */
-	uint64_t claim_entries_ticket;		    /* of the append in progress, 0 none */
-	int64_t claim_entries_retry_ms;		    /* no append before this time */
-	uint64_t checkpoint_ticket;		    /* of the append in progress, 0 none */
-	uint64_t checkpoint_after;  /* keys claimed up to this offset are appended again already */
-	uint64_t checkpoint_floor;  /* floor to append after the last key, 0: no checkpoint */
-	int64_t checkpoint_due_ms;  /* 0: none scheduled */
-	int64_t checkpoint_wall_ms; /* time of the newest floor, or of the first record read */
+	struct claim_entry_list claim_entries;	      /* waiting for the next append */
+	struct claim_entry_list claim_entries_sent;   /* in the append in progress */
+	struct claim_entry_list claim_entries_unread; /* appended, not read back yet */
+	uint64_t claim_entries_ticket;		      /* of the append in progress, 0 none */
+	int64_t claim_entries_retry_ms;		      /* no append before this time */
+	uint64_t checkpoint_ticket;		      /* of the append in progress, 0 none */
+	uint64_t checkpoint_after;   /* keys claimed up to this offset are appended again already */
+	uint64_t checkpoint_floor;   /* floor to append after the last key, 0: no checkpoint */
+	int64_t checkpoint_due_ms;   /* 0: none scheduled */
+	int64_t checkpoint_wall_ms;  /* time of the newest floor, or of the first record read */
+	uint64_t lost_claims_ticket; /* of the append in progress, 0 none */
+	size_t lost_claims_count;    /* at the last look */
+	int64_t lost_claims_due_ms;  /* no append of lost claims before this time */
+	int64_t claims_doubted_ms;   /* when the log last proved to be restored, -1 never */
+	GHashTable *peer_claims_ends; /* member -> last record of the claims that it has read */
 
 	struct cw_ledger *ledger;
 	enum bills_state bills_state;
@@ -245,6 +253,7 @@
 	__attribute__((format(printf, 4, 5))); /* format: of the label */
 uint64_t node_random(struct cw_node *node);
 uint64_t node_new_ticket(struct cw_node *node);
+uint64_t *node_new_u64(uint64_t value); /* g_free; for hash tables */
 int node_rejects_requests(const struct cw_node *node);
 
 /* node_request.c */
@@ -307,6 +316,13 @@
 void claims_handle_append(struct cw_node *node, const struct cw_append_result *appended);
 void claims_notify_requests(struct cw_node *node);
 void claims_close(struct cw_node *node);
+void claims_rewind(struct cw_node *node, uint64_t next_offset); /* the log lost records from there
+								   on */
+void claims_note_read(struct cw_node *node, uint64_t first,
+		      uint64_t last); /* these records were read, or have expired */
+void claims_note_peer(struct cw_node *node, const struct cw_member *member, uint64_t offset);
+uint64_t claims_find_floor(struct cw_node *node);   /* newest record that a live peer has read */
+int claims_are_guarded(const struct cw_node *node); /* 1: no claim can be missing here */
 
 /* node_bills.c */
 void bills_add(struct cw_node *node, struct request *request);
--- a/packages/node/src/node_log.c
+++ b/packages/node/src/node_log.c
@@ -241,6 +241,8 @@
 	reader->step = READER_CHECK;
 	node_log_event(node, "log", "resumed", "stream=%s next=%" G_GUINT64_FORMAT,
 		       cw_stream_name(reader->stream), reader->next_offset);
+	if (reader->stream == CW_STREAM_CLAIMS)
+		claims_rewind(node, reader->next_offset);
 }
 
 static void reader_advance(struct log_reader *reader, const struct cw_log_record *record)
@@ -296,8 +298,10 @@
 	reader->oldest_offset = first;
 	if (reader->stream == CW_STREAM_TABLE)
 		reader->needs_snapshot = 1;
-	if (reader->stream == CW_STREAM_CLAIMS)
+	if (reader->stream == CW_STREAM_CLAIMS) {
 		cw_claims_start_at(node->claims, first);
+		claims_note_read(node, 0, first - 1);
+	}
 }
 
 static void apply_record(struct cw_node *node, struct log_reader *reader,
@@ -324,6 +328,7 @@
 				       NULL);
 		if (cw_claims_floor(node->claims) > floor)
 			node->checkpoint_wall_ms = record->time_ms;
+		claims_note_read(node, record->offset, record->offset);
 		break;
 	default:
 		rollout_apply_notice(node, record->offset, record->time_ms, record->data);
--- a/packages/node/src/node_request.c
+++ b/packages/node/src/node_request.c
@@ -19,6 +19,8 @@
 static int acquire_limits(struct cw_node *node, struct request *request, int64_t *retry_after_ms);
 static void claim_key(struct cw_node *node, struct request *request);
 static void check_claim(struct cw_node *node, struct request *request);
+static int can_trust_claim(struct cw_node *node, const struct request *request,
+			   const struct cw_claim_view *view);
 
 void request_begin(struct cw_node *node, const struct cw_node_request *in)
 {
@@ -393,7 +395,7 @@
 	uint64_t key = cw_claims_key(request->organisation, request->in.target,
 				     request->in.idempotency_key);
 
-	if (!log_is_up(node, CW_STREAM_CLAIMS) || !cw_claims_is_complete(node->claims)) {
+	if (!log_is_up(node, CW_STREAM_CLAIMS) || !claims_are_guarded(node)) {
 		request_reject(node, request, CW_CODE_PLATFORM_UNAVAILABLE, PLATFORM_RETRY_MS,
 			       "the log of claims can't be read, so the order can't be guarded");
 		return;
@@ -411,6 +413,7 @@
 		return;
 	}
 	request->claim.claim = node_random(node) | 1;
+	request->claim_floor = claims_find_floor(node);
 	request->wait_until_ms =
 		MIN(node->now_ms + node->config.claim_timeout_ms, request->deadline_ms);
 	claims_enqueue(node, &request->claim, CLAIM_ENTRY_CLAIM, 0, NULL);
@@ -425,6 +428,11 @@
 	if (view.state == CW_CLAIM_FREE)
 		return;
 	if (view.state == CW_CLAIM_PENDING && view.holder == own_claim) {
+		if (!can_trust_claim(node, request, &view)) {
+			request_reject(node, request, CW_CODE_PLATFORM_UNAVAILABLE,
+				       PLATFORM_RETRY_MS, "the log of claims is being restored");
+			return;
+		}
 		node_log_event(node, "claims", "claimed", "request=%s organisation=%s",
 			       request->in.request_id, request->organisation);
 		request_dispatch(node, request, CW_DISPATCH_FRESH);
@@ -450,3 +458,17 @@
 		       request->in.request_id, request->organisation, view.status);
 	request_destroy(node, request);
 }
+
+/* A claim at an offset that a peer had read before it was made stands in a log that lost records:
+ * an earlier claim of the key may be among them. */
+static int can_trust_claim(struct cw_node *node, const struct request *request,
+			   const struct cw_claim_view *view)
+{
+	if (view->offset > request->claim_floor)
+		return claims_are_guarded(node);
+	node_log_event(node, "claims", "doubted",
+		       "request=%s offset=%" G_GUINT64_FORMAT " peer_offset=%" G_GUINT64_FORMAT,
+		       request->in.request_id, view->offset, request->claim_floor);
+	node->claims_doubted_ms = node->now_ms;
+	return 0;
+}
--- a/packages/request/include/cw_claims.h
+++ b/packages/request/include/cw_claims.h
@@ -6,6 +6,9 @@
  * checkpoint: the guarded keys again ("kept" entries), then a floor. All guarded claims recorded
  * before the offset that the floor names are repeated after it, so a reader that started at or
  * before that offset knows every guarded key.
+ *
+ * When the log is restored from an older copy, what was read from lost records stays known. It
+ * counts as lost until it is read again, and is written again in the form of a checkpoint.
  */
 #ifndef CW_CLAIMS_H
 #define CW_CLAIMS_H
@@ -31,6 +34,7 @@
 	enum cw_claim_state state;
 	uint64_t holder; /* id of the claim that holds the key */
 	uint64_t body_hash;
+	uint64_t offset;    /* of the holder's claim */
 	int status;	    /* HTTP status of the outcome */
 	const char *answer; /* body of the outcome, NULL if it was too long to keep */
 };
@@ -52,6 +56,11 @@
 uint64_t cw_claims_offset(const struct cw_claims *claims); /* of the last record applied */
 struct cw_claim_view cw_claims_lookup(const struct cw_claims *claims, uint64_t key);
 size_t cw_claims_count(const struct cw_claims *claims); /* guarded keys */
+void cw_claims_rewind(struct cw_claims *claims,
+		      uint64_t next_offset); /* the log lost its records from there on; the next
+						record to apply is at this offset */
+size_t cw_claims_count_lost(
+	const struct cw_claims *claims); /* claims, outcomes and releases not in the log now */
 
 struct json_object;
 void cw_claims_add_claim(
@@ -64,6 +73,8 @@
 	const struct cw_claims *claims, struct json_object *record, uint64_t after_offset,
 	size_t batch_size,
 	uint64_t *last_offset); /* keys claimed after after_offset; returns how many were added */
+size_t cw_claims_add_lost(const struct cw_claims *claims, struct json_object *record,
+			  size_t batch_size); /* returns how many were added */
 void cw_claims_add_floor(struct json_object *record, uint64_t floor);
 
 #endif
--- a/packages/request/src/claims.c
+++ b/packages/request/src/claims.c
@@ -8,6 +8,11 @@
 
 #define STEP "claims.fold"
 
+enum lost_part { /* what the log does not hold any more, as bits */
+		 LOST_CLAIM = 1,
+		 LOST_OUTCOME = 2,
+};
+
 struct entry {
 	TAILQ_ENTRY(entry) link; /* in the order of offset */
 	uint64_t key;
@@ -16,8 +21,19 @@
 	uint64_t body_hash; /* hash of the request */
 	int64_t time_ms;    /* when the claim was recorded, on the log's clock */
 	enum cw_claim_state state;
-	int status;   /* HTTP status of the outcome */
-	char *answer; /* body of the outcome, NULL if unknown or too long to keep */
+	int status;		 /* HTTP status of the outcome */
+	char *answer;		 /* body of the outcome, NULL if unknown or too long to keep */
+	uint64_t logged_offset;	 /* of the newest record that holds the claim */
+	uint64_t outcome_offset; /* of the newest record that holds the outcome, 0 none */
+	unsigned int lost;	 /* enum lost_part */
+};
+
+struct release {
+	uint64_t claim;
+	uint64_t key;
+	int64_t time_ms;	/* log time, kept for the window */
+	uint64_t logged_offset; /* of the newest record that holds the release */
+	int is_lost;
 };
 
 TAILQ_HEAD(claim_entry_list, entry);
@@ -31,7 +47,9 @@
 	int64_t window_ms;
 	size_t max_keys;
 	GHashTable *by_key;
-	GHashTable *released_claims; /* claim id -> log time of its release, kept for the window */
+	GHashTable *released_claims; /* claim id -> struct release */
+	size_t lost_count;	     /* entries and releases that are lost */
+	uint64_t known_offset;	     /* all records up to it were read before the log was rewound */
 	struct claim_entry_list by_offset;
 };
 
@@ -47,8 +65,11 @@
 				  uint64_t offset, int64_t time_ms);
 static void remove_expired(struct cw_claims *claims);
 static uint64_t get_number(struct json_object *item, const char *key);
-static gboolean is_expired(gpointer claim, gpointer time_ms, gpointer cutoff_ms);
 static void entry_remove(struct cw_claims *claims, struct entry *entry);
+static int is_later(const struct entry *entry, int64_t time_ms, uint64_t offset);
+static void set_logged(struct cw_claims *claims, struct entry *entry, enum lost_part part);
+static void set_lost(struct cw_claims *claims, struct entry *entry, unsigned int lost);
+static void add_kept(struct json_object *record, const struct entry *entry);
 static uint64_t get_hex(struct json_object *item, const char *key);
 static struct json_object *add_item(struct json_object *record, const char *array_name,
 				    const struct cw_claim *claim);
@@ -72,8 +93,7 @@
 	claims->window_ms = window_ms;
 	claims->max_keys = max_keys;
 	claims->by_key = g_hash_table_new(g_int64_hash, g_int64_equal);
-	claims->released_claims =
-		g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
+	claims->released_claims = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
 	TAILQ_INIT(&claims->by_offset);
 	return claims;
 }
@@ -103,6 +123,7 @@
 				    " does not follow %" G_GUINT64_FORMAT,
 				    offset, claims->offset);
 	claims->offset = offset;
+	claims->known_offset = 0;
 	claims->log_time_ms = MAX(claims->log_time_ms, time_ms);
 	if (claims->first_record_ms < 0)
 		claims->first_record_ms = time_ms;
@@ -121,10 +142,45 @@
 void cw_claims_start_at(struct cw_claims *claims, uint64_t next_offset)
 {
 	claims->offset = next_offset - 1;
+	if (next_offset <= claims->known_offset + 1)
+		return;
 	claims->first_offset = next_offset;
 	claims->first_record_ms = -1;
 }
 
+void cw_claims_rewind(struct cw_claims *claims, uint64_t next_offset)
+{
+	int is_complete = cw_claims_is_complete(claims);
+	struct release *release;
+	struct entry *entry;
+	GHashTableIter iter;
+
+	TAILQ_FOREACH(entry, &claims->by_offset, link) {
+		if (entry->logged_offset >= next_offset)
+			set_lost(claims, entry, entry->lost | LOST_CLAIM);
+		if (entry->outcome_offset >= next_offset)
+			set_lost(claims, entry, entry->lost | LOST_OUTCOME);
+	}
+	g_hash_table_iter_init(&iter, claims->released_claims);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&release)) {
+		if (release->is_lost || release->logged_offset < next_offset)
+			continue;
+		release->is_lost = 1;
+		claims->lost_count++;
+	}
+	claims->floor = MIN(claims->floor, next_offset);
+	if (is_complete) {
+		claims->known_offset = MAX(claims->offset, claims->known_offset);
+		claims->first_offset = MIN(claims->first_offset, claims->floor);
+	}
+	claims->offset = next_offset - 1;
+}
+
+size_t cw_claims_count_lost(const struct cw_claims *claims)
+{
+	return claims->lost_count;
+}
+
 int cw_claims_is_complete(const struct cw_claims *claims)
 {
 	if (claims->first_offset <= claims->floor)
@@ -158,6 +214,7 @@
 	view.state = entry->state;
 	view.holder = entry->holder;
 	view.body_hash = entry->body_hash;
+	view.offset = entry->offset;
 	view.status = entry->status;
 	view.answer = entry->answer;
 	return view;
@@ -195,32 +252,48 @@
 	size_t added = 0;
 
 	TAILQ_FOREACH(entry, &claims->by_offset, link) {
-		struct cw_claim claim = {
-			.key = entry->key, .claim = entry->holder, .body = entry->body_hash};
-		struct json_object *item;
-
 		if (entry->offset <= after_offset)
 			continue;
 		/* Claims of one record share its offset, so a batch ends only where the offset
 		 * changes. */
 		if (added >= batch_size && entry->offset != *last_offset)
 			break;
-		item = add_item(record, "kept", &claim);
-		add_hex(item, "body", entry->body_hash);
-		json_object_object_add(item, "offset",
-				       json_object_new_int64((int64_t)entry->offset));
-		json_object_object_add(item, "time_ms", json_object_new_int64(entry->time_ms));
-		if (entry->state == CW_CLAIM_COMPLETED)
-			json_object_object_add(item, "status", json_object_new_int(entry->status));
-		if (entry->answer)
-			json_object_object_add(item, "answer",
-					       json_object_new_string(entry->answer));
+		add_kept(record, entry);
 		*last_offset = entry->offset;
 		added++;
 	}
 	return added;
 }
 
+size_t cw_claims_add_lost(const struct cw_claims *claims, struct json_object *record,
+			  size_t batch_size)
+{
+	const struct release *release;
+	const struct entry *entry;
+	GHashTableIter iter;
+	size_t added = 0;
+
+	/* A release goes first: its key may have been claimed again. */
+	g_hash_table_iter_init(&iter, claims->released_claims);
+	while (added < batch_size && g_hash_table_iter_next(&iter, NULL, (gpointer *)&release)) {
+		struct cw_claim claim = {.key = release->key, .claim = release->claim};
+
+		if (!release->is_lost)
+			continue;
+		cw_claims_add_release(record, &claim);
+		added++;
+	}
+	TAILQ_FOREACH(entry, &claims->by_offset, link) {
+		if (added == batch_size)
+			break;
+		if (!entry->lost)
+			continue;
+		add_kept(record, entry);
+		added++;
+	}
+	return added;
+}
+
 void cw_claims_add_floor(struct json_object *record, uint64_t floor)
 {
 	json_object_object_add(record, "floor", json_object_new_int64((int64_t)floor));
@@ -243,13 +316,17 @@
 {
 	uint64_t key = get_hex(item, "key");
 	uint64_t holder = get_hex(item, "claim");
+	struct entry *entry = g_hash_table_lookup(claims->by_key, &key);
 
 	/*
 	 * The first claim in log order wins, on every instance alike. If a later claim also won,
 	 * two instances would run the request, seen as two calls with one idempotency key.
 	 */
-	if (g_hash_table_contains(claims->by_key, &key))
+	if (entry) {
+		if (entry->holder == holder)
+			set_logged(claims, entry, LOST_CLAIM);
 		return;
+	}
 	/* A claim whose append was retried after its release must not acquire the key again. */
 	if (g_hash_table_contains(claims->released_claims, &holder))
 		return;
@@ -261,12 +338,16 @@
 	uint64_t key = get_hex(item, "key");
 	uint64_t holder = get_hex(item, "claim");
 	struct entry *entry = g_hash_table_lookup(claims->by_key, &key);
-	int64_t *time_ms = g_new(int64_t, 1);
-	uint64_t *released = g_new(uint64_t, 1);
-
-	*released = holder;
-	*time_ms = claims->log_time_ms;
-	g_hash_table_replace(claims->released_claims, released, time_ms);
+	struct release *known = g_hash_table_lookup(claims->released_claims, &holder);
+	struct release *release = g_new0(struct release, 1);
+
+	if (known && known->is_lost)
+		claims->lost_count--;
+	release->claim = holder;
+	release->key = key;
+	release->time_ms = claims->log_time_ms;
+	release->logged_offset = claims->offset;
+	g_hash_table_replace(claims->released_claims, &release->claim, release);
 	/* Only the holder's release frees the key. A late release by another claim would allow the
 	 * request to run twice. */
 	if (entry && entry->state == CW_CLAIM_PENDING && entry->holder == holder)
@@ -278,8 +359,11 @@
 	uint64_t key = get_hex(item, "key");
 	struct entry *entry = g_hash_table_lookup(claims->by_key, &key);
 
-	if (entry && entry->state == CW_CLAIM_PENDING && entry->holder == get_hex(item, "claim"))
+	if (!entry || entry->holder != get_hex(item, "claim"))
+		return;
+	if (entry->state == CW_CLAIM_PENDING)
 		set_outcome(entry, item);
+	set_logged(claims, entry, LOST_OUTCOME);
 }
 
 static void apply_checkpoint(struct cw_claims *claims, struct json_object *item)
@@ -294,18 +378,44 @@
 	    g_hash_table_contains(claims->released_claims, &holder))
 		return;
 	/*
-	 * A reader that started after the holder's claim record has taken a later, losing claim for
-	 * the holder. The claim with the smaller offset replaces that one.
+	 * A reader that started after the holder's claim record, or whose log had lost that record,
+	 * has taken a later, losing claim for the holder. The earlier claim replaces that one.
 	 */
-	if (entry && entry->holder != holder && entry->offset > offset) {
+	if (entry && entry->holder != holder && is_later(entry, time_ms, offset)) {
 		entry_remove(claims, entry);
 		entry = NULL;
 	}
 	if (!entry)
 		entry = entry_insert(claims, item, offset, time_ms);
-	if (entry->holder == holder && entry->state == CW_CLAIM_PENDING &&
-	    json_object_object_get_ex(item, "status", NULL))
+	if (entry->holder != holder)
+		return;
+	set_logged(claims, entry, LOST_CLAIM);
+	if (!json_object_object_get_ex(item, "status", NULL))
+		return;
+	if (entry->state == CW_CLAIM_PENDING)
 		set_outcome(entry, item);
+	set_logged(claims, entry, LOST_OUTCOME);
+}
+
+/* Offsets alone do not tell, as a restored log gives them out again. */
+static int is_later(const struct entry *entry, int64_t time_ms, uint64_t offset)
+{
+	return entry->time_ms > time_ms || (entry->time_ms == time_ms && entry->offset > offset);
+}
+
+static void set_logged(struct cw_claims *claims, struct entry *entry, enum lost_part part)
+{
+	if (part == LOST_CLAIM)
+		entry->logged_offset = claims->offset;
+	else
+		entry->outcome_offset = claims->offset;
+	set_lost(claims, entry, entry->lost & ~(unsigned int)part);
+}
+
+static void set_lost(struct cw_claims *claims, struct entry *entry, unsigned int lost)
+{
+	claims->lost_count += (size_t)(lost != 0) - (size_t)(entry->lost != 0);
+	entry->lost = lost;
 }
 
 static void set_outcome(struct entry *entry, struct json_object *item)
@@ -330,6 +440,7 @@
 	entry->offset = offset;
 	entry->time_ms = time_ms;
 	entry->state = CW_CLAIM_PENDING;
+	entry->logged_offset = claims->offset;
 	while (previous && previous->offset > offset)
 		previous = TAILQ_PREV(previous, claim_entry_list, link);
 	if (previous)
@@ -343,20 +454,24 @@
 static void remove_expired(struct cw_claims *claims)
 {
 	int64_t cutoff_ms = claims->log_time_ms - claims->window_ms;
+	struct release *release;
 	struct entry *entry;
+	GHashTableIter iter;
 
 	while ((entry = TAILQ_FIRST(&claims->by_offset)) && entry->time_ms < cutoff_ms)
 		entry_remove(claims, entry);
-	g_hash_table_foreach_remove(claims->released_claims, is_expired, &cutoff_ms);
-}
-
-static gboolean is_expired(gpointer claim, gpointer time_ms, gpointer cutoff_ms)
-{
-	return *(int64_t *)time_ms < *(int64_t *)cutoff_ms;
+	g_hash_table_iter_init(&iter, claims->released_claims);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&release)) {
+		if (release->time_ms >= cutoff_ms)
+			continue;
+		claims->lost_count -= (size_t)release->is_lost;
+		g_hash_table_iter_remove(&iter);
+	}
 }
 
 static void entry_remove(struct cw_claims *claims, struct entry *entry)
 {
+	set_lost(claims, entry, 0);
 	TAILQ_REMOVE(&claims->by_offset, entry, link);
 	g_hash_table_remove(claims->by_key, &entry->key);
 	g_free(entry->answer);
@@ -396,6 +511,21 @@
 	return item;
 }
 
+static void add_kept(struct json_object *record, const struct entry *entry)
+{
+	struct cw_claim claim = {
+		.key = entry->key, .claim = entry->holder, .body = entry->body_hash};
+	struct json_object *item = add_item(record, "kept", &claim);
+
+	add_hex(item, "body", entry->body_hash);
+	json_object_object_add(item, "offset", json_object_new_int64((int64_t)entry->offset));
+	json_object_object_add(item, "time_ms", json_object_new_int64(entry->time_ms));
+	if (entry->state == CW_CLAIM_COMPLETED)
+		json_object_object_add(item, "status", json_object_new_int(entry->status));
+	if (entry->answer)
+		json_object_object_add(item, "answer", json_object_new_string(entry->answer));
+}
+
 static void add_hex(struct json_object *item, const char *key, uint64_t value)
 {
 	char text[17];
--- a/tests/unit/test_claims.c
+++ b/tests/unit/test_claims.c
@@ -168,6 +168,83 @@
 	cw_claims_destroy(claims);
 }
 
+/* Guards against a key that is free again since the log lost its claim. */
+static void a_lost_claim_holds_its_key_and_is_written_again(void **state)
+{
+	struct cw_claims *claims = cw_claims_create(100, WINDOW_MS);
+	struct cw_claims *later = cw_claims_create(100, WINDOW_MS);
+	struct json_object *record = json_object_new_object();
+
+	apply_next(claims, 1000, make_claim(&first));
+	apply_next(claims, 1001, make_outcome(&first, "done"));
+	cw_claims_rewind(claims, 1);
+	assert_int_equal(cw_claims_offset(claims), 0);
+	assert_int_equal(cw_claims_count_lost(claims), 1);
+	assert_int_equal(cw_claims_add_lost(claims, record, 10), 1);
+	apply_next(later, 2000, make_claim(&second));
+	apply_next(claims, 2000, make_claim(&second));
+	assert_int_equal(cw_claims_lookup(claims, 7).holder, 1);
+	assert_int_equal(cw_claims_count_lost(claims), 1);
+	apply_next(later, 2001, json_object_get(record));
+	apply_next(claims, 2001, record);
+	assert_int_equal(cw_claims_count_lost(claims), 0);
+	assert_int_equal(cw_claims_lookup(later, 7).holder, 1);
+	assert_int_equal(cw_claims_lookup(later, 7).state, CW_CLAIM_COMPLETED);
+	cw_claims_destroy(claims);
+	cw_claims_destroy(later);
+}
+
+/* Guards against claims that are written again although the log still holds them. */
+static void a_claim_that_is_read_again_is_not_lost(void **state)
+{
+	struct cw_claims *claims = cw_claims_create(100, WINDOW_MS);
+
+	apply_next(claims, 1000, make_claim(&first));
+	apply_next(claims, 1001, make_outcome(&first, "done"));
+	cw_claims_rewind(claims, 1);
+	apply_next(claims, 1000, make_claim(&first));
+	assert_int_equal(cw_claims_count_lost(claims), 1);
+	apply_next(claims, 1001, make_outcome(&first, "done"));
+	assert_int_equal(cw_claims_count_lost(claims), 0);
+	assert_int_equal(cw_claims_is_complete(claims), 1);
+	cw_claims_destroy(claims);
+}
+
+/* Guards against a key that stays claimed for ever since the log lost the release. */
+static void a_lost_release_is_written_again(void **state)
+{
+	struct cw_claims *claims = cw_claims_create(100, WINDOW_MS);
+	struct json_object *record = json_object_new_object();
+	struct cw_claims *later = cw_claims_create(100, WINDOW_MS);
+
+	apply_next(claims, 1000, make_claim(&first));
+	apply_next(claims, 1001, make_release(&first));
+	cw_claims_rewind(claims, 2);
+	assert_int_equal(cw_claims_add_lost(claims, record, 10), 1);
+	apply_next(later, 1000, make_claim(&first));
+	apply_next(later, 2000, json_object_get(record));
+	apply_next(claims, 2000, record);
+	assert_int_equal(cw_claims_lookup(later, 7).state, CW_CLAIM_FREE);
+	assert_int_equal(cw_claims_count_lost(claims), 0);
+	cw_claims_destroy(claims);
+	cw_claims_destroy(later);
+}
+
+/* Guards against keyed requests that are rejected for the whole window after a deep loss. */
+static void records_known_before_the_loss_may_expire(void **state)
+{
+	struct cw_claims *claims = cw_claims_create(100, WINDOW_MS);
+
+	apply_next(claims, 1000, make_claim(&first));
+	apply_next(claims, 1001, make_claim(&second));
+	cw_claims_rewind(claims, 1);
+	cw_claims_start_at(claims, 2);
+	assert_int_equal(cw_claims_is_complete(claims), 1);
+	cw_claims_start_at(claims, 9);
+	assert_int_equal(cw_claims_is_complete(claims), 0);
+	cw_claims_destroy(claims);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -177,6 +254,10 @@
 		cmocka_unit_test(keys_appended_again_outlive_their_first_records),
 		cmocka_unit_test(without_a_floor_claims_are_complete_after_one_window),
 		cmocka_unit_test(malformed_records_change_nothing),
+		cmocka_unit_test(a_lost_claim_holds_its_key_and_is_written_again),
+		cmocka_unit_test(a_claim_that_is_read_again_is_not_lost),
+		cmocka_unit_test(a_lost_release_is_written_again),
+		cmocka_unit_test(records_known_before_the_loss_may_expire),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- /dev/null
+++ b/tests/unit/test_node_restored.c
@@ -0,0 +1,178 @@
+/* Instances whose platform comes back from an older copy of its log, on the own interface. */
+#include "unit.h"
+#include "world.h"
+
+#include <string.h>
+
+#define NODES	    2
+#define SETTLE_MS   6000 /* until what was lost is in the log again */
+#define START_MS    4000
+#define ORDER_COUNT 10
+
+static struct world *open_world(void)
+{
+	static const char *const rows[] = {"a,m,1,100,1,,allowed", "a,m,2,0,1,,allowed",
+					   "a,service:orders,,,,,allowed", NULL};
+	struct world_profile profile = {.model = "m",
+					.quality = 0.9,
+					.slowdown = 1,
+					.cost_per_1k = 1,
+					.first_ms = 20,
+					.token_ms = 1,
+					.degraded_from_ms = -1};
+	struct world_config config = {
+		.nodes = NODES,
+		.domains = 1,
+		.servers = 2,
+		.services = 2,
+		.slots = 8,
+		.seed = 7,
+		.latency_ms = 1,
+		.store_latency_ms = 2,
+		.report_lag_ms = 50,
+		.tick_ms = 25,
+		.trace = g_getenv("TRACE") != NULL,
+	};
+	struct world *world;
+
+	cw_node_set_defaults(&config.node);
+	world = world_create(&config);
+	for (int version = 1; version <= 2; version++) {
+		g_snprintf(profile.version, CW_NAME_MAX, "%d", version);
+		world_profile(world, &profile);
+	}
+	world_load_on_all_servers(world, "m", "1");
+	world_publish(world, rows);
+	world_add_key(world, "a");
+	for (int i = 0; i < NODES; i++)
+		world_start(world, i);
+	world_advance(world, START_MS);
+	return world;
+}
+
+static void restart(struct world *world, int node)
+{
+	world_crash(world, node);
+	world_start(world, node);
+	world_advance(world, START_MS);
+}
+
+static void restart_all_at_once(struct world *world)
+{
+	for (int i = 0; i < NODES; i++)
+		world_crash(world, i);
+	for (int i = 0; i < NODES; i++)
+		world_start(world, i);
+	world_advance(world, START_MS);
+}
+
+static struct world_request *send_order(struct world *world, int node, int key)
+{
+	struct cw_node_request in;
+
+	world_request_init(&in, "a", "orders", CW_REQUEST_SERVICE);
+	g_snprintf(in.idempotency_key, CW_ID_MAX, "k%d", key);
+	in.deadline_ms = world_now(world) + 5000;
+	return world_send(world, node, &in, 0);
+}
+
+/* Sends orders in series, loses their newest claims, and returns when the loss can be noticed. */
+static void lose_claims_of_orders(struct world *world, size_t lost)
+{
+	for (int key = 0; key < ORDER_COUNT; key++) {
+		send_order(world, key % NODES, key);
+		world_advance(world, 200);
+	}
+	world_lose_records(world, CW_STREAM_CLAIMS, lost);
+}
+
+/* Sends every order again and returns how many ran more than once. */
+static int repeat_orders(struct world *world)
+{
+	struct world_request *repeats[ORDER_COUNT];
+	int twice = 0;
+
+	for (int key = 0; key < ORDER_COUNT; key++)
+		repeats[key] = send_order(world, (key + 1) % NODES, key);
+	world_advance(world, 8000);
+	for (int key = 0; key < ORDER_COUNT; key++) {
+		const struct world_request *first = g_ptr_array_index(world_requests(world), key);
+
+		twice += first->runs + repeats[key]->runs > 1;
+	}
+	return twice;
+}
+
+/* Guards against an order that runs twice since the claim of its key was lost with the log. */
+static void an_order_whose_claim_was_lost_runs_once_after_replacements(void **state)
+{
+	struct world *world = open_world();
+
+	lose_claims_of_orders(world, 6);
+	world_advance(world, 5000);
+	restart(world, 0);
+	restart(world, 1);
+	assert_int_equal(repeat_orders(world), 0);
+	world_destroy(world);
+}
+
+/* Guards against a lost claim that is noticed only while the log is shorter than before. */
+static void a_claim_stays_known_where_the_log_grew_past_its_offset(void **state)
+{
+	struct world *world = open_world();
+
+	lose_claims_of_orders(world, 6);
+	for (int i = 0; i < 8; i++)
+		world_append(world, CW_STREAM_CLAIMS, "{\"claims\":[]}");
+	world_advance(world, 5000);
+	restart(world, 0);
+	restart(world, 1);
+	assert_int_equal(repeat_orders(world), 0);
+	world_destroy(world);
+}
+
+/* Guards against an instance that starts on the shorter log and runs a known order again. */
+static void an_instance_that_starts_on_the_shorter_log_runs_no_known_order(void **state)
+{
+	struct world *world = open_world();
+
+	lose_claims_of_orders(world, 6);
+	world_crash(world, 0);
+	world_start(world, 0);
+	world_advance(world, 500);
+	assert_int_equal(repeat_orders(world), 0);
+	world_destroy(world);
+}
+
+/* Guards against a lost release: the key of an order that did not run stays claimed for ever. */
+static void a_lost_release_frees_its_key_again(void **state)
+{
+	struct world *world = open_world();
+	struct world_request *repeat;
+
+	for (int i = 0; i < 4; i++)
+		world_server(world, i)->down = 1;
+	send_order(world, 0, 1);
+	world_advance(world, 3000);
+	world_lose_records(world, CW_STREAM_CLAIMS, 1);
+	for (int i = 0; i < 4; i++)
+		world_server(world, i)->down = 0;
+	world_advance(world, SETTLE_MS);
+	restart_all_at_once(world);
+	repeat = send_order(world, 1, 1);
+	world_advance(world, 3000);
+	assert_int_equal(repeat->runs, 1);
+	world_destroy(world);
+}
+
+int main(void)
+{
+	const struct CMUnitTest tests[] = {
+		cmocka_unit_test(an_order_whose_claim_was_lost_runs_once_after_replacements),
+		cmocka_unit_test(a_claim_stays_known_where_the_log_grew_past_its_offset),
+		cmocka_unit_test(an_instance_that_starts_on_the_shorter_log_runs_no_known_order),
+		cmocka_unit_test(a_lost_release_frees_its_key_again),
+	};
+
+	return cmocka_run_group_tests(tests, NULL, NULL);
+}
