table: an accepted edit that a restored log has lost stays in force, and the next one applies

Callers saw: an accepted change of the table was gone once all instances had been replaced (a revoked key, a withdrawn version, a limit: back as before). Operators saw: the edit after a lost one was applied by no instance, without a line in any log.

Cause: the table is the replay of offsets, and each offset was taken to name one record for ever. The next edit stood at the offset of the lost one, which every instance had behind it; the lost one stood in memories only, and an instance that starts replays the log. Peers without the platform compared offsets, so the higher one won, also where it was of the log before.

Fix: the table is replayed from the log as it stands, while the present one stays in force, and what the former table had beyond it is merged: for each cell, key and drain the later one by the clock of the log wins. So an edit on the restored log is later than the lost ones, is applied whole, and its if_revision is judged by the revisions of the log, which the operator saw. What was merged is appended by rank, as an edit whose cells carry set_ms, the time of the lost edit; it changes no cell that was set later, so it may come late, twice, or from instances that knew different edits. Ids of lost edits go with it, so that a retry of one is no second edit.

Tables are ordered by the identity of their last record (time, then offset), which follows each peer message; earlier builds neither send nor read it. An offset past the end of a table that was just read, and that no live peer has, is one of the lost log: such a session keeps its version instead of being rejected until the table has grown past it.

--- a/packages/node/src/node_claims.c
+++ b/packages/node/src/node_claims.c
@@ -10,8 +10,6 @@
 #define APPEND_RETRY_MS		 50
 #define CHECKPOINT_RANK_DELAY_MS 500 /* added delay for each rank among the live instances */
 #define CHECKPOINT_BATCH_KEYS	 256
-#define LOST_RANK_DELAY_MS	 500  /* added delay for each rank among the live instances */
-#define LOST_RETRY_MS		 1000 /* after an append: its record is read back by then */
 #define LOST_BATCH_ENTRIES	 128
 #define DOUBT_MS		 3000 /* until the peers have noticed a restored log and written what it lost */
 
@@ -22,8 +20,7 @@
 static void schedule_checkpoint(struct cw_node *node);
 static int is_checkpoint_due(const struct cw_node *node);
 static void append_checkpoint(struct cw_node *node);
-static void schedule_lost_claims(struct cw_node *node);
-static void append_lost_claims(struct cw_node *node);
+static void append_lost_claims(struct cw_node *node, size_t lost_count);
 
 void claims_enqueue(struct cw_node *node, const struct cw_claim *claim, int kind, int status,
 		    const char *answer)
@@ -38,7 +35,7 @@
 	if (!node->claim_entries_ticket && !STAILQ_EMPTY(&node->claim_entries) &&
 	    node->now_ms >= node->claim_entries_retry_ms)
 		append_claim_entries(node);
-	schedule_lost_claims(node);
+	append_lost_claims(node, cw_claims_count_lost(node->claims));
 	schedule_checkpoint(node);
 }
 
@@ -46,10 +43,7 @@
 {
 	struct claim_entry *entry;
 
-	if (appended->ticket == node->lost_claims_ticket) {
-		node->lost_claims_ticket = 0;
-		return;
-	}
+	restore_handle_append(&node->lost_claims_turn, appended);
 	if (appended->ticket == node->checkpoint_ticket && node->checkpoint_ticket) {
 		node->checkpoint_ticket = 0;
 		/* A floor in the log without all of its keys would hide the missing keys. So any
@@ -83,12 +77,10 @@
 {
 	cw_claims_rewind(node->claims, next_offset);
 	node->checkpoint_floor = 0;
-	node->lost_claims_due_ms = 0;
-	node->lost_claims_count = cw_claims_count_lost(node->claims);
 	STAILQ_CONCAT(&node->claim_entries_unread, &node->claim_entries);
 	STAILQ_CONCAT(&node->claim_entries, &node->claim_entries_unread);
 	node_log_event(node, "claims", "lost", "next=%" G_GUINT64_FORMAT " count=%zu", next_offset,
-		       node->lost_claims_count);
+		       cw_claims_count_lost(node->claims));
 }
 
 void claims_note_read(struct cw_node *node, uint64_t first, uint64_t last)
@@ -266,36 +258,17 @@
 	json_object_put(record);
 }
 
-/* The instances take turns by rank, so that usually one of them writes what all of them know. */
-static void schedule_lost_claims(struct cw_node *node)
+static void append_lost_claims(struct cw_node *node, size_t lost_count)
 {
-	size_t count = cw_claims_count_lost(node->claims);
-	int is_written_by_peer = count < node->lost_claims_count && !node->lost_claims_ticket;
-	size_t rank;
+	struct json_object *record;
+	size_t count;
 
-	node->lost_claims_count = count;
-	if (node->lost_claims_ticket || count == 0 || !log_is_up(node, CW_STREAM_CLAIMS))
+	if (!restore_is_own_turn(node, &node->lost_claims_turn, CW_STREAM_CLAIMS, lost_count))
 		return;
-	if (node->lost_claims_due_ms == 0 || is_written_by_peer) {
-		rank = cw_membership_rank(node->membership, cw_hash_text("lost claims", 0),
-					  node->now_ms);
-		node->lost_claims_due_ms = node->now_ms + LOST_RANK_DELAY_MS * (int64_t)rank;
-	}
-	if (node->now_ms >= node->lost_claims_due_ms)
-		append_lost_claims(node);
-}
-
-static void append_lost_claims(struct cw_node *node)
-{
-	struct json_object *record = json_object_new_object();
-	size_t count = cw_claims_add_lost(node->claims, record, LOST_BATCH_ENTRIES);
-
-	node->lost_claims_due_ms = node->now_ms + LOST_RETRY_MS;
-	node->lost_claims_ticket = log_append(
-		node, CW_STREAM_CLAIMS,
-		g_strdup(json_object_to_json_string_ext(record, JSON_C_TO_STRING_PLAIN)));
+	record = json_object_new_object();
+	count = cw_claims_add_lost(node->claims, record, LOST_BATCH_ENTRIES);
+	restore_append(node, &node->lost_claims_turn, CW_STREAM_CLAIMS,
+		       g_strdup(json_object_to_json_string_ext(record, JSON_C_TO_STRING_PLAIN)),
+		       count);
 	json_object_put(record);
-	node_log_event(node, "claims", "written_again", "count=%zu", count);
-	node_count(node, "log_written_again_total", count, "stream=\"%s\"",
-		   cw_stream_name(CW_STREAM_CLAIMS));
 }
--- a/packages/node/src/node_gossip.c
+++ b/packages/node/src/node_gossip.c
@@ -28,7 +28,7 @@
 static size_t fill_ratings(struct cw_node *node, const struct cw_member *member,
 			   struct peer_rating *ratings, uint64_t *first);
 static void merge_heartbeat(struct cw_node *node, struct cw_member *member,
-			    const struct peer_message *message);
+			    const struct peer_message *message, const struct peer_trailer *trailer);
 static void merge_evidence(struct cw_node *node, const struct cw_member *member,
 			   const struct peer_heartbeat *heartbeat);
 static void merge_ratings(struct cw_node *node, const struct cw_member *member,
@@ -36,18 +36,24 @@
 static void merge_loads(struct cw_node *node, const struct peer_heartbeat *heartbeat);
 static void grant_loans(struct cw_node *node, const struct cw_member *member,
 			const struct peer_heartbeat *heartbeat);
-static void send_table(struct cw_node *node, const struct cw_member *member, uint64_t offset);
+static int is_table_older(const struct cw_node *node, uint64_t offset,
+			  const struct cw_record_id *last);
+static void send_table(struct cw_node *node, const struct cw_member *member, uint64_t offset,
+		       const struct cw_record_id *last);
+static const struct table_record *find_record_after(const struct cw_node *node, uint64_t offset,
+						    const struct cw_record_id *last);
 static void merge_binding(struct cw_node *node, const struct peer_binding *bind, uint64_t handle);
 static void send_binding(struct cw_node *node, const struct cw_member *member,
 			 const struct peer_binding *query);
 
 void gossip_handle_message(struct cw_node *node, const void *data, size_t size)
 {
+	struct peer_trailer trailer;
 	struct peer_message message;
 	struct cw_member *member;
 
 	/* A forged or truncated message must not change any state. */
-	if (cw_peer_decode(node->config.peer_key, data, size, &message) != CW_OK) {
+	if (cw_peer_decode(node->config.peer_key, data, size, &message, &trailer) != CW_OK) {
 		node_log_event(node, "peer", "message_rejected", "bytes=%zu", size);
 		return;
 	}
@@ -59,19 +65,14 @@
 	}
 	switch (message.body.kind) {
 	case PEER_HEARTBEAT:
-		merge_heartbeat(node, member, &message);
+		merge_heartbeat(node, member, &message, &trailer);
 		break;
 	case PEER_RECORDS:
-		for (u_int i = 0; i < message.body.peer_body_u.records.records_len; i++) {
-			const struct peer_record *peer =
-				&message.body.peer_body_u.records.records_val[i];
-			struct cw_log_record record = {peer->offset, peer->time_ms, peer->data};
-
-			table_apply_record(node, &record);
-		}
+		table_merge_peer_records(node, message.body.peer_body_u.records.records_val,
+					 message.body.peer_body_u.records.records_len);
 		break;
 	case PEER_SNAPSHOT:
-		table_load_snapshot(node, message.body.peer_body_u.snapshot);
+		table_merge_peer_snapshot(node, message.body.peer_body_u.snapshot);
 		break;
 	case PEER_BILLS:
 		bills_store_mirrors(node, message.from, message.boot,
@@ -157,6 +158,8 @@
 
 void gossip_send(struct cw_node *node, const struct cw_member *member, struct peer_message *message)
 {
+	struct cw_record_id last = cw_table_last_record(node->table);
+	struct peer_trailer trailer = {{last.offset, last.time_ms, last.checksum}};
 	struct cw_peer_buffer bytes;
 	struct cw_effect *effect;
 
@@ -165,7 +168,8 @@
 	message->address = node->peer_address;
 	message->boot = node->config.boot;
 	message->sequence = ++node->sequence;
-	if (!*member->address || cw_peer_encode(node->config.peer_key, message, &bytes) != CW_OK)
+	if (!*member->address ||
+	    cw_peer_encode(node->config.peer_key, message, &trailer, &bytes) != CW_OK)
 		return;
 	effect = node_add_effect(node, CW_EFFECT_SEND, 0);
 	g_strlcpy(effect->send.address, member->address, CW_ADDRESS_MAX);
@@ -339,9 +343,11 @@
 }
 
 static void merge_heartbeat(struct cw_node *node, struct cw_member *member,
-			    const struct peer_message *message)
+			    const struct peer_message *message, const struct peer_trailer *trailer)
 {
 	const struct peer_heartbeat *heartbeat = &message->body.peer_body_u.heartbeat;
+	struct cw_record_id peer_table = {trailer->table.offset, trailer->table.time_ms,
+					  trailer->table.checksum};
 	int was_live = cw_membership_is_live(node->membership, member, node->now_ms);
 
 	cw_membership_mark_seen(member, message->boot, heartbeat->leaving != 0, node->now_ms);
@@ -357,8 +363,19 @@
 	quarantine_merge(node, heartbeat,
 			 cw_membership_delay_ms(member, heartbeat->asked_ms, node->now_ms));
 	grant_loans(node, member, heartbeat);
-	if (heartbeat->table_offset < cw_table_offset(node->table))
-		send_table(node, member, heartbeat->table_offset);
+	if (is_table_older(node, heartbeat->table_offset, &peer_table))
+		send_table(node, member, heartbeat->table_offset, &peer_table);
+}
+
+/* Records of a restored log are later than the lost ones, at whatever offset they stand. */
+static int is_table_older(const struct cw_node *node, uint64_t offset,
+			  const struct cw_record_id *last)
+{
+	struct cw_record_id own = cw_table_last_record(node->table);
+
+	if (own.offset && last->offset)
+		return cw_record_id_compare(last, &own) < 0;
+	return offset < cw_table_offset(node->table);
 }
 
 static void merge_evidence(struct cw_node *node, const struct cw_member *member,
@@ -468,24 +485,23 @@
 
 /* A peer without a connection to the platform gets the table from a peer with a newer one: as
  * records, or as a snapshot if the records it needs are no longer stored. */
-static void send_table(struct cw_node *node, const struct cw_member *member, uint64_t offset)
+static void send_table(struct cw_node *node, const struct cw_member *member, uint64_t offset,
+		       const struct cw_record_id *last)
 {
 	struct peer_message message = {0};
 	struct peer_record records[CW_PEER_RECORDS];
-	struct table_record *stored = STAILQ_FIRST(&node->table_records);
+	const struct table_record *stored = find_record_after(node, offset, last);
 	size_t bytes = 0;
 	u_int count = 0;
 
-	if (!stored || stored->offset > offset + 1) {
+	if (!stored) {
 		message.body.kind = PEER_SNAPSHOT;
 		message.body.peer_body_u.snapshot = cw_table_create_snapshot(node->table);
 		gossip_send(node, member, &message);
 		g_free(message.body.peer_body_u.snapshot);
 		return;
 	}
-	STAILQ_FOREACH(stored, &node->table_records, link) {
-		if (stored->offset <= offset)
-			continue;
+	for (; stored; stored = STAILQ_NEXT(stored, link)) {
 		bytes += strlen(stored->data);
 		if (count == CW_PEER_RECORDS || (count > 0 && bytes > RECORDS_BYTES_MAX))
 			break;
@@ -499,6 +515,29 @@
 	gossip_send(node, member, &message);
 }
 
+/*
+ * The first record to send to a peer whose last one is at offset: that record itself, so that the
+ * peer can compare it, or the one behind it for a peer that doesn't identify its records. NULL: the
+ * peer needs a snapshot.
+ */
+static const struct table_record *find_record_after(const struct cw_node *node, uint64_t offset,
+						    const struct cw_record_id *last)
+{
+	const struct table_record *stored;
+
+	STAILQ_FOREACH(stored, &node->table_records, link) {
+		struct cw_record_id id;
+
+		if (!last->offset && stored->offset == offset + 1)
+			return stored;
+		if (!last->offset || stored->offset != last->offset)
+			continue;
+		id = cw_record_id_create(stored->offset, stored->time_ms, stored->data);
+		return cw_record_id_is_equal(&id, last) ? stored : NULL;
+	}
+	return NULL;
+}
+
 static void merge_binding(struct cw_node *node, const struct peer_binding *bind, uint64_t handle)
 {
 	struct cw_binding binding = {
--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -114,6 +114,12 @@
 	int needs_snapshot;	 /* records were missed: the table waits for a snapshot */
 };
 
+struct restore_turn {	 /* of this instance in writing again what a restored log has lost */
+	uint64_t ticket; /* of the append in progress, 0 none */
+	size_t count;	 /* of what was lost, at the last look */
+	int64_t due_ms;	 /* no append before this time, 0: not scheduled */
+};
+
 struct claim_entry { /* a claim, outcome or release to append to the claims stream */
 	STAILQ_ENTRY(claim_entry) link;
 	struct cw_claim claim;
@@ -169,6 +175,8 @@
 	uint64_t next_ticket; /* a ticket ties the result of an effect to the effect */
 
 	struct cw_table *table;
+	struct cw_table *replayed_table; /* read from a restored log, until its end; else NULL */
+	struct restore_turn lost_table_turn;
 	struct table_record_list table_records; /* newest records, sent to peers that lag */
 	size_t table_record_count;
 	uint64_t table_snapshot_covered; /* last offset covered by the newest snapshot, 0 none */
@@ -185,14 +193,12 @@
 	uint64_t claim_entries_ticket;		      /* of the append in progress, 0 none */
 	int64_t claim_entries_retry_ms;		      /* no append before this time */
 	uint64_t checkpoint_ticket;		      /* of the append in progress, 0 none */
-	uint64_t checkpoint_after;   /* keys claimed up to this offset are appended again already */
-	uint64_t checkpoint_floor;   /* floor to append after the last key, 0: no checkpoint */
-	int64_t checkpoint_due_ms;   /* 0: none scheduled */
-	int64_t checkpoint_wall_ms;  /* time of the newest floor, or of the first record read */
-	uint64_t lost_claims_ticket; /* of the append in progress, 0 none */
-	size_t lost_claims_count;    /* at the last look */
-	int64_t lost_claims_due_ms;  /* no append of lost claims before this time */
-	int64_t claims_doubted_ms;   /* when the log last proved to be restored, -1 never */
+	uint64_t checkpoint_after;  /* keys claimed up to this offset are appended again already */
+	uint64_t checkpoint_floor;  /* floor to append after the last key, 0: no checkpoint */
+	int64_t checkpoint_due_ms;  /* 0: none scheduled */
+	int64_t checkpoint_wall_ms; /* time of the newest floor, or of the first record read */
+	struct restore_turn lost_claims_turn;
+	int64_t claims_doubted_ms;    /* when the log last proved to be restored, -1 never */
 	GHashTable *peer_claims_ends; /* member -> last record of the claims that it has read */
 
 	struct cw_ledger *ledger;
@@ -296,6 +302,8 @@
 void log_handle_append(struct cw_node *node, const struct cw_append_result *appended);
 void log_tick(struct cw_node *node);
 int log_is_up(const struct cw_node *node, enum cw_stream stream);
+int log_is_current(const struct cw_node *node,
+		   enum cw_stream stream); /* 1: read to its end a moment ago */
 void claims_enqueue(struct cw_node *node, const struct cw_claim *claim, int kind, int status,
 		    const char *answer);
 uint64_t log_append(struct cw_node *node, enum cw_stream stream,
@@ -303,11 +311,23 @@
 void log_read(struct cw_node *node, enum cw_stream stream, uint64_t ticket, uint64_t from,
 	      size_t max, int wait_ms);
 
+/* node_restore.c */
+int restore_is_own_turn(struct cw_node *node, struct restore_turn *turn, enum cw_stream stream,
+			size_t count); /* 1: this instance writes some of what was lost, now */
+void restore_append(struct cw_node *node, struct restore_turn *turn, enum cw_stream stream,
+		    char *data, size_t count); /* frees data later */
+void restore_handle_append(struct restore_turn *turn, const struct cw_append_result *appended);
+void restore_log(struct cw_node *node, enum cw_stream stream,
+		 size_t count); /* event and counter of what was written again */
+
 /* node_table.c */
 void table_close(struct cw_node *node);
-void table_apply_record(struct cw_node *node, const struct cw_log_record *record);
-void table_load_snapshot(struct cw_node *node, const char *snapshot);
-void table_track_snapshot_age(struct cw_node *node, const struct cw_log_record *record);
+void table_rewind(struct cw_node *node); /* the log was restored: the table is replayed from it */
+void table_read_record(struct cw_node *node, const struct cw_log_record *record);
+void table_finish_replay(struct cw_node *node); /* at the end of the log */
+void table_merge_peer_records(struct cw_node *node, const struct peer_record *records,
+			      size_t count);
+void table_merge_peer_snapshot(struct cw_node *node, const char *snapshot);
 void table_handle_append(struct cw_node *node, const struct cw_append_result *appended);
 void table_tick(struct cw_node *node);
 
--- a/packages/node/src/node_log.c
+++ b/packages/node/src/node_log.c
@@ -10,6 +10,7 @@
 #define READ_TIMEOUT_MS 5000 /* a stream whose read takes longer counts as unreachable */
 #define BACKOFF_MIN_MS	50
 #define BACKOFF_MAX_MS	1000
+#define CURRENT_MS	1500 /* a stream that was read longer ago may have new records */
 #define MARK_MS		1000 /* between two marks, on the clock of the log */
 
 static void reader_send(struct cw_node *node, struct log_reader *reader);
@@ -130,6 +131,12 @@
 	       node->now_ms - reader->last_success_ms <= LONG_POLL_MS + READ_TIMEOUT_MS;
 }
 
+int log_is_current(const struct cw_node *node, enum cw_stream stream)
+{
+	return log_is_up(node, stream) &&
+	       node->now_ms - node->log_readers[stream].last_success_ms <= CURRENT_MS;
+}
+
 static void reader_send(struct cw_node *node, struct log_reader *reader)
 {
 	uint64_t from = reader->next_offset;
@@ -183,6 +190,8 @@
 	if (reader->is_caught_up)
 		return;
 	reader->is_caught_up = 1;
+	if (reader->stream == CW_STREAM_TABLE)
+		table_finish_replay(node);
 	node_log_event(node, "log", "caught_up", "stream=%s next=%" G_GUINT64_FORMAT,
 		       cw_stream_name(reader->stream), reader->next_offset);
 }
@@ -241,8 +250,16 @@
 	reader->step = READER_CHECK;
 	node_log_event(node, "log", "resumed", "stream=%s next=%" G_GUINT64_FORMAT,
 		       cw_stream_name(reader->stream), reader->next_offset);
-	if (reader->stream == CW_STREAM_CLAIMS)
+	switch (reader->stream) {
+	case CW_STREAM_TABLE:
+		table_rewind(node);
+		break;
+	case CW_STREAM_CLAIMS:
 		claims_rewind(node, reader->next_offset);
+		break;
+	default:
+		break;
+	}
 }
 
 static void reader_advance(struct log_reader *reader, const struct cw_log_record *record)
@@ -309,8 +326,6 @@
 {
 	uint64_t floor = cw_claims_floor(node->claims);
 
-	if (reader->stream == CW_STREAM_TABLE)
-		table_track_snapshot_age(node, record);
 	if (reader->stream == CW_STREAM_CLAIMS && !node->checkpoint_wall_ms)
 		node->checkpoint_wall_ms = record->time_ms;
 	if (record->offset != reader->next_offset)
@@ -318,10 +333,7 @@
 	reader_advance(reader, record);
 	switch (reader->stream) {
 	case CW_STREAM_TABLE:
-		if (reader->needs_snapshot)
-			table_load_snapshot(node, record->data);
-		else
-			table_apply_record(node, record);
+		table_read_record(node, record);
 		break;
 	case CW_STREAM_CLAIMS:
 		cw_claims_apply_record(node->claims, record->offset, record->time_ms, record->data,
--- a/packages/node/src/node_table.c
+++ b/packages/node/src/node_table.c
@@ -9,37 +9,133 @@
 #define SNAPSHOT_RANK_DELAY_MS	  500  /* added delay for each rank among the live instances */
 #define SNAPSHOT_MAX_TAIL_RECORDS 2000 /* records after the newest snapshot */
 
+static struct cw_table *read_table(struct cw_node *node);
+static void apply_record(struct cw_node *node, const struct cw_log_record *record);
+static void load_snapshot(struct cw_node *node, const char *snapshot);
+static void replace_table(struct cw_node *node, struct cw_table *table);
+static void clear_changed_health(struct cw_node *node, const struct cw_table *table);
+static void abandon_replay(struct cw_node *node);
+static int peers_records_follow(struct cw_node *node, const struct peer_record *records,
+				size_t count);
 static void sync_table_reader(struct cw_node *node);
 static void apply_drains(struct cw_node *node);
 static void store_table_record(struct cw_node *node, const struct cw_log_record *from);
 static void drop_table_records(struct cw_node *node);
 static void handle_table_change(struct cw_node *node, uint64_t offset);
+static void track_snapshot_age(struct cw_node *node, const struct cw_log_record *record);
 static void track_snapshot(struct cw_node *node, const struct cw_log_record *record);
+static void schedule_snapshot(struct cw_node *node);
 static int is_snapshot_due(const struct cw_node *node);
+static void append_unlogged(struct cw_node *node);
 
 void table_close(struct cw_node *node)
 {
 	drop_table_records(node);
+	cw_table_destroy(node->replayed_table);
+}
+
+/* The present table stays in force until the log was read to its end. */
+void table_rewind(struct cw_node *node)
+{
+	cw_table_destroy(node->replayed_table);
+	node->replayed_table = cw_table_create();
+	node->log_readers[CW_STREAM_TABLE].needs_snapshot = 0;
+	node->table_snapshot_covered = 0;
+	node->table_snapshot_record_offset = 0;
+	node->table_snapshot_wall_ms = 0;
+}
+
+void table_read_record(struct cw_node *node, const struct cw_log_record *record)
+{
+	track_snapshot_age(node, record);
+	if (node->log_readers[CW_STREAM_TABLE].needs_snapshot)
+		load_snapshot(node, record->data);
+	else
+		apply_record(node, record);
+}
+
+void table_finish_replay(struct cw_node *node)
+{
+	struct cw_table *table = node->replayed_table;
+
+	if (!table || node->log_readers[CW_STREAM_TABLE].needs_snapshot)
+		return;
+	node->replayed_table = NULL;
+	replace_table(node, table);
+}
+
+/* An instance that reads the log needs no peer: the peer's records may be lost ones. */
+void table_merge_peer_records(struct cw_node *node, const struct peer_record *records, size_t count)
+{
+	if (log_is_current(node, CW_STREAM_TABLE) || !peers_records_follow(node, records, count))
+		return;
+	for (size_t i = 0; i < count; i++) {
+		struct cw_log_record record = {records[i].offset, records[i].time_ms,
+					       records[i].data};
+
+		if (record.offset != cw_table_offset(node->table) + 1 ||
+		    record.time_ms < cw_table_last_record(node->table).time_ms)
+			continue;
+		abandon_replay(node);
+		track_snapshot_age(node, &record);
+		apply_record(node, &record);
+	}
+}
+
+void table_merge_peer_snapshot(struct cw_node *node, const char *snapshot)
+{
+	struct cw_table *table = cw_table_create();
+	struct cw_record_id own = cw_table_last_record(node->table);
+	struct cw_record_id peer;
+	int is_newer = 0;
+
+	if (cw_table_load_snapshot(table, snapshot, NULL) == CW_OK) {
+		peer = cw_table_last_record(table);
+		is_newer = own.offset && peer.offset
+				   ? cw_record_id_compare(&peer, &own) > 0
+				   : cw_table_offset(table) > cw_table_offset(node->table);
+	}
+	if (!is_newer || log_is_current(node, CW_STREAM_TABLE)) {
+		cw_table_destroy(table);
+		return;
+	}
+	abandon_replay(node);
+	replace_table(node, table);
+	sync_table_reader(node);
 }
 
 void table_handle_append(struct cw_node *node, const struct cw_append_result *appended)
 {
+	restore_handle_append(&node->lost_table_turn, appended);
 	if (appended->ticket != node->snapshot_ticket)
 		return;
 	node->snapshot_ticket = 0;
 	node->snapshot_due_ms = 0;
 }
 
-void table_apply_record(struct cw_node *node, const struct cw_log_record *record)
+void table_tick(struct cw_node *node)
+{
+	append_unlogged(node);
+	schedule_snapshot(node);
+}
+
+static struct cw_table *read_table(struct cw_node *node)
 {
+	return node->replayed_table ? node->replayed_table : node->table;
+}
+
+static void apply_record(struct cw_node *node, const struct cw_log_record *record)
+{
+	struct cw_table *table = read_table(node);
 	uint64_t offset = record->offset;
 	struct cw_error error = {0};
 	enum cw_table_result outcome;
 
-	if (offset != cw_table_offset(node->table) + 1)
+	if (offset != cw_table_offset(table) + 1)
+		return;
+	cw_table_apply_record(table, offset, record->time_ms, record->data, &outcome, &error);
+	if (table == node->replayed_table)
 		return;
-	cw_table_apply_record(node->table, offset, record->time_ms, record->data, &outcome, &error);
-	table_track_snapshot_age(node, record);
 	store_table_record(node, record);
 	sync_table_reader(node);
 	switch (outcome) {
@@ -56,28 +152,95 @@
 	}
 }
 
-void table_load_snapshot(struct cw_node *node, const char *snapshot)
+static void load_snapshot(struct cw_node *node, const char *snapshot)
 {
-	enum cw_status status = cw_table_load_snapshot(node->table, snapshot, NULL);
+	struct cw_table *table = cw_table_create();
+	struct log_reader *reader = &node->log_readers[CW_STREAM_TABLE];
 
-	/* CW_REFUSED: records or a snapshot from a peer brought the table to the offset of this
-	 * snapshot, or past it. */
-	if (status == CW_REFUSED &&
-	    cw_table_offset(node->table) + 1 >= node->log_readers[CW_STREAM_TABLE].oldest_offset)
+	if (cw_table_load_snapshot(table, snapshot, NULL) != CW_OK) {
+		cw_table_destroy(table);
+		return;
+	}
+	if (node->replayed_table) {
+		cw_table_destroy(node->replayed_table);
+		node->replayed_table = table;
 		sync_table_reader(node);
-	if (status != CW_OK)
 		return;
+	}
+	if (cw_table_offset(table) > cw_table_offset(node->table)) {
+		replace_table(node, table);
+		sync_table_reader(node);
+		return;
+	}
+	/* Records or a snapshot from a peer brought the table to the offset of this snapshot, or
+	 * past it. */
+	cw_table_destroy(table);
+	if (cw_table_offset(node->table) + 1 >= reader->oldest_offset)
+		sync_table_reader(node);
+}
+
+/* What the former table holds beyond the new one stays in force, and is appended to the log. */
+static void replace_table(struct cw_node *node, struct cw_table *table)
+{
+	int is_ahead = cw_table_is_ahead(table, node->table);
+
+	clear_changed_health(node, table);
+	cw_table_merge(table, node->table);
+	cw_table_destroy(node->table);
+	node->table = table;
 	/* The stored records must continue the table without a gap: older ones are dropped. */
 	drop_table_records(node);
-	sync_table_reader(node);
 	apply_drains(node);
+	cw_session_limit_offsets(node->sessions, cw_table_offset(table));
 	/* The age of the records in the snapshot is unknown: a new snapshot is due, unless one was
 	 * read from the log. */
 	if (!node->table_snapshot_wall_ms)
 		node->table_snapshot_wall_ms = 1;
 	node->routing_changed_ms = node->now_ms;
-	node_log_event(node, "table", "snapshot_loaded", "offset=%" G_GUINT64_FORMAT,
-		       cw_table_offset(node->table));
+	node_log_event(node, "table", "replaced", "offset=%" G_GUINT64_FORMAT " unlogged=%zu",
+		       cw_table_offset(table), cw_table_count_unlogged(table));
+	if (is_ahead)
+		node_log_event(node, "table", "in_force", "offset=%" G_GUINT64_FORMAT,
+			       cw_table_offset(table));
+	gossip_expedite_heartbeats(node);
+}
+
+/* An operator's edit of a version overrides the earlier health evidence. */
+static void clear_changed_health(struct cw_node *node, const struct cw_table *table)
+{
+	const struct cw_row *row;
+
+	TAILQ_FOREACH(row, cw_table_rows(table), link) {
+		const struct cw_row *known = cw_table_find_row_by_id(node->table, row->id);
+
+		if (known && known->set_ms[CW_COLUMN_WEIGHT] >= row->set_ms[CW_COLUMN_WEIGHT] &&
+		    known->set_ms[CW_COLUMN_STATE] >= row->set_ms[CW_COLUMN_STATE])
+			continue;
+		cw_health_clear(node->health, cw_pool_version_hash(row->model, row->version));
+	}
+}
+
+/* A peer brings what the log can't be read for now. */
+static void abandon_replay(struct cw_node *node)
+{
+	cw_table_destroy(node->replayed_table);
+	node->replayed_table = NULL;
+}
+
+/* A message of a build that identifies records begins with the record that they follow. */
+static int peers_records_follow(struct cw_node *node, const struct peer_record *records,
+				size_t count)
+{
+	struct cw_record_id own = cw_table_last_record(node->table);
+
+	for (size_t i = 0; i < count; i++) {
+		struct cw_record_id peer =
+			cw_record_id_create(records[i].offset, records[i].time_ms, records[i].data);
+
+		if (own.offset && peer.offset == own.offset)
+			return cw_record_id_is_equal(&peer, &own);
+	}
+	return 1;
 }
 
 /*
@@ -89,17 +252,19 @@
 static void sync_table_reader(struct cw_node *node)
 {
 	struct log_reader *reader = &node->log_readers[CW_STREAM_TABLE];
+	const struct cw_table *table = read_table(node);
+	struct cw_record_id last = cw_table_last_record(table);
 
-	if (cw_table_offset(node->table) == 0)
+	if (cw_table_offset(table) == 0)
 		return;
 	reader->needs_snapshot = 0;
-	if (reader->next_offset == cw_table_offset(node->table) + 1 &&
-	    reader->last.offset == cw_table_offset(node->table))
+	if (reader->next_offset == cw_table_offset(table) + 1 &&
+	    cw_record_id_is_equal(&reader->last, &last))
 		return;
 	reader->read_ticket = 0;
 	reader->step = READER_CHECK;
-	reader->next_offset = cw_table_offset(node->table) + 1;
-	reader->last = cw_table_last_record(node->table);
+	reader->next_offset = cw_table_offset(table) + 1;
+	reader->last = last;
 }
 
 /* The table holds all drain orders; the pool applies those that are new to it. */
@@ -168,7 +333,7 @@
  * Otherwise instances that are restarted often, or get the table from peers only, would delay the
  * snapshot until the table has expired from the log.
  */
-void table_track_snapshot_age(struct cw_node *node, const struct cw_log_record *record)
+static void track_snapshot_age(struct cw_node *node, const struct cw_log_record *record)
 {
 	if (!node->table_snapshot_wall_ms)
 		node->table_snapshot_wall_ms = record->time_ms;
@@ -199,7 +364,7 @@
  * that is needed expires, one instance writes a snapshot: the first in the order of a rendezvous
  * hash, or the next one if that instance does not write. A second snapshot is harmless.
  */
-void table_tick(struct cw_node *node)
+static void schedule_snapshot(struct cw_node *node)
 {
 	size_t rank;
 
@@ -230,6 +395,9 @@
 	uint64_t covered = node->table_snapshot_covered;
 	int64_t half_retention_ms = node->config.log_retention_ms / 2;
 
+	/* Followers of the log don't have what is unlogged: no snapshot may cover it. */
+	if (node->replayed_table || cw_table_count_unlogged(node->table) > 0)
+		return 0;
 	if (!reader->is_caught_up || reader->needs_snapshot || cw_table_offset(node->table) == 0 ||
 	    reader->backoff_ms)
 		return 0;
@@ -248,3 +416,12 @@
 	return node->table_snapshot_wall_ms &&
 	       node->wall_ms - node->table_snapshot_wall_ms > half_retention_ms;
 }
+
+static void append_unlogged(struct cw_node *node)
+{
+	size_t count = cw_table_count_unlogged(node->table);
+
+	if (restore_is_own_turn(node, &node->lost_table_turn, CW_STREAM_TABLE, count))
+		restore_append(node, &node->lost_table_turn, CW_STREAM_TABLE,
+			       cw_table_create_unlogged(node->table), count);
+}
--- a/packages/node/src/request_choice.c
+++ b/packages/node/src/request_choice.c
@@ -15,6 +15,7 @@
 static int has_option(const struct request *request, const char *model);
 static void set_version(struct request *request, const struct cw_row *row);
 static uint64_t rendezvous_key(const struct request *request);
+static int is_newer_table(const struct cw_node *node, uint64_t offset);
 
 enum choice_result choice_select_version(struct cw_node *node, struct request *request)
 {
@@ -32,8 +33,7 @@
 		 * known here. Another choice would move the session; an instance with the newer
 		 * table can serve the request.
 		 */
-		if (!cw_table_is_allowed(row) &&
-		    request->binding.bound_at > cw_table_offset(node->table))
+		if (!cw_table_is_allowed(row) && is_newer_table(node, request->binding.bound_at))
 			return CHOICE_TABLE_OUTDATED;
 		/* The version was withdrawn: the session continues on another version, and the
 		 * dispatch event reports session=rebound. */
@@ -57,8 +57,12 @@
 	const struct cw_binding *stored =
 		cw_session_find(node->sessions, binding->key, node->now_ms);
 	const struct cw_row *row = cw_table_find_row_by_id(node->table, binding->row);
-	int is_table_behind = binding->bound_at > cw_table_offset(node->table);
+	int is_table_behind = is_newer_table(node, binding->bound_at);
+	struct cw_binding limited = *binding;
 
+	if (!is_table_behind)
+		limited.bound_at = MIN(limited.bound_at, cw_table_offset(node->table));
+	binding = &limited;
 	if (!is_table_behind && !cw_table_is_binding_valid(row, binding->bound_at))
 		return;
 	if (stored && stored->bound_at < binding->bound_at &&
@@ -230,3 +234,22 @@
 		return request->binding.key;
 	return cw_hash_text(request->in.request_id, cw_hash_text(request->organisation, 7));
 }
+
+/*
+ * An offset past the end of a table that was just read is one of a log that was restored since, or
+ * some instance has the newer table. In doubt it is the latter.
+ */
+static int is_newer_table(const struct cw_node *node, uint64_t offset)
+{
+	const struct cw_member *member;
+
+	if (offset <= cw_table_offset(node->table))
+		return 0;
+	if (!log_is_current(node, CW_STREAM_TABLE))
+		return 1;
+	TAILQ_FOREACH(member, cw_membership_members(node->membership), link)
+		if (member->table_offset >= offset &&
+		    cw_membership_is_live(node->membership, member, node->now_ms))
+			return 1;
+	return 0;
+}
--- a/packages/peer/include/cw_peer.h
+++ b/packages/peer/include/cw_peer.h
@@ -19,9 +19,12 @@
 
 enum cw_status
 cw_peer_encode(const uint8_t key[CW_KEY_BYTES], struct peer_message *message,
+	       struct peer_trailer *trailer,
 	       struct cw_peer_buffer *sealed); /* CW_FULL: over PEER_TEXT_MAX bytes */
 enum cw_status cw_peer_decode(const uint8_t key[CW_KEY_BYTES], const void *data, size_t size,
-			      struct peer_message *message); /* CW_INVALID: forged or malformed */
+			      struct peer_message *message,
+			      struct peer_trailer *trailer); /* CW_INVALID: forged or malformed;
+								trailer: 0 from earlier builds */
 void cw_peer_message_clear(struct peer_message *message);    /* frees a message of cw_peer_decode */
 
 struct cw_peer_server *
--- a/packages/peer/include/peer.h
+++ b/packages/peer/include/peer.h
@@ -191,6 +191,18 @@
 };
 typedef struct peer_message peer_message;
 
+struct peer_record_id {
+	u_quad_t offset;
+	quad_t time_ms;
+	u_quad_t checksum;
+};
+typedef struct peer_record_id peer_record_id;
+
+struct peer_trailer {
+	peer_record_id table;
+};
+typedef struct peer_trailer peer_trailer;
+
 struct peer_envelope {
 	char mac[32];
 	struct {
@@ -234,6 +246,8 @@
 extern  bool_t xdr_peer_binding (XDR *, peer_binding*);
 extern  bool_t xdr_peer_body (XDR *, peer_body*);
 extern  bool_t xdr_peer_message (XDR *, peer_message*);
+extern  bool_t xdr_peer_record_id (XDR *, peer_record_id*);
+extern  bool_t xdr_peer_trailer (XDR *, peer_trailer*);
 extern  bool_t xdr_peer_envelope (XDR *, peer_envelope*);
 
 #else /* K&R C */
@@ -252,6 +266,8 @@
 extern bool_t xdr_peer_binding ();
 extern bool_t xdr_peer_body ();
 extern bool_t xdr_peer_message ();
+extern bool_t xdr_peer_record_id ();
+extern bool_t xdr_peer_trailer ();
 extern bool_t xdr_peer_envelope ();
 
 #endif /* K&R C */
--- a/packages/peer/peer.x
+++ b/packages/peer/peer.x
@@ -142,6 +142,16 @@
 	peer_body body;
 };
 
+struct peer_record_id {         /* of a record of the log */
+	unsigned hyper offset;
+	hyper time_ms;              /* clock of the log; 0: unknown */
+	unsigned hyper checksum;
+};
+
+struct peer_trailer {           /* follows the message; earlier builds neither send nor read it */
+	peer_record_id table;       /* last record of the sender's table */
+};
+
 struct peer_envelope {
 	opaque mac[32];
 	opaque message<PEER_TEXT_MAX>;
--- a/packages/peer/src/peer_xdr.c
+++ b/packages/peer/src/peer_xdr.c
@@ -481,6 +481,30 @@
 	return TRUE;
 }
 
+bool_t
+xdr_peer_record_id (XDR *xdrs, peer_record_id *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_u_quad_t (xdrs, &objp->offset))
+		 return FALSE;
+	 if (!xdr_quad_t (xdrs, &objp->time_ms))
+		 return FALSE;
+	 if (!xdr_u_quad_t (xdrs, &objp->checksum))
+		 return FALSE;
+	return TRUE;
+}
+
+bool_t
+xdr_peer_trailer (XDR *xdrs, peer_trailer *objp)
+{
+	register int32_t *buf;
+
+	 if (!xdr_peer_record_id (xdrs, &objp->table))
+		 return FALSE;
+	return TRUE;
+}
+
 bool_t
 xdr_peer_envelope (XDR *xdrs, peer_envelope *objp)
 {
--- a/packages/session/include/cw_session.h
+++ b/packages/session/include/cw_session.h
@@ -34,6 +34,9 @@
 void cw_session_remove(struct cw_session_store *store,
 		       uint64_t key); /* e.g. its version was withdrawn */
 void cw_session_expire(struct cw_session_store *store, int64_t now_ms, int64_t idle_ms);
+void cw_session_limit_offsets(
+	struct cw_session_store *store,
+	uint64_t table_offset); /* no session begins later: offsets of a restored log */
 size_t cw_session_count(const struct cw_session_store *store);
 
 void cw_token_encode(const uint8_t key[CW_KEY_BYTES], const struct cw_binding *binding,
--- a/packages/session/src/session.c
+++ b/packages/session/src/session.c
@@ -109,6 +109,14 @@
 		store_remove(store, session);
 }
 
+void cw_session_limit_offsets(struct cw_session_store *store, uint64_t table_offset)
+{
+	struct session *session;
+
+	TAILQ_FOREACH(session, &store->by_use, link)
+		session->binding.bound_at = MIN(session->binding.bound_at, table_offset);
+}
+
 size_t cw_session_count(const struct cw_session_store *store)
 {
 	return g_hash_table_size(store->by_key);
--- a/packages/table/include/cw_table.h
+++ b/packages/table/include/cw_table.h
@@ -1,8 +1,13 @@
 /*
  * The operators' table: one row for each organisation, model and version. Each cell carries the log
  * offset that last set it, its revision. The table is the replayed state of the `table` log stream:
- * every instance that has applied the same offsets holds the same table. The offset of a table only
- * grows.
+ * every instance that has applied the same offsets holds the same table.
+ *
+ * When the log is restored from an older copy, accepted edits are lost and offsets are given out
+ * again. The table is then replayed from the log as it stands, and what the former table held
+ * beyond that is merged into it: for each cell, key and drain the later one by the clock of the log
+ * wins. What was merged counts as unlogged until a record holds it: an edit whose cells carry
+ * `set_ms`, the time of the lost edit, and which changes no cell that was set later.
  */
 #ifndef CW_TABLE_H
 #define CW_TABLE_H
@@ -37,6 +42,8 @@
 	char version[CW_NAME_MAX];	    /* "" for a plain service */
 	double cell[CW_COLUMN_COUNT];	    /* NAN: empty, no limit */
 	uint64_t revision[CW_COLUMN_COUNT]; /* offset that last set the cell; 0: never set */
+	int64_t set_ms[CW_COLUMN_COUNT];    /* log time of the cell's edit; 0: never or unknown */
+	unsigned int unlogged;		    /* bits of columns: merged from a former table */
 	uint64_t withdrawn_at;		    /* offset of the last withdrawal; 0: never withdrawn */
 	uint64_t id;			    /* hash of the three names; equal on all instances */
 };
@@ -63,6 +70,13 @@
 cw_table_load_snapshot(struct cw_table *table, const char *record,
 		       struct cw_error *error); /* CW_REFUSED: not newer than the table */
 char *cw_table_create_snapshot(const struct cw_table *table); /* a log record; g_free() it */
+int cw_table_is_ahead(const struct cw_table *table,
+		      const struct cw_table *other); /* 1: it has edits that other lacks */
+void cw_table_merge(struct cw_table *table,
+		    const struct cw_table *former);	      /* adds what former has beyond it */
+size_t cw_table_count_unlogged(const struct cw_table *table); /* cells, keys and drains */
+char *cw_table_create_unlogged(const struct cw_table *table); /* the next log record that holds
+								 some; NULL: none; g_free() */
 uint64_t cw_table_offset(const struct cw_table *table);	      /* last applied offset */
 struct cw_record_id cw_table_last_record(
 	const struct cw_table *table); /* offset 0: unknown, of a snapshot of an earlier build */
--- a/tests/bench/capacity.c
+++ b/tests/bench/capacity.c
@@ -148,13 +148,14 @@
 		struct peer_message message = {.from = (char *)"instance-name-0",
 					       .failure_domain = (char *)"iberia-norte-1",
 					       .address = (char *)"127.0.0.1:12345"};
+		struct peer_trailer trailer = {0};
 		struct cw_peer_buffer sealed;
 		uint8_t key[CW_KEY_BYTES] = {0};
 
 		message.body.kind = PEER_HEARTBEAT;
 		message.body.peer_body_u.heartbeat.evidence.evidence_len = (u_int)sizes[i];
 		message.body.peer_body_u.heartbeat.evidence.evidence_val = evidence;
-		if (cw_peer_encode(key, &message, &sealed) != CW_OK)
+		if (cw_peer_encode(key, &message, &trailer, &sealed) != CW_OK)
 			continue;
 		printf("  versions %2d: %zu bytes\n", sizes[i], sealed.size);
 		add_point(&points, sizes[i], (double)sealed.size);
--- a/tests/fuzz/oracle_checks.c
+++ b/tests/fuzz/oracle_checks.c
@@ -270,10 +270,11 @@
 
 void oracle_on_peer(void *context, struct world *world, int to, const void *data, size_t size)
 {
+	struct peer_trailer trailer;
 	struct peer_message message;
 
 	if (!world_node(world, to)->node ||
-	    cw_peer_decode(oracle.key, data, size, &message) != CW_OK)
+	    cw_peer_decode(oracle.key, data, size, &message, &trailer) != CW_OK)
 		return;
 	if (message.body.kind == PEER_BILLS)
 		for (u_int i = 0; i < message.body.peer_body_u.bills.list.list_len; i++) {
--- a/tests/unit/test_node_restored.c
+++ b/tests/unit/test_node_restored.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #define NODES	    2
+#define NOTICE_MS   2000 /* until every connected instance has noticed that the log is shorter */
 #define SETTLE_MS   6000 /* until what was lost is in the log again */
 #define START_MS    4000
 #define ORDER_COUNT 10
@@ -66,6 +67,20 @@
 	world_advance(world, START_MS);
 }
 
+/* The weight of m/2 that a node has in force. */
+static int weight_at(struct world *world, int node)
+{
+	const struct cw_row *row =
+		cw_table_find_row(cw_node_table(world_node(world, node)->node), "a", "m", "2");
+
+	return (int)row->cell[CW_COLUMN_WEIGHT];
+}
+
+static void set_weight(struct world *world, const char *weight)
+{
+	world_set_cell(world, "a", "m", "2", "weight", weight);
+}
+
 static struct world_request *send_order(struct world *world, int node, int key)
 {
 	struct cw_node_request in;
@@ -165,6 +180,58 @@
 	world_destroy(world);
 }
 
+/* Guards against an accepted edit that reverts when all instances are replaced. */
+static void an_accepted_edit_that_was_lost_holds_after_all_are_replaced(void **state)
+{
+	struct world *world = open_world();
+
+	set_weight(world, "30");
+	world_advance(world, 2000);
+	world_lose_records(world, CW_STREAM_TABLE, 1);
+	world_advance(world, SETTLE_MS);
+	restart_all_at_once(world);
+	for (int i = 0; i < NODES; i++)
+		assert_int_equal(weight_at(world, i), 30);
+	world_destroy(world);
+}
+
+/* Guards against an edit that is skipped since a lost one had its offset. */
+static void the_edit_after_a_lost_one_is_in_force_within_seconds(void **state)
+{
+	struct world *world = open_world();
+
+	set_weight(world, "30");
+	world_advance(world, 2000);
+	world_lose_records(world, CW_STREAM_TABLE, 1);
+	set_weight(world, "60");
+	world_advance(world, NOTICE_MS);
+	for (int i = 0; i < NODES; i++)
+		assert_int_equal(weight_at(world, i), 60);
+	world_advance(world, SETTLE_MS);
+	restart_all_at_once(world);
+	for (int i = 0; i < NODES; i++)
+		assert_int_equal(weight_at(world, i), 60);
+	world_destroy(world);
+}
+
+/* Guards against an instance that keeps the table of the lost log as long as it reads no platform.
+ */
+static void an_instance_without_the_platform_follows_the_restored_log(void **state)
+{
+	struct world *world = open_world();
+
+	set_weight(world, "30");
+	world_advance(world, 2000);
+	world_set_store_partition(world, 1, 1);
+	world_advance(world, 3000);
+	world_lose_records(world, CW_STREAM_TABLE, 1);
+	set_weight(world, "60");
+	world_advance(world, NOTICE_MS + 2000);
+	for (int i = 0; i < NODES; i++)
+		assert_int_equal(weight_at(world, i), 60);
+	world_destroy(world);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -172,6 +239,9 @@
 		cmocka_unit_test(a_claim_stays_known_where_the_log_grew_past_its_offset),
 		cmocka_unit_test(an_instance_that_starts_on_the_shorter_log_runs_no_known_order),
 		cmocka_unit_test(a_lost_release_frees_its_key_again),
+		cmocka_unit_test(an_accepted_edit_that_was_lost_holds_after_all_are_replaced),
+		cmocka_unit_test(the_edit_after_a_lost_one_is_in_force_within_seconds),
+		cmocka_unit_test(an_instance_without_the_platform_follows_the_restored_log),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
