bills: what a restored log has lost is billed again, once

Cause: a bill left the ledger, and its mirrors were released, once its append was acknowledged; nothing kept it, and nothing looked at the record again. bills_end_offset = MAX(...) hid an append that was answered below a known end.

Fix: a settled bill, own or mirrored, is kept for restore_window_ms (60 s, at most 16,384 bills, 0.9 kB each). No instance reads the whole stream: each reads its own records again, each once after a later one was appended, the newest once a second, so a lost record shows also where the log has grown past it; an own append answered below a known end shows it too. Then the kept bills are pending again, the stream is read back from the end that was known before the window, and what it lacks is appended, 128 bills every 500 ms. The bills of an instance that is gone, kept ones too, pass to the peers that hold their mirrors, in turns by rank; they check its newest records in its place.

--- a/apps/corianderwalk/main.c
+++ b/apps/corianderwalk/main.c
@@ -224,6 +224,7 @@
 	config->claim_window_ms = settings->claim_window_ms;
 	config->bill_flush_ms = settings->bill_flush_ms;
 	config->bill_hold_ms = settings->bill_hold_ms;
+	config->restore_window_ms = settings->restore_window_ms;
 	config->session_idle_ms = settings->session_idle_ms;
 	config->session_ask_ms = settings->session_ask_ms;
 	config->request_timeout_ms = settings->request_timeout_ms;
--- a/packages/base/include/cw_config.h
+++ b/packages/base/include/cw_config.h
@@ -18,6 +18,7 @@
 #define CW_CLAIM_BODY_MAX     2048    /* bytes of an answer stored for retries of its request */
 #define CW_CLAIM_BATCH	      64      /* claims in one record of the log */
 #define CW_BILL_BATCH	      128     /* bills in one record of the log */
+#define CW_KEPT_BILLS_MAX     16384   /* bills kept after they were settled, 0.9 kB each */
 #define CW_TABLE_RECORDS_KEPT 4096    /* latest records of the table, kept to send to peers */
 #define CW_PEER_RECORDS	      32      /* records in one message between instances */
 #define CW_RING_CORE	      8192    /* events queued for the core thread */
--- a/packages/node/include/cw_node.h
+++ b/packages/node/include/cw_node.h
@@ -340,6 +340,7 @@
 	int64_t claim_window_ms;    /* idempotency keys are remembered this long */
 	int64_t bill_flush_ms;	    /* longest wait of a bill for its batch */
 	int64_t bill_hold_ms;	    /* longest wait of a complete answer for a mirror of its bill */
+	int64_t restore_window_ms;  /* the log may be restored from a copy up to this old */
 	int64_t session_idle_ms;    /* an unused session is forgotten after this time */
 	int64_t session_ask_ms;	    /* longest wait of a session's first request for its binding */
 	int64_t request_timeout_ms; /* deadline of a request that brings none */
--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -38,6 +38,7 @@
 	config->claim_window_ms = 24 * 3600 * 1000LL;
 	config->bill_flush_ms = 500;
 	config->bill_hold_ms = 50;
+	config->restore_window_ms = 60 * 1000LL;
 	config->session_idle_ms = 30 * 60 * 1000LL;
 	config->session_ask_ms = 100;
 	config->request_timeout_ms = 120000;
@@ -70,8 +71,7 @@
 	node->claims_doubted_ms = -1;
 	node->peer_claims_ends = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	node->ledger = cw_ledger_create();
-	node->bills_origin = g_strdup("");
-	node->bills_end_offset = 1;
+	bills_open(node);
 	node->membership =
 		cw_membership_create(config->instance, config->failure_domain, config->silent_ms);
 	node->pool = cw_pool_create(config->choice);
@@ -109,6 +109,7 @@
 	}
 	table_close(node);
 	claims_close(node);
+	bills_close(node);
 	cw_table_destroy(node->table);
 	cw_claims_destroy(node->claims);
 	cw_ledger_destroy(node->ledger);
@@ -124,7 +125,6 @@
 	g_hash_table_destroy(node->ratings_sent);
 	g_hash_table_destroy(node->ratings_received);
 	g_rand_free(node->random);
-	g_free(node->bills_origin);
 	g_free(node);
 }
 
@@ -223,7 +223,7 @@
 {
 	return sizeof(*node) + cw_table_memory_bytes(node->table) +
 	       cw_claims_count(node->claims) * 160 + cw_session_count(node->sessions) * 220 +
-	       cw_ledger_count(node->ledger, NULL) * 900 +
+	       (cw_ledger_count(node->ledger, NULL) + cw_ledger_count_kept(node->ledger)) * 900 +
 	       cw_membership_size(node->membership) * (sizeof(struct cw_member) + 32) +
 	       node->running * sizeof(struct request);
 }
--- a/packages/node/src/node_bills.c
+++ b/packages/node/src/node_bills.c
@@ -1,30 +1,70 @@
 /*
  * Bills: mirrored on peers before the answer ends, appended to the log in batches, and read back
- * from the log before an append is retried.
+ * from the log before an append is retried. Settled bills are kept as long as a restore of the log
+ * can go back; after a restore those that it lacks are appended again.
  */
 #include "node_internal.h"
 
 #include <string.h>
 
-#define MIRROR_CHECK_MS	  1000
-#define ORIGIN_QUERY_MS	  5000
-#define BILLS_RETRY_MS	  100
-#define BILL_MIRRORS	  2
-#define STOP_LOG_WAIT_MS  10000 /* after stop_grace_ms, for a log that does not answer */
-#define READ_BACK_WAIT_MS 0	/* no long poll: only records already in the log */
+#define MIRROR_CHECK_MS	   1000
+#define ORIGIN_QUERY_MS	   5000
+#define BILLS_RETRY_MS	   100
+#define BILL_MIRRORS	   2
+#define STOP_LOG_WAIT_MS   10000 /* after stop_grace_ms, for a log that does not answer */
+#define READ_BACK_WAIT_MS  0	 /* no long poll: only records already in the log */
+#define ADOPT_RANK_MS	   300 /* delay for each rank, so that two holders of a mirror take turns */
+#define ADOPT_DELAY_MAX_MS 3000
+#define ADOPT_CHECK_MS	   5000 /* older records were checked by their origin while it lived */
 
 static char *bill_to_json(struct request *request, const char *id);
 static void append_bills(struct cw_node *node);
 static void read_back(struct cw_node *node, uint64_t from);
 static void query_origins(struct cw_node *node);
-static void take_over_mirrors(struct cw_node *node);
+static void adopt_lost_origin(struct cw_node *node);
+static const char *find_lost_origin(struct cw_node *node);
+static void adopt_bills(struct cw_node *node, const char *origin);
+static void expire_kept(struct cw_node *node);
+static void advance_floor(struct cw_node *node);
 static char *format_origin(const char *instance, uint64_t boot); /* g_free */
 static int is_origin_unavailable(struct cw_node *node, const char *origin);
-static void announce_settled(struct cw_node *node, struct cw_bill_list *settled);
+static void announce_settled(struct cw_node *node, struct cw_bill_list *settled, uint64_t offset);
 static void announce_settled_to(struct cw_node *node, const struct cw_member *member,
-				const struct cw_bill_list *settled);
+				const struct cw_bill_list *settled, uint64_t offset);
 static void schedule_bills_retry(struct cw_node *node);
 
+void bills_open(struct cw_node *node)
+{
+	node->bills_end_offset = 1;
+	node->bills_floor = 1;
+	node->bills_floor_next = 1;
+	TAILQ_INIT(&node->bill_checks);
+}
+
+void bills_close(struct cw_node *node)
+{
+	bill_checks_clear(node);
+	g_free(node->lost_origin);
+}
+
+/*
+ * The restore goes back restore_window_ms at most, so all records before the end that was known
+ * then are intact. What stands behind it is read back before any bill is appended again.
+ */
+void bills_reopen(struct cw_node *node)
+{
+	size_t count = cw_ledger_reopen(node->ledger, node->bills_floor);
+
+	node->bills_end_offset = node->bills_floor;
+	node->bills_floor_next = node->bills_floor;
+	node->bills_need_read_back = 1;
+	node->bills_due_ms = node->now_ms;
+	if (node->bills_state == BILLS_READING_BACK)
+		node->bills_state = BILLS_IDLE;
+	node_log_event(node, "bills", "reopened", "count=%zu from=%" G_GUINT64_FORMAT, count,
+		       node->bills_floor);
+}
+
 void bills_add(struct cw_node *node, struct request *request)
 {
 	struct cw_member *mirrors[BILL_MIRRORS];
@@ -117,7 +157,8 @@
 		struct cw_bill *bill = cw_ledger_find(node->ledger, bills->list.list_val[i].id);
 
 		if (bill && !strcmp(bill->origin, origin) && bill->append == 0)
-			cw_ledger_settle(node->ledger, bills->list.list_val[i].id);
+			cw_ledger_settle(node->ledger, bills->list.list_val[i].id, bills->noted,
+					 node->now_ms);
 	}
 	g_free(origin);
 }
@@ -130,10 +171,17 @@
 		return;
 	node->bills_state = BILLS_IDLE;
 	if (appended->status == CW_OK) {
-		node->bills_end_offset = MAX(node->bills_end_offset, appended->offset + 1);
+		uint64_t known_end = node->bills_end_offset;
+
+		node->bills_end_offset = MAX(known_end, appended->offset + 1);
 		cw_ledger_complete_append(node->ledger, appended->ticket, &settled);
-		announce_settled(node, &settled);
+		if (!TAILQ_EMPTY(&settled))
+			bill_checks_add(node, appended->offset, TAILQ_FIRST(&settled)->id);
+		announce_settled(node, &settled, appended->offset);
 		node->bills_due_ms = 0;
+		/* The offset was given out before. */
+		if (appended->offset < known_end)
+			bill_checks_report_loss(node, known_end, "replaced");
 		return;
 	}
 	cw_ledger_fail_append(node->ledger, appended->ticket);
@@ -149,6 +197,7 @@
 
 void bills_handle_records(struct cw_node *node, const struct cw_read_result *records)
 {
+	bill_checks_handle_records(node, records);
 	if (node->bills_state != BILLS_READING_BACK || records->ticket != node->bills_ticket)
 		return;
 	if (records->status == CW_EXPIRED && records->first > node->bills_read_offset) {
@@ -161,8 +210,13 @@
 		return;
 	}
 	for (size_t i = 0; i < records->count; i++) {
-		cw_ledger_settle_record(node->ledger, records->list[i].data);
-		node->bills_read_offset = MAX(node->bills_read_offset, records->list[i].offset + 1);
+		const struct cw_log_record *record = &records->list[i];
+
+		if (cw_ledger_settle_record(node->ledger, record->data, record->offset,
+					    node->now_ms) > 0)
+			bill_checks_add(node, record->offset,
+					TAILQ_LAST(cw_ledger_kept(node->ledger), cw_bill_list)->id);
+		node->bills_read_offset = MAX(node->bills_read_offset, record->offset + 1);
 	}
 	if (records->count > 0) {
 		read_back(node, node->bills_read_offset);
@@ -177,16 +231,17 @@
 
 void bills_tick(struct cw_node *node)
 {
+	bill_checks_tick(node);
+	advance_floor(node);
 	if (node->bills_state != BILLS_IDLE)
 		return;
 	if (node->now_ms >= node->mirror_check_due_ms) {
 		node->mirror_check_due_ms = node->now_ms + MIRROR_CHECK_MS +
 					    (int64_t)(node_random(node) % MIRROR_CHECK_MS);
 		query_origins(node);
-		take_over_mirrors(node);
-		if (node->bills_state != BILLS_IDLE)
-			return;
+		expire_kept(node);
 	}
+	adopt_lost_origin(node);
 	if (node->bills_due_ms == 0 && cw_ledger_count(node->ledger, "") > 0)
 		node->bills_due_ms = node->now_ms + node->config.bill_flush_ms;
 	if (node->bills_due_ms == 0 || (node->now_ms < node->bills_due_ms && !node->is_stopping))
@@ -195,8 +250,6 @@
 	 * bill_flush_ms away. */
 	if (node->is_stopping && node->bills_due_ms > node->now_ms + node->config.bill_flush_ms)
 		return;
-	g_free(node->bills_origin);
-	node->bills_origin = g_strdup("");
 	if (node->bills_need_read_back)
 		read_back(node, cw_ledger_read_back_offset(node->ledger, ""));
 	else
@@ -250,21 +303,80 @@
 	}
 }
 
-/* Appends the mirrored bills of an unavailable origin that are missing from the log. */
-static void take_over_mirrors(struct cw_node *node)
+/*
+ * The bills of an origin that is gone are this instance's from then on: pending ones, and kept ones
+ * too, as the origin can't notice any more that the log lost them.
+ */
+static void adopt_lost_origin(struct cw_node *node)
+{
+	size_t rank;
+
+	if (node->lost_origin && !is_origin_unavailable(node, node->lost_origin))
+		g_clear_pointer(&node->lost_origin, g_free);
+	if (!node->lost_origin) {
+		node->lost_origin = g_strdup(find_lost_origin(node));
+		if (!node->lost_origin)
+			return;
+		rank = cw_membership_rank(node->membership, cw_hash_text(node->lost_origin, 0),
+					  node->now_ms);
+		node->lost_origin_due_ms =
+			node->now_ms + MIN(ADOPT_RANK_MS * (int64_t)rank, ADOPT_DELAY_MAX_MS);
+	}
+	if (node->now_ms < node->lost_origin_due_ms)
+		return;
+	adopt_bills(node, node->lost_origin);
+	g_clear_pointer(&node->lost_origin, g_free);
+}
+
+static const char *find_lost_origin(struct cw_node *node)
 {
 	const struct cw_bill *bill;
 
-	TAILQ_FOREACH(bill, cw_ledger_bills(node->ledger), link) {
-		if (!*bill->origin || !is_origin_unavailable(node, bill->origin))
-			continue;
-		g_free(node->bills_origin);
-		node->bills_origin = g_strdup(bill->origin);
-		node_log_event(node, "bills", "take_over", "origin=%s held=%zu", node->bills_origin,
-			       cw_ledger_count(node->ledger, node->bills_origin));
-		read_back(node, cw_ledger_read_back_offset(node->ledger, node->bills_origin));
+	TAILQ_FOREACH(bill, cw_ledger_bills(node->ledger), link)
+		if (*bill->origin && is_origin_unavailable(node, bill->origin))
+			return bill->origin;
+	TAILQ_FOREACH(bill, cw_ledger_kept(node->ledger), link)
+		if (*bill->origin && is_origin_unavailable(node, bill->origin))
+			return bill->origin;
+	return NULL;
+}
+
+static void adopt_bills(struct cw_node *node, const char *origin)
+{
+	const struct cw_bill *bill;
+	size_t count;
+
+	TAILQ_FOREACH(bill, cw_ledger_kept(node->ledger), link)
+		if (!strcmp(bill->origin, origin) && bill->offset &&
+		    node->now_ms - bill->settled_ms <= ADOPT_CHECK_MS + 4 * node->config.silent_ms)
+			bill_checks_add(node, bill->offset, bill->id);
+	count = cw_ledger_adopt(node->ledger, origin);
+	node_log_event(node, "bills", "take_over", "origin=%s held=%zu", origin, count);
+	if (count == 0)
 		return;
-	}
+	node->bills_need_read_back = 1;
+	node->bills_due_ms = node->now_ms;
+}
+
+static void expire_kept(struct cw_node *node)
+{
+	size_t dropped = cw_ledger_expire_kept(
+		node->ledger, node->now_ms - node->config.restore_window_ms, CW_KEPT_BILLS_MAX);
+
+	if (dropped == 0)
+		return;
+	node_log_event(node, "bills", "kept_full", "dropped=%zu max=%d", dropped,
+		       CW_KEPT_BILLS_MAX);
+	node_count(node, "bills_kept_dropped_total", dropped, "%s", "");
+}
+
+static void advance_floor(struct cw_node *node)
+{
+	if (node->now_ms - node->bills_floor_ms < node->config.restore_window_ms)
+		return;
+	node->bills_floor = node->bills_floor_next;
+	node->bills_floor_next = node->bills_end_offset;
+	node->bills_floor_ms = node->now_ms;
 }
 
 static char *format_origin(const char *instance, uint64_t boot)
@@ -291,8 +403,7 @@
 
 	/* The bills are marked with the ticket that log_append is going to draw. */
 	ticket = node->next_ticket;
-	if (cw_ledger_begin_append(node->ledger, ticket, node->bills_origin, CW_BILL_BATCH,
-				   &record) == 0) {
+	if (cw_ledger_begin_append(node->ledger, ticket, "", CW_BILL_BATCH, &record) == 0) {
 		g_free(record);
 		node->bills_due_ms = 0;
 		return;
@@ -321,24 +432,24 @@
 		node->now_ms + BILLS_RETRY_MS + (int64_t)(node_random(node) % BILLS_RETRY_MS);
 }
 
-static void announce_settled(struct cw_node *node, struct cw_bill_list *settled)
+static void announce_settled(struct cw_node *node, struct cw_bill_list *settled, uint64_t offset)
 {
 	const struct cw_member *member;
 	struct cw_bill *bill;
 
 	TAILQ_FOREACH(member, cw_membership_members(node->membership), link)
-		announce_settled_to(node, member, settled);
+		announce_settled_to(node, member, settled, offset);
 	while ((bill = TAILQ_FIRST(settled))) {
 		TAILQ_REMOVE(settled, bill, link);
 		request_confirm_bill(node, bill->id);
-		cw_bill_destroy(bill);
+		cw_ledger_keep(node->ledger, bill, offset, node->now_ms);
 	}
 }
 
 /* A settled bill is announced only to the peers that hold its mirror, as a large installation has
  * hundreds of other peers. */
 static void announce_settled_to(struct cw_node *node, const struct cw_member *member,
-				const struct cw_bill_list *settled)
+				const struct cw_bill_list *settled, uint64_t offset)
 {
 	struct peer_message message = {0};
 	struct peer_bill items[CW_BILL_BATCH];
@@ -354,6 +465,7 @@
 	if (count == 0)
 		return;
 	message.body.kind = PEER_BILLS_SETTLED;
+	message.body.peer_body_u.settled.noted = offset;
 	message.body.peer_body_u.settled.list.list_len = count;
 	message.body.peer_body_u.settled.list.list_val = items;
 	gossip_send(node, member, &message);
--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -150,6 +150,19 @@
 
 #define RATINGS_RING_LENGTH 512
 
+/*
+ * A record of the bills stream that holds a bill of this instance. It is read again once a later
+ * record was appended, and the newest one at intervals: a log that was restored from an older copy
+ * lacks it, or has another record at its offset.
+ */
+struct bill_check {
+	TAILQ_ENTRY(bill_check) link;
+	uint64_t offset;
+	char *id; /* of a bill in the record */
+};
+
+TAILQ_HEAD(bill_check_list, bill_check);
+
 enum bills_state { BILLS_IDLE, BILLS_APPENDING, BILLS_READING_BACK };
 
 struct lease {
@@ -203,13 +216,20 @@
 
 	struct cw_ledger *ledger;
 	enum bills_state bills_state;
-	char *bills_origin; /* origin of the bills in progress, "" for own bills */
 	uint64_t bills_ticket;
 	uint64_t bills_read_offset; /* next offset to read back */
 	uint64_t bills_end_offset;  /* end of the bills stream, as far as known */
 	int64_t bills_due_ms;
 	int bills_need_read_back; /* an append with an unknown result may have been stored */
 	int64_t mirror_check_due_ms;
+	struct bill_check_list bill_checks; /* own records of the bills stream, by offset */
+	uint64_t bill_check_ticket;	    /* of the read in progress, 0 none */
+	int64_t bill_check_due_ms;
+	uint64_t bills_floor;	   /* the end that was known before restore_window_ms */
+	uint64_t bills_floor_next; /* the end that was known at bills_floor_ms */
+	int64_t bills_floor_ms;
+	char *lost_origin;	    /* an origin that is gone; NULL: none was found */
+	int64_t lost_origin_due_ms; /* when its bills are adopted */
 
 	struct log_reader log_readers[CW_STREAM_BILLS];
 	struct cw_membership *membership;
@@ -299,6 +319,8 @@
 /* node_log.c */
 void log_open(struct cw_node *node);
 void log_handle_records(struct cw_node *node, const struct cw_read_result *records);
+void log_report_loss(struct cw_node *node, enum cw_stream stream, uint64_t next_offset,
+		     const char *difference); /* event and counter of a restored log */
 void log_handle_append(struct cw_node *node, const struct cw_append_result *appended);
 void log_tick(struct cw_node *node);
 int log_is_up(const struct cw_node *node, enum cw_stream stream);
@@ -345,6 +367,9 @@
 int claims_are_guarded(const struct cw_node *node); /* 1: no claim can be missing here */
 
 /* node_bills.c */
+void bills_open(struct cw_node *node);
+void bills_close(struct cw_node *node);
+void bills_reopen(struct cw_node *node); /* the log was restored: bills may be missing */
 void bills_add(struct cw_node *node, struct request *request);
 void bills_store_mirrors(struct cw_node *node, const char *from, uint64_t boot,
 			 const struct peer_bills *bills);
@@ -357,6 +382,13 @@
 void bills_tick(struct cw_node *node);
 int bills_allow_stop(const struct cw_node *node);
 
+/* node_bill_checks.c */
+void bill_checks_add(struct cw_node *node, uint64_t offset, const char *id);
+void bill_checks_clear(struct cw_node *node);
+void bill_checks_tick(struct cw_node *node);
+void bill_checks_handle_records(struct cw_node *node, const struct cw_read_result *records);
+void bill_checks_report_loss(struct cw_node *node, uint64_t offset, const char *difference);
+
 /* node_gossip.c */
 void gossip_handle_message(struct cw_node *node, const void *data, size_t size);
 void gossip_tick(struct cw_node *node);
--- a/packages/node/src/node_log.c
+++ b/packages/node/src/node_log.c
@@ -121,6 +121,14 @@
 	table_tick(node);
 }
 
+void log_report_loss(struct cw_node *node, enum cw_stream stream, uint64_t next_offset,
+		     const char *difference)
+{
+	node_log_event(node, "log", "shortened", "stream=%s next=%" G_GUINT64_FORMAT " last=%s",
+		       cw_stream_name(stream), next_offset, difference);
+	node_count(node, "log_shortened_total", 1, "stream=\"%s\"", cw_stream_name(stream));
+}
+
 /* A stream is up if it was read to its end once and the last read was answered recently. A platform
  * that does not answer is noticed after the timeout of the read. */
 int log_is_up(const struct cw_node *node, enum cw_stream stream)
@@ -163,13 +171,7 @@
 	const char *difference = known ? find_difference(reader, records) : NULL;
 
 	if (difference) {
-		node_log_event(node, "log", "shortened",
-			       "stream=%s next=%" G_GUINT64_FORMAT " time_ms=%" G_GINT64_FORMAT
-			       " last=%s",
-			       cw_stream_name(reader->stream), reader->next_offset,
-			       reader->last.time_ms, difference);
-		node_count(node, "log_shortened_total", 1, "stream=\"%s\"",
-			   cw_stream_name(reader->stream));
+		log_report_loss(node, reader->stream, reader->next_offset, difference);
 		reader->search_back = 1;
 		reader->step = READER_SEARCH;
 		if (!search_mark(reader))
--- a/packages/request/include/cw_ledger.h
+++ b/packages/request/include/cw_ledger.h
@@ -1,7 +1,8 @@
 /*
  * Exactly-once billing: bills that are not confirmed in the log yet, the instance's own and those
- * mirrored for other instances. A bill leaves the ledger only when the offset of its record is
- * known or when its record was read back from the log.
+ * mirrored for other instances. A bill is settled only when the offset of its record is known or
+ * when its record was read back from the log. Settled bills are kept for a time, as the log may be
+ * restored from an older copy, which lacks them.
  */
 #ifndef CW_LEDGER_H
 #define CW_LEDGER_H
@@ -23,6 +24,8 @@
 	int is_mirrored;	    /* a peer has confirmed its copy of the bill */
 	uint64_t mirror_members[2]; /* ids of the members that the bill was sent to, 0 none */
 	int64_t origin_asked_ms; /* mirrored bills: when the origin was last asked about the bill */
+	uint64_t offset;	 /* of its record when it was settled, 0 unknown */
+	int64_t settled_ms;
 };
 
 TAILQ_HEAD(cw_bill_list, cw_bill);
@@ -36,9 +39,12 @@
 	      uint64_t read_back_offset,
 	      int64_t now_ms); /* returns the new bill, or the known one of this id */
 struct cw_bill *cw_ledger_find(struct cw_ledger *ledger, const char *id); /* NULL: none */
-void cw_ledger_settle(struct cw_ledger *ledger, const char *id); /* found in the log: removed */
-void cw_ledger_settle_record(struct cw_ledger *ledger,
-			     const char *record); /* settles all bills of a record of the log */
+void cw_ledger_settle(struct cw_ledger *ledger, const char *id, uint64_t offset,
+		      int64_t now_ms); /* it is in the log; offset: of its record, 0 unknown */
+size_t cw_ledger_settle_record(struct cw_ledger *ledger, const char *record, uint64_t offset,
+			       int64_t now_ms); /* settles all bills of a record of the log;
+						   returns how many were pending */
+int cw_ledger_record_contains(const char *record, const char *id); /* a record of the log */
 size_t cw_ledger_begin_append(
 	struct cw_ledger *ledger, uint64_t append_ticket, const char *origin, size_t max_bills,
 	char **record); /* marks up to max_bills and builds their record; g_free(record) */
@@ -48,6 +54,19 @@
 size_t cw_ledger_complete_append(
 	struct cw_ledger *ledger, uint64_t append_ticket,
 	struct cw_bill_list *settled); /* moves its bills to settled; caller frees */
+void cw_ledger_keep(struct cw_ledger *ledger, struct cw_bill *bill, uint64_t offset,
+		    int64_t now_ms); /* takes over a settled bill */
+size_t cw_ledger_expire_kept(struct cw_ledger *ledger, int64_t before_ms,
+			     size_t max); /* drops bills settled before, and the oldest above max;
+					     returns how many were dropped above max */
+size_t cw_ledger_reopen(struct cw_ledger *ledger,
+			uint64_t read_back_offset); /* the log may lack the own kept bills: they
+						       are pending again. Returns how many */
+size_t cw_ledger_adopt(struct cw_ledger *ledger,
+		       const char *origin); /* the origin is gone: its bills, kept ones too, are
+					       own ones. Returns how many are pending */
+size_t cw_ledger_count_kept(const struct cw_ledger *ledger);
+const struct cw_bill_list *cw_ledger_kept(const struct cw_ledger *ledger); /* oldest first */
 void cw_bill_destroy(struct cw_bill *bill);
 uint64_t
 cw_ledger_read_back_offset(const struct cw_ledger *ledger,
--- a/packages/request/src/ledger.c
+++ b/packages/request/src/ledger.c
@@ -7,9 +7,14 @@
 struct cw_ledger {
 	struct cw_bill_list bills;
 	GHashTable *by_id;
+	struct cw_bill_list kept; /* settled bills, oldest first */
+	GHashTable *kept_by_id;
 };
 
 static void ledger_remove(struct cw_ledger *ledger, struct cw_bill *bill);
+static void ledger_insert(struct cw_ledger *ledger, struct cw_bill *bill);
+static void kept_remove(struct cw_ledger *ledger, struct cw_bill *bill);
+static char *bill_id(struct json_object *item);
 
 struct cw_ledger *cw_ledger_create(void)
 {
@@ -17,6 +22,8 @@
 
 	TAILQ_INIT(&ledger->bills);
 	ledger->by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	TAILQ_INIT(&ledger->kept);
+	ledger->kept_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	return ledger;
 }
 
@@ -30,7 +37,9 @@
 		ledger_remove(ledger, bill);
 		cw_bill_destroy(bill);
 	}
+	cw_ledger_expire_kept(ledger, INT64_MIN, 0);
 	g_hash_table_destroy(ledger->by_id);
+	g_hash_table_destroy(ledger->kept_by_id);
 	g_free(ledger);
 }
 
@@ -47,8 +56,7 @@
 	bill->origin = g_strdup(origin);
 	bill->read_back_offset = read_back_offset;
 	bill->created_ms = now_ms;
-	TAILQ_INSERT_TAIL(&ledger->bills, bill, link);
-	g_hash_table_insert(ledger->by_id, bill->id, bill);
+	ledger_insert(ledger, bill);
 	return bill;
 }
 
@@ -57,38 +65,54 @@
 	return g_hash_table_lookup(ledger->by_id, id);
 }
 
-void cw_ledger_settle(struct cw_ledger *ledger, const char *id)
+void cw_ledger_settle(struct cw_ledger *ledger, const char *id, uint64_t offset, int64_t now_ms)
 {
 	struct cw_bill *bill = cw_ledger_find(ledger, id);
 
 	if (!bill)
 		return;
 	ledger_remove(ledger, bill);
-	cw_bill_destroy(bill);
+	cw_ledger_keep(ledger, bill, offset, now_ms);
 }
 
-void cw_ledger_settle_record(struct cw_ledger *ledger, const char *record)
+size_t cw_ledger_settle_record(struct cw_ledger *ledger, const char *record, uint64_t offset,
+			       int64_t now_ms)
 {
 	struct json_object *parsed = json_tokener_parse(record);
+	size_t pending = g_hash_table_size(ledger->by_id);
 	struct json_object *bills;
 
 	if (json_object_object_get_ex(parsed, "bills", &bills) &&
 	    json_object_is_type(bills, json_type_array)) {
 		for (size_t i = 0; i < json_object_array_length(bills); i++) {
-			struct json_object *item = json_object_array_get_idx(bills, i);
-			struct json_object *organisation, *request;
-			char *id;
-
-			if (!json_object_object_get_ex(item, "organisation", &organisation) ||
-			    !json_object_object_get_ex(item, "bill", &request))
-				continue;
-			id = g_strdup_printf("%s/%s", json_object_get_string(organisation),
-					     json_object_get_string(request));
-			cw_ledger_settle(ledger, id);
+			char *id = bill_id(json_object_array_get_idx(bills, i));
+
+			if (id)
+				cw_ledger_settle(ledger, id, offset, now_ms);
 			g_free(id);
 		}
 	}
 	json_object_put(parsed);
+	return pending - g_hash_table_size(ledger->by_id);
+}
+
+int cw_ledger_record_contains(const char *record, const char *id)
+{
+	struct json_object *parsed = json_tokener_parse(record);
+	struct json_object *bills;
+	int is_found = 0;
+
+	if (json_object_object_get_ex(parsed, "bills", &bills) &&
+	    json_object_is_type(bills, json_type_array)) {
+		for (size_t i = 0; !is_found && i < json_object_array_length(bills); i++) {
+			char *found = bill_id(json_object_array_get_idx(bills, i));
+
+			is_found = found && !strcmp(found, id);
+			g_free(found);
+		}
+	}
+	json_object_put(parsed);
+	return is_found;
 }
 
 size_t cw_ledger_begin_append(struct cw_ledger *ledger, uint64_t append_ticket, const char *origin,
@@ -141,6 +165,88 @@
 	return count;
 }
 
+void cw_ledger_keep(struct cw_ledger *ledger, struct cw_bill *bill, uint64_t offset, int64_t now_ms)
+{
+	struct cw_bill *known = g_hash_table_lookup(ledger->kept_by_id, bill->id);
+
+	if (known)
+		kept_remove(ledger, known);
+	if (known)
+		cw_bill_destroy(known);
+	bill->append = 0;
+	bill->offset = offset;
+	bill->settled_ms = now_ms;
+	TAILQ_INSERT_TAIL(&ledger->kept, bill, link);
+	g_hash_table_insert(ledger->kept_by_id, bill->id, bill);
+}
+
+size_t cw_ledger_expire_kept(struct cw_ledger *ledger, int64_t before_ms, size_t max)
+{
+	struct cw_bill *bill;
+	size_t above = 0;
+
+	while ((bill = TAILQ_FIRST(&ledger->kept))) {
+		int is_above = g_hash_table_size(ledger->kept_by_id) > max;
+
+		if (bill->settled_ms >= before_ms && !is_above)
+			break;
+		above += bill->settled_ms >= before_ms;
+		kept_remove(ledger, bill);
+		cw_bill_destroy(bill);
+	}
+	return above;
+}
+
+/* Where the log was restored, a bill may stand before the end that was known when it was made. */
+size_t cw_ledger_reopen(struct cw_ledger *ledger, uint64_t read_back_offset)
+{
+	struct cw_bill *bill = TAILQ_FIRST(&ledger->kept);
+	size_t count = 0;
+
+	while (bill) {
+		struct cw_bill *next = TAILQ_NEXT(bill, link);
+
+		if (!*bill->origin && !cw_ledger_find(ledger, bill->id)) {
+			kept_remove(ledger, bill);
+			ledger_insert(ledger, bill);
+			count++;
+		}
+		bill = next;
+	}
+	TAILQ_FOREACH(bill, &ledger->bills, link)
+		bill->read_back_offset = MIN(bill->read_back_offset, read_back_offset);
+	return count;
+}
+
+size_t cw_ledger_adopt(struct cw_ledger *ledger, const char *origin)
+{
+	size_t count = 0;
+	struct cw_bill *bill;
+
+	TAILQ_FOREACH(bill, &ledger->kept, link)
+		if (!strcmp(bill->origin, origin))
+			*bill->origin = '\0';
+	TAILQ_FOREACH(bill, &ledger->bills, link) {
+		if (strcmp(bill->origin, origin) != 0)
+			continue;
+		*bill->origin = '\0';
+		/* Other peers hold mirrors of it, too. */
+		bill->is_mirrored = 1;
+		count++;
+	}
+	return count;
+}
+
+size_t cw_ledger_count_kept(const struct cw_ledger *ledger)
+{
+	return g_hash_table_size(ledger->kept_by_id);
+}
+
+const struct cw_bill_list *cw_ledger_kept(const struct cw_ledger *ledger)
+{
+	return &ledger->kept;
+}
+
 void cw_bill_destroy(struct cw_bill *bill)
 {
 	g_free(bill->id);
@@ -183,3 +289,27 @@
 	TAILQ_REMOVE(&ledger->bills, bill, link);
 	g_hash_table_remove(ledger->by_id, bill->id);
 }
+
+static void ledger_insert(struct cw_ledger *ledger, struct cw_bill *bill)
+{
+	TAILQ_INSERT_TAIL(&ledger->bills, bill, link);
+	g_hash_table_insert(ledger->by_id, bill->id, bill);
+}
+
+static void kept_remove(struct cw_ledger *ledger, struct cw_bill *bill)
+{
+	TAILQ_REMOVE(&ledger->kept, bill, link);
+	g_hash_table_remove(ledger->kept_by_id, bill->id);
+}
+
+/* NULL: not a bill. */
+static char *bill_id(struct json_object *item)
+{
+	struct json_object *organisation, *request;
+
+	if (!json_object_object_get_ex(item, "organisation", &organisation) ||
+	    !json_object_object_get_ex(item, "bill", &request))
+		return NULL;
+	return g_strdup_printf("%s/%s", json_object_get_string(organisation),
+			       json_object_get_string(request));
+}
--- a/packages/settings/include/cw_settings.h
+++ b/packages/settings/include/cw_settings.h
@@ -57,9 +57,10 @@
 	int64_t gossip_bytes_per_s;
 	int64_t silent_ms; /* a peer without a message for this time is not live */
 	int64_t claim_timeout_ms;
-	int64_t claim_window_ms; /* how long idempotency keys are remembered */
-	int64_t bill_flush_ms;	 /* delay before bills are appended to the log */
-	int64_t bill_hold_ms;	 /* how long the end of an answer waits for a bill's replica */
+	int64_t claim_window_ms;   /* how long idempotency keys are remembered */
+	int64_t bill_flush_ms;	   /* delay before bills are appended to the log */
+	int64_t bill_hold_ms;	   /* how long the end of an answer waits for a bill's replica */
+	int64_t restore_window_ms; /* the log may be restored from a copy up to this old */
 	int64_t session_idle_ms;
 	int64_t session_ask_ms; /* how long a session's first request waits for peers */
 	int64_t log_retention_ms;
--- a/packages/settings/src/settings.c
+++ b/packages/settings/src/settings.c
@@ -93,6 +93,7 @@
 	INTEGER_KEY(claim_window_ms, 1000, 30 * DAY_MS, DAY_MS),
 	INTEGER_KEY(bill_flush_ms, 10, 60000, 500),
 	INTEGER_KEY(bill_hold_ms, 0, 10000, 50),
+	INTEGER_KEY(restore_window_ms, 1000, 3600 * 1000, 60 * 1000),
 	INTEGER_KEY(session_idle_ms, 1000, 30 * DAY_MS, 30 * 60 * 1000),
 	INTEGER_KEY(session_ask_ms, 1, 10000, 100),
 	INTEGER_KEY(log_retention_ms, 1000, 365 * DAY_MS, 3600 * 1000),
--- a/tests/unit/test_node_restored.c
+++ b/tests/unit/test_node_restored.c
@@ -67,6 +67,11 @@
 	world_advance(world, START_MS);
 }
 
+static size_t count_records(struct world *world, enum cw_stream stream)
+{
+	return world_log(world, stream)->len;
+}
+
 /* The weight of m/2 that a node has in force. */
 static int weight_at(struct world *world, int node)
 {
@@ -81,6 +86,19 @@
 	world_set_cell(world, "a", "m", "2", "weight", weight);
 }
 
+static void send_chats(struct world *world, int node, int count)
+{
+	for (int i = 0; i < count; i++) {
+		struct cw_node_request in;
+
+		world_request_init(&in, "a", "m", CW_REQUEST_IDEMPOTENT);
+		in.deadline_ms = world_now(world) + 5000;
+		world_send(world, node, &in, 10);
+		world_advance(world, 50);
+	}
+	world_advance(world, 1000);
+}
+
 static struct world_request *send_order(struct world *world, int node, int key)
 {
 	struct cw_node_request in;
@@ -91,6 +109,34 @@
 	return world_send(world, node, &in, 0);
 }
 
+static size_t count_in_log(struct world *world, const char *id)
+{
+	const GPtrArray *log = world_log(world, CW_STREAM_BILLS);
+	char *wanted = g_strdup_printf("\"bill\":\"%s\"", id);
+	size_t count = 0;
+
+	for (guint i = 0; i < log->len; i++) {
+		const struct world_record *record = g_ptr_array_index(log, i);
+
+		count += strstr(record->data, wanted) != NULL;
+	}
+	g_free(wanted);
+	return count;
+}
+
+/* Every released answer has one bill in the log. */
+static void assert_billed_once(struct world *world)
+{
+	const GPtrArray *requests = world_requests(world);
+
+	for (guint i = 0; i < requests->len; i++) {
+		const struct world_request *request = g_ptr_array_index(requests, i);
+
+		assert_int_equal(request->end, CW_EFFECT_RELEASE);
+		assert_int_equal(count_in_log(world, request->in.request_id), 1);
+	}
+}
+
 /* Sends orders in series, loses their newest claims, and returns when the loss can be noticed. */
 static void lose_claims_of_orders(struct world *world, size_t lost)
 {
@@ -232,6 +278,62 @@
 	world_destroy(world);
 }
 
+/* Guards against bills that are gone with the log, and against bills that are written twice. */
+static void lost_bills_are_back_in_the_log_once(void **state)
+{
+	struct world *world = open_world();
+
+	send_chats(world, 0, 10);
+	send_chats(world, 1, 10);
+	world_lose_records(world, CW_STREAM_BILLS, count_records(world, CW_STREAM_BILLS) / 2);
+	world_advance(world, SETTLE_MS);
+	assert_billed_once(world);
+	world_destroy(world);
+}
+
+/* Guards against lost bills that stay unnoticed under traffic. */
+static void lost_bills_are_back_where_the_log_grew_past_their_offsets(void **state)
+{
+	struct world *world = open_world();
+
+	send_chats(world, 0, 10);
+	send_chats(world, 1, 10);
+	world_lose_records(world, CW_STREAM_BILLS, 2);
+	send_chats(world, 0, 40);
+	send_chats(world, 1, 40);
+	world_advance(world, SETTLE_MS);
+	assert_billed_once(world);
+	world_destroy(world);
+}
+
+/* Guards against lost bills of an instance that is gone. */
+static void lost_bills_of_an_instance_that_is_gone_are_back(void **state)
+{
+	struct world *world = open_world();
+
+	send_chats(world, 0, 10);
+	world_advance(world, 2000);
+	world_crash(world, 0);
+	world_lose_records(world, CW_STREAM_BILLS, 3);
+	world_advance(world, 4 * SETTLE_MS);
+	assert_billed_once(world);
+	world_destroy(world);
+}
+
+/* Guards against bills that are lost again after they were written again. */
+static void bills_that_are_lost_twice_are_back(void **state)
+{
+	struct world *world = open_world();
+
+	send_chats(world, 0, 10);
+	for (int i = 0; i < 2; i++) {
+		world_lose_records(world, CW_STREAM_BILLS, count_records(world, CW_STREAM_BILLS));
+		world_advance(world, SETTLE_MS);
+	}
+	assert_billed_once(world);
+	world_destroy(world);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -242,6 +344,10 @@
 		cmocka_unit_test(an_accepted_edit_that_was_lost_holds_after_all_are_replaced),
 		cmocka_unit_test(the_edit_after_a_lost_one_is_in_force_within_seconds),
 		cmocka_unit_test(an_instance_without_the_platform_follows_the_restored_log),
+		cmocka_unit_test(lost_bills_are_back_in_the_log_once),
+		cmocka_unit_test(lost_bills_are_back_where_the_log_grew_past_their_offsets),
+		cmocka_unit_test(lost_bills_of_an_instance_that_is_gone_are_back),
+		cmocka_unit_test(bills_that_are_lost_twice_are_back),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
