rollout: fencing numbers rise over a restore of the log

Operators saw: after the platform's log had come back without the newest notices, engines that check fencing numbers refused every order of the next lease holder (409), so a version with a weight was loaded nowhere until the stream had grown past its old end, which this stream seldom does.

Cause: the fencing number was the offset of the claim, and offsets are given out again. The holder also kept a lease that the log no longer held, while an instance that started took it for free.

When the notices are found restored, the lease follows from the log alone: the holder of a lost claim stops, all instances agree on the next holder, and those that knew the lost claim make none of their own before its term is over.

--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -169,7 +169,7 @@
 	char name[CW_NAME_MAX];
 	char holder[CW_NAME_MAX];
 	uint64_t token;	    /* random number that identifies the claim */
-	uint64_t fencing;   /* offset of the claim, 0: never claimed */
+	uint64_t fencing;   /* rises from claim to claim, 0: never claimed */
 	int64_t claimed_ms; /* on the clock of the log */
 	int64_t applied_ms; /* when this instance read the claim, on its own clock */
 };
@@ -264,6 +264,8 @@
 	uint64_t lease_ticket;	     /* of the append of a claim in progress, 0 none */
 	int64_t lease_claim_sent_ms; /* before its append: the own term counts from then */
 	int64_t lease_check_due_ms;
+	uint64_t highest_fencing;    /* of any lease of this failure domain */
+	int64_t lease_wait_until_ms; /* the holder of a lost lease may use it until then */
 	uint64_t order_ticket;
 
 	int is_stopping;
@@ -424,6 +426,7 @@
 
 /* node_rollout.c */
 void rollout_tick(struct cw_node *node);
+void rollout_rewind(struct cw_node *node); /* the log lost notices: they are read again */
 void rollout_apply_notice(struct cw_node *node, uint64_t offset, int64_t time_ms, const char *data);
 void rollout_handle_append(struct cw_node *node, const struct cw_append_result *appended);
 void rollout_handle_order_result(struct cw_node *node, uint64_t ticket, enum cw_status status);
--- a/packages/node/src/node_log.c
+++ b/packages/node/src/node_log.c
@@ -260,6 +260,7 @@
 		claims_rewind(node, reader->next_offset);
 		break;
 	default:
+		rollout_rewind(node);
 		break;
 	}
 }
--- a/packages/node/src/node_rollout.c
+++ b/packages/node/src/node_rollout.c
@@ -1,7 +1,8 @@
 /*
  * Orders to engines: a version that has a weight but is loaded on no engine of this failure domain
  * is ordered to be loaded, by the instance that holds the lease of the domain. The lease is a claim
- * in the notices stream; its fencing number is the offset of the claim, so the number only grows.
+ * in the notices stream. Its fencing number is the log time of the claim, which rises also where a
+ * log was restored from an older copy and gives offsets out again.
  */
 #include "node_internal.h"
 
@@ -16,6 +17,7 @@
 
 static int lease_is_own(const struct cw_node *node);
 static int lease_is_free(const struct cw_node *node);
+static int64_t lease_free_from_ms(const struct cw_node *node);
 static void claim_lease(struct cw_node *node);
 static struct cw_server *choose_engine(struct cw_node *node);
 static const struct cw_row *find_missing_version(struct cw_node *node);
@@ -41,6 +43,18 @@
 		claim_lease(node);
 }
 
+/*
+ * The lease follows from the log alone, so that all instances agree on its holder. A holder that
+ * has not noticed the loss yet may go on until its term ends, so no new claim is made before.
+ */
+void rollout_rewind(struct cw_node *node)
+{
+	if (node->lease.fencing)
+		node->lease_wait_until_ms =
+			MAX(node->lease_wait_until_ms, lease_free_from_ms(node));
+	memset(&node->lease, 0, sizeof(node->lease));
+}
+
 void rollout_apply_notice(struct cw_node *node, uint64_t offset, int64_t time_ms, const char *data)
 {
 	struct json_object *parsed = json_tokener_parse(data);
@@ -69,15 +83,18 @@
 		if (!strcmp(name, node->failure_domain) &&
 		    (!node->lease.fencing ||
 		     time_ms - node->lease.claimed_ms > node->config.lease_ms)) {
+			node->highest_fencing = MAX((uint64_t)time_ms, node->highest_fencing + 1);
 			node->lease.token = token;
-			node->lease.fencing = offset;
+			node->lease.fencing = node->highest_fencing;
 			node->lease.claimed_ms = time_ms;
 			node->lease.applied_ms = node->now_ms;
 			g_strlcpy(node->lease.holder, holder, CW_NAME_MAX);
 			/* The term has begun: a waiting order is sent with the next tick. */
 			node->lease_check_due_ms = node->now_ms;
 			node_log_event(node, "rollout", "lease",
-				       "holder=%s fencing=%" G_GUINT64_FORMAT, holder, offset);
+				       "holder=%s fencing=%" G_GUINT64_FORMAT
+				       " offset=%" G_GUINT64_FORMAT,
+				       holder, node->lease.fencing, offset);
 		}
 	}
 	json_object_put(parsed);
@@ -115,13 +132,16 @@
  * fencing numbers may still execute the last order. */
 static int lease_is_free(const struct cw_node *node)
 {
-	if (node->lease_ticket || !log_is_up(node, CW_STREAM_NOTICES))
+	if (node->lease_ticket || !log_is_up(node, CW_STREAM_NOTICES) ||
+	    node->now_ms <= node->lease_wait_until_ms)
 		return 0;
-	if (!node->lease.fencing)
-		return 1;
-	return node->now_ms - node->lease.applied_ms >
-	       node->config.lease_ms + node->config.lease_ms / LEASE_MARGIN_DIVISOR +
-		       ORDER_TIMEOUT_MS;
+	return !node->lease.fencing || node->now_ms > lease_free_from_ms(node);
+}
+
+static int64_t lease_free_from_ms(const struct cw_node *node)
+{
+	return node->lease.applied_ms + node->config.lease_ms +
+	       node->config.lease_ms / LEASE_MARGIN_DIVISOR + ORDER_TIMEOUT_MS;
 }
 
 static void claim_lease(struct cw_node *node)
--- a/tests/unit/test_node_restored.c
+++ b/tests/unit/test_node_restored.c
@@ -334,6 +334,28 @@
 	world_destroy(world);
 }
 
+/* Guards against a fencing number that falls with the log: engines would refuse every later order.
+ */
+static void fencing_numbers_rise_over_a_loss_of_the_notices(void **state)
+{
+	struct world *world = open_world();
+	int64_t before;
+
+	world_load_on_all_servers(world, "m", "1");
+	set_weight(world, "30");
+	world_advance(world, 8000);
+	before = MAX(world_server(world, 0)->fencing, world_server(world, 1)->fencing);
+	assert_true(before > 0);
+	world_lose_records(world, CW_STREAM_NOTICES, count_records(world, CW_STREAM_NOTICES));
+	world_advance(world, NOTICE_MS);
+	restart_all_at_once(world);
+	world_set_cell(world, "a", "m", "3", "weight", "5");
+	world_set_cell(world, "a", "m", "3", "state", "allowed");
+	world_advance(world, 30000);
+	assert_true(MAX(world_server(world, 0)->fencing, world_server(world, 1)->fencing) > before);
+	world_destroy(world);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -348,6 +370,7 @@
 		cmocka_unit_test(lost_bills_are_back_where_the_log_grew_past_their_offsets),
 		cmocka_unit_test(lost_bills_of_an_instance_that_is_gone_are_back),
 		cmocka_unit_test(bills_that_are_lost_twice_are_back),
+		cmocka_unit_test(fencing_numbers_rise_over_a_loss_of_the_notices),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
