quarantine: a record that a restored log has lost is written again

Callers saw: a poison request was sent again, and crashed engines again, once the platform's log had come back without its quarantine and all instances had been replaced.

Cause: a record counted as written for ever once it had been read from the notices.

Fix: when the notices are found restored, they are read again and quarantine records count as unwritten (cw_quarantine_begin_era, as for the users' store); those that were not read again are written by rank. For 3 s the word of a peer that a record is written doesn't count, as it may not have noticed yet. Trips that are read again change nothing.

--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -69,6 +69,7 @@
 	STAILQ_INIT(&node->claim_entries_sent);
 	STAILQ_INIT(&node->claim_entries_unread);
 	node->claims_doubted_ms = -1;
+	node->notices_rewound_ms = -1;
 	node->peer_claims_ends = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	node->ledger = cw_ledger_create();
 	bills_open(node);
--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -266,6 +266,7 @@
 	int64_t lease_check_due_ms;
 	uint64_t highest_fencing;    /* of any lease of this failure domain */
 	int64_t lease_wait_until_ms; /* the holder of a lost lease may use it until then */
+	int64_t notices_rewound_ms;  /* when the notices were last found restored, -1 never */
 	uint64_t order_ticket;
 
 	int is_stopping;
@@ -413,6 +414,7 @@
 				const struct cw_server *server); /* no complete answer: the
 								    server may still run it */
 void quarantine_tick(struct cw_node *node);
+void quarantine_rewind(struct cw_node *node); /* the log lost notices: they are read again */
 void quarantine_apply_notice(struct cw_node *node, struct json_object *notice, int64_t time_ms);
 void quarantine_handle_append(struct cw_node *node, const struct cw_append_result *appended);
 void quarantine_announce(struct cw_node *node, struct peer_end crashes[CW_QUARANTINE_CRASHES_MAX],
--- a/packages/node/src/node_log.c
+++ b/packages/node/src/node_log.c
@@ -261,6 +261,7 @@
 		break;
 	default:
 		rollout_rewind(node);
+		quarantine_rewind(node);
 		break;
 	}
 }
--- a/packages/node/src/node_quarantine.c
+++ b/packages/node/src/node_quarantine.c
@@ -9,6 +9,8 @@
 
 #define WRITE_RANK_DELAY_MS 400	 /* added delay for each rank among the live instances */
 #define WRITE_RETRY_MS	    2000 /* after an append: its record is read back by then, or was lost */
+#define SETTLE_MS	    1000 /* after the notices were found restored, until they are read again */
+#define PEERS_NOTICE_MS	    3000 /* until the peers have found them restored too */
 
 static int begin_trial(struct cw_node *node, struct request *request);
 static struct cw_quarantine_request to_quarantine_request(const struct request *request);
@@ -129,6 +131,12 @@
 	write_next_record(node);
 }
 
+void quarantine_rewind(struct cw_node *node)
+{
+	node->notices_rewound_ms = node->now_ms;
+	cw_quarantine_begin_era(node->quarantine, node->now_ms + SETTLE_MS);
+}
+
 /* The age of the record counts from its time in the log, so that reading the notices again does not
  * prolong a quarantine. */
 void quarantine_apply_notice(struct cw_node *node, struct json_object *notice, int64_t time_ms)
@@ -195,6 +203,10 @@
 void quarantine_merge(struct cw_node *node, const struct peer_heartbeat *heartbeat,
 		      uint32_t delay_ms)
 {
+	/* A peer may still take a lost record for written. */
+	int is_doubtful = node->notices_rewound_ms >= 0 &&
+			  node->now_ms - node->notices_rewound_ms < PEERS_NOTICE_MS;
+
 	for (u_int i = 0; i < heartbeat->ends.ends_len; i++) {
 		const struct peer_end *peer = &heartbeat->ends.ends_val[i];
 		struct cw_quarantine_crash crash = {
@@ -217,7 +229,7 @@
 			.crash_count = peer->ends,
 			.age_ms = add_delay(peer->age_ms, delay_ms),
 			.is_released = peer->released != 0,
-			.is_written = peer->written != 0,
+			.is_written = peer->written && !is_doubtful,
 		};
 
 		g_strlcpy(record.organisation, peer->organisation, CW_NAME_MAX);
