bills, tests: losses in the schedules; a mirror's offset follows its bill

test_schedules loses the newest records of one stream, beside an instance that can read and write; edits, claims and bills are then held to what they promise. Now a mirror takes the offset under which its bill was written again, the newest record of an origin that is gone is always checked, and a mirror of an unknown offset is read back.

After a loss the oracle compares times, else offsets as before.

--- a/packages/node/src/node_bills.c
+++ b/packages/node/src/node_bills.c
@@ -7,15 +7,16 @@
 
 #include <string.h>
 
-#define MIRROR_CHECK_MS	   1000
-#define ORIGIN_QUERY_MS	   5000
-#define BILLS_RETRY_MS	   100
-#define BILL_MIRRORS	   2
-#define STOP_LOG_WAIT_MS   10000 /* after stop_grace_ms, for a log that does not answer */
-#define READ_BACK_WAIT_MS  0	 /* no long poll: only records already in the log */
-#define ADOPT_RANK_MS	   300 /* delay for each rank, so that two holders of a mirror take turns */
-#define ADOPT_DELAY_MAX_MS 3000
-#define ADOPT_CHECK_MS	   5000 /* older records were checked by their origin while it lived */
+#define MIRROR_CHECK_MS	     1000
+#define ORIGIN_QUERY_MS	     5000
+#define BILLS_RETRY_MS	     100
+#define BILL_MIRRORS	     2
+#define STOP_LOG_WAIT_MS     10000 /* after stop_grace_ms, for a log that does not answer */
+#define READ_BACK_WAIT_MS    0	   /* no long poll: only records already in the log */
+#define ADOPT_RANK_MS	     300 /* delay for each rank, so that two holders of a mirror take turns */
+#define ADOPT_DELAY_MAX_MS   3000
+#define UNREACHABLE_SILENCES 4	  /* silent_ms until a peer counts as unreachable */
+#define ADOPT_CHECK_MS	     5000 /* older records were checked by their origin while it lived */
 
 static char *bill_to_json(struct request *request, const char *id);
 static void append_bills(struct cw_node *node);
@@ -127,6 +128,8 @@
 {
 	struct peer_message message = {0};
 	struct peer_bill settled[CW_BILL_BATCH];
+	const struct cw_bill *kept;
+	uint64_t offset = 0;
 	u_int count = 0;
 
 	for (u_int i = 0; i < bills->list.list_len; i++) {
@@ -136,11 +139,15 @@
 			bill->is_mirrored = 1;
 		else if (count < CW_BILL_BATCH)
 			settled[count++] = bills->list.list_val[i];
+		kept = cw_ledger_find_kept(node->ledger, bills->list.list_val[i].id);
+		if (!bill && kept)
+			offset = kept->offset;
 		request_confirm_bill(node, bills->list.list_val[i].id);
 	}
 	if (count == 0)
 		return;
 	message.body.kind = PEER_BILLS_SETTLED;
+	message.body.peer_body_u.settled.noted = count == 1 ? offset : 0;
 	message.body.peer_body_u.settled.list.list_len = count;
 	message.body.peer_body_u.settled.list.list_val = settled;
 	gossip_send(node, from, &message);
@@ -154,11 +161,14 @@
 	char *origin = format_origin(from, boot);
 
 	for (u_int i = 0; i < bills->list.list_len; i++) {
-		struct cw_bill *bill = cw_ledger_find(node->ledger, bills->list.list_val[i].id);
+		const char *id = bills->list.list_val[i].id;
+		struct cw_bill *bill = cw_ledger_find(node->ledger, id);
+		const struct cw_bill *kept = cw_ledger_find_kept(node->ledger, id);
 
 		if (bill && !strcmp(bill->origin, origin) && bill->append == 0)
-			cw_ledger_settle(node->ledger, bills->list.list_val[i].id, bills->noted,
-					 node->now_ms);
+			cw_ledger_settle(node->ledger, id, bills->noted, node->now_ms);
+		else if (!bill && kept && !strcmp(kept->origin, origin) && bills->noted)
+			cw_ledger_keep_again(node->ledger, id, bills->noted, node->now_ms);
 	}
 	g_free(origin);
 }
@@ -343,13 +353,20 @@
 
 static void adopt_bills(struct cw_node *node, const char *origin)
 {
+	const struct cw_bill *newest = NULL;
 	const struct cw_bill *bill;
 	size_t count;
 
-	TAILQ_FOREACH(bill, cw_ledger_kept(node->ledger), link)
-		if (!strcmp(bill->origin, origin) && bill->offset &&
-		    node->now_ms - bill->settled_ms <= ADOPT_CHECK_MS + 4 * node->config.silent_ms)
+	TAILQ_FOREACH(bill, cw_ledger_kept(node->ledger), link) {
+		if (strcmp(bill->origin, origin) != 0 || !bill->offset)
+			continue;
+		newest = bill;
+		if (node->now_ms - bill->settled_ms <=
+		    ADOPT_CHECK_MS + UNREACHABLE_SILENCES * node->config.silent_ms)
 			bill_checks_add(node, bill->offset, bill->id);
+	}
+	if (newest)
+		bill_checks_add(node, newest->offset, newest->id);
 	count = cw_ledger_adopt(node->ledger, origin);
 	node_log_event(node, "bills", "take_over", "origin=%s held=%zu", origin, count);
 	if (count == 0)
--- a/packages/peer/peer.x
+++ b/packages/peer/peer.x
@@ -97,7 +97,8 @@
 };
 
 struct peer_bills {
-	unsigned hyper noted;       /* offset of the bills stream known when the bills were created */
+	unsigned hyper noted;       /* end of the bills stream known when the bills were created;
+	                               settled: offset of their record, 0 unknown */
 	peer_bill list<PEER_LIST_MAX>;
 };
 
--- a/packages/request/include/cw_ledger.h
+++ b/packages/request/include/cw_ledger.h
@@ -56,6 +56,8 @@
 	struct cw_bill_list *settled); /* moves its bills to settled; caller frees */
 void cw_ledger_keep(struct cw_ledger *ledger, struct cw_bill *bill, uint64_t offset,
 		    int64_t now_ms); /* takes over a settled bill */
+void cw_ledger_keep_again(struct cw_ledger *ledger, const char *id, uint64_t offset,
+			  int64_t now_ms); /* a kept bill was written again */
 size_t cw_ledger_expire_kept(struct cw_ledger *ledger, int64_t before_ms,
 			     size_t max); /* drops bills settled before, and the oldest above max;
 					     returns how many were dropped above max */
@@ -64,7 +66,10 @@
 						       are pending again. Returns how many */
 size_t cw_ledger_adopt(struct cw_ledger *ledger,
 		       const char *origin); /* the origin is gone: its bills, kept ones too, are
-					       own ones. Returns how many are pending */
+					       own ones. Returns how many are pending; a kept one
+					       of an unknown offset is, as nobody can check it */
+const struct cw_bill *cw_ledger_find_kept(const struct cw_ledger *ledger,
+					  const char *id); /* NULL: none */
 size_t cw_ledger_count_kept(const struct cw_ledger *ledger);
 const struct cw_bill_list *cw_ledger_kept(const struct cw_ledger *ledger); /* oldest first */
 void cw_bill_destroy(struct cw_bill *bill);
--- a/packages/request/src/ledger.c
+++ b/packages/request/src/ledger.c
@@ -14,6 +14,7 @@
 static void ledger_remove(struct cw_ledger *ledger, struct cw_bill *bill);
 static void ledger_insert(struct cw_ledger *ledger, struct cw_bill *bill);
 static void kept_remove(struct cw_ledger *ledger, struct cw_bill *bill);
+static void move_to_pending(struct cw_ledger *ledger, struct cw_bill *bill);
 static char *bill_id(struct json_object *item);
 
 struct cw_ledger *cw_ledger_create(void)
@@ -180,6 +181,16 @@
 	g_hash_table_insert(ledger->kept_by_id, bill->id, bill);
 }
 
+void cw_ledger_keep_again(struct cw_ledger *ledger, const char *id, uint64_t offset, int64_t now_ms)
+{
+	struct cw_bill *bill = g_hash_table_lookup(ledger->kept_by_id, id);
+
+	if (!bill)
+		return;
+	kept_remove(ledger, bill);
+	cw_ledger_keep(ledger, bill, offset, now_ms);
+}
+
 size_t cw_ledger_expire_kept(struct cw_ledger *ledger, int64_t before_ms, size_t max)
 {
 	struct cw_bill *bill;
@@ -207,8 +218,7 @@
 		struct cw_bill *next = TAILQ_NEXT(bill, link);
 
 		if (!*bill->origin && !cw_ledger_find(ledger, bill->id)) {
-			kept_remove(ledger, bill);
-			ledger_insert(ledger, bill);
+			move_to_pending(ledger, bill);
 			count++;
 		}
 		bill = next;
@@ -220,12 +230,20 @@
 
 size_t cw_ledger_adopt(struct cw_ledger *ledger, const char *origin)
 {
+	struct cw_bill *bill = TAILQ_FIRST(&ledger->kept);
 	size_t count = 0;
-	struct cw_bill *bill;
 
-	TAILQ_FOREACH(bill, &ledger->kept, link)
-		if (!strcmp(bill->origin, origin))
-			*bill->origin = '\0';
+	while (bill) {
+		struct cw_bill *next = TAILQ_NEXT(bill, link);
+
+		if (!strcmp(bill->origin, origin)) {
+			if (bill->offset)
+				*bill->origin = '\0';
+			else if (!cw_ledger_find(ledger, bill->id))
+				move_to_pending(ledger, bill);
+		}
+		bill = next;
+	}
 	TAILQ_FOREACH(bill, &ledger->bills, link) {
 		if (strcmp(bill->origin, origin) != 0)
 			continue;
@@ -237,6 +255,11 @@
 	return count;
 }
 
+const struct cw_bill *cw_ledger_find_kept(const struct cw_ledger *ledger, const char *id)
+{
+	return g_hash_table_lookup(ledger->kept_by_id, id);
+}
+
 size_t cw_ledger_count_kept(const struct cw_ledger *ledger)
 {
 	return g_hash_table_size(ledger->kept_by_id);
@@ -302,6 +325,12 @@
 	g_hash_table_remove(ledger->kept_by_id, bill->id);
 }
 
+static void move_to_pending(struct cw_ledger *ledger, struct cw_bill *bill)
+{
+	kept_remove(ledger, bill);
+	ledger_insert(ledger, bill);
+}
+
 /* NULL: not a bill. */
 static char *bill_id(struct json_object *item)
 {
--- a/tests/fuzz/oracle.c
+++ b/tests/fuzz/oracle.c
@@ -13,6 +13,8 @@
 static void send_chat(uint8_t argument);
 static void send_order(uint8_t argument);
 static void edit_table(uint8_t argument);
+static void lose_records(uint8_t argument);
+static int has_witness(void);
 static void recover(void);
 static void track_connectivity(void);
 
@@ -171,7 +173,10 @@
 		world_server(world, argument % (MODEL_SERVERS + SERVICES))->down = argument & 0x80;
 		break;
 	default:
-		world_expire_records(world);
+		if (op & 0x20 && argument & 0x80)
+			lose_records(argument);
+		else
+			world_expire_records(world);
 		break;
 	}
 	track_connectivity();
@@ -279,6 +284,46 @@
 	}
 }
 
+/*
+ * The shared store comes back from an older copy: one stream loses its newest records. What no
+ * instance had read is lost for good, so this happens beside one that can read and write.
+ */
+static void lose_records(uint8_t argument)
+{
+	struct world *world = oracle.world;
+	enum cw_stream stream = argument % CW_STREAM_COUNT;
+	const GPtrArray *log = world_log(world, stream);
+	size_t most = 1 + argument / CW_STREAM_COUNT % 8;
+	size_t count = 0;
+
+	if (!has_witness())
+		return;
+	world_advance(world, LOSS_KNOWN_MS);
+	while (count < most && log->len > count + 3) {
+		const struct world_record *record = g_ptr_array_index(log, log->len - 1 - count);
+
+		if (record->time_ms < world_now(world) - LOSS_AGE_MS)
+			break;
+		count++;
+	}
+	if (count == 0)
+		return;
+	world_lose_records(world, stream, count);
+	oracle.losses++;
+	oracle.is_table_lost |= stream == CW_STREAM_TABLE;
+	world_advance(world, LOSS_WRITTEN_MS);
+}
+
+static int has_witness(void)
+{
+	track_connectivity();
+	for (int i = 0; i < NODES; i++)
+		if (oracle.connected_ms[i] >= 0 && !world_node(oracle.world, i)->stopped &&
+		    world_now(oracle.world) - oracle.connected_ms[i] > PROPAGATION_MAX_MS)
+			return 1;
+	return 0;
+}
+
 static void recover(void)
 {
 	struct world *world = oracle.world;
--- a/tests/fuzz/oracle_internal.h
+++ b/tests/fuzz/oracle_internal.h
@@ -21,6 +21,9 @@
 #define REPLACEMENT_MS	   4000 /* after which a crashed node is started again */
 #define OUTAGE_MAX_MS	   10000 /* longest outage of the shared store, or of a node's access to it */
 #define OUTAGE_GAP_MS	   15000 /* shortest time between two outages of the shared store */
+#define LOSS_AGE_MS	   20000 /* a restore of the shared store goes back so far */
+#define LOSS_KNOWN_MS	   1500	 /* until connected instances have read all that is lost */
+#define LOSS_WRITTEN_MS	   5000	 /* until what was lost is written again */
 #define PROPAGATION_MAX_MS 6000	 /* until an instance that can read the log applies an edit */
 #define ANSWER_SLACK_MS	   3000	 /* longest time from a request's deadline to its final answer */
 
@@ -34,7 +37,8 @@
 struct session {
 	char version[CW_NAME_MAX];
 	char token[CW_TOKEN_MAX];
-	uint64_t since; /* table offset at the first dispatch to this version */
+	uint64_t since;	  /* table offset at the first dispatch to this version */
+	int64_t since_ms; /* time of that dispatch */
 };
 
 struct order {
@@ -62,6 +66,8 @@
 	int64_t outage_ms;
 	int64_t cut_ms[NODES];
 	int is_store_out;
+	int losses;	   /* restores of the shared store so far */
+	int is_table_lost; /* offsets of the table don't tell any more which edits are in force */
 };
 
 extern struct oracle oracle;
--- a/tests/unit/test_node_restored.c
+++ b/tests/unit/test_node_restored.c
@@ -356,6 +356,136 @@
 	world_destroy(world);
 }
 
+/* Guards against a loss that is noticed only by an instance that reads the log at that time. */
+static void a_loss_during_an_outage_is_made_good(void **state)
+{
+	struct world *world = open_world();
+
+	send_chats(world, 0, 10);
+	set_weight(world, "30");
+	world_advance(world, 2000);
+	world_set_outage(world, 1);
+	world_advance(world, 3000);
+	world_lose_records(world, CW_STREAM_BILLS, count_records(world, CW_STREAM_BILLS));
+	world_lose_records(world, CW_STREAM_TABLE, 1);
+	world_set_outage(world, 0);
+	set_weight(world, "60");
+	world_advance(world, SETTLE_MS);
+	assert_billed_once(world);
+	restart_all_at_once(world);
+	for (int i = 0; i < NODES; i++)
+		assert_int_equal(weight_at(world, i), 60);
+	world_destroy(world);
+}
+
+/* Guards against what was written again and is lost again. */
+static void edits_and_claims_that_are_lost_twice_hold(void **state)
+{
+	struct world *world = open_world();
+
+	lose_claims_of_orders(world, 6);
+	set_weight(world, "30");
+	world_advance(world, 2000);
+	for (int i = 0; i < 2; i++) {
+		world_lose_records(world, CW_STREAM_TABLE, 1);
+		world_lose_records(world, CW_STREAM_CLAIMS, 6);
+		world_advance(world, SETTLE_MS);
+	}
+	restart_all_at_once(world);
+	for (int i = 0; i < NODES; i++)
+		assert_int_equal(weight_at(world, i), 30);
+	assert_int_equal(repeat_orders(world), 0);
+	world_destroy(world);
+}
+
+/* Guards against a record that is written twice since the answer to its append was lost, too. */
+static void bills_are_back_once_where_answers_to_appends_are_lost(void **state)
+{
+	struct world *world = open_world();
+
+	send_chats(world, 0, 10);
+	world_lose_records(world, CW_STREAM_BILLS, count_records(world, CW_STREAM_BILLS));
+	world_lose_append_answers(world, 3, 0);
+	world_advance(world, 2 * SETTLE_MS);
+	assert_billed_once(world);
+	world_destroy(world);
+}
+
+/* Guards against instances that can't hear each other and write the same bills or edits twice. */
+static void instances_that_are_partitioned_agree_on_the_restored_log(void **state)
+{
+	struct world *world = open_world();
+
+	send_chats(world, 0, 5);
+	send_chats(world, 1, 5);
+	set_weight(world, "30");
+	world_advance(world, 2000);
+	world_set_message_faults(world, 1000, 0);
+	world_lose_records(world, CW_STREAM_BILLS, count_records(world, CW_STREAM_BILLS));
+	world_lose_records(world, CW_STREAM_TABLE, 1);
+	world_advance(world, 3000);
+	set_weight(world, "60");
+	world_advance(world, 1000);
+	world_set_message_faults(world, 0, 0);
+	world_advance(world, SETTLE_MS);
+	assert_billed_once(world);
+	for (int i = 0; i < NODES; i++)
+		assert_int_equal(weight_at(world, i), 60);
+	world_destroy(world);
+}
+
+/* Guards against a condition that is judged by what an operator can't see in the log. */
+static void a_condition_is_judged_by_the_revision_in_the_log(void **state)
+{
+	struct world *world = open_world();
+	uint64_t revision;
+
+	set_weight(world, "30");
+	world_advance(world, 2000);
+	world_lose_records(world, CW_STREAM_TABLE, 1);
+	revision = cw_table_find_row(cw_node_table(world_node(world, 0)->node), "a", "m", "1")
+			   ->revision[CW_COLUMN_WEIGHT];
+	world_append(world, CW_STREAM_TABLE, EDIT("seen", CELL_IF("a", "2", "weight", "60", "1")));
+	assert_int_equal(revision, 1);
+	world_advance(world, NOTICE_MS);
+	for (int i = 0; i < NODES; i++)
+		assert_int_equal(weight_at(world, i), 60);
+	world_destroy(world);
+}
+
+/* Guards against a session that is rejected until the table has grown past its lost offset. */
+static void a_session_of_the_lost_log_is_served(void **state)
+{
+	struct world *world = open_world();
+	struct world_request *request;
+	struct cw_node_request in;
+	char token[CW_TOKEN_MAX];
+
+	for (int i = 0; i < 5; i++)
+		set_weight(world, "30");
+	world_advance(world, 2000);
+	world_request_init(&in, "a", "m", CW_REQUEST_IDEMPOTENT);
+	g_strlcpy(in.session_id, "s", CW_ID_MAX);
+	in.deadline_ms = world_now(world) + 5000;
+	request = world_send(world, 0, &in, 5);
+	world_advance(world, 1000);
+	g_strlcpy(token, request->session_token, CW_TOKEN_MAX);
+	world_lose_records(world, CW_STREAM_TABLE, 5);
+	world_set_cell(world, "a", "m", "1", "state", "withdrawn");
+	world_set_cell(world, "a", "m", "2", "weight", "50");
+	world_advance(world, SETTLE_MS);
+	restart_all_at_once(world);
+	world_request_init(&in, "a", "m", CW_REQUEST_IDEMPOTENT);
+	g_strlcpy(in.session_id, "s", CW_ID_MAX);
+	g_strlcpy(in.session_token, token, CW_TOKEN_MAX);
+	in.deadline_ms = world_now(world) + 5000;
+	request = world_send(world, 1, &in, 5);
+	world_advance(world, 5000);
+	assert_int_equal(request->end, CW_EFFECT_RELEASE);
+	assert_string_equal(request->version, "2");
+	world_destroy(world);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -371,6 +501,12 @@
 		cmocka_unit_test(lost_bills_of_an_instance_that_is_gone_are_back),
 		cmocka_unit_test(bills_that_are_lost_twice_are_back),
 		cmocka_unit_test(fencing_numbers_rise_over_a_loss_of_the_notices),
+		cmocka_unit_test(a_loss_during_an_outage_is_made_good),
+		cmocka_unit_test(edits_and_claims_that_are_lost_twice_hold),
+		cmocka_unit_test(bills_are_back_once_where_answers_to_appends_are_lost),
+		cmocka_unit_test(instances_that_are_partitioned_agree_on_the_restored_log),
+		cmocka_unit_test(a_condition_is_judged_by_the_revision_in_the_log),
+		cmocka_unit_test(a_session_of_the_lost_log_is_served),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
