--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -100,6 +100,8 @@
 	enum cw_stream stream;
 	enum reader_step step;
 	struct cw_record_id last; /* record before next_offset; offset 0: nothing to compare */
+	size_t last_bytes;	  /* size of that record, 0 unknown */
+	int64_t check_due_ms;	  /* without new records the last one isn't read again before */
 	struct cw_record_id marks[READER_MARKS]; /* ring of earlier positions */
 	size_t mark_count;			 /* marks set in total */
 	size_t search_back;	 /* READER_SEARCH: marks to go back from the newest */
--- a/packages/node/src/node_log.c
+++ b/packages/node/src/node_log.c
@@ -6,12 +6,13 @@
 
 #include <string.h>
 
-#define LONG_POLL_MS	1000 /* a read at the end of a stream waits this long for records */
-#define READ_TIMEOUT_MS 5000 /* a stream whose read takes longer counts as unreachable */
-#define BACKOFF_MIN_MS	50
-#define BACKOFF_MAX_MS	1000
-#define CURRENT_MS	1500 /* a stream that was read longer ago may have new records */
-#define MARK_MS		1000 /* between two marks, on the clock of the log */
+#define LONG_POLL_MS	  1000 /* a read at the end of a stream waits this long for records */
+#define READ_TIMEOUT_MS	  5000 /* a stream whose read takes longer counts as unreachable */
+#define BACKOFF_MIN_MS	  50
+#define BACKOFF_MAX_MS	  1000
+#define CURRENT_MS	  1500	/* a stream that was read longer ago may have new records */
+#define CHECK_BYTES_PER_S 65536 /* for reading the last record again, which may be a snapshot */
+#define MARK_MS		  1000	/* between two marks, on the clock of the log */
 
 static void reader_send(struct cw_node *node, struct log_reader *reader);
 static void reader_handle_check(struct cw_node *node, struct log_reader *reader,
@@ -90,7 +91,8 @@
 		reader_handle_check(node, reader, records);
 		break;
 	case READER_WAIT:
-		reader->step = READER_CHECK;
+		if (records->count > 0 || node->now_ms >= reader->check_due_ms)
+			reader->step = READER_CHECK;
 		break;
 	case READER_SEARCH:
 		reader_handle_search(node, reader, records);
@@ -178,6 +180,8 @@
 			reader_resume(node, reader, NULL);
 		return;
 	}
+	reader->check_due_ms =
+		node->now_ms + (int64_t)(reader->last_bytes * 1000 / CHECK_BYTES_PER_S);
 	for (size_t i = known; i < records->count; i++)
 		apply_record(node, reader, &records->list[i]);
 	if (records->count > known) {
@@ -273,6 +277,7 @@
 
 	reader->next_offset = record->offset + 1;
 	reader->last = cw_record_id_create(record->offset, record->time_ms, record->data);
+	reader->last_bytes = strlen(record->data);
 	if (reader->stream != CW_STREAM_CLAIMS ||
 	    (reader->mark_count && record->time_ms - newest->time_ms < MARK_MS))
 		return;
--- a/packages/node/src/node_table.c
+++ b/packages/node/src/node_table.c
@@ -265,6 +265,7 @@
 	reader->step = READER_CHECK;
 	reader->next_offset = cw_table_offset(table) + 1;
 	reader->last = last;
+	reader->last_bytes = 0;
 }
 
 /* The table holds all drain orders; the pool applies those that are new to it. */
--- a/tests/unit/test_node_restored.c
+++ b/tests/unit/test_node_restored.c
@@ -486,6 +486,27 @@
 	world_destroy(world);
 }
 
+/* Guards against a large record that every instance reads again every second. */
+static void a_large_last_record_is_read_again_at_a_bounded_rate(void **state)
+{
+	struct world *world = open_world();
+	char *padding = g_strnfill(400000, 'x');
+	char *record = g_strdup_printf("{\"snapshot\":{},\"padding\":\"%s\"}", padding);
+	uint64_t before;
+
+	world_append(world, CW_STREAM_TABLE, record);
+	world_advance(world, 1000);
+	before = world_node(world, 0)->read_bytes;
+	world_advance(world, 20000);
+	assert_true(world_node(world, 0)->read_bytes - before <= 20 * 65536 + strlen(record));
+	set_weight(world, "60");
+	world_advance(world, NOTICE_MS);
+	assert_int_equal(weight_at(world, 0), 60);
+	g_free(record);
+	g_free(padding);
+	world_destroy(world);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -507,6 +528,7 @@
 		cmocka_unit_test(instances_that_are_partitioned_agree_on_the_restored_log),
 		cmocka_unit_test(a_condition_is_judged_by_the_revision_in_the_log),
 		cmocka_unit_test(a_session_of_the_lost_log_is_served),
+		cmocka_unit_test(a_large_last_record_is_read_again_at_a_bounded_rate),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
