claims: a peer that can't notice a restore blocks no order

A peer without the platform goes on announcing its position of before the restore, so claims that landed at or before it were doubted for as long: orders were rejected, not run, until the log had grown past it (a_peer_without_the_platform_blocks_no_order, red before: 0 runs for 1). An instance that had itself read as far before it noticed the loss needs no such doubt. test_node_restored 22 of 22.

--- a/packages/node/src/node_claims.c
+++ b/packages/node/src/node_claims.c
@@ -75,6 +75,7 @@
  * by its own number, and an outcome or a release counts once. */
 void claims_rewind(struct cw_node *node, uint64_t next_offset)
 {
+	node->claims_known_end = MAX(node->claims_known_end, cw_claims_offset(node->claims));
 	cw_claims_rewind(node->claims, next_offset);
 	node->checkpoint_floor = 0;
 	STAILQ_CONCAT(&node->claim_entries_unread, &node->claim_entries);
@@ -117,7 +118,9 @@
 	TAILQ_FOREACH(member, cw_membership_members(node->membership), link) {
 		const uint64_t *end = g_hash_table_lookup(node->peer_claims_ends, &member->id);
 
-		if (end && cw_membership_is_live(node->membership, member, node->now_ms))
+		/* A peer that has not noticed the loss knows no more than this instance did. */
+		if (end && *end > node->claims_known_end &&
+		    cw_membership_is_live(node->membership, member, node->now_ms))
 			floor = MAX(floor, *end);
 	}
 	return floor;
--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -213,6 +213,7 @@
 	int64_t checkpoint_due_ms;  /* 0: none scheduled */
 	int64_t checkpoint_wall_ms; /* time of the newest floor, or of the first record read */
 	struct restore_turn lost_claims_turn;
+	uint64_t claims_known_end;    /* last record of the claims read before a restore */
 	int64_t claims_doubted_ms;    /* when the log last proved to be restored, -1 never */
 	GHashTable *peer_claims_ends; /* member -> last record of the claims that it has read */
 
--- a/tests/unit/test_node_restored.c
+++ b/tests/unit/test_node_restored.c
@@ -252,6 +252,22 @@
 	world_destroy(world);
 }
 
+/* Guards against orders that are rejected as a peer can't notice the loss. */
+static void a_peer_without_the_platform_blocks_no_order(void **state)
+{
+	struct world *world = open_world();
+	const struct world_request *order;
+
+	lose_claims_of_orders(world, 0);
+	world_set_store_partition(world, 1, 1);
+	world_lose_records(world, CW_STREAM_CLAIMS, 10);
+	world_advance(world, NOTICE_MS);
+	order = send_order(world, 0, ORDER_COUNT);
+	world_advance(world, 1000);
+	assert_int_equal(order->runs, 1);
+	world_destroy(world);
+}
+
 /* Guards against an accepted edit that reverts when all instances are replaced. */
 static void an_accepted_edit_that_was_lost_holds_after_all_are_replaced(void **state)
 {
@@ -559,6 +575,7 @@
 		cmocka_unit_test(an_instance_that_starts_on_the_shorter_log_runs_no_known_order),
 		cmocka_unit_test(a_lost_release_frees_its_key_again),
 		cmocka_unit_test(no_claim_is_used_while_a_release_is_missing),
+		cmocka_unit_test(a_peer_without_the_platform_blocks_no_order),
 		cmocka_unit_test(an_accepted_edit_that_was_lost_holds_after_all_are_replaced),
 		cmocka_unit_test(the_edit_after_a_lost_one_is_in_force_within_seconds),
 		cmocka_unit_test(an_instance_without_the_platform_follows_the_restored_log),
