bills: the last record of an origin that is gone is the one with the largest offset

The time within which earlier records are checked counts from the newest of them, no longer from the adoption.

--- a/packages/node/src/node_bills.c
+++ b/packages/node/src/node_bills.c
@@ -7,16 +7,15 @@
 
 #include <string.h>
 
-#define MIRROR_CHECK_MS	     1000
-#define ORIGIN_QUERY_MS	     5000
-#define BILLS_RETRY_MS	     100
-#define BILL_MIRRORS	     2
-#define STOP_LOG_WAIT_MS     10000 /* after stop_grace_ms, for a log that does not answer */
-#define READ_BACK_WAIT_MS    0	   /* no long poll: only records already in the log */
-#define ADOPT_RANK_MS	     300 /* delay for each rank, so that two holders of a mirror take turns */
-#define ADOPT_DELAY_MAX_MS   3000
-#define UNREACHABLE_SILENCES 4	  /* silent_ms until a peer counts as unreachable */
-#define ADOPT_CHECK_MS	     5000 /* older records were checked by their origin while it lived */
+#define MIRROR_CHECK_MS	   1000
+#define ORIGIN_QUERY_MS	   5000
+#define BILLS_RETRY_MS	   100
+#define BILL_MIRRORS	   2
+#define STOP_LOG_WAIT_MS   10000 /* after stop_grace_ms, for a log that does not answer */
+#define READ_BACK_WAIT_MS  0	 /* no long poll: only records already in the log */
+#define ADOPT_RANK_MS	   300 /* delay for each rank, so that two holders of a mirror take turns */
+#define ADOPT_DELAY_MAX_MS 3000
+#define ADOPT_CHECK_MS	   5000 /* before the newest bill of an origin that is gone */
 
 static char *bill_to_json(struct request *request, const char *id);
 static void append_bills(struct cw_node *node);
@@ -24,6 +23,7 @@
 static void query_origins(struct cw_node *node);
 static void adopt_lost_origin(struct cw_node *node);
 static const char *find_lost_origin(struct cw_node *node);
+static void check_adopted(struct cw_node *node, const char *origin);
 static void adopt_bills(struct cw_node *node, const char *origin);
 static void log_lost_bills(struct cw_node *node);
 static void expire_kept(struct cw_node *node);
@@ -355,22 +355,34 @@
 	return NULL;
 }
 
-static void adopt_bills(struct cw_node *node, const char *origin)
+/* The origin checked its records itself, but for those of its last seconds and the last one. */
+static void check_adopted(struct cw_node *node, const char *origin)
 {
-	const struct cw_bill *newest = NULL;
+	const struct cw_bill *last = NULL;
+	int64_t newest_ms = INT64_MIN;
 	const struct cw_bill *bill;
-	size_t count;
 
 	TAILQ_FOREACH(bill, cw_ledger_kept(node->ledger), link) {
 		if (strcmp(bill->origin, origin) != 0 || !bill->offset)
 			continue;
-		newest = bill;
-		if (node->now_ms - bill->settled_ms <=
-		    ADOPT_CHECK_MS + UNREACHABLE_SILENCES * node->config.silent_ms)
-			bill_checks_add(node, bill->offset, bill->id);
+		newest_ms = MAX(newest_ms, bill->settled_ms);
+		if (!last || bill->offset > last->offset)
+			last = bill;
 	}
-	if (newest)
-		bill_checks_add(node, newest->offset, newest->id);
+	if (!last)
+		return;
+	bill_checks_add(node, last->offset, last->id);
+	TAILQ_FOREACH(bill, cw_ledger_kept(node->ledger), link)
+		if (!strcmp(bill->origin, origin) && bill->offset &&
+		    newest_ms - bill->settled_ms <= ADOPT_CHECK_MS)
+			bill_checks_add(node, bill->offset, bill->id);
+}
+
+static void adopt_bills(struct cw_node *node, const char *origin)
+{
+	size_t count;
+
+	check_adopted(node, origin);
 	count = cw_ledger_adopt(node->ledger, origin);
 	node_log_event(node, "bills", "take_over", "origin=%s held=%zu", origin, count);
 	if (count == 0)
