--- a/packages/node/src/node_bills.c
+++ b/packages/node/src/node_bills.c
@@ -21,8 +21,9 @@
 static void append_bills(struct cw_node *node);
 static void read_back(struct cw_node *node, uint64_t from);
 static void query_origins(struct cw_node *node);
+static void look_for_lost_origin(struct cw_node *node);
+static void set_lost_origin(struct cw_node *node, const char *origin);
 static void adopt_lost_origin(struct cw_node *node);
-static const char *find_lost_origin(struct cw_node *node);
 static void check_adopted(struct cw_node *node, const char *origin);
 static void adopt_bills(struct cw_node *node, const char *origin);
 static void log_lost_bills(struct cw_node *node);
@@ -254,6 +255,7 @@
 					    (int64_t)(node_random(node) % MIRROR_CHECK_MS);
 		query_origins(node);
 		expire_kept(node);
+		look_for_lost_origin(node);
 	}
 	adopt_lost_origin(node);
 	if (node->bills_due_ms == 0 && cw_ledger_count(node->ledger, "") > 0)
@@ -317,44 +319,49 @@
 	}
 }
 
+static void look_for_lost_origin(struct cw_node *node)
+{
+	const struct cw_bill_list *lists[] = {cw_ledger_bills(node->ledger),
+					      cw_ledger_kept(node->ledger)};
+	GHashTable *available = g_hash_table_new(g_str_hash, g_str_equal);
+	const struct cw_bill *bill;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lists) && !node->lost_origin; i++) {
+		TAILQ_FOREACH(bill, lists[i], link) {
+			if (!*bill->origin || g_hash_table_contains(available, bill->origin))
+				continue;
+			if (is_origin_unavailable(node, bill->origin)) {
+				set_lost_origin(node, bill->origin);
+				break;
+			}
+			g_hash_table_add(available, bill->origin);
+		}
+	}
+	g_hash_table_destroy(available);
+}
+
+static void set_lost_origin(struct cw_node *node, const char *origin)
+{
+	size_t rank = cw_membership_rank(node->membership, cw_hash_text(origin, 0), node->now_ms);
+
+	node->lost_origin = g_strdup(origin);
+	node->lost_origin_due_ms =
+		node->now_ms + MIN(ADOPT_RANK_MS * (int64_t)rank, ADOPT_DELAY_MAX_MS);
+}
+
 /*
  * The bills of an origin that is gone are this instance's from then on: pending ones, and kept ones
  * too, as the origin can't notice any more that the log lost them.
  */
 static void adopt_lost_origin(struct cw_node *node)
 {
-	size_t rank;
-
-	if (node->lost_origin && !is_origin_unavailable(node, node->lost_origin))
-		g_clear_pointer(&node->lost_origin, g_free);
-	if (!node->lost_origin) {
-		node->lost_origin = g_strdup(find_lost_origin(node));
-		if (!node->lost_origin)
-			return;
-		rank = cw_membership_rank(node->membership, cw_hash_text(node->lost_origin, 0),
-					  node->now_ms);
-		node->lost_origin_due_ms =
-			node->now_ms + MIN(ADOPT_RANK_MS * (int64_t)rank, ADOPT_DELAY_MAX_MS);
-	}
-	if (node->now_ms < node->lost_origin_due_ms)
+	if (!node->lost_origin || node->now_ms < node->lost_origin_due_ms)
 		return;
-	adopt_bills(node, node->lost_origin);
+	if (is_origin_unavailable(node, node->lost_origin))
+		adopt_bills(node, node->lost_origin);
 	g_clear_pointer(&node->lost_origin, g_free);
 }
 
-static const char *find_lost_origin(struct cw_node *node)
-{
-	const struct cw_bill *bill;
-
-	TAILQ_FOREACH(bill, cw_ledger_bills(node->ledger), link)
-		if (*bill->origin && is_origin_unavailable(node, bill->origin))
-			return bill->origin;
-	TAILQ_FOREACH(bill, cw_ledger_kept(node->ledger), link)
-		if (*bill->origin && is_origin_unavailable(node, bill->origin))
-			return bill->origin;
-	return NULL;
-}
-
 /* The origin checked its records itself, but for those of its last seconds and the last one. */
 static void check_adopted(struct cw_node *node, const char *origin)
 {
