table: a restoring edit is written again when it is lost again; retries count alike everywhere

Lost a second time, it was a repeat on the instances that had merged it: its cells stayed unlogged, and it was appended once a second; - ids of lost edits counted as applied before the log held them, so an operator's retry counted on an instance that had just started only; - an older order on a failure domain that was written again made a later one count as logged.

--- a/packages/table/src/table.c
+++ b/packages/table/src/table.c
@@ -43,6 +43,7 @@
 	table->unlogged_drains = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	table->routing_offsets = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, g_free);
 	table->applied_edits = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free, NULL);
+	table->unlogged_edits = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	table->drains = cw_drains_create();
 	return table;
 }
@@ -57,6 +58,7 @@
 	g_hash_table_destroy(table->keys);
 	g_hash_table_destroy(table->owners);
 	g_hash_table_destroy(table->unlogged_drains);
+	g_array_unref(table->unlogged_edits);
 	g_hash_table_destroy(table->routing_offsets);
 	g_hash_table_destroy(table->applied_edits);
 	cw_drains_destroy(table->drains);
@@ -180,6 +182,8 @@
 	size_t count =
 		json_object_is_type(cells, json_type_array) ? json_object_array_length(cells) : 0;
 	uint64_t id_hash = cw_hash_text(id, 0);
+	/* Lost again, it is written again under the same id; applied twice, it changes nothing. */
+	int is_restoring = json_object_object_get_ex(record, "edits", NULL);
 	struct cell_edit *edits;
 	enum cw_table_result result = CW_TABLE_APPLIED;
 
@@ -188,7 +192,7 @@
 	 * second record were applied, it would undo what another operator set in between: the cell
 	 * would revert without an order.
 	 */
-	if (*id && g_hash_table_contains(table->applied_edits, &id_hash))
+	if (*id && !is_restoring && g_hash_table_contains(table->applied_edits, &id_hash))
 		return CW_TABLE_DUPLICATE;
 	if (!*id || count == 0) {
 		cw_error_set(error, CW_INVALID, STEP, "", "an edit needs an id and cells");
@@ -201,9 +205,9 @@
 	}
 	for (size_t i = 0; result == CW_TABLE_APPLIED && i < count; i++)
 		apply_cell(table, offset, &edits[i]);
-	if (result == CW_TABLE_APPLIED)
+	if (result == CW_TABLE_APPLIED && !g_hash_table_contains(table->applied_edits, &id_hash))
 		table_remember_edit_id(table, id_hash);
-	if (result == CW_TABLE_APPLIED)
+	if (result == CW_TABLE_APPLIED && is_restoring)
 		remember_lost_edits(table, record);
 	g_free(edits);
 	return result;
@@ -233,19 +237,22 @@
 	const char *id = table_get_string(record, "edit");
 	uint64_t id_hash = cw_hash_text(id, 0);
 	struct cw_drain_order order;
+	int is_restoring;
 
-	if (*id && g_hash_table_contains(table->applied_edits, &id_hash))
+	is_restoring = read_set_ms(record, &time_ms);
+	if (*id && !is_restoring && g_hash_table_contains(table->applied_edits, &id_hash))
 		return CW_TABLE_DUPLICATE;
-	read_set_ms(record, &time_ms);
 	if (!*id || !table_parse_drain(record, time_ms, offset, &order)) {
 		cw_error_set(error, CW_INVALID, STEP, "",
 			     "a drain needs an id, a failure domain and whether it is drained");
 		return CW_TABLE_MALFORMED;
 	}
 	cw_drains_apply(table->drains, &order);
-	if (g_hash_table_remove(table->unlogged_drains, order.failure_domain))
+	if (table_has_drain_since(table, &order, time_ms + 1) == 0 &&
+	    g_hash_table_remove(table->unlogged_drains, order.failure_domain))
 		table->unlogged_count--;
-	table_remember_edit_id(table, id_hash);
+	if (!g_hash_table_contains(table->applied_edits, &id_hash))
+		table_remember_edit_id(table, id_hash);
 	return CW_TABLE_APPLIED;
 }
 
@@ -360,6 +367,18 @@
 	g_hash_table_insert(table->keys, g_strdup(owner->key_sha256), g_strdup(organisation));
 }
 
+int table_has_drain_since(const struct cw_table *table, const struct cw_drain_order *order,
+			  int64_t time_ms)
+{
+	struct cw_drain_order known[CW_DRAINS_MAX];
+	size_t count = cw_drains_list(table->drains, known, CW_DRAINS_MAX);
+
+	for (size_t i = 0; i < count; i++)
+		if (!strcmp(known[i].failure_domain, order->failure_domain))
+			return known[i].position.era >= (uint64_t)time_ms;
+	return 0;
+}
+
 static void owner_destroy(gpointer owner)
 {
 	g_free(((struct owner *)owner)->key_sha256);
@@ -391,17 +410,8 @@
 		if (!g_hash_table_contains(table->applied_edits, &id))
 			table_remember_edit_id(table, id);
 	}
-}
-
-struct json_object *table_format_edit_ids(const struct cw_table *table, size_t max)
-{
-	struct json_object *ids = json_object_new_array();
-	size_t oldest = table->edit_count > max ? table->edit_count - max : 0;
-
-	for (size_t i = oldest; i < table->edit_count; i++)
-		json_object_array_add(
-			ids, json_object_new_int64((int64_t)table->edit_ids[i % EDIT_IDS_MAX]));
-	return ids;
+	if (table->unlogged_count == 0)
+		g_array_set_size(table->unlogged_edits, 0);
 }
 
 struct cw_row *table_create_row(struct cw_table *table, const char *organisation, const char *model,
@@ -462,6 +472,7 @@
 	g_hash_table_remove_all(table->owners);
 	g_hash_table_remove_all(table->unlogged_drains);
 	table->unlogged_count = 0;
+	g_array_set_size(table->unlogged_edits, 0);
 	g_hash_table_remove_all(table->routing_offsets);
 	g_hash_table_remove_all(table->applied_edits);
 	table->edit_count = 0;
--- a/packages/table/src/table_internal.h
+++ b/packages/table/src/table_internal.h
@@ -22,6 +22,7 @@
 	struct cw_drains *drains;
 	GHashTable *unlogged_drains;	 /* set of names of failure domains */
 	size_t unlogged_count;		 /* cells, keys and drains */
+	GArray *unlogged_edits;		 /* of uint64_t: hashed ids of merged edits, oldest first */
 	uint64_t edit_ids[EDIT_IDS_MAX]; /* ring of the hashed ids of the newest edits */
 	size_t edit_count;		 /* edits applied in total */
 };
@@ -35,7 +36,6 @@
 struct cw_row *table_create_row(struct cw_table *table, const char *organisation, const char *model,
 				const char *version);
 void table_remember_edit_id(struct cw_table *table, uint64_t id);
-struct json_object *table_format_edit_ids(const struct cw_table *table, size_t max);
 int table_is_cell_older(const struct cw_row *row, enum cw_column column, int64_t time_ms);
 void table_set_unlogged(struct cw_table *table, struct cw_row *row, enum cw_column column,
 			unsigned int is_unlogged);
@@ -45,6 +45,8 @@
 				     struct json_object *record, struct cw_error *error);
 int table_parse_drain(struct json_object *source, int64_t time_ms, uint64_t offset,
 		      struct cw_drain_order *order);
+int table_has_drain_since(const struct cw_table *table, const struct cw_drain_order *order,
+			  int64_t time_ms); /* 1: the domain's order is of that time or later */
 void table_clear(struct cw_table *table);
 const char *table_get_string(struct json_object *object, const char *key);
 uint64_t table_get_uint64(struct json_object *object, const char *key);
--- a/packages/table/src/table_merge.c
+++ b/packages/table/src/table_merge.c
@@ -10,6 +10,7 @@
 static void merge_drains(struct cw_table *table, const struct cw_table *former);
 static void merge_edit_ids(struct cw_table *table, const struct cw_table *former);
 static struct json_object *format_unlogged_cells(const struct cw_table *table);
+static struct json_object *format_unlogged_edits(const struct cw_table *table);
 static struct json_object *format_unlogged_key(const struct cw_table *table);
 static struct json_object *format_unlogged_drain(const struct cw_table *table);
 
@@ -100,14 +101,9 @@
 	size_t count = cw_drains_list(former->drains, orders, CW_DRAINS_MAX);
 
 	for (size_t i = 0; i < count; i++) {
-		struct cw_drain_order known[CW_DRAINS_MAX];
-		size_t known_count = cw_drains_list(table->drains, known, CW_DRAINS_MAX);
-		int is_known = 0;
-
-		for (size_t j = 0; j < known_count; j++)
-			is_known |= !strcmp(known[j].failure_domain, orders[i].failure_domain) &&
-				    known[j].position.era >= orders[i].position.era;
-		if (is_known || !orders[i].position.era)
+		int64_t time_ms = (int64_t)orders[i].position.era;
+
+		if (!time_ms || table_has_drain_since(table, &orders[i], time_ms))
 			continue;
 		cw_drains_apply(table->drains, &orders[i]);
 		g_hash_table_add(table->unlogged_drains, g_strdup(orders[i].failure_domain));
@@ -115,15 +111,19 @@
 	}
 }
 
+/* The ids don't count as applied before the log holds them: a retry may stand there first. */
 static void merge_edit_ids(struct cw_table *table, const struct cw_table *former)
 {
-	size_t oldest = former->edit_count > EDIT_IDS_MAX ? former->edit_count - EDIT_IDS_MAX : 0;
+	size_t oldest =
+		former->edit_count > LOST_EDIT_IDS_MAX ? former->edit_count - LOST_EDIT_IDS_MAX : 0;
 
+	g_array_append_vals(table->unlogged_edits, former->unlogged_edits->data,
+			    former->unlogged_edits->len);
 	for (size_t i = oldest; i < former->edit_count; i++) {
 		uint64_t id = former->edit_ids[i % EDIT_IDS_MAX];
 
 		if (!g_hash_table_contains(table->applied_edits, &id))
-			table_remember_edit_id(table, id);
+			g_array_append_val(table->unlogged_edits, id);
 	}
 }
 
@@ -168,10 +168,21 @@
 	json_object_object_add(record, "edit", json_object_new_string(id));
 	json_object_object_add(record, "by", json_object_new_string("corianderwalk"));
 	json_object_object_add(record, "cells", cells);
-	json_object_object_add(record, "edits", table_format_edit_ids(table, LOST_EDIT_IDS_MAX));
+	json_object_object_add(record, "edits", format_unlogged_edits(table));
 	return record;
 }
 
+static struct json_object *format_unlogged_edits(const struct cw_table *table)
+{
+	struct json_object *ids = json_object_new_array();
+	guint count = table->unlogged_edits->len;
+
+	for (guint i = count > LOST_EDIT_IDS_MAX ? count - LOST_EDIT_IDS_MAX : 0; i < count; i++)
+		json_object_array_add(ids, json_object_new_int64((int64_t)g_array_index(
+						   table->unlogged_edits, uint64_t, i)));
+	return ids;
+}
+
 static struct json_object *format_unlogged_key(const struct cw_table *table)
 {
 	const struct owner *owner;
--- a/packages/table/src/table_snapshot.c
+++ b/packages/table/src/table_snapshot.c
@@ -2,6 +2,7 @@
 #include "table_internal.h"
 
 static struct json_object *format_drains(const struct cw_table *table);
+static struct json_object *format_edit_ids(const struct cw_table *table);
 static void load_last_record(struct cw_table *table, struct json_object *snapshot);
 static void load_row(struct cw_table *table, struct json_object *source);
 static void load_key(struct cw_table *table, struct json_object *source);
@@ -94,7 +95,7 @@
 			       json_object_new_int64((int64_t)table->last.checksum));
 	json_object_object_add(snapshot, "rows", rows);
 	json_object_object_add(snapshot, "keys", keys);
-	json_object_object_add(snapshot, "edits", table_format_edit_ids(table, EDIT_IDS_MAX));
+	json_object_object_add(snapshot, "edits", format_edit_ids(table));
 	json_object_object_add(snapshot, "drains", format_drains(table));
 	json_object_object_add(record, "snapshot", snapshot);
 	text = g_strdup(json_object_to_json_string_ext(record, JSON_C_TO_STRING_PLAIN));
@@ -124,6 +125,17 @@
 	return list;
 }
 
+static struct json_object *format_edit_ids(const struct cw_table *table)
+{
+	struct json_object *ids = json_object_new_array();
+	size_t oldest = table->edit_count > EDIT_IDS_MAX ? table->edit_count - EDIT_IDS_MAX : 0;
+
+	for (size_t i = oldest; i < table->edit_count; i++)
+		json_object_array_add(
+			ids, json_object_new_int64((int64_t)table->edit_ids[i % EDIT_IDS_MAX]));
+	return ids;
+}
+
 static void load_last_record(struct cw_table *table, struct json_object *snapshot)
 {
 	table->last =
--- a/tests/unit/test_table_restored.c
+++ b/tests/unit/test_table_restored.c
@@ -128,6 +128,73 @@
 	cw_table_destroy(first);
 }
 
+/* Guards against a restoring record that is taken for a repeat once the log has lost it as well. */
+static void an_edit_that_is_lost_twice_is_written_twice(void **state)
+{
+	struct cw_table *former = cw_table_create();
+	struct cw_table *first = cw_table_create();
+	struct cw_table *second = cw_table_create();
+	struct cw_table *reader = cw_table_create();
+
+	apply(former, 2000, EDIT("2", CELL("a", "1", "weight", "20")));
+	cw_table_merge(first, former);
+	write_again(first, reader, 5000);
+	cw_table_merge(second, first);
+	assert_int_equal(cw_table_count_unlogged(second), 1);
+	write_again(second, reader, 9000);
+	assert_int_equal(weight_of(second, "1"), 20);
+	assert_int_equal(cw_table_count_unlogged(second), 0);
+	cw_table_destroy(reader);
+	cw_table_destroy(second);
+	cw_table_destroy(first);
+	cw_table_destroy(former);
+}
+
+/* Guards against an operator's retry that counts on one instance and not on another. */
+static void a_retry_before_the_restoring_record_counts_everywhere(void **state)
+{
+	struct cw_table *former = cw_table_create();
+	struct cw_table *table = cw_table_create();
+	struct cw_table *reader = cw_table_create();
+
+	apply(former, 2000, EDIT("2", CELL("a", "1", "weight", "20")));
+	cw_table_merge(table, former);
+	apply(reader, 3000, EDIT("3", CELL("a", "1", "weight", "30")));
+	apply(table, 3000, EDIT("3", CELL("a", "1", "weight", "30")));
+	assert_int_equal(apply(reader, 4000, EDIT("2", CELL("a", "1", "weight", "20"))),
+			 CW_TABLE_APPLIED);
+	assert_int_equal(apply(table, 4000, EDIT("2", CELL("a", "1", "weight", "20"))),
+			 CW_TABLE_APPLIED);
+	assert_int_equal(revision_of(table, "1"), revision_of(reader, "1"));
+	cw_table_destroy(reader);
+	cw_table_destroy(table);
+	cw_table_destroy(former);
+}
+
+/* Guards against an order that no log holds since an older one was written again. */
+static void an_older_order_leaves_a_later_one_unlogged(void **state)
+{
+	struct cw_table *former = cw_table_create();
+	struct cw_table *table = cw_table_create();
+	struct cw_table *other = cw_table_create();
+	char *older;
+
+	apply(former, 1000, DRAIN("1", "true"));
+	cw_table_merge(other, former);
+	older = cw_table_create_unlogged(other);
+	apply(former, 2000, DRAIN("2", "false"));
+	cw_table_merge(table, former);
+	apply(table, 5000, older);
+	assert_int_equal(cw_table_count_unlogged(table), 1);
+	write_again(table, other, 6000);
+	assert_false(cw_drains_is_drained(cw_table_drains(other), "d1"));
+	assert_int_equal(cw_table_count_unlogged(other), 0);
+	g_free(older);
+	cw_table_destroy(other);
+	cw_table_destroy(table);
+	cw_table_destroy(former);
+}
+
 /* Guards against a revoked key that is served again, and against a new key that is refused. */
 static void the_later_key_of_an_organisation_wins(void **state)
 {
@@ -233,6 +300,9 @@
 		cmocka_unit_test(a_lost_edit_is_merged_and_written_again),
 		cmocka_unit_test(an_edit_on_the_restored_log_is_later_than_the_lost_ones),
 		cmocka_unit_test(instances_that_knew_different_edits_agree),
+		cmocka_unit_test(an_edit_that_is_lost_twice_is_written_twice),
+		cmocka_unit_test(a_retry_before_the_restoring_record_counts_everywhere),
+		cmocka_unit_test(an_older_order_leaves_a_later_one_unlogged),
 		cmocka_unit_test(the_later_key_of_an_organisation_wins),
 		cmocka_unit_test(the_later_order_on_a_failure_domain_wins),
 		cmocka_unit_test(a_snapshot_keeps_the_times_of_its_edits),
