claims: an expired claim does not stay lost

Claims of two logs stand in the order of their offsets, so one that has expired may stand behind one that has not. Written again it was ignored, counted as lost on, and keyed requests were rejected until it was removed. Read in the diff; an_expired_claim_does_not_stay_lost fails before (1 lost for 0).

--- a/packages/request/src/claims.c
+++ b/packages/request/src/claims.c
@@ -374,8 +374,12 @@
 	int64_t time_ms = (int64_t)get_number(item, "time_ms");
 	struct entry *entry = g_hash_table_lookup(claims->by_key, &key);
 
-	if (time_ms < claims->log_time_ms - claims->window_ms ||
-	    g_hash_table_contains(claims->released_claims, &holder))
+	if (time_ms < claims->log_time_ms - claims->window_ms) {
+		if (entry && entry->holder == holder)
+			set_lost(claims, entry, 0);
+		return;
+	}
+	if (g_hash_table_contains(claims->released_claims, &holder))
 		return;
 	/*
 	 * A reader that started after the holder's claim record, or whose log had lost that record,
--- a/tests/unit/test_claims.c
+++ b/tests/unit/test_claims.c
@@ -245,6 +245,23 @@
 	cw_claims_destroy(claims);
 }
 
+/* Guards against keyed requests that are rejected as an expired claim counts as lost for ever. */
+static void an_expired_claim_does_not_stay_lost(void **state)
+{
+	static const struct cw_claim other = {.key = 8, .claim = 9, .body = 5};
+	struct cw_claims *claims = cw_claims_create(100, WINDOW_MS);
+	struct json_object *record = json_object_new_object();
+
+	apply_next(claims, 1000, json_object_new_object());
+	apply_next(claims, 1000, make_claim(&first));
+	cw_claims_rewind(claims, 1);
+	apply_next(claims, 5000, make_claim(&other));
+	assert_int_equal(cw_claims_add_lost(claims, record, 10), 1);
+	apply_next(claims, 1000 + WINDOW_MS + 1, record);
+	assert_int_equal(cw_claims_count_lost(claims), 0);
+	cw_claims_destroy(claims);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -258,6 +275,7 @@
 		cmocka_unit_test(a_claim_that_is_read_again_is_not_lost),
 		cmocka_unit_test(a_lost_release_is_written_again),
 		cmocka_unit_test(records_known_before_the_loss_may_expire),
+		cmocka_unit_test(an_expired_claim_does_not_stay_lost),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
