table: instances stay ready while a restored log holds no table

A log that lost the whole table made every instance reject all requests (platform_unavailable) until the table was written again, and for good without a platform that takes it, though the former table was in force. Read in the diff; instances_stay_ready_when_the_whole_table_is_lost is red before.

--- a/packages/node/src/node.c
+++ b/packages/node/src/node.c
@@ -201,8 +201,7 @@
 int cw_node_is_ready(const struct cw_node *node)
 {
 	/* An instance without a share of the limits would reject every request. */
-	return !node->is_stopping && cw_table_offset(node->table) > 0 &&
-	       cw_limits_has_share(node->limits);
+	return !node->is_stopping && table_is_known(node) && cw_limits_has_share(node->limits);
 }
 
 size_t cw_node_count_running(const struct cw_node *node)
--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -353,6 +353,7 @@
 
 /* node_table.c */
 void table_close(struct cw_node *node);
+int table_is_known(const struct cw_node *node); /* 0: requests can't be judged yet */
 void table_rewind(struct cw_node *node); /* the log was restored: the table is replayed from it */
 void table_read_record(struct cw_node *node, const struct cw_log_record *record);
 void table_finish_replay(struct cw_node *node); /* at the end of the log */
--- a/packages/node/src/node_request.c
+++ b/packages/node/src/node_request.c
@@ -36,7 +36,7 @@
 		request_reject(node, request, CW_CODE_LEAVING, 100, "this instance is leaving");
 		return;
 	}
-	if (cw_table_offset(node->table) == 0) {
+	if (!table_is_known(node)) {
 		request_reject(node, request, CW_CODE_PLATFORM_UNAVAILABLE, PLATFORM_RETRY_MS,
 			       "no table was learned yet");
 		return;
--- a/packages/node/src/node_table.c
+++ b/packages/node/src/node_table.c
@@ -34,6 +34,12 @@
 	cw_table_destroy(node->replayed_table);
 }
 
+/* A restored log may hold no table, while the former one is in force. */
+int table_is_known(const struct cw_node *node)
+{
+	return cw_table_offset(node->table) > 0 || cw_table_count_unlogged(node->table) > 0;
+}
+
 /* The present table stays in force until the log was read to its end. */
 void table_rewind(struct cw_node *node)
 {
@@ -191,7 +197,7 @@
 	/* The stored records must continue the table without a gap: older ones are dropped. */
 	drop_table_records(node);
 	apply_drains(node);
-	cw_session_limit_offsets(node->sessions, cw_table_offset(table));
+	cw_session_limit_offsets(node->sessions, MAX(cw_table_offset(table), 1));
 	/* The age of the records in the snapshot is unknown: a new snapshot is due, unless one was
 	 * read from the log. */
 	if (!node->table_snapshot_wall_ms)
--- a/tests/unit/test_node_restored.c
+++ b/tests/unit/test_node_restored.c
@@ -337,6 +337,27 @@
 	world_destroy(world);
 }
 
+/* Guards against instances that reject all requests while the log holds no table. */
+static void instances_stay_ready_when_the_whole_table_is_lost(void **state)
+{
+	struct world *world = open_world();
+
+	set_weight(world, "30");
+	world_advance(world, 2000);
+	world_lose_records(world, CW_STREAM_TABLE, count_records(world, CW_STREAM_TABLE));
+	for (int i = 0; i < SETTLE_MS; i++) {
+		world_advance(world, 1);
+		assert_true(cw_node_is_ready(world_node(world, 0)->node));
+		assert_true(cw_node_is_ready(world_node(world, 1)->node));
+	}
+	restart_all_at_once(world);
+	for (int i = 0; i < NODES; i++)
+		assert_int_equal(weight_at(world, i), 30);
+	send_chats(world, 0, 3);
+	assert_billed_once(world);
+	world_destroy(world);
+}
+
 /* Guards against lost bills that stay unnoticed under traffic. */
 static void lost_bills_are_back_where_the_log_grew_past_their_offsets(void **state)
 {
@@ -603,6 +624,7 @@
 		cmocka_unit_test(an_accepted_edit_that_was_lost_holds_after_all_are_replaced),
 		cmocka_unit_test(the_edit_after_a_lost_one_is_in_force_within_seconds),
 		cmocka_unit_test(an_instance_without_the_platform_follows_the_restored_log),
+		cmocka_unit_test(instances_stay_ready_when_the_whole_table_is_lost),
 		cmocka_unit_test(lost_bills_are_back_in_the_log_once),
 		cmocka_unit_test(lost_bills_are_back_where_the_log_grew_past_their_offsets),
 		cmocka_unit_test(a_lost_bill_is_back_whatever_is_written_around_it),
