bills: an origin that ended before it noticed a restore

Now every adopted record is checked, and where a restore was noticed within its window the stream is read back at once.

--- a/packages/node/src/node_bill_checks.c
+++ b/packages/node/src/node_bill_checks.c
@@ -16,8 +16,6 @@
 
 	while (previous && previous->offset > offset)
 		previous = TAILQ_PREV(previous, bill_check_list, link);
-	if (previous && previous->offset == offset)
-		return;
 	check = g_new0(struct bill_check, 1);
 	check->offset = offset;
 	check->id = g_strdup(id);
--- a/packages/node/src/node_bills.c
+++ b/packages/node/src/node_bills.c
@@ -41,6 +41,7 @@
 	node->bills_end_offset = 1;
 	node->bills_floor = 1;
 	node->bills_floor_next = 1;
+	node->bills_reopened_ms = -1;
 	TAILQ_INIT(&node->bill_checks);
 }
 
@@ -63,6 +64,7 @@
 	node->bills_floor_ms = node->now_ms;
 	node->bills_need_read_back = 1;
 	node->bills_are_reopened = 1;
+	node->bills_reopened_ms = node->now_ms;
 	node->bills_due_ms = node->now_ms;
 	if (node->bills_state == BILLS_READING_BACK)
 		node->bills_state = BILLS_IDLE;
@@ -366,6 +368,7 @@
 static void check_adopted(struct cw_node *node, const char *origin)
 {
 	const struct cw_bill *last = NULL;
+	uint64_t checked_offset = 0;
 	int64_t newest_ms = INT64_MIN;
 	const struct cw_bill *bill;
 
@@ -379,23 +382,35 @@
 	if (!last)
 		return;
 	bill_checks_add(node, last->offset, last->id);
-	TAILQ_FOREACH(bill, cw_ledger_kept(node->ledger), link)
-		if (!strcmp(bill->origin, origin) && bill->offset &&
-		    newest_ms - bill->settled_ms <= ADOPT_CHECK_MS)
-			bill_checks_add(node, bill->offset, bill->id);
+	TAILQ_FOREACH(bill, cw_ledger_kept(node->ledger), link) {
+		/* The bills of one record follow each other. */
+		if (strcmp(bill->origin, origin) != 0 || !bill->offset ||
+		    bill->offset == checked_offset || newest_ms - bill->settled_ms > ADOPT_CHECK_MS)
+			continue;
+		bill_checks_add(node, bill->offset, bill->id);
+		checked_offset = bill->offset;
+	}
 }
 
 static void adopt_bills(struct cw_node *node, const char *origin)
 {
+	int is_restored_lately =
+		node->bills_reopened_ms >= 0 &&
+		node->now_ms - node->bills_reopened_ms < node->config.restore_window_ms;
 	size_t count;
 
-	check_adopted(node, origin);
+	if (!is_restored_lately)
+		check_adopted(node, origin);
 	count = cw_ledger_adopt(node->ledger, origin);
 	node_log_event(node, "bills", "take_over", "origin=%s held=%zu", origin, count);
-	if (count == 0)
-		return;
-	node->bills_need_read_back = 1;
-	node->bills_due_ms = node->now_ms;
+	if (is_restored_lately) {
+		/* The origin may have ended before it noticed. */
+		bill_checks_clear(node);
+		bills_reopen(node);
+	} else if (count > 0) {
+		node->bills_need_read_back = 1;
+		node->bills_due_ms = node->now_ms;
+	}
 }
 
 /* Of the reopened bills those that the log lacks remain, and are appended. */
--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -223,8 +223,9 @@
 	uint64_t bills_read_offset; /* next offset to read back */
 	uint64_t bills_end_offset;  /* end of the bills stream, as far as known */
 	int64_t bills_due_ms;
-	int bills_need_read_back; /* an append with an unknown result may have been stored */
-	int bills_are_reopened;	  /* the log was restored: bills that were settled may be missing */
+	int bills_need_read_back;  /* an append with an unknown result may have been stored */
+	int64_t bills_reopened_ms; /* when the log was last found restored, -1 never */
+	int bills_are_reopened; /* the log was restored: bills that were settled may be missing */
 	int64_t mirror_check_due_ms;
 	struct bill_check_list bill_checks; /* own records of the bills stream, by offset */
 	uint64_t bill_check_ticket;	    /* of the read in progress, 0 none */
