bills: a record is intact with all its bills only

A peer that held the first, but not the second, wrote its part again at the same offset while the instance of origin was paused, so the second bill was missing and nothing showed it. All kept bills of an offset are compared now.

--- a/packages/node/src/node_bill_checks.c
+++ b/packages/node/src/node_bill_checks.c
@@ -64,7 +64,7 @@
 	if (records->status != CW_OK)
 		return;
 	if (records->count == 0 || found->offset != check->offset ||
-	    !cw_ledger_record_contains(found->data, check->id)) {
+	    !cw_ledger_is_record_intact(node->ledger, found->data, check->offset, check->id)) {
 		bill_checks_report_loss(node, check->offset + 1,
 					records->count == 0 ? "missing" : "replaced");
 		return;
--- a/packages/request/include/cw_ledger.h
+++ b/packages/request/include/cw_ledger.h
@@ -44,7 +44,9 @@
 size_t cw_ledger_settle_record(struct cw_ledger *ledger, const char *record, uint64_t offset,
 			       int64_t now_ms); /* settles all bills of a record of the log;
 						   returns how many were pending */
-int cw_ledger_record_contains(const char *record, const char *id); /* a record of the log */
+int cw_ledger_is_record_intact(const struct cw_ledger *ledger, const char *record, uint64_t offset,
+			       const char *id); /* 1: this record of the log holds the bill of this
+						   id and all own ones kept under its offset */
 size_t cw_ledger_begin_append(
 	struct cw_ledger *ledger, uint64_t append_ticket, const char *origin, size_t max_bills,
 	char **record); /* marks up to max_bills and builds their record; g_free(record) */
--- a/packages/request/src/ledger.c
+++ b/packages/request/src/ledger.c
@@ -16,6 +16,7 @@
 static void kept_remove(struct cw_ledger *ledger, struct cw_bill *bill);
 static void move_to_pending(struct cw_ledger *ledger, struct cw_bill *bill);
 static char *bill_id(struct json_object *item);
+static GHashTable *record_ids(const char *record);
 
 struct cw_ledger *cw_ledger_create(void)
 {
@@ -79,41 +80,30 @@
 size_t cw_ledger_settle_record(struct cw_ledger *ledger, const char *record, uint64_t offset,
 			       int64_t now_ms)
 {
-	struct json_object *parsed = json_tokener_parse(record);
 	size_t pending = g_hash_table_size(ledger->by_id);
-	struct json_object *bills;
-
-	if (json_object_object_get_ex(parsed, "bills", &bills) &&
-	    json_object_is_type(bills, json_type_array)) {
-		for (size_t i = 0; i < json_object_array_length(bills); i++) {
-			char *id = bill_id(json_object_array_get_idx(bills, i));
-
-			if (id)
-				cw_ledger_settle(ledger, id, offset, now_ms);
-			g_free(id);
-		}
-	}
-	json_object_put(parsed);
+	GHashTable *ids = record_ids(record);
+	GHashTableIter iter;
+	const char *id;
+
+	g_hash_table_iter_init(&iter, ids);
+	while (g_hash_table_iter_next(&iter, (gpointer *)&id, NULL))
+		cw_ledger_settle(ledger, id, offset, now_ms);
+	g_hash_table_destroy(ids);
 	return pending - g_hash_table_size(ledger->by_id);
 }
 
-int cw_ledger_record_contains(const char *record, const char *id)
+int cw_ledger_is_record_intact(const struct cw_ledger *ledger, const char *record, uint64_t offset,
+			       const char *id)
 {
-	struct json_object *parsed = json_tokener_parse(record);
-	struct json_object *bills;
-	int is_found = 0;
-
-	if (json_object_object_get_ex(parsed, "bills", &bills) &&
-	    json_object_is_type(bills, json_type_array)) {
-		for (size_t i = 0; !is_found && i < json_object_array_length(bills); i++) {
-			char *found = bill_id(json_object_array_get_idx(bills, i));
+	GHashTable *ids = record_ids(record);
+	int is_intact = g_hash_table_contains(ids, id);
+	const struct cw_bill *bill;
 
-			is_found = found && !strcmp(found, id);
-			g_free(found);
-		}
-	}
-	json_object_put(parsed);
-	return is_found;
+	TAILQ_FOREACH(bill, &ledger->kept, link)
+		if (bill->offset == offset && !*bill->origin)
+			is_intact &= g_hash_table_contains(ids, bill->id);
+	g_hash_table_destroy(ids);
+	return is_intact;
 }
 
 size_t cw_ledger_begin_append(struct cw_ledger *ledger, uint64_t append_ticket, const char *origin,
@@ -342,3 +332,22 @@
 	return g_strdup_printf("%s/%s", json_object_get_string(organisation),
 			       json_object_get_string(request));
 }
+
+static GHashTable *record_ids(const char *record)
+{
+	GHashTable *ids = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	struct json_object *parsed = json_tokener_parse(record);
+	struct json_object *bills;
+
+	if (json_object_object_get_ex(parsed, "bills", &bills) &&
+	    json_object_is_type(bills, json_type_array)) {
+		for (size_t i = 0; i < json_object_array_length(bills); i++) {
+			char *id = bill_id(json_object_array_get_idx(bills, i));
+
+			if (id)
+				g_hash_table_add(ids, id);
+		}
+	}
+	json_object_put(parsed);
+	return ids;
+}
--- a/tests/unit/test_ledger.c
+++ b/tests/unit/test_ledger.c
@@ -80,12 +80,33 @@
 	cw_ledger_destroy(ledger);
 }
 
+/* Guards against a record that is taken for a lost one since it holds some of the same bills. */
+static void a_record_is_intact_with_all_its_bills_only(void **state)
+{
+	struct cw_ledger *ledger = cw_ledger_create();
+
+	cw_ledger_add(ledger, "a/1", "{}", "", 1, 1000);
+	cw_ledger_add(ledger, "a/2", "{}", "", 1, 1000);
+	cw_ledger_settle(ledger, "a/1", 6, 1000);
+	cw_ledger_settle(ledger, "a/2", 6, 1000);
+	assert_true(
+		cw_ledger_is_record_intact(ledger,
+					   "{\"bills\":[{\"bill\":\"1\",\"organisation\":\"a\"},"
+					   "{\"bill\":\"2\",\"organisation\":\"a\"}]}",
+					   6, "a/1"));
+	assert_false(cw_ledger_is_record_intact(
+		ledger, "{\"bills\":[{\"bill\":\"1\",\"organisation\":\"a\"}]}", 6, "a/1"));
+	assert_false(cw_ledger_is_record_intact(ledger, "{\"bills\":[]}", 7, "a/1"));
+	cw_ledger_destroy(ledger);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_bill_stays_until_its_record_is_confirmed),
 		cmocka_unit_test(a_settled_bill_is_pending_again_after_a_loss),
 		cmocka_unit_test(settled_bills_are_kept_for_a_time_and_up_to_a_number),
+		cmocka_unit_test(a_record_is_intact_with_all_its_bills_only),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
