--- a/packages/request/src/claims.c
+++ b/packages/request/src/claims.c
@@ -401,7 +401,7 @@
 	set_logged(claims, entry, LOST_OUTCOME);
 }
 
-/* Offsets alone do not tell, as a restored log gives them out again. */
+/* By time first, as a restored log gives offsets out again. */
 static int is_later(const struct entry *entry, int64_t time_ms, uint64_t offset)
 {
 	return entry->time_ms > time_ms || (entry->time_ms == time_ms && entry->offset > offset);
