pace, backlog: interfaces of the parts that decide under load; prediction error

Cause: what an answer's beginning takes against its prediction was only in the log, and the parts that follow need one place where they meet the instance.

No decision changes.

--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -43,6 +43,7 @@
 	int was_ready;
 	unsigned int tick_count;
 	int64_t report_warning_ms; /* of the last log line on an invalid report */
+	int64_t prediction_logged_ms;
 	int metrics_port;
 };
 
@@ -107,7 +108,8 @@
 		      const char *source); /* source, for the log: "store" or a peer's name */
 
 /* entry_peers.c: messages between instances */
-#define PEERS_READERS_KEY 0x72656164 /* ranks the store's readers; equal on all instances */
+#define PEERS_DOMAIN_FANOUT 64	       /* instances of one domain that get a message at once */
+#define PEERS_READERS_KEY   0x72656164 /* ranks the store's readers; equal on all instances */
 struct peers *peers_create(struct entry *entry, struct cw_error *error);
 void peers_destroy(struct peers *peers);
 void peers_announce(struct peers *peers);      /* at once, in addition to the periodic rounds */
@@ -120,5 +122,16 @@
 		       int is_avoided); /* is_avoided: it gets no request for a while */
 size_t peers_rank(const struct peers *peers, uint64_t key,
 		  int64_t now_ms); /* 0: this instance is the first to act on the key */
+size_t peers_send_to_domain(struct peers *peers, const char *failure_domain, const char *bytes,
+			    size_t size); /* to live instances of the own domain and of that one, at
+					     most PEERS_DOMAIN_FANOUT of each; returns how many */
+size_t peers_send_to_some(struct peers *peers, const char *bytes,
+			  size_t size); /* to those that get the next full announcement */
+
+/* entry_load.c: what instances announce of servers between two rounds of gossip */
+void load_announce(struct entry *entry, int64_t now_ms); /* with each round */
+void load_update_gauges(const struct entry *entry);
+int load_merge(struct entry *entry, const char *bytes, size_t size,
+	       uint32_t delay_ms); /* 0: no message on servers */
 
 #endif
--- a/apps/corianderwalk/entry_peers.c
+++ b/apps/corianderwalk/entry_peers.c
@@ -61,6 +61,7 @@
 static void send_to_members(struct peers *peers, const struct datagram *full,
 			    const struct datagram *trimmed, const struct datagram *reports);
 static void send_to(struct peers *peers, const char *address, const struct datagram *message);
+static void send_bytes(struct peers *peers, const char *address, const char *bytes, size_t size);
 static void merge_announcement(struct peers *peers, struct cw_gossip *gossip);
 static void send_introduction(struct peers *peers, const char *address);
 static void reply_to_new_instance(struct peers *peers, const char *address);
@@ -164,6 +165,53 @@
 		member->avoided_until_ms = entry_now_ms(peers->entry) + FORWARD_AVOIDED_MS;
 }
 
+size_t peers_send_to_domain(struct peers *peers, const char *failure_domain, const char *bytes,
+			    size_t size)
+{
+	const char *own_domain = peers->entry->settings.failure_domain;
+	int64_t now_ms = entry_now_ms(peers->entry);
+	size_t known = cw_membership_size(peers->membership);
+	struct cw_member **members = g_new(struct cw_member *, known);
+	size_t own_left = PEERS_DOMAIN_FANOUT;
+	size_t other_left = strcmp(failure_domain, own_domain) != 0 ? PEERS_DOMAIN_FANOUT : 0;
+	size_t sent = 0;
+	size_t count;
+	uint64_t random;
+
+	cw_random_bytes(&random, sizeof(random));
+	count = cw_membership_sample(peers->membership, random, members, known);
+	for (size_t i = 0; i < count; i++) {
+		int is_own = !strcmp(members[i]->failure_domain, own_domain);
+		size_t *left = is_own ? &own_left : &other_left;
+
+		if (!is_own && strcmp(members[i]->failure_domain, failure_domain) != 0)
+			continue;
+		if (*left == 0 || !cw_membership_is_live(peers->membership, members[i], now_ms))
+			continue;
+		(*left)--;
+		send_bytes(peers, members[i]->address, bytes, size);
+		sent++;
+	}
+	g_free(members);
+	return sent;
+}
+
+size_t peers_send_to_some(struct peers *peers, const char *bytes, size_t size)
+{
+	struct cw_audience audience;
+	uint64_t random;
+	size_t sent;
+
+	cw_random_bytes(&random, sizeof(random));
+	cw_audience_choose(&audience, peers->membership, peers->entry->settings.failure_domain,
+			   random);
+	sent = audience.full_count;
+	for (size_t i = 0; i < sent; i++)
+		send_bytes(peers, audience.members[i]->address, bytes, size);
+	cw_audience_clear(&audience);
+	return sent;
+}
+
 void peers_announce(struct peers *peers)
 {
 	const struct cw_up_settings *settings = &peers->entry->settings;
@@ -186,6 +234,7 @@
 	g_free(gossip);
 	encode_reports(peers, &reports);
 	send_to_members(peers, &full, &trimmed, &reports);
+	load_announce(peers->entry, entry_now_ms(peers->entry));
 	if (peers->round_count++ % SEED_INTERVAL_ROUNDS == 0 ||
 	    cw_audience_needs_seeds(peers->membership, entry_is_synced(peers->entry)))
 		for (size_t i = 0; i < settings->seed_count; i++)
@@ -280,7 +329,8 @@
 		merge_announcement(peers, gossip);
 	} else if (cw_gossip_decode_reports(buffer->base, (size_t)size, &reports) == CW_OK) {
 		reports_merge(peers->entry, &reports, cw_flow_datagram_delay_ms(socket));
-	} else {
+	} else if (!load_merge(peers->entry, buffer->base, (size_t)size,
+			       cw_flow_datagram_delay_ms(socket))) {
 		cw_counter_add("peer_messages_ignored", "", 1);
 	}
 	g_free(gossip);
@@ -364,11 +414,16 @@
 }
 
 static void send_to(struct peers *peers, const char *address, const struct datagram *message)
+{
+	send_bytes(peers, address, message->bytes, message->size);
+}
+
+static void send_bytes(struct peers *peers, const char *address, const char *bytes, size_t size)
 {
 	struct sockaddr_in socket_address;
-	uv_buf_t buffer = uv_buf_init((char *)message->bytes, (unsigned int)message->size);
+	uv_buf_t buffer = uv_buf_init((char *)bytes, (unsigned int)size);
 
-	if (message->size == 0 || cw_flow_parse_address(address, &socket_address) != CW_OK)
+	if (size == 0 || cw_flow_parse_address(address, &socket_address) != CW_OK)
 		return;
 	/* A full socket buffer drops the message, as the network may; the next one follows. */
 	if (uv_udp_try_send(&peers->socket, &buffer, 1, (const struct sockaddr *)&socket_address) <
--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -182,6 +182,7 @@
 		learn_timing(call, took_ms);
 	call_work_end(call);
 	cw_pool_record_outcome(call->server, 0, MAX(ratio, 1), now_ms);
+	cw_pool_record_prediction(call->server, took_ms, call->predicted_ms, now_ms);
 	report_to_rollout(call, is_plain && call->is_slow, call->is_slow, now_ms);
 }
 
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -6,10 +6,13 @@
 #ifndef CW_POOL_H
 #define CW_POOL_H
 
+#include "cw_backlog.h"
 #include "cw_brittle.h"
 #include "cw_drain.h"
 #include "cw_home.h"
+#include "cw_pace.h"
 #include "cw_policy.h"
+#include "cw_prediction.h"
 #include "cw_rate_limit.h"
 #include "cw_status.h"
 #include "cw_warmup.h"
@@ -81,6 +84,13 @@
 
 TAILQ_HEAD(cw_server_reports_list, cw_server_reports);
 
+/* What is known of the work of a server that this instance or a peer uses. */
+struct cw_server_work {
+	struct cw_pace pace;
+	struct cw_backlog backlog;
+	struct cw_prediction prediction; /* of its answers' beginnings */
+};
+
 /* One start of a backend server: a restart under the same name is another struct cw_server. */
 struct cw_server {
 	struct cw_pool *pool;
@@ -124,6 +134,7 @@
 	size_t history_next;
 	double service_ms; /* smoothed time that one request takes */
 
+	struct cw_server_work *work; /* NULL: no instance is known to use the server */
 	double own_work_ms;	    /* predicted work of own prompts whose answers have not begun */
 	double work_until_ms;	    /* predicted time at which all of them are processed */
 	double peers_work_ms;	    /* the same work of other instances, from gossip */
@@ -319,6 +330,12 @@
 				    int64_t now_ms); /* maximum of the last second or so */
 double cw_pool_backlog_ms(const struct cw_server *server, double mean_work_ms,
 			  int64_t now_ms); /* predicted work queued, of all instances */
+struct cw_server_work *cw_pool_work(struct cw_server *server); /* created if there is none */
+void cw_pool_record_prediction(struct cw_server *server, double taken_ms, double predicted_ms,
+			       int64_t now_ms); /* of an answer's beginning */
+const struct cw_prediction *cw_pool_prediction(const struct cw_pool *pool); /* over all servers */
+double cw_pool_pace(const struct cw_server *server,
+		    int64_t now_ms); /* multiplies the work predicted for the usual server */
 double cw_pool_failure_rate(const struct cw_server *server, int64_t now_ms);
 double cw_pool_slowness(const struct cw_server *server, int64_t now_ms);
 void cw_pool_record_refusal(struct cw_server *server, int64_t now_ms,
--- a/packages/pool/src/placement.c
+++ b/packages/pool/src/placement.c
@@ -3,9 +3,8 @@
  * do, its failures and the transfer between failure domains, all expressed in milliseconds.
  */
 #include "cw_hash.h"
-#include "cw_pool.h"
+#include "pool_internal.h"
 
-#include <glib.h>
 #include <math.h>
 #include <string.h>
 
@@ -96,6 +95,30 @@
 	return MAX(known_ms, reported_ms);
 }
 
+struct cw_server_work *cw_pool_work(struct cw_server *server)
+{
+	if (!server->work)
+		server->work = g_new0(struct cw_server_work, 1);
+	return server->work;
+}
+
+void cw_pool_record_prediction(struct cw_server *server, double taken_ms, double predicted_ms,
+			       int64_t now_ms)
+{
+	cw_prediction_add(&cw_pool_work(server)->prediction, taken_ms, predicted_ms, now_ms);
+	cw_prediction_add(&server->pool->prediction, taken_ms, predicted_ms, now_ms);
+}
+
+const struct cw_prediction *cw_pool_prediction(const struct cw_pool *pool)
+{
+	return &pool->prediction;
+}
+
+double cw_pool_pace(const struct cw_server *server, int64_t now_ms)
+{
+	return server->work ? cw_pace_factor(&server->work->pace, now_ms) : CW_PACE_USUAL;
+}
+
 double cw_pool_failure_rate(const struct cw_server *server, int64_t now_ms)
 {
 	return server->failure_rate * evidence_weight(server, now_ms);
--- a/packages/pool/src/pool.c
+++ b/packages/pool/src/pool.c
@@ -285,6 +285,9 @@
 		g_hash_table_remove(pool->by_name, server->name);
 	g_free(server->versions);
 	g_free(server->history);
+	if (server->work)
+		cw_pace_clear(&server->work->pace);
+	g_free(server->work);
 	g_free(server);
 }
 
--- a/packages/pool/src/pool_internal.h
+++ b/packages/pool/src/pool_internal.h
@@ -37,7 +37,8 @@
 	const struct cw_choice_policy *choice;
 	const struct cw_policy *policy;
 	struct cw_drains *drains;
-	GHashTable *regions; /* failure domain -> region */
+	struct cw_prediction prediction; /* over all servers */
+	GHashTable *regions;		 /* failure domain -> region */
 	void (*find_place)(void *context, uint64_t server, struct cw_warmup_place *place);
 	void *place_context;
 	struct cw_server_list servers;
