--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -244,7 +244,7 @@
 		 "request=%s attempt=%u server=%s address=%s software=%s route=%s model=%s "
 		 "allowed_ms=%ld "
 		 "urgency=%d config=%lu load=%.0f waited_ms=%ld session=%s arm=%s share=%.3f "
-		 "point=%.3f fingerprint=%016lx",
+		 "point=%.3f predicted_ms=%.0f work_ms=%.0f fingerprint=%016lx",
 		 relay->request_info.id, cw_call_attempts(relay->call), step->server->name,
 		 step->server->address, step->server->software, cw_call_route(relay->call)->name,
 		 cw_call_model(relay->call), (long)step->dispatch.allowed_ms,
@@ -254,7 +254,8 @@
 		 (long)(entry_now_ms(relay->entry) - relay->opened_ms),
 		 *relay->request_info.session ? relay->request_info.session : "-",
 		 variant_names[step->assignment.variant], step->assignment.share,
-		 step->assignment.point, (unsigned long)cw_call_fingerprint(relay->call));
+		 step->assignment.point, cw_call_predicted_ms(relay->call),
+		 cw_call_work_ms(relay->call), (unsigned long)cw_call_fingerprint(relay->call));
 }
 
 static void on_head(void *context, const struct cw_message *answer)
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -145,5 +145,6 @@
 const struct cw_report_changes *cw_call_report_changes(const struct cw_call *call);
 unsigned int cw_call_attempts(const struct cw_call *call);
 double cw_call_predicted_ms(const struct cw_call *call); /* until the response head */
+double cw_call_work_ms(const struct cw_call *call);	 /* of the attempt's prompt, predicted */
 
 #endif
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -298,6 +298,11 @@
 	return call->predicted_ms;
 }
 
+double cw_call_work_ms(const struct cw_call *call)
+{
+	return call->work_ms;
+}
+
 /*
  * A caller that retries has less time left than the longest limit on its route; the difference
  * estimates how long it has been waiting.
