claims: an order waits for the log to guard its key

Cause: an instance whose last read of the claims failed rejected each order until its next read, up to 1.5 s after the platform was back, and longer on a slow one.

Change: an order waits for the next answer to a read of the claims, which is sent within 200 ms of the last failure, and is rejected if that read fails. A platform that gave no answer within a second isn't waited for. After a restore an order waits until what was lost is in the log again; a claim made before the loss was noticed is released unused, and a new one follows what was written again. The conditions under which a claim is used are as before; each wait ends after claim_timeout_ms.

--- a/packages/node/src/node_claims.c
+++ b/packages/node/src/node_claims.c
@@ -136,6 +136,15 @@
 	       (node->claims_doubted_ms < 0 || node->now_ms - node->claims_doubted_ms > DOUBT_MS);
 }
 
+int claims_may_be_guarded(const struct cw_node *node, int64_t until_ms)
+{
+	const struct log_reader *reader = &node->log_readers[CW_STREAM_CLAIMS];
+
+	if (reader->is_silent || (reader->is_caught_up && !cw_claims_is_complete(node->claims)))
+		return 0;
+	return node->claims_doubted_ms < 0 || node->claims_doubted_ms + DOUBT_MS < until_ms;
+}
+
 void claims_notify_requests(struct cw_node *node)
 {
 	request_check_claims(node);
--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -15,11 +15,12 @@
 #include <json-c/json.h>
 
 enum request_state {
-	REQUEST_BINDING,  /* waits for the binding of its session from the owning peers */
-	REQUEST_CLAIMING, /* waits until its claim is read back from the log */
-	REQUEST_RUNNING,  /* an attempt is in progress */
-	REQUEST_RATING,	  /* waits for the rating of its answer */
-	REQUEST_BILLING,  /* waits until a peer holds a mirror of its bill */
+	REQUEST_BINDING,   /* waits for the binding of its session from the owning peers */
+	REQUEST_UNGUARDED, /* waits until the log of claims can guard its key */
+	REQUEST_CLAIMING,  /* waits until its claim is read back from the log */
+	REQUEST_RUNNING,   /* an attempt is in progress */
+	REQUEST_RATING,	   /* waits for the rating of its answer */
+	REQUEST_BILLING,   /* waits until a peer holds a mirror of its bill */
 };
 
 struct attempt {
@@ -57,9 +58,12 @@
 	uint64_t failed_version;	/* version id that failed this request, 0 none */
 	int is_rebound;			/* the version of its session was withdrawn */
 
-	struct cw_claim claim; /* claim 0: none */
-	uint64_t claim_floor;  /* a record of the claims stream that a live peer had read when the
-				  claim was made: the claim follows it in the log */
+	struct cw_claim claim;	 /* claim 0: none */
+	uint64_t claim_floor;	 /* a record of the claims stream that a live peer had read when the
+				    claim was made: the claim follows it in the log */
+	uint64_t dropped_claim;	 /* an earlier claim of this request that was released, 0 none */
+	int64_t guard_until_ms;	 /* no claim is made after this time */
+	uint64_t guard_failures; /* failed reads of the claims stream when the wait began */
 
 	struct attempt attempts[CW_MAX_ATTEMPTS];
 	unsigned int attempt_count;
@@ -111,6 +115,9 @@
 	int64_t read_sent_ms;	 /* when the read in progress was sent */
 	int64_t next_read_ms;	 /* no read is sent before this time */
 	int64_t backoff_ms;	 /* 0 after a successful read */
+	int64_t failed_ms;	 /* when the last read failed */
+	uint64_t failures;	 /* failed reads in total */
+	int is_silent;		 /* the last read failed without an answer within a second */
 	int64_t last_success_ms; /* when a read was last answered, -1 never */
 	int is_caught_up;	 /* the end of the stream was reached once since the start */
 	int needs_snapshot;	 /* records were missed: the table waits for a snapshot */
@@ -334,6 +341,10 @@
 void log_handle_append(struct cw_node *node, const struct cw_append_result *appended);
 void log_tick(struct cw_node *node);
 int log_is_up(const struct cw_node *node, enum cw_stream stream);
+int log_is_answered(const struct cw_node *node,
+		    enum cw_stream stream); /* 1: the last read was, and not long ago */
+void log_read_soon(struct cw_node *node,
+		   enum cw_stream stream); /* a request waits for the stream to be up again */
 int log_is_current(const struct cw_node *node,
 		   enum cw_stream stream); /* 1: read to its end a moment ago */
 void claims_enqueue(struct cw_node *node, const struct cw_claim *claim, int kind, int status,
@@ -376,6 +387,8 @@
 void claims_note_peer(struct cw_node *node, const struct cw_member *member, uint64_t offset);
 uint64_t claims_find_floor(struct cw_node *node);   /* newest record that a live peer has read */
 int claims_are_guarded(const struct cw_node *node); /* 1: no claim can be missing here */
+int claims_may_be_guarded(const struct cw_node *node,
+			  int64_t until_ms); /* 0: not by that time, as far as known here */
 
 /* node_bills.c */
 void bills_open(struct cw_node *node);
--- a/packages/node/src/node_log.c
+++ b/packages/node/src/node_log.c
@@ -10,6 +10,8 @@
 #define READ_TIMEOUT_MS	  5000 /* a stream whose read takes longer counts as unreachable */
 #define BACKOFF_MIN_MS	  50
 #define BACKOFF_MAX_MS	  1000
+#define RETRY_SOON_MS	  200	/* between two reads of a failing stream that requests wait for */
+#define ANSWER_MS	  1000	/* a read that fails later, its wait aside, got no answer */
 #define CURRENT_MS	  1500	/* a stream that was read longer ago may have new records */
 #define CHECK_BYTES_PER_S 65536 /* for reading the last record again, which may be a snapshot */
 #define MARK_MS		  1000	/* between two marks, on the clock of the log */
@@ -85,6 +87,7 @@
 	}
 	reader->last_success_ms = node->now_ms;
 	reader->backoff_ms = 0;
+	reader->is_silent = 0;
 	reader->oldest_offset = MAX(reader->oldest_offset, records->first);
 	switch (reader->step) {
 	case READER_CHECK:
@@ -134,13 +137,27 @@
 /* A stream is up if it was read to its end once and the last read was answered recently. A platform
  * that does not answer is noticed after the timeout of the read. */
 int log_is_up(const struct cw_node *node, enum cw_stream stream)
+{
+	return node->log_readers[stream].is_caught_up && log_is_answered(node, stream);
+}
+
+int log_is_answered(const struct cw_node *node, enum cw_stream stream)
 {
 	const struct log_reader *reader = &node->log_readers[stream];
 
-	return reader->is_caught_up && reader->backoff_ms == 0 && reader->last_success_ms >= 0 &&
+	return reader->backoff_ms == 0 && reader->last_success_ms >= 0 &&
 	       node->now_ms - reader->last_success_ms <= LONG_POLL_MS + READ_TIMEOUT_MS;
 }
 
+/* The platform may be back since the last read failed, long before the next one is due. */
+void log_read_soon(struct cw_node *node, enum cw_stream stream)
+{
+	struct log_reader *reader = &node->log_readers[stream];
+
+	if (reader->backoff_ms)
+		reader->next_read_ms = MIN(reader->next_read_ms, reader->failed_ms + RETRY_SOON_MS);
+}
+
 int log_is_current(const struct cw_node *node, enum cw_stream stream)
 {
 	return log_is_up(node, stream) &&
@@ -286,6 +303,11 @@
 
 static void reader_handle_failure(struct cw_node *node, struct log_reader *reader)
 {
+	int64_t wait_ms = reader->step == READER_WAIT ? LONG_POLL_MS : 0;
+
+	reader->is_silent = node->now_ms - reader->read_sent_ms > wait_ms + ANSWER_MS;
+	reader->failed_ms = node->now_ms;
+	reader->failures++;
 	reader->read_ticket = 0;
 	if (reader->step == READER_WAIT)
 		reader->step = READER_CHECK;
--- a/packages/node/src/node_request.c
+++ b/packages/node/src/node_request.c
@@ -18,9 +18,13 @@
 static void admit(struct cw_node *node, struct request *request);
 static int acquire_limits(struct cw_node *node, struct request *request, int64_t *retry_after_ms);
 static void claim_key(struct cw_node *node, struct request *request);
+static void wait_for_guard(struct cw_node *node, struct request *request);
+static void guard_key(struct cw_node *node, struct request *request);
+static void add_claim(struct cw_node *node, struct request *request);
 static void check_claim(struct cw_node *node, struct request *request);
 static int can_trust_claim(struct cw_node *node, const struct request *request,
 			   const struct cw_claim_view *view);
+static void drop_claim(struct cw_node *node, struct request *request);
 
 void request_begin(struct cw_node *node, const struct cw_node_request *in)
 {
@@ -100,6 +104,8 @@
 
 		if (request->state == REQUEST_CLAIMING)
 			check_claim(node, request);
+		else if (request->state == REQUEST_UNGUARDED)
+			guard_key(node, request);
 		request = next;
 	}
 }
@@ -136,9 +142,11 @@
 			admit_with_binding(node, request);
 		else if (request->state == REQUEST_RATING && node->now_ms >= request->wait_until_ms)
 			request_handle_rating(node, request->in.handle, -1);
+		else if (request->state == REQUEST_UNGUARDED)
+			guard_key(node, request);
 		else if (request->state == REQUEST_CLAIMING &&
 			 (node->now_ms >= request->wait_until_ms ||
-			  !log_is_up(node, CW_STREAM_CLAIMS)))
+			  !log_is_answered(node, CW_STREAM_CLAIMS)))
 			request_reject(node, request, CW_CODE_PLATFORM_UNAVAILABLE,
 				       PLATFORM_RETRY_MS, "the claim was not confirmed by the log");
 		request = next;
@@ -387,31 +395,63 @@
 /*
  * A non-idempotent request that a caller sends to two instances, or again after a crash, would run
  * twice. Its idempotency key is therefore claimed in the log first, and only the instance whose
- * claim holds the key sends the request. Without the log the holder is unknown, so the request is
- * rejected at once.
+ * claim holds the key sends the request.
  */
 static void claim_key(struct cw_node *node, struct request *request)
 {
-	uint64_t key = cw_claims_key(request->organisation, request->in.target,
-				     request->in.idempotency_key);
+	request->claim.key = cw_claims_key(request->organisation, request->in.target,
+					   request->in.idempotency_key);
+	request->claim.body = request->in.body;
+	request->guard_until_ms =
+		MIN(node->now_ms + node->config.claim_timeout_ms, request->deadline_ms);
+	wait_for_guard(node, request);
+}
 
-	if (!log_is_up(node, CW_STREAM_CLAIMS) || !claims_are_guarded(node)) {
-		request_reject(node, request, CW_CODE_PLATFORM_UNAVAILABLE, PLATFORM_RETRY_MS,
-			       "the log of claims can't be read, so the order can't be guarded");
+/*
+ * Without the log the holder of a key is unknown. Whether the log is back, the next answer to a
+ * read tells, so the request waits for that one; it is rejected where the read fails. After a
+ * restore it waits until what was lost is in the log again.
+ */
+static void wait_for_guard(struct cw_node *node, struct request *request)
+{
+	request->state = REQUEST_UNGUARDED;
+	request->guard_failures = node->log_readers[CW_STREAM_CLAIMS].failures;
+	log_read_soon(node, CW_STREAM_CLAIMS);
+	guard_key(node, request);
+}
+
+static void guard_key(struct cw_node *node, struct request *request)
+{
+	struct cw_claim_view view = cw_claims_lookup(node->claims, request->claim.key);
+	int is_guarded = log_is_up(node, CW_STREAM_CLAIMS) && claims_are_guarded(node);
+
+	if (request->dropped_claim && view.holder == request->dropped_claim)
+		is_guarded = 0; /* until the release of that claim is read */
+	if (is_guarded && view.state != CW_CLAIM_FREE) {
+		check_claim(node, request);
 		return;
 	}
-	request->claim.key = key;
-	request->claim.body = request->in.body;
-	request->state = REQUEST_CLAIMING;
-	if (cw_claims_lookup(node->claims, key).state != CW_CLAIM_FREE) {
-		check_claim(node, request);
+	if (is_guarded) {
+		add_claim(node, request);
 		return;
 	}
+	if (node->now_ms >= request->guard_until_ms ||
+	    request->guard_failures != node->log_readers[CW_STREAM_CLAIMS].failures ||
+	    !claims_may_be_guarded(node, request->guard_until_ms))
+		request_reject(node, request, CW_CODE_PLATFORM_UNAVAILABLE, PLATFORM_RETRY_MS,
+			       "the log of claims %s, so the order can't be guarded",
+			       log_is_up(node, CW_STREAM_CLAIMS) ? "is being restored"
+								 : "can't be read");
+}
+
+static void add_claim(struct cw_node *node, struct request *request)
+{
 	if (cw_claims_is_full(node->claims)) {
 		request_reject(node, request, CW_CODE_OVERLOADED, PLATFORM_RETRY_MS,
 			       "no room to guard another order");
 		return;
 	}
+	request->state = REQUEST_CLAIMING;
 	request->claim.claim = node_random(node) | 1;
 	request->claim_floor = claims_find_floor(node);
 	request->wait_until_ms =
@@ -429,8 +469,7 @@
 		return;
 	if (view.state == CW_CLAIM_PENDING && view.holder == own_claim) {
 		if (!can_trust_claim(node, request, &view)) {
-			request_reject(node, request, CW_CODE_PLATFORM_UNAVAILABLE,
-				       PLATFORM_RETRY_MS, "the log of claims is being restored");
+			drop_claim(node, request);
 			return;
 		}
 		node_log_event(node, "claims", "claimed", "request=%s organisation=%s",
@@ -459,16 +498,30 @@
 	request_destroy(node, request);
 }
 
-/* A claim at an offset that a peer had read before it was made stands in a log that lost records:
- * an earlier claim of the key may be among them. */
+/*
+ * A claim at an offset that a peer had read before it was made stands in a log that lost records:
+ * an earlier claim of the key may be among them. Where this instance has noticed the loss since, it
+ * had read all of them itself.
+ */
 static int can_trust_claim(struct cw_node *node, const struct request *request,
 			   const struct cw_claim_view *view)
 {
 	if (view->offset > request->claim_floor)
 		return claims_are_guarded(node);
+	if (request->claim_floor <= node->claims_known_end)
+		return 0;
 	node_log_event(node, "claims", "doubted",
 		       "request=%s offset=%" G_GUINT64_FORMAT " peer_offset=%" G_GUINT64_FORMAT,
 		       request->in.request_id, view->offset, request->claim_floor);
 	node->claims_doubted_ms = node->now_ms;
 	return 0;
 }
+
+/* The next claim is made when what the log has lost is in it again, and so follows it there. */
+static void drop_claim(struct cw_node *node, struct request *request)
+{
+	claims_enqueue(node, &request->claim, CLAIM_ENTRY_RELEASE, 0, NULL);
+	request->dropped_claim = request->claim.claim;
+	request->claim.claim = 0;
+	wait_for_guard(node, request);
+}
--- a/tests/fake/controls.c
+++ b/tests/fake/controls.c
@@ -84,6 +84,11 @@
 	world->outage = outage;
 }
 
+void world_set_store_latency(struct world *world, int64_t latency_ms)
+{
+	world->config.store_latency_ms = latency_ms;
+}
+
 void world_lose_append_answers(struct world *world, int count, int is_late)
 {
 	world->lost_answers_left = count;
--- a/tests/fake/world.h
+++ b/tests/fake/world.h
@@ -121,6 +121,8 @@
 				int cut); /* between its instances and those of all other domains */
 void world_set_store_partition(struct world *world, int node, int cut);
 void world_set_outage(struct world *world, int outage);
+void world_set_store_latency(struct world *world,
+			     int64_t latency_ms); /* one way, of later reads and appends */
 void world_lose_append_answers(struct world *world, int count,
 			       int is_late); /* stored, at once or late; the answer is lost */
 void world_set_message_faults(struct world *world, int drop_per_mille,
