--- a/tests/standins/users_runner.c
+++ b/tests/standins/users_runner.c
@@ -20,8 +20,9 @@
  * POST /admin/brittle?m=N says in each answer from then on that the server is brittle: with more
  * than N rejections for want of room within a second it crashes; without N: it says and does
  * neither. POST /admin/places?m=N runs at most N requests at a time from then on, and rejects
- * others. GET /admin/running prints the number of streams that run now. GET /admin/runs lists the
- * requests that began to run: id, model, organisation, last event before.
+ * others. POST /admin/moment?m=TEXT adds TEXT to the reported load as its fourth figure from then
+ * on; without TEXT: three figures. GET /admin/running prints the number of streams that run now.
+ * GET /admin/runs lists the requests that began to run: id, model, organisation, last event before.
  *
  * Prints what it received and answered, with the time of the monotonic clock in ms:
  *   got MS ID          a request
@@ -32,6 +33,11 @@
  *   fell MS            a crash after too many of them
  *   admin MS limit N   the rate limit is N from now on; without N: none
  *
+ * With --prefill-us N a stream's prompt takes N us a token; prompts are processed one after the
+ * other, and the response head is sent when its own is done. With --memory N running streams keep
+ * at most N tokens; others wait, and are reported as queued. --pace P: all work takes P times as
+ * long.
+ *
  * With --fatal TEXT a request whose body contains TEXT crashes the server after --fatal-ms: all
  * connections break, and new ones are refused for --down-ms.
  */
@@ -53,9 +59,11 @@
 	int is_stream;
 	struct cw_caller *caller;
 	uv_timer_t timer;
-	long next; /* id of the next event */
-	long last; /* id of the last event */
-	long made; /* events sent */
+	long next;	/* id of the next event */
+	long last;	/* id of the last event */
+	long made;	/* events sent */
+	long tokens;	/* of the prompt */
+	int is_waiting; /* for memory, or for the prompts before it */
 };
 
 static uv_loop_t loop;
@@ -73,6 +81,11 @@
 static long work_ms;	    /* of a request that is not streamed; 0: it is answered at once */
 static char brittle[16];    /* tolerated rejections in a second; empty: the server is not brittle */
 static GArray *rejected_ms; /* of long, within the last second */
+static char moment[24];	    /* fourth figure of the load; empty: not reported */
+static double pace = 1;
+static long prefill_us;	    /* a token; 0: prompts take no time */
+static long memory;	    /* tokens; 0: no limit */
+static struct run *reading; /* the run whose prompt is processed now */
 static struct crash crash;
 
 static long now_ms(void)
@@ -92,11 +105,16 @@
 	g_free(handle->data);
 }
 
+static void read_next_prompt(void);
+
 static void end_run(struct run *run)
 {
 	TAILQ_REMOVE(&runs, run, link);
 	running--;
 	uv_close((uv_handle_t *)&run->timer, on_timer_closed);
+	if (reading == run)
+		reading = NULL;
+	read_next_prompt();
 }
 
 static void on_disconnect(void *context)
@@ -158,14 +176,35 @@
 	}
 }
 
+static unsigned int count_waiting(void)
+{
+	const struct run *run;
+	unsigned int count = 0;
+
+	TAILQ_FOREACH(run, &runs, link)
+		count += run->is_waiting != 0;
+	return count;
+}
+
+static long count_kept_tokens(void)
+{
+	const struct run *run;
+	long tokens = 0;
+
+	TAILQ_FOREACH(run, &runs, link)
+		tokens += run->is_waiting ? 0 : run->tokens;
+	return tokens;
+}
+
 static void send_head(struct cw_caller *caller, const char *id, unsigned int status,
 		      const char *more, int64_t length)
 {
 	GString *fields = g_string_new(NULL);
 
 	g_string_append_printf(
-		fields, "Server-Seal: %s.%s\r\nAttempt-Id: %s\r\nServer-Load: %u,0,%ld\r\n%s", name,
-		id, id, running, places ? places : 64, more);
+		fields, "Server-Seal: %s.%s\r\nAttempt-Id: %s\r\nServer-Load: %u,%u,%ld%s%s\r\n%s",
+		name, id, id, running - count_waiting(), count_waiting(), places ? places : 64,
+		*moment ? "," : "", moment, more);
 	if (*brittle)
 		g_string_append_printf(fields, "Server-Brittle: %s\r\n", brittle);
 	if (*rate_limit) {
@@ -198,16 +237,54 @@
 	return run;
 }
 
+static void start_events(struct run *run)
+{
+	run->is_waiting = 0;
+	send_head(run->caller, run->id, 200, "Content-Type: text/event-stream\r\n",
+		  CW_FLOW_CHUNKED);
+	uv_timer_start(&run->timer, on_event, 5, (uint64_t)((double)gap_ms * pace));
+}
+
+static void on_prompt_read(uv_timer_t *timer)
+{
+	reading = NULL;
+	start_events(timer->data);
+	read_next_prompt();
+}
+
+/* The oldest stream that waits, if its tokens fit into the memory beside those that run. */
+static void read_next_prompt(void)
+{
+	struct run *run;
+
+	if (reading)
+		return;
+	TAILQ_FOREACH(run, &runs, link)
+		if (run->is_waiting)
+			break;
+	if (!run || (memory && count_kept_tokens() + run->tokens > memory))
+		return;
+	reading = run;
+	uv_timer_start(&run->timer, on_prompt_read,
+		       (uint64_t)((double)(run->tokens * prefill_us) * pace / 1000), 0);
+}
+
 static void start_stream(struct cw_caller *caller, const struct cw_message *request, long events)
 {
 	struct run *run = start_run(caller, request);
 	const char *last = cw_message_find(request, "Last-Event-Id");
+	const char *tokens = cw_message_find(request, "Token-Count");
 
 	run->is_stream = 1;
 	run->next = last ? strtol(last, NULL, 10) + 1 : 1;
 	run->last = events;
-	send_head(caller, run->id, 200, "Content-Type: text/event-stream\r\n", CW_FLOW_CHUNKED);
-	uv_timer_start(&run->timer, on_event, 5, (uint64_t)gap_ms);
+	run->tokens = tokens ? strtol(tokens, NULL, 10) : 0;
+	if (!prefill_us && !memory) {
+		start_events(run);
+		return;
+	}
+	run->is_waiting = 1;
+	read_next_prompt();
 }
 
 /* A brittle server crashes with more rejections in a second than it tolerates. */
@@ -271,6 +348,8 @@
 		g_strlcpy(brittle, m ? m + 3 : "", sizeof(brittle));
 	} else if (g_str_has_prefix(request->target->str, "/admin/places")) {
 		places = m ? strtol(m + 3, NULL, 10) : 0;
+	} else if (g_str_has_prefix(request->target->str, "/admin/moment")) {
+		g_strlcpy(moment, m ? m + 3 : "", sizeof(moment));
 	} else if (g_str_has_prefix(request->target->str, "/admin/rest")) {
 		g_strlcpy(rest_s, m ? m + 3 : "", sizeof(rest_s));
 	} else if (m) {
@@ -330,7 +409,8 @@
 		cw_caller_abort(caller);
 	} else if (work_ms) {
 		record_run(request);
-		uv_timer_start(&start_run(caller, request)->timer, on_event, (uint64_t)work_ms, 0);
+		uv_timer_start(&start_run(caller, request)->timer, on_event,
+			       (uint64_t)((double)work_ms * pace), 0);
 	} else {
 		record_run(request);
 		send_head(caller, request_id(request), strcmp(mode, "error") ? 200 : 500, "", 5);
@@ -365,10 +445,17 @@
 		arg_int0(NULL, "work-ms", "MS", "ms to answer a request that is not streamed (0)");
 	struct arg_str *brittle_option =
 		arg_str0(NULL, "brittle", "N", "tolerated rejections in a second");
+	struct arg_dbl *pace_option =
+		arg_dbl0(NULL, "pace", "P", "all work takes P times as long (1)");
+	struct arg_int *prefill =
+		arg_int0(NULL, "prefill-us", "US", "us to process a token of a prompt (0)");
+	struct arg_int *memory_option =
+		arg_int0(NULL, "memory", "TOKENS", "tokens that running streams may keep (any)");
 	struct arg_lit *help = arg_lit0(NULL, "help", "print this help and exit");
 	struct arg_end *end = arg_end(4);
-	void *table[] = {listen, id,   confidence_option, gap,	text, after, down,
-			 room,	 work, brittle_option,	  help, end};
+	void *table[] = {listen, id,   confidence_option, gap,	       text,	after,	       down,
+			 room,	 work, brittle_option,	  pace_option, prefill, memory_option, help,
+			 end};
 	struct cw_error error = {0};
 	uv_signal_t term;
 
@@ -383,6 +470,9 @@
 	gap_ms = gap->count ? gap->ival[0] : 20;
 	places = room->count ? room->ival[0] : 0;
 	work_ms = work->count ? work->ival[0] : 0;
+	pace = pace_option->count ? pace_option->dval[0] : 1;
+	prefill_us = prefill->count ? prefill->ival[0] : 0;
+	memory = memory_option->count ? memory_option->ival[0] : 0;
 	if (brittle_option->count)
 		g_strlcpy(brittle, brittle_option->sval[0], sizeof(brittle));
 	rejected_ms = g_array_new(FALSE, FALSE, sizeof(long));
