backlog: prompts that peers have sent count until their answers begin; notes between rounds

Peers' prompts were known from rounds of gossip alone, 150 ms apart and from 13 instances on only from a few peers, and were worked off by the clock before a slow engine had begun them. What an instance has in progress at a server is now a state with a sequence number, sent with each round and at once when a long prompt is sent or begun.

Tests of the new code: not written yet.

--- a/apps/corianderwalk/entry.c
+++ b/apps/corianderwalk/entry.c
@@ -56,6 +56,7 @@
 	open_gate(&entry);
 	entry.server_client = cw_client_create(&entry.loop);
 	entry.forwards = forwards_create(&entry);
+	entry.backlogs = backlogs_create(&entry);
 	code = open_listeners(&entry);
 	if (code == 0) {
 
@@ -281,6 +282,7 @@
 	relay_abort_all(entry);
 	forwards_destroy(entry->forwards);
 	peers_destroy(entry->peers);
+	backlogs_destroy(entry->backlogs);
 	feed_destroy(entry->feed);
 	cw_listener_destroy(entry->caller_listener);
 	cw_listener_destroy(entry->ready_listener);
--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -19,6 +19,7 @@
 struct feed;
 struct peers;
 struct forwards;
+struct backlogs;
 
 struct entry {
 	struct cw_up_settings settings;
@@ -36,6 +37,7 @@
 	struct feed *feed;
 	struct peers *peers;
 	struct forwards *forwards;
+	struct backlogs *backlogs;
 	TAILQ_HEAD(, relay) relays;
 	size_t relay_count;
 	int64_t stop_requested_ms; /* 0: no stop requested */
@@ -122,12 +124,24 @@
 		       int is_avoided); /* is_avoided: it gets no request for a while */
 size_t peers_rank(const struct peers *peers, uint64_t key,
 		  int64_t now_ms); /* 0: this instance is the first to act on the key */
+uint64_t peers_boot(const struct peers *peers); /* drawn at this start */
 size_t peers_send_to_domain(struct peers *peers, const char *failure_domain, const char *bytes,
-			    size_t size); /* to live instances of the own domain and of that one, at
-					     most PEERS_DOMAIN_FANOUT of each; returns how many */
+			    size_t size); /* to live instances of the own domain and of that one,
+					     NULL: of all others, at most PEERS_DOMAIN_FANOUT of
+					     each of the two; returns how many */
 size_t peers_send_to_some(struct peers *peers, const char *bytes,
 			  size_t size); /* to those that get the next full announcement */
 
+/* entry_backlog.c: what all instances have in progress at servers */
+struct backlogs *backlogs_create(struct entry *entry);
+void backlogs_destroy(struct backlogs *backlogs);
+void backlogs_fill(struct backlogs *backlogs, struct cw_gossip *gossip,
+		   int64_t now_ms); /* own loads, for peers */
+void backlogs_merge_round(struct backlogs *backlogs, const struct cw_gossip *gossip,
+			  int64_t now_ms);
+void backlogs_apply(struct backlogs *backlogs,
+		    int64_t now_ms); /* what peers announced counts from now on */
+
 /* entry_load.c: what instances announce of servers between two rounds of gossip */
 void load_announce(struct entry *entry, int64_t now_ms); /* with each round */
 void load_update_gauges(const struct entry *entry);
--- a/apps/corianderwalk/entry_load.c
+++ b/apps/corianderwalk/entry_load.c
@@ -16,7 +16,6 @@
 void load_announce(struct entry *entry, int64_t now_ms)
 {
 	pace_announce(entry, now_ms);
-	backlog_announce(entry, now_ms);
 	if (now_ms - entry->prediction_logged_ms < PREDICTION_LOG_MS)
 		return;
 	entry->prediction_logged_ms = now_ms;
@@ -35,6 +34,7 @@
 
 	set_quantile(all, "quantile=\"0.5\"", 0.5);
 	set_quantile(all, "quantile=\"0.99\"", 0.99);
+	backlog_update_gauges(entry);
 }
 
 /* Servers whose answers begin far later than predicted: one line each, those in use only. */
--- a/apps/corianderwalk/entry_load.h
+++ b/apps/corianderwalk/entry_load.h
@@ -14,10 +14,8 @@
 	       uint32_t delay_ms); /* 0: another kind of message */
 
 /* entry_backlog.c: prompts and memory at servers */
-void backlog_announce(struct entry *entry, int64_t now_ms); /* with each round of gossip */
-void backlog_note(struct entry *entry,
-		  const struct cw_server *server); /* a prompt was sent or begun there: others that
-						      may choose the server are told at once */
-int backlog_merge(struct entry *entry, const char *bytes, size_t size, uint32_t delay_ms);
+int backlog_merge(struct entry *entry, const char *bytes, size_t size,
+		  uint32_t delay_ms); /* a note of a peer; 0: another kind of message */
+void backlog_update_gauges(const struct entry *entry);
 
 #endif
--- a/apps/corianderwalk/entry_peers.c
+++ b/apps/corianderwalk/entry_peers.c
@@ -21,18 +21,9 @@
 #define INTRODUCTIONS_PER_ROUND 400  /* to instances that are new here: 0.3 kB each */
 #define RECEIVE_BUFFER_BYTES	(20 * 1024) /* larger than any message */
 
-struct peer_loads {
-	uint64_t id;
-	int64_t received_ms;
-	size_t count;
-	struct cw_gossip_load loads[CW_GOSSIP_SERVERS];
-};
-
 struct peers {
 	struct entry *entry;
 	struct cw_membership *membership;
-	GHashTable *loads;	/* member id -> struct peer_loads */
-	GArray *loaded_servers; /* ids of the servers that peers have requests at */
 	uv_udp_t socket;
 	uv_timer_t timer;
 	uint64_t boot_id;
@@ -65,8 +56,6 @@
 static void merge_announcement(struct peers *peers, struct cw_gossip *gossip);
 static void send_introduction(struct peers *peers, const char *address);
 static void reply_to_new_instance(struct peers *peers, const char *address);
-static void clear_loads(struct peers *peers);
-static void sum_loads(struct peers *peers);
 static void find_warmup_place(void *context, uint64_t server, struct cw_warmup_place *place);
 static size_t count_budget_sharers(const struct peers *peers);
 
@@ -84,8 +73,6 @@
 		cw_membership_create(settings->instance, settings->failure_domain, PEER_TIMEOUT_MS);
 	cw_membership_start_settling(peers->membership, peers->started_ms, DISCOVERY_MS,
 				     settings->is_only_instance);
-	peers->loads = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL, g_free);
-	peers->loaded_servers = g_array_new(FALSE, FALSE, sizeof(uint64_t));
 	cw_random_bytes(&peers->boot_id, sizeof(peers->boot_id));
 	uv_udp_init(&entry->loop, &peers->socket);
 	uv_timer_init(&entry->loop, &peers->timer);
@@ -165,6 +152,11 @@
 		member->avoided_until_ms = entry_now_ms(peers->entry) + FORWARD_AVOIDED_MS;
 }
 
+uint64_t peers_boot(const struct peers *peers)
+{
+	return peers->boot_id;
+}
+
 size_t peers_send_to_domain(struct peers *peers, const char *failure_domain, const char *bytes,
 			    size_t size)
 {
@@ -173,7 +165,9 @@
 	size_t known = cw_membership_size(peers->membership);
 	struct cw_member **members = g_new(struct cw_member *, known);
 	size_t own_left = PEERS_DOMAIN_FANOUT;
-	size_t other_left = strcmp(failure_domain, own_domain) != 0 ? PEERS_DOMAIN_FANOUT : 0;
+	int is_any = failure_domain == NULL;
+	size_t other_left =
+		is_any || strcmp(failure_domain, own_domain) != 0 ? PEERS_DOMAIN_FANOUT : 0;
 	size_t sent = 0;
 	size_t count;
 	uint64_t random;
@@ -184,7 +178,8 @@
 		int is_own = !strcmp(members[i]->failure_domain, own_domain);
 		size_t *left = is_own ? &own_left : &other_left;
 
-		if (!is_own && strcmp(members[i]->failure_domain, failure_domain) != 0)
+		if (!is_own && !is_any &&
+		    strcmp(members[i]->failure_domain, failure_domain) != 0)
 			continue;
 		if (*left == 0 || !cw_membership_is_live(peers->membership, members[i], now_ms))
 			continue;
@@ -288,7 +283,7 @@
 
 	cw_membership_remove_stale(peers->membership, entry_now_ms(peers->entry),
 				   MEMBER_RETENTION_MS);
-	sum_loads(peers);
+	backlogs_apply(peers->entry->backlogs, entry_now_ms(peers->entry));
 	cw_gate_set_instances(peers->entry->gate, count_budget_sharers(peers));
 	peers->replies_left = REPLIES_PER_ROUND;
 	peers->introductions_left = INTRODUCTIONS_PER_ROUND;
@@ -342,8 +337,6 @@
 
 	cw_pool_set_place_lookup(cw_gate_pool(peers->entry->gate), NULL, NULL);
 	cw_membership_destroy(peers->membership);
-	g_hash_table_destroy(peers->loads);
-	g_array_unref(peers->loaded_servers);
 	g_free(peers);
 }
 
@@ -365,23 +358,13 @@
 {
 	struct entry *entry = peers->entry;
 	const struct cw_config *config = cw_gate_config(entry->gate);
-	const struct cw_server *server;
 	int64_t now_ms = entry_now_ms(entry);
 
 	fill_sender(peers, gossip);
 	gossip->config_version = config ? cw_config_version(config) : 0;
 	feed_fill_announcement(entry->feed, gossip);
 	add_members(peers, gossip, now_ms);
-	TAILQ_FOREACH(server, cw_pool_active(cw_gate_pool(entry->gate)), active_link) {
-		struct cw_gossip_load *load = &gossip->loads[gossip->load_count];
-
-		if (server->own_running == 0 || gossip->load_count == CW_GOSSIP_SERVERS)
-			continue;
-		load->server = server->id;
-		load->running = server->own_running;
-		load->work_ms = (uint32_t)cw_pool_own_work_ms(server, now_ms);
-		gossip->load_count++;
-	}
+	backlogs_fill(entry->backlogs, gossip, now_ms);
 	gossip->rollout_count = cw_rollouts_announce(cw_gate_rollouts(entry->gate), now_ms,
 						     gossip->rollouts, CW_GOSSIP_ROLLOUTS);
 	gossip->crash_count =
@@ -438,7 +421,6 @@
 	int is_new;
 	struct cw_member *member =
 		cw_gossip_merge_members(gossip, peers->membership, &is_new, now_ms);
-	struct peer_loads *loads;
 
 	if (!member)
 		return;
@@ -448,15 +430,7 @@
 	if (is_new && peers->introductions_left > 0)
 		send_introduction(peers, gossip->sender.address);
 	feed_merge_era(entry->feed, gossip);
-	loads = g_hash_table_lookup(peers->loads, &member->id);
-	if (!loads) {
-		loads = g_new0(struct peer_loads, 1);
-		loads->id = member->id;
-		g_hash_table_insert(peers->loads, &loads->id, loads);
-	}
-	loads->received_ms = now_ms;
-	loads->count = gossip->load_count;
-	memcpy(loads->loads, gossip->loads, gossip->load_count * sizeof(gossip->loads[0]));
+	backlogs_merge_round(entry->backlogs, gossip, now_ms);
 	for (size_t i = 0; i < gossip->rollout_count; i++)
 		if (cw_rollouts_merge(cw_gate_rollouts(entry->gate), member->id,
 				      &gossip->rollouts[i], now_ms))
@@ -512,53 +486,3 @@
 	encode_reports(peers, &message);
 	send_to(peers, address, &message);
 }
-
-/* Clears only servers that a peer has reported on: there may be many thousands of others. */
-static void clear_loads(struct peers *peers)
-{
-	for (guint i = 0; i < peers->loaded_servers->len; i++) {
-		uint64_t id = g_array_index(peers->loaded_servers, uint64_t, i);
-		struct cw_server *server = cw_pool_find(cw_gate_pool(peers->entry->gate), id);
-
-		if (!server)
-			continue;
-		server->peers_running = 0;
-		server->peers_work_ms = 0;
-		server->peers_ms = 0;
-	}
-	g_array_set_size(peers->loaded_servers, 0);
-}
-
-/* Sums the recent reports of all peers, server by server. */
-static void sum_loads(struct peers *peers)
-{
-	struct cw_pool *pool = cw_gate_pool(peers->entry->gate);
-	int64_t now_ms = entry_now_ms(peers->entry);
-	struct cw_server *server;
-	GHashTableIter iter;
-	gpointer value;
-
-	clear_loads(peers);
-	g_hash_table_iter_init(&iter, peers->loads);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct peer_loads *loads = value;
-
-		if (now_ms - loads->received_ms > PEER_TIMEOUT_MS)
-			continue;
-		for (size_t i = 0; i < loads->count; i++) {
-			server = cw_pool_find(pool, loads->loads[i].server);
-			if (!server)
-				continue;
-			if (server->peers_ms != now_ms)
-				g_array_append_val(peers->loaded_servers, server->id);
-			server->peers_ms = now_ms;
-			server->peers_running += loads->loads[i].running;
-			server->peers_work_ms += loads->loads[i].work_ms;
-		}
-	}
-	for (guint i = 0; i < peers->loaded_servers->len; i++) {
-		server = cw_pool_find(pool, g_array_index(peers->loaded_servers, uint64_t, i));
-		if (server)
-			cw_pool_record_peers_work(server, now_ms);
-	}
-}
--- a/packages/backlog/include/cw_backlog.h
+++ b/packages/backlog/include/cw_backlog.h
@@ -1,6 +1,6 @@
 /*
- * What one start of a backend server has in progress for all instances: the prompts that it has not
- * processed yet, in ms of work of the usual server, and the tokens that requests keep in its
+ * What one start of a backend server has in progress for all instances: prompts whose answers have
+ * not begun ("unread"), in ms of work of the usual server, and the tokens that requests keep in its
  * memory. Own requests are known exactly, those of peers from their announcements. Sans-I/O.
  */
 #ifndef CW_BACKLOG_H
@@ -11,26 +11,32 @@
 
 /* What one instance has in progress at a server. */
 struct cw_backlog_share {
-	unsigned int running; /* requests */
-	double unread_ms;     /* work of prompts whose answers have not begun */
-	double tokens; /* of all its requests there: prompts, and answers as far as expected */
+	uint32_t running;   /* requests, unread ones included */
+	uint32_t unread;    /* requests whose answers have not begun */
+	uint32_t unread_ms; /* work of their prompts */
+	uint32_t tokens;    /* of all its requests there: prompts, and answers as far as expected */
 };
 
 struct cw_backlog {
-	struct cw_backlog_share own;
-	struct cw_backlog_share peers; /* sum over the peers' latest announcements */
-	double processed_ms; /* time at which all known prompts are predicted to be processed */
+	uint32_t own_unread; /* own prompts, and those of peers, whose answers have not begun */
+	uint32_t peers_unread;
+	double own_tokens;
+	uint64_t peers_tokens;
+	double stale_ms;    /* announced work of peers that the server's own report refutes */
+	int64_t reading_ms; /* time from which the prompt that is read now may have been read */
 };
 
-void cw_backlog_begin(struct cw_backlog *backlog, double work_ms, double tokens, double pace,
-		      int64_t now_ms); /* an own request was sent */
-void cw_backlog_end_prompt(struct cw_backlog *backlog, double work_ms, double pace,
-			   int64_t now_ms); /* its answer began, or the attempt ended before */
-void cw_backlog_end(struct cw_backlog *backlog, double tokens); /* the attempt ended */
-void cw_backlog_set_peers(struct cw_backlog *backlog, const struct cw_backlog_share *peers,
-			  double pace, int64_t now_ms); /* replaces the sum over the peers */
-double cw_backlog_wait_ms(const struct cw_backlog *backlog, double pace, double unread_least,
-			  int64_t now_ms); /* until a prompt that is sent now is begun */
+void cw_backlog_begin(struct cw_backlog *backlog, int64_t now_ms); /* an own prompt was sent */
+void cw_backlog_end(struct cw_backlog *backlog); /* its answer began, or the attempt ended */
+void cw_backlog_record_progress(struct cw_backlog *backlog,
+				int64_t now_ms); /* an answer began: the next prompt is read */
+void cw_backlog_set_peers(struct cw_backlog *backlog, const struct cw_backlog_share *sum,
+			  int64_t now_ms); /* sum over the newest announcements of all peers */
+void cw_backlog_refute(struct cw_backlog *backlog, double stale_ms);
+double cw_backlog_left_ms(const struct cw_backlog *backlog, double own_ms, double peers_ms,
+			  double pace, double unread_least,
+			  int64_t now_ms); /* of unread work; unread_least: part of the prompt being
+					      read that counts until its answer begins */
 double cw_backlog_tokens(const struct cw_backlog *backlog); /* kept in the server's memory */
 
 #endif
--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -35,6 +35,8 @@
 static double uncached_tokens(const struct cw_call *call, int is_affinity_server);
 static double prefix_tokens(const struct cw_request_info *info);
 static double late_work_ms(const struct cw_call *call, int64_t now_ms);
+static void end_prompt(struct cw_call *call);
+static double memory_tokens(const struct cw_call *call);
 static void learn_timing(struct cw_call *call, double took_ms);
 static int is_on_target_version(const struct cw_call *call);
 static void report_to_rollout(struct cw_call *call, int is_failure, int is_slow, int64_t now_ms);
@@ -54,6 +56,8 @@
 	choice->prefix_tokens = MIN(prefix_tokens(&call->info), call->info.prompt_tokens);
 	choice->ms_per_token = token_time_ms(call, timing);
 	choice->mean_work_ms = gate_get_timing(call->gate, call->service_name)->mean_ms;
+	choice->tokens = memory_tokens(call);
+	choice->memory_tokens = call->service ? call->service->kv_cache_tokens : 0;
 }
 
 double call_work_predict_ms(const struct cw_call *call, const struct cw_server *server,
@@ -162,6 +166,8 @@
 	work = gate_get_timing(call->gate, call->service_name);
 	work->mean_ms += WORK_EWMA_GAIN * (call->work_ms - work->mean_ms);
 	cw_pool_begin_work(server, call->work_ms, work->mean_ms, now_ms);
+	call->memory_tokens = memory_tokens(call);
+	cw_pool_hold_tokens(server, call->memory_tokens);
 }
 
 void call_work_record_head(struct cw_call *call, int64_t now_ms)
@@ -180,7 +186,9 @@
 	call->is_slow = took_ms > factor * (expected_ms + call->late_work_ms);
 	if (!is_on_target_version(call))
 		learn_timing(call, took_ms);
-	call_work_end(call);
+	if (!is_plain)
+		cw_pool_record_progress(call->server, now_ms);
+	end_prompt(call);
 	cw_pool_record_outcome(call->server, 0, MAX(ratio, 1), now_ms);
 	cw_pool_record_prediction(call->server, took_ms, call->predicted_ms, now_ms);
 	report_to_rollout(call, is_plain && call->is_slow, call->is_slow, now_ms);
@@ -224,12 +232,31 @@
 }
 
 void call_work_end(struct cw_call *call)
+{
+	end_prompt(call);
+	if (call->server && call->memory_tokens > 0)
+		cw_pool_release_tokens(call->server, call->memory_tokens);
+	call->memory_tokens = 0;
+}
+
+/* The answer began, or the attempt ended before. */
+static void end_prompt(struct cw_call *call)
 {
 	if (call->server)
 		cw_pool_end_work(call->server, call->work_ms);
 	call->work_ms = 0;
 }
 
+/* Tokens that the request keeps in an engine's memory: its prompt and its expected answer. */
+static double memory_tokens(const struct cw_call *call)
+{
+	const struct cw_request_info *info = &call->info;
+
+	return info->prompt_tokens + (info->estimated_output_tokens > 0
+					      ? info->estimated_output_tokens
+					      : info->max_output_tokens);
+}
+
 /* Timing is learned per model for prompts, and per service for plain requests. */
 static const char *timing_key(const struct cw_call *call)
 {
--- a/packages/gossip/include/cw_gossip.h
+++ b/packages/gossip/include/cw_gossip.h
@@ -7,6 +7,7 @@
 #ifndef CW_GOSSIP_H
 #define CW_GOSSIP_H
 
+#include "cw_backlog.h"
 #include "cw_drain.h"
 #include "cw_follow.h"
 #include "cw_quarantine.h"
@@ -37,7 +38,7 @@
 struct cw_gossip_load {
 	uint64_t server;  /* cw_server.id */
 	uint32_t running; /* requests */
-	uint32_t work_ms; /* of prompts that wait for prefill */
+	uint32_t work_ms; /* of prompts that wait for prefill, less what the clock has worked off */
 };
 
 struct cw_gossip {
@@ -67,6 +68,9 @@
 	struct cw_drain_order drains[CW_DRAINS_MAX]; /* withdrawn ones included */
 	uint64_t forward_key; /* see cw_member; an instance of an earlier build sends neither */
 	int is_partitioned;   /* the sender reaches no backend server itself */
+	uint32_t load_sequence; /* of the loads, counted with cw_gossip_backlogs; 0: without shares,
+				   as a trimmed message and one of an earlier build */
+	struct cw_backlog_share shares[CW_GOSSIP_SERVERS]; /* of the loads, in their order */
 };
 
 /* Snapshot of the server list, for an instance that can't read it from the shared store. */
--- a/packages/gossip/src/gossip.c
+++ b/packages/gossip/src/gossip.c
@@ -12,6 +12,7 @@
 static bool_t code(XDR *xdr, struct cw_gossip *gossip);
 static bool_t code_eras(XDR *xdr, struct cw_gossip *gossip);
 static bool_t code_forwarding(XDR *xdr, struct cw_gossip *gossip);
+static bool_t code_shares(XDR *xdr, struct cw_gossip *gossip);
 static bool_t code_member(XDR *xdr, struct cw_gossip_member *member);
 static bool_t code_address(XDR *xdr, char *address);
 static bool_t code_load(XDR *xdr, struct cw_gossip_load *load);
@@ -38,6 +39,7 @@
 	gossip->quarantined_count = 0;
 	gossip->servers_next = (struct cw_position){0};
 	gossip->servers_age_ms = CW_GOSSIP_NO_AGE;
+	gossip->load_sequence = 0;
 	for (size_t i = 0; i < gossip->rollout_count; i++)
 		if (gossip->rollouts[i].session_count > CW_GOSSIP_TRIMMED_SESSIONS)
 			gossip->rollouts[i].session_count = CW_GOSSIP_TRIMMED_SESSIONS;
@@ -77,7 +79,8 @@
 	xdrmem_create(&xdr, bytes, (u_int)size, XDR_ENCODE);
 	/* One function codes both directions; encoding doesn't write to the message. */
 	if (code(&xdr, (struct cw_gossip *)gossip) && code_eras(&xdr, (struct cw_gossip *)gossip) &&
-	    code_forwarding(&xdr, (struct cw_gossip *)gossip))
+	    code_forwarding(&xdr, (struct cw_gossip *)gossip) &&
+	    (gossip->load_sequence == 0 || code_shares(&xdr, (struct cw_gossip *)gossip)))
 		used = xdr_getpos(&xdr);
 	xdr_destroy(&xdr);
 	return used;
@@ -112,6 +115,8 @@
 		is_complete = code_eras(&xdr, gossip);
 	if (is_complete && xdr_getpos(&xdr) < size)
 		is_complete = code_forwarding(&xdr, gossip);
+	if (is_complete && xdr_getpos(&xdr) < size)
+		is_complete = code_shares(&xdr, gossip);
 	xdr_destroy(&xdr);
 	return is_complete ? CW_OK : CW_INVALID;
 }
@@ -137,6 +142,18 @@
 	return xdr_uint64_t(xdr, &gossip->forward_key) && xdr_int(xdr, &gossip->is_partitioned);
 }
 
+static bool_t code_shares(XDR *xdr, struct cw_gossip *gossip)
+{
+	if (!xdr_uint32_t(xdr, &gossip->load_sequence))
+		return FALSE;
+	for (size_t i = 0; i < gossip->load_count; i++) {
+		gossip->shares[i].running = gossip->loads[i].running;
+		if (!gossip_code_share(xdr, &gossip->shares[i]))
+			return FALSE;
+	}
+	return TRUE;
+}
+
 static bool_t code(XDR *xdr, struct cw_gossip *gossip)
 {
 	u_int magic = GOSSIP_MAGIC;
--- a/packages/gossip/src/gossip_internal.h
+++ b/packages/gossip/src/gossip_internal.h
@@ -11,5 +11,6 @@
 bool_t gossip_code_text(XDR *xdr, char *text, u_int size);
 bool_t gossip_code_count(XDR *xdr, size_t *count, size_t max);
 bool_t gossip_code_int64(XDR *xdr, int64_t *value);
+bool_t gossip_code_share(XDR *xdr, struct cw_backlog_share *share); /* all but running */
 
 #endif
--- a/packages/policy/include/cw_policy.h
+++ b/packages/policy/include/cw_policy.h
@@ -35,6 +35,10 @@
 	double peers_ms;       /* lifetime of the peers' announcements of their work */
 	double told_ms;	       /* lifetime of the queue length that a server reported */
 	double unread_least;   /* least part of sent work that counts until its answer begins */
+	double unread_counted; /* 1: sent work counts until its answer begins, but for the prompt
+				  that is being read; 0: it is worked off by the clock */
+	double note_min_ms;    /* prompt work from which peers get a note at once */
+	double memory_part;    /* part of an engine's memory that requests may fill; 0: any */
 	/* failing servers */
 	double breaker_failures; /* consecutive failures that open the breaker */
 	double quiet_ms;	 /* silence after which a server with requests is probed */
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -187,6 +187,8 @@
 	double prefix_tokens;	 /* size of the prompt prefix, which other requests share */
 	double ms_per_token;	 /* predicted prefill time per token */
 	double mean_work_ms;	 /* predicted work of an average queued request */
+	double tokens;		 /* that the request will keep in an engine's memory */
+	double memory_tokens;	 /* capacity of an engine of the service; 0: not known */
 	size_t bytes;		 /* of the request and its expected answer */
 	int *is_affinity_server; /* out, may be NULL: 1 if the affinity server of the prefix was
 				    chosen */
@@ -322,6 +324,20 @@
 void cw_pool_begin_work(struct cw_server *server, double work_ms, double mean_work_ms,
 			int64_t now_ms);			 /* a prompt was sent */
 void cw_pool_end_work(struct cw_server *server, double work_ms); /* the answer began or failed */
+void cw_pool_record_progress(struct cw_server *server, int64_t now_ms); /* an answer began */
+void cw_pool_hold_tokens(struct cw_server *server, double tokens); /* a request was sent */
+void cw_pool_release_tokens(struct cw_server *server, double tokens); /* it ended */
+int cw_pool_has_memory(const struct cw_server *server,
+		       const struct cw_choice *choice); /* 1: the request fits beside the others */
+void cw_pool_get_share(const struct cw_server *server, struct cw_backlog_share *share,
+		       int64_t now_ms); /* what this instance has in progress, for peers */
+void cw_pool_set_peers(struct cw_server *server, const struct cw_backlog_share *sum,
+		       int64_t now_ms); /* what the peers have in progress */
+void cw_pool_set_work_listener(struct cw_pool *pool,
+			       void (*changed)(void *context, struct cw_server *server,
+					       double work_ms),
+			       void *context); /* work_ms of an own prompt was added, or is
+						  unread no more: below 0 */
 double cw_pool_own_work_ms(const struct cw_server *server,
 			   int64_t now_ms); /* predicted work left of own prompts */
 void cw_pool_record_peers_work(struct cw_server *server,
--- a/packages/pool/src/placement.c
+++ b/packages/pool/src/placement.c
@@ -12,6 +12,7 @@
 #define FAILURE_RATE_GAIN 0.25 /* weight of the newest attempt */
 #define SLOWNESS_GAIN	  0.3  /* weight of the newest attempt */
 #define SLOWNESS_MAX	  20.0
+#define NO_MEMORY_MS	  1e6 /* more than any wait: a preempted request is read again */
 #define PEERS_PEAK_MS	  500 /* time constant: announcements are 150 ms apart, and may get lost */
 
 static double cost_of(const struct cw_server *server, const struct cw_choice *choice,
@@ -20,6 +21,8 @@
 				     const struct cw_choice *choice);
 static const struct cw_server *find_affinity_server(struct cw_server **candidates, size_t count,
 						    const struct cw_choice *choice);
+static void note_change(struct cw_server *server, double work_ms);
+static double known_work_ms(const struct cw_server *server, int64_t now_ms);
 static double evidence_weight(const struct cw_server *server, int64_t now_ms);
 
 const struct cw_choice_policy cw_choice_cost = {"cost", choose_cost};
@@ -37,17 +40,74 @@
 	server->evidence_ms = now_ms;
 }
 
+void cw_pool_set_work_listener(struct cw_pool *pool,
+			       void (*changed)(void *context, struct cw_server *server,
+					       double work_ms),
+			       void *context)
+{
+	pool->work_changed = changed;
+	pool->work_context = context;
+}
+
 void cw_pool_begin_work(struct cw_server *server, double work_ms, double mean_work_ms,
 			int64_t now_ms)
 {
 	server->work_until_ms =
 		(double)now_ms + cw_pool_backlog_ms(server, mean_work_ms, now_ms) + work_ms;
 	server->own_work_ms += work_ms;
+	cw_backlog_begin(&cw_pool_work(server)->backlog, now_ms);
+	note_change(server, work_ms);
 }
 
 void cw_pool_end_work(struct cw_server *server, double work_ms)
 {
+	if (work_ms <= 0)
+		return;
 	server->own_work_ms = MAX(server->own_work_ms - work_ms, 0);
+	cw_backlog_end(&cw_pool_work(server)->backlog);
+	note_change(server, -work_ms);
+}
+
+void cw_pool_record_progress(struct cw_server *server, int64_t now_ms)
+{
+	cw_backlog_record_progress(&cw_pool_work(server)->backlog, now_ms);
+}
+
+void cw_pool_hold_tokens(struct cw_server *server, double tokens)
+{
+	cw_pool_work(server)->backlog.own_tokens += tokens;
+}
+
+void cw_pool_release_tokens(struct cw_server *server, double tokens)
+{
+	struct cw_backlog *backlog = &cw_pool_work(server)->backlog;
+
+	backlog->own_tokens = MAX(backlog->own_tokens - tokens, 0);
+}
+
+void cw_pool_get_share(const struct cw_server *server, struct cw_backlog_share *share,
+		       int64_t now_ms)
+{
+	double unread_ms = server->policy->unread_counted > 0 ? server->own_work_ms
+							      : cw_pool_own_work_ms(server, now_ms);
+
+	*share = (struct cw_backlog_share){
+		.running = server->own_running,
+		.unread_ms = (uint32_t)unread_ms,
+	};
+	if (!server->work)
+		return;
+	share->unread = server->work->backlog.own_unread;
+	share->tokens = (uint32_t)server->work->backlog.own_tokens;
+}
+
+void cw_pool_set_peers(struct cw_server *server, const struct cw_backlog_share *sum, int64_t now_ms)
+{
+	server->peers_ms = now_ms;
+	server->peers_running = sum->running;
+	server->peers_work_ms = sum->unread_ms;
+	cw_backlog_set_peers(&cw_pool_work(server)->backlog, sum, now_ms);
+	cw_pool_record_peers_work(server, now_ms);
 }
 
 /*
@@ -85,14 +145,20 @@
  */
 double cw_pool_backlog_ms(const struct cw_server *server, double mean_work_ms, int64_t now_ms)
 {
-	double known_ms = cw_pool_own_work_ms(server, now_ms);
+	double known_ms = known_work_ms(server, now_ms);
 	double reported_ms = 0;
 
-	if (now_ms - server->peers_ms < server->policy->peers_ms)
-		known_ms += server->peers_work_ms;
 	if (server->sampled_ms >= 0 && now_ms - server->sampled_ms < server->policy->told_ms)
 		reported_ms = server->queued * mean_work_ms + cw_pool_own_work_ms(server, now_ms);
-	return MAX(known_ms, reported_ms);
+	return MAX(known_ms, reported_ms * cw_pool_pace(server, now_ms));
+}
+
+int cw_pool_has_memory(const struct cw_server *server, const struct cw_choice *choice)
+{
+	double capacity = choice->memory_tokens * server->policy->memory_part;
+	double taken = server->work ? cw_backlog_tokens(&server->work->backlog) : 0;
+
+	return capacity <= 0 || taken <= 0 || taken + choice->tokens <= capacity;
 }
 
 struct cw_server_work *cw_pool_work(struct cw_server *server)
@@ -189,6 +255,8 @@
 	double slowness = 1 + policy->slowness_part * (cw_pool_slowness(server, now_ms) - 1);
 	double cost = (cw_pool_wait_ms(server, now_ms) + work_ms) * slowness;
 
+	if (!cw_pool_has_memory(server, choice))
+		cost += NO_MEMORY_MS;
 	cost += cw_pool_load(server, now_ms) * policy->running_ms;
 	cost += cw_pool_failure_rate(server, now_ms) * policy->failure_ms;
 	if (!is_affinity_server)
@@ -198,6 +266,25 @@
 	return cost;
 }
 
+static void note_change(struct cw_server *server, double work_ms)
+{
+	if (server->pool->work_changed)
+		server->pool->work_changed(server->pool->work_context, server, work_ms);
+}
+
+/* Work of prompts that this instance and its peers have sent to the server. */
+static double known_work_ms(const struct cw_server *server, int64_t now_ms)
+{
+	int is_fresh = now_ms - server->peers_ms < server->policy->peers_ms;
+	double peers_ms = is_fresh ? server->peers_work_ms : 0;
+
+	if (server->policy->unread_counted <= 0 || !server->work)
+		return cw_pool_own_work_ms(server, now_ms) + peers_ms;
+	return cw_backlog_left_ms(&server->work->backlog, server->own_work_ms, peers_ms,
+				  cw_pool_pace(server, now_ms), server->policy->unread_least,
+				  now_ms);
+}
+
 static double evidence_weight(const struct cw_server *server, int64_t now_ms)
 {
 	return exp(-(double)(now_ms - server->evidence_ms) / EVIDENCE_DECAY_MS);
--- a/packages/pool/src/pool_internal.h
+++ b/packages/pool/src/pool_internal.h
@@ -41,6 +41,8 @@
 	GHashTable *regions;		 /* failure domain -> region */
 	void (*find_place)(void *context, uint64_t server, struct cw_warmup_place *place);
 	void *place_context;
+	void (*work_changed)(void *context, struct cw_server *server, double work_ms);
+	void *work_context;
 	struct cw_server_list servers;
 	struct cw_server_list active; /* linked by active_link */
 	struct cw_server_reports_list reports;
