--- a/apps/corianderwalk/entry_backlog.c
+++ b/apps/corianderwalk/entry_backlog.c
@@ -14,7 +14,8 @@
 #include <string.h>
 
 #define SHARES_TIMEOUT_MS 2000 /* as long as a silent peer counts as live */
-#define NOTE_DELAY_MS	  3    /* prompts sent and begun within it share one note */
+#define NOTE_GAP_MS	  4    /* between two notes; prompts sent and begun in it share one */
+#define NOTE_AGAIN_MS	  1000 /* for a prompt that is still unread: shares time out */
 #define NOTES_PER_S	  40   /* of one instance: 8 kB a second for each recipient, at most */
 #define BEHIND_MS	  2000 /* unread work of a server from which a request there is logged */
 
@@ -27,9 +28,12 @@
 	size_t changed_count;
 	double notes_left; /* that may be sent now */
 	int64_t notes_left_ms;
+	int64_t noted_ms;     /* time of the last note */
+	int64_t noted_all_ms; /* of the last one on all unread prompts */
 };
 
 static void on_work_changed(void *context, struct cw_server *server, double work_ms);
+static void add_changed(struct backlogs *backlogs, const struct cw_server *server);
 static void on_timer(uv_timer_t *timer);
 static void on_closed(uv_handle_t *handle);
 static void send_note(struct backlogs *backlogs);
@@ -62,11 +66,16 @@
 void backlogs_fill(struct backlogs *backlogs, struct cw_gossip *gossip, int64_t now_ms)
 {
 	const struct cw_server *server;
+	int is_due = now_ms - backlogs->noted_all_ms >= NOTE_AGAIN_MS;
 
+	if (is_due)
+		backlogs->noted_all_ms = now_ms;
 	gossip->load_sequence = ++backlogs->sequence;
 	TAILQ_FOREACH(server, cw_pool_active(cw_gate_pool(backlogs->entry->gate)), active_link) {
 		struct cw_gossip_load *load = &gossip->loads[gossip->load_count];
 
+		if (is_due && server->own_work_ms >= backlogs->entry->policy.note_min_ms)
+			add_changed(backlogs, server);
 		if (server->own_running == 0 || gossip->load_count == CW_GOSSIP_SERVERS)
 			continue;
 		load->server = server->id;
@@ -160,22 +169,29 @@
 static void on_work_changed(void *context, struct cw_server *server, double work_ms)
 {
 	struct backlogs *backlogs = context;
-	struct entry *entry = backlogs->entry;
 
 	if (work_ms > 0)
-		log_placement(entry, server);
-	if (ABS(work_ms) < entry->policy.note_min_ms ||
-	    peers_count(entry->peers) <= CW_AUDIENCE_FULL_FANOUT)
+		log_placement(backlogs->entry, server);
+	if (ABS(work_ms) >= backlogs->entry->policy.note_min_ms)
+		add_changed(backlogs, server);
+}
+
+/* A server that finds no place is announced with the next round. */
+static void add_changed(struct backlogs *backlogs, const struct cw_server *server)
+{
+	struct entry *entry = backlogs->entry;
+	int64_t since_ms = entry_now_ms(entry) - backlogs->noted_ms;
+
+	if (peers_count(entry->peers) <= CW_AUDIENCE_FULL_FANOUT ||
+	    backlogs->changed_count == CW_GOSSIP_BACKLOGS)
 		return;
 	for (size_t i = 0; i < backlogs->changed_count; i++)
 		if (backlogs->changed[i] == server->id)
 			return;
-	/* One that finds no place is announced with the next round. */
-	if (backlogs->changed_count == CW_GOSSIP_BACKLOGS)
-		return;
 	backlogs->changed[backlogs->changed_count++] = server->id;
 	if (backlogs->changed_count == 1)
-		uv_timer_start(&backlogs->timer, on_timer, NOTE_DELAY_MS, 0);
+		uv_timer_start(&backlogs->timer, on_timer, (uint64_t)MAX(NOTE_GAP_MS - since_ms, 0),
+			       0);
 }
 
 static void on_timer(uv_timer_t *timer)
@@ -211,6 +227,7 @@
 		cw_pool_get_share(server, &note.reports[note.count++].share, now_ms);
 	}
 	backlogs->changed_count = 0;
+	backlogs->noted_ms = now_ms;
 	if (!take_note(backlogs, now_ms)) {
 		cw_counter_add("backlog_notes", "result=\"unsent\"", 1);
 		return;
--- a/packages/backlog/include/cw_backlog.h
+++ b/packages/backlog/include/cw_backlog.h
@@ -32,11 +32,14 @@
 				int64_t now_ms); /* an answer began: the next prompt is read */
 void cw_backlog_set_peers(struct cw_backlog *backlog, const struct cw_backlog_share *sum,
 			  int64_t now_ms); /* sum over the newest announcements of all peers */
-void cw_backlog_refute(struct cw_backlog *backlog, double stale_ms);
+void cw_backlog_check(struct cw_backlog *backlog, uint32_t queued,
+		      double peers_ms); /* the server reported so many waiting prompts; peers_ms:
+					   unread work of peers, as announced */
 double cw_backlog_left_ms(const struct cw_backlog *backlog, double own_ms, double peers_ms,
 			  double pace, double unread_least,
 			  int64_t now_ms); /* of unread work; unread_least: part of the prompt being
-					      read that counts until its answer begins */
+					      read, or of the longer time it takes, that is left
+					      until its answer begins */
 double cw_backlog_tokens(const struct cw_backlog *backlog); /* kept in the server's memory */
 
 #endif
--- a/packages/backlog/include/cw_backlog_peers.h
+++ b/packages/backlog/include/cw_backlog_peers.h
@@ -33,10 +33,10 @@
 struct cw_backlog_peers *cw_backlog_peers_create(void);
 void cw_backlog_peers_destroy(struct cw_backlog_peers *peers);
 int cw_backlog_peers_merge(struct cw_backlog_peers *peers, const struct cw_backlog_message *message,
-			   int64_t now_ms); /* 0: older than what is known, or of a start that has
-					       announced nothing complete yet */
+			   int64_t now_ms); /* 0: older than what is known, or maybe of an earlier
+					       start of the peer */
 void cw_backlog_peers_expire(struct cw_backlog_peers *peers,
-			     int64_t before_ms); /* drops peers without a message since then */
+			     int64_t before_ms); /* drops what was not announced since then */
 int cw_backlog_peers_sum(const struct cw_backlog_peers *peers, uint64_t server,
 			 struct cw_backlog_share *sum); /* 0: no peer has requests there */
 void cw_backlog_peers_each(const struct cw_backlog_peers *peers,
--- a/packages/backlog/src/backlog.c
+++ b/packages/backlog/src/backlog.c
@@ -35,26 +35,37 @@
 	backlog->peers_tokens = sum->tokens;
 }
 
-void cw_backlog_refute(struct cw_backlog *backlog, double stale_ms)
+/*
+ * Load pattern: an instance dies with 30 requests in progress, and its peers avoid the servers until
+ * it counts as silent. A server reports how many prompts wait besides the one that it reads, so
+ * what is announced beyond them does not exist any more.
+ */
+void cw_backlog_check(struct cw_backlog *backlog, uint32_t queued, double peers_ms)
 {
-	backlog->stale_ms = stale_ms;
+	uint32_t excess = unread(backlog) > queued + 1 ? unread(backlog) - queued - 1 : 0;
+
+	backlog->stale_ms = 0;
+	if (backlog->peers_unread > 0)
+		backlog->stale_ms =
+			peers_ms * MIN(excess, backlog->peers_unread) / backlog->peers_unread;
 }
 
 /*
  * Load pattern: prompts of several instances for an engine slower than predicted. Counted down by
  * the clock, work of two seconds is taken for done before the engine has begun it, and further
  * prompts are sent behind it. An engine reads prompts one after the other, so the clock only counts
- * for the one that is being read: the others are unread until an answer begins, and what stands
- * behind an overdue one is late by as much.
+ * for the one that is being read: the others are unread until an answer begins. One that takes
+ * longer than predicted has a part of that time still ahead, and delays what stands behind it.
  */
 double cw_backlog_left_ms(const struct cw_backlog *backlog, double own_ms, double peers_ms,
 			  double pace, double unread_least, int64_t now_ms)
 {
-	double left_ms = own_ms + MAX(peers_ms - backlog->stale_ms, 0);
-	double mean_ms = left_ms / MAX(unread(backlog), 1);
-	double read_ms = (double)(now_ms - backlog->reading_ms) / pace;
+	double all_ms = own_ms + MAX(peers_ms - backlog->stale_ms, 0);
+	double mean_ms = all_ms / MAX(unread(backlog), 1);
+	double read_ms = (double)MAX(now_ms - backlog->reading_ms, 0) / pace;
+	double reading_left_ms = MAX(mean_ms - read_ms, unread_least * MAX(mean_ms, read_ms));
 
-	return pace * (left_ms - CLAMP(read_ms, 0, (1 - unread_least) * mean_ms));
+	return all_ms > 0 ? pace * (all_ms - mean_ms + reading_left_ms) : 0;
 }
 
 double cw_backlog_tokens(const struct cw_backlog *backlog)
--- a/packages/backlog/src/peers.c
+++ b/packages/backlog/src/peers.c
@@ -7,12 +7,13 @@
 struct entry {
 	struct cw_backlog_report report;
 	uint32_t sequence; /* of the message that it came with */
+	int64_t received_ms;
 };
 
 struct origin {
 	uint64_t instance;
 	uint64_t boot;
-	uint32_t sequence; /* of the newest complete message */
+	uint32_t sequence; /* of the newest complete message; 0: none yet */
 	int64_t received_ms;
 	GArray *entries; /* of struct entry */
 };
@@ -32,8 +33,11 @@
 static struct origin *get_origin(struct cw_backlog_peers *peers,
 				 const struct cw_backlog_message *message);
 static void clear(struct cw_backlog_peers *peers, struct origin *origin, uint32_t up_to);
+static void expire_entries(struct cw_backlog_peers *peers, struct origin *origin,
+			   int64_t before_ms);
+static void remove_entry(struct cw_backlog_peers *peers, struct origin *origin, guint index);
 static void merge_report(struct cw_backlog_peers *peers, struct origin *origin,
-			 const struct cw_backlog_report *report, uint32_t sequence);
+			 const struct cw_backlog_report *report, uint32_t sequence, int64_t now_ms);
 static struct entry *find_entry(struct origin *origin, uint64_t server);
 static void change_sum(struct cw_backlog_peers *peers, uint64_t server,
 		       const struct cw_backlog_share *before, const struct cw_backlog_share *after);
@@ -73,7 +77,7 @@
 		clear(peers, origin, message->sequence);
 	}
 	for (size_t i = 0; i < message->count; i++)
-		merge_report(peers, origin, &message->reports[i], message->sequence);
+		merge_report(peers, origin, &message->reports[i], message->sequence, now_ms);
 	return 1;
 }
 
@@ -86,10 +90,9 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct origin *origin = value;
 
-		if (origin->received_ms >= before_ms)
-			continue;
-		clear(peers, origin, 0);
-		g_hash_table_iter_remove(&iter);
+		expire_entries(peers, origin, before_ms);
+		if (origin->received_ms < before_ms)
+			g_hash_table_iter_remove(&iter);
 	}
 }
 
@@ -142,7 +145,10 @@
 	g_free(origin);
 }
 
-/* A peer that restarted has none of the requests of its earlier start. */
+/*
+ * A peer that restarted has none of the requests of its earlier start. Which of two starts is the
+ * later one is known by the complete messages: a single delayed note must not revive the earlier.
+ */
 static struct origin *get_origin(struct cw_backlog_peers *peers,
 				 const struct cw_backlog_message *message)
 {
@@ -150,7 +156,7 @@
 
 	if (origin && origin->boot == message->boot)
 		return origin;
-	if (!message->is_complete)
+	if (origin && !message->is_complete)
 		return NULL;
 	if (!origin) {
 		origin = g_new0(struct origin, 1);
@@ -167,20 +173,30 @@
 /* Removes the entries of messages up to that sequence number; 0: all. */
 static void clear(struct cw_backlog_peers *peers, struct origin *origin, uint32_t up_to)
 {
-	static const struct cw_backlog_share none;
+	for (guint i = origin->entries->len; i-- > 0;)
+		if (up_to == 0 ||
+		    !is_newer(g_array_index(origin->entries, struct entry, i).sequence, up_to))
+			remove_entry(peers, origin, i);
+}
 
-	for (guint i = origin->entries->len; i-- > 0;) {
-		struct entry *entry = &g_array_index(origin->entries, struct entry, i);
+static void expire_entries(struct cw_backlog_peers *peers, struct origin *origin, int64_t before_ms)
+{
+	for (guint i = origin->entries->len; i-- > 0;)
+		if (g_array_index(origin->entries, struct entry, i).received_ms < before_ms)
+			remove_entry(peers, origin, i);
+}
 
-		if (up_to > 0 && is_newer(entry->sequence, up_to))
-			continue;
-		change_sum(peers, entry->report.server, &entry->report.share, &none);
-		g_array_remove_index_fast(origin->entries, i);
-	}
+static void remove_entry(struct cw_backlog_peers *peers, struct origin *origin, guint index)
+{
+	static const struct cw_backlog_share none;
+	const struct entry *entry = &g_array_index(origin->entries, struct entry, index);
+
+	change_sum(peers, entry->report.server, &entry->report.share, &none);
+	g_array_remove_index_fast(origin->entries, index);
 }
 
 static void merge_report(struct cw_backlog_peers *peers, struct origin *origin,
-			 const struct cw_backlog_report *report, uint32_t sequence)
+			 const struct cw_backlog_report *report, uint32_t sequence, int64_t now_ms)
 {
 	struct entry *entry = find_entry(origin, report->server);
 	struct entry added = {.report.server = report->server};
@@ -196,6 +212,7 @@
 	change_sum(peers, report->server, &entry->report.share, &report->share);
 	entry->report = *report;
 	entry->sequence = sequence;
+	entry->received_ms = now_ms;
 }
 
 static struct entry *find_entry(struct origin *origin, uint64_t server)
--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -186,9 +186,9 @@
 	call->is_slow = took_ms > factor * (expected_ms + call->late_work_ms);
 	if (!is_on_target_version(call))
 		learn_timing(call, took_ms);
-	if (!is_plain)
-		cw_pool_record_progress(call->server, now_ms);
 	end_prompt(call);
+	if (!is_plain)
+		cw_pool_record_begun(call->server, now_ms);
 	cw_pool_record_outcome(call->server, 0, MAX(ratio, 1), now_ms);
 	cw_pool_record_prediction(call->server, took_ms, call->predicted_ms, now_ms);
 	report_to_rollout(call, is_plain && call->is_slow, call->is_slow, now_ms);
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -324,7 +324,8 @@
 void cw_pool_begin_work(struct cw_server *server, double work_ms, double mean_work_ms,
 			int64_t now_ms);			 /* a prompt was sent */
 void cw_pool_end_work(struct cw_server *server, double work_ms); /* the answer began or failed */
-void cw_pool_record_progress(struct cw_server *server, int64_t now_ms); /* an answer began */
+void cw_pool_record_begun(struct cw_server *server,
+			  int64_t now_ms); /* an answer began; after cw_pool_end_work() */
 void cw_pool_hold_tokens(struct cw_server *server, double tokens); /* a request was sent */
 void cw_pool_release_tokens(struct cw_server *server, double tokens); /* it ended */
 int cw_pool_has_memory(const struct cw_server *server,
--- a/packages/pool/src/placement.c
+++ b/packages/pool/src/placement.c
@@ -68,9 +68,13 @@
 	note_change(server, -work_ms);
 }
 
-void cw_pool_record_progress(struct cw_server *server, int64_t now_ms)
+void cw_pool_record_begun(struct cw_server *server, int64_t now_ms)
 {
-	cw_backlog_record_progress(&cw_pool_work(server)->backlog, now_ms);
+	struct cw_backlog *backlog = &cw_pool_work(server)->backlog;
+
+	cw_backlog_record_progress(backlog, now_ms);
+	if (server->sampled_ms == now_ms)
+		cw_backlog_check(backlog, server->queued, server->peers_work_ms);
 }
 
 void cw_pool_hold_tokens(struct cw_server *server, double tokens)
--- a/tests/fuzz/users_input.c
+++ b/tests/fuzz/users_input.c
@@ -2,6 +2,7 @@
 
 #include "cw_gate.h"
 #include "cw_gossip.h"
+#include "cw_gossip_backlogs.h"
 #include "cw_gossip_reports.h"
 #include "cw_up.h"
 
@@ -92,6 +93,7 @@
 	GString *body = g_string_new_len(text, (gssize)length);
 	struct cw_gossip *gossip = g_new0(struct cw_gossip, 1);
 	struct cw_gossip_reports reports;
+	struct cw_gossip_backlogs note;
 	struct cw_gossip_list list;
 	struct cw_error error = {0};
 	struct cw_up_page page;
@@ -111,6 +113,7 @@
 	case 3:
 		cw_gossip_decode(text, length, gossip);
 		cw_gossip_decode_reports(text, length, &reports);
+		cw_gossip_decode_backlogs(text, length, &note);
 		break;
 	case 4:
 		fuzz_server_entry(bytes + 1, length);
@@ -297,6 +300,9 @@
 		check(server->own_running == 0, "a request is counted as running after its end");
 		check(server->own_work_ms < 0.001,
 		      "work is counted as pending after its request's end");
+		check(!server->work || (server->work->backlog.own_unread == 0 &&
+					server->work->backlog.own_tokens < 0.001),
+		      "a prompt or its tokens are counted after its request's end");
 	}
 	cw_gate_destroy(harness.gate);
 	cw_config_unref(harness.config);
