--- a/apps/corianderwalk/entry_peers.c
+++ b/apps/corianderwalk/entry_peers.c
@@ -178,8 +178,7 @@
 		int is_own = !strcmp(members[i]->failure_domain, own_domain);
 		size_t *left = is_own ? &own_left : &other_left;
 
-		if (!is_own && !is_any &&
-		    strcmp(members[i]->failure_domain, failure_domain) != 0)
+		if (!is_own && !is_any && strcmp(members[i]->failure_domain, failure_domain) != 0)
 			continue;
 		if (*left == 0 || !cw_membership_is_live(peers->membership, members[i], now_ms))
 			continue;
--- a/packages/backlog/src/backlog.c
+++ b/packages/backlog/src/backlog.c
@@ -36,9 +36,9 @@
 }
 
 /*
- * Load pattern: an instance dies with 30 requests in progress, and its peers avoid the servers until
- * it counts as silent. A server reports how many prompts wait besides the one that it reads, so
- * what is announced beyond them does not exist any more.
+ * Load pattern: an instance dies with 30 requests in progress, and its peers avoid the servers
+ * until it counts as silent. A server reports how many prompts wait besides the one that it reads,
+ * so what is announced beyond them does not exist any more.
  */
 void cw_backlog_check(struct cw_backlog *backlog, uint32_t queued, double peers_ms)
 {
--- a/packages/gossip/include/cw_gossip.h
+++ b/packages/gossip/include/cw_gossip.h
@@ -66,8 +66,8 @@
 	struct cw_quarantine_record quarantined[CW_QUARANTINE_RECORDS_MAX];
 	size_t drain_count;
 	struct cw_drain_order drains[CW_DRAINS_MAX]; /* withdrawn ones included */
-	uint64_t forward_key; /* see cw_member; an instance of an earlier build sends neither */
-	int is_partitioned;   /* the sender reaches no backend server itself */
+	uint64_t forward_key;	/* see cw_member; an instance of an earlier build sends neither */
+	int is_partitioned;	/* the sender reaches no backend server itself */
 	uint32_t load_sequence; /* of the loads, counted with cw_gossip_backlogs; 0: without shares,
 				   as a trimmed message and one of an earlier build */
 	struct cw_backlog_share shares[CW_GOSSIP_SERVERS]; /* of the loads, in their order */
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -326,7 +326,7 @@
 void cw_pool_end_work(struct cw_server *server, double work_ms); /* the answer began or failed */
 void cw_pool_record_begun(struct cw_server *server,
 			  int64_t now_ms); /* an answer began; after cw_pool_end_work() */
-void cw_pool_hold_tokens(struct cw_server *server, double tokens); /* a request was sent */
+void cw_pool_hold_tokens(struct cw_server *server, double tokens);    /* a request was sent */
 void cw_pool_release_tokens(struct cw_server *server, double tokens); /* it ended */
 int cw_pool_has_memory(const struct cw_server *server,
 		       const struct cw_choice *choice); /* 1: the request fits beside the others */
--- a/tests/unit/test_backlog_replay.c
+++ b/tests/unit/test_backlog_replay.c
@@ -8,7 +8,6 @@
 #include "unit.h"
 
 #include <glib.h>
-#include <stdlib.h>
 #include <string.h>
 
 #define INSTANCES	16
@@ -23,7 +22,7 @@
 #define LATE_MS		60
 #define SEEDS		5
 #define WAIT_MS		200.0 /* a prompt in a hundred may wait longer */
-#define ENOUGH_MESSAGES 4096 /* under way at a time */
+#define ENOUGH_MESSAGES 4096  /* under way at a time */
 
 struct prompt {
 	size_t instance;
@@ -86,8 +85,8 @@
 	assert_true(++world->message_count < ENOUGH_MESSAGES);
 	message->from = from;
 	message->to = to;
-	message->due_ms = world->now_ms + (world->is_lossy ? (int64_t)(random / 2 % LATE_MS)
-							   : MESSAGE_MS);
+	message->due_ms =
+		world->now_ms + (world->is_lossy ? (int64_t)(random / 2 % LATE_MS) : MESSAGE_MS);
 	message->sequence = world->sequences[from];
 	message->is_complete = count == ENGINES;
 	message->count = count;
@@ -168,7 +167,7 @@
 				   .prompt_tokens = work_ms,
 				   .ms_per_token = 1};
 	struct cw_server *server = cw_pool_choose(world->pools[instance], &choice);
-	size_t number = (size_t)atoi(server->name + 1);
+	size_t number = (size_t)(server->name[1] - '0');
 	struct engine *engine = &world->engines[number];
 
 	cw_pool_begin_work(server, work_ms, 0, world->now_ms);
