pace: speed of servers, reported and learned, shared between instances

Engines of one service differ in speed by a factor of three, and prompts were predicted alike for all of them. Servers state in their load how long work takes on their machine; instances learn the rest from the event gaps of streams and the answers of plain services, and announce both to peers.

--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -44,6 +44,9 @@
 	unsigned int tick_count;
 	int64_t report_warning_ms; /* of the last log line on an invalid report */
 	int64_t prediction_logged_ms;
+	unsigned int pace_rounds; /* entry_pace.c: of announcements */
+	size_t pace_next;	  /* server to name next of those in turn */
+	int64_t paces_sent_ms;
 	int metrics_port;
 };
 
@@ -133,5 +136,8 @@
 void load_update_gauges(const struct entry *entry);
 int load_merge(struct entry *entry, const char *bytes, size_t size,
 	       uint32_t delay_ms); /* 0: no message on servers */
+size_t load_encode_prior(struct entry *entry, char *bytes, size_t size,
+			 size_t *next); /* a message for an instance that starts, 0: nothing is
+					   known; *next is advanced, 0 after the last message */
 
 #endif
--- a/apps/corianderwalk/entry_load.c
+++ b/apps/corianderwalk/entry_load.c
@@ -35,6 +35,12 @@
 
 	set_quantile(all, "quantile=\"0.5\"", 0.5);
 	set_quantile(all, "quantile=\"0.99\"", 0.99);
+	pace_update_gauges(entry);
+}
+
+size_t load_encode_prior(struct entry *entry, char *bytes, size_t size, size_t *next)
+{
+	return pace_encode_prior(entry, bytes, size, next);
 }
 
 /* Servers whose answers begin far later than predicted: one line each, those in use only. */
--- a/apps/corianderwalk/entry_load.h
+++ b/apps/corianderwalk/entry_load.h
@@ -12,6 +12,9 @@
 void pace_announce(struct entry *entry, int64_t now_ms); /* with each round of gossip */
 int pace_merge(struct entry *entry, const char *bytes, size_t size,
 	       uint32_t delay_ms); /* 0: another kind of message */
+size_t pace_encode_prior(struct entry *entry, char *bytes, size_t size,
+			 size_t *next); /* for an instance that starts; 0: nothing is known */
+void pace_update_gauges(const struct entry *entry);
 
 /* entry_backlog.c: prompts and memory at servers */
 void backlog_announce(struct entry *entry, int64_t now_ms); /* with each round of gossip */
--- a/apps/corianderwalk/entry_peers.c
+++ b/apps/corianderwalk/entry_peers.c
@@ -503,6 +503,7 @@
 {
 	struct cw_gossip *gossip = g_new0(struct cw_gossip, 1);
 	struct datagram message;
+	size_t next = 0;
 
 	peers->replies_left--;
 	fill_announcement(peers, gossip);
@@ -511,6 +512,11 @@
 	send_to(peers, address, &message);
 	encode_reports(peers, &message);
 	send_to(peers, address, &message);
+	do {
+		message.size = load_encode_prior(peers->entry, message.bytes, sizeof(message.bytes),
+						 &next);
+		send_to(peers, address, &message);
+	} while (next > 0);
 }
 
 /* Clears only servers that a peer has reported on: there may be many thousands of others. */
--- a/apps/corianderwalk/entry_reports.c
+++ b/apps/corianderwalk/entry_reports.c
@@ -31,6 +31,8 @@
 		log_invalid(entry, server, "leaving");
 	if (head->rest == CW_FIELD_INVALID)
 		log_invalid(entry, server, "rest");
+	if (head->momentary == CW_FIELD_INVALID)
+		log_invalid(entry, server, "momentary_pace");
 }
 
 void reports_merge(struct entry *entry, const struct cw_gossip_reports *message, uint32_t delay_ms)
--- a/packages/gate/include/cw_facts.h
+++ b/packages/gate/include/cw_facts.h
@@ -58,6 +58,8 @@
 	int64_t cold_ms; /* remaining warm-up time, in which the server handles few requests */
 	int has_load;
 	unsigned int running, queued, slots;
+	enum cw_field_state momentary;	/* CW_FIELD_ABSENT: as usual, as far as is known */
+	double momentary_pace;		/* how long work takes on its machine now, 1: as usual */
 	enum cw_field_state rate_limit; /* CW_FIELD_ABSENT: the server takes any rate */
 	double rate_limit_per_s;	/* requests that it takes from all instances together */
 	enum cw_field_state brittle;	/* CW_FIELD_ABSENT: the server is not */
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -155,7 +155,7 @@
 void cw_call_add_event(struct cw_call *call, int64_t event, int64_t now_ms)
 {
 	call->has_forwarded = 1;
-	call->events_forwarded++;
+	call_work_record_event(call, now_ms);
 	if (event >= 0)
 		call->last_event = event;
 }
--- a/packages/gate/src/call_reports.c
+++ b/packages/gate/src/call_reports.c
@@ -14,6 +14,8 @@
 	memset(&call->report_changes, 0, sizeof(call->report_changes));
 	if (answer->is_other_server)
 		return;
+	if (answer->momentary == CW_FIELD_VALID)
+		cw_pool_report_pace(call->server, answer->momentary_pace, now_ms);
 	apply_rate_limit(call, answer, now_ms);
 	apply_brittleness(call, answer, now_ms);
 	if (answer->leaving == CW_FIELD_VALID && answer->is_leaving)
--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -29,13 +29,18 @@
 #define SHORT_PREFILL_MS	 25.0 /* prompt processing no longer than a step of a full engine */
 #define STREAM_BYTES		 4500 /* of a usual stream back to the caller */
 #define PLAIN_BYTES		 800  /* of a usual plain answer */
+#define USUAL_SAMPLES_MIN	 10   /* fewer say little of the usual time */
+#define USUAL_SAMPLES		 200  /* over which it is averaged: it moves slowly */
 static int is_under_load(unsigned int running, unsigned int slots);
 static const char *timing_key(const struct cw_call *call);
 static double token_time_ms(const struct cw_call *call, const struct gate_timing *timing);
 static double uncached_tokens(const struct cw_call *call, int is_affinity_server);
 static double prefix_tokens(const struct cw_request_info *info);
 static double late_work_ms(const struct cw_call *call, int64_t now_ms);
-static void learn_timing(struct cw_call *call, double took_ms);
+static void learn_timing(struct cw_call *call, double took_ms, int64_t now_ms);
+static void learn_speed(const struct cw_call *call, struct gate_usual *usual, double time_ms,
+			int64_t now_ms);
+static double median_gap_ms(const struct cw_call *call);
 static int is_on_target_version(const struct cw_call *call);
 static void report_to_rollout(struct cw_call *call, int is_failure, int is_slow, int64_t now_ms);
 static struct cw_rollout_answer rollout_evidence(const struct cw_call *call);
@@ -62,10 +67,12 @@
 	const struct gate_timing *timing = gate_get_timing(call->gate, timing_key(call));
 
 	if (call->info.segment_count == 0)
-		return (timing->samples ? timing->mean_ms : PLAIN_INITIAL_MS) +
+		return (timing->samples ? timing->mean_ms : PLAIN_INITIAL_MS) *
+			       cw_pool_pace(server, now_ms) +
 		       cw_pool_wait_ms(server, now_ms);
 	return call_work_queue_ms(call, server, now_ms) +
-	       uncached_tokens(call, is_affinity_server) * token_time_ms(call, timing) +
+	       uncached_tokens(call, is_affinity_server) * token_time_ms(call, timing) *
+		       cw_pool_pace(server, now_ms) +
 	       FIRST_TOKEN_OVERHEAD_MS;
 }
 
@@ -179,7 +186,7 @@
 	call->late_work_ms = late_work_ms(call, now_ms);
 	call->is_slow = took_ms > factor * (expected_ms + call->late_work_ms);
 	if (!is_on_target_version(call))
-		learn_timing(call, took_ms);
+		learn_timing(call, took_ms, now_ms);
 	call_work_end(call);
 	cw_pool_record_outcome(call->server, 0, MAX(ratio, 1), now_ms);
 	cw_pool_record_prediction(call->server, took_ms, call->predicted_ms, now_ms);
@@ -198,6 +205,15 @@
 	return MAX(cw_pool_recent_peers_work_ms(call->server, now_ms) - call->peers_work_ms, 0);
 }
 
+void call_work_record_event(struct cw_call *call, int64_t now_ms)
+{
+	if (call->events_forwarded > 0)
+		call->gaps_ms[call->events_forwarded % GATE_GAPS] =
+			(uint16_t)CLAMP(now_ms - call->event_ms, 0, UINT16_MAX);
+	call->event_ms = now_ms;
+	call->events_forwarded++;
+}
+
 /* The event gap of long streams shows slow servers long before the time to the first event. */
 void call_work_record_completion(struct cw_call *call, int64_t now_ms)
 {
@@ -208,13 +224,16 @@
 	if (call->events_forwarded < STREAM_SAMPLE_MIN_EVENTS)
 		return;
 	answer.waited_ms = now_ms - call->head_ms;
-	gap_ms = (double)answer.waited_ms / call->events_forwarded;
+	gap_ms = (double)answer.waited_ms / call->events_forwarded /
+		 cw_pool_pace(call->server, now_ms);
 	if (timing->event_gap_ms > 0 && gap_ms > SLOW_FACTOR * timing->event_gap_ms)
 		cw_rollouts_mark_answer_slow(call->gate->rollouts, &answer, now_ms);
 	if (timing->event_gap_ms <= 0)
 		timing->event_gap_ms = gap_ms;
 	else if (!is_on_target_version(call))
 		timing->event_gap_ms += EVENT_EWMA_GAIN * (gap_ms - timing->event_gap_ms);
+	if (!is_on_target_version(call))
+		learn_speed(call, &timing->gap, median_gap_ms(call), now_ms);
 }
 
 void call_work_record_failure(struct cw_call *call, int64_t now_ms)
@@ -272,12 +291,16 @@
  * The time per prompt token of a model is in no configuration. Queues only add to the time, so the
  * estimate follows the quickest answers.
  */
-static void learn_timing(struct cw_call *call, double took_ms)
+static void learn_timing(struct cw_call *call, double took_ms, int64_t now_ms)
 {
 	struct gate_timing *timing = gate_get_timing(call->gate, timing_key(call));
+	double pace = cw_pool_pace(call->server, now_ms);
 	double sample;
 
 	if (call->info.segment_count == 0) {
+		if (!call->server_was_loaded)
+			learn_speed(call, &timing->answer, took_ms, now_ms);
+		took_ms /= pace;
 		timing->mean_ms =
 			timing->samples++
 				? timing->mean_ms + PLAIN_EWMA_GAIN * (took_ms - timing->mean_ms)
@@ -287,6 +310,7 @@
 	if (call->uncached_tokens < SAMPLE_MIN_TOKENS || !call->server_was_idle)
 		return;
 	sample = MAX(took_ms - FIRST_TOKEN_OVERHEAD_MS, 1) / call->uncached_tokens;
+	sample /= pace;
 	if (timing->samples++ == 0)
 		timing->ms_per_token = sample;
 	else
@@ -295,6 +319,42 @@
 			(sample - timing->ms_per_token);
 }
 
+/*
+ * Load pattern: dozens of instances before as many servers of three speeds, each of which sends a
+ * server a request or two a minute. Streams show a server's speed by the median of their event
+ * gaps; the time to their first event doesn't, as prompts that this instance doesn't know of
+ * multiply it.
+ *
+ * The usual time is the mean over all servers of the times as taken, less what they reported. What
+ * was learned of a server is not taken off, so usual time and learned speed can't drift together.
+ */
+static void learn_speed(const struct cw_call *call, struct gate_usual *usual, double time_ms,
+			int64_t now_ms)
+{
+	double time_log = log(MAX(time_ms, 1e-6) / cw_pool_reported_pace(call->server, now_ms));
+
+	if (usual->samples >= USUAL_SAMPLES_MIN)
+		cw_pool_record_speed(call->server, exp(time_log - usual->log_mean), now_ms);
+	usual->samples = MIN(usual->samples + 1, USUAL_SAMPLES);
+	usual->log_mean += (time_log - usual->log_mean) / usual->samples;
+}
+
+/* Prompts of other requests in the same batch stretch single gaps. */
+static double median_gap_ms(const struct cw_call *call)
+{
+	uint16_t sorted[GATE_GAPS];
+	size_t count = MIN(call->events_forwarded - 1, GATE_GAPS);
+
+	for (size_t i = 0; i < count; i++) {
+		size_t at = i;
+
+		for (; at > 0 && sorted[at - 1] > call->gaps_ms[(i + 1) % GATE_GAPS]; at--)
+			sorted[at] = sorted[at - 1];
+		sorted[at] = call->gaps_ms[(i + 1) % GATE_GAPS];
+	}
+	return MAX(sorted[count / 2], 1);
+}
+
 /* Timings are learned from the old version only, for comparison with the target of a roll-out. */
 static int is_on_target_version(const struct cw_call *call)
 {
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -8,12 +8,22 @@
 
 #include <glib.h>
 
+#define GATE_GAPS 16 /* event gaps of a stream whose median is its speed */
+
+/* Mean of ln(time) over all servers: the usual time that the speed of a server is relative to. */
+struct gate_usual {
+	double log_mean;
+	unsigned int samples;
+};
+
 /* Learned timing of a model or plain service on a server without other work. */
 struct gate_timing {
 	double ms_per_token; /* of prompt processing; 0 for a plain service */
 	double mean_ms;	     /* plain service: time to answer; engine: prompt work of a request */
 	double event_gap_ms; /* between two events of a stream; 0: not known */
 	unsigned int samples;
+	struct gate_usual answer; /* plain service: time to answer */
+	struct gate_usual gap;	  /* model: between two events of a stream */
 };
 
 /* Load of one service in the last second or so; all counters decay exponentially. */
@@ -99,6 +109,8 @@
 	int is_head_seen;
 	int64_t head_ms;	       /* time of the response head */
 	unsigned int events_forwarded; /* by the current attempt */
+	int64_t event_ms;	       /* of the newest event */
+	uint16_t gaps_ms[GATE_GAPS];   /* the newest ones between its events; a ring */
 };
 
 uint64_t gate_random(struct cw_gate *gate);
@@ -180,7 +192,8 @@
 void call_work_record_load(struct cw_call *call, const struct cw_load *load,
 			   int64_t now_ms); /* load that came with the answer */
 void call_work_begin(struct cw_call *call, int is_affinity_server, int64_t now_ms);
-void call_work_record_head(struct cw_call *call, int64_t now_ms);	/* status below 500 */
+void call_work_record_head(struct cw_call *call, int64_t now_ms); /* status below 500 */
+void call_work_record_event(struct cw_call *call, int64_t now_ms);
 void call_work_record_completion(struct cw_call *call, int64_t now_ms); /* complete answer */
 void call_work_record_failure(struct cw_call *call, int64_t now_ms);
 void call_work_end(struct cw_call *call);
--- a/packages/policy/include/cw_policy.h
+++ b/packages/policy/include/cw_policy.h
@@ -31,10 +31,13 @@
 	double running_ms;     /* cost of each request running on the server */
 	double failure_ms;     /* cost of a failed answer */
 	double slowness_part;  /* weight of a server's slowness beyond the prediction */
-	double noise_ms;       /* random cost that separates instances with equal views */
-	double peers_ms;       /* lifetime of the peers' announcements of their work */
-	double told_ms;	       /* lifetime of the queue length that a server reported */
-	double unread_least;   /* least part of sent work that counts until its answer begins */
+	double pace_part;      /* weight of a server's pace in predicted work, as an exponent */
+	double pace_learned; /* 1: the part of the pace that answers show beyond the reports too */
+	double momentary_ms; /* lifetime of the momentary pace that a server reported */
+	double noise_ms;     /* random cost that separates instances with equal views */
+	double peers_ms;     /* lifetime of the peers' announcements of their work */
+	double told_ms;	     /* lifetime of the queue length that a server reported */
+	double unread_least; /* least part of sent work that counts until its answer begins */
 	/* failing servers */
 	double breaker_failures; /* consecutive failures that open the breaker */
 	double quiet_ms;	 /* silence after which a server with requests is probed */
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -97,6 +97,7 @@
 	const struct cw_policy *policy; /* the policy of the pool */
 	TAILQ_ENTRY(cw_server) link;
 	TAILQ_ENTRY(cw_server) active_link;
+	TAILQ_ENTRY(cw_server) worked_link; /* while work is not NULL */
 	int is_active; /* on the pool's list of servers in use, or not reached directly */
 	char name[CW_NAME_MAX];
 	int64_t process_start_ms; /* Unix time of the process start, as listed */
@@ -336,6 +337,12 @@
 const struct cw_prediction *cw_pool_prediction(const struct cw_pool *pool); /* over all servers */
 double cw_pool_pace(const struct cw_server *server,
 		    int64_t now_ms); /* multiplies the work predicted for the usual server */
+double cw_pool_reported_pace(const struct cw_server *server,
+			     int64_t now_ms); /* the part of it that the server reports */
+void cw_pool_report_pace(struct cw_server *server, double momentary, int64_t now_ms);
+void cw_pool_record_speed(
+	struct cw_server *server, double ratio,
+	int64_t now_ms); /* time taken over the usual time times the reported pace */
 double cw_pool_failure_rate(const struct cw_server *server, int64_t now_ms);
 double cw_pool_slowness(const struct cw_server *server, int64_t now_ms);
 void cw_pool_record_refusal(struct cw_server *server, int64_t now_ms,
@@ -354,6 +361,8 @@
 int cw_pool_is_announced(const struct cw_server_reports *reports,
 			 int64_t now_ms); /* 1: peers are to know them; a rest is not */
 const struct cw_server_list *
+cw_pool_worked(const struct cw_pool *pool); /* linked by worked_link: those with cw_pool_work() */
+const struct cw_server_list *
 cw_pool_active(const struct cw_pool *pool); /* linked by active_link: servers with own requests,
 					       unreachable or suspect; few of many thousands */
 
--- a/packages/pool/src/placement.c
+++ b/packages/pool/src/placement.c
@@ -40,8 +40,8 @@
 void cw_pool_begin_work(struct cw_server *server, double work_ms, double mean_work_ms,
 			int64_t now_ms)
 {
-	server->work_until_ms =
-		(double)now_ms + cw_pool_backlog_ms(server, mean_work_ms, now_ms) + work_ms;
+	server->work_until_ms = (double)now_ms + cw_pool_backlog_ms(server, mean_work_ms, now_ms) +
+				work_ms * cw_pool_pace(server, now_ms);
 	server->own_work_ms += work_ms;
 }
 
@@ -92,13 +92,15 @@
 		known_ms += server->peers_work_ms;
 	if (server->sampled_ms >= 0 && now_ms - server->sampled_ms < server->policy->told_ms)
 		reported_ms = server->queued * mean_work_ms + cw_pool_own_work_ms(server, now_ms);
-	return MAX(known_ms, reported_ms);
+	return MAX(known_ms, reported_ms) * cw_pool_pace(server, now_ms);
 }
 
 struct cw_server_work *cw_pool_work(struct cw_server *server)
 {
-	if (!server->work)
+	if (!server->work) {
 		server->work = g_new0(struct cw_server_work, 1);
+		TAILQ_INSERT_TAIL(&server->pool->worked, server, worked_link);
+	}
 	return server->work;
 }
 
@@ -114,11 +116,6 @@
 	return &pool->prediction;
 }
 
-double cw_pool_pace(const struct cw_server *server, int64_t now_ms)
-{
-	return server->work ? cw_pace_factor(&server->work->pace, now_ms) : CW_PACE_USUAL;
-}
-
 double cw_pool_failure_rate(const struct cw_server *server, int64_t now_ms)
 {
 	return server->failure_rate * evidence_weight(server, now_ms);
@@ -184,7 +181,7 @@
 	int64_t now_ms = choice->now_ms;
 	double tokens = choice->prompt_tokens - (is_affinity_server ? choice->prefix_tokens : 0);
 	double work_ms = cw_pool_backlog_ms(server, choice->mean_work_ms, now_ms) +
-			 tokens * choice->ms_per_token;
+			 tokens * choice->ms_per_token * cw_pool_pace(server, now_ms);
 	const struct cw_policy *policy = server->policy;
 	double slowness = 1 + policy->slowness_part * (cw_pool_slowness(server, now_ms) - 1);
 	double cost = (cw_pool_wait_ms(server, now_ms) + work_ms) * slowness;
--- a/packages/pool/src/pool.c
+++ b/packages/pool/src/pool.c
@@ -39,6 +39,7 @@
 	pool->regions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	TAILQ_INIT(&pool->servers);
 	TAILQ_INIT(&pool->active);
+	TAILQ_INIT(&pool->worked);
 	TAILQ_INIT(&pool->reports);
 	TAILQ_INIT(&pool->departed);
 	TAILQ_INIT(&pool->held);
@@ -285,9 +286,7 @@
 		g_hash_table_remove(pool->by_name, server->name);
 	g_free(server->versions);
 	g_free(server->history);
-	if (server->work)
-		cw_pace_clear(&server->work->pace);
-	g_free(server->work);
+	pool_free_work(server);
 	g_free(server);
 }
 
--- a/packages/pool/src/pool_internal.h
+++ b/packages/pool/src/pool_internal.h
@@ -43,6 +43,7 @@
 	void *place_context;
 	struct cw_server_list servers;
 	struct cw_server_list active; /* linked by active_link */
+	struct cw_server_list worked; /* linked by worked_link */
 	struct cw_server_reports_list reports;
 	size_t delisted; /* number of servers with removed_ms set */
 	GHashTable *by_id;
@@ -57,6 +58,7 @@
 	int64_t settled_ms;   /* until then, entries may be superseded ones */
 };
 
+void pool_free_work(struct cw_server *server);
 void pool_activate(struct cw_server *server); /* until a sweep finds it unused */
 void pool_free_reports(struct cw_server *server);
 int pool_needs_reports(const struct cw_server *server,
