gate: a small model's answer is kept while the largest model is asked

Cause: the small model's answer of low confidence was cancelled as the largest model was asked. On overloaded engines that one is rejected, fails or begins too late, and the caller gets nothing although an answer had begun.

Change: the first answer goes on beside the second run and is buffered. It is delivered if the largest model is rejected, fails, can't be placed or hasn't begun at the due time: the latency objective for an answer that would be trusted where the largest model is late, half of the caller's patience for a weaker one, never later than the largest model's whole stream fits the deadline. A complete answer outlasts the deadline and a quarantine. The first event of the largest model drops it. Acts where the configuration gives the tokens of an event. Policy: keep_answer, keep_wait_part, keep_bytes, keep_total_bytes.

Timeouts and the end of an attempt move from call.c to call_attempt.c. The fuzz harness of the gate keeps, completes, breaks and drops answers, too.

--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -38,6 +38,7 @@
 	struct forwards *forwards;
 	TAILQ_HEAD(, relay) relays;
 	size_t relay_count;
+	size_t kept_bytes;	   /* of all answers in hand */
 	int64_t stop_requested_ms; /* 0: no stop requested */
 	int64_t last_request_ms;
 	int was_ready;
@@ -66,6 +67,9 @@
 void relay_abort_quarantined(struct entry *entry); /* requests quarantined while in progress */
 void relay_abort_all(struct entry *entry); /* requests that are left when the process ends */
 
+/* entry_kept.c: smaller models' answers, kept while the largest model is asked */
+void kept_update_gauges(const struct entry *entry);
+
 /* entry_reach.c: whether backend servers can be reached */
 void reach_note_contact(struct entry *entry,
 			struct cw_server *server); /* a byte arrived, directly */
--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -17,7 +17,6 @@
 static void on_deadline(uv_timer_t *timer);
 static void on_closed(uv_handle_t *handle);
 static void open_call(struct relay *relay);
-static void start_deadline_timer(struct relay *relay);
 static void send_attempt(struct relay *relay, const struct cw_step *step);
 static void log_dispatch(const struct relay *relay);
 static void record_data_received(struct relay *relay);
@@ -90,15 +89,20 @@
 		cw_call_open(entry->gate, &relay->request_info, relay->opened_ms, now_ms, &step);
 	if (cw_caller_is_listener_closed(relay->caller))
 		cw_call_reject(relay->call, now_ms, "this instance is stopping", &step);
-	start_deadline_timer(relay);
+	relay_start_timer(relay);
 	relay_apply_step(relay, &step);
 }
 
-static void start_deadline_timer(struct relay *relay)
+void relay_start_timer(struct relay *relay)
 {
-	int64_t remaining_ms = cw_call_deadline_ms(relay->call) - entry_now_ms(relay->entry);
-
-	uv_timer_start(&relay->deadline_timer, on_deadline, (uint64_t)MAX(remaining_ms, 1), 0);
+	int64_t at_ms = cw_call_deadline_ms(relay->call);
+	int64_t due_ms = cw_call_kept_due_ms(relay->call);
+
+	relay->is_timer_for_kept = due_ms >= 0 && due_ms < at_ms;
+	if (relay->is_timer_for_kept)
+		at_ms = due_ms;
+	at_ms -= entry_now_ms(relay->entry);
+	uv_timer_start(&relay->deadline_timer, on_deadline, (uint64_t)MAX(at_ms, 1), 0);
 }
 
 void relay_handle_disconnect(void *context)
@@ -135,6 +139,7 @@
 	while (relay) {
 		struct relay *next = TAILQ_NEXT(relay, link);
 
+		kept_fail_superseded(relay);
 		server = relay->exchange ? cw_call_server(relay->call) : NULL;
 		if (server && server->is_superseded) {
 			int is_sent = cw_exchange_is_sent(relay->exchange);
@@ -154,6 +159,7 @@
 	while (relay) {
 		struct relay *next = TAILQ_NEXT(relay, link);
 
+		kept_fail_unreachable(relay, server);
 		if (relay->exchange && !*relay->peer && cw_call_server(relay->call) == server &&
 		    cw_call_may_change_server(relay->call)) {
 			relay_cancel_exchange(relay);
@@ -200,6 +206,9 @@
 	case CW_STEP_FORWARD:
 		cw_exchange_set_read_timeout(relay->exchange, step->read_timeout_ms);
 		break;
+	case CW_STEP_FORWARD_KEPT:
+		kept_deliver(relay, step);
+		break;
 	case CW_STEP_WAIT:
 		uv_timer_start(&relay->deadline_timer, on_deadline, (uint64_t)step->wait_ms, 0);
 		break;
@@ -285,6 +294,8 @@
 		g_string_truncate(relay->response_fields, 0);
 		cw_up_format_answer_fields(answer, relay->request_info.id, relay->response_fields);
 	}
+	if (step.kind == CW_STEP_SEND && step.keeps_answer)
+		kept_begin(relay, answer, &step);
 	relay_apply_step(relay, &step);
 }
 
@@ -292,8 +303,9 @@
 		     const struct cw_step *step, double predicted_ms, int64_t took_ms)
 {
 	static const char *const step_names[] = {
-		[CW_STEP_SEND] = "send_again", [CW_STEP_FORWARD] = "show", [CW_STEP_WAIT] = "wait",
-		[CW_STEP_REJECT] = "end",      [CW_STEP_ABORT] = "end",
+		[CW_STEP_SEND] = "send_again",	 [CW_STEP_FORWARD] = "show",
+		[CW_STEP_FORWARD_KEPT] = "kept", [CW_STEP_WAIT] = "wait",
+		[CW_STEP_REJECT] = "end",	 [CW_STEP_ABORT] = "end",
 	};
 
 	cw_event("gate", "answer_head",
@@ -310,10 +322,14 @@
 
 static void on_data(void *context, const char *data, size_t size)
 {
-	struct relay *relay = context;
+	record_data_received(context);
+	relay_forward_data(context, data, size);
+}
+
+void relay_forward_data(struct relay *relay, const char *data, size_t size)
+{
 	struct cw_step step;
 
-	record_data_received(relay);
 	if (relay->is_stream) {
 		if (cw_events_feed(relay->event_parser, data, size)) {
 			forward_events(relay);
@@ -353,6 +369,8 @@
 	}
 	if (!out)
 		return;
+	if (relay->kept && !cw_call_has_kept(relay->call))
+		kept_drop(relay, "large_began");
 	if (!relay->is_head_sent)
 		send_head(relay, CW_FLOW_CHUNKED);
 	if (cw_caller_send_body(relay->caller, out->str, out->len) && relay->exchange) {
@@ -405,8 +423,16 @@
 		open_call(relay);
 		return;
 	}
+	if (relay->is_timer_for_kept) {
+		relay->is_timer_for_kept = 0;
+		if (cw_call_check_kept(relay->call, entry_now_ms(relay->entry), &step))
+			relay_apply_step(relay, &step);
+		else
+			relay_start_timer(relay);
+		return;
+	}
 	if (cw_call_is_waiting(relay->call)) {
-		start_deadline_timer(relay);
+		relay_start_timer(relay);
 		cw_call_resume(relay->call, entry_now_ms(relay->entry), &step);
 		relay_apply_step(relay, &step);
 		return;
@@ -473,6 +499,7 @@
 	char label[64];
 
 	relay_cancel_exchange(relay);
+	kept_drop(relay, "ended");
 	g_snprintf(label, sizeof(label), "outcome=\"%s\"", outcome);
 	cw_counter_add("ended", label, 1);
 	if (route) {
--- a/apps/corianderwalk/entry_relay.h
+++ b/apps/corianderwalk/entry_relay.h
@@ -1,4 +1,4 @@
-/* One request between its caller and the backend servers: shared by two files. */
+/* One request between its caller and the backend servers: shared by three files. */
 #ifndef ENTRY_RELAY_H
 #define ENTRY_RELAY_H
 
@@ -6,6 +6,8 @@
 #include "cw_forwarder.h"
 #include "entry.h"
 
+struct relay_kept;
+
 struct relay {
 	TAILQ_ENTRY(relay) link;
 	struct entry *entry;
@@ -21,7 +23,9 @@
 	size_t peers_refused;		/* of these, by the server */
 	int is_peer_head_seen;		/* of the server's answer, through the peer */
 	enum cw_attempt_failure unsent; /* why the attempt was not sent directly, or by peers */
+	struct relay_kept *kept;	/* the answer in hand; NULL: none */
 	uv_timer_t deadline_timer;
+	int is_timer_for_kept; /* it fires when the answer in hand is due */
 	struct cw_events *event_parser;
 	GString *response_fields; /* header fields of the response */
 	GString *response_body;
@@ -40,6 +44,17 @@
 extern const struct cw_exchange_ops relay_exchange_ops;
 void relay_apply_step(struct relay *relay, const struct cw_step *step);
 void relay_cancel_exchange(struct relay *relay);
+void relay_start_timer(struct relay *relay); /* to the deadline, or the kept answer's due time */
+void relay_forward_data(struct relay *relay, const char *data,
+			size_t size); /* of the answer that goes to the caller */
+
+/* entry_kept.c: the answer in hand */
+void kept_begin(struct relay *relay, const struct cw_message *answer,
+		const struct cw_step *step); /* takes over the exchange in progress */
+void kept_deliver(struct relay *relay, const struct cw_step *step); /* the relay may end */
+void kept_drop(struct relay *relay, const char *why); /* cancels its exchange, if any */
+void kept_fail_superseded(struct relay *relay);
+void kept_fail_unreachable(struct relay *relay, const struct cw_server *server);
 
 /* entry_path.c: sends the current attempt, directly or through a peer */
 void relay_send_on_path(struct relay *relay);
--- a/packages/flow/include/cw_flow.h
+++ b/packages/flow/include/cw_flow.h
@@ -110,6 +110,8 @@
 	const struct cw_exchange *exchange); /* a part of the request may have been sent */
 void cw_exchange_pause(struct cw_exchange *exchange, int paused);
 void cw_exchange_set_read_timeout(struct cw_exchange *exchange, int64_t read_timeout_ms);
+void cw_exchange_set_ops(struct cw_exchange *exchange, const struct cw_exchange_ops *ops,
+			 void *context); /* for what follows; also within a callback */
 void cw_client_probe(struct cw_client *client, const char *address, int64_t connect_ms,
 		     void (*report)(void *context, const char *address,
 				    enum cw_probe_result result),
--- a/packages/flow/src/client.c
+++ b/packages/flow/src/client.c
@@ -145,6 +145,13 @@
 	}
 }
 
+void cw_exchange_set_ops(struct cw_exchange *exchange, const struct cw_exchange_ops *ops,
+			 void *context)
+{
+	exchange->ops = ops;
+	exchange->context = context;
+}
+
 void cw_exchange_set_read_timeout(struct cw_exchange *exchange, int64_t read_timeout_ms)
 {
 	exchange->read_timeout_ms = read_timeout_ms;
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -24,11 +24,13 @@
 
 /* The next step of the I/O layer. */
 enum cw_step_kind {
-	CW_STEP_SEND,	 /* send to step.server; cancel an exchange in progress first */
-	CW_STEP_FORWARD, /* forward the answer to the caller */
-	CW_STEP_WAIT,	 /* call cw_call_resume after step.wait_ms: a server may have room then */
-	CW_STEP_REJECT,	 /* the router answers itself; nothing was forwarded before */
-	CW_STEP_ABORT,	 /* end a partly forwarded answer so that it can't look complete */
+	CW_STEP_SEND,	      /* send to step.server; cancel an exchange in progress first */
+	CW_STEP_FORWARD,      /* forward the answer to the caller */
+	CW_STEP_FORWARD_KEPT, /* cancel the exchange in progress; forward the kept answer, first
+				 what has arrived of it; its exchange is the one in progress now */
+	CW_STEP_WAIT,	/* call cw_call_resume after step.wait_ms: a server may have room then */
+	CW_STEP_REJECT, /* the router answers itself; nothing was forwarded before */
+	CW_STEP_ABORT,	/* end a partly forwarded answer so that it can't look complete */
 };
 
 struct cw_step {
@@ -40,10 +42,15 @@
 	int64_t connect_ms;	 /* timeout of a new connection */
 	int64_t read_timeout_ms; /* idle timeout: longest wait for the next byte */
 	int64_t wait_ms;	 /* of CW_STEP_WAIT */
+	int keeps_answer;	 /* CW_STEP_SEND: don't cancel the exchange in progress, keep its
+				    answer: see cw_call_has_kept */
+	int64_t kept_timeout_ms; /* read timeout of the kept exchange */
 	unsigned int status;	 /* of CW_STEP_REJECT */
 	enum cw_run_state run;
 	int64_t retry_after_ms;	  /* -1: none */
-	const char *reason;	  /* CW_STEP_REJECT: message; CW_STEP_FORWARD: why not escalated */
+	const char *reason;	  /* CW_STEP_REJECT: message; CW_STEP_FORWARD: why not escalated;
+				     CW_STEP_FORWARD_KEPT: why the kept answer is delivered */
+	int kept_confidence;	  /* of CW_STEP_FORWARD_KEPT */
 	int was_under_load;	  /* after an answer: the server was under load when it answered */
 	int is_slow;		  /* after an answer: evidence against the server's version */
 	double late_work_ms;	  /* after an answer: work of others learned of since the send */
@@ -127,6 +134,27 @@
 		       int64_t now_ms); /* the event was forwarded */
 void cw_call_handle_failure(struct cw_call *call, enum cw_attempt_failure how, int64_t now_ms,
 			    struct cw_step *step);
+
+/*
+ * An answer in hand. While the largest model is asked (after a step with keeps_answer), the answer
+ * of the smaller one goes on beside it and is kept by the I/O layer. Call cw_call_check_kept at
+ * cw_call_kept_due_ms; any step may be CW_STEP_FORWARD_KEPT. The first event of the largest model
+ * that is forwarded drops the kept answer: the I/O layer cancels its exchange once
+ * cw_call_has_kept returns 0.
+ */
+int cw_call_has_kept(const struct cw_call *call);
+int64_t cw_call_kept_due_ms(const struct cw_call *call); /* -1: no answer is kept */
+struct cw_server *
+cw_call_kept_server(const struct cw_call *call); /* of its run; NULL: none, or it has ended */
+int cw_call_check_kept(struct cw_call *call, int64_t now_ms,
+		       struct cw_step *step); /* 0: goes on as before, step isn't set */
+void cw_call_complete_kept(struct cw_call *call, unsigned int events,
+			   int64_t now_ms); /* it is complete, with so many events */
+void cw_call_fail_kept(struct cw_call *call, enum cw_attempt_failure how,
+		       int64_t now_ms); /* its run broke: it is dropped */
+void cw_call_drop_kept(struct cw_call *call,
+		       int64_t now_ms); /* no room: the I/O layer cancels its exchange */
+
 void cw_call_complete(struct cw_call *call, int64_t now_ms); /* the forwarded answer is complete */
 void cw_call_expire(struct cw_call *call, int64_t now_ms,
 		    struct cw_step *step);		/* at cw_call_deadline_ms */
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -2,13 +2,10 @@
 
 #include <string.h>
 
-#define CONNECT_TIMEOUT_MAX_MS	     400  /* a round trip takes 1 ms, a slow accept 300 ms */
-#define CONNECT_TIMEOUT_MIN_MS	     100  /* longer than a scheduling pause of this instance */
 #define CONNECT_FAILURES_MAX	     4	  /* failed connections before the request is rejected */
 #define NON_REPEATABLE_REUSE_IDLE_MS 1500 /* short, so that the server has rarely closed it */
 #define NO_CONFIG_RETRY_MS	     500
-#define RETURN_PATH_MS		     15	  /* from the router back to the caller */
-#define LAST_ATTEMPT_GAP_MS	     4000 /* smallest event gap limit with no attempt left */
+#define RETURN_PATH_MS		     15 /* from the router back to the caller */
 #define URGENCY_MAX		     9
 #define SERVICE_HASH_SEED	     0x5e41 /* makes the hash independent of that of roll-outs */
 #define WAIT_STEP_MS		     5	    /* between two looks for room at a brittle server */
@@ -20,15 +17,10 @@
 static void stop_waiting(struct cw_call *call);
 static void report_route_kinds(struct cw_call *call);
 static int dispatch_attempt(struct cw_call *call, int64_t now_ms, struct cw_step *step);
-static int64_t connect_timeout_ms(const struct cw_call *call);
+static int escalate(struct cw_call *call, const struct cw_response_head *answer, int64_t now_ms,
+		    struct cw_step *step);
 static int switch_server(struct cw_call *call, int64_t now_ms, struct cw_step *step);
 static void fill_dispatch(struct cw_call *call, int64_t now_ms, struct cw_step *step);
-static int64_t idle_timeout_ms(const struct cw_call *call, int64_t now_ms);
-static int64_t event_gap_timeout_ms(const struct cw_call *call);
-static void release_server(struct cw_call *call, int64_t now_ms, int is_answered);
-static void abandon_attempt(struct cw_call *call, int64_t now_ms);
-static void record_failure(struct cw_call *call, int64_t now_ms);
-static int is_retriable(const struct cw_call *call);
 static int take_retry(struct cw_call *call, int64_t now_ms);
 static void retry_or_fail(struct cw_call *call, int64_t now_ms, struct cw_step *step,
 			  const char *reason);
@@ -63,7 +55,7 @@
 	if (step->kind != CW_STEP_SEND && step->kind != CW_STEP_WAIT)
 		return;
 	stop_waiting(call);
-	release_server(call, now_ms, 0);
+	call_release_server(call, now_ms, 0);
 	call->attempts = 0;
 	memset(step, 0, sizeof(*step));
 	call_reject_not_run(call, step, reason, now_ms);
@@ -87,12 +79,14 @@
 	call_apply_reports(call, answer, now_ms);
 	step->was_under_load = call->server_was_loaded;
 	if (answer->is_not_run) {
-		release_server(call, now_ms, 0);
-		call_model_fall_back(call);
+		call_release_server(call, now_ms, 0);
 		/* No evidence of overload: a different server at a reused address, and a server
 		 * that gets nothing more until its rest ends. */
 		if (!answer->is_other_server && answer->rest != CW_FIELD_VALID)
 			gate_count_rejected(call->gate, call->service_name, now_ms);
+		if (call_kept_deliver(call, "large_rejected", now_ms, step))
+			return;
+		call_model_fall_back(call);
 		if (take_retry(call, now_ms) && dispatch_attempt(call, now_ms, step))
 			return;
 		if (call->has_forwarded) {
@@ -110,8 +104,10 @@
 	}
 	if (answer->status >= 500) {
 		call_work_record_failure(call, now_ms);
-		if (is_retriable(call) && take_retry(call, now_ms) &&
-		    switch_server(call, now_ms, step))
+		if (!call_kept_is_enough(call) && call_is_retriable(call) &&
+		    take_retry(call, now_ms) && switch_server(call, now_ms, step))
+			return;
+		if (call_kept_deliver(call, "large_failed", now_ms, step))
 			return;
 		if (call->has_forwarded) {
 			step->kind = CW_STEP_ABORT;
@@ -126,20 +122,17 @@
 		call_work_record_head(call, now_ms);
 	step->is_slow = call->is_slow;
 	step->late_work_ms = call->late_work_ms;
+	if (answer->status >= 300 && call_kept_deliver(call, "large_failed", now_ms, step))
+		return;
 	if (!call->has_forwarded && call_model_should_escalate(call, answer, now_ms, step)) {
-		size_t small_index = call->model_index;
-
-		call->model_index = call->route->model_count - 1;
-		call->tried_count = 0; /* no server failed: the same one may run the other model */
-		if (switch_server(call, now_ms, step))
+		if (escalate(call, answer, now_ms, step))
 			return;
 		step->reason = "no_server";
-		call->model_index = small_index;
 	}
 	step->kind = CW_STEP_FORWARD;
 	step->read_timeout_ms = call->route->retry_policy == CW_RETRY_STREAM
-					? event_gap_timeout_ms(call)
-					: idle_timeout_ms(call, now_ms);
+					? call_event_gap_timeout_ms(call)
+					: call_idle_timeout_ms(call, now_ms);
 }
 
 void cw_call_set_via_peer(struct cw_call *call)
@@ -154,6 +147,7 @@
 
 void cw_call_add_event(struct cw_call *call, int64_t event, int64_t now_ms)
 {
+	call_kept_drop(call, now_ms);
 	call->has_forwarded = 1;
 	call->events_forwarded++;
 	if (event >= 0)
@@ -171,12 +165,14 @@
 		if (call->gate->partition.state != CW_PARTITION_CONFIRMED)
 			cw_quarantine_note_unreachable(call->gate->quarantine, call->server->id,
 						       now_ms);
-		release_server(call, now_ms, 0);
+		call_release_server(call, now_ms, 0);
 		call->attempts--;
 		if (++call->connect_failures < CONNECT_FAILURES_MAX &&
 		    now_ms + TIME_LEFT_MIN_MS < call->deadline_ms &&
 		    dispatch_attempt(call, now_ms, step))
 			return;
+		if (call_kept_deliver(call, "large_unsent", now_ms, step))
+			return;
 		if (call->has_forwarded)
 			step->kind = CW_STEP_ABORT;
 		else
@@ -184,36 +180,24 @@
 					    now_ms);
 		return;
 	}
-	call->may_have_run = 1;
-	if (how == CW_ATTEMPT_CONNECTION_LOST)
-		call_record_crash(call, now_ms);
-	else
-		call_record_incomplete(call, call->server, now_ms);
-	if (how != CW_ATTEMPT_PEER_LOST)
-		record_failure(call, now_ms);
-	release_server(call, now_ms, 0);
+	call_fail_attempt(call, how, now_ms);
 	retry_or_fail(call, now_ms, step, "the backend server's answer was not whole");
 }
 
 void cw_call_complete(struct cw_call *call, int64_t now_ms)
 {
-	if (!call->server)
-		return;
-	call_work_record_completion(call, now_ms);
-	if (call->is_resumed)
-		call_record_incomplete(call, call->server, now_ms);
-	else
-		cw_quarantine_note_answer(call->gate->quarantine, call->fingerprint,
-					  call->server->id, call_run_time_ms(call, now_ms), now_ms);
-	cw_pool_record_success(call->server, now_ms);
-	release_server(call, now_ms, 1);
+	if (call->server)
+		call_complete_attempt(call, now_ms);
 }
 
 void cw_call_expire(struct cw_call *call, int64_t now_ms, struct cw_step *step)
 {
 	memset(step, 0, sizeof(*step));
+	if (call_kept_is_complete(call) && call_kept_deliver(call, "deadline", now_ms, step))
+		return;
+	call_kept_drop(call, now_ms);
 	if (call->server)
-		abandon_attempt(call, now_ms);
+		call_abandon_attempt(call, now_ms);
 	if (call->has_forwarded) {
 		step->kind = CW_STEP_ABORT;
 		return;
@@ -226,8 +210,11 @@
 void cw_call_abort(struct cw_call *call, int64_t now_ms, struct cw_step *step)
 {
 	memset(step, 0, sizeof(*step));
+	if (call_kept_is_complete(call) && call_kept_deliver(call, "quarantined", now_ms, step))
+		return;
+	call_kept_drop(call, now_ms);
 	if (call->server)
-		abandon_attempt(call, now_ms);
+		call_abandon_attempt(call, now_ms);
 	if (call->has_forwarded)
 		step->kind = CW_STEP_ABORT;
 	else
@@ -239,8 +226,9 @@
 	if (!call)
 		return;
 	stop_waiting(call);
+	call_kept_drop(call, now_ms);
 	if (call->server)
-		abandon_attempt(call, now_ms);
+		call_abandon_attempt(call, now_ms);
 	cw_config_unref(call->config);
 	g_free(call);
 }
@@ -248,7 +236,7 @@
 /* With no attempt left, a server that only seems unreachable is better than none. */
 int cw_call_may_change_server(const struct cw_call *call)
 {
-	return is_retriable(call) && (int)call->attempts < call->route->max_attempts;
+	return call_is_retriable(call) && (int)call->attempts < call->route->max_attempts;
 }
 
 int64_t cw_call_deadline_ms(const struct cw_call *call)
@@ -440,24 +428,36 @@
 	cw_pool_record_dispatch(server, now_ms);
 	step->kind = CW_STEP_SEND;
 	step->server = server;
-	step->connect_ms = connect_timeout_ms(call);
+	step->connect_ms = call_connect_timeout_ms(call);
 	step->reuse_idle_ms = call->route->retry_policy == CW_RETRY_NEVER
 				      ? NON_REPEATABLE_REUSE_IDLE_MS
 				      : (int64_t)policy->reuse_idle_ms;
-	step->read_timeout_ms = idle_timeout_ms(call, now_ms);
+	step->read_timeout_ms = call_idle_timeout_ms(call, now_ms);
 	fill_dispatch(call, now_ms, step);
 	return 1;
 }
 
-/*
- * An unsent request of any kind may go to another server, so the timeout is a part of the route's
- * latency objective that leaves time for a second attempt.
- */
-static int64_t connect_timeout_ms(const struct cw_call *call)
+/* Asks the largest model, and keeps the answer that began if it may be kept; 0: it stands. */
+static int escalate(struct cw_call *call, const struct cw_response_head *answer, int64_t now_ms,
+		    struct cw_step *step)
 {
-	double part_ms = call->gate->policy->connect_part * (double)call->route->objective_ms;
+	size_t small_index = call->model_index;
+	int is_kept = call_kept_may_begin(call, answer);
 
-	return (int64_t)CLAMP(part_ms, CONNECT_TIMEOUT_MIN_MS, CONNECT_TIMEOUT_MAX_MS);
+	if (is_kept)
+		call_kept_begin(call, answer->confidence, now_ms);
+	call->model_index = call->route->model_count - 1;
+	call->tried_count = 0; /* no server failed: the same one may run the other model */
+	if (!is_kept && switch_server(call, now_ms, step))
+		return 1;
+	if (is_kept && dispatch_attempt(call, now_ms, step)) {
+		call_kept_fill_step(call, step);
+		return 1;
+	}
+	if (is_kept)
+		call_kept_take_back(call);
+	call->model_index = small_index;
+	return 0;
 }
 
 /* Moves from the server that answered to another; 0: none is available, the answer stands. */
@@ -495,82 +495,6 @@
 		call->service && call->service->is_engine ? MIN(urgency, URGENCY_MAX) : -1;
 }
 
-/*
- * Longest time an attempt may go without a byte. Only this timeout finds a server that hangs while
- * its health checks pass, early enough for another server to answer in time.
- */
-static int64_t idle_timeout_ms(const struct cw_call *call, int64_t now_ms)
-{
-	const struct cw_policy *policy = call->gate->policy;
-	int64_t left_ms = MAX(call->deadline_ms - now_ms, 1);
-
-	if (!is_retriable(call) || (int)call->attempts >= call->route->max_attempts)
-		return left_ms;
-	if (call->route->retry_policy == CW_RETRY_STREAM)
-		return MIN(left_ms,
-			   (int64_t)(policy->silence_part * (double)call->route->objective_ms +
-				     policy->silence_factor * call->predicted_ms));
-	return MIN(left_ms / 2 + 1, MAX(call->route->objective_ms, 1));
-}
-
-/*
- * Longest gap between two events of a stream. A stream that hangs is resumed on another server
- * while it can still be on time; with no attempt left the gap is at least LAST_ATTEMPT_GAP_MS.
- */
-static int64_t event_gap_timeout_ms(const struct cw_call *call)
-{
-	double pause_ms = call->gate->policy->pause_part * (double)call->route->pause_ms;
-
-	if (!cw_call_may_change_server(call))
-		return MAX((int64_t)pause_ms, LAST_ATTEMPT_GAP_MS);
-	return MAX((int64_t)pause_ms, 1);
-}
-
-static void release_server(struct cw_call *call, int64_t now_ms, int is_answered)
-{
-	struct cw_server *server = call->server;
-
-	if (!server)
-		return;
-	call_work_end(call);
-	call->server = NULL;
-	cw_pool_record_end(server, now_ms, is_answered ? (double)(now_ms - call->sent_ms) : -1);
-}
-
-/* The request may still run on the server, and crash it. */
-static void abandon_attempt(struct cw_call *call, int64_t now_ms)
-{
-	call_record_incomplete(call, call->server, now_ms);
-	release_server(call, now_ms, 0);
-}
-
-static void record_failure(struct cw_call *call, int64_t now_ms)
-{
-	/* A network partition or a restart of the server is no evidence against the version. */
-	int is_own_link = !call->is_via_peer && gate_holds_breaks(call->gate, now_ms);
-
-	if (!call->server->is_unreachable && !call->server->is_superseded && !is_own_link &&
-	    !cw_pool_explains_fall(call->server, now_ms) &&
-	    cw_pool_record_crash(call->server, now_ms) &&
-	    !cw_quarantine_explains_crash(call->gate->quarantine, call->server->id, now_ms))
-		call_work_record_failure(call, now_ms);
-	cw_pool_record_failure(call->server, now_ms, gate_random(call->gate));
-}
-
-/* Whether the request may run twice is the route's setting, never inferred from a name. */
-static int is_retriable(const struct cw_call *call)
-{
-	switch (call->route->retry_policy) {
-	case CW_RETRY_ANY:
-		return !call->has_forwarded;
-	case CW_RETRY_STREAM:
-		return call->route->is_resumable;
-	case CW_RETRY_NEVER:
-		break;
-	}
-	return 0;
-}
-
 static int take_retry(struct cw_call *call, int64_t now_ms)
 {
 	if ((int)call->attempts >= call->route->max_attempts ||
@@ -582,7 +506,10 @@
 static void retry_or_fail(struct cw_call *call, int64_t now_ms, struct cw_step *step,
 			  const char *reason)
 {
-	if (is_retriable(call) && take_retry(call, now_ms) && dispatch_attempt(call, now_ms, step))
+	if (!call_kept_is_enough(call) && call_is_retriable(call) && take_retry(call, now_ms) &&
+	    dispatch_attempt(call, now_ms, step))
+		return;
+	if (call_kept_deliver(call, "large_failed", now_ms, step))
 		return;
 	if (call->has_forwarded)
 		step->kind = CW_STEP_ABORT;
--- a/packages/gate/src/call_model.c
+++ b/packages/gate/src/call_model.c
@@ -75,6 +75,9 @@
 	step->confidence_threshold = required_confidence(call, now_ms);
 	if (answer->confidence >= step->confidence_threshold)
 		return "trusted";
+	if (call_kept_may_begin(call, answer) &&
+	    call_kept_is_too_late(call, answer->confidence, now_ms))
+		return "too_late";
 	if ((int)call->attempts >= call->route->max_attempts)
 		return "attempts_spent";
 	if (!cw_repeats_take(gate_get_retry_budget(call->gate, call->service_name), now_ms))
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -56,6 +56,29 @@
 	GHashTable *longest_waits; /* route -> int64_t, longest time limit of its callers, ms */
 };
 
+/* An attempt of a call: the fields of the same names in struct cw_call. */
+struct gate_run {
+	struct cw_server *server; /* NULL: the run has ended */
+	int64_t sent_ms;
+	int64_t head_ms;
+	size_t model_index;
+	double work_ms;
+	unsigned int events_forwarded; /* received, while the answer is kept */
+	int is_via_peer;
+	int is_head_seen;
+	int server_was_loaded;
+	char software[CW_NAME_MAX];
+};
+
+/* An answer in hand: the run of the model that answered first, while the largest model is asked. */
+struct gate_kept {
+	int is_held;
+	int is_complete;
+	int confidence; /* 0 to 100 */
+	int64_t due_ms; /* the time at which it is delivered unless the largest model has begun */
+	struct gate_run run;
+};
+
 struct cw_call {
 	struct cw_gate *gate;
 	struct cw_config *config;
@@ -99,6 +122,7 @@
 	int is_head_seen;
 	int64_t head_ms;	       /* time of the response head */
 	unsigned int events_forwarded; /* by the current attempt */
+	struct gate_kept kept;
 };
 
 uint64_t gate_random(struct cw_gate *gate);
@@ -158,6 +182,32 @@
 void call_fail(struct cw_call *call, struct cw_step *step, const char *reason); /* may have run */
 int64_t call_retry_after_ms(struct cw_call *call);
 
+/* call_attempt.c: an attempt's timeouts and its end */
+int64_t call_connect_timeout_ms(const struct cw_call *call);
+int64_t call_idle_timeout_ms(const struct cw_call *call, int64_t now_ms);
+int64_t call_event_gap_timeout_ms(const struct cw_call *call);
+int call_is_retriable(const struct cw_call *call); /* by the route's setting */
+void call_release_server(struct cw_call *call, int64_t now_ms, int is_answered);
+void call_complete_attempt(struct cw_call *call, int64_t now_ms); /* its answer is complete */
+void call_abandon_attempt(struct cw_call *call, int64_t now_ms);  /* the I/O layer cancels it */
+void call_fail_attempt(struct cw_call *call, enum cw_attempt_failure how,
+		       int64_t now_ms); /* sent, and ended without a complete answer */
+
+/* call_kept.c: the answer in hand while the largest model is asked */
+int call_kept_may_begin(const struct cw_call *call, const struct cw_response_head *answer);
+int call_kept_is_too_late(const struct cw_call *call, int confidence,
+			  int64_t now_ms); /* it would be delivered at once */
+void call_kept_begin(struct cw_call *call, int confidence,
+		     int64_t now_ms);		/* puts the current attempt aside */
+void call_kept_take_back(struct cw_call *call); /* the largest model can't be asked */
+void call_kept_fill_step(const struct cw_call *call,
+			 struct cw_step *step);	     /* of the send to the largest model */
+int call_kept_is_enough(const struct cw_call *call); /* trusted where the larger one is late */
+int call_kept_is_complete(const struct cw_call *call);
+int call_kept_deliver(struct cw_call *call, const char *why, int64_t now_ms,
+		      struct cw_step *step);		   /* 0: no answer is in hand */
+void call_kept_drop(struct cw_call *call, int64_t now_ms); /* the I/O layer cancels its run */
+
 /* call_model.c: choice among the route's models */
 int call_model_is_selectable(const struct cw_call *call); /* the gate chooses among several */
 int call_model_fills_trial(const struct cw_call *call,
--- a/packages/policy/include/cw_policy.h
+++ b/packages/policy/include/cw_policy.h
@@ -21,7 +21,12 @@
 	double escalate_less_taken;   /* part of slots taken above which the threshold falls */
 	double escalate_none_taken;   /* part of slots taken above which the threshold is 0 */
 	double escalate_whole_part; /* part of the time left that a large model's stream may use */
-	double rejected_to_small;   /* 1: requests that full engines reject go to the small model */
+	double keep_answer;    /* 1: a small model's answer is kept while the large one is asked */
+	double keep_wait_part; /* part of the caller's patience for which a kept answer of low
+				  confidence waits */
+	double keep_bytes;     /* bytes kept of one answer */
+	double keep_total_bytes;  /* bytes kept of all answers of an instance */
+	double rejected_to_small; /* 1: requests that full engines reject go to the small model */
 	/* load shedding */
 	double full_part; /* part of attempts rejected above which servers count as full */
 	double shed_part; /* part of the rejection rate that is shed before dispatch */
--- a/tests/fuzz/users_input.c
+++ b/tests/fuzz/users_input.c
@@ -30,8 +30,10 @@
 	int may_have_run;	 /* a backend server may have run the request */
 	int sends;		 /* attempts that reached a backend server */
 	int is_partly_delivered; /* the caller got a part of the answer */
-	int is_over;		 /* the caller got a final answer or a broken connection */
-	uint64_t server;	 /* that got the newest attempt */
+	int has_kept;		 /* an answer is kept beside the attempt */
+	int is_kept_complete;
+	int is_over;	 /* the caller got a final answer or a broken connection */
+	uint64_t server; /* that got the newest attempt */
 	int64_t opened_ms;
 };
 
@@ -68,6 +70,7 @@
 static struct reported *get_reported(struct harness *harness, uint64_t server);
 static void report_in_answer(struct harness *harness, int choice, struct cw_response_head *answer);
 static void ask_for_rest(struct harness *harness, int choice, struct cw_response_head *answer);
+static int handle_kept(struct harness *harness, int choice);
 static void open_call(struct harness *harness);
 static void end_call(struct harness *harness);
 static void check_step(struct harness *harness);
@@ -317,10 +320,14 @@
 		.retry_window_ms = 10000,
 		.rollouts = {.session_ms = 5000, .exposed_share = 0.15, .exposed_slack = 30},
 	};
+	struct cw_service *service;
 
 	harness->gate = cw_gate_create(&options);
 	cw_gate_set_instances(harness->gate, 1);
 	harness->config = cw_config_create(1);
+	service = cw_config_add_service(harness->config);
+	g_strlcpy(service->name, "s", sizeof(service->name));
+	service->tokens_per_event = 4;
 	add_route(harness->config, "/once/", CW_RETRY_NEVER, 3);
 	add_route(harness->config, "/any/", CW_RETRY_ANY, 2);
 	add_route(harness->config, "/stream/", CW_RETRY_STREAM, 3);
@@ -488,6 +495,8 @@
 		check_step(harness);
 		return;
 	}
+	if (call_state->has_kept && choice % 8 >= 5 && handle_kept(harness, choice / 8))
+		return;
 	/* Only events, the end or a failure follow a forwarded head; no event comes before one. */
 	if (call_state->is_head_forwarded ? choice % 8 < 4 : choice % 8 == 5 || choice % 8 == 7)
 		return;
@@ -498,6 +507,7 @@
 		answer.status = choice % 16 == 1 ? 500 : 200;
 		answer.is_signed = choice % 32 < 28;
 		answer.confidence = choice;
+		answer.is_event_stream = call_state->route->retry_policy == CW_RETRY_STREAM;
 		answer.has_load = choice & 1;
 		answer.running = (unsigned int)choice;
 		call_state->may_have_run = 1;
@@ -529,6 +539,9 @@
 			return;
 		call_state->is_partly_delivered = 1;
 		cw_call_add_event(call_state->call, choice, harness->now_ms);
+		check(!cw_call_has_kept(call_state->call),
+		      "an answer is kept after a part of another one was delivered");
+		call_state->has_kept = 0;
 		return;
 	case 6:
 		call_state->may_have_run = 1;
@@ -542,6 +555,30 @@
 	check_step(harness);
 }
 
+/* What happens to the answer that is kept beside the attempt; 0: nothing. */
+static int handle_kept(struct harness *harness, int choice)
+{
+	struct call_state *call_state = &harness->call_state;
+	struct cw_call *call = call_state->call;
+
+	check(cw_call_has_kept(call), "a kept answer was lost");
+	if (choice % 8 == 0 && cw_call_kept_server(call))
+		cw_call_complete_kept(call, (unsigned int)choice, harness->now_ms);
+	else if (choice % 8 == 1 && cw_call_kept_server(call))
+		cw_call_fail_kept(call,
+				  choice & 8 ? CW_ATTEMPT_CONNECTION_LOST : CW_ATTEMPT_TIMED_OUT,
+				  harness->now_ms);
+	else if (choice % 8 == 2)
+		cw_call_drop_kept(call, harness->now_ms);
+	else if (choice % 8 < 6 && cw_call_check_kept(call, harness->now_ms, &harness->step))
+		check_step(harness);
+	else
+		return 0;
+	call_state->has_kept = cw_call_has_kept(call);
+	call_state->is_kept_complete = call_state->has_kept && !cw_call_kept_server(call);
+	return 1;
+}
+
 static struct reported *get_reported(struct harness *harness, uint64_t server)
 {
 	struct reported *reported = &harness->reported[server % REPORTED_MAX];
@@ -618,6 +655,11 @@
 	case CW_STEP_SEND:
 		call_state->sends++;
 		call_state->is_head_forwarded = 0;
+		if (step->keeps_answer) {
+			check(!call_state->has_kept, "two answers are kept");
+			call_state->has_kept = 1;
+			call_state->is_kept_complete = 0;
+		}
 		call_state->server = step->server->id;
 		reported = get_reported(harness, step->server->id);
 		check(!step->server->is_leaving, "a leaving server got a request");
@@ -662,6 +704,17 @@
 	case CW_STEP_FORWARD:
 		call_state->is_head_forwarded = 1;
 		break;
+	case CW_STEP_FORWARD_KEPT:
+		check(call_state->has_kept, "an answer was delivered that was not kept");
+		check(!call_state->is_partly_delivered,
+		      "a kept answer was delivered after a part of another one");
+		check(!cw_call_has_kept(call_state->call), "a delivered answer is still kept");
+		check(call_state->is_kept_complete == !cw_call_server(call_state->call),
+		      "a delivered answer has a run though it is complete, or none");
+		call_state->has_kept = 0;
+		call_state->is_head_forwarded = 1;
+		call_state->is_over = call_state->is_kept_complete;
+		break;
 	}
 }
 
