pool: homes of a prompt prefix grow and shrink with its demand

Cause: a prefix had one home, whatever its demand. A hot subject filled one engine; the rest of its requests went wherever there was room and its prompt was processed anew there. A home without a free slot kept drawing requests.

Change: each instance counts its own requests by prefix in a table of 64 (3 KB), scales what is beyond chance by the number of instances, and takes the first servers by rendezvous as homes: one for each home_part of a server's time that the prefix needs. Fewer homes only when half more demand would still need fewer. A home whose slots are taken (home_full_part) draws no request by the cost of processing anew. Event prefix_homes, gauges prefixes_with_more_homes and prefix_requests.

Without a hot prefix the servers are those recorded on the code before. Unit tests pass; scripted runs and sanitizers not run.

--- /dev/null
+++ b/apps/corianderwalk/entry_homes.c
@@ -0,0 +1,25 @@
+/* The homes of prompt prefixes: logs and metrics. */
+#include "cw_counters.h"
+#include "cw_timeline.h"
+#include "entry.h"
+#include "entry_load.h"
+
+void homes_log(const struct entry *entry)
+{
+	struct cw_homes *homes = cw_pool_homes(cw_gate_pool(entry->gate));
+	struct cw_homes_change change;
+
+	while (cw_homes_next_change(homes, &change))
+		cw_event("load", "prefix_homes", "prefix=%016lx homes=%zu before=%zu demand=%.2f",
+			 (unsigned long)change.prefix, change.homes, change.before, change.demand);
+}
+
+void homes_update_gauges(const struct entry *entry)
+{
+	struct cw_homes_stats stats;
+
+	cw_homes_get_stats(cw_pool_homes(cw_gate_pool(entry->gate)), &stats);
+	cw_gauge_set("prefixes_with_more_homes", "", stats.prefixes);
+	cw_gauge_set("prefix_requests", "at=\"home\"", stats.at_home);
+	cw_gauge_set("prefix_requests", "at=\"elsewhere\"", stats.elsewhere);
+}
--- a/apps/corianderwalk/entry_load.c
+++ b/apps/corianderwalk/entry_load.c
@@ -17,6 +17,7 @@
 {
 	pace_announce(entry, now_ms);
 	backlog_announce(entry, now_ms);
+	homes_log(entry);
 	if (now_ms - entry->prediction_logged_ms < PREDICTION_LOG_MS)
 		return;
 	entry->prediction_logged_ms = now_ms;
@@ -35,6 +36,7 @@
 
 	set_quantile(all, "quantile=\"0.5\"", 0.5);
 	set_quantile(all, "quantile=\"0.99\"", 0.99);
+	homes_update_gauges(entry);
 }
 
 /* Servers whose answers begin far later than predicted: one line each, those in use only. */
--- a/apps/corianderwalk/entry_load.h
+++ b/apps/corianderwalk/entry_load.h
@@ -20,4 +20,8 @@
 						      may choose the server are told at once */
 int backlog_merge(struct entry *entry, const char *bytes, size_t size, uint32_t delay_ms);
 
+/* entry_homes.c: homes of prompt prefixes */
+void homes_log(const struct entry *entry); /* their changes since the last call */
+void homes_update_gauges(const struct entry *entry);
+
 #endif
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -433,6 +433,7 @@
 	call->sent_ms = now_ms;
 	gate_count_sent(call->gate, call->service_name, now_ms);
 	call_work_begin(call, is_affinity_server, now_ms);
+	call_count_prefix(call, is_affinity_server, now_ms);
 	cw_rollouts_record_dispatch(call->gate->rollouts, call->service_name, call->session,
 				    server->software, now_ms);
 	call->attempts++;
--- a/packages/gate/src/call_choice.c
+++ b/packages/gate/src/call_choice.c
@@ -71,6 +71,12 @@
 	return server;
 }
 
+void call_count_prefix(const struct cw_call *call, int is_affinity_server, int64_t now_ms)
+{
+	cw_pool_count_prefix(call->server, prefix_key(&call->info), call->work_ms,
+			     is_affinity_server, now_ms);
+}
+
 int64_t call_admission_wait_ms(struct cw_call *call, int64_t now_ms, enum cw_admission *cause)
 {
 	struct cw_choice choice;
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -57,6 +57,7 @@
 void cw_gate_set_instances(struct cw_gate *gate, size_t instances)
 {
 	gate->instances = instances;
+	cw_pool_set_instances(gate->pool, instances);
 }
 
 /* Records may arrive twice or late: only a newer version replaces the current one. */
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -139,6 +139,8 @@
 struct cw_server *
 call_choose_server(struct cw_call *call, int64_t now_ms,
 		   int *is_affinity_server); /* NULL: no server may run the request */
+void call_count_prefix(const struct cw_call *call, int is_affinity_server,
+		       int64_t now_ms); /* after the begin of its work at the server */
 int64_t
 call_admission_wait_ms(struct cw_call *call, int64_t now_ms,
 		       enum cw_admission *cause); /* until a server admits it; -1: none will */
--- a/packages/policy/include/cw_policy.h
+++ b/packages/policy/include/cw_policy.h
@@ -27,6 +27,8 @@
 	double shed_part; /* part of the rejection rate that is shed before dispatch */
 	/* choice of the server */
 	double again_token_ms; /* cost of each prefix token that is processed anew */
+	double home_part;      /* of a server's time that one prompt prefix uses there at most */
+	double home_full_part; /* of the slots taken, from which a home doesn't attract requests */
 	double cross_byte_ms;  /* cost of a byte to another failure domain */
 	double running_ms;     /* cost of each request running on the server */
 	double failure_ms;     /* cost of a failed answer */
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -10,6 +10,7 @@
 #include "cw_brittle.h"
 #include "cw_drain.h"
 #include "cw_home.h"
+#include "cw_homes.h"
 #include "cw_pace.h"
 #include "cw_policy.h"
 #include "cw_prediction.h"
@@ -188,8 +189,7 @@
 	double ms_per_token;	 /* predicted prefill time per token */
 	double mean_work_ms;	 /* predicted work of an average queued request */
 	size_t bytes;		 /* of the request and its expected answer */
-	int *is_affinity_server; /* out, may be NULL: 1 if the affinity server of the prefix was
-				    chosen */
+	int *is_affinity_server; /* out, may be NULL: 1 if a home of the prefix was chosen */
 };
 
 /* Why a server that may serve a request admits none now. */
@@ -224,6 +224,9 @@
 			      void (*find)(void *context, uint64_t server,
 					   struct cw_warmup_place *place),
 			      void *context); /* without a lookup, no other instance is assumed */
+void cw_pool_set_instances(struct cw_pool *pool,
+			   size_t instances); /* that share the callers; 0: not known */
+struct cw_homes *cw_pool_homes(const struct cw_pool *pool);
 int cw_pool_find_rank(const struct cw_pool *pool, uint64_t key,
 		      size_t *rank); /* of this instance for the key, 0: first; 0: not known yet */
 void cw_pool_set_region(struct cw_pool *pool, const char *failure_domain,
@@ -322,6 +325,8 @@
 void cw_pool_begin_work(struct cw_server *server, double work_ms, double mean_work_ms,
 			int64_t now_ms);			 /* a prompt was sent */
 void cw_pool_end_work(struct cw_server *server, double work_ms); /* the answer began or failed */
+void cw_pool_count_prefix(struct cw_server *server, uint64_t prefix, double work_ms, int is_at_home,
+			  int64_t now_ms); /* a prompt with the prefix was sent; 0: no prefix */
 double cw_pool_own_work_ms(const struct cw_server *server,
 			   int64_t now_ms); /* predicted work left of own prompts */
 void cw_pool_record_peers_work(struct cw_server *server,
--- a/packages/pool/src/candidates.c
+++ b/packages/pool/src/candidates.c
@@ -5,9 +5,8 @@
 #include <math.h>
 #include <string.h>
 
-#define SHARE_MIN_SERVERS 2   /* on a single server a burst would look like a slow version */
-#define LOCAL_CANDIDATES  192 /* of the own failure domain; with this many, no remote ones */
-#define MAX_CANDIDATES	  256
+#define SHARE_MIN_SERVERS 2	/* on a single server a burst would look like a slow version */
+#define LOCAL_CANDIDATES  192	/* of the own failure domain; with this many, no remote ones */
 #define PLACE_REFRESH_MS  1000	/* ranking scans hundreds of members for each server */
 #define PLACE_WAIT_MIN_MS 20	/* until a brittle server has room again */
 #define FILL_BACKLOG_MS	  800.0 /* predicted work queued: half of the usual latency objective */
@@ -15,7 +14,7 @@
 /* The servers with the highest scores, max at most. */
 struct sample {
 	struct cw_server **servers;
-	uint64_t scores[MAX_CANDIDATES];
+	uint64_t scores[POOL_CANDIDATES_MAX];
 	size_t count;
 	size_t max;
 	size_t least; /* index of the lowest score once the sample is full */
@@ -43,11 +42,11 @@
 
 struct cw_server *cw_pool_choose(struct cw_pool *pool, const struct cw_choice *choice)
 {
-	struct cw_server *candidates[MAX_CANDIDATES];
+	struct cw_server *candidates[POOL_CANDIDATES_MAX];
 	struct cw_server *server;
 	size_t count = collect_all(pool, choice, candidates);
 
-	if (count > MAX_CANDIDATES)
+	if (count > POOL_CANDIDATES_MAX)
 		count = collect_sample(pool, choice, candidates);
 	server = choice->fill_part > 0 ? choose_server_to_fill(candidates, count, choice) : NULL;
 	if (server)
@@ -57,7 +56,7 @@
 	return count ? pool->choice->choose(candidates, count, choice) : NULL;
 }
 
-/* Collects all candidates; returns their number, or MAX_CANDIDATES + 1 if there are more. */
+/* Collects all candidates; returns their number, or POOL_CANDIDATES_MAX + 1 if there are more. */
 static size_t collect_all(struct cw_pool *pool, const struct cw_choice *choice,
 			  struct cw_server **candidates)
 {
@@ -67,7 +66,7 @@
 	TAILQ_FOREACH(server, &pool->servers, link) {
 		if (!is_candidate(pool, server, choice))
 			continue;
-		if (count == MAX_CANDIDATES)
+		if (count == POOL_CANDIDATES_MAX)
 			return count + 1;
 		candidates[count++] = server;
 	}
@@ -84,8 +83,8 @@
 			     struct cw_server **candidates)
 {
 	struct sample local = {.servers = candidates, .max = LOCAL_CANDIDATES};
-	struct sample remote = {.max = MAX_CANDIDATES - LOCAL_CANDIDATES};
-	struct cw_server *remote_servers[MAX_CANDIDATES - LOCAL_CANDIDATES];
+	struct sample remote = {.max = POOL_CANDIDATES_MAX - LOCAL_CANDIDATES};
+	struct cw_server *remote_servers[POOL_CANDIDATES_MAX - LOCAL_CANDIDATES];
 	uint64_t key = sample_key(choice);
 	struct cw_server *server;
 
--- a/packages/pool/src/placement.c
+++ b/packages/pool/src/placement.c
@@ -8,18 +8,22 @@
 #include <math.h>
 #include <string.h>
 
-#define EVIDENCE_DECAY_MS 4000 /* time constant; a server may recover without a request */
-#define FAILURE_RATE_GAIN 0.25 /* weight of the newest attempt */
-#define SLOWNESS_GAIN	  0.3  /* weight of the newest attempt */
-#define SLOWNESS_MAX	  20.0
-#define PEERS_PEAK_MS	  500 /* time constant: announcements are 150 ms apart, and may get lost */
+#define EVIDENCE_DECAY_MS  4000 /* time constant; a server may recover without a request */
+#define FAILURE_RATE_GAIN  0.25 /* weight of the newest attempt */
+#define SLOWNESS_GAIN	   0.3	/* weight of the newest attempt */
+#define SLOWNESS_MAX	   20.0
+#define HOME_DEFAULT_SLOTS 8   /* of a server that has reported none */
+#define PEERS_PEAK_MS	   500 /* time constant: announcements are 150 ms apart, and may get lost */
 
 static double cost_of(const struct cw_server *server, const struct cw_choice *choice,
 		      int is_affinity_server);
 static struct cw_server *choose_cost(struct cw_server **candidates, size_t count,
 				     const struct cw_choice *choice);
-static const struct cw_server *find_affinity_server(struct cw_server **candidates, size_t count,
-						    const struct cw_choice *choice);
+static void mark_homes(struct cw_server **candidates, size_t count, const struct cw_choice *choice,
+		       uint8_t *is_home);
+static size_t next_home(struct cw_server **candidates, size_t count, uint64_t prefix,
+			const uint8_t *is_home);
+static int attracts(const struct cw_server *server, int64_t now_ms);
 static double evidence_weight(const struct cw_server *server, int64_t now_ms);
 
 const struct cw_choice_policy cw_choice_cost = {"cost", choose_cost};
@@ -50,6 +54,16 @@
 	server->own_work_ms = MAX(server->own_work_ms - work_ms, 0);
 }
 
+/* A request takes its prompt's time, or a slot's share of the time that the answer takes. */
+void cw_pool_count_prefix(struct cw_server *server, uint64_t prefix, double work_ms, int is_at_home,
+			  int64_t now_ms)
+{
+	double slots = server->slots ? server->slots : HOME_DEFAULT_SLOTS;
+
+	cw_homes_add(server->pool->homes, prefix, MAX(work_ms, server->service_ms / slots),
+		     is_at_home, now_ms);
+}
+
 /*
  * The work of a prompt is removed only when its answer begins. If it counted in full until then, a
  * server with three prompts of 600 ms would look 1.7 s late until all three were processed. The
@@ -134,48 +148,71 @@
 static struct cw_server *choose_cost(struct cw_server **candidates, size_t count,
 				     const struct cw_choice *choice)
 {
-	const struct cw_server *affinity_server = find_affinity_server(candidates, count, choice);
-	struct cw_server *best = candidates[0];
+	uint8_t is_home[POOL_CANDIDATES_MAX] = {0};
+	size_t best = 0;
 	double best_cost = G_MAXDOUBLE;
 
+	mark_homes(candidates, count, choice, is_home);
 	for (size_t i = 0; i < count; i++) {
 		double noise =
 			(double)(cw_hash(&candidates[i]->id, sizeof(uint64_t), choice->random) &
 				 0xff) /
 			256 * candidates[i]->policy->noise_ms;
-		double cost = cost_of(candidates[i], choice,
-				      affinity_server && candidates[i] == affinity_server) +
-			      noise;
+		double cost = cost_of(candidates[i], choice, is_home[i]) + noise;
 
 		if (cost >= best_cost)
 			continue;
-		best = candidates[i];
+		best = i;
 		best_cost = cost;
 	}
 	if (choice->is_affinity_server)
-		*choice->is_affinity_server = affinity_server && best == affinity_server;
-	return best;
+		*choice->is_affinity_server = is_home[best];
+	return candidates[best];
 }
 
 /*
- * The affinity server of a prompt prefix, by rendezvous: every instance prefers the same server
- * without coordination, so a prefix is processed once in the system and not once per instance.
+ * The homes of a prompt prefix, by rendezvous: every instance prefers the same servers without
+ * coordination, so a prefix is processed once on each of them and not once per instance.
  */
-static const struct cw_server *find_affinity_server(struct cw_server **candidates, size_t count,
-						    const struct cw_choice *choice)
+static void mark_homes(struct cw_server **candidates, size_t count, const struct cw_choice *choice,
+		       uint8_t *is_home)
+{
+	const struct cw_pool *pool = candidates[0]->pool;
+	struct cw_homes_terms terms = {.instances = pool->instances,
+				       .server_part = pool->policy->home_part};
+	size_t homes;
+
+	if (!choice->prefix)
+		return;
+	homes = cw_homes_count(pool->homes, choice->prefix, &terms, choice->now_ms);
+	for (size_t i = 0; i < MIN(homes, count); i++)
+		is_home[next_home(candidates, count, choice->prefix, is_home)] = 1;
+}
+
+/* The first candidate by rendezvous that is not marked; at least one isn't. */
+static size_t next_home(struct cw_server **candidates, size_t count, uint64_t prefix,
+			const uint8_t *is_home)
 {
-	const struct cw_server *affinity_server = NULL;
+	size_t next = 0;
 	double best = -1;
 
-	for (size_t i = 0; choice->prefix && i < count; i++) {
-		double score = cw_rendezvous_score(choice->prefix, candidates[i]->id, 1);
+	for (size_t i = 0; i < count; i++) {
+		double score = is_home[i] ? -1 : cw_rendezvous_score(prefix, candidates[i]->id, 1);
 
-		if (score > best) {
-			best = score;
-			affinity_server = candidates[i];
-		}
+		if (score <= best)
+			continue;
+		best = score;
+		next = i;
 	}
-	return affinity_server;
+	return next;
+}
+
+/* A request would wait at a home without a free slot for as long as another one runs there. */
+static int attracts(const struct cw_server *server, int64_t now_ms)
+{
+	double slots = server->slots ? server->slots : HOME_DEFAULT_SLOTS;
+
+	return cw_pool_load(server, now_ms) < server->policy->home_full_part * slots;
 }
 
 static double cost_of(const struct cw_server *server, const struct cw_choice *choice,
@@ -191,7 +228,7 @@
 
 	cost += cw_pool_load(server, now_ms) * policy->running_ms;
 	cost += cw_pool_failure_rate(server, now_ms) * policy->failure_ms;
-	if (!is_affinity_server)
+	if (!is_affinity_server || !attracts(server, now_ms))
 		cost += choice->prefix_tokens * policy->again_token_ms;
 	if (strcmp(server->failure_domain, choice->failure_domain) != 0)
 		cost += (double)choice->bytes * policy->cross_byte_ms;
--- a/packages/pool/src/pool.c
+++ b/packages/pool/src/pool.c
@@ -36,6 +36,7 @@
 	pool->choice = policy;
 	pool->policy = cw_policy_default();
 	pool->drains = cw_drains_create();
+	pool->homes = cw_homes_create();
 	pool->regions = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	TAILQ_INIT(&pool->servers);
 	TAILQ_INIT(&pool->active);
@@ -64,6 +65,7 @@
 	g_hash_table_destroy(pool->by_id);
 	g_hash_table_destroy(pool->by_name);
 	cw_drains_destroy(pool->drains);
+	cw_homes_destroy(pool->homes);
 	g_hash_table_destroy(pool->regions);
 	g_free(pool);
 }
@@ -77,6 +79,16 @@
 	pool->place_context = context;
 }
 
+void cw_pool_set_instances(struct cw_pool *pool, size_t instances)
+{
+	pool->instances = instances;
+}
+
+struct cw_homes *cw_pool_homes(const struct cw_pool *pool)
+{
+	return pool->homes;
+}
+
 int cw_pool_find_rank(const struct cw_pool *pool, uint64_t key, size_t *rank)
 {
 	struct cw_warmup_place place = {.instances = 1};
--- a/packages/pool/src/pool_internal.h
+++ b/packages/pool/src/pool_internal.h
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 
+#define POOL_CANDIDATES_MAX 256 /* servers among which a request's is chosen */
 #define SOFTWARE_MAX                                                                               \
 	64 /* software versions remembered, of all services; others never count as new */
 
@@ -38,7 +39,9 @@
 	const struct cw_policy *policy;
 	struct cw_drains *drains;
 	struct cw_prediction prediction; /* over all servers */
-	GHashTable *regions;		 /* failure domain -> region */
+	struct cw_homes *homes;
+	size_t instances;    /* that share the callers; 0: not known */
+	GHashTable *regions; /* failure domain -> region */
 	void (*find_place)(void *context, uint64_t server, struct cw_warmup_place *place);
 	void *place_context;
 	struct cw_server_list servers;
