--- a/apps/corianderwalk/entry_load.h
+++ b/apps/corianderwalk/entry_load.h
@@ -21,4 +21,8 @@
 		  uint32_t delay_ms); /* a note of a peer; 0: another kind of message */
 void backlog_update_gauges(const struct entry *entry);
 
+/* entry_homes.c: homes of prompt prefixes */
+void homes_log(const struct entry *entry); /* their changes since the last call */
+void homes_update_gauges(const struct entry *entry);
+
 #endif
