share: fair share of scarce room among organisations

Cause: an organisation that sends 14 or 25 times its usual displaced all others: each answer had the same chance of the larger model, each request the same chance of a rejection, whoever sent it.

Change: package share keeps what organisations ask of a service, own demand exactly and peers' by their announcements, and divides the room by weighted max-min. The part of an organisation's demand that is granted replaces the room itself in the confidence threshold and in the chance of a rejection. Policy share_part (0: off).

--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -44,6 +44,8 @@
 	unsigned int tick_count;
 	int64_t report_warning_ms; /* of the last log line on an invalid report */
 	int64_t prediction_logged_ms;
+	int64_t shares_announced_ms;
+	int64_t shares_logged_ms;
 	int metrics_port;
 };
 
--- a/apps/corianderwalk/entry_load.c
+++ b/apps/corianderwalk/entry_load.c
@@ -1,6 +1,6 @@
 /*
- * The one place where messages on the load and the speed of servers meet the instance: entry_pace.c
- * and entry_backlog.c each encode and merge their own.
+ * The one place where messages on the load and the speed of servers meet the instance:
+ * entry_pace.c, entry_backlog.c and entry_shares.c each encode and merge their own.
  */
 #include "entry_load.h"
 #include "cw_counters.h"
@@ -17,6 +17,7 @@
 {
 	pace_announce(entry, now_ms);
 	backlog_announce(entry, now_ms);
+	shares_announce(entry, now_ms);
 	if (now_ms - entry->prediction_logged_ms < PREDICTION_LOG_MS)
 		return;
 	entry->prediction_logged_ms = now_ms;
@@ -26,7 +27,7 @@
 int load_merge(struct entry *entry, const char *bytes, size_t size, uint32_t delay_ms)
 {
 	return pace_merge(entry, bytes, size, delay_ms) ||
-	       backlog_merge(entry, bytes, size, delay_ms);
+	       backlog_merge(entry, bytes, size, delay_ms) || shares_merge(entry, bytes, size);
 }
 
 void load_update_gauges(const struct entry *entry)
@@ -35,6 +36,7 @@
 
 	set_quantile(all, "quantile=\"0.5\"", 0.5);
 	set_quantile(all, "quantile=\"0.99\"", 0.99);
+	shares_update_gauges(entry);
 }
 
 /* Servers whose answers begin far later than predicted: one line each, those in use only. */
--- a/apps/corianderwalk/entry_load.h
+++ b/apps/corianderwalk/entry_load.h
@@ -20,4 +20,9 @@
 						      may choose the server are told at once */
 int backlog_merge(struct entry *entry, const char *bytes, size_t size, uint32_t delay_ms);
 
+/* entry_shares.c: what organisations ask for, while room is scarce */
+void shares_announce(struct entry *entry, int64_t now_ms); /* with each round of gossip */
+int shares_merge(struct entry *entry, const char *bytes, size_t size);
+void shares_update_gauges(const struct entry *entry);
+
 #endif
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -18,6 +18,7 @@
 #include "cw_quarantine.h"
 #include "cw_rollout.h"
 #include "cw_route.h"
+#include "cw_shares.h"
 #include "cw_status.h"
 
 #include <stdint.h>
@@ -95,6 +96,17 @@
 struct cw_rollouts *cw_gate_rollouts(struct cw_gate *gate);
 struct cw_quarantine *cw_gate_quarantine(struct cw_gate *gate);
 
+/* Fair share among organisations, by service. */
+double cw_gate_room(struct cw_gate *gate, const char *service,
+		    int64_t now_ms); /* for this part of all demand; 1: nothing is scarce */
+struct cw_shares *cw_gate_shares(struct cw_gate *gate,
+				 const char *service); /* NULL: no organisation asked it */
+void cw_gate_merge_demands(struct cw_gate *gate, const char *service, uint64_t origin,
+			   const struct cw_share_demand *demands, size_t count,
+			   int64_t now_ms); /* a peer's announcement; unknown services: ignored */
+const char *cw_gate_organisation_name(const struct cw_gate *gate,
+				      uint64_t organisation); /* NULL: not seen here */
+
 /*
  * Whether this instance is partitioned from the backend servers. Each of the first four returns 1
  * if that changed.
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -354,6 +354,7 @@
 
 	if (call->info.allowed_ms < 0 || limit_ms < call->deadline_ms)
 		call->deadline_ms = limit_ms;
+	call_share_count(call, now_ms);
 	if (call_should_reject(call, now_ms)) {
 		call_reject_not_run(call, step, "the backend servers have no room", now_ms);
 		return;
--- a/packages/gate/src/call_model.c
+++ b/packages/gate/src/call_model.c
@@ -82,19 +82,11 @@
 	return NULL;
 }
 
-/*
- * Load pattern: a burst of seven times the usual load. The large model's streams hold their slots
- * for seconds; those begun while slots are free leave none for the burst, and 73 in 100 arrivals
- * are rejected for 8 s. The confidence threshold falls with the slots taken, before any request is
- * rejected; in a smaller burst that lowers the share of rejected callers from 0.049 to none.
- */
+/* The room for the large model's streams that the caller's organisation gets. */
 static double slot_headroom(struct cw_call *call, int64_t now_ms)
 {
-	const struct cw_policy *policy = call->gate->policy;
-	double taken = gate_slot_occupancy(call->gate, call->service_name, now_ms);
-	double span = policy->escalate_none_taken - policy->escalate_less_taken;
-
-	return 1 - CLAMP((taken - policy->escalate_less_taken) / MAX(span, 0.01), 0, 1);
+	return call_share_room(call, gate_slot_headroom(call->gate, call->service_name, now_ms),
+			       now_ms);
 }
 
 /*
--- a/packages/gate/src/call_refuse.c
+++ b/packages/gate/src/call_refuse.c
@@ -18,15 +18,17 @@
  * Load pattern: five times the usual requests. Servers reject half of what they are sent, each
  * rejected request tries two more servers, and the least urgent requests in a queue are overtaken
  * until their deadline. So requests are rejected at once: the least urgent with the probability
- * that a server rejects them, more urgent ones with a lower one, and the most urgent never.
+ * that a server rejects them, more urgent ones with a lower one, and the most urgent never. Of an
+ * organisation that asks for more than its share more are rejected, and of others fewer.
  */
 int call_should_reject(struct cw_call *call, int64_t now_ms)
 {
 	int priority = call_priority(call);
 	double rejected = gate_rejected_fraction(call->gate, call->service_name, now_ms);
 	const struct cw_policy *policy = call->gate->policy;
+	double excess = 1 - call_share_room(call, 1 - rejected, now_ms);
 	double chance =
-		policy->shed_part * rejected * MIN(priority, REJECT_PRIORITY) / REJECT_PRIORITY;
+		policy->shed_part * excess * MIN(priority, REJECT_PRIORITY) / REJECT_PRIORITY;
 
 	return rejected > policy->full_part && gate_random_fraction(call->gate) < chance;
 }
--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -12,6 +12,7 @@
 					      int64_t now_ms);
 static void *get_or_create(GHashTable *table, const char *name, size_t size, int *is_new);
 static void clear_if_full(GHashTable *table);
+static void free_shares(gpointer shares);
 
 struct cw_gate *cw_gate_create(const struct cw_gate_options *options)
 {
@@ -32,6 +33,8 @@
 	gate->timings = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gate->output_ratios = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gate->load_stats = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	gate->shares = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, free_shares);
+	gate->organisations = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gate->longest_waits = g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	gate->held_breaks = g_array_new(FALSE, FALSE, sizeof(struct gate_break));
 	return gate;
@@ -50,6 +53,8 @@
 	g_hash_table_destroy(gate->output_ratios);
 	g_hash_table_destroy(gate->load_stats);
 	g_hash_table_destroy(gate->longest_waits);
+	g_hash_table_destroy(gate->shares);
+	g_hash_table_destroy(gate->organisations);
 	g_array_unref(gate->held_breaks);
 	g_free(gate);
 }
@@ -167,6 +172,79 @@
 	return MIN(stats->rejected / (stats->sent + LOAD_PRIOR_REQUESTS), 1);
 }
 
+/*
+ * Load pattern: a burst of seven times the usual load. The large model's streams hold their slots
+ * for seconds; those begun while slots are free leave none for the burst, and 73 in 100 arrivals
+ * are rejected for 8 s. So there is less room for them as slots are taken, before any request is
+ * rejected; in a smaller burst that lowers the share of rejected callers from 0.049 to none.
+ */
+double gate_slot_headroom(struct cw_gate *gate, const char *service, int64_t now_ms)
+{
+	const struct cw_policy *policy = gate->policy;
+	double taken = gate_slot_occupancy(gate, service, now_ms);
+	double span = policy->escalate_none_taken - policy->escalate_less_taken;
+
+	return 1 - CLAMP((taken - policy->escalate_less_taken) / MAX(span, 0.01), 0, 1);
+}
+
+/* The part of all demand that there is room for: escalations first, then what servers accept. */
+double cw_gate_room(struct cw_gate *gate, const char *service, int64_t now_ms)
+{
+	double rejected = gate_rejected_fraction(gate, service, now_ms);
+	double headroom = gate_slot_headroom(gate, service, now_ms);
+
+	return rejected > gate->policy->full_part ? MIN(headroom, 1 - rejected) : headroom;
+}
+
+struct cw_shares *cw_gate_shares(struct cw_gate *gate, const char *service)
+{
+	return g_hash_table_lookup(gate->shares, service);
+}
+
+const char *cw_gate_organisation_name(const struct cw_gate *gate, uint64_t organisation)
+{
+	GHashTableIter iter;
+	gpointer name, id;
+
+	g_hash_table_iter_init(&iter, gate->organisations);
+	while (g_hash_table_iter_next(&iter, &name, &id))
+		if (*(uint64_t *)id == organisation)
+			return name;
+	return NULL;
+}
+
+void cw_gate_merge_demands(struct cw_gate *gate, const char *service, uint64_t origin,
+			   const struct cw_share_demand *demands, size_t count, int64_t now_ms)
+{
+	if (gate->config && cw_config_find_service(gate->config, service))
+		cw_shares_merge(gate_get_shares(gate, service), origin, demands, count, now_ms);
+}
+
+struct cw_shares *gate_get_shares(struct cw_gate *gate, const char *service)
+{
+	struct cw_shares *shares = g_hash_table_lookup(gate->shares, service);
+
+	if (shares)
+		return shares;
+	shares = cw_shares_create();
+	clear_if_full(gate->shares);
+	g_hash_table_insert(gate->shares, g_strdup(service), shares);
+	return shares;
+}
+
+uint64_t gate_organisation_id(struct cw_gate *gate, const char *name)
+{
+	int is_new;
+	uint64_t *id;
+
+	if (!g_hash_table_contains(gate->organisations, name))
+		clear_if_full(gate->organisations);
+	id = get_or_create(gate->organisations, name, sizeof(uint64_t), &is_new);
+	if (is_new)
+		*id = cw_hash_text(name, 0);
+	return *id;
+}
+
 static struct gate_load_stats *get_load_stats(struct cw_gate *gate, const char *service,
 					      int64_t now_ms)
 {
@@ -221,3 +299,8 @@
 	if (g_hash_table_size(table) >= ROUTES_MAX)
 		g_hash_table_remove_all(table);
 }
+
+static void free_shares(gpointer shares)
+{
+	cw_shares_destroy(shares);
+}
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -5,6 +5,7 @@
 #include "cw_hash.h"
 #include "cw_quarantine.h"
 #include "cw_repeats.h"
+#include "cw_shares.h"
 
 #include <glib.h>
 
@@ -48,6 +49,8 @@
 	size_t instances;	   /* number that share the retry budgets; 0: not known */
 	GHashTable *output_ratios; /* route or engine service -> double, output per prompt token */
 	GHashTable *load_stats;	   /* service -> struct gate_load_stats */
+	GHashTable *shares;	   /* service -> struct cw_shares, of services that were asked */
+	GHashTable *organisations; /* name -> uint64_t, its hash */
 	GHashTable *timings;	   /* model or plain service -> struct gate_timing */
 	uint64_t random;
 	struct cw_partition partition;
@@ -115,6 +118,11 @@
 			   int64_t now_ms); /* mean demand per slot; 0: no reports */
 double gate_rejected_fraction(struct cw_gate *gate, const char *service,
 			      int64_t now_ms); /* 0 to 1 */
+double gate_slot_headroom(struct cw_gate *gate, const char *service,
+			  int64_t now_ms); /* room for the largest model's streams: 1 while few
+					      slots are taken, 0 when nearly all are */
+struct cw_shares *gate_get_shares(struct cw_gate *gate, const char *service);
+uint64_t gate_organisation_id(struct cw_gate *gate, const char *name);
 struct cw_repeats *gate_get_retry_budget(struct cw_gate *gate, const char *service);
 
 /* links.c: whether this instance is partitioned from the servers */
@@ -144,6 +152,12 @@
 		       enum cw_admission *cause); /* until a server admits it; -1: none will */
 struct cw_rollout_request call_rollout_request(const struct cw_call *call);
 
+/* call_share.c: fair share among organisations */
+void call_share_count(struct cw_call *call, int64_t now_ms); /* the organisation's demand */
+double call_share_room(struct cw_call *call, double room,
+		       int64_t now_ms); /* part of its demand that the organisation gets, with room
+					   for a part of all demand */
+
 /* call_refuse.c: rejection of requests: status, message and time to retry */
 int call_may_wait(struct cw_call *call,
 		  int64_t now_ms); /* 1: a brittle server may have room in time */
--- a/packages/policy/include/cw_policy.h
+++ b/packages/policy/include/cw_policy.h
@@ -23,8 +23,10 @@
 	double escalate_whole_part; /* part of the time left that a large model's stream may use */
 	double rejected_to_small;   /* 1: requests that full engines reject go to the small model */
 	/* load shedding */
-	double full_part; /* part of attempts rejected above which servers count as full */
-	double shed_part; /* part of the rejection rate that is shed before dispatch */
+	double full_part;  /* part of attempts rejected above which servers count as full */
+	double share_part; /* weight of fair shares among organisations; 0: all have the same room
+			    */
+	double shed_part;  /* part of the rejection rate that is shed before dispatch */
 	/* choice of the server */
 	double again_token_ms; /* cost of each prefix token that is processed anew */
 	double cross_byte_ms;  /* cost of a byte to another failure domain */
--- a/packages/policy/src/policy.c
+++ b/packages/policy/src/policy.c
@@ -26,6 +26,8 @@
 	FIELD(full_part, "of the sends", 0.1, 0, 2, 2, "retries to full servers"),
 	FIELD(shed_part, "of the rejected", 1, 0, 1, 0,
 	      "low-priority requests that queue and then time out"),
+	FIELD(share_part, "of 1", 1, 0, 1, 0,
+	      "organisations that lose their room to one that sends many times its usual"),
 	FIELD(again_token_ms, "ms a token", 0.09, 0, 100, 0, "prompt prefixes processed again"),
 	FIELD(cross_byte_ms, "ms a byte", 0.0032, 0, 100, 0, "bytes between failure domains"),
 	FIELD(running_ms, "ms a request", 1.5, 0, 1e5, 0, "full engines generate tokens slowly"),
--- a/tests/fuzz/users_input.c
+++ b/tests/fuzz/users_input.c
@@ -3,6 +3,7 @@
 #include "cw_gate.h"
 #include "cw_gossip.h"
 #include "cw_gossip_reports.h"
+#include "cw_gossip_shares.h"
 #include "cw_up.h"
 
 #include <glib.h>
@@ -51,6 +52,7 @@
 };
 
 static void fuzz_decoders(const uint8_t *bytes, size_t size);
+static void fuzz_shares(const char *text, size_t length);
 static void fuzz_server_entry(const uint8_t *bytes, size_t size);
 static void fuzz_quarantine(const uint8_t *bytes, size_t size);
 static void fuzz_orders(const uint8_t *bytes, size_t size);
@@ -111,6 +113,7 @@
 	case 3:
 		cw_gossip_decode(text, length, gossip);
 		cw_gossip_decode_reports(text, length, &reports);
+		fuzz_shares(text, length);
 		break;
 	case 4:
 		fuzz_server_entry(bytes + 1, length);
@@ -130,6 +133,27 @@
 }
 
 /* A backend server's entry with a few bytes changed: either complete, or rejected with a reason. */
+/* What a peer announces is granted a part between 0 and 1. */
+static void fuzz_shares(const char *text, size_t length)
+{
+	struct cw_gossip_shares message;
+	struct cw_shares *shares;
+
+	if (cw_gossip_decode_shares(text, length, &message) != CW_OK)
+		return;
+	shares = cw_shares_create();
+	cw_shares_add(shares, 1, 1, 10, START_MS);
+	cw_shares_merge(shares, 1, message.demands, message.count, START_MS);
+	for (size_t i = 0; i < message.count; i++) {
+		double granted =
+			cw_shares_granted(shares, message.demands[i].organisation, 0.5, START_MS);
+
+		if (!(granted >= 0 && granted <= 1))
+			abort();
+	}
+	cw_shares_destroy(shares);
+}
+
 static void fuzz_server_entry(const uint8_t *bytes, size_t size)
 {
 	static const char record[] = "\x02s1{\"service\":\"llm\",\"address\":\"10.0.0.1:80\","
