share: those that ask for little keep the larger model and go first

Change: an organisation whose whole demand fits into a tenth of the room keeps its escalations when nothing else is left, and its requests are more urgent by one step of an organisation's priority.

Measured: unit tests.

--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -355,6 +355,7 @@
 	if (call->info.allowed_ms < 0 || limit_ms < call->deadline_ms)
 		call->deadline_ms = limit_ms;
 	call_share_count(call, now_ms);
+	call->goes_first = call_share_goes_first(call, now_ms);
 	if (call_should_reject(call, now_ms)) {
 		call_reject_not_run(call, step, "the backend servers have no room", now_ms);
 		return;
@@ -492,6 +493,8 @@
 	dispatch->last_event = call->last_event;
 	if (call->organisation && call->organisation->has_priority)
 		urgency += (int)call->gate->policy->urgency_step * call->organisation->priority;
+	if (call->goes_first)
+		urgency = MAX(urgency - (int)call->gate->policy->urgency_step, 0);
 	dispatch->urgency =
 		call->service && call->service->is_engine ? MIN(urgency, URGENCY_MAX) : -1;
 }
--- a/packages/gate/src/call_share.c
+++ b/packages/gate/src/call_share.c
@@ -4,8 +4,11 @@
  */
 #include "gate_internal.h"
 
-#define PRIORITY_LEVELS 3 /* each is worth twice the share of the next; the same beyond */
+#define PRIORITY_LEVELS 3   /* each is worth twice the share of the next; the same beyond */
+#define LIGHT_ROOM	0.1 /* of all demand: kept for organisations that ask for so little */
 
+static int is_light(struct cw_call *call, int64_t now_ms);
+static double granted_part(struct cw_call *call, double room, int64_t now_ms);
 static double share_weight(const struct cw_organisation *organisation);
 static double request_amount(const struct cw_call *call);
 
@@ -28,12 +31,33 @@
 
 	if (!call->organisation || part <= 0 || room >= 1)
 		return room;
-	granted = cw_shares_granted(gate_get_shares(call->gate, call->service_name),
-				    gate_organisation_id(call->gate, call->organisation->name),
-				    room, now_ms);
+	granted = is_light(call, now_ms) ? 1 : granted_part(call, room, now_ms);
 	return room + part * (granted - room);
 }
 
+/*
+ * Load pattern: one organisation sends 25 times its usual and fills slots and queues with answers
+ * of the small model. Requests of those that ask for little are queued before them.
+ */
+int call_share_goes_first(struct cw_call *call, int64_t now_ms)
+{
+	return call->organisation && call->gate->policy->share_part > 0 &&
+	       cw_gate_room(call->gate, call->service_name, now_ms) < 1 && is_light(call, now_ms);
+}
+
+/* One that gets all of its demand from a tenth of the room is not what fills it. */
+static int is_light(struct cw_call *call, int64_t now_ms)
+{
+	return granted_part(call, LIGHT_ROOM, now_ms) >= 1;
+}
+
+static double granted_part(struct cw_call *call, double room, int64_t now_ms)
+{
+	return cw_shares_granted(gate_get_shares(call->gate, call->service_name),
+				 gate_organisation_id(call->gate, call->organisation->name), room,
+				 now_ms);
+}
+
 static double share_weight(const struct cw_organisation *organisation)
 {
 	int priority = organisation->has_priority ? organisation->priority : PRIORITY_LEVELS - 1;
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -82,6 +82,7 @@
 	int is_via_peer;   /* the attempt in progress is sent by a peer */
 	int has_forwarded; /* a part of the answer went to the caller */
 	int is_resumed;	   /* the answer consists of more than one run */
+	int goes_first;	   /* before others of its priority; see call_share_goes_first() */
 	int is_trial;	   /* trial run of a quarantined request: a single attempt */
 	int64_t last_event;
 	size_t model_index; /* among the route's models, when it has any */
@@ -157,6 +158,8 @@
 double call_share_room(struct cw_call *call, double room,
 		       int64_t now_ms); /* part of its demand that the organisation gets, with room
 					   for a part of all demand */
+int call_share_goes_first(struct cw_call *call, int64_t now_ms); /* 1: scarce room, of which its
+								    organisation asks for little */
 
 /* call_refuse.c: rejection of requests: status, message and time to retry */
 int call_may_wait(struct cw_call *call,
--- a/tests/unit/test_gate_share.c
+++ b/tests/unit/test_gate_share.c
@@ -77,6 +77,51 @@
 	fixture_close(&fixture);
 }
 
+/* All slots taken by one organisation must not leave the others without the larger model. */
+static void test_full_slots_leave_room_for_those_that_ask_for_little(void **state)
+{
+	struct fixture fixture;
+	int heavy, light;
+
+	open_with_two_organisations(&fixture);
+	play(&fixture, SLOTS, &heavy, &light);
+	assert_int_equal(light, REQUESTS / 25);
+	assert_true(heavy < HEAVY_LOW / 5);
+	fixture_close(&fixture);
+}
+
+static int urgency_of(struct fixture *fixture, const char *key, int64_t now_ms)
+{
+	cw_call_close(fixture->call, now_ms);
+	strcpy(fixture->info.key, key);
+	fixture->call = cw_call_open(fixture->gate, &fixture->info, now_ms, now_ms, &fixture->step);
+	return fixture->step.dispatch.urgency;
+}
+
+/* Requests of those that ask for little must not wait behind the queue of one that fills it. */
+static void test_those_that_ask_for_little_go_first(void **state)
+{
+	static const unsigned int taken[] = {SLOTS, 1};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(taken); i++) {
+		int64_t now_ms = FIXTURE_NOW_MS + REQUESTS * 20;
+		struct fixture fixture;
+		struct cw_route *route;
+		int heavy, light;
+
+		open_with_two_organisations(&fixture);
+		route = (struct cw_route *)cw_config_find_route(fixture.config, "h.example",
+								"/chat/x");
+		route->priority = 4;
+		play(&fixture, taken[i], &heavy, &light);
+		heavy = urgency_of(&fixture, "key", now_ms);
+		light = urgency_of(&fixture, "other", now_ms);
+		assert_int_equal(heavy, 4);
+		assert_int_equal(light, taken[i] == SLOTS ? 1 : 4);
+		fixture_close(&fixture);
+	}
+}
+
 static void test_with_room_for_all_shares_decide_nothing(void **state)
 {
 	struct fixture fixture;
@@ -151,6 +196,8 @@
 {
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_an_organisation_that_asks_for_little_is_served_whole),
+		cmocka_unit_test(test_full_slots_leave_room_for_those_that_ask_for_little),
+		cmocka_unit_test(test_those_that_ask_for_little_go_first),
 		cmocka_unit_test(test_with_room_for_all_shares_decide_nothing),
 		cmocka_unit_test(test_demands_of_peers_count),
 		cmocka_unit_test(test_a_message_comes_back_as_it_was),
