--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -50,6 +50,8 @@
 	unsigned int pace_rounds; /* entry_pace.c: of announcements */
 	size_t pace_next;	  /* server to name next of those in turn */
 	int64_t paces_sent_ms;
+	int64_t shares_announced_ms;
+	int64_t shares_logged_ms;
 	int metrics_port;
 };
 
--- a/apps/corianderwalk/entry_load.c
+++ b/apps/corianderwalk/entry_load.c
@@ -1,6 +1,6 @@
 /*
- * The one place where messages on the load and the speed of servers meet the instance: entry_pace.c
- * and entry_backlog.c each encode and merge their own.
+ * The one place where messages on the load and the speed of servers meet the instance:
+ * entry_pace.c, entry_backlog.c and entry_shares.c each encode and merge their own.
  */
 #include "entry_load.h"
 #include "cw_counters.h"
@@ -16,6 +16,7 @@
 void load_announce(struct entry *entry, int64_t now_ms)
 {
 	pace_announce(entry, now_ms);
+	shares_announce(entry, now_ms);
 	homes_log(entry);
 	if (now_ms - entry->prediction_logged_ms < PREDICTION_LOG_MS)
 		return;
@@ -26,7 +27,7 @@
 int load_merge(struct entry *entry, const char *bytes, size_t size, uint32_t delay_ms)
 {
 	return pace_merge(entry, bytes, size, delay_ms) ||
-	       backlog_merge(entry, bytes, size, delay_ms);
+	       backlog_merge(entry, bytes, size, delay_ms) || shares_merge(entry, bytes, size);
 }
 
 void load_update_gauges(const struct entry *entry)
@@ -35,6 +36,7 @@
 
 	set_quantile(all, "quantile=\"0.5\"", 0.5);
 	set_quantile(all, "quantile=\"0.99\"", 0.99);
+	shares_update_gauges(entry);
 	homes_update_gauges(entry);
 	backlog_update_gauges(entry);
 	pace_update_gauges(entry);
--- a/apps/corianderwalk/entry_load.h
+++ b/apps/corianderwalk/entry_load.h
@@ -25,4 +25,9 @@
 void homes_log(const struct entry *entry); /* their changes since the last call */
 void homes_update_gauges(const struct entry *entry);
 
+/* entry_shares.c: what organisations ask for, while room is scarce */
+void shares_announce(struct entry *entry, int64_t now_ms); /* with each round of gossip */
+int shares_merge(struct entry *entry, const char *bytes, size_t size);
+void shares_update_gauges(const struct entry *entry);
+
 #endif
--- a/packages/policy/include/cw_policy.h
+++ b/packages/policy/include/cw_policy.h
@@ -28,8 +28,10 @@
 	double keep_total_bytes;  /* bytes kept of all answers of an instance */
 	double rejected_to_small; /* 1: requests that full engines reject go to the small model */
 	/* load shedding */
-	double full_part; /* part of attempts rejected above which servers count as full */
-	double shed_part; /* part of the rejection rate that is shed before dispatch */
+	double full_part;  /* part of attempts rejected above which servers count as full */
+	double share_part; /* weight of fair shares among organisations; 0: all have the same room
+			    */
+	double shed_part;  /* part of the rejection rate that is shed before dispatch */
 	/* choice of the server */
 	double again_token_ms; /* cost of each prefix token that is processed anew */
 	double home_part;      /* of a server's time that one prompt prefix uses there at most */
