gate: a kept run holds its memory; its events give no speed of the server

Cause: joined, the answer in hand lost the tokens that its run keeps in the server's memory, and its buffered events, which come at once, would have shown a server ten times as fast as it is.

--- a/packages/gate/src/call_kept.c
+++ b/packages/gate/src/call_kept.c
@@ -97,12 +97,14 @@
 
 	call_record_incomplete(call, call->server, now_ms);
 	save_run(call, &kept->run);
+	kept->run.has_no_event_times = 1;
 	kept->confidence = confidence;
 	kept->due_ms = due_ms(call, confidence);
 	kept->is_complete = 0;
 	kept->is_held = 1;
 	call->server = NULL;
 	call->work_ms = 0;
+	call->memory_tokens = 0;
 }
 
 void call_kept_take_back(struct cw_call *call)
@@ -217,7 +219,9 @@
 		.head_ms = call->head_ms,
 		.model_index = call->model_index,
 		.work_ms = call->work_ms,
+		.memory_tokens = call->memory_tokens,
 		.events_forwarded = call->events_forwarded,
+		.has_no_event_times = call->has_no_event_times,
 		.is_via_peer = call->is_via_peer,
 		.is_head_seen = call->is_head_seen,
 		.server_was_loaded = call->server_was_loaded,
@@ -232,7 +236,9 @@
 	call->head_ms = run->head_ms;
 	call->model_index = run->model_index;
 	call->work_ms = run->work_ms;
+	call->memory_tokens = run->memory_tokens;
 	call->events_forwarded = run->events_forwarded;
+	call->has_no_event_times = run->has_no_event_times;
 	call->is_via_peer = run->is_via_peer;
 	call->is_head_seen = run->is_head_seen;
 	call->server_was_loaded = run->server_was_loaded;
--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -240,7 +240,7 @@
 		timing->event_gap_ms = gap_ms;
 	else if (!is_on_target_version(call))
 		timing->event_gap_ms += EVENT_EWMA_GAIN * (gap_ms - timing->event_gap_ms);
-	if (!is_on_target_version(call))
+	if (!is_on_target_version(call) && !call->has_no_event_times)
 		learn_speed(call, &timing->gap, median_gap_ms(call), now_ms);
 }
 
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -76,7 +76,9 @@
 	int64_t head_ms;
 	size_t model_index;
 	double work_ms;
+	double memory_tokens;
 	unsigned int events_forwarded; /* received, while the answer is kept */
+	int has_no_event_times;
 	int is_via_peer;
 	int is_head_seen;
 	int server_was_loaded;
@@ -139,6 +141,7 @@
 	unsigned int events_forwarded; /* by the current attempt */
 	int64_t event_ms;	       /* of the newest event */
 	uint16_t gaps_ms[GATE_GAPS];   /* the newest ones between its events; a ring */
+	int has_no_event_times;	       /* the answer was kept: its events came at once */
 	struct gate_kept kept;
 };
 
