--- a/apps/corianderwalk/entry_backlog.c
+++ b/apps/corianderwalk/entry_backlog.c
@@ -43,7 +43,8 @@
 static void send_note(struct backlogs *backlogs);
 static int take_note(struct backlogs *backlogs, int64_t now_ms);
 static void apply(void *context, uint64_t server, const struct cw_backlog_share *sum);
-static void log_placement(struct entry *entry, const struct cw_server *server);
+static void log_placement(const struct entry *entry, const struct cw_server *server,
+			  double work_ms);
 static double memory_tokens(const struct entry *entry, const struct cw_server *server);
 
 struct backlogs *backlogs_create(struct entry *entry)
@@ -84,7 +85,8 @@
 			continue;
 		load->server = server->id;
 		load->running = server->own_running;
-		load->work_ms = (uint32_t)cw_pool_own_work_ms(server, now_ms);
+		load->work_ms = (uint32_t)MIN(cw_pool_own_work_ms(server, now_ms),
+					      CW_BACKLOG_UNREAD_MS_MAX);
 		get_share(backlogs, server, &gossip->shares[gossip->load_count++], now_ms);
 	}
 }
@@ -140,7 +142,7 @@
 		.count = note.count,
 		.reports = note.reports,
 	};
-	if (!cw_backlog_peers_merge(backlogs->peers, &message, entry_now_ms(entry))) {
+	if (!cw_backlog_peers_merge(backlogs->peers, &message, entry_now_ms(entry) - delay_ms)) {
 		cw_counter_add("backlog_notes", "result=\"dropped\"", 1);
 		return 1;
 	}
@@ -176,7 +178,7 @@
 	struct backlogs *backlogs = context;
 
 	if (work_ms > 0)
-		log_placement(backlogs->entry, server);
+		log_placement(backlogs->entry, server, work_ms);
 	if (ABS(work_ms) >= backlogs->entry->policy.note_min_ms)
 		add_changed(backlogs, server);
 }
@@ -280,19 +282,21 @@
 		cw_pool_set_peers(server, sum, entry_now_ms(backlogs->entry));
 }
 
-/* A request was placed although its server is seconds behind or has no memory left. */
-static void log_placement(struct entry *entry, const struct cw_server *server)
+/* A request of work_ms was placed although its server is seconds behind or has no memory left. */
+static void log_placement(const struct entry *entry, const struct cw_server *server, double work_ms)
 {
-	double backlog_ms = cw_pool_backlog_ms(server, 0, entry_now_ms(entry));
+	int64_t now_ms = entry_now_ms(entry);
+	double behind_ms =
+		cw_pool_backlog_ms(server, 0, now_ms) - work_ms * cw_pool_pace(server, now_ms);
 	double tokens = server->work ? cw_backlog_tokens(&server->work->backlog) : 0;
 	double capacity = memory_tokens(entry, server);
 	int is_past_memory = capacity > 0 && tokens > capacity;
 
-	if (backlog_ms < BEHIND_MS && !is_past_memory)
+	if (behind_ms < BEHIND_MS && !is_past_memory)
 		return;
 	cw_counter_add("placed_behind", is_past_memory ? "why=\"memory\"" : "why=\"prompts\"", 1);
 	cw_event("load", "placed_behind", "server=%s backlog_ms=%.0f tokens=%.0f capacity=%.0f",
-		 server->name, backlog_ms, tokens, capacity);
+		 server->name, behind_ms, tokens, capacity);
 }
 
 static double memory_tokens(const struct entry *entry, const struct cw_server *server)
--- a/packages/backlog/src/backlog.c
+++ b/packages/backlog/src/backlog.c
@@ -2,6 +2,8 @@
 
 #include <glib.h>
 
+#define REPORT_DELAY_MS 50 /* a prompt noted by then may have been sent after the report */
+
 static uint32_t unread(const struct cw_backlog *backlog);
 
 void cw_backlog_begin(struct cw_backlog *backlog, double work_ms, double long_ms, int64_t now_ms)
@@ -39,6 +41,8 @@
 		backlog->reading_ms = now_ms;
 	if (sum->unread < backlog->peers_unread)
 		backlog->stale_ms = 0;
+	if (sum->unread > backlog->peers_unread)
+		backlog->grown_ms = now_ms;
 	backlog->peers_unread = sum->unread;
 	backlog->peers_tokens = sum->tokens;
 }
@@ -48,10 +52,12 @@
  * until it counts as silent. A server reports how many prompts wait besides the one that it reads,
  * so what is announced beyond them does not exist any more.
  */
-void cw_backlog_check(struct cw_backlog *backlog, uint32_t queued, double peers_ms)
+void cw_backlog_check(struct cw_backlog *backlog, uint32_t queued, double peers_ms, int64_t now_ms)
 {
 	uint32_t excess = unread(backlog) > queued + 1 ? unread(backlog) - queued - 1 : 0;
 
+	if (now_ms - backlog->grown_ms < REPORT_DELAY_MS)
+		return;
 	backlog->stale_ms = 0;
 	if (backlog->peers_unread > 0)
 		backlog->stale_ms =
--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -165,9 +165,9 @@
 	call->work_ms = call->uncached_tokens * token_time_ms(call, timing);
 	work = gate_get_timing(call->gate, call->service_name);
 	work->mean_ms += WORK_EWMA_GAIN * (call->work_ms - work->mean_ms);
-	cw_pool_begin_work(server, call->work_ms, work->mean_ms, now_ms);
 	call->memory_tokens = memory_tokens(call);
 	cw_pool_hold_tokens(server, call->memory_tokens);
+	cw_pool_begin_work(server, call->work_ms, work->mean_ms, now_ms);
 }
 
 void call_work_record_head(struct cw_call *call, int64_t now_ms)
@@ -247,14 +247,19 @@
 	call->work_ms = 0;
 }
 
-/* Tokens that the request keeps in an engine's memory: its prompt and its expected answer. */
+/*
+ * Tokens that the request keeps in an engine's memory: its prompt and its expected answer. An
+ * engine rejects what is larger than its memory.
+ */
 static double memory_tokens(const struct cw_call *call)
 {
 	const struct cw_request_info *info = &call->info;
+	double capacity = call->service ? call->service->kv_cache_tokens : 0;
+	double tokens = info->prompt_tokens + (info->estimated_output_tokens > 0
+						       ? info->estimated_output_tokens
+						       : info->max_output_tokens);
 
-	return info->prompt_tokens + (info->estimated_output_tokens > 0
-					      ? info->estimated_output_tokens
-					      : info->max_output_tokens);
+	return capacity > 0 ? MIN(tokens, capacity) : tokens;
 }
 
 /* Timing is learned per model for prompts, and per service for plain requests. */
--- a/packages/gossip/include/cw_gossip_backlogs.h
+++ b/packages/gossip/include/cw_gossip_backlogs.h
@@ -12,8 +12,8 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define CW_GOSSIP_BACKLOGS	 16   /* servers in one message, at most */
-#define CW_GOSSIP_BACKLOGS_BYTES 512  /* of one message, at most */
+#define CW_GOSSIP_BACKLOGS	 16  /* servers in one message, at most */
+#define CW_GOSSIP_BACKLOGS_BYTES 512 /* of one message, at most */
 
 struct cw_gossip_backlogs {
 	uint64_t instance; /* hash of the sender's name */
--- a/packages/gossip/src/backlogs.c
+++ b/packages/gossip/src/backlogs.c
@@ -5,11 +5,6 @@
 
 #define BACKLOGS_MAGIC 0x6377303e /* identifies the layout below; other values are rejected */
 
-/* More of one instance at one server is no state of any instance, and would upset every sum. */
-#define RUNNING_MAX   (1U << 16)
-#define UNREAD_MS_MAX (1U << 22)
-#define TOKENS_MAX    (1U << 28)
-
 static bool_t code(XDR *xdr, struct cw_gossip_backlogs *message);
 
 size_t cw_gossip_encode_backlogs(const struct cw_gossip_backlogs *message, char *bytes, size_t size)
@@ -38,11 +33,13 @@
 	return is_complete ? CW_OK : CW_INVALID;
 }
 
+/* Numbers that no instance announces would upset every sum. */
 bool_t gossip_code_share(XDR *xdr, struct cw_backlog_share *share)
 {
-	return xdr_uint32_t(xdr, &share->unread) && share->unread <= RUNNING_MAX &&
-	       xdr_uint32_t(xdr, &share->unread_ms) && share->unread_ms <= UNREAD_MS_MAX &&
-	       xdr_uint32_t(xdr, &share->tokens) && share->tokens <= TOKENS_MAX;
+	return xdr_uint32_t(xdr, &share->unread) && share->unread <= CW_BACKLOG_REQUESTS_MAX &&
+	       xdr_uint32_t(xdr, &share->unread_ms) &&
+	       share->unread_ms <= CW_BACKLOG_UNREAD_MS_MAX && xdr_uint32_t(xdr, &share->tokens) &&
+	       share->tokens <= CW_BACKLOG_TOKENS_MAX;
 }
 
 static bool_t code(XDR *xdr, struct cw_gossip_backlogs *message)
@@ -50,8 +47,8 @@
 	u_int magic = BACKLOGS_MAGIC;
 
 	if (!xdr_u_int(xdr, &magic) || magic != BACKLOGS_MAGIC ||
-	    !xdr_uint64_t(xdr, &message->instance) ||
-	    !xdr_uint64_t(xdr, &message->boot) || !xdr_uint32_t(xdr, &message->sequence) ||
+	    !xdr_uint64_t(xdr, &message->instance) || !xdr_uint64_t(xdr, &message->boot) ||
+	    !xdr_uint32_t(xdr, &message->sequence) ||
 	    !gossip_code_count(xdr, &message->count, CW_GOSSIP_BACKLOGS))
 		return FALSE;
 	for (size_t i = 0; i < message->count; i++) {
@@ -59,7 +56,8 @@
 
 		if (!xdr_uint64_t(xdr, &report->server) ||
 		    !xdr_uint32_t(xdr, &report->share.running) ||
-		    report->share.running > RUNNING_MAX || !gossip_code_share(xdr, &report->share))
+		    report->share.running > CW_BACKLOG_REQUESTS_MAX ||
+		    !gossip_code_share(xdr, &report->share))
 			return FALSE;
 	}
 	return TRUE;
--- a/packages/pool/src/placement.c
+++ b/packages/pool/src/placement.c
@@ -76,7 +76,7 @@
 
 	cw_backlog_record_progress(backlog, now_ms);
 	if (server->sampled_ms == now_ms)
-		cw_backlog_check(backlog, server->queued, server->peers_work_ms);
+		cw_backlog_check(backlog, server->queued, server->peers_work_ms, now_ms);
 }
 
 void cw_pool_hold_tokens(struct cw_server *server, double tokens)
@@ -99,17 +99,17 @@
 void cw_pool_get_share(const struct cw_server *server, struct cw_backlog_share *share,
 		       int64_t now_ms)
 {
-	double unread_ms = counts_unread(server) ? server->own_work_ms
-						 : cw_pool_own_work_ms(server, now_ms);
+	double unread_ms =
+		counts_unread(server) ? server->own_work_ms : cw_pool_own_work_ms(server, now_ms);
 
 	*share = (struct cw_backlog_share){
-		.running = server->own_running,
-		.unread_ms = (uint32_t)unread_ms,
+		.running = MIN(server->own_running, CW_BACKLOG_REQUESTS_MAX),
+		.unread_ms = (uint32_t)MIN(unread_ms, CW_BACKLOG_UNREAD_MS_MAX),
 	};
 	if (!server->work)
 		return;
-	share->unread = server->work->backlog.own_unread;
-	share->tokens = (uint32_t)server->work->backlog.own_tokens;
+	share->unread = MIN(server->work->backlog.own_unread, CW_BACKLOG_REQUESTS_MAX);
+	share->tokens = (uint32_t)MIN(server->work->backlog.own_tokens, CW_BACKLOG_TOKENS_MAX);
 }
 
 /*
@@ -122,8 +122,9 @@
 	cw_pool_get_share(server, share, now_ms);
 	if (!server->work)
 		return;
-	share->unread = server->work->backlog.own_long;
-	share->unread_ms = MIN(share->unread_ms, (uint32_t)server->work->backlog.own_long_ms);
+	share->unread = MIN(server->work->backlog.own_long, CW_BACKLOG_REQUESTS_MAX);
+	share->unread_ms =
+		(uint32_t)MIN((double)share->unread_ms, server->work->backlog.own_long_ms);
 }
 
 void cw_pool_set_peers(struct cw_server *server, const struct cw_backlog_share *sum, int64_t now_ms)
--- a/tests/unit/test_backlog.c
+++ b/tests/unit/test_backlog.c
@@ -71,9 +71,12 @@
 	struct cw_backlog_share peers = {.running = 30, .unread = 30, .unread_ms = 6000};
 
 	cw_backlog_set_peers(&backlog, &peers, 1000);
-	cw_backlog_check(&backlog, 29, 6000);
+	cw_backlog_check(&backlog, 29, 6000, 2000);
 	assert_true(left_ms(&backlog, 0, 6000, 1000) == 6000);
-	cw_backlog_check(&backlog, 0, 6000);
+	/* Notes may be newer than the report. */
+	cw_backlog_check(&backlog, 0, 6000, 1010);
+	assert_true(left_ms(&backlog, 0, 6000, 1000) == 6000);
+	cw_backlog_check(&backlog, 0, 6000, 2000);
 	assert_true(left_ms(&backlog, 0, 6000, 1000) == 200);
 	/* What is announced afterwards counts in full. */
 	peers = (struct cw_backlog_share){.running = 31, .unread = 31, .unread_ms = 6900};
--- a/tests/unit/test_gossip_backlogs.c
+++ b/tests/unit/test_gossip_backlogs.c
@@ -1,6 +1,7 @@
 /* Notes on what an instance has in progress at servers, and the same in its announcements. */
 #include "cw_gossip.h"
 #include "cw_gossip_backlogs.h"
+#include "cw_pool.h"
 #include "unit.h"
 
 #include <string.h>
@@ -59,6 +60,25 @@
 	}
 }
 
+/* Guards against a caller's absurd size of a prompt that silences this instance's announcements. */
+static void an_absurd_prompt_is_announced(void **state)
+{
+	struct cw_pool *pool = cw_pool_create(&cw_choice_cost);
+	struct cw_server *server = cw_pool_add(pool, "s1", "llm", "10.0.0.1:80", "d1", 0);
+	struct cw_gossip sent = {.load_sequence = 1, .load_count = 1};
+	struct cw_gossip_backlogs note = {.count = 1};
+	char bytes[CW_GOSSIP_BYTES];
+
+	cw_pool_count_unread(pool, 1);
+	cw_pool_begin_work(server, 1e15, 0, 1000);
+	cw_pool_hold_tokens(server, 1e15);
+	cw_pool_get_share(server, &sent.shares[0], 1000);
+	cw_pool_get_long_share(server, &note.reports[0].share, 1000);
+	assert_true(cw_gossip_encode(&sent, bytes, sizeof(bytes)) > 0);
+	assert_true(cw_gossip_encode_backlogs(&note, bytes, sizeof(bytes)) > 0);
+	cw_pool_destroy(pool);
+}
+
 /* Guards against announcements that instances of an earlier build can't read, or read from them. */
 static void announcements_end_with_the_shares(void **state)
 {
@@ -91,6 +111,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(a_note_is_decoded_as_it_was_encoded),
 		cmocka_unit_test(an_absurd_note_is_rejected),
+		cmocka_unit_test(an_absurd_prompt_is_announced),
 		cmocka_unit_test(announcements_end_with_the_shares),
 	};
 
