--- a/apps/corianderwalk/entry_backlog.c
+++ b/apps/corianderwalk/entry_backlog.c
@@ -41,6 +41,8 @@
 static void on_timer(uv_timer_t *timer);
 static void on_closed(uv_handle_t *handle);
 static void send_note(struct backlogs *backlogs);
+static void add_to_note(const struct backlogs *backlogs, struct cw_gossip_backlogs *note,
+			const struct cw_server *server, int64_t now_ms);
 static int take_note(struct backlogs *backlogs, int64_t now_ms);
 static void apply(void *context, uint64_t server, const struct cw_backlog_share *sum);
 static void log_placement(const struct entry *entry, const struct cw_server *server,
@@ -139,6 +141,7 @@
 		.instance = note.instance,
 		.boot = note.boot,
 		.sequence = note.sequence,
+		.names_unread = note.count < CW_GOSSIP_BACKLOGS,
 		.count = note.count,
 		.reports = note.reports,
 	};
@@ -229,25 +232,26 @@
 	g_free(backlogs);
 }
 
-/* One note on all servers that changed. */
+/*
+ * One note on all servers that changed, and on others with a long unread prompt: so a note also
+ * makes up for earlier ones that were lost.
+ */
 static void send_note(struct backlogs *backlogs)
 {
 	struct entry *entry = backlogs->entry;
+	struct cw_pool *pool = cw_gate_pool(entry->gate);
 	int64_t now_ms = entry_now_ms(entry);
 	struct cw_gossip_backlogs note = {.boot = peers_boot(entry->peers)};
 	char bytes[CW_GOSSIP_BACKLOGS_BYTES];
+	struct cw_server *server;
 	size_t size;
 
 	note.instance = cw_hash_text(entry->settings.instance, 0);
-	for (size_t i = 0; i < backlogs->changed_count; i++) {
-		const struct cw_server *server =
-			cw_pool_find(cw_gate_pool(entry->gate), backlogs->changed[i]);
-
-		if (!server)
-			continue;
-		note.reports[note.count].server = server->id;
-		get_share(backlogs, server, &note.reports[note.count++].share, now_ms);
-	}
+	for (size_t i = 0; i < backlogs->changed_count; i++)
+		add_to_note(backlogs, &note, cw_pool_find(pool, backlogs->changed[i]), now_ms);
+	TAILQ_FOREACH(server, cw_pool_active(pool), active_link)
+		if (server->work && server->work->backlog.own_long > 0)
+			add_to_note(backlogs, &note, server, now_ms);
 	backlogs->changed_count = 0;
 	backlogs->noted_ms = now_ms;
 	if (!take_note(backlogs, now_ms)) {
@@ -261,6 +265,19 @@
 			       peers_send_to_domain(entry->peers, NULL, bytes, size));
 }
 
+/* Unless it is in the note already, or the note is full. server NULL: it was removed. */
+static void add_to_note(const struct backlogs *backlogs, struct cw_gossip_backlogs *note,
+			const struct cw_server *server, int64_t now_ms)
+{
+	if (!server || note->count == CW_GOSSIP_BACKLOGS)
+		return;
+	for (size_t i = 0; i < note->count; i++)
+		if (note->reports[i].server == server->id)
+			return;
+	note->reports[note->count].server = server->id;
+	get_share(backlogs, server, &note->reports[note->count++].share, now_ms);
+}
+
 static int take_note(struct backlogs *backlogs, int64_t now_ms)
 {
 	double earned = (double)(now_ms - backlogs->notes_left_ms) * NOTES_PER_S / 1000;
--- a/packages/backlog/include/cw_backlog_peers.h
+++ b/packages/backlog/include/cw_backlog_peers.h
@@ -24,6 +24,7 @@
 	uint32_t sequence; /* grows with each message of a start; 0: of an earlier build, or trimmed
 			      and of no use beside others */
 	int is_complete;   /* names all servers at which the peer has requests */
+	int names_unread;  /* names all servers at which it has unread prompts */
 	size_t count;
 	const struct cw_backlog_report *reports;
 };
--- a/packages/backlog/src/peers.c
+++ b/packages/backlog/src/peers.c
@@ -13,7 +13,8 @@
 struct origin {
 	uint64_t instance;
 	uint64_t boot;
-	uint32_t sequence; /* of the newest complete message; 0: none yet */
+	uint32_t sequence;	  /* of the newest complete message; 0: none yet */
+	uint32_t unread_sequence; /* of the newest one that names all unread prompts */
 	int64_t received_ms;
 	GArray *entries; /* of struct entry */
 };
@@ -38,6 +39,7 @@
 static void remove_entry(struct cw_backlog_peers *peers, struct origin *origin, guint index);
 static void merge_report(struct cw_backlog_peers *peers, struct origin *origin,
 			 const struct cw_backlog_report *report, uint32_t sequence, int64_t now_ms);
+static void clear_unread(struct cw_backlog_peers *peers, struct origin *origin);
 static struct entry *find_entry(struct origin *origin, uint64_t server);
 static void change_sum(struct cw_backlog_peers *peers, uint64_t server,
 		       const struct cw_backlog_share *before, const struct cw_backlog_share *after);
@@ -78,6 +80,9 @@
 	}
 	for (size_t i = 0; i < message->count; i++)
 		merge_report(peers, origin, &message->reports[i], message->sequence, now_ms);
+	if (message->names_unread && is_newer(message->sequence, origin->unread_sequence))
+		origin->unread_sequence = message->sequence;
+	clear_unread(peers, origin);
 	return 1;
 }
 
@@ -166,7 +171,7 @@
 	}
 	clear(peers, origin, 0);
 	origin->boot = message->boot;
-	origin->sequence = 0;
+	origin->sequence = origin->unread_sequence = 0;
 	return origin;
 }
 
@@ -215,6 +220,22 @@
 	entry->received_ms = now_ms;
 }
 
+/* Prompts at servers that a later message doesn't name have begun: the note on that was lost. */
+static void clear_unread(struct cw_backlog_peers *peers, struct origin *origin)
+{
+	for (guint i = 0; i < origin->entries->len; i++) {
+		struct entry *entry = &g_array_index(origin->entries, struct entry, i);
+		struct cw_backlog_share share = entry->report.share;
+
+		if (share.unread == 0 || entry->sequence == 0 ||
+		    !is_newer(origin->unread_sequence, entry->sequence))
+			continue;
+		share.unread = share.unread_ms = 0;
+		change_sum(peers, entry->report.server, &entry->report.share, &share);
+		entry->report.share = share;
+	}
+}
+
 static struct entry *find_entry(struct origin *origin, uint64_t server)
 {
 	for (guint i = 0; i < origin->entries->len; i++) {
--- a/packages/gossip/include/cw_gossip_backlogs.h
+++ b/packages/gossip/include/cw_gossip_backlogs.h
@@ -19,7 +19,7 @@
 	uint64_t instance; /* hash of the sender's name */
 	uint64_t boot;	   /* as in the sender's announcements */
 	uint32_t sequence; /* counted with its announcements */
-	size_t count;
+	size_t count;	   /* unless so many fit no more, all servers with long unread prompts */
 	struct cw_backlog_report reports[CW_GOSSIP_BACKLOGS];
 };
 
--- a/tests/unit/test_backlog.c
+++ b/tests/unit/test_backlog.c
@@ -168,6 +168,38 @@
 	}
 }
 
+/* Guards against a prompt that counts until the next round as the note on its answer was lost. */
+static void a_later_note_makes_up_for_a_lost_one(void **state)
+{
+	struct cw_backlog_peers *peers = cw_backlog_peers_create();
+	struct cw_backlog_report report = {.server = 1, .share = {3, 1, 400, 9000}};
+	struct cw_backlog_message note = {.instance = 5,
+					  .boot = 1,
+					  .sequence = 8,
+					  .names_unread = 1,
+					  .count = 1,
+					  .reports = &report};
+	struct cw_backlog_share sum;
+
+	cw_backlog_peers_merge(peers, &note, 1000);
+	report.server = 2;
+	note.sequence = 10;
+	cw_backlog_peers_merge(peers, &note, 1000);
+	cw_backlog_peers_sum(peers, 1, &sum);
+	assert_int_equal(sum.unread + sum.unread_ms, 0);
+	assert_int_equal(sum.running, 3);
+	/* An older one clears nothing, and its own prompts have begun. */
+	report.server = 3;
+	note.sequence = 9;
+	cw_backlog_peers_merge(peers, &note, 1000);
+	cw_backlog_peers_sum(peers, 2, &sum);
+	assert_int_equal(sum.unread_ms, 400);
+	cw_backlog_peers_sum(peers, 3, &sum);
+	assert_int_equal(sum.unread + sum.unread_ms, 0);
+	assert_int_equal(sum.running, 3);
+	cw_backlog_peers_destroy(peers);
+}
+
 /* Guards against requests of a dead instance, or of its earlier start, that count for ever. */
 static void shares_end_with_silence_and_restart(void **state)
 {
@@ -307,6 +339,7 @@
 		cmocka_unit_test(a_slow_server_needs_longer),
 		cmocka_unit_test(the_server_refutes_prompts_of_a_dead_instance),
 		cmocka_unit_test(lost_repeated_and_late_messages_leave_no_trace),
+		cmocka_unit_test(a_later_note_makes_up_for_a_lost_one),
 		cmocka_unit_test(shares_end_with_silence_and_restart),
 		cmocka_unit_test(announcements_of_an_earlier_build_replace_each_other),
 		cmocka_unit_test(no_server_is_past_its_memory_while_another_has_room),
--- a/tests/unit/test_backlog_replay.c
+++ b/tests/unit/test_backlog_replay.c
@@ -88,15 +88,21 @@
 		world->now_ms + (world->is_lossy ? (int64_t)(random / 2 % LATE_MS) : MESSAGE_MS);
 	message->sequence = world->sequences[from];
 	message->is_complete = count == ENGINES;
-	message->count = count;
-	for (size_t i = 0; i < count; i++) {
-		const struct cw_server *server = server_of(world, from, first + i);
+	message->count = 0;
+	for (size_t i = 0; i < ENGINES; i++) {
+		const struct cw_server *server = server_of(world, from, i);
+		struct cw_backlog_report *report = &message->reports[message->count];
 
-		message->reports[i].server = server->id;
+		/* A note names its server and others with a long unread prompt. */
+		if ((i < first || i >= first + count) &&
+		    (!server->work || server->work->backlog.own_long == 0))
+			continue;
+		message->count++;
+		report->server = server->id;
 		if (world->has_notes)
-			cw_pool_get_long_share(server, &message->reports[i].share, world->now_ms);
+			cw_pool_get_long_share(server, &report->share, world->now_ms);
 		else
-			cw_pool_get_share(server, &message->reports[i].share, world->now_ms);
+			cw_pool_get_share(server, &report->share, world->now_ms);
 	}
 	if (world->is_lossy && random >> 61 == 0 && world->message_count + 1 < ENOUGH_MESSAGES) {
 		world->messages[world->message_count] = *message;
@@ -111,6 +117,7 @@
 		.boot = 1,
 		.sequence = received->sequence,
 		.is_complete = received->is_complete,
+		.names_unread = 1,
 		.count = received->count,
 		.reports = received->reports,
 	};
