--- a/apps/corianderwalk/entry_backlog.c
+++ b/apps/corianderwalk/entry_backlog.c
@@ -41,9 +41,12 @@
 static void on_timer(uv_timer_t *timer);
 static void on_closed(uv_handle_t *handle);
 static void send_note(struct backlogs *backlogs);
+static void add_to_note(const struct backlogs *backlogs, struct cw_gossip_backlogs *note,
+			const struct cw_server *server, int64_t now_ms);
 static int take_note(struct backlogs *backlogs, int64_t now_ms);
 static void apply(void *context, uint64_t server, const struct cw_backlog_share *sum);
-static void log_placement(struct entry *entry, const struct cw_server *server);
+static void log_placement(const struct entry *entry, const struct cw_server *server,
+			  double work_ms);
 static double memory_tokens(const struct entry *entry, const struct cw_server *server);
 
 struct backlogs *backlogs_create(struct entry *entry)
@@ -84,7 +87,8 @@
 			continue;
 		load->server = server->id;
 		load->running = server->own_running;
-		load->work_ms = (uint32_t)cw_pool_own_work_ms(server, now_ms);
+		load->work_ms = (uint32_t)MIN(cw_pool_own_work_ms(server, now_ms),
+					      CW_BACKLOG_UNREAD_MS_MAX);
 		get_share(backlogs, server, &gossip->shares[gossip->load_count++], now_ms);
 	}
 }
@@ -137,10 +141,11 @@
 		.instance = note.instance,
 		.boot = note.boot,
 		.sequence = note.sequence,
+		.names_unread = note.count < CW_GOSSIP_BACKLOGS,
 		.count = note.count,
 		.reports = note.reports,
 	};
-	if (!cw_backlog_peers_merge(backlogs->peers, &message, entry_now_ms(entry))) {
+	if (!cw_backlog_peers_merge(backlogs->peers, &message, entry_now_ms(entry) - delay_ms)) {
 		cw_counter_add("backlog_notes", "result=\"dropped\"", 1);
 		return 1;
 	}
@@ -176,7 +181,7 @@
 	struct backlogs *backlogs = context;
 
 	if (work_ms > 0)
-		log_placement(backlogs->entry, server);
+		log_placement(backlogs->entry, server, work_ms);
 	if (ABS(work_ms) >= backlogs->entry->policy.note_min_ms)
 		add_changed(backlogs, server);
 }
@@ -227,25 +232,26 @@
 	g_free(backlogs);
 }
 
-/* One note on all servers that changed. */
+/*
+ * One note on all servers that changed, and on others with a long unread prompt: so a note also
+ * makes up for earlier ones that were lost.
+ */
 static void send_note(struct backlogs *backlogs)
 {
 	struct entry *entry = backlogs->entry;
+	struct cw_pool *pool = cw_gate_pool(entry->gate);
 	int64_t now_ms = entry_now_ms(entry);
 	struct cw_gossip_backlogs note = {.boot = peers_boot(entry->peers)};
 	char bytes[CW_GOSSIP_BACKLOGS_BYTES];
+	struct cw_server *server;
 	size_t size;
 
 	note.instance = cw_hash_text(entry->settings.instance, 0);
-	for (size_t i = 0; i < backlogs->changed_count; i++) {
-		const struct cw_server *server =
-			cw_pool_find(cw_gate_pool(entry->gate), backlogs->changed[i]);
-
-		if (!server)
-			continue;
-		note.reports[note.count].server = server->id;
-		get_share(backlogs, server, &note.reports[note.count++].share, now_ms);
-	}
+	for (size_t i = 0; i < backlogs->changed_count; i++)
+		add_to_note(backlogs, &note, cw_pool_find(pool, backlogs->changed[i]), now_ms);
+	TAILQ_FOREACH(server, cw_pool_active(pool), active_link)
+		if (server->work && server->work->backlog.own_long > 0)
+			add_to_note(backlogs, &note, server, now_ms);
 	backlogs->changed_count = 0;
 	backlogs->noted_ms = now_ms;
 	if (!take_note(backlogs, now_ms)) {
@@ -259,6 +265,19 @@
 			       peers_send_to_domain(entry->peers, NULL, bytes, size));
 }
 
+/* Unless it is in the note already, or the note is full. server NULL: it was removed. */
+static void add_to_note(const struct backlogs *backlogs, struct cw_gossip_backlogs *note,
+			const struct cw_server *server, int64_t now_ms)
+{
+	if (!server || note->count == CW_GOSSIP_BACKLOGS)
+		return;
+	for (size_t i = 0; i < note->count; i++)
+		if (note->reports[i].server == server->id)
+			return;
+	note->reports[note->count].server = server->id;
+	get_share(backlogs, server, &note->reports[note->count++].share, now_ms);
+}
+
 static int take_note(struct backlogs *backlogs, int64_t now_ms)
 {
 	double earned = (double)(now_ms - backlogs->notes_left_ms) * NOTES_PER_S / 1000;
@@ -280,19 +299,21 @@
 		cw_pool_set_peers(server, sum, entry_now_ms(backlogs->entry));
 }
 
-/* A request was placed although its server is seconds behind or has no memory left. */
-static void log_placement(struct entry *entry, const struct cw_server *server)
+/* A request of work_ms was placed although its server is seconds behind or has no memory left. */
+static void log_placement(const struct entry *entry, const struct cw_server *server, double work_ms)
 {
-	double backlog_ms = cw_pool_backlog_ms(server, 0, entry_now_ms(entry));
+	int64_t now_ms = entry_now_ms(entry);
+	double behind_ms =
+		cw_pool_backlog_ms(server, 0, now_ms) - work_ms * cw_pool_pace(server, now_ms);
 	double tokens = server->work ? cw_backlog_tokens(&server->work->backlog) : 0;
 	double capacity = memory_tokens(entry, server);
 	int is_past_memory = capacity > 0 && tokens > capacity;
 
-	if (backlog_ms < BEHIND_MS && !is_past_memory)
+	if (behind_ms < BEHIND_MS && !is_past_memory)
 		return;
 	cw_counter_add("placed_behind", is_past_memory ? "why=\"memory\"" : "why=\"prompts\"", 1);
 	cw_event("load", "placed_behind", "server=%s backlog_ms=%.0f tokens=%.0f capacity=%.0f",
-		 server->name, backlog_ms, tokens, capacity);
+		 server->name, behind_ms, tokens, capacity);
 }
 
 static double memory_tokens(const struct entry *entry, const struct cw_server *server)
--- a/packages/gossip/include/cw_gossip_backlogs.h
+++ b/packages/gossip/include/cw_gossip_backlogs.h
@@ -12,14 +12,14 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define CW_GOSSIP_BACKLOGS	 16   /* servers in one message, at most */
-#define CW_GOSSIP_BACKLOGS_BYTES 512  /* of one message, at most */
+#define CW_GOSSIP_BACKLOGS	 16  /* servers in one message, at most */
+#define CW_GOSSIP_BACKLOGS_BYTES 512 /* of one message, at most */
 
 struct cw_gossip_backlogs {
 	uint64_t instance; /* hash of the sender's name */
 	uint64_t boot;	   /* as in the sender's announcements */
 	uint32_t sequence; /* counted with its announcements */
-	size_t count;
+	size_t count;	   /* unless so many fit no more, all servers with long unread prompts */
 	struct cw_backlog_report reports[CW_GOSSIP_BACKLOGS];
 };
 
