--- a/apps/corianderwalk/entry_pace.c
+++ b/apps/corianderwalk/entry_pace.c
@@ -42,8 +42,9 @@
 	if (cw_gossip_decode_paces(bytes, size, &message) != CW_OK)
 		return 0;
 	cw_counter_add("pace_messages", "direction=\"received\"", 1);
-	for (size_t i = 0; strcmp(message.sender, entry->settings.instance) && i < message.count;
-	     i++)
+	if (entry->policy.pace_part <= 0 || !strcmp(message.sender, entry->settings.instance))
+		return 1;
+	for (size_t i = 0; i < message.count; i++)
 		merge_pace(entry, &message, i, sent_ms);
 	return 1;
 }
--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -39,7 +39,7 @@
 static double late_work_ms(const struct cw_call *call, int64_t now_ms);
 static void learn_timing(struct cw_call *call, double took_ms, int64_t now_ms);
 static void learn_speed(const struct cw_call *call, struct gate_usual *usual, double time_ms,
-			int64_t now_ms);
+			double reported, int64_t now_ms);
 static double median_gap_ms(const struct cw_call *call);
 static int is_on_target_version(const struct cw_call *call);
 static void report_to_rollout(struct cw_call *call, int is_failure, int is_slow, int64_t now_ms);
@@ -225,7 +225,7 @@
 		return;
 	answer.waited_ms = now_ms - call->head_ms;
 	gap_ms = (double)answer.waited_ms / call->events_forwarded /
-		 cw_pool_pace(call->server, now_ms);
+		 cw_pool_lasting_pace(call->server, now_ms);
 	if (timing->event_gap_ms > 0 && gap_ms > SLOW_FACTOR * timing->event_gap_ms)
 		cw_rollouts_mark_answer_slow(call->gate->rollouts, &answer, now_ms);
 	if (timing->event_gap_ms <= 0)
@@ -233,7 +233,8 @@
 	else if (!is_on_target_version(call))
 		timing->event_gap_ms += EVENT_EWMA_GAIN * (gap_ms - timing->event_gap_ms);
 	if (!is_on_target_version(call))
-		learn_speed(call, &timing->gap, median_gap_ms(call), now_ms);
+		learn_speed(call, &timing->gap, median_gap_ms(call),
+			    cw_pool_reported_pace(call->server, 1, now_ms), now_ms);
 }
 
 void call_work_record_failure(struct cw_call *call, int64_t now_ms)
@@ -299,7 +300,8 @@
 
 	if (call->info.segment_count == 0) {
 		if (!call->server_was_loaded)
-			learn_speed(call, &timing->answer, took_ms, now_ms);
+			learn_speed(call, &timing->answer, took_ms,
+				    cw_pool_reported_pace(call->server, 0, now_ms), now_ms);
 		took_ms /= pace;
 		timing->mean_ms =
 			timing->samples++
@@ -329,9 +331,9 @@
  * was learned of a server is not taken off, so usual time and learned speed can't drift together.
  */
 static void learn_speed(const struct cw_call *call, struct gate_usual *usual, double time_ms,
-			int64_t now_ms)
+			double reported, int64_t now_ms)
 {
-	double time_log = log(MAX(time_ms, 1e-6) / cw_pool_reported_pace(call->server, now_ms));
+	double time_log = log(MAX(time_ms, 1) / reported);
 
 	if (usual->samples >= USUAL_SAMPLES_MIN)
 		cw_pool_record_speed(call->server, exp(time_log - usual->log_mean), now_ms);
@@ -344,15 +346,17 @@
 {
 	uint16_t sorted[GATE_GAPS];
 	size_t count = MIN(call->events_forwarded - 1, GATE_GAPS);
+	size_t middle = count / 2;
 
 	for (size_t i = 0; i < count; i++) {
+		uint16_t gap_ms = call->gaps_ms[(i + 1) % GATE_GAPS];
 		size_t at = i;
 
-		for (; at > 0 && sorted[at - 1] > call->gaps_ms[(i + 1) % GATE_GAPS]; at--)
+		for (; at > 0 && sorted[at - 1] > gap_ms; at--)
 			sorted[at] = sorted[at - 1];
-		sorted[at] = call->gaps_ms[(i + 1) % GATE_GAPS];
+		sorted[at] = gap_ms;
 	}
-	return MAX(sorted[count / 2], 1);
+	return sorted[middle];
 }
 
 /* Timings are learned from the old version only, for comparison with the target of a roll-out. */
--- a/packages/pace/include/cw_pace.h
+++ b/packages/pace/include/cw_pace.h
@@ -55,7 +55,7 @@
 	int64_t own_ms;	       /* time to which the own evidence is decayed */
 	int64_t own_sample_ms; /* of the newest own sample; 0: none */
 	size_t origin_count;
-	struct cw_pace_origin *origins; /* of CW_PACE_ORIGINS; NULL: none yet */
+	struct cw_pace_origin *origins; /* NULL: none yet; CW_PACE_ORIGINS at most */
 	struct cw_pace_evidence total;	/* own, origins, and what is left of a prior */
 	int64_t total_ms;
 	double momentary;     /* pace that the server last reported; 0: never */
--- a/packages/pace/src/pace.c
+++ b/packages/pace/src/pace.c
@@ -12,6 +12,7 @@
 #define REPORTS_GAP_MS	 250  /* a report sooner after the last is of the same moment */
 #define SAME_LOG	 0.05 /* of ln(pace): a smaller difference moves no work */
 #define WEIGHT_MIN	 0.05 /* below which evidence is forgotten */
+#define ORIGINS_STEP	 8    /* memory is taken for so many at a time */
 
 struct weighted {
 	double value, weight;
@@ -19,6 +20,8 @@
 
 static double decay_factor(int64_t from_ms, int64_t to_ms);
 static struct cw_pace_evidence scale(const struct cw_pace_evidence *evidence, double factor);
+static size_t list_own_reports(const struct cw_pace *pace, struct weighted *reports,
+			       int64_t now_ms);
 static void update_own(struct cw_pace *pace, int64_t now_ms);
 static void add_learned(struct cw_pace_sums *to, const struct cw_pace_sums *from);
 static double weight_of(const struct cw_pace_origin *origin, int64_t now_ms);
@@ -84,6 +87,8 @@
 	if (!place)
 		return 0;
 	*place = *origin;
+	place->evidence.reported =
+		(float)CLAMP(origin->evidence.reported, CW_PACE_MIN, CW_PACE_MAX);
 	update_total(pace, now_ms);
 	return 1;
 }
@@ -167,19 +172,27 @@
 	};
 }
 
+static size_t list_own_reports(const struct cw_pace *pace, struct weighted *reports, int64_t now_ms)
+{
+	size_t count = MIN(pace->report_count, CW_PACE_REPORTS);
+
+	for (size_t i = 0; i < count; i++) {
+		reports[i].value = pace->reports[i].pace;
+		reports[i].weight = decay_factor(pace->reports[i].at_ms, now_ms);
+	}
+	return count;
+}
+
 static void update_own(struct cw_pace *pace, int64_t now_ms)
 {
 	struct weighted reports[CW_PACE_REPORTS];
-	size_t count = MIN(pace->report_count, CW_PACE_REPORTS);
+	size_t count = list_own_reports(pace, reports, now_ms);
 
 	pace->own = cw_pace_own(pace, now_ms);
 	pace->own_ms = pace->own_sample_ms = now_ms;
 	pace->own.reported_weight = 0;
-	for (size_t i = 0; i < count; i++) {
-		reports[i].value = pace->reports[i].pace;
-		reports[i].weight = decay_factor(pace->reports[i].at_ms, now_ms);
+	for (size_t i = 0; i < count; i++)
 		pace->own.reported_weight += (float)reports[i].weight;
-	}
 	qsort(reports, count, sizeof(*reports), by_value);
 	pace->own.reported = (float)quantile(reports, count, pace->own.reported_weight / 2);
 	update_total(pace, now_ms);
@@ -221,19 +234,19 @@
 		return NULL;
 	if (pace->origin_count == CW_PACE_ORIGINS)
 		return weight_of(least, now_ms) < weight_of(origin, now_ms) ? least : NULL;
-	if (!pace->origins)
-		pace->origins = g_new0(struct cw_pace_origin, CW_PACE_ORIGINS);
+	if (pace->origin_count % ORIGINS_STEP == 0)
+		pace->origins = g_renew(struct cw_pace_origin, pace->origins,
+					pace->origin_count + ORIGINS_STEP);
 	return &pace->origins[pace->origin_count++];
 }
 
 static void update_total(struct cw_pace *pace, int64_t now_ms)
 {
-	struct weighted reports[CW_PACE_ORIGINS + 2];
+	struct weighted reports[CW_PACE_REPORTS + CW_PACE_ORIGINS + 1];
 	struct cw_pace_evidence total = cw_pace_own(pace, now_ms);
 	struct cw_pace_evidence prior = {0};
-	size_t count = 0;
+	size_t count = list_own_reports(pace, reports, now_ms);
 
-	reports[count++] = (struct weighted){total.reported, total.reported_weight};
 	for (size_t i = 0; i < pace->origin_count; i++) {
 		const struct cw_pace_origin *origin = &pace->origins[i];
 		struct cw_pace_evidence evidence =
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -337,8 +337,10 @@
 const struct cw_prediction *cw_pool_prediction(const struct cw_pool *pool); /* over all servers */
 double cw_pool_pace(const struct cw_server *server,
 		    int64_t now_ms); /* multiplies the work predicted for the usual server */
-double cw_pool_reported_pace(const struct cw_server *server,
-			     int64_t now_ms); /* the part of it that the server reports */
+double cw_pool_lasting_pace(const struct cw_server *server,
+			    int64_t now_ms); /* the same for work that takes seconds */
+double cw_pool_reported_pace(const struct cw_server *server, int is_lasting,
+			     int64_t now_ms); /* the part of either that the server reports */
 void cw_pool_report_pace(struct cw_server *server, double momentary, int64_t now_ms);
 void cw_pool_record_speed(
 	struct cw_server *server, double ratio,
--- a/packages/pool/src/speed.c
+++ b/packages/pool/src/speed.c
@@ -3,24 +3,24 @@
 
 #include <math.h>
 
-double cw_pool_reported_pace(const struct cw_server *server, int64_t now_ms)
+static double weigh(const struct cw_server *server, double reported, int64_t now_ms);
+
+double cw_pool_pace(const struct cw_server *server, int64_t now_ms)
 {
-	if (!server->work)
-		return CW_PACE_USUAL;
-	return cw_pace_reported(&server->work->pace, server->policy->momentary_ms, now_ms);
+	return weigh(server, cw_pool_reported_pace(server, 0, now_ms), now_ms);
 }
 
-double cw_pool_pace(const struct cw_server *server, int64_t now_ms)
+double cw_pool_lasting_pace(const struct cw_server *server, int64_t now_ms)
 {
-	const struct cw_policy *policy = server->policy;
-	double pace;
+	return weigh(server, cw_pool_reported_pace(server, 1, now_ms), now_ms);
+}
 
-	if (!server->work || policy->pace_part <= 0)
-		return CW_PACE_USUAL;
-	pace = cw_pool_reported_pace(server, now_ms);
-	if (policy->pace_learned > 0)
-		pace *= cw_pace_learned(&server->work->pace, now_ms);
-	return pow(CLAMP(pace, CW_PACE_MIN, CW_PACE_MAX), policy->pace_part);
+double cw_pool_reported_pace(const struct cw_server *server, int is_lasting, int64_t now_ms)
+{
+	double lifetime_ms = is_lasting ? 0 : server->policy->momentary_ms;
+
+	return server->work ? cw_pace_reported(&server->work->pace, lifetime_ms, now_ms)
+			    : CW_PACE_USUAL;
 }
 
 void cw_pool_report_pace(struct cw_server *server, double momentary, int64_t now_ms)
@@ -46,3 +46,15 @@
 	cw_pace_clear(&server->work->pace);
 	g_clear_pointer(&server->work, g_free);
 }
+
+static double weigh(const struct cw_server *server, double reported, int64_t now_ms)
+{
+	const struct cw_policy *policy = server->policy;
+	double pace = reported;
+
+	if (!server->work || policy->pace_part <= 0)
+		return CW_PACE_USUAL;
+	if (policy->pace_learned > 0)
+		pace *= cw_pace_learned(&server->work->pace, now_ms);
+	return pow(CLAMP(pace, CW_PACE_MIN, CW_PACE_MAX), policy->pace_part);
+}
--- a/tests/fuzz/users_input.c
+++ b/tests/fuzz/users_input.c
@@ -2,6 +2,7 @@
 
 #include "cw_gate.h"
 #include "cw_gossip.h"
+#include "cw_gossip_paces.h"
 #include "cw_gossip_reports.h"
 #include "cw_up.h"
 
@@ -51,6 +52,7 @@
 };
 
 static void fuzz_decoders(const uint8_t *bytes, size_t size);
+static void fuzz_paces(const char *bytes, size_t size);
 static void fuzz_server_entry(const uint8_t *bytes, size_t size);
 static void fuzz_quarantine(const uint8_t *bytes, size_t size);
 static void fuzz_orders(const uint8_t *bytes, size_t size);
@@ -111,6 +113,7 @@
 	case 3:
 		cw_gossip_decode(text, length, gossip);
 		cw_gossip_decode_reports(text, length, &reports);
+		fuzz_paces(text, length);
 		break;
 	case 4:
 		fuzz_server_entry(bytes + 1, length);
@@ -129,6 +132,31 @@
 	g_string_free(body, TRUE);
 }
 
+/* Whatever a peer announces, a pace stays within its bounds. */
+static void fuzz_paces(const char *bytes, size_t size)
+{
+	struct cw_gossip_paces message;
+
+	if (cw_gossip_decode_paces(bytes, size, &message) != CW_OK)
+		return;
+	for (size_t i = 0; i < message.count; i++) {
+		struct cw_pace_origin origin = {.instance = i,
+						.announced_ms = message.announced_ms,
+						.received_ms = START_MS};
+		struct cw_pace pace = {0};
+		double factor;
+
+		origin.evidence = message.paces[i].evidence;
+		cw_pace_merge(&pace, &origin, START_MS);
+		cw_pace_merge_momentary(&pace, message.paces[i].momentary, START_MS);
+		factor = cw_pace_reported(&pace, SETTLE_MS, START_MS);
+		check(factor >= CW_PACE_MIN && factor <= CW_PACE_MAX, "a pace is out of bounds");
+		factor = cw_pace_learned(&pace, START_MS);
+		check(factor >= CW_PACE_MIN && factor <= CW_PACE_MAX, "a pace is out of bounds");
+		cw_pace_clear(&pace);
+	}
+}
+
 /* A backend server's entry with a few bytes changed: either complete, or rejected with a reason. */
 static void fuzz_server_entry(const uint8_t *bytes, size_t size)
 {
