--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -10,7 +10,7 @@
 #define TOKEN_MS_GAIN_DOWN	0.3 /* queues only add time, so the estimate falls fast */
 #define TOKEN_MS_GAIN_UP	0.02 /* and rises slowly */
 #define IDLE_BACKLOG_MAX_MS	5.0  /* queued work that leaves the time per token measurable */
-#define FIRST_TOKEN_OVERHEAD_MS 25.0 /* one batch step and the round trip */
+#define FIRST_TOKEN_OVERHEAD_MS 25.0 /* of the usual server: a batch step, a round trip */
 #define PLAIN_INITIAL_MS	50.0
 #define PLAIN_EWMA_GAIN		0.05
 #define SLOW_MARGIN_MS		40.0 /* for work of other instances that this one does not know of */
@@ -71,9 +71,9 @@
 			       cw_pool_pace(server, now_ms) +
 		       cw_pool_wait_ms(server, now_ms);
 	return call_work_queue_ms(call, server, now_ms) +
-	       uncached_tokens(call, is_affinity_server) * token_time_ms(call, timing) *
-		       cw_pool_pace(server, now_ms) +
-	       FIRST_TOKEN_OVERHEAD_MS;
+	       (uncached_tokens(call, is_affinity_server) * token_time_ms(call, timing) +
+		FIRST_TOKEN_OVERHEAD_MS) *
+		       cw_pool_pace(server, now_ms);
 }
 
 double call_work_queue_ms(const struct cw_call *call, const struct cw_server *server,
@@ -311,8 +311,7 @@
 	}
 	if (call->uncached_tokens < SAMPLE_MIN_TOKENS || !call->server_was_idle)
 		return;
-	sample = MAX(took_ms - FIRST_TOKEN_OVERHEAD_MS, 1) / call->uncached_tokens;
-	sample /= pace;
+	sample = MAX(took_ms / pace - FIRST_TOKEN_OVERHEAD_MS, 1) / call->uncached_tokens;
 	if (timing->samples++ == 0)
 		timing->ms_per_token = sample;
 	else
--- a/packages/pool/src/placement.c
+++ b/packages/pool/src/placement.c
@@ -58,7 +58,8 @@
  */
 double cw_pool_own_work_ms(const struct cw_server *server, int64_t now_ms)
 {
-	double left_ms = MAX(server->work_until_ms - (double)now_ms,
+	double until_ms = server->work_until_ms - (double)now_ms;
+	double left_ms = MAX(until_ms / cw_pool_pace(server, now_ms),
 			     server->policy->unread_least * server->own_work_ms);
 
 	return MIN(server->own_work_ms, left_ms);
