--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -10,7 +10,7 @@
 #define TOKEN_MS_GAIN_DOWN	0.3 /* queues only add time, so the estimate falls fast */
 #define TOKEN_MS_GAIN_UP	0.02 /* and rises slowly */
 #define IDLE_BACKLOG_MAX_MS	5.0  /* queued work that leaves the time per token measurable */
-#define FIRST_TOKEN_OVERHEAD_MS 25.0 /* one batch step and the round trip */
+#define FIRST_TOKEN_OVERHEAD_MS 25.0 /* of the usual server: a batch step, a round trip */
 #define PLAIN_INITIAL_MS	50.0
 #define PLAIN_EWMA_GAIN		0.05
 #define SLOW_MARGIN_MS		40.0 /* for work of other instances that this one does not know of */
@@ -41,7 +41,7 @@
 static double memory_tokens(const struct cw_call *call);
 static void learn_timing(struct cw_call *call, double took_ms, int64_t now_ms);
 static void learn_speed(const struct cw_call *call, struct gate_usual *usual, double time_ms,
-			int64_t now_ms);
+			double reported, int64_t now_ms);
 static double median_gap_ms(const struct cw_call *call);
 static int is_on_target_version(const struct cw_call *call);
 static void report_to_rollout(struct cw_call *call, int is_failure, int is_slow, int64_t now_ms);
@@ -75,9 +75,9 @@
 			       cw_pool_pace(server, now_ms) +
 		       cw_pool_wait_ms(server, now_ms);
 	return call_work_queue_ms(call, server, now_ms) +
-	       uncached_tokens(call, is_affinity_server) * token_time_ms(call, timing) *
-		       cw_pool_pace(server, now_ms) +
-	       FIRST_TOKEN_OVERHEAD_MS;
+	       (uncached_tokens(call, is_affinity_server) * token_time_ms(call, timing) +
+		FIRST_TOKEN_OVERHEAD_MS) *
+		       cw_pool_pace(server, now_ms);
 }
 
 double call_work_queue_ms(const struct cw_call *call, const struct cw_server *server,
@@ -233,7 +233,7 @@
 		return;
 	answer.waited_ms = now_ms - call->head_ms;
 	gap_ms = (double)answer.waited_ms / call->events_forwarded /
-		 cw_pool_pace(call->server, now_ms);
+		 cw_pool_lasting_pace(call->server, now_ms);
 	if (timing->event_gap_ms > 0 && gap_ms > SLOW_FACTOR * timing->event_gap_ms)
 		cw_rollouts_mark_answer_slow(call->gate->rollouts, &answer, now_ms);
 	if (timing->event_gap_ms <= 0)
@@ -241,7 +241,8 @@
 	else if (!is_on_target_version(call))
 		timing->event_gap_ms += EVENT_EWMA_GAIN * (gap_ms - timing->event_gap_ms);
 	if (!is_on_target_version(call) && !call->has_no_event_times)
-		learn_speed(call, &timing->gap, median_gap_ms(call), now_ms);
+		learn_speed(call, &timing->gap, median_gap_ms(call),
+			    cw_pool_reported_pace(call->server, 1, now_ms), now_ms);
 }
 
 void call_work_record_failure(struct cw_call *call, int64_t now_ms)
@@ -331,7 +332,8 @@
 
 	if (call->info.segment_count == 0) {
 		if (!call->server_was_loaded)
-			learn_speed(call, &timing->answer, took_ms, now_ms);
+			learn_speed(call, &timing->answer, took_ms,
+				    cw_pool_reported_pace(call->server, 0, now_ms), now_ms);
 		took_ms /= pace;
 		timing->mean_ms =
 			timing->samples++
@@ -341,8 +343,7 @@
 	}
 	if (call->uncached_tokens < SAMPLE_MIN_TOKENS || !call->server_was_idle)
 		return;
-	sample = MAX(took_ms - FIRST_TOKEN_OVERHEAD_MS, 1) / call->uncached_tokens;
-	sample /= pace;
+	sample = MAX(took_ms / pace - FIRST_TOKEN_OVERHEAD_MS, 1) / call->uncached_tokens;
 	if (timing->samples++ == 0)
 		timing->ms_per_token = sample;
 	else
@@ -361,9 +362,9 @@
  * was learned of a server is not taken off, so usual time and learned speed can't drift together.
  */
 static void learn_speed(const struct cw_call *call, struct gate_usual *usual, double time_ms,
-			int64_t now_ms)
+			double reported, int64_t now_ms)
 {
-	double time_log = log(MAX(time_ms, 1e-6) / cw_pool_reported_pace(call->server, now_ms));
+	double time_log = log(MAX(time_ms, 1) / reported);
 
 	if (usual->samples >= USUAL_SAMPLES_MIN)
 		cw_pool_record_speed(call->server, exp(time_log - usual->log_mean), now_ms);
@@ -376,15 +377,17 @@
 {
 	uint16_t sorted[GATE_GAPS];
 	size_t count = MIN(call->events_forwarded - 1, GATE_GAPS);
+	size_t middle = count / 2;
 
 	for (size_t i = 0; i < count; i++) {
+		uint16_t gap_ms = call->gaps_ms[(i + 1) % GATE_GAPS];
 		size_t at = i;
 
-		for (; at > 0 && sorted[at - 1] > call->gaps_ms[(i + 1) % GATE_GAPS]; at--)
+		for (; at > 0 && sorted[at - 1] > gap_ms; at--)
 			sorted[at] = sorted[at - 1];
-		sorted[at] = call->gaps_ms[(i + 1) % GATE_GAPS];
+		sorted[at] = gap_ms;
 	}
-	return MAX(sorted[count / 2], 1);
+	return sorted[middle];
 }
 
 /* Timings are learned from the old version only, for comparison with the target of a roll-out. */
--- a/packages/pool/src/placement.c
+++ b/packages/pool/src/placement.c
@@ -158,7 +158,8 @@
  */
 double cw_pool_own_work_ms(const struct cw_server *server, int64_t now_ms)
 {
-	double left_ms = MAX(server->work_until_ms - (double)now_ms,
+	double until_ms = server->work_until_ms - (double)now_ms;
+	double left_ms = MAX(until_ms / cw_pool_pace(server, now_ms),
 			     server->policy->unread_least * server->own_work_ms);
 
 	return MIN(server->own_work_ms, left_ms);
--- a/tests/fuzz/users_input.c
+++ b/tests/fuzz/users_input.c
@@ -3,6 +3,7 @@
 #include "cw_gate.h"
 #include "cw_gossip.h"
 #include "cw_gossip_backlogs.h"
+#include "cw_gossip_paces.h"
 #include "cw_gossip_reports.h"
 #include "cw_gossip_shares.h"
 #include "cw_up.h"
@@ -56,6 +57,7 @@
 
 static void fuzz_decoders(const uint8_t *bytes, size_t size);
 static void fuzz_shares(const char *text, size_t length);
+static void fuzz_paces(const char *bytes, size_t size);
 static void fuzz_server_entry(const uint8_t *bytes, size_t size);
 static void fuzz_quarantine(const uint8_t *bytes, size_t size);
 static void fuzz_orders(const uint8_t *bytes, size_t size);
@@ -120,6 +122,7 @@
 		cw_gossip_decode_reports(text, length, &reports);
 		cw_gossip_decode_backlogs(text, length, &note);
 		fuzz_shares(text, length);
+		fuzz_paces(text, length);
 		break;
 	case 4:
 		fuzz_server_entry(bytes + 1, length);
@@ -138,7 +141,31 @@
 	g_string_free(body, TRUE);
 }
 
-/* A backend server's entry with a few bytes changed: either complete, or rejected with a reason. */
+/* Whatever a peer announces, a pace stays within its bounds. */
+static void fuzz_paces(const char *bytes, size_t size)
+{
+	struct cw_gossip_paces message;
+
+	if (cw_gossip_decode_paces(bytes, size, &message) != CW_OK)
+		return;
+	for (size_t i = 0; i < message.count; i++) {
+		struct cw_pace_origin origin = {.instance = i,
+						.announced_ms = message.announced_ms,
+						.received_ms = START_MS};
+		struct cw_pace pace = {0};
+		double factor;
+
+		origin.evidence = message.paces[i].evidence;
+		cw_pace_merge(&pace, &origin, START_MS);
+		cw_pace_merge_momentary(&pace, message.paces[i].momentary, START_MS);
+		factor = cw_pace_reported(&pace, SETTLE_MS, START_MS);
+		check(factor >= CW_PACE_MIN && factor <= CW_PACE_MAX, "a pace is out of bounds");
+		factor = cw_pace_learned(&pace, START_MS);
+		check(factor >= CW_PACE_MIN && factor <= CW_PACE_MAX, "a pace is out of bounds");
+		cw_pace_clear(&pace);
+	}
+}
+
 /* What a peer announces is granted a part between 0 and 1. */
 static void fuzz_shares(const char *text, size_t length)
 {
@@ -154,12 +181,12 @@
 		double granted =
 			cw_shares_granted(shares, message.demands[i].organisation, 0.5, START_MS);
 
-		if (!(granted >= 0 && granted <= 1))
-			abort();
+		check(granted >= 0 && granted <= 1, "a granted part is out of bounds");
 	}
 	cw_shares_destroy(shares);
 }
 
+/* A backend server's entry with a few bytes changed: either complete, or rejected with a reason. */
 static void fuzz_server_entry(const uint8_t *bytes, size_t size)
 {
 	static const char record[] = "\x02s1{\"service\":\"llm\",\"address\":\"10.0.0.1:80\","
