--- a/tests/standins/users_runner.c
+++ b/tests/standins/users_runner.c
@@ -12,6 +12,8 @@
  *   short   the connection breaks within the body, unless the request asks for a stream
  *   cut     a stream breaks within an event after two events
  *   end     the server crashes at once
+ * POST /admin/largest?m=NAME sets how a stream of the model "large" is answered from then on:
+ * notrun, hang (no answer), lost (the connection breaks at once) or as any other.
  * Any other name acts as ok, also unframed (meant for a body without a length) and extra.
  * POST /admin/limit?m=N names the rate limit N in each answer from then on; without N: none.
  * POST /admin/leaving?m=1 says in each answer from then on that the server leaves.
@@ -61,6 +63,7 @@
 static uv_loop_t loop;
 static TAILQ_HEAD(, run) runs = TAILQ_HEAD_INITIALIZER(runs);
 static char mode[16] = "ok";
+static char largest[16] = "ok";
 static char rate_limit[16]; /* empty: none is named */
 static int is_leaving;
 static char rest_s[16]; /* empty: requests are not rejected */
@@ -271,6 +274,8 @@
 		g_strlcpy(brittle, m ? m + 3 : "", sizeof(brittle));
 	} else if (g_str_has_prefix(request->target->str, "/admin/places")) {
 		places = m ? strtol(m + 3, NULL, 10) : 0;
+	} else if (g_str_has_prefix(request->target->str, "/admin/largest")) {
+		g_strlcpy(largest, m ? m + 3 : "ok", sizeof(largest));
 	} else if (g_str_has_prefix(request->target->str, "/admin/rest")) {
 		g_strlcpy(rest_s, m ? m + 3 : "", sizeof(rest_s));
 	} else if (m) {
@@ -297,6 +302,8 @@
 	const char *expected = cw_message_find(request, "Expect-Instance");
 	const char *accept = cw_message_find(request, "Accept");
 	const char *events = strrchr(request->target->str, '/');
+	const char *model = cw_message_find(request, "Model");
+	const char *how = model && !strcmp(model, "large") ? largest : "ok";
 
 	if (g_str_has_prefix(request->target->str, "/admin/")) {
 		on_admin(caller, request);
@@ -309,7 +316,7 @@
 		cw_caller_end_answer(caller);
 	} else if (*rest_s) {
 		ask_for_rest(caller, request);
-	} else if (!strcmp(mode, "notrun")) {
+	} else if (!strcmp(mode, "notrun") || !strcmp(how, "notrun")) {
 		send_head(caller, request_id(request), 503, "Not-Executed: 1\r\n", 0);
 		cw_caller_end_answer(caller);
 	} else if (places && running >= (unsigned long)places) {
@@ -318,6 +325,12 @@
 		record_run(request);
 		cw_caller_send_head(caller, 200, "\x01\x02 no field at all\r\n", 0);
 		cw_caller_end_answer(caller);
+	} else if (!strcmp(how, "hang")) {
+		record_run(request);
+		start_run(caller, request);
+	} else if (!strcmp(how, "lost")) {
+		record_run(request);
+		cw_caller_abort(caller);
 	} else if (accept && !strcmp(accept, "text/event-stream")) {
 		record_run(request);
 		start_stream(caller, request, events ? strtol(events + 1, NULL, 10) : 1);
