pool, gate, flow: fewer new connections to servers

Of the 4,650 probes of servers that weren't known as unreachable, 59 in 100 went to servers with a stream in progress: 150 ms (quiet_ms) is less than the pause of a stream while its engine processes a prompt. Of the requests' new connections 1,960 followed a cancelled answer on the same address (an escalation closes its connection), 900 were the first to an address, 170 were of requests that may not be repeated.

Change: a server that works is probed when it is silent for quiet_ms longer than its requests explain: until the predicted head, or by the event gap of the model and the prompts known there. An explanation ends after expected_silence_ms (1 s; 0 is off). Unreachable servers, and those with requests for peers, are probed as before. Of servers that cost the same but for connect_ms, one with an idle connection is chosen. Gauge connections, kinds opened and reused.

A server that is cut off or frozen while nothing explains its silence is found as fast as before; one that works on a prompt is found later by the predicted time of that prompt, 1 s at most.

Unit tests pass; users_silent, users_cut, users_faults, users_forward, users_gap, users_logs and settings pass; sanitizers not run.

--- a/apps/corianderwalk/entry.c
+++ b/apps/corianderwalk/entry.c
@@ -25,6 +25,7 @@
 static void on_reload(uv_signal_t *handle, int number);
 static void on_tick(uv_timer_t *timer);
 static int open_listeners(struct entry *entry);
+static int may_reuse(void *client, const char *address, int64_t reuse_idle_ms);
 static void log_policy(const struct cw_policy *policy);
 static void open_gate(struct entry *entry);
 static void close_all(struct entry *entry);
@@ -55,6 +56,7 @@
 	TAILQ_INIT(&entry.relays);
 	open_gate(&entry);
 	entry.server_client = cw_client_create(&entry.loop);
+	cw_pool_set_connection_lookup(cw_gate_pool(entry.gate), may_reuse, entry.server_client);
 	entry.forwards = forwards_create(&entry);
 	code = open_listeners(&entry);
 	if (code == 0) {
@@ -71,6 +73,11 @@
 	return code;
 }
 
+static int may_reuse(void *client, const char *address, int64_t reuse_idle_ms)
+{
+	return cw_client_may_reuse(client, address, reuse_idle_ms);
+}
+
 /* Logs each value that differs from its default, so that the log explains decisions. */
 static void log_policy(const struct cw_policy *policy)
 {
--- a/apps/corianderwalk/entry_homes.c
+++ b/apps/corianderwalk/entry_homes.c
@@ -1,4 +1,4 @@
-/* The homes of prompt prefixes: logs and metrics. */
+/* Where work goes, homes of prompt prefixes and connections to servers: logs and metrics. */
 #include "cw_counters.h"
 #include "cw_timeline.h"
 #include "entry.h"
@@ -22,4 +22,8 @@
 	cw_gauge_set("prefixes_with_more_homes", "", stats.prefixes);
 	cw_gauge_set("prefix_requests", "at=\"home\"", stats.at_home);
 	cw_gauge_set("prefix_requests", "at=\"elsewhere\"", stats.elsewhere);
+	cw_gauge_set("connections", "kind=\"opened\"",
+		     cw_client_count_opened(entry->server_client));
+	cw_gauge_set("connections", "kind=\"reused\"",
+		     cw_client_count_reused(entry->server_client));
 }
--- a/apps/corianderwalk/entry_reach.c
+++ b/apps/corianderwalk/entry_reach.c
@@ -6,6 +6,7 @@
 #include "cw_hash.h"
 #include "cw_timeline.h"
 #include "entry.h"
+#include "entry_relay.h"
 
 #define PROBE_ATTEMPTS		2   /* failed in a row: a single SYN may be lost by chance */
 #define PROBE_TIMEOUT_MS	100 /* to connect: paths of 1 ms, and the accept of a busy server */
@@ -22,6 +23,8 @@
 };
 
 static void probe_silent(struct entry *entry, int64_t now_ms);
+static int expects_silence(const struct entry *entry, const struct cw_server *server,
+			   int64_t now_ms);
 static void start_probe(struct entry *entry, const struct cw_server *server, int attempt);
 static void on_probe_done(void *context, const char *address, enum cw_probe_result result);
 static void mark_reachable(struct entry *entry, struct cw_server *server,
@@ -44,13 +47,27 @@
 	struct cw_server *server;
 
 	TAILQ_FOREACH(server, cw_pool_active(cw_gate_pool(entry->gate)), active_link) {
-		if (!cw_pool_needs_probe(server, now_ms))
+		if (!cw_pool_needs_probe(server, now_ms) || expects_silence(entry, server, now_ms))
 			continue;
 		server->probed_ms = now_ms;
 		start_probe(entry, server, server->is_unreachable ? PROBE_ATTEMPTS : 1);
 	}
 }
 
+/* By that of its requests whose next byte is predicted first. */
+static int expects_silence(const struct entry *entry, const struct cw_server *server,
+			   int64_t now_ms)
+{
+	int64_t since_ms = cw_pool_silent_since_ms(server);
+	int64_t least_ms = INT64_MAX;
+	const struct relay *relay;
+
+	TAILQ_FOREACH(relay, &entry->relays, link)
+		if (relay->exchange && cw_call_server(relay->call) == server)
+			least_ms = MIN(least_ms, cw_call_silence_ms(relay->call, since_ms, now_ms));
+	return least_ms < INT64_MAX && cw_pool_expects_silence(server, least_ms, now_ms);
+}
+
 /*
  * The connection of a request broke. Probes whether the server's process has terminated, in which
  * case it accepts no connection, or has closed only that one.
--- a/packages/flow/include/cw_flow.h
+++ b/packages/flow/include/cw_flow.h
@@ -116,9 +116,13 @@
 		     void *context); /* an opened connection is kept for requests */
 int cw_client_has_idle(struct cw_client *client, const char *address,
 		       int64_t reuse_idle_ms); /* a request would reuse a connection */
+int cw_client_may_reuse(const struct cw_client *client, const char *address,
+			int64_t reuse_idle_ms); /* the same without a look at the socket: cheap,
+						   and rarely wrong */
 void cw_client_close_idle(struct cw_client *client,
 			  const char *address);			 /* closes idle connections */
 uint64_t cw_client_count_opened(const struct cw_client *client); /* connections since creation */
+uint64_t cw_client_count_reused(const struct cw_client *client); /* requests on idle ones */
 
 enum cw_status cw_flow_parse_address(const char *text, struct sockaddr_in *address); /* "IP:PORT" */
 uint32_t cw_flow_datagram_delay_ms(
--- a/packages/flow/src/client.c
+++ b/packages/flow/src/client.c
@@ -102,7 +102,9 @@
 	uv_timer_init(client->loop, &exchange->timer);
 	exchange->timer.data = exchange;
 	TAILQ_INSERT_TAIL(&client->exchanges, exchange, link);
-	if (!connection)
+	if (connection)
+		client->reused_count++;
+	else
 		connection = flow_open_connection(client, address);
 	connection->exchange = exchange;
 	connection->bytes = request->bytes;
@@ -151,6 +153,18 @@
 	restart_timer(exchange);
 }
 
+int cw_client_may_reuse(const struct cw_client *client, const char *text, int64_t reuse_idle_ms)
+{
+	const struct address *address = g_hash_table_lookup(client->addresses, text);
+	const struct connection *connection = address ? TAILQ_FIRST(&address->idle) : NULL;
+	int64_t idle_ms;
+
+	if (!connection)
+		return 0;
+	idle_ms = (int64_t)(uv_now(client->loop) - connection->idle_since_ms);
+	return idle_ms < MIN(reuse_idle_ms, connection->idle_limit_ms);
+}
+
 int cw_client_has_idle(struct cw_client *client, const char *text, int64_t reuse_idle_ms)
 {
 	struct address *address = g_hash_table_lookup(client->addresses, text);
@@ -167,6 +181,11 @@
 		flow_close_connection(connection);
 }
 
+uint64_t cw_client_count_reused(const struct cw_client *client)
+{
+	return client->reused_count;
+}
+
 uint64_t cw_client_count_opened(const struct cw_client *client)
 {
 	return client->opened_count;
--- a/packages/flow/src/client_internal.h
+++ b/packages/flow/src/client_internal.h
@@ -70,6 +70,7 @@
 	TAILQ_HEAD(, cw_exchange) exchanges;
 	uv_timer_t sweep_timer;
 	uint64_t opened_count;
+	uint64_t reused_count;
 };
 
 struct address *flow_find_address(struct cw_client *client, const char *text);
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -145,6 +145,8 @@
 const struct cw_report_changes *cw_call_report_changes(const struct cw_call *call);
 unsigned int cw_call_attempts(const struct cw_call *call);
 double cw_call_predicted_ms(const struct cw_call *call); /* until the response head */
-double cw_call_work_ms(const struct cw_call *call);	 /* of the attempt's prompt, predicted */
+int64_t cw_call_silence_ms(const struct cw_call *call, int64_t since_ms,
+			   int64_t now_ms);	    /* predicted silence of its server since then */
+double cw_call_work_ms(const struct cw_call *call); /* of the attempt's prompt, predicted */
 
 #endif
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -419,7 +419,6 @@
 /* Starts an attempt; 1: step is CW_STEP_SEND, 0: no server may take the request. */
 static int dispatch_attempt(struct cw_call *call, int64_t now_ms, struct cw_step *step)
 {
-	const struct cw_policy *policy = call->gate->policy;
 	int is_affinity_server = 0;
 	struct cw_server *server = call_choose_server(call, now_ms, &is_affinity_server);
 
@@ -442,14 +441,19 @@
 	step->kind = CW_STEP_SEND;
 	step->server = server;
 	step->connect_ms = connect_timeout_ms(call);
-	step->reuse_idle_ms = call->route->retry_policy == CW_RETRY_NEVER
-				      ? NON_REPEATABLE_REUSE_IDLE_MS
-				      : (int64_t)policy->reuse_idle_ms;
+	step->reuse_idle_ms = call_reuse_idle_ms(call);
 	step->read_timeout_ms = idle_timeout_ms(call, now_ms);
 	fill_dispatch(call, now_ms, step);
 	return 1;
 }
 
+int64_t call_reuse_idle_ms(const struct cw_call *call)
+{
+	return call->route->retry_policy == CW_RETRY_NEVER
+		       ? NON_REPEATABLE_REUSE_IDLE_MS
+		       : (int64_t)call->gate->policy->reuse_idle_ms;
+}
+
 /*
  * An unsent request of any kind may go to another server, so the timeout is a part of the route's
  * latency objective that leaves time for a second attempt.
--- a/packages/gate/src/call_choice.c
+++ b/packages/gate/src/call_choice.c
@@ -99,6 +99,7 @@
 		.tried_count = MIN(call->tried_count, CW_MAX_ATTEMPTS),
 		.now_ms = now_ms,
 		.random = gate_random(gate),
+		.reuse_idle_ms = call_reuse_idle_ms(call),
 		.cold = {.per_s = call->service ? call->service->cold_per_s : 0,
 			 .factor = gate->options.cold_factor,
 			 .slack = gate->options.cold_slack},
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -135,6 +135,10 @@
 void call_apply_reports(struct cw_call *call, const struct cw_response_head *answer,
 			int64_t now_ms);
 
+/* call.c */
+int64_t
+call_reuse_idle_ms(const struct cw_call *call); /* idle time up to which it reuses a connection */
+
 /* call_choice.c: choice of a server */
 struct cw_server *
 call_choose_server(struct cw_call *call, int64_t now_ms,
--- a/packages/policy/include/cw_policy.h
+++ b/packages/policy/include/cw_policy.h
@@ -29,6 +29,7 @@
 	double again_token_ms; /* cost of each prefix token that is processed anew */
 	double home_part;      /* of a server's time that one prompt prefix uses there at most */
 	double home_full_part; /* of the slots taken, from which a home doesn't attract requests */
+	double connect_ms;     /* cost of a new connection */
 	double cross_byte_ms;  /* cost of a byte to another failure domain */
 	double running_ms;     /* cost of each request running on the server */
 	double failure_ms;     /* cost of a failed answer */
@@ -38,8 +39,9 @@
 	double told_ms;	       /* lifetime of the queue length that a server reported */
 	double unread_least;   /* least part of sent work that counts until its answer begins */
 	/* failing servers */
-	double breaker_failures; /* consecutive failures that open the breaker */
-	double quiet_ms;	 /* silence after which a server with requests is probed */
+	double breaker_failures;    /* consecutive failures that open the breaker */
+	double quiet_ms;	    /* silence after which a server with requests is probed */
+	double expected_silence_ms; /* longest predicted silence that delays such a probe */
 	double doubt_beside;   /* 1: servers that may be unreachable with another one are probed */
 	double connect_part;   /* part of the objective within which a connection must open */
 	double silence_factor; /* idle timeout before the next attempt: predicted wait times this */
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -189,6 +189,7 @@
 	double ms_per_token;	 /* predicted prefill time per token */
 	double mean_work_ms;	 /* predicted work of an average queued request */
 	size_t bytes;		 /* of the request and its expected answer */
+	int64_t reuse_idle_ms;	 /* reuses a connection that has been idle for less than this */
 	int *is_affinity_server; /* out, may be NULL: 1 if a home of the prefix was chosen */
 };
 
@@ -224,6 +225,10 @@
 			      void (*find)(void *context, uint64_t server,
 					   struct cw_warmup_place *place),
 			      void *context); /* without a lookup, no other instance is assumed */
+void cw_pool_set_connection_lookup(
+	struct cw_pool *pool,
+	int (*has_idle)(void *context, const char *address, int64_t reuse_idle_ms),
+	void *context); /* 1: a request would reuse an idle connection; without one, each would */
 void cw_pool_set_instances(struct cw_pool *pool,
 			   size_t instances); /* that share the callers; 0: not known */
 struct cw_homes *cw_pool_homes(const struct cw_pool *pool);
@@ -320,6 +325,10 @@
 			     const char *own_domain, struct cw_server **suspects, size_t max,
 			     int64_t now_ms); /* marks and returns servers to probe at once */
 int cw_pool_needs_probe(const struct cw_server *server, int64_t now_ms);
+int cw_pool_expects_silence(const struct cw_server *server, int64_t predicted_ms,
+			    int64_t now_ms); /* 1: it works on requests for which a silence of
+						predicted_ms is usual, and isn't to be probed yet */
+int64_t cw_pool_silent_since_ms(const struct cw_server *server); /* last byte or send */
 void cw_pool_record_outcome(struct cw_server *server, int is_failure, double slowness,
 			    int64_t now_ms); /* outcome of an attempt; slowness 0: unknown */
 void cw_pool_begin_work(struct cw_server *server, double work_ms, double mean_work_ms,
--- a/packages/pool/src/placement.c
+++ b/packages/pool/src/placement.c
@@ -19,6 +19,8 @@
 		      int is_affinity_server);
 static struct cw_server *choose_cost(struct cw_server **candidates, size_t count,
 				     const struct cw_choice *choice);
+static size_t prefer_idle_connection(struct cw_server **candidates, const double *costs,
+				     size_t count, size_t best, const struct cw_choice *choice);
 static void mark_homes(struct cw_server **candidates, size_t count, const struct cw_choice *choice,
 		       uint8_t *is_home);
 static size_t next_home(struct cw_server **candidates, size_t count, uint64_t prefix,
@@ -149,8 +151,8 @@
 				     const struct cw_choice *choice)
 {
 	uint8_t is_home[POOL_CANDIDATES_MAX] = {0};
+	double costs[POOL_CANDIDATES_MAX] = {0};
 	size_t best = 0;
-	double best_cost = G_MAXDOUBLE;
 
 	mark_homes(candidates, count, choice, is_home);
 	for (size_t i = 0; i < count; i++) {
@@ -158,18 +160,43 @@
 			(double)(cw_hash(&candidates[i]->id, sizeof(uint64_t), choice->random) &
 				 0xff) /
 			256 * candidates[i]->policy->noise_ms;
-		double cost = cost_of(candidates[i], choice, is_home[i]) + noise;
 
-		if (cost >= best_cost)
-			continue;
-		best = i;
-		best_cost = cost;
+		costs[i] = cost_of(candidates[i], choice, is_home[i]) + noise;
+		if (costs[i] < costs[best])
+			best = i;
 	}
+	best = prefer_idle_connection(candidates, costs, count, best, choice);
 	if (choice->is_affinity_server)
 		*choice->is_affinity_server = is_home[best];
 	return candidates[best];
 }
 
+/*
+ * Load pattern: dozens of instances that each send a few requests a second to all servers open a
+ * connection for most of them. A new one costs a round trip and the accept of a busy server, so of
+ * servers that cost the same but for that, one with an idle connection is chosen. Only servers
+ * whose cost leaves that open are looked up.
+ */
+static size_t prefer_idle_connection(struct cw_server **candidates, const double *costs,
+				     size_t count, size_t best, const struct cw_choice *choice)
+{
+	const struct cw_pool *pool = candidates[best]->pool;
+	double limit = costs[best] + pool->policy->connect_ms;
+	size_t preferred = best;
+
+	if (!pool->has_idle_connection || pool->policy->connect_ms <= 0)
+		return best;
+	for (size_t i = 0; i < count; i++) {
+		if (costs[i] >= limit ||
+		    !pool->has_idle_connection(pool->connection_context, candidates[i]->address,
+					       choice->reuse_idle_ms))
+			continue;
+		limit = costs[i];
+		preferred = i;
+	}
+	return preferred;
+}
+
 /*
  * The homes of a prompt prefix, by rendezvous: every instance prefers the same servers without
  * coordination, so a prefix is processed once on each of them and not once per instance.
--- a/packages/pool/src/pool.c
+++ b/packages/pool/src/pool.c
@@ -79,6 +79,15 @@
 	pool->place_context = context;
 }
 
+void cw_pool_set_connection_lookup(struct cw_pool *pool,
+				   int (*has_idle)(void *context, const char *address,
+						   int64_t reuse_idle_ms),
+				   void *context)
+{
+	pool->has_idle_connection = has_idle;
+	pool->connection_context = context;
+}
+
 void cw_pool_set_instances(struct cw_pool *pool, size_t instances)
 {
 	pool->instances = instances;
--- a/packages/pool/src/pool_internal.h
+++ b/packages/pool/src/pool_internal.h
@@ -44,6 +44,8 @@
 	GHashTable *regions; /* failure domain -> region */
 	void (*find_place)(void *context, uint64_t server, struct cw_warmup_place *place);
 	void *place_context;
+	int (*has_idle_connection)(void *context, const char *address, int64_t reuse_idle_ms);
+	void *connection_context;
 	struct cw_server_list servers;
 	struct cw_server_list active; /* linked by active_link */
 	struct cw_server_reports_list reports;
--- a/packages/pool/src/reach.c
+++ b/packages/pool/src/reach.c
@@ -119,5 +119,26 @@
 	if (server->is_unreachable || server->path != CW_PATH_DIRECT)
 		return 1;
 	return server->own_running + server->peers_forwarded > 0 &&
-	       now_ms - MAX(server->last_seen_ms, server->sent_ms) >= server->policy->quiet_ms;
+	       now_ms - cw_pool_silent_since_ms(server) >= server->policy->quiet_ms;
+}
+
+int64_t cw_pool_silent_since_ms(const struct cw_server *server)
+{
+	return MAX(server->last_seen_ms, server->sent_ms);
+}
+
+/*
+ * Load pattern: streams of a large model whose events are 100 to 200 ms apart, and prompts that
+ * take longer. Each such server is probed all the time, by a new connection, and two of three new
+ * connections are probes. A server is therefore probed only when it is silent for quiet_ms longer
+ * than its requests explain.
+ */
+int cw_pool_expects_silence(const struct cw_server *server, int64_t predicted_ms, int64_t now_ms)
+{
+	const struct cw_policy *policy = server->policy;
+	double limit_ms = policy->quiet_ms + MIN((double)predicted_ms, policy->expected_silence_ms);
+
+	if (server->is_unreachable || server->path != CW_PATH_DIRECT || server->peers_forwarded > 0)
+		return 0;
+	return (double)(now_ms - cw_pool_silent_since_ms(server)) < limit_ms;
 }
