--- a/packages/pool/src/pool_internal.h
+++ b/packages/pool/src/pool_internal.h
@@ -47,6 +47,8 @@
 	void (*work_changed)(void *context, struct cw_server *server, double work_ms);
 	void *work_context;
 	int counts_unread; /* see cw_pool_count_unread() */
+	int (*has_idle_connection)(void *context, const char *address, int64_t reuse_idle_ms);
+	void *connection_context;
 	struct cw_server_list servers;
 	struct cw_server_list active; /* linked by active_link */
 	struct cw_server_list worked; /* linked by worked_link */
