--- a/apps/corianderwalk/entry_backlog.c
+++ b/apps/corianderwalk/entry_backlog.c
@@ -17,7 +17,7 @@
 #define NOTE_GAP_MS	  4    /* between two notes; prompts sent and begun in it share one */
 #define NOTES_OFF_MS	  1e9  /* note_min_ms that no prompt reaches */
 #define NOTE_AGAIN_MS	  1000 /* for a prompt that is still unread: shares time out */
-#define NOTES_PER_S	  40   /* of one instance: 8 kB a second for each recipient, at most */
+#define NOTES_PER_S	  40   /* of one instance: 3 to 18 kB a second for each recipient */
 #define BEHIND_MS	  2000 /* unread work of a server from which a request there is logged */
 
 struct backlogs {
@@ -38,6 +38,7 @@
 static int sends_notes(const struct backlogs *backlogs);
 static void get_share(const struct backlogs *backlogs, const struct cw_server *server,
 		      struct cw_backlog_share *share, int64_t now_ms);
+static int has_long_prompt(const struct cw_server *server);
 static void on_timer(uv_timer_t *timer);
 static void on_closed(uv_handle_t *handle);
 static void send_note(struct backlogs *backlogs);
@@ -47,7 +48,7 @@
 static void apply(void *context, uint64_t server, const struct cw_backlog_share *sum);
 static void log_placement(const struct entry *entry, const struct cw_server *server,
 			  double work_ms);
-static double memory_tokens(const struct entry *entry, const struct cw_server *server);
+static double capacity_tokens(const struct entry *entry, const struct cw_server *server);
 
 struct backlogs *backlogs_create(struct entry *entry)
 {
@@ -81,7 +82,7 @@
 	TAILQ_FOREACH(server, cw_pool_active(cw_gate_pool(backlogs->entry->gate)), active_link) {
 		struct cw_gossip_load *load = &gossip->loads[gossip->load_count];
 
-		if (is_due && server->own_work_ms >= backlogs->entry->policy.note_min_ms)
+		if (is_due && has_long_prompt(server))
 			add_changed(backlogs, server);
 		if (server->own_running == 0 || gossip->load_count == CW_GOSSIP_SERVERS)
 			continue;
@@ -165,7 +166,7 @@
 	uint64_t past_memory = 0;
 
 	TAILQ_FOREACH(server, cw_pool_active(cw_gate_pool(entry->gate)), active_link) {
-		double capacity = memory_tokens(entry, server);
+		double capacity = capacity_tokens(entry, server);
 
 		largest_ms = MAX(largest_ms, cw_pool_backlog_ms(server, 0, now_ms));
 		if (server->work && capacity > 0)
@@ -219,6 +220,11 @@
 		cw_pool_get_share(server, share, now_ms);
 }
 
+static int has_long_prompt(const struct cw_server *server)
+{
+	return server->work && server->work->backlog.own_long > 0;
+}
+
 static void on_timer(uv_timer_t *timer)
 {
 	send_note(timer->data);
@@ -241,16 +247,18 @@
 	struct entry *entry = backlogs->entry;
 	struct cw_pool *pool = cw_gate_pool(entry->gate);
 	int64_t now_ms = entry_now_ms(entry);
-	struct cw_gossip_backlogs note = {.boot = peers_boot(entry->peers)};
+	struct cw_gossip_backlogs note = {
+		.instance = cw_hash_text(entry->settings.instance, 0),
+		.boot = peers_boot(entry->peers),
+	};
 	char bytes[CW_GOSSIP_BACKLOGS_BYTES];
 	struct cw_server *server;
 	size_t size;
 
-	note.instance = cw_hash_text(entry->settings.instance, 0);
 	for (size_t i = 0; i < backlogs->changed_count; i++)
 		add_to_note(backlogs, &note, cw_pool_find(pool, backlogs->changed[i]), now_ms);
 	TAILQ_FOREACH(server, cw_pool_active(pool), active_link)
-		if (server->work && server->work->backlog.own_long > 0)
+		if (has_long_prompt(server))
 			add_to_note(backlogs, &note, server, now_ms);
 	backlogs->changed_count = 0;
 	backlogs->noted_ms = now_ms;
@@ -306,7 +314,7 @@
 	double behind_ms =
 		cw_pool_backlog_ms(server, 0, now_ms) - work_ms * cw_pool_pace(server, now_ms);
 	double tokens = server->work ? cw_backlog_tokens(&server->work->backlog) : 0;
-	double capacity = memory_tokens(entry, server);
+	double capacity = capacity_tokens(entry, server);
 	int is_past_memory = capacity > 0 && tokens > capacity;
 
 	if (behind_ms < BEHIND_MS && !is_past_memory)
@@ -316,7 +324,7 @@
 		 server->name, behind_ms, tokens, capacity);
 }
 
-static double memory_tokens(const struct entry *entry, const struct cw_server *server)
+static double capacity_tokens(const struct entry *entry, const struct cw_server *server)
 {
 	const struct cw_config *config = cw_gate_config(entry->gate);
 	const struct cw_service *service =
--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -36,7 +36,7 @@
 static double prefix_tokens(const struct cw_request_info *info);
 static double late_work_ms(const struct cw_call *call, int64_t now_ms);
 static void end_prompt(struct cw_call *call);
-static double memory_tokens(const struct cw_call *call);
+static double request_tokens(const struct cw_call *call);
 static void learn_timing(struct cw_call *call, double took_ms);
 static int is_on_target_version(const struct cw_call *call);
 static void report_to_rollout(struct cw_call *call, int is_failure, int is_slow, int64_t now_ms);
@@ -56,8 +56,8 @@
 	choice->prefix_tokens = MIN(prefix_tokens(&call->info), call->info.prompt_tokens);
 	choice->ms_per_token = token_time_ms(call, timing);
 	choice->mean_work_ms = gate_get_timing(call->gate, call->service_name)->mean_ms;
-	choice->tokens = memory_tokens(call);
-	choice->memory_tokens = call->service ? call->service->kv_cache_tokens : 0;
+	choice->tokens = request_tokens(call);
+	choice->capacity_tokens = call->service ? call->service->kv_cache_tokens : 0;
 }
 
 double call_work_predict_ms(const struct cw_call *call, const struct cw_server *server,
@@ -165,8 +165,8 @@
 	call->work_ms = call->uncached_tokens * token_time_ms(call, timing);
 	work = gate_get_timing(call->gate, call->service_name);
 	work->mean_ms += WORK_EWMA_GAIN * (call->work_ms - work->mean_ms);
-	call->memory_tokens = memory_tokens(call);
-	cw_pool_hold_tokens(server, call->memory_tokens);
+	call->held_tokens = request_tokens(call);
+	cw_pool_hold_tokens(server, call->held_tokens);
 	cw_pool_begin_work(server, call->work_ms, work->mean_ms, now_ms);
 }
 
@@ -234,9 +234,9 @@
 void call_work_end(struct cw_call *call)
 {
 	end_prompt(call);
-	if (call->server && call->memory_tokens > 0)
-		cw_pool_release_tokens(call->server, call->memory_tokens);
-	call->memory_tokens = 0;
+	if (call->server && call->held_tokens > 0)
+		cw_pool_release_tokens(call->server, call->held_tokens);
+	call->held_tokens = 0;
 }
 
 /* The answer began, or the attempt ended before. */
@@ -251,7 +251,7 @@
  * Tokens that the request keeps in an engine's memory: its prompt and its expected answer. An
  * engine rejects what is larger than its memory.
  */
-static double memory_tokens(const struct cw_call *call)
+static double request_tokens(const struct cw_call *call)
 {
 	const struct cw_request_info *info = &call->info;
 	double capacity = call->service ? call->service->kv_cache_tokens : 0;
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -87,7 +87,7 @@
 	uint64_t fingerprint;
 	double uncached_tokens; /* prompt tokens not expected in the server's prefix cache */
 	double work_ms;		/* predicted prompt work, counted in server->own_work_ms */
-	double memory_tokens;	/* held in the server's memory until the attempt ends */
+	double held_tokens;	/* kept in the server's memory until the attempt ends */
 	double predicted_ms;	/* from the attempt's send to the response head */
 	double peers_work_ms;	/* of other instances at the server, as known at the send */
 	int is_output_heavy; /* the route's requests make more output per prompt token than most */
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -188,7 +188,7 @@
 	double ms_per_token;	 /* predicted prefill time per token */
 	double mean_work_ms;	 /* predicted work of an average queued request */
 	double tokens;		 /* that the request will keep in an engine's memory */
-	double memory_tokens;	 /* capacity of an engine of the service; 0: not known */
+	double capacity_tokens;	 /* of an engine of the service; 0: not known */
 	size_t bytes;		 /* of the request and its expected answer */
 	int *is_affinity_server; /* out, may be NULL: 1 if the affinity server of the prefix was
 				    chosen */
--- a/packages/pool/src/placement.c
+++ b/packages/pool/src/placement.c
@@ -166,8 +166,9 @@
 
 /*
  * With dozens of instances that each send a few requests to the same servers, gossip about the
- * peers' work is a second old. The queue length that a server reports with each answer is newer but
- * does not include the length of the queued prompts. The larger of the two estimates counts.
+ * peers' work is a second old, unless they send notes. The queue length that a server reports with
+ * each answer is newer but does not include the length of the queued prompts. The larger of the two
+ * estimates counts.
  */
 double cw_pool_backlog_ms(const struct cw_server *server, double mean_work_ms, int64_t now_ms)
 {
@@ -179,9 +180,13 @@
 	return MAX(known_ms, reported_ms * cw_pool_pace(server, now_ms));
 }
 
+/*
+ * Load pattern: long prompts that fill an engine's memory while it has slots left. The engine then
+ * preempts the newest of the least urgent requests and reads it again.
+ */
 int cw_pool_has_memory(const struct cw_server *server, const struct cw_choice *choice)
 {
-	double capacity = choice->memory_tokens * server->policy->memory_part;
+	double capacity = choice->capacity_tokens * server->policy->memory_part;
 	double taken = server->work ? cw_backlog_tokens(&server->work->backlog) : 0;
 
 	return capacity <= 0 || taken <= 0 || taken + choice->tokens <= capacity;
@@ -308,12 +313,12 @@
 {
 	int is_fresh = now_ms - server->peers_ms < server->policy->peers_ms;
 	double peers_ms = is_fresh ? server->peers_work_ms : 0;
+	double pace = cw_pool_pace(server, now_ms);
 
 	if (!counts_unread(server))
-		return cw_pool_own_work_ms(server, now_ms) + peers_ms;
-	return cw_backlog_left_ms(&server->work->backlog, server->own_work_ms, peers_ms,
-				  cw_pool_pace(server, now_ms), server->policy->unread_least,
-				  now_ms);
+		return pace * (cw_pool_own_work_ms(server, now_ms) + peers_ms);
+	return cw_backlog_left_ms(&server->work->backlog, server->own_work_ms, peers_ms, pace,
+				  server->policy->unread_least, now_ms);
 }
 
 static double evidence_weight(const struct cw_server *server, int64_t now_ms)
