--- a/packages/gate/src/call_kept.c
+++ b/packages/gate/src/call_kept.c
@@ -104,7 +104,7 @@
 	kept->is_held = 1;
 	call->server = NULL;
 	call->work_ms = 0;
-	call->memory_tokens = 0;
+	call->held_tokens = 0;
 }
 
 void call_kept_take_back(struct cw_call *call)
@@ -219,7 +219,7 @@
 		.head_ms = call->head_ms,
 		.model_index = call->model_index,
 		.work_ms = call->work_ms,
-		.memory_tokens = call->memory_tokens,
+		.held_tokens = call->held_tokens,
 		.events_forwarded = call->events_forwarded,
 		.has_no_event_times = call->has_no_event_times,
 		.is_via_peer = call->is_via_peer,
@@ -236,7 +236,7 @@
 	call->head_ms = run->head_ms;
 	call->model_index = run->model_index;
 	call->work_ms = run->work_ms;
-	call->memory_tokens = run->memory_tokens;
+	call->held_tokens = run->held_tokens;
 	call->events_forwarded = run->events_forwarded;
 	call->has_no_event_times = run->has_no_event_times;
 	call->is_via_peer = run->is_via_peer;
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -84,7 +84,7 @@
 	int64_t head_ms;
 	size_t model_index;
 	double work_ms;
-	double memory_tokens;
+	double held_tokens;
 	unsigned int events_forwarded; /* received, while the answer is kept */
 	int has_no_event_times;
 	int is_via_peer;
--- a/packages/policy/include/cw_policy.h
+++ b/packages/policy/include/cw_policy.h
@@ -44,10 +44,10 @@
 	double pace_part;      /* weight of a server's pace in predicted work, as an exponent */
 	double pace_learned; /* 1: the part of the pace that answers show beyond the reports too */
 	double momentary_ms; /* lifetime of the momentary pace that a server reported */
-	double noise_ms;       /* random cost that separates instances with equal views */
-	double peers_ms;       /* lifetime of the peers' announcements of their work */
-	double told_ms;	       /* lifetime of the queue length that a server reported */
-	double unread_least;   /* least part of sent work that counts until its answer begins */
+	double noise_ms;     /* random cost that separates instances with equal views */
+	double peers_ms;     /* lifetime of the peers' announcements of their work */
+	double told_ms;	     /* lifetime of the queue length that a server reported */
+	double unread_least; /* least part of sent work that counts until its answer begins */
 	double unread_counted; /* 1: sent work counts until its answer begins, but for the prompt
 				  that is being read; 0: it is worked off by the clock */
 	double note_min_ms;    /* prompt work from which peers get a note at once */
