pace: what was learned of a target's servers before excuses no slow answer

A version that was rolled back and is ordered again may have taught its servers' speed meanwhile, and the trial would divide by it.

--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -40,6 +40,7 @@
 static void learn_speed(const struct cw_call *call, struct gate_usual *usual, double time_ms,
 			double reported, int64_t now_ms);
 static double median_gap_ms(const struct cw_call *call);
+static double unproved_pace(const struct cw_call *call, int64_t now_ms);
 static int is_on_target_version(const struct cw_call *call);
 static void report_to_rollout(struct cw_call *call, int is_failure, int is_slow, int64_t now_ms);
 static struct cw_rollout_answer rollout_evidence(const struct cw_call *call);
@@ -173,7 +174,7 @@
 void call_work_record_head(struct cw_call *call, int64_t now_ms)
 {
 	double took_ms = (double)(now_ms - call->sent_ms);
-	double expected_ms = call->predicted_ms + SLOW_MARGIN_MS;
+	double expected_ms = call->predicted_ms / unproved_pace(call, now_ms) + SLOW_MARGIN_MS;
 	double ratio = took_ms / expected_ms;
 	int is_plain = call->info.segment_count == 0;
 	double factor = is_plain ? PLAIN_SLOW_FACTOR : SLOW_FACTOR;
@@ -223,7 +224,7 @@
 	if (call->events_forwarded < STREAM_SAMPLE_MIN_EVENTS)
 		return;
 	answer.waited_ms = now_ms - call->head_ms;
-	gap_ms = (double)answer.waited_ms / call->events_forwarded /
+	gap_ms = (double)answer.waited_ms / call->events_forwarded * unproved_pace(call, now_ms) /
 		 cw_pool_lasting_pace(call->server, now_ms);
 	if (timing->event_gap_ms > 0 && gap_ms > SLOW_FACTOR * timing->event_gap_ms)
 		cw_rollouts_mark_answer_slow(call->gate->rollouts, &answer, now_ms);
@@ -376,6 +377,16 @@
 	return target && !strcmp(target, call->server->software);
 }
 
+/*
+ * The part of the pace that a version on trial may have caused, as it served before: after it was
+ * rolled back, say. It is no excuse for slow answers; what the server's machine reports is one.
+ */
+static double unproved_pace(const struct cw_call *call, int64_t now_ms)
+{
+	return is_on_target_version(call) ? cw_pool_learned_pace(call->server, now_ms)
+					  : CW_PACE_USUAL;
+}
+
 static void report_to_rollout(struct cw_call *call, int is_failure, int is_slow, int64_t now_ms)
 {
 	struct cw_rollout_answer answer = rollout_evidence(call);
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -341,6 +341,8 @@
 			    int64_t now_ms); /* the same for work that takes seconds */
 double cw_pool_reported_pace(const struct cw_server *server, int is_lasting,
 			     int64_t now_ms); /* the part of either that the server reports */
+double cw_pool_learned_pace(const struct cw_server *server,
+			    int64_t now_ms); /* the part that its answers show */
 void cw_pool_report_pace(struct cw_server *server, double momentary, int64_t now_ms);
 void cw_pool_record_speed(
 	struct cw_server *server, double ratio,
--- a/packages/pool/src/speed.c
+++ b/packages/pool/src/speed.c
@@ -23,6 +23,15 @@
 			    : CW_PACE_USUAL;
 }
 
+double cw_pool_learned_pace(const struct cw_server *server, int64_t now_ms)
+{
+	const struct cw_policy *policy = server->policy;
+
+	if (!server->work || policy->pace_learned <= 0)
+		return CW_PACE_USUAL;
+	return pow(cw_pace_learned(&server->work->pace, now_ms), policy->pace_part);
+}
+
 void cw_pool_report_pace(struct cw_server *server, double momentary, int64_t now_ms)
 {
 	cw_pace_report(&cw_pool_work(server)->pace, momentary, now_ms);
@@ -49,12 +58,7 @@
 
 static double weigh(const struct cw_server *server, double reported, int64_t now_ms)
 {
-	const struct cw_policy *policy = server->policy;
-	double pace = reported;
+	double pace = pow(reported, server->policy->pace_part);
 
-	if (!server->work || policy->pace_part <= 0)
-		return CW_PACE_USUAL;
-	if (policy->pace_learned > 0)
-		pace *= cw_pace_learned(&server->work->pace, now_ms);
-	return pow(CLAMP(pace, CW_PACE_MIN, CW_PACE_MAX), policy->pace_part);
+	return CLAMP(pace * cw_pool_learned_pace(server, now_ms), CW_PACE_MIN, CW_PACE_MAX);
 }
