--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -19,6 +19,7 @@
 struct feed;
 struct peers;
 struct forwards;
+struct backlogs;
 
 struct entry {
 	struct cw_up_settings settings;
@@ -36,14 +37,21 @@
 	struct feed *feed;
 	struct peers *peers;
 	struct forwards *forwards;
+	struct backlogs *backlogs;
 	TAILQ_HEAD(, relay) relays;
 	size_t relay_count;
+	size_t kept_bytes;	   /* of all answers in hand */
 	int64_t stop_requested_ms; /* 0: no stop requested */
 	int64_t last_request_ms;
 	int was_ready;
 	unsigned int tick_count;
 	int64_t report_warning_ms; /* of the last log line on an invalid report */
 	int64_t prediction_logged_ms;
+	unsigned int pace_rounds; /* entry_pace.c: of announcements */
+	size_t pace_next;	  /* server to name next of those in turn */
+	int64_t paces_sent_ms;
+	int64_t shares_announced_ms;
+	int64_t shares_logged_ms;
 	int metrics_port;
 };
 
@@ -66,6 +74,9 @@
 void relay_abort_quarantined(struct entry *entry); /* requests quarantined while in progress */
 void relay_abort_all(struct entry *entry); /* requests that are left when the process ends */
 
+/* entry_kept.c: smaller models' answers, kept while the largest model is asked */
+void kept_update_gauges(const struct entry *entry);
+
 /* entry_reach.c: whether backend servers can be reached */
 void reach_note_contact(struct entry *entry,
 			struct cw_server *server); /* a byte arrived, directly */
@@ -122,16 +133,31 @@
 		       int is_avoided); /* is_avoided: it gets no request for a while */
 size_t peers_rank(const struct peers *peers, uint64_t key,
 		  int64_t now_ms); /* 0: this instance is the first to act on the key */
+uint64_t peers_boot(const struct peers *peers); /* drawn at this start */
 size_t peers_send_to_domain(struct peers *peers, const char *failure_domain, const char *bytes,
-			    size_t size); /* to live instances of the own domain and of that one, at
-					     most PEERS_DOMAIN_FANOUT of each; returns how many */
+			    size_t size); /* to live instances of the own domain and of that one,
+					     NULL: of all others, at most PEERS_DOMAIN_FANOUT of
+					     each of the two; returns how many */
 size_t peers_send_to_some(struct peers *peers, const char *bytes,
 			  size_t size); /* to those that get the next full announcement */
 
+/* entry_backlog.c: what all instances have in progress at servers */
+struct backlogs *backlogs_create(struct entry *entry);
+void backlogs_destroy(struct backlogs *backlogs);
+void backlogs_fill(struct backlogs *backlogs, struct cw_gossip *gossip,
+		   int64_t now_ms); /* own loads, for peers */
+void backlogs_merge_round(struct backlogs *backlogs, const struct cw_gossip *gossip,
+			  int64_t now_ms);
+void backlogs_apply(struct backlogs *backlogs,
+		    int64_t now_ms); /* what peers announced counts from now on */
+
 /* entry_load.c: what instances announce of servers between two rounds of gossip */
 void load_announce(struct entry *entry, int64_t now_ms); /* with each round */
 void load_update_gauges(const struct entry *entry);
 int load_merge(struct entry *entry, const char *bytes, size_t size,
 	       uint32_t delay_ms); /* 0: no message on servers */
+size_t load_encode_prior(struct entry *entry, char *bytes, size_t size,
+			 size_t *next); /* a message for an instance that starts, 0: nothing is
+					   known; *next is advanced, 0 after the last message */
 
 #endif
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -18,17 +18,20 @@
 #include "cw_quarantine.h"
 #include "cw_rollout.h"
 #include "cw_route.h"
+#include "cw_shares.h"
 #include "cw_status.h"
 
 #include <stdint.h>
 
 /* The next step of the I/O layer. */
 enum cw_step_kind {
-	CW_STEP_SEND,	 /* send to step.server; cancel an exchange in progress first */
-	CW_STEP_FORWARD, /* forward the answer to the caller */
-	CW_STEP_WAIT,	 /* call cw_call_resume after step.wait_ms: a server may have room then */
-	CW_STEP_REJECT,	 /* the router answers itself; nothing was forwarded before */
-	CW_STEP_ABORT,	 /* end a partly forwarded answer so that it can't look complete */
+	CW_STEP_SEND,	      /* send to step.server; cancel an exchange in progress first */
+	CW_STEP_FORWARD,      /* forward the answer to the caller */
+	CW_STEP_FORWARD_KEPT, /* cancel the exchange in progress; forward the kept answer, first
+				 what has arrived of it; its exchange is the one in progress now */
+	CW_STEP_WAIT,	/* call cw_call_resume after step.wait_ms: a server may have room then */
+	CW_STEP_REJECT, /* the router answers itself; nothing was forwarded before */
+	CW_STEP_ABORT,	/* end a partly forwarded answer so that it can't look complete */
 };
 
 struct cw_step {
@@ -40,10 +43,15 @@
 	int64_t connect_ms;	 /* timeout of a new connection */
 	int64_t read_timeout_ms; /* idle timeout: longest wait for the next byte */
 	int64_t wait_ms;	 /* of CW_STEP_WAIT */
+	int keeps_answer;	 /* CW_STEP_SEND: don't cancel the exchange in progress, keep its
+				    answer: see cw_call_has_kept */
+	int64_t kept_timeout_ms; /* read timeout of the kept exchange */
 	unsigned int status;	 /* of CW_STEP_REJECT */
 	enum cw_run_state run;
 	int64_t retry_after_ms;	  /* -1: none */
-	const char *reason;	  /* CW_STEP_REJECT: message; CW_STEP_FORWARD: why not escalated */
+	const char *reason;	  /* CW_STEP_REJECT: message; CW_STEP_FORWARD: why not escalated;
+				     CW_STEP_FORWARD_KEPT: why the kept answer is delivered */
+	int kept_confidence;	  /* of CW_STEP_FORWARD_KEPT */
 	int was_under_load;	  /* after an answer: the server was under load when it answered */
 	int is_slow;		  /* after an answer: evidence against the server's version */
 	double late_work_ms;	  /* after an answer: work of others learned of since the send */
@@ -95,6 +103,17 @@
 struct cw_rollouts *cw_gate_rollouts(struct cw_gate *gate);
 struct cw_quarantine *cw_gate_quarantine(struct cw_gate *gate);
 
+/* Fair share among organisations, by service. */
+double cw_gate_room(struct cw_gate *gate, const char *service,
+		    int64_t now_ms); /* for this part of all demand; 1: nothing is scarce */
+struct cw_shares *cw_gate_shares(struct cw_gate *gate,
+				 const char *service); /* NULL: no organisation asked it */
+void cw_gate_merge_demands(struct cw_gate *gate, const char *service, uint64_t origin,
+			   const struct cw_share_demand *demands, size_t count,
+			   int64_t now_ms); /* a peer's announcement; unknown services: ignored */
+const char *cw_gate_organisation_name(const struct cw_gate *gate,
+				      uint64_t organisation); /* NULL: not seen here */
+
 /*
  * Whether this instance is partitioned from the backend servers. Each of the first four returns 1
  * if that changed.
@@ -127,6 +146,27 @@
 		       int64_t now_ms); /* the event was forwarded */
 void cw_call_handle_failure(struct cw_call *call, enum cw_attempt_failure how, int64_t now_ms,
 			    struct cw_step *step);
+
+/*
+ * An answer in hand. While the largest model is asked (after a step with keeps_answer), the answer
+ * of the smaller one goes on beside it and is kept by the I/O layer. Call cw_call_check_kept at
+ * cw_call_kept_due_ms; any step may be CW_STEP_FORWARD_KEPT. The first event of the largest model
+ * that is forwarded drops the kept answer: the I/O layer cancels its exchange once
+ * cw_call_has_kept returns 0.
+ */
+int cw_call_has_kept(const struct cw_call *call);
+int64_t cw_call_kept_due_ms(const struct cw_call *call); /* -1: no answer is kept */
+struct cw_server *
+cw_call_kept_server(const struct cw_call *call); /* of its run; NULL: none, or it has ended */
+int cw_call_check_kept(struct cw_call *call, int64_t now_ms,
+		       struct cw_step *step); /* 0: goes on as before, step isn't set */
+void cw_call_complete_kept(struct cw_call *call, unsigned int events,
+			   int64_t now_ms); /* it is complete, with so many events */
+void cw_call_fail_kept(struct cw_call *call, enum cw_attempt_failure how,
+		       int64_t now_ms); /* its run broke: it is dropped */
+void cw_call_drop_kept(struct cw_call *call,
+		       int64_t now_ms); /* no room: the I/O layer cancels its exchange */
+
 void cw_call_complete(struct cw_call *call, int64_t now_ms); /* the forwarded answer is complete */
 void cw_call_expire(struct cw_call *call, int64_t now_ms,
 		    struct cw_step *step);		/* at cw_call_deadline_ms */
@@ -145,6 +185,8 @@
 const struct cw_report_changes *cw_call_report_changes(const struct cw_call *call);
 unsigned int cw_call_attempts(const struct cw_call *call);
 double cw_call_predicted_ms(const struct cw_call *call); /* until the response head */
-double cw_call_work_ms(const struct cw_call *call);	 /* of the attempt's prompt, predicted */
+int64_t cw_call_silence_ms(const struct cw_call *call, int64_t since_ms,
+			   int64_t now_ms);	    /* predicted silence of its server since then */
+double cw_call_work_ms(const struct cw_call *call); /* of the attempt's prompt, predicted */
 
 #endif
--- a/packages/gate/src/call_choice.c
+++ b/packages/gate/src/call_choice.c
@@ -71,6 +71,12 @@
 	return server;
 }
 
+void call_count_prefix(const struct cw_call *call, int is_affinity_server, int64_t now_ms)
+{
+	cw_pool_count_prefix(call->server, prefix_key(&call->info), call->work_ms,
+			     is_affinity_server, now_ms);
+}
+
 int64_t call_admission_wait_ms(struct cw_call *call, int64_t now_ms, enum cw_admission *cause)
 {
 	struct cw_choice choice;
@@ -93,6 +99,7 @@
 		.tried_count = MIN(call->tried_count, CW_MAX_ATTEMPTS),
 		.now_ms = now_ms,
 		.random = gate_random(gate),
+		.reuse_idle_ms = call_reuse_idle_ms(call),
 		.cold = {.per_s = call->service ? call->service->cold_per_s : 0,
 			 .factor = gate->options.cold_factor,
 			 .slack = gate->options.cold_slack},
--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -10,7 +10,7 @@
 #define TOKEN_MS_GAIN_DOWN	0.3 /* queues only add time, so the estimate falls fast */
 #define TOKEN_MS_GAIN_UP	0.02 /* and rises slowly */
 #define IDLE_BACKLOG_MAX_MS	5.0  /* queued work that leaves the time per token measurable */
-#define FIRST_TOKEN_OVERHEAD_MS 25.0 /* one batch step and the round trip */
+#define FIRST_TOKEN_OVERHEAD_MS 25.0 /* of the usual server: a batch step, a round trip */
 #define PLAIN_INITIAL_MS	50.0
 #define PLAIN_EWMA_GAIN		0.05
 #define SLOW_MARGIN_MS		40.0 /* for work of other instances that this one does not know of */
@@ -29,13 +29,20 @@
 #define SHORT_PREFILL_MS	 25.0 /* prompt processing no longer than a step of a full engine */
 #define STREAM_BYTES		 4500 /* of a usual stream back to the caller */
 #define PLAIN_BYTES		 800  /* of a usual plain answer */
+#define USUAL_SAMPLES		 200  /* over which it is averaged: it moves slowly */
 static int is_under_load(unsigned int running, unsigned int slots);
 static const char *timing_key(const struct cw_call *call);
 static double token_time_ms(const struct cw_call *call, const struct gate_timing *timing);
 static double uncached_tokens(const struct cw_call *call, int is_affinity_server);
 static double prefix_tokens(const struct cw_request_info *info);
 static double late_work_ms(const struct cw_call *call, int64_t now_ms);
-static void learn_timing(struct cw_call *call, double took_ms);
+static void end_prompt(struct cw_call *call);
+static double request_tokens(const struct cw_call *call);
+static void learn_timing(struct cw_call *call, double took_ms, int64_t now_ms);
+static void learn_speed(const struct cw_call *call, struct gate_usual *usual, double time_ms,
+			double reported, int64_t now_ms);
+static double median_gap_ms(const struct cw_call *call);
+static double unproved_pace(const struct cw_call *call, int64_t now_ms);
 static int is_on_target_version(const struct cw_call *call);
 static void report_to_rollout(struct cw_call *call, int is_failure, int is_slow, int64_t now_ms);
 static struct cw_rollout_answer rollout_evidence(const struct cw_call *call);
@@ -54,6 +61,8 @@
 	choice->prefix_tokens = MIN(prefix_tokens(&call->info), call->info.prompt_tokens);
 	choice->ms_per_token = token_time_ms(call, timing);
 	choice->mean_work_ms = gate_get_timing(call->gate, call->service_name)->mean_ms;
+	choice->tokens = request_tokens(call);
+	choice->capacity_tokens = call->service ? call->service->kv_cache_tokens : 0;
 }
 
 double call_work_predict_ms(const struct cw_call *call, const struct cw_server *server,
@@ -62,11 +71,13 @@
 	const struct gate_timing *timing = gate_get_timing(call->gate, timing_key(call));
 
 	if (call->info.segment_count == 0)
-		return (timing->samples ? timing->mean_ms : PLAIN_INITIAL_MS) +
+		return (timing->samples ? timing->mean_ms : PLAIN_INITIAL_MS) *
+			       cw_pool_pace(server, now_ms) +
 		       cw_pool_wait_ms(server, now_ms);
 	return call_work_queue_ms(call, server, now_ms) +
-	       uncached_tokens(call, is_affinity_server) * token_time_ms(call, timing) +
-	       FIRST_TOKEN_OVERHEAD_MS;
+	       (uncached_tokens(call, is_affinity_server) * token_time_ms(call, timing) +
+		FIRST_TOKEN_OVERHEAD_MS) *
+		       cw_pool_pace(server, now_ms);
 }
 
 double call_work_queue_ms(const struct cw_call *call, const struct cw_server *server,
@@ -161,13 +172,15 @@
 	call->work_ms = call->uncached_tokens * token_time_ms(call, timing);
 	work = gate_get_timing(call->gate, call->service_name);
 	work->mean_ms += WORK_EWMA_GAIN * (call->work_ms - work->mean_ms);
+	call->held_tokens = request_tokens(call);
+	cw_pool_hold_tokens(server, call->held_tokens);
 	cw_pool_begin_work(server, call->work_ms, work->mean_ms, now_ms);
 }
 
 void call_work_record_head(struct cw_call *call, int64_t now_ms)
 {
 	double took_ms = (double)(now_ms - call->sent_ms);
-	double expected_ms = call->predicted_ms + SLOW_MARGIN_MS;
+	double expected_ms = call->predicted_ms / unproved_pace(call, now_ms) + SLOW_MARGIN_MS;
 	double ratio = took_ms / expected_ms;
 	int is_plain = call->info.segment_count == 0;
 	double factor = is_plain ? PLAIN_SLOW_FACTOR : SLOW_FACTOR;
@@ -179,8 +192,10 @@
 	call->late_work_ms = late_work_ms(call, now_ms);
 	call->is_slow = took_ms > factor * (expected_ms + call->late_work_ms);
 	if (!is_on_target_version(call))
-		learn_timing(call, took_ms);
-	call_work_end(call);
+		learn_timing(call, took_ms, now_ms);
+	end_prompt(call);
+	if (!is_plain)
+		cw_pool_record_begun(call->server, now_ms);
 	cw_pool_record_outcome(call->server, 0, MAX(ratio, 1), now_ms);
 	cw_pool_record_prediction(call->server, took_ms, call->predicted_ms, now_ms);
 	report_to_rollout(call, is_plain && call->is_slow, call->is_slow, now_ms);
@@ -198,6 +213,15 @@
 	return MAX(cw_pool_recent_peers_work_ms(call->server, now_ms) - call->peers_work_ms, 0);
 }
 
+void call_work_record_event(struct cw_call *call, int64_t now_ms)
+{
+	if (call->events_forwarded > 0)
+		call->gaps_ms[call->events_forwarded % GATE_GAPS] =
+			(uint16_t)CLAMP(now_ms - call->event_ms, 0, UINT16_MAX);
+	call->event_ms = now_ms;
+	call->events_forwarded++;
+}
+
 /* The event gap of long streams shows slow servers long before the time to the first event. */
 void call_work_record_completion(struct cw_call *call, int64_t now_ms)
 {
@@ -208,13 +232,17 @@
 	if (call->events_forwarded < STREAM_SAMPLE_MIN_EVENTS)
 		return;
 	answer.waited_ms = now_ms - call->head_ms;
-	gap_ms = (double)answer.waited_ms / call->events_forwarded;
+	gap_ms = (double)answer.waited_ms / call->events_forwarded * unproved_pace(call, now_ms) /
+		 cw_pool_lasting_pace(call->server, now_ms);
 	if (timing->event_gap_ms > 0 && gap_ms > SLOW_FACTOR * timing->event_gap_ms)
 		cw_rollouts_mark_answer_slow(call->gate->rollouts, &answer, now_ms);
 	if (timing->event_gap_ms <= 0)
 		timing->event_gap_ms = gap_ms;
 	else if (!is_on_target_version(call))
 		timing->event_gap_ms += EVENT_EWMA_GAIN * (gap_ms - timing->event_gap_ms);
+	if (!is_on_target_version(call) && !call->has_no_event_times)
+		learn_speed(call, &timing->gap, median_gap_ms(call),
+			    cw_pool_reported_pace(call->server, 1, now_ms), now_ms);
 }
 
 void call_work_record_failure(struct cw_call *call, int64_t now_ms)
@@ -224,12 +252,36 @@
 }
 
 void call_work_end(struct cw_call *call)
+{
+	end_prompt(call);
+	if (call->server && call->held_tokens > 0)
+		cw_pool_release_tokens(call->server, call->held_tokens);
+	call->held_tokens = 0;
+}
+
+/* The answer began, or the attempt ended before. */
+static void end_prompt(struct cw_call *call)
 {
 	if (call->server)
 		cw_pool_end_work(call->server, call->work_ms);
 	call->work_ms = 0;
 }
 
+/*
+ * Tokens that the request keeps in an engine's memory: its prompt and its expected answer. An
+ * engine rejects what is larger than its memory.
+ */
+static double request_tokens(const struct cw_call *call)
+{
+	const struct cw_request_info *info = &call->info;
+	double capacity = call->service ? call->service->kv_cache_tokens : 0;
+	double tokens = info->prompt_tokens + (info->estimated_output_tokens > 0
+						       ? info->estimated_output_tokens
+						       : info->max_output_tokens);
+
+	return capacity > 0 ? MIN(tokens, capacity) : tokens;
+}
+
 /* Timing is learned per model for prompts, and per service for plain requests. */
 static const char *timing_key(const struct cw_call *call)
 {
@@ -272,12 +324,17 @@
  * The time per prompt token of a model is in no configuration. Queues only add to the time, so the
  * estimate follows the quickest answers.
  */
-static void learn_timing(struct cw_call *call, double took_ms)
+static void learn_timing(struct cw_call *call, double took_ms, int64_t now_ms)
 {
 	struct gate_timing *timing = gate_get_timing(call->gate, timing_key(call));
+	double pace = cw_pool_pace(call->server, now_ms);
 	double sample;
 
 	if (call->info.segment_count == 0) {
+		if (!call->server_was_loaded)
+			learn_speed(call, &timing->answer, took_ms,
+				    cw_pool_reported_pace(call->server, 0, now_ms), now_ms);
+		took_ms /= pace;
 		timing->mean_ms =
 			timing->samples++
 				? timing->mean_ms + PLAIN_EWMA_GAIN * (took_ms - timing->mean_ms)
@@ -286,7 +343,7 @@
 	}
 	if (call->uncached_tokens < SAMPLE_MIN_TOKENS || !call->server_was_idle)
 		return;
-	sample = MAX(took_ms - FIRST_TOKEN_OVERHEAD_MS, 1) / call->uncached_tokens;
+	sample = MAX(took_ms / pace - FIRST_TOKEN_OVERHEAD_MS, 1) / call->uncached_tokens;
 	if (timing->samples++ == 0)
 		timing->ms_per_token = sample;
 	else
@@ -295,6 +352,55 @@
 			(sample - timing->ms_per_token);
 }
 
+/*
+ * Load pattern: dozens of instances before as many servers of three speeds, each of which sends a
+ * server a request or two a minute. Streams show a server's speed by the median of their event
+ * gaps; the time to their first event doesn't, as prompts that this instance doesn't know of
+ * multiply it.
+ *
+ * The usual time is the mean over all servers of the times as taken, less what they reported. What
+ * was learned of a server is not taken off, so usual time and learned speed can't drift together.
+ */
+static void learn_speed(const struct cw_call *call, struct gate_usual *usual, double time_ms,
+			double reported, int64_t now_ms)
+{
+	struct cw_pool *pool = call->gate->pool;
+	struct gate_speed_sample *sample = &usual->newest[usual->samples % GATE_USUAL_MIN];
+	size_t untold = usual->samples + 1 == GATE_USUAL_MIN ? GATE_USUAL_MIN : 1;
+
+	sample->server = call->server->id;
+	sample->time_log = log(MAX(time_ms, 1) / reported);
+	usual->samples++;
+	usual->log_mean +=
+		(sample->time_log - usual->log_mean) / MIN(usual->samples, USUAL_SAMPLES);
+	for (size_t i = 0; usual->samples >= GATE_USUAL_MIN && i < untold; i++) {
+		const struct gate_speed_sample *told =
+			&usual->newest[(usual->samples - untold + i) % GATE_USUAL_MIN];
+		struct cw_server *server = cw_pool_find(pool, told->server);
+
+		if (server)
+			cw_pool_record_speed(server, exp(told->time_log - usual->log_mean), now_ms);
+	}
+}
+
+/* Prompts of other requests in the same batch stretch single gaps. */
+static double median_gap_ms(const struct cw_call *call)
+{
+	uint16_t sorted[GATE_GAPS];
+	size_t count = MIN(call->events_forwarded - 1, GATE_GAPS);
+	size_t middle = count / 2;
+
+	for (size_t i = 0; i < count; i++) {
+		uint16_t gap_ms = call->gaps_ms[(i + 1) % GATE_GAPS];
+		size_t at = i;
+
+		for (; at > 0 && sorted[at - 1] > gap_ms; at--)
+			sorted[at] = sorted[at - 1];
+		sorted[at] = gap_ms;
+	}
+	return sorted[middle];
+}
+
 /* Timings are learned from the old version only, for comparison with the target of a roll-out. */
 static int is_on_target_version(const struct cw_call *call)
 {
@@ -303,6 +409,16 @@
 	return target && !strcmp(target, call->server->software);
 }
 
+/*
+ * The part of the pace that a version on trial may have caused, as it served before: after it was
+ * rolled back, say. It is no excuse for slow answers; what the server's machine reports is one.
+ */
+static double unproved_pace(const struct cw_call *call, int64_t now_ms)
+{
+	return is_on_target_version(call) ? cw_pool_learned_pace(call->server, now_ms)
+					  : CW_PACE_USUAL;
+}
+
 static void report_to_rollout(struct cw_call *call, int is_failure, int is_slow, int64_t now_ms)
 {
 	struct cw_rollout_answer answer = rollout_evidence(call);
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -5,15 +5,34 @@
 #include "cw_hash.h"
 #include "cw_quarantine.h"
 #include "cw_repeats.h"
+#include "cw_shares.h"
 
 #include <glib.h>
 
+#define GATE_GAPS      16 /* event gaps of a stream whose median is its speed */
+
+#define GATE_USUAL_MIN 5 /* samples; fewer say little of the usual time */
+
+struct gate_speed_sample {
+	uint64_t server;
+	double time_log; /* ln(time / reported pace) */
+};
+
+/* Mean of ln(time) over all servers: the usual time that the speed of a server is relative to. */
+struct gate_usual {
+	double log_mean;
+	size_t samples;					 /* of all time */
+	struct gate_speed_sample newest[GATE_USUAL_MIN]; /* ring: the first ones wait for a mean */
+};
+
 /* Learned timing of a model or plain service on a server without other work. */
 struct gate_timing {
 	double ms_per_token; /* of prompt processing; 0 for a plain service */
 	double mean_ms;	     /* plain service: time to answer; engine: prompt work of a request */
 	double event_gap_ms; /* between two events of a stream; 0: not known */
 	unsigned int samples;
+	struct gate_usual answer; /* plain service: time to answer */
+	struct gate_usual gap;	  /* model: between two events of a stream */
 };
 
 /* Load of one service in the last second or so; all counters decay exponentially. */
@@ -48,6 +67,8 @@
 	size_t instances;	   /* number that share the retry budgets; 0: not known */
 	GHashTable *output_ratios; /* route or engine service -> double, output per prompt token */
 	GHashTable *load_stats;	   /* service -> struct gate_load_stats */
+	GHashTable *shares;	   /* service -> struct cw_shares, of services that were asked */
+	GHashTable *organisations; /* name -> uint64_t, its hash */
 	GHashTable *timings;	   /* model or plain service -> struct gate_timing */
 	uint64_t random;
 	struct cw_partition partition;
@@ -56,6 +77,31 @@
 	GHashTable *longest_waits; /* route -> int64_t, longest time limit of its callers, ms */
 };
 
+/* An attempt of a call: the fields of the same names in struct cw_call. */
+struct gate_run {
+	struct cw_server *server; /* NULL: the run has ended */
+	int64_t sent_ms;
+	int64_t head_ms;
+	size_t model_index;
+	double work_ms;
+	double held_tokens;
+	unsigned int events_forwarded; /* received, while the answer is kept */
+	int has_no_event_times;
+	int is_via_peer;
+	int is_head_seen;
+	int server_was_loaded;
+	char software[CW_NAME_MAX];
+};
+
+/* An answer in hand: the run of the model that answered first, while the largest model is asked. */
+struct gate_kept {
+	int is_held;
+	int is_complete;
+	int confidence; /* 0 to 100 */
+	int64_t due_ms; /* the time at which it is delivered unless the largest model has begun */
+	struct gate_run run;
+};
+
 struct cw_call {
 	struct cw_gate *gate;
 	struct cw_config *config;
@@ -79,6 +125,7 @@
 	int is_via_peer;   /* the attempt in progress is sent by a peer */
 	int has_forwarded; /* a part of the answer went to the caller */
 	int is_resumed;	   /* the answer consists of more than one run */
+	int goes_first;	   /* before others of its priority; see call_share_goes_first() */
 	int is_trial;	   /* trial run of a quarantined request: a single attempt */
 	int64_t last_event;
 	size_t model_index; /* among the route's models, when it has any */
@@ -87,6 +134,7 @@
 	uint64_t fingerprint;
 	double uncached_tokens; /* prompt tokens not expected in the server's prefix cache */
 	double work_ms;		/* predicted prompt work, counted in server->own_work_ms */
+	double held_tokens;	/* kept in the server's memory until the attempt ends */
 	double predicted_ms;	/* from the attempt's send to the response head */
 	double peers_work_ms;	/* of other instances at the server, as known at the send */
 	int is_output_heavy; /* the route's requests make more output per prompt token than most */
@@ -99,6 +147,10 @@
 	int is_head_seen;
 	int64_t head_ms;	       /* time of the response head */
 	unsigned int events_forwarded; /* by the current attempt */
+	int64_t event_ms;	       /* of the newest event */
+	uint16_t gaps_ms[GATE_GAPS];   /* the newest ones between its events; a ring */
+	int has_no_event_times;	       /* the answer was kept: its events came at once */
+	struct gate_kept kept;
 };
 
 uint64_t gate_random(struct cw_gate *gate);
@@ -115,6 +167,11 @@
 			   int64_t now_ms); /* mean demand per slot; 0: no reports */
 double gate_rejected_fraction(struct cw_gate *gate, const char *service,
 			      int64_t now_ms); /* 0 to 1 */
+double gate_slot_headroom(struct cw_gate *gate, const char *service,
+			  int64_t now_ms); /* room for the largest model's streams: 1 while few
+					      slots are taken, 0 when nearly all are */
+struct cw_shares *gate_get_shares(struct cw_gate *gate, const char *service);
+uint64_t gate_organisation_id(struct cw_gate *gate, const char *name);
 struct cw_repeats *gate_get_retry_budget(struct cw_gate *gate, const char *service);
 
 /* links.c: whether this instance is partitioned from the servers */
@@ -135,15 +192,29 @@
 void call_apply_reports(struct cw_call *call, const struct cw_response_head *answer,
 			int64_t now_ms);
 
+/* call.c */
+int64_t
+call_reuse_idle_ms(const struct cw_call *call); /* idle time up to which it reuses a connection */
+
 /* call_choice.c: choice of a server */
 struct cw_server *
 call_choose_server(struct cw_call *call, int64_t now_ms,
 		   int *is_affinity_server); /* NULL: no server may run the request */
+void call_count_prefix(const struct cw_call *call, int is_affinity_server,
+		       int64_t now_ms); /* after the begin of its work at the server */
 int64_t
 call_admission_wait_ms(struct cw_call *call, int64_t now_ms,
 		       enum cw_admission *cause); /* until a server admits it; -1: none will */
 struct cw_rollout_request call_rollout_request(const struct cw_call *call);
 
+/* call_share.c: fair share among organisations */
+void call_share_count(struct cw_call *call, int64_t now_ms); /* the organisation's demand */
+double call_share_room(struct cw_call *call, double room,
+		       int64_t now_ms); /* part of its demand that the organisation gets, with room
+					   for a part of all demand */
+int call_share_goes_first(struct cw_call *call, int64_t now_ms); /* 1: scarce room, of which its
+								    organisation asks for little */
+
 /* call_refuse.c: rejection of requests: status, message and time to retry */
 int call_may_wait(struct cw_call *call,
 		  int64_t now_ms); /* 1: a brittle server may have room in time */
@@ -158,6 +229,32 @@
 void call_fail(struct cw_call *call, struct cw_step *step, const char *reason); /* may have run */
 int64_t call_retry_after_ms(struct cw_call *call);
 
+/* call_attempt.c: an attempt's timeouts and its end */
+int64_t call_connect_timeout_ms(const struct cw_call *call);
+int64_t call_idle_timeout_ms(const struct cw_call *call, int64_t now_ms);
+int64_t call_event_gap_timeout_ms(const struct cw_call *call);
+int call_is_retriable(const struct cw_call *call); /* by the route's setting */
+void call_release_server(struct cw_call *call, int64_t now_ms, int is_answered);
+void call_complete_attempt(struct cw_call *call, int64_t now_ms); /* its answer is complete */
+void call_abandon_attempt(struct cw_call *call, int64_t now_ms);  /* the I/O layer cancels it */
+void call_fail_attempt(struct cw_call *call, enum cw_attempt_failure how,
+		       int64_t now_ms); /* sent, and ended without a complete answer */
+
+/* call_kept.c: the answer in hand while the largest model is asked */
+int call_kept_may_begin(const struct cw_call *call, const struct cw_response_head *answer);
+int call_kept_is_too_late(const struct cw_call *call, int confidence,
+			  int64_t now_ms); /* it would be delivered at once */
+void call_kept_begin(struct cw_call *call, int confidence,
+		     int64_t now_ms);		/* puts the current attempt aside */
+void call_kept_take_back(struct cw_call *call); /* the largest model can't be asked */
+void call_kept_fill_step(const struct cw_call *call,
+			 struct cw_step *step);	     /* of the send to the largest model */
+int call_kept_is_enough(const struct cw_call *call); /* trusted where the larger one is late */
+int call_kept_is_complete(const struct cw_call *call);
+int call_kept_deliver(struct cw_call *call, const char *why, int64_t now_ms,
+		      struct cw_step *step);		   /* 0: no answer is in hand */
+void call_kept_drop(struct cw_call *call, int64_t now_ms); /* the I/O layer cancels its run */
+
 /* call_model.c: choice among the route's models */
 int call_model_is_selectable(const struct cw_call *call); /* the gate chooses among several */
 int call_model_fills_trial(const struct cw_call *call,
@@ -180,7 +277,8 @@
 void call_work_record_load(struct cw_call *call, const struct cw_load *load,
 			   int64_t now_ms); /* load that came with the answer */
 void call_work_begin(struct cw_call *call, int is_affinity_server, int64_t now_ms);
-void call_work_record_head(struct cw_call *call, int64_t now_ms);	/* status below 500 */
+void call_work_record_head(struct cw_call *call, int64_t now_ms); /* status below 500 */
+void call_work_record_event(struct cw_call *call, int64_t now_ms);
 void call_work_record_completion(struct cw_call *call, int64_t now_ms); /* complete answer */
 void call_work_record_failure(struct cw_call *call, int64_t now_ms);
 void call_work_end(struct cw_call *call);
--- a/packages/policy/include/cw_policy.h
+++ b/packages/policy/include/cw_policy.h
@@ -21,23 +21,41 @@
 	double escalate_less_taken;   /* part of slots taken above which the threshold falls */
 	double escalate_none_taken;   /* part of slots taken above which the threshold is 0 */
 	double escalate_whole_part; /* part of the time left that a large model's stream may use */
-	double rejected_to_small;   /* 1: requests that full engines reject go to the small model */
+	double keep_answer;    /* 1: a small model's answer is kept while the large one is asked */
+	double keep_wait_part; /* part of the caller's patience for which a kept answer of low
+				  confidence waits */
+	double keep_bytes;     /* bytes kept of one answer */
+	double keep_total_bytes;  /* bytes kept of all answers of an instance */
+	double rejected_to_small; /* 1: requests that full engines reject go to the small model */
 	/* load shedding */
-	double full_part; /* part of attempts rejected above which servers count as full */
-	double shed_part; /* part of the rejection rate that is shed before dispatch */
+	double full_part;  /* part of attempts rejected above which servers count as full */
+	double share_part; /* weight of fair shares among organisations; 0: all have the same room
+			    */
+	double shed_part;  /* part of the rejection rate that is shed before dispatch */
 	/* choice of the server */
 	double again_token_ms; /* cost of each prefix token that is processed anew */
+	double home_part;      /* of a server's time that one prompt prefix uses there at most */
+	double home_full_part; /* of the slots taken, from which a home doesn't attract requests */
+	double connect_ms;     /* cost of a new connection */
 	double cross_byte_ms;  /* cost of a byte to another failure domain */
 	double running_ms;     /* cost of each request running on the server */
 	double failure_ms;     /* cost of a failed answer */
 	double slowness_part;  /* weight of a server's slowness beyond the prediction */
-	double noise_ms;       /* random cost that separates instances with equal views */
-	double peers_ms;       /* lifetime of the peers' announcements of their work */
-	double told_ms;	       /* lifetime of the queue length that a server reported */
-	double unread_least;   /* least part of sent work that counts until its answer begins */
+	double pace_part;      /* weight of a server's pace in predicted work, as an exponent */
+	double pace_learned; /* 1: the part of the pace that answers show beyond the reports too */
+	double momentary_ms; /* lifetime of the momentary pace that a server reported */
+	double noise_ms;     /* random cost that separates instances with equal views */
+	double peers_ms;     /* lifetime of the peers' announcements of their work */
+	double told_ms;	     /* lifetime of the queue length that a server reported */
+	double unread_least; /* least part of sent work that counts until its answer begins */
+	double unread_counted; /* 1: sent work counts until its answer begins, but for the prompt
+				  that is being read; 0: it is worked off by the clock */
+	double note_min_ms;    /* prompt work from which peers get a note at once */
+	double memory_part;    /* part of an engine's memory that requests may fill; 0: any */
 	/* failing servers */
-	double breaker_failures; /* consecutive failures that open the breaker */
-	double quiet_ms;	 /* silence after which a server with requests is probed */
+	double breaker_failures;    /* consecutive failures that open the breaker */
+	double quiet_ms;	    /* silence after which a server with requests is probed */
+	double expected_silence_ms; /* longest predicted silence that delays such a probe */
 	double doubt_beside;   /* 1: servers that may be unreachable with another one are probed */
 	double connect_part;   /* part of the objective within which a connection must open */
 	double silence_factor; /* idle timeout before the next attempt: predicted wait times this */
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -10,6 +10,7 @@
 #include "cw_brittle.h"
 #include "cw_drain.h"
 #include "cw_home.h"
+#include "cw_homes.h"
 #include "cw_pace.h"
 #include "cw_policy.h"
 #include "cw_prediction.h"
@@ -97,6 +98,7 @@
 	const struct cw_policy *policy; /* the policy of the pool */
 	TAILQ_ENTRY(cw_server) link;
 	TAILQ_ENTRY(cw_server) active_link;
+	TAILQ_ENTRY(cw_server) worked_link; /* while work is not NULL */
 	int is_active; /* on the pool's list of servers in use, or not reached directly */
 	char name[CW_NAME_MAX];
 	int64_t process_start_ms; /* Unix time of the process start, as listed */
@@ -187,9 +189,11 @@
 	double prefix_tokens;	 /* size of the prompt prefix, which other requests share */
 	double ms_per_token;	 /* predicted prefill time per token */
 	double mean_work_ms;	 /* predicted work of an average queued request */
+	double tokens;		 /* that the request will keep in an engine's memory */
+	double capacity_tokens;	 /* of an engine of the service; 0: not known */
 	size_t bytes;		 /* of the request and its expected answer */
-	int *is_affinity_server; /* out, may be NULL: 1 if the affinity server of the prefix was
-				    chosen */
+	int64_t reuse_idle_ms;	 /* reuses a connection that has been idle for less than this */
+	int *is_affinity_server; /* out, may be NULL: 1 if a home of the prefix was chosen */
 };
 
 /* Why a server that may serve a request admits none now. */
@@ -224,6 +228,13 @@
 			      void (*find)(void *context, uint64_t server,
 					   struct cw_warmup_place *place),
 			      void *context); /* without a lookup, no other instance is assumed */
+void cw_pool_set_connection_lookup(
+	struct cw_pool *pool,
+	int (*has_idle)(void *context, const char *address, int64_t reuse_idle_ms),
+	void *context); /* 1: a request would reuse an idle connection; without one, each would */
+void cw_pool_set_instances(struct cw_pool *pool,
+			   size_t instances); /* that share the callers; 0: not known */
+struct cw_homes *cw_pool_homes(const struct cw_pool *pool);
 int cw_pool_find_rank(const struct cw_pool *pool, uint64_t key,
 		      size_t *rank); /* of this instance for the key, 0: first; 0: not known yet */
 void cw_pool_set_region(struct cw_pool *pool, const char *failure_domain,
@@ -317,11 +328,38 @@
 			     const char *own_domain, struct cw_server **suspects, size_t max,
 			     int64_t now_ms); /* marks and returns servers to probe at once */
 int cw_pool_needs_probe(const struct cw_server *server, int64_t now_ms);
+int cw_pool_expects_silence(const struct cw_server *server, int64_t predicted_ms,
+			    int64_t now_ms); /* 1: it works on requests for which a silence of
+						predicted_ms is usual, and isn't to be probed yet */
+int64_t cw_pool_silent_since_ms(const struct cw_server *server); /* last byte or send */
 void cw_pool_record_outcome(struct cw_server *server, int is_failure, double slowness,
 			    int64_t now_ms); /* outcome of an attempt; slowness 0: unknown */
 void cw_pool_begin_work(struct cw_server *server, double work_ms, double mean_work_ms,
 			int64_t now_ms);			 /* a prompt was sent */
 void cw_pool_end_work(struct cw_server *server, double work_ms); /* the answer began or failed */
+void cw_pool_record_begun(struct cw_server *server,
+			  int64_t now_ms); /* an answer began; after cw_pool_end_work() */
+void cw_pool_hold_tokens(struct cw_server *server, double tokens);    /* a request was sent */
+void cw_pool_release_tokens(struct cw_server *server, double tokens); /* it ended */
+int cw_pool_has_memory(const struct cw_server *server,
+		       const struct cw_choice *choice); /* 1: the request fits beside the others */
+void cw_pool_count_unread(struct cw_pool *pool,
+			  int has_notes); /* 1: peers tell at once when a long prompt is sent or
+					     begun, so work counts until then; 0, as at first: it is
+					     worked off by the clock */
+void cw_pool_get_share(const struct cw_server *server, struct cw_backlog_share *share,
+		       int64_t now_ms); /* what this instance has in progress, for peers */
+void cw_pool_get_long_share(const struct cw_server *server, struct cw_backlog_share *share,
+			    int64_t now_ms); /* the same with long prompts only */
+void cw_pool_set_peers(struct cw_server *server, const struct cw_backlog_share *sum,
+		       int64_t now_ms); /* what the peers have in progress */
+void cw_pool_set_work_listener(struct cw_pool *pool,
+			       void (*changed)(void *context, struct cw_server *server,
+					       double work_ms),
+			       void *context); /* work_ms of an own prompt was added, or is
+						  unread no more: below 0 */
+void cw_pool_count_prefix(struct cw_server *server, uint64_t prefix, double work_ms, int is_at_home,
+			  int64_t now_ms); /* a prompt with the prefix was sent; 0: no prefix */
 double cw_pool_own_work_ms(const struct cw_server *server,
 			   int64_t now_ms); /* predicted work left of own prompts */
 void cw_pool_record_peers_work(struct cw_server *server,
@@ -336,6 +374,16 @@
 const struct cw_prediction *cw_pool_prediction(const struct cw_pool *pool); /* over all servers */
 double cw_pool_pace(const struct cw_server *server,
 		    int64_t now_ms); /* multiplies the work predicted for the usual server */
+double cw_pool_lasting_pace(const struct cw_server *server,
+			    int64_t now_ms); /* the same for work that takes seconds */
+double cw_pool_reported_pace(const struct cw_server *server, int is_lasting,
+			     int64_t now_ms); /* the part of either that the server reports */
+double cw_pool_learned_pace(const struct cw_server *server,
+			    int64_t now_ms); /* the part that its answers show */
+void cw_pool_report_pace(struct cw_server *server, double momentary, int64_t now_ms);
+void cw_pool_record_speed(
+	struct cw_server *server, double ratio,
+	int64_t now_ms); /* time taken over the usual time times the reported pace */
 double cw_pool_failure_rate(const struct cw_server *server, int64_t now_ms);
 double cw_pool_slowness(const struct cw_server *server, int64_t now_ms);
 void cw_pool_record_refusal(struct cw_server *server, int64_t now_ms,
@@ -354,6 +402,8 @@
 int cw_pool_is_announced(const struct cw_server_reports *reports,
 			 int64_t now_ms); /* 1: peers are to know them; a rest is not */
 const struct cw_server_list *
+cw_pool_worked(const struct cw_pool *pool); /* linked by worked_link: those with cw_pool_work() */
+const struct cw_server_list *
 cw_pool_active(const struct cw_pool *pool); /* linked by active_link: servers with own requests,
 					       unreachable or suspect; few of many thousands */
 
--- a/packages/pool/src/pool_internal.h
+++ b/packages/pool/src/pool_internal.h
@@ -6,6 +6,7 @@
 
 #include <glib.h>
 
+#define POOL_CANDIDATES_MAX 256 /* servers among which a request's is chosen */
 #define SOFTWARE_MAX                                                                               \
 	64 /* software versions remembered, of all services; others never count as new */
 
@@ -38,11 +39,19 @@
 	const struct cw_policy *policy;
 	struct cw_drains *drains;
 	struct cw_prediction prediction; /* over all servers */
-	GHashTable *regions;		 /* failure domain -> region */
+	struct cw_homes *homes;
+	size_t instances;    /* that share the callers; 0: not known */
+	GHashTable *regions; /* failure domain -> region */
 	void (*find_place)(void *context, uint64_t server, struct cw_warmup_place *place);
 	void *place_context;
+	void (*work_changed)(void *context, struct cw_server *server, double work_ms);
+	void *work_context;
+	int counts_unread; /* see cw_pool_count_unread() */
+	int (*has_idle_connection)(void *context, const char *address, int64_t reuse_idle_ms);
+	void *connection_context;
 	struct cw_server_list servers;
 	struct cw_server_list active; /* linked by active_link */
+	struct cw_server_list worked; /* linked by worked_link */
 	struct cw_server_reports_list reports;
 	size_t delisted; /* number of servers with removed_ms set */
 	GHashTable *by_id;
@@ -57,6 +66,7 @@
 	int64_t settled_ms;   /* until then, entries may be superseded ones */
 };
 
+void pool_free_work(struct cw_server *server);
 void pool_activate(struct cw_server *server); /* until a sweep finds it unused */
 void pool_free_reports(struct cw_server *server);
 int pool_needs_reports(const struct cw_server *server,
--- a/tests/fuzz/users_input.c
+++ b/tests/fuzz/users_input.c
@@ -2,7 +2,10 @@
 
 #include "cw_gate.h"
 #include "cw_gossip.h"
+#include "cw_gossip_backlogs.h"
+#include "cw_gossip_paces.h"
 #include "cw_gossip_reports.h"
+#include "cw_gossip_shares.h"
 #include "cw_up.h"
 
 #include <glib.h>
@@ -30,8 +33,10 @@
 	int may_have_run;	 /* a backend server may have run the request */
 	int sends;		 /* attempts that reached a backend server */
 	int is_partly_delivered; /* the caller got a part of the answer */
-	int is_over;		 /* the caller got a final answer or a broken connection */
-	uint64_t server;	 /* that got the newest attempt */
+	int has_kept;		 /* an answer is kept beside the attempt */
+	int is_kept_complete;
+	int is_over;	 /* the caller got a final answer or a broken connection */
+	uint64_t server; /* that got the newest attempt */
 	int64_t opened_ms;
 };
 
@@ -51,6 +56,8 @@
 };
 
 static void fuzz_decoders(const uint8_t *bytes, size_t size);
+static void fuzz_shares(const char *text, size_t length);
+static void fuzz_paces(const char *bytes, size_t size);
 static void fuzz_server_entry(const uint8_t *bytes, size_t size);
 static void fuzz_quarantine(const uint8_t *bytes, size_t size);
 static void fuzz_orders(const uint8_t *bytes, size_t size);
@@ -68,6 +75,7 @@
 static struct reported *get_reported(struct harness *harness, uint64_t server);
 static void report_in_answer(struct harness *harness, int choice, struct cw_response_head *answer);
 static void ask_for_rest(struct harness *harness, int choice, struct cw_response_head *answer);
+static int handle_kept(struct harness *harness, int choice);
 static void open_call(struct harness *harness);
 static void end_call(struct harness *harness);
 static void check_step(struct harness *harness);
@@ -92,6 +100,7 @@
 	GString *body = g_string_new_len(text, (gssize)length);
 	struct cw_gossip *gossip = g_new0(struct cw_gossip, 1);
 	struct cw_gossip_reports reports;
+	struct cw_gossip_backlogs note;
 	struct cw_gossip_list list;
 	struct cw_error error = {0};
 	struct cw_up_page page;
@@ -111,6 +120,9 @@
 	case 3:
 		cw_gossip_decode(text, length, gossip);
 		cw_gossip_decode_reports(text, length, &reports);
+		cw_gossip_decode_backlogs(text, length, &note);
+		fuzz_shares(text, length);
+		fuzz_paces(text, length);
 		break;
 	case 4:
 		fuzz_server_entry(bytes + 1, length);
@@ -129,6 +141,51 @@
 	g_string_free(body, TRUE);
 }
 
+/* Whatever a peer announces, a pace stays within its bounds. */
+static void fuzz_paces(const char *bytes, size_t size)
+{
+	struct cw_gossip_paces message;
+
+	if (cw_gossip_decode_paces(bytes, size, &message) != CW_OK)
+		return;
+	for (size_t i = 0; i < message.count; i++) {
+		struct cw_pace_origin origin = {.instance = i,
+						.announced_ms = message.announced_ms,
+						.received_ms = START_MS};
+		struct cw_pace pace = {0};
+		double factor;
+
+		origin.evidence = message.paces[i].evidence;
+		cw_pace_merge(&pace, &origin, START_MS);
+		cw_pace_merge_momentary(&pace, message.paces[i].momentary, START_MS);
+		factor = cw_pace_reported(&pace, SETTLE_MS, START_MS);
+		check(factor >= CW_PACE_MIN && factor <= CW_PACE_MAX, "a pace is out of bounds");
+		factor = cw_pace_learned(&pace, START_MS);
+		check(factor >= CW_PACE_MIN && factor <= CW_PACE_MAX, "a pace is out of bounds");
+		cw_pace_clear(&pace);
+	}
+}
+
+/* What a peer announces is granted a part between 0 and 1. */
+static void fuzz_shares(const char *text, size_t length)
+{
+	struct cw_gossip_shares message;
+	struct cw_shares *shares;
+
+	if (cw_gossip_decode_shares(text, length, &message) != CW_OK)
+		return;
+	shares = cw_shares_create();
+	cw_shares_add(shares, 1, 1, 10, START_MS);
+	cw_shares_merge(shares, 1, message.demands, message.count, START_MS);
+	for (size_t i = 0; i < message.count; i++) {
+		double granted =
+			cw_shares_granted(shares, message.demands[i].organisation, 0.5, START_MS);
+
+		check(granted >= 0 && granted <= 1, "a granted part is out of bounds");
+	}
+	cw_shares_destroy(shares);
+}
+
 /* A backend server's entry with a few bytes changed: either complete, or rejected with a reason. */
 static void fuzz_server_entry(const uint8_t *bytes, size_t size)
 {
@@ -297,6 +354,9 @@
 		check(server->own_running == 0, "a request is counted as running after its end");
 		check(server->own_work_ms < 0.001,
 		      "work is counted as pending after its request's end");
+		check(!server->work || (server->work->backlog.own_unread == 0 &&
+					server->work->backlog.own_tokens < 0.001),
+		      "a prompt or its tokens are counted after its request's end");
 	}
 	cw_gate_destroy(harness.gate);
 	cw_config_unref(harness.config);
@@ -317,10 +377,14 @@
 		.retry_window_ms = 10000,
 		.rollouts = {.session_ms = 5000, .exposed_share = 0.15, .exposed_slack = 30},
 	};
+	struct cw_service *service;
 
 	harness->gate = cw_gate_create(&options);
 	cw_gate_set_instances(harness->gate, 1);
 	harness->config = cw_config_create(1);
+	service = cw_config_add_service(harness->config);
+	g_strlcpy(service->name, "s", sizeof(service->name));
+	service->tokens_per_event = 4;
 	add_route(harness->config, "/once/", CW_RETRY_NEVER, 3);
 	add_route(harness->config, "/any/", CW_RETRY_ANY, 2);
 	add_route(harness->config, "/stream/", CW_RETRY_STREAM, 3);
@@ -488,6 +552,8 @@
 		check_step(harness);
 		return;
 	}
+	if (call_state->has_kept && choice % 8 >= 5 && handle_kept(harness, choice / 8))
+		return;
 	/* Only events, the end or a failure follow a forwarded head; no event comes before one. */
 	if (call_state->is_head_forwarded ? choice % 8 < 4 : choice % 8 == 5 || choice % 8 == 7)
 		return;
@@ -498,6 +564,7 @@
 		answer.status = choice % 16 == 1 ? 500 : 200;
 		answer.is_signed = choice % 32 < 28;
 		answer.confidence = choice;
+		answer.is_event_stream = call_state->route->retry_policy == CW_RETRY_STREAM;
 		answer.has_load = choice & 1;
 		answer.running = (unsigned int)choice;
 		call_state->may_have_run = 1;
@@ -529,6 +596,9 @@
 			return;
 		call_state->is_partly_delivered = 1;
 		cw_call_add_event(call_state->call, choice, harness->now_ms);
+		check(!cw_call_has_kept(call_state->call),
+		      "an answer is kept after a part of another one was delivered");
+		call_state->has_kept = 0;
 		return;
 	case 6:
 		call_state->may_have_run = 1;
@@ -542,6 +612,30 @@
 	check_step(harness);
 }
 
+/* What happens to the answer that is kept beside the attempt; 0: nothing. */
+static int handle_kept(struct harness *harness, int choice)
+{
+	struct call_state *call_state = &harness->call_state;
+	struct cw_call *call = call_state->call;
+
+	check(cw_call_has_kept(call), "a kept answer was lost");
+	if (choice % 8 == 0 && cw_call_kept_server(call))
+		cw_call_complete_kept(call, (unsigned int)choice, harness->now_ms);
+	else if (choice % 8 == 1 && cw_call_kept_server(call))
+		cw_call_fail_kept(call,
+				  choice & 8 ? CW_ATTEMPT_CONNECTION_LOST : CW_ATTEMPT_TIMED_OUT,
+				  harness->now_ms);
+	else if (choice % 8 == 2)
+		cw_call_drop_kept(call, harness->now_ms);
+	else if (choice % 8 < 6 && cw_call_check_kept(call, harness->now_ms, &harness->step))
+		check_step(harness);
+	else
+		return 0;
+	call_state->has_kept = cw_call_has_kept(call);
+	call_state->is_kept_complete = call_state->has_kept && !cw_call_kept_server(call);
+	return 1;
+}
+
 static struct reported *get_reported(struct harness *harness, uint64_t server)
 {
 	struct reported *reported = &harness->reported[server % REPORTED_MAX];
@@ -618,6 +712,11 @@
 	case CW_STEP_SEND:
 		call_state->sends++;
 		call_state->is_head_forwarded = 0;
+		if (step->keeps_answer) {
+			check(!call_state->has_kept, "two answers are kept");
+			call_state->has_kept = 1;
+			call_state->is_kept_complete = 0;
+		}
 		call_state->server = step->server->id;
 		reported = get_reported(harness, step->server->id);
 		check(!step->server->is_leaving, "a leaving server got a request");
@@ -662,6 +761,17 @@
 	case CW_STEP_FORWARD:
 		call_state->is_head_forwarded = 1;
 		break;
+	case CW_STEP_FORWARD_KEPT:
+		check(call_state->has_kept, "an answer was delivered that was not kept");
+		check(!call_state->is_partly_delivered,
+		      "a kept answer was delivered after a part of another one");
+		check(!cw_call_has_kept(call_state->call), "a delivered answer is still kept");
+		check(call_state->is_kept_complete == !cw_call_server(call_state->call),
+		      "a delivered answer has a run though it is complete, or none");
+		call_state->has_kept = 0;
+		call_state->is_head_forwarded = 1;
+		call_state->is_over = call_state->is_kept_complete;
+		break;
 	}
 }
 
