gate: less urgent requests yield scarce slots first

Cause: as slots are taken, the confidence threshold fell alike for all routes, so streams of the least urgent ones held slots for which more urgent ones waited.

Change: scarcity counts by half more for each step of priority below the most urgent route with models of the service (escalate_yield). Nobody's threshold rises. Slots free, one priority, the most urgent route: as before.

--- a/packages/gate/src/call_model.c
+++ b/packages/gate/src/call_model.c
@@ -13,6 +13,7 @@
 				      int64_t now_ms, struct cw_step *step);
 static int required_confidence(struct cw_call *call, int64_t now_ms);
 static double slot_headroom(struct cw_call *call, int64_t now_ms);
+static int priority_steps(const struct cw_call *call); /* below the service's most urgent */
 static double predict_first_event_ms(struct cw_call *call, int64_t now_ms);
 
 /*
@@ -96,8 +97,19 @@
 	const struct cw_policy *policy = call->gate->policy;
 	double taken = gate_slot_occupancy(call->gate, call->service_name, now_ms);
 	double span = policy->escalate_none_taken - policy->escalate_less_taken;
+	double scarcity = (taken - policy->escalate_less_taken) / MAX(span, 0.01);
 
-	return 1 - CLAMP((taken - policy->escalate_less_taken) / MAX(span, 0.01), 0, 1);
+	return 1 - CLAMP(scarcity * (1 + policy->escalate_yield * priority_steps(call)), 0, 1);
+}
+
+/*
+ * Load pattern: requests of several priorities compete for scarce slots for many seconds. What the
+ * largest model adds to an answer is about the same for all of them, so the less urgent yield
+ * first: their threshold falls sooner, and the more urgent find the slots that this leaves.
+ */
+static int priority_steps(const struct cw_call *call)
+{
+	return call->service ? MAX(call->route->priority - call->service->most_urgent, 0) : 0;
 }
 
 /*
--- a/packages/policy/include/cw_policy.h
+++ b/packages/policy/include/cw_policy.h
@@ -20,6 +20,8 @@
 	double escalate_queue_weight; /* weight of queued prefill time in the predicted latency */
 	double escalate_less_taken;   /* part of slots taken above which the threshold falls */
 	double escalate_none_taken;   /* part of slots taken above which the threshold is 0 */
+	double escalate_yield;	      /* part by which slots count as scarcer, for each step of
+					 priority below the service's most urgent route */
 	double escalate_whole_part; /* part of the time left that a large model's stream may use */
 	double keep_answer;    /* 1: a small model's answer is kept while the large one is asked */
 	double keep_wait_part; /* part of the caller's patience for which a kept answer of low
--- a/packages/policy/src/policy.c
+++ b/packages/policy/src/policy.c
@@ -20,6 +20,8 @@
 	FIELD(escalate_less_taken, "of the slots", 0.5, 0, 1e6, 1e6,
 	      "large-model streams that hold slots for seconds as a burst begins"),
 	FIELD(escalate_none_taken, "of the slots", 0.9, 0, 1e6, 1e6, "the same"),
+	FIELD(escalate_yield, "of the scarcity a priority", 0.5, 0, 100, 0,
+	      "less urgent large-model streams that hold the slots of more urgent ones"),
 	FIELD(escalate_whole_part, "of the time left", 0.6, 0, 1e6, 1e6,
 	      "streams of 17 s that are cut off at their deadline"),
 	FIELD(keep_answer, "0 or 1", 1, 0, 1, 0,
--- a/packages/route/include/cw_route.h
+++ b/packages/route/include/cw_route.h
@@ -62,6 +62,7 @@
 	unsigned int slots;	 /* requests that an engine runs concurrently */
 	double kv_cache_tokens;	 /* capacity of an engine's KV cache */
 	double tokens_per_event; /* generated tokens per event of a stream */
+	int most_urgent; /* least priority number of the routes that choose among models on it */
 	size_t model_count;
 	struct cw_model_price models[CW_ROUTE_MODELS];
 };
@@ -98,6 +99,8 @@
 
 const struct cw_route *cw_config_find_route(const struct cw_config *config, const char *host,
 					    const char *path); /* longest prefix; NULL: none */
+void cw_config_rank_routes(struct cw_config *config); /* sets most_urgent of all services; by
+							 cw_config_build_index, too */
 const struct cw_service *cw_config_find_service(const struct cw_config *config, const char *name);
 const struct cw_organisation *cw_config_find_organisation(const struct cw_config *config,
 							  const char *key);
--- a/packages/route/src/route.c
+++ b/packages/route/src/route.c
@@ -125,6 +125,25 @@
 
 		g_hash_table_replace(config->by_service, service->name, service);
 	}
+	cw_config_rank_routes(config);
+}
+
+void cw_config_rank_routes(struct cw_config *config)
+{
+	for (guint i = 0; i < config->services->len; i++)
+		((struct cw_service *)g_ptr_array_index(config->services, i))->most_urgent =
+			G_MAXINT;
+	for (guint i = 0; i < config->routes->len; i++) {
+		const struct cw_route *route = g_ptr_array_index(config->routes, i);
+
+		for (size_t j = 0; route->model_count > 1 && j < route->share_count; j++) {
+			struct cw_service *service =
+				g_hash_table_lookup(config->by_service, route->shares[j].service);
+
+			if (service)
+				service->most_urgent = MIN(service->most_urgent, route->priority);
+		}
+	}
 }
 
 const struct cw_route *cw_config_find_route(const struct cw_config *config, const char *host,
