--- a/packages/gate/src/call_model.c
+++ b/packages/gate/src/call_model.c
@@ -13,6 +13,7 @@
 				      int64_t now_ms, struct cw_step *step);
 static int required_confidence(struct cw_call *call, int64_t now_ms);
 static double slot_headroom(struct cw_call *call, int64_t now_ms);
+static int priority_steps(const struct cw_call *call); /* below the service's most urgent */
 static double predict_first_event_ms(struct cw_call *call, int64_t now_ms);
 
 /*
@@ -88,8 +89,20 @@
 /* The room for the large model's streams that the caller's organisation gets. */
 static double slot_headroom(struct cw_call *call, int64_t now_ms)
 {
-	return call_share_room(call, gate_slot_headroom(call->gate, call->service_name, now_ms),
-			       now_ms);
+	double scarcity = gate_slot_scarcity(call->gate, call->service_name, now_ms);
+	double yield = 1 + call->gate->policy->escalate_yield * priority_steps(call);
+
+	return call_share_room(call, 1 - CLAMP(scarcity * yield, 0, 1), now_ms);
+}
+
+/*
+ * Load pattern: requests of several priorities compete for scarce slots for many seconds. What the
+ * largest model adds to an answer is about the same for all of them, so the less urgent yield
+ * first: their threshold falls sooner, and the more urgent find the slots that this leaves.
+ */
+static int priority_steps(const struct cw_call *call)
+{
+	return call->service ? MAX(call->route->priority - call->service->most_urgent, 0) : 0;
 }
 
 /*
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -167,9 +167,9 @@
 			   int64_t now_ms); /* mean demand per slot; 0: no reports */
 double gate_rejected_fraction(struct cw_gate *gate, const char *service,
 			      int64_t now_ms); /* 0 to 1 */
-double gate_slot_headroom(struct cw_gate *gate, const char *service,
-			  int64_t now_ms); /* room for the largest model's streams: 1 while few
-					      slots are taken, 0 when nearly all are */
+double gate_slot_scarcity(struct cw_gate *gate, const char *service,
+			  int64_t now_ms); /* for the largest model's streams: 0 or below while few
+					      slots are taken, 1 when nearly all are */
 struct cw_shares *gate_get_shares(struct cw_gate *gate, const char *service);
 uint64_t gate_organisation_id(struct cw_gate *gate, const char *name);
 struct cw_repeats *gate_get_retry_budget(struct cw_gate *gate, const char *service);
