--- a/packages/pool/src/pool.c
+++ b/packages/pool/src/pool.c
@@ -11,10 +11,8 @@
 #define DEFAULT_SLOTS	       8
 #define DEFAULT_SERVICE_MS     500.0
 #define SERVICE_SMOOTHING      0.1
-#define OWN_DOMAIN_WEIGHT      8    /* rendezvous weight of servers in the own failure domain */
-#define ID_SEED		       4    /* arbitrary, but the same for all instances */
-#define NEW_SOFTWARE_HOLD_MS   2000 /* a new version's roll-out order arrives within this time */
-#define LIST_ARRIVAL_MS	       1000 /* all entries of a server list arrive within this time */
+#define OWN_DOMAIN_WEIGHT      8 /* rendezvous weight of servers in the own failure domain */
+#define ID_SEED		       4 /* arbitrary, but the same for all instances */
 
 static void deactivate(struct cw_server *server);
 static void set_removed_ms(struct cw_server *server, int64_t removed_ms);
@@ -23,8 +21,6 @@
 static void set_location(const struct cw_pool *pool, struct cw_server *server, const char *service,
 			 const char *address, const char *failure_domain);
 static void retire_start(struct cw_pool *pool, struct cw_server *server, int64_t now_ms);
-static void record_software(struct cw_pool *pool, const struct cw_server_entry *entry,
-			    int64_t now_ms);
 static void record_change(struct cw_server *server, int64_t now_ms, int change);
 static gint by_track_score(gconstpointer a, gconstpointer b);
 static void unref_array(gpointer array);
@@ -194,7 +190,7 @@
 	cw_warmup_set_cold(&server->warmup, entry->cold_ms, now_ms);
 	server->process_start_ms = entry->process_start_ms;
 	g_strlcpy(server->software, entry->software, CW_NAME_MAX);
-	record_software(pool, entry, now_ms);
+	pool_record_software(pool, entry, now_ms);
 	if (server->sampled_ms < 0)
 		server->slots = entry->slots;
 	server->is_leaving = entry->is_leaving;
@@ -563,47 +559,6 @@
 	server->is_drained = cw_drains_is_drained(pool->drains, failure_domain);
 }
 
-/*
- * Servers of a new software version may be listed before this instance knows the roll-out order of
- * the version: within 2 s, 12 requests of sessions on the old version were sent to the new one. A
- * new version therefore gets no requests for NEW_SOFTWARE_HOLD_MS while servers of other versions
- * exist. If no order arrives, its servers are then used like any others.
- */
-const char *cw_pool_new_software(const struct cw_pool *pool, const char *service, int64_t now_ms)
-{
-	for (size_t i = 0; i < pool->software_count; i++) {
-		const struct software *software = &pool->software[i];
-
-		if (software->is_new && now_ms - software->first_listed_ms < NEW_SOFTWARE_HOLD_MS &&
-		    !strcmp(software->service, service))
-			return software->name;
-	}
-	return NULL;
-}
-
-static void record_software(struct cw_pool *pool, const struct cw_server_entry *entry,
-			    int64_t now_ms)
-{
-	struct software *software;
-	int is_new = 0;
-
-	for (size_t i = 0; i < pool->software_count; i++) {
-		software = &pool->software[i];
-		if (strcmp(software->service, entry->service) != 0)
-			continue;
-		if (!strcmp(software->name, entry->software))
-			return;
-		is_new |= now_ms - software->first_listed_ms > LIST_ARRIVAL_MS;
-	}
-	if (pool->software_count == SOFTWARE_MAX)
-		return;
-	software = &pool->software[pool->software_count++];
-	g_strlcpy(software->service, entry->service, CW_NAME_MAX);
-	g_strlcpy(software->name, entry->software, CW_NAME_MAX);
-	software->first_listed_ms = now_ms;
-	software->is_new = is_new;
-}
-
 /* Marks an earlier start as removed; the sweep frees it once its last request has ended. */
 static void retire_start(struct cw_pool *pool, struct cw_server *server, int64_t now_ms)
 {
--- a/packages/pool/src/pool_internal.h
+++ b/packages/pool/src/pool_internal.h
@@ -68,6 +68,8 @@
 
 void pool_free_work(struct cw_server *server);
 void pool_activate(struct cw_server *server); /* until a sweep finds it unused */
+void pool_record_software(struct cw_pool *pool, const struct cw_server_entry *entry,
+			  int64_t now_ms); /* software.c: an entry was listed */
 void pool_free_reports(struct cw_server *server);
 int pool_needs_reports(const struct cw_server *server,
 		       int64_t now_ms); /* 1: a removed server may be listed again */
