pool: a failure domain that falls silent is probed whatever explains it

Change: where two servers of a failure domain have requests and no byte came from any server there for quiet_ms, one of them is probed as before, one in 300 ms. If it can't be reached, the others are suspects, as before.

--- a/packages/pool/src/placement.c
+++ b/packages/pool/src/placement.c
@@ -8,12 +8,12 @@
 #include <math.h>
 #include <string.h>
 
-#define EVIDENCE_DECAY_MS  4000 /* time constant; a server may recover without a request */
-#define FAILURE_RATE_GAIN  0.25 /* weight of the newest attempt */
-#define SLOWNESS_GAIN	   0.3	/* weight of the newest attempt */
-#define SLOWNESS_MAX	   20.0
-#define HOME_DEFAULT_SLOTS 8   /* of a server that has reported none */
-#define PEERS_PEAK_MS	   500 /* time constant: announcements are 150 ms apart, and may get lost */
+#define EVIDENCE_DECAY_MS 4000 /* time constant; a server may recover without a request */
+#define FAILURE_RATE_GAIN 0.25 /* weight of the newest attempt */
+#define SLOWNESS_GAIN	  0.3  /* weight of the newest attempt */
+#define SLOWNESS_MAX	  20.0
+#define DEFAULT_SLOTS	  8   /* of a server that has reported none */
+#define PEERS_PEAK_MS	  500 /* time constant: announcements are 150 ms apart, and may get lost */
 
 static double cost_of(const struct cw_server *server, const struct cw_choice *choice,
 		      int is_affinity_server);
@@ -60,7 +60,7 @@
 void cw_pool_count_prefix(struct cw_server *server, uint64_t prefix, double work_ms, int is_at_home,
 			  int64_t now_ms)
 {
-	double slots = server->slots ? server->slots : HOME_DEFAULT_SLOTS;
+	double slots = server->slots ? server->slots : DEFAULT_SLOTS;
 
 	cw_homes_add(server->pool->homes, prefix, MAX(work_ms, server->service_ms / slots),
 		     is_at_home, now_ms);
@@ -237,7 +237,7 @@
 /* A request would wait at a home without a free slot for as long as another one runs there. */
 static int attracts(const struct cw_server *server, int64_t now_ms)
 {
-	double slots = server->slots ? server->slots : HOME_DEFAULT_SLOTS;
+	double slots = server->slots ? server->slots : DEFAULT_SLOTS;
 
 	return cw_pool_load(server, now_ms) < server->policy->home_full_part * slots;
 }
--- a/packages/pool/src/reach.c
+++ b/packages/pool/src/reach.c
@@ -11,6 +11,9 @@
 #define CRASH_WINDOW_MS	      1000 /* connections that break within this time are one crash */
 #define PROBE_INTERVAL_MS     300  /* bounds the time until a reachable server is used again */
 #define PROBE_INTERVAL_MAX_MS 2400 /* few probe connections to a server that is only slow */
+#define SILENT_DOMAIN_SERVERS 2	   /* of a domain, silent together: cut off rather than working */
+
+static int is_domain_silent(const struct cw_server *server, int64_t now_ms);
 
 void cw_pool_mark_seen(struct cw_server *server, int64_t now_ms)
 {
@@ -140,5 +143,29 @@
 
 	if (server->is_unreachable || server->path != CW_PATH_DIRECT || server->peers_forwarded > 0)
 		return 0;
+	if (is_domain_silent(server, now_ms))
+		return 0;
 	return (double)(now_ms - cw_pool_silent_since_ms(server)) < limit_ms;
 }
+
+/*
+ * Servers that fall silent together are cut off rather than working. One of them is probed at a
+ * time; if it can't be reached, the others are suspects.
+ */
+static int is_domain_silent(const struct cw_server *server, int64_t now_ms)
+{
+	int64_t quiet_ms = (int64_t)server->policy->quiet_ms;
+	const struct cw_server *other;
+	size_t silent = 0;
+
+	TAILQ_FOREACH(other, cw_pool_active(server->pool), active_link) {
+		if (strcmp(other->failure_domain, server->failure_domain) != 0)
+			continue;
+		if (now_ms - other->last_seen_ms < quiet_ms ||
+		    now_ms - other->probed_ms < PROBE_INTERVAL_MS)
+			return 0;
+		silent += other->own_running > 0 &&
+			  now_ms - cw_pool_silent_since_ms(other) >= quiet_ms;
+	}
+	return silent >= SILENT_DOMAIN_SERVERS;
+}
--- a/tests/unit/test_reuse.c
+++ b/tests/unit/test_reuse.c
@@ -45,6 +45,30 @@
 	cw_pool_destroy(pool);
 }
 
+/* A failure domain that is cut off must be found at once, though each server may be working. */
+static void test_one_server_of_a_silent_domain_is_probed(void **state)
+{
+	struct cw_pool *pool = cw_pool_create(&cw_choice_cost);
+	struct cw_server *servers[4];
+
+	for (int i = 0; i < 4; i++) {
+		char name[] = {'s', (char)('0' + i), 0};
+
+		servers[i] = cw_pool_add(pool, name, "llm", "10.0.0.1:1", i < 3 ? "d1" : "d2", 1);
+		cw_pool_record_dispatch(servers[i], NOW);
+		cw_pool_mark_seen(servers[i], NOW + 10);
+	}
+	assert_true(cw_pool_expects_silence(servers[0], 600, NOW + 159));
+	assert_false(cw_pool_expects_silence(servers[0], 600, NOW + 160));
+	assert_true(cw_pool_expects_silence(servers[3], 600, NOW + 160)); /* alone there */
+	servers[0]->probed_ms = NOW + 160;
+	assert_true(cw_pool_expects_silence(servers[1], 600, NOW + 160));
+	assert_false(cw_pool_expects_silence(servers[1], 600, NOW + 460));
+	cw_pool_mark_seen(servers[2], NOW + 455);
+	assert_true(cw_pool_expects_silence(servers[1], 600, NOW + 460));
+	cw_pool_destroy(pool);
+}
+
 static void test_silence_is_probed_as_before_when_off(void **state)
 {
 	struct cw_policy policy = *cw_policy_default();
@@ -134,6 +158,7 @@
 	const struct CMUnitTest tests[] = {
 		cmocka_unit_test(test_working_server_is_not_probed_before_its_answer_is_due),
 		cmocka_unit_test(test_unexplained_silence_is_probed_after_quiet_ms),
+		cmocka_unit_test(test_one_server_of_a_silent_domain_is_probed),
 		cmocka_unit_test(test_silence_is_probed_as_before_when_off),
 		cmocka_unit_test(test_silence_of_a_call_follows_its_prediction),
 		cmocka_unit_test(test_idle_connection_decides_between_equal_servers_only),
