--- a/packages/gate/src/call_kept.c
+++ b/packages/gate/src/call_kept.c
@@ -10,12 +10,12 @@
 
 #include <string.h>
 
-#define RETURN_PATH_MS	      25   /* back to the caller, and a scheduling pause of this instance */
-#define PATIENCE_MIN_MS	      2000 /* a caller waits so long at least for a first event, */
-#define PATIENCE_OBJECTIVES   4	   /* or the route's objective times this, */
-#define PATIENCE_PAUSES	      8	   /* or the route's pause times this */
-#define SUCCESS_MAX_STATUS    299
-#define EXCHANGE_TIME_LEFT_MS 20 /* too short for another attempt */
+#define RETURN_PATH_MS	    25	 /* back to the caller, and a scheduling pause of this instance */
+#define PATIENCE_MIN_MS	    2000 /* a caller waits so long at least for a first event, */
+#define PATIENCE_OBJECTIVES 4	 /* or the route's objective times this, */
+#define PATIENCE_PAUSES	    8	 /* or the route's pause times this */
+#define SUCCESS_MAX_STATUS  299
+#define TIME_LEFT_MIN_MS    20 /* too short for another attempt */
 
 static int64_t due_ms(const struct cw_call *call, int confidence);
 static int64_t latest_start_ms(const struct cw_call *call);
@@ -87,7 +87,7 @@
 
 int call_kept_is_too_late(const struct cw_call *call, int confidence, int64_t now_ms)
 {
-	return due_ms(call, confidence) <= now_ms + EXCHANGE_TIME_LEFT_MS;
+	return due_ms(call, confidence) <= now_ms + TIME_LEFT_MIN_MS;
 }
 
 /* From now on the request may crash the server like one that has left it. */
