--- a/packages/node/src/node_internal.h
+++ b/packages/node/src/node_internal.h
@@ -198,6 +198,8 @@
 
 	struct cw_table *table;
 	struct cw_table *replayed_table; /* read from a restored log, until its end; else NULL */
+	struct cw_table *rebased_table;	 /* own one, continued from the oldest record of a log that
+					    holds no table, while a snapshot is missing; else NULL */
 	struct restore_turn lost_table_turn;
 	struct table_record_list table_records; /* newest records, sent to peers that lag */
 	size_t table_record_count;
@@ -367,6 +369,8 @@
 void table_close(struct cw_node *node);
 int table_is_known(const struct cw_node *node); /* 0: requests can't be judged yet */
 void table_rewind(struct cw_node *node); /* the log was restored: the table is replayed from it */
+void table_expect_snapshot(struct cw_node *node,
+			   uint64_t first); /* oldest record; earlier ones were missed */
 void table_read_record(struct cw_node *node, const struct cw_log_record *record);
 void table_finish_replay(struct cw_node *node); /* at the end of the log */
 void table_merge_peer_records(struct cw_node *node, const struct peer_record *records,
--- a/packages/node/src/node_log.c
+++ b/packages/node/src/node_log.c
@@ -345,7 +345,7 @@
 	reader->next_offset = first;
 	reader->oldest_offset = first;
 	if (reader->stream == CW_STREAM_TABLE)
-		reader->needs_snapshot = 1;
+		table_expect_snapshot(node, first);
 	if (reader->stream == CW_STREAM_CLAIMS) {
 		cw_claims_start_at(node->claims, first);
 		claims_note_read(node, 0, first - 1);
--- a/packages/node/src/node_table.c
+++ b/packages/node/src/node_table.c
@@ -6,11 +6,15 @@
 
 #include <string.h>
 
-#define SNAPSHOT_RANK_DELAY_MS	  500  /* added delay for each rank among the live instances */
-#define SNAPSHOT_MAX_TAIL_RECORDS 2000 /* records after the newest snapshot */
+#define SNAPSHOT_RANK_DELAY_MS	  500	/* added delay for each rank among the live instances */
+#define SNAPSHOT_MAX_TAIL_RECORDS 2000	/* records after the newest snapshot */
+#define SNAPSHOT_REBASED_DELAY_MS 1000	/* an instance that misses no record comes first */
+#define SNAPSHOT_BEHIND_DELAY_MS  30000 /* added for an instance that misses expired records */
 
 static struct cw_table *read_table(struct cw_node *node);
 static void apply_record(struct cw_node *node, const struct cw_log_record *record);
+static void drop_rebased(struct cw_node *node);
+static void apply_rebased(struct cw_node *node, const struct cw_log_record *record);
 static void load_snapshot(struct cw_node *node, const char *snapshot);
 static void replace_table(struct cw_node *node, struct cw_table *table);
 static void clear_changed_health(struct cw_node *node, const struct cw_table *table);
@@ -25,12 +29,15 @@
 static void track_snapshot_age(struct cw_node *node, const struct cw_log_record *record);
 static void track_snapshot(struct cw_node *node, const struct cw_log_record *record);
 static void schedule_snapshot(struct cw_node *node);
+static int64_t choose_snapshot_delay(struct cw_node *node);
 static int is_snapshot_due(const struct cw_node *node);
+static int is_rebased_due(const struct cw_node *node);
 static void append_unlogged(struct cw_node *node);
 
 void table_close(struct cw_node *node)
 {
 	drop_table_records(node);
+	drop_rebased(node);
 	cw_table_destroy(node->replayed_table);
 }
 
@@ -43,6 +50,7 @@
 /* The present table stays in force until the log was read to its end. */
 void table_rewind(struct cw_node *node)
 {
+	drop_rebased(node);
 	cw_table_destroy(node->replayed_table);
 	node->replayed_table = cw_table_create();
 	node->log_readers[CW_STREAM_TABLE].needs_snapshot = 0;
@@ -51,13 +59,28 @@
 	node->table_snapshot_wall_ms = 0;
 }
 
+/*
+ * A restored log may have lost its only snapshot after the records that this one covered expired.
+ * The own table, continued with the records that are left, is then the next snapshot. It is in
+ * force here, too, only as read from the log: of several snapshots the first one counts for all.
+ */
+void table_expect_snapshot(struct cw_node *node, uint64_t first)
+{
+	drop_rebased(node);
+	node->log_readers[CW_STREAM_TABLE].needs_snapshot = 1;
+	if (table_is_known(node))
+		node->rebased_table = cw_table_rebase(node->table, first - 1);
+}
+
 void table_read_record(struct cw_node *node, const struct cw_log_record *record)
 {
 	track_snapshot_age(node, record);
-	if (node->log_readers[CW_STREAM_TABLE].needs_snapshot)
-		load_snapshot(node, record->data);
-	else
+	if (!node->log_readers[CW_STREAM_TABLE].needs_snapshot) {
 		apply_record(node, record);
+		return;
+	}
+	apply_rebased(node, record);
+	load_snapshot(node, record->data);
 }
 
 void table_finish_replay(struct cw_node *node)
@@ -158,6 +181,21 @@
 	}
 }
 
+static void drop_rebased(struct cw_node *node)
+{
+	cw_table_destroy(node->rebased_table);
+	node->rebased_table = NULL;
+}
+
+static void apply_rebased(struct cw_node *node, const struct cw_log_record *record)
+{
+	enum cw_table_result outcome;
+
+	if (node->rebased_table)
+		cw_table_apply_record(node->rebased_table, record->offset, record->time_ms,
+				      record->data, &outcome, NULL);
+}
+
 static void load_snapshot(struct cw_node *node, const char *snapshot)
 {
 	struct cw_table *table = cw_table_create();
@@ -171,6 +209,8 @@
 		cw_table_destroy(node->replayed_table);
 		node->replayed_table = table;
 		sync_table_reader(node);
+		/* The replay ends where the log is read to its end again. */
+		reader->is_caught_up = 0;
 		return;
 	}
 	if (cw_table_offset(table) > cw_table_offset(node->table)) {
@@ -264,6 +304,7 @@
 	if (cw_table_offset(table) == 0)
 		return;
 	reader->needs_snapshot = 0;
+	drop_rebased(node);
 	if (reader->next_offset == cw_table_offset(table) + 1 &&
 	    cw_record_id_is_equal(&reader->last, &last))
 		return;
@@ -373,26 +414,37 @@
  */
 static void schedule_snapshot(struct cw_node *node)
 {
-	size_t rank;
+	const struct cw_table *table = node->rebased_table ? node->rebased_table : node->table;
 
 	if (node->snapshot_ticket || !is_snapshot_due(node)) {
 		if (!node->snapshot_ticket)
 			node->snapshot_due_ms = 0;
 		return;
 	}
-	if (node->snapshot_due_ms == 0) {
-		rank = cw_membership_rank(
-			node->membership,
-			cw_hash_text("snapshot", node->table_snapshot_record_offset), node->now_ms);
-		node->snapshot_due_ms = node->now_ms + 1 + SNAPSHOT_RANK_DELAY_MS * (int64_t)rank +
-					(int64_t)(node_random(node) % SNAPSHOT_RANK_DELAY_MS / 2);
-	}
+	if (node->snapshot_due_ms == 0)
+		node->snapshot_due_ms = node->now_ms + choose_snapshot_delay(node);
 	if (node->now_ms < node->snapshot_due_ms)
 		return;
-	node->snapshot_ticket =
-		log_append(node, CW_STREAM_TABLE, cw_table_create_snapshot(node->table));
+	node->snapshot_ticket = log_append(node, CW_STREAM_TABLE, cw_table_create_snapshot(table));
 	node_log_event(node, "table", "snapshot_written", "offset=%" G_GUINT64_FORMAT,
-		       cw_table_offset(node->table));
+		       cw_table_offset(table));
+}
+
+static int64_t choose_snapshot_delay(struct cw_node *node)
+{
+	size_t rank = cw_membership_rank(
+		node->membership, cw_hash_text("snapshot", node->table_snapshot_record_offset),
+		node->now_ms);
+	int64_t delay_ms = 1 + SNAPSHOT_RANK_DELAY_MS * (int64_t)rank +
+			   (int64_t)(node_random(node) % SNAPSHOT_RANK_DELAY_MS / 2);
+
+	if (node->rebased_table) {
+		delay_ms += SNAPSHOT_REBASED_DELAY_MS;
+		if (cw_table_offset(node->table) + 1 <
+		    node->log_readers[CW_STREAM_TABLE].oldest_offset)
+			delay_ms += SNAPSHOT_BEHIND_DELAY_MS;
+	}
+	return delay_ms;
 }
 
 static int is_snapshot_due(const struct cw_node *node)
@@ -402,6 +454,8 @@
 	uint64_t covered = node->table_snapshot_covered;
 	int64_t half_retention_ms = node->config.log_retention_ms / 2;
 
+	if (node->rebased_table)
+		return is_rebased_due(node);
 	/* Followers of the log don't have what is unlogged: no snapshot may cover it. */
 	if (node->replayed_table || cw_table_count_unlogged(node->table) > 0)
 		return 0;
@@ -424,6 +478,14 @@
 	       node->wall_ms - node->table_snapshot_wall_ms > half_retention_ms;
 }
 
+static int is_rebased_due(const struct cw_node *node)
+{
+	const struct log_reader *reader = &node->log_readers[CW_STREAM_TABLE];
+
+	return reader->needs_snapshot && reader->is_caught_up && !reader->backoff_ms &&
+	       cw_table_offset(node->rebased_table) + 1 == reader->next_offset;
+}
+
 static void append_unlogged(struct cw_node *node)
 {
 	size_t count = cw_table_count_unlogged(node->table);
--- a/packages/table/include/cw_table.h
+++ b/packages/table/include/cw_table.h
@@ -70,6 +70,9 @@
 cw_table_load_snapshot(struct cw_table *table, const char *record,
 		       struct cw_error *error); /* CW_REFUSED: not newer than the table */
 char *cw_table_create_snapshot(const struct cw_table *table); /* a log record; g_free() it */
+struct cw_table *
+cw_table_rebase(const struct cw_table *table,
+		uint64_t offset); /* a copy at that offset, for the log's records after it */
 int cw_table_is_ahead(const struct cw_table *table,
 		      const struct cw_table *other); /* 1: it has edits that other lacks */
 void cw_table_merge(struct cw_table *table,
--- a/packages/table/src/table_merge.c
+++ b/packages/table/src/table_merge.c
@@ -5,6 +5,7 @@
 
 #define LOST_EDIT_IDS_MAX 256 /* newest edit ids in a record that restores lost edits */
 
+static void limit_offsets(struct cw_table *table);
 static void merge_row(struct cw_table *table, const struct cw_row *from);
 static void merge_keys(struct cw_table *table, const struct cw_table *former);
 static void merge_drains(struct cw_table *table, const struct cw_table *former);
@@ -14,6 +15,20 @@
 static struct json_object *format_unlogged_key(const struct cw_table *table);
 static struct json_object *format_unlogged_drain(const struct cw_table *table);
 
+/* The offsets of lost records are given out again: none stays in the copy. */
+struct cw_table *cw_table_rebase(const struct cw_table *table, uint64_t offset)
+{
+	struct cw_table *copy = cw_table_create();
+	char *snapshot = cw_table_create_snapshot(table);
+
+	cw_table_load_snapshot(copy, snapshot, NULL);
+	g_free(snapshot);
+	copy->offset = offset;
+	copy->last = (struct cw_record_id){0};
+	limit_offsets(copy);
+	return copy;
+}
+
 int cw_table_is_ahead(const struct cw_table *table, const struct cw_table *other)
 {
 	size_t oldest = table->edit_count > EDIT_IDS_MAX ? table->edit_count - EDIT_IDS_MAX : 0;
@@ -57,6 +72,22 @@
 	return text;
 }
 
+static void limit_offsets(struct cw_table *table)
+{
+	struct cw_row *row;
+	uint64_t *changed;
+	GHashTableIter iter;
+
+	TAILQ_FOREACH(row, &table->rows, link) {
+		for (int column = 0; column < CW_COLUMN_COUNT; column++)
+			row->revision[column] = MIN(row->revision[column], table->offset);
+		row->withdrawn_at = MIN(row->withdrawn_at, table->offset);
+	}
+	g_hash_table_iter_init(&iter, table->routing_offsets);
+	while (g_hash_table_iter_next(&iter, NULL, (gpointer *)&changed))
+		*changed = MIN(*changed, table->offset);
+}
+
 static void merge_row(struct cw_table *table, const struct cw_row *from)
 {
 	struct cw_row *row = g_hash_table_lookup(table->by_id, &from->id);
