--- a/apps/corianderwalk/entry_forward.c
+++ b/apps/corianderwalk/entry_forward.c
@@ -6,8 +6,7 @@
  *
  * On the wire: POST /forward/SERVER with the whole request to the server as body. The response has
  * the status and the fields of the server's, and names the server; otherwise it names why there is
- * none, in FAILURE_FIELD. A response that the server breaks off ends with a malformed chunk; any
- * other early end is the forwarding instance's own. Earlier builds end both alike.
+ * none, in FAILURE_FIELD.
  */
 #include "cw_counters.h"
 #include "cw_hash.h"
@@ -381,10 +380,7 @@
 	char fields[64];
 
 	if (forward->is_head_sent) {
-		if (result == CW_FORWARD_BROKEN)
-			cw_caller_abort_malformed(forward->caller);
-		else
-			cw_caller_abort(forward->caller);
+		cw_caller_abort(forward->caller);
 		return;
 	}
 	snprintf(fields, sizeof(fields), FAILURE_FIELD ": %s\r\n", result_names[result]);
--- a/apps/corianderwalk/entry_path.c
+++ b/apps/corianderwalk/entry_path.c
@@ -164,8 +164,6 @@
 
 static void handle_peer_failure(struct relay *relay, enum cw_flow_failure failure)
 {
-	int is_server_lost = failure == CW_FLOW_MALFORMED && relay->is_peer_head_seen;
-
 	switch (failure) {
 	case CW_FLOW_NO_CONNECTION:
 	case CW_FLOW_CONNECTION_REFUSED:
@@ -177,11 +175,9 @@
 		return;
 	case CW_FLOW_CONNECTION_LOST:
 	case CW_FLOW_MALFORMED:
-		/* After the head the server may have broken off, which a peer of an earlier build
-		 * passes on as its own end. */
+		/* After the head the server may have broken off, which the peer passes on. */
 		relay_end_forward(relay, !relay->is_peer_head_seen);
-		report_failure(relay,
-			       is_server_lost ? CW_ATTEMPT_CONNECTION_LOST : CW_ATTEMPT_PEER_LOST);
+		report_failure(relay, CW_ATTEMPT_PEER_LOST);
 		return;
 	}
 }
--- a/packages/flow/include/cw_flow.h
+++ b/packages/flow/include/cw_flow.h
@@ -58,9 +58,6 @@
 void cw_caller_end_answer(struct cw_caller *caller); /* the answer is complete */
 void cw_caller_abort(
 	struct cw_caller *caller); /* closes early: a partial answer can't look complete */
-void cw_caller_abort_malformed(
-	struct cw_caller *caller); /* the same; a client of an answer in chunks reads
-				      CW_FLOW_MALFORMED, else CW_FLOW_CONNECTION_LOST */
 
 struct cw_client;   /* pool of keep-alive connections, per address */
 struct cw_exchange; /* one request and its answer */
--- a/packages/flow/src/listener.c
+++ b/packages/flow/src/listener.c
@@ -3,9 +3,8 @@
 #include <string.h>
 #include <sys/queue.h>
 
-#define SWEEP_INTERVAL_MS    500     /* between two checks of the timeouts of all connections */
-#define MALFORMED_CHUNK	     "x\r\n" /* no size in hexadecimal */
-#define LINGER_TIMEOUT_MS    1000    /* reading goes on: unread bytes would reset the connection */
+#define SWEEP_INTERVAL_MS    500  /* between two checks of the timeouts of all connections */
+#define LINGER_TIMEOUT_MS    1000 /* reading goes on: unread bytes would reset the connection */
 #define PIPELINED_MAX_BYTES  (64 * 1024) /* reading pauses above this until the answer is sent */
 #define DEFAULT_HEADER_BYTES (16 * 1024) /* until cw_listener_set_limits is called */
 #define DEFAULT_BODY_BYTES   (4 * 1024 * 1024)
@@ -252,13 +251,6 @@
 		caller->closes_after_write = 1;
 }
 
-void cw_caller_abort_malformed(struct cw_caller *caller)
-{
-	if (caller->state == CALLER_ANSWERING && caller->is_chunked)
-		g_string_append(caller->out, MALFORMED_CHUNK);
-	cw_caller_abort(caller);
-}
-
 static void on_connection(uv_stream_t *server, int status)
 {
 	struct cw_listener *listener = server->data;
