backlog: absurd numbers refute and hide nothing

Cause: a server that reports 2^32 - 1 queued requests made queued + 1 zero, so all announced work of peers counted as refuted. Announcements of an earlier build carry unbounded numbers; the sum of two can wrap to a small one. Change: the comparison can't wrap; what a peer announces is bounded as it is merged. Result: both new tests fail before the change and pass with it (address sanitizer); test_backlog and test_backlog_replay pass.

--- a/packages/backlog/src/backlog.c
+++ b/packages/backlog/src/backlog.c
@@ -54,7 +54,7 @@
  */
 void cw_backlog_check(struct cw_backlog *backlog, uint32_t queued, double peers_ms, int64_t now_ms)
 {
-	uint32_t excess = unread(backlog) > queued + 1 ? unread(backlog) - queued - 1 : 0;
+	uint32_t excess = unread(backlog) > queued ? unread(backlog) - queued - 1 : 0;
 
 	if (now_ms - backlog->grown_ms < REPORT_DELAY_MS)
 		return;
--- a/packages/backlog/src/peers.c
+++ b/packages/backlog/src/peers.c
@@ -40,6 +40,7 @@
 static void merge_report(struct cw_backlog_peers *peers, struct origin *origin,
 			 const struct cw_backlog_report *report, uint32_t sequence, int64_t now_ms);
 static void clear_unread(struct cw_backlog_peers *peers, struct origin *origin);
+static struct cw_backlog_share bounded(const struct cw_backlog_share *share);
 static struct entry *find_entry(struct origin *origin, uint64_t server);
 static void change_sum(struct cw_backlog_peers *peers, uint64_t server,
 		       const struct cw_backlog_share *before, const struct cw_backlog_share *after);
@@ -214,12 +215,24 @@
 	} else if (entry->sequence > 0 && !is_newer(sequence, entry->sequence)) {
 		return;
 	}
-	change_sum(peers, report->server, &entry->report.share, &report->share);
-	entry->report = *report;
+	added.report.share = bounded(&report->share);
+	change_sum(peers, report->server, &entry->report.share, &added.report.share);
+	entry->report = added.report;
 	entry->sequence = sequence;
 	entry->received_ms = now_ms;
 }
 
+/* An earlier build announces any number, and the sum of a few would begin anew at 0. */
+static struct cw_backlog_share bounded(const struct cw_backlog_share *share)
+{
+	return (struct cw_backlog_share){
+		.running = MIN(share->running, CW_BACKLOG_REQUESTS_MAX),
+		.unread = MIN(share->unread, CW_BACKLOG_REQUESTS_MAX),
+		.unread_ms = MIN(share->unread_ms, CW_BACKLOG_UNREAD_MS_MAX),
+		.tokens = MIN(share->tokens, CW_BACKLOG_TOKENS_MAX),
+	};
+}
+
 /* Prompts at servers that a later message doesn't name have begun: the note on that was lost. */
 static void clear_unread(struct cw_backlog_peers *peers, struct origin *origin)
 {
--- a/tests/unit/test_backlog.c
+++ b/tests/unit/test_backlog.c
@@ -84,6 +84,36 @@
 	assert_true(left_ms(&backlog, 0, 6900, 1100) >= 900);
 }
 
+/* Guards against a server's absurd queue that refutes all prompts of the peers. */
+static void an_absurd_queue_refutes_nothing(void **state)
+{
+	struct cw_backlog backlog = {0};
+	struct cw_backlog_share peers = {.running = 3, .unread = 3, .unread_ms = 600};
+
+	cw_backlog_set_peers(&backlog, &peers, 1000);
+	cw_backlog_check(&backlog, UINT32_MAX, 600, 2000);
+	assert_true(left_ms(&backlog, 0, 600, 1000) == 600);
+}
+
+/* Guards against absurd numbers of two peers of an earlier build whose sum is small again. */
+static void absurd_numbers_of_an_earlier_build_are_bounded(void **state)
+{
+	struct cw_backlog_peers *peers = cw_backlog_peers_create();
+	struct cw_backlog_report report = {.server = 1, .share = {1U << 31, 1, 1U << 31, 0}};
+	struct cw_backlog_message message = {.is_complete = 1, .count = 1, .reports = &report};
+	struct cw_backlog_share sum;
+
+	for (message.instance = 1; message.instance <= 2; message.instance++)
+		assert_int_equal(cw_backlog_peers_merge(peers, &message, 1000), 1);
+	cw_backlog_peers_sum(peers, 1, &sum);
+	assert_int_equal(sum.running, 2 * CW_BACKLOG_REQUESTS_MAX);
+	assert_int_equal(sum.unread_ms, 2 * CW_BACKLOG_UNREAD_MS_MAX);
+	cw_backlog_peers_expire(peers, 2000);
+	cw_backlog_peers_sum(peers, 1, &sum);
+	assert_int_equal(sum.running + sum.unread + sum.unread_ms, 0);
+	cw_backlog_peers_destroy(peers);
+}
+
 /* A peer whose state changes at random, and the messages that it has sent. */
 struct sender {
 	struct cw_backlog_share shares[SERVERS];
@@ -342,6 +372,8 @@
 		cmocka_unit_test(a_later_note_makes_up_for_a_lost_one),
 		cmocka_unit_test(shares_end_with_silence_and_restart),
 		cmocka_unit_test(announcements_of_an_earlier_build_replace_each_other),
+		cmocka_unit_test(an_absurd_queue_refutes_nothing),
+		cmocka_unit_test(absurd_numbers_of_an_earlier_build_are_bounded),
 		cmocka_unit_test(no_server_is_past_its_memory_while_another_has_room),
 		cmocka_unit_test(a_short_prompt_is_not_sent_behind_a_long_one),
 	};
