gate: later work of peers in the time of the server

Cause: work of peers is in ms of the usual server, and was added as it is to the expected time of a slow one. A good version behind peers' prompts there counted as slow, and on a quick server a bad one was excused. Change: it is multiplied by the pace, without the part that a version on trial may have caused. Result: the new test fails before the change and passes with it (address sanitizer); test_gate, test_rollout and test_rollout_slow pass.

--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -210,7 +210,8 @@
 {
 	if (call->info.segment_count == 0)
 		return 0;
-	return MAX(cw_pool_recent_peers_work_ms(call->server, now_ms) - call->peers_work_ms, 0);
+	return MAX(cw_pool_recent_peers_work_ms(call->server, now_ms) - call->peers_work_ms, 0) *
+	       cw_pool_pace(call->server, now_ms) / unproved_pace(call, now_ms);
 }
 
 void call_work_record_event(struct cw_call *call, int64_t now_ms)
--- a/tests/unit/test_gate_pace.c
+++ b/tests/unit/test_gate_pace.c
@@ -95,6 +95,37 @@
 	fixture_close(&fixture);
 }
 
+/* Is an answer slow that begins so long after what is usual for 100 ms of later work of peers? */
+static int is_slow_behind_peers(double more_ms)
+{
+	struct fixture fixture;
+	struct cw_server *server;
+	int64_t head_ms;
+	int is_slow;
+
+	fixture_open(&fixture);
+	TAILQ_FOREACH(server, cw_pool_servers(cw_gate_pool(fixture.gate)), link)
+		cw_pool_report_pace(server, 4, START_MS);
+	open_prompt(&fixture, START_MS);
+	/* Four times the predicted time, 40 ms of margin, and 100 ms of work at a pace of 4. */
+	head_ms = (int64_t)(4 * (cw_call_predicted_ms(fixture.call) + 40 + 4 * 100) + more_ms);
+	server = cw_call_server(fixture.call);
+	server->peers_work_ms = 100;
+	cw_pool_record_peers_work(server, START_MS + head_ms);
+	cw_pool_report_pace(server, 4, START_MS + head_ms);
+	run(&fixture, (double)head_ms, GAP_MS, 0, START_MS);
+	is_slow = fixture.step.is_slow;
+	fixture_close(&fixture);
+	return is_slow;
+}
+
+/* Guards against a good version that is rolled back for prompts of peers before a slow server. */
+static void later_work_of_peers_takes_longer_at_a_slow_server(void **state)
+{
+	assert_false(is_slow_behind_peers(-20));
+	assert_true(is_slow_behind_peers(20));
+}
+
 /* Guards against a bad version whose slowness counts as its servers' speed, now or from before. */
 static void a_version_on_trial_teaches_no_speed(void **state)
 {
@@ -128,6 +159,7 @@
 		cmocka_unit_test(speeds_make_predictions_hold),
 		cmocka_unit_test(a_slow_server_is_no_slow_version),
 		cmocka_unit_test(a_version_on_trial_teaches_no_speed),
+		cmocka_unit_test(later_work_of_peers_takes_longer_at_a_slow_server),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
