gate: expected silence in the time of the server

Cause: prompts known at a server were added in ms of the usual server, so a slow one was probed before its silence was longer than they explain. Change: they are multiplied by its pace. Result: the new test fails before the change and passes with it (address sanitizer); test_reuse passes.

--- a/packages/gate/src/call_silence.c
+++ b/packages/gate/src/call_silence.c
@@ -8,14 +8,16 @@
 {
 	const struct cw_server *server = call->server;
 	double peers_work_ms = cw_pool_recent_peers_work_ms(server, now_ms);
+	double pace = cw_pool_pace(server, now_ms);
 	double predicted_ms;
 
 	if (call->is_head_seen)
-		predicted_ms = gate_get_timing(call->gate, cw_call_model(call))->event_gap_ms *
-				       cw_pool_pace(server, now_ms) +
-			       server->own_work_ms + peers_work_ms;
+		predicted_ms =
+			pace * (gate_get_timing(call->gate, cw_call_model(call))->event_gap_ms +
+				server->own_work_ms + peers_work_ms);
 	else
-		predicted_ms = call->predicted_ms + MAX(peers_work_ms - call->peers_work_ms, 0) -
+		predicted_ms = call->predicted_ms +
+			       pace * MAX(peers_work_ms - call->peers_work_ms, 0) -
 			       (double)(since_ms - call->sent_ms);
 	return (int64_t)MAX(predicted_ms, 0);
 }
--- a/tests/unit/test_reuse.c
+++ b/tests/unit/test_reuse.c
@@ -80,6 +80,31 @@
 	fixture_close(&fixture);
 }
 
+/* Guards against probes of a slow server, which is silent for longer behind the same prompts. */
+static void test_silence_behind_prompts_lasts_longer_at_a_slow_server(void **state)
+{
+	struct cw_response_head head = {.status = 200, .is_signed = 1, .confidence = 100};
+	struct fixture fixture;
+	struct cw_server *server;
+
+	fixture_open(&fixture);
+	fixture.info.prompt_tokens = 100000;
+	fixture.info.segment_count = 1;
+	fixture_open_call(&fixture, "/chat/1");
+	server = cw_call_server(fixture.call);
+	cw_pool_report_pace(server, 3, NOW);
+	server->peers_work_ms = 100;
+	cw_pool_record_peers_work(server, NOW);
+	assert_int_equal(cw_call_silence_ms(fixture.call, NOW, NOW),
+			 (int64_t)(cw_call_predicted_ms(fixture.call) + 300));
+	server->peers_work_ms = server->peers_work_peak_ms = 0;
+	cw_call_handle_head(fixture.call, &head, NOW + 500, &fixture.step);
+	cw_pool_report_pace(server, 3, NOW + 500);
+	server->own_work_ms = 350;
+	assert_int_equal(cw_call_silence_ms(fixture.call, NOW + 500, NOW + 500), 1050);
+	fixture_close(&fixture);
+}
+
 static int has_idle(void *context, const char *address, int64_t reuse_idle_ms)
 {
 	return reuse_idle_ms == 10000 && !strcmp(address, context);
@@ -136,6 +161,7 @@
 		cmocka_unit_test(test_unexplained_silence_is_probed_after_quiet_ms),
 		cmocka_unit_test(test_silence_is_probed_as_before_when_off),
 		cmocka_unit_test(test_silence_of_a_call_follows_its_prediction),
+		cmocka_unit_test(test_silence_behind_prompts_lasts_longer_at_a_slow_server),
 		cmocka_unit_test(test_idle_connection_decides_between_equal_servers_only),
 	};
 
