backlog: what a note read late leaves expires

Cause: a note counts from when it was sent, a round from when it is read. After a freeze of this instance a late note set the time of its peer back, the peer expired before its entries, and what they had added to the sums stayed there: requests, work and tokens of servers counted until the next start. Change: the time of a peer doesn't go back, and a peer with entries is kept. Result: the new test fails before the change and passes with it; test_backlog and test_backlog_replay pass (address sanitizer).

--- a/packages/backlog/src/peers.c
+++ b/packages/backlog/src/peers.c
@@ -74,7 +74,7 @@
 	if (origin->sequence > 0 &&
 	    (message->sequence == 0 || !is_newer(message->sequence, origin->sequence)))
 		return 0;
-	origin->received_ms = now_ms;
+	origin->received_ms = MAX(origin->received_ms, now_ms);
 	if (message->is_complete) {
 		origin->sequence = message->sequence;
 		clear(peers, origin, message->sequence);
@@ -97,7 +97,7 @@
 		struct origin *origin = value;
 
 		expire_entries(peers, origin, before_ms);
-		if (origin->received_ms < before_ms)
+		if (origin->received_ms < before_ms && origin->entries->len == 0)
 			g_hash_table_iter_remove(&iter);
 	}
 }
--- a/tests/unit/test_backlog.c
+++ b/tests/unit/test_backlog.c
@@ -114,6 +114,35 @@
 	cw_backlog_peers_destroy(peers);
 }
 
+/* Guards against requests that count for ever, as a note from before a freeze is read last. */
+static void what_a_late_note_leaves_expires(void **state)
+{
+	struct cw_backlog_peers *peers = cw_backlog_peers_create();
+	struct cw_backlog_report report = {.server = 1, .share = {3, 1, 400, 9000}};
+	struct cw_backlog_message message = {.instance = 5,
+					     .boot = 1,
+					     .sequence = 1,
+					     .is_complete = 1,
+					     .count = 1,
+					     .reports = &report};
+	struct cw_backlog_share sum;
+
+	cw_backlog_peers_merge(peers, &message, 3000);
+	report.server = 2;
+	message.sequence = 2;
+	message.is_complete = 0;
+	cw_backlog_peers_merge(peers, &message, 1000);
+	cw_backlog_peers_expire(peers, 2000);
+	cw_backlog_peers_sum(peers, 1, &sum);
+	assert_int_equal(sum.running, 3);
+	cw_backlog_peers_expire(peers, 4000);
+	for (uint64_t server = 1; server <= 2; server++) {
+		cw_backlog_peers_sum(peers, server, &sum);
+		assert_int_equal(sum.running + sum.unread + sum.unread_ms + sum.tokens, 0);
+	}
+	cw_backlog_peers_destroy(peers);
+}
+
 /* A peer whose state changes at random, and the messages that it has sent. */
 struct sender {
 	struct cw_backlog_share shares[SERVERS];
@@ -373,6 +402,7 @@
 		cmocka_unit_test(shares_end_with_silence_and_restart),
 		cmocka_unit_test(announcements_of_an_earlier_build_replace_each_other),
 		cmocka_unit_test(an_absurd_queue_refutes_nothing),
+		cmocka_unit_test(what_a_late_note_leaves_expires),
 		cmocka_unit_test(absurd_numbers_of_an_earlier_build_are_bounded),
 		cmocka_unit_test(no_server_is_past_its_memory_while_another_has_room),
 		cmocka_unit_test(a_short_prompt_is_not_sent_behind_a_long_one),
