backlog: a trimmed round counts what runs, and hides nothing

Cause: over 12 others, a peer gets trimmed rounds many times as often as full ones. Once a full one was merged, trimmed ones were dropped, so the running counts of peers were those of the last full round, up to 2 s old, or none. After notes alone a trimmed one replaced them: the tokens and long prompts that they had named counted no more. Change: beside numbered messages of the same start, a trimmed one sets the running counts only. Result: the new test fails before the change and passes with it; test_backlog, test_backlog_replay, test_gossip, test_gossip_backlogs, test_many pass.

--- a/packages/backlog/include/cw_backlog_peers.h
+++ b/packages/backlog/include/cw_backlog_peers.h
@@ -21,8 +21,8 @@
 struct cw_backlog_message {
 	uint64_t instance;
 	uint64_t boot;	   /* drawn at each start of the peer */
-	uint32_t sequence; /* grows with each message of a start; 0: of an earlier build, or trimmed
-			      and of no use beside others */
+	uint32_t sequence; /* grows with each message of a start; 0: of an earlier build, or
+			      trimmed: beside others of the start, only running counts of it */
 	int is_complete;   /* names all servers at which the peer has requests */
 	int names_unread;  /* names all servers at which it has unread prompts */
 	size_t count;
--- a/packages/backlog/src/peers.c
+++ b/packages/backlog/src/peers.c
@@ -15,6 +15,7 @@
 	uint64_t boot;
 	uint32_t sequence;	  /* of the newest complete message; 0: none yet */
 	uint32_t unread_sequence; /* of the newest one that names all unread prompts */
+	int is_numbered;	  /* a message with a sequence number was merged */
 	int64_t received_ms;
 	GArray *entries; /* of struct entry */
 };
@@ -39,6 +40,8 @@
 static void remove_entry(struct cw_backlog_peers *peers, struct origin *origin, guint index);
 static void merge_report(struct cw_backlog_peers *peers, struct origin *origin,
 			 const struct cw_backlog_report *report, uint32_t sequence, int64_t now_ms);
+static void merge_running(struct cw_backlog_peers *peers, struct origin *origin,
+			  const struct cw_backlog_message *message, int64_t now_ms);
 static void clear_unread(struct cw_backlog_peers *peers, struct origin *origin);
 static struct cw_backlog_share bounded(const struct cw_backlog_share *share);
 static struct entry *find_entry(struct origin *origin, uint64_t server);
@@ -71,9 +74,13 @@
 
 	if (!origin)
 		return 0;
-	if (origin->sequence > 0 &&
-	    (message->sequence == 0 || !is_newer(message->sequence, origin->sequence)))
+	if (origin->is_numbered && message->sequence == 0) {
+		merge_running(peers, origin, message, now_ms);
 		return 0;
+	}
+	if (origin->sequence > 0 && !is_newer(message->sequence, origin->sequence))
+		return 0;
+	origin->is_numbered = message->sequence > 0;
 	origin->received_ms = MAX(origin->received_ms, now_ms);
 	if (message->is_complete) {
 		origin->sequence = message->sequence;
@@ -173,6 +180,7 @@
 	clear(peers, origin, 0);
 	origin->boot = message->boot;
 	origin->sequence = origin->unread_sequence = 0;
+	origin->is_numbered = 0;
 	return origin;
 }
 
@@ -233,6 +241,38 @@
 	};
 }
 
+/*
+ * A trimmed message names all servers at which the peer has requests, but neither their tokens nor
+ * which prompts are long. With hundreds of instances it comes more often than a full one.
+ */
+static void merge_running(struct cw_backlog_peers *peers, struct origin *origin,
+			  const struct cw_backlog_message *message, int64_t now_ms)
+{
+	for (guint i = 0; i < origin->entries->len; i++) {
+		struct entry *entry = &g_array_index(origin->entries, struct entry, i);
+		struct cw_backlog_share share = entry->report.share;
+
+		share.running = 0;
+		change_sum(peers, entry->report.server, &entry->report.share, &share);
+		entry->report.share = share;
+	}
+	for (size_t i = 0; i < message->count; i++) {
+		struct cw_backlog_report report = {.server = message->reports[i].server};
+		struct entry *entry = find_entry(origin, report.server);
+
+		if (entry)
+			report.share = entry->report.share;
+		report.share.running = message->reports[i].share.running;
+		if (!entry || entry->sequence == 0) {
+			merge_report(peers, origin, &report, 0, now_ms);
+			continue;
+		}
+		report.share = bounded(&report.share);
+		change_sum(peers, report.server, &entry->report.share, &report.share);
+		entry->report = report;
+	}
+}
+
 /* Prompts at servers that a later message doesn't name have begun: the note on that was lost. */
 static void clear_unread(struct cw_backlog_peers *peers, struct origin *origin)
 {
--- a/tests/unit/test_backlog.c
+++ b/tests/unit/test_backlog.c
@@ -143,6 +143,42 @@
 	cw_backlog_peers_destroy(peers);
 }
 
+/* Guards against requests and tokens that a trimmed message hides, or keeps as they were. */
+static void a_trimmed_message_changes_running_requests_only(void **state)
+{
+	struct cw_backlog_peers *peers = cw_backlog_peers_create();
+	struct cw_backlog_report reports[] = {{1, {3, 1, 400, 9000}}, {2, {2, 1, 100, 0}}};
+	struct cw_backlog_message note = {
+		.instance = 5, .boot = 1, .sequence = 4, .count = 1, .reports = reports};
+	struct cw_backlog_message trimmed = {
+		.instance = 5, .boot = 1, .is_complete = 1, .count = 2, .reports = reports};
+	struct cw_backlog_share sum;
+
+	cw_backlog_peers_merge(peers, &note, 1000);
+	reports[0].share = (struct cw_backlog_share){7, 1, 10, 0};
+	cw_backlog_peers_merge(peers, &trimmed, 1100);
+	cw_backlog_peers_sum(peers, 1, &sum);
+	assert_memory_equal(&sum, (&(struct cw_backlog_share){7, 1, 400, 9000}), sizeof(sum));
+	cw_backlog_peers_sum(peers, 2, &sum);
+	assert_memory_equal(&sum, (&(struct cw_backlog_share){2, 0, 0, 0}), sizeof(sum));
+	trimmed.count = 0;
+	cw_backlog_peers_merge(peers, &trimmed, 1200);
+	cw_backlog_peers_sum(peers, 1, &sum);
+	assert_memory_equal(&sum, (&(struct cw_backlog_share){0, 1, 400, 9000}), sizeof(sum));
+	/* A full message replaces it, and what was known only by trimmed ones. */
+	note.is_complete = 1;
+	note.sequence = 5;
+	cw_backlog_peers_merge(peers, &note, 1300);
+	cw_backlog_peers_sum(peers, 1, &sum);
+	assert_int_equal(sum.running, 7);
+	cw_backlog_peers_expire(peers, 4000);
+	for (uint64_t server = 1; server <= 2; server++) {
+		cw_backlog_peers_sum(peers, server, &sum);
+		assert_int_equal(sum.running + sum.unread + sum.unread_ms + sum.tokens, 0);
+	}
+	cw_backlog_peers_destroy(peers);
+}
+
 /* A peer whose state changes at random, and the messages that it has sent. */
 struct sender {
 	struct cw_backlog_share shares[SERVERS];
@@ -403,6 +439,7 @@
 		cmocka_unit_test(announcements_of_an_earlier_build_replace_each_other),
 		cmocka_unit_test(an_absurd_queue_refutes_nothing),
 		cmocka_unit_test(what_a_late_note_leaves_expires),
+		cmocka_unit_test(a_trimmed_message_changes_running_requests_only),
 		cmocka_unit_test(absurd_numbers_of_an_earlier_build_are_bounded),
 		cmocka_unit_test(no_server_is_past_its_memory_while_another_has_room),
 		cmocka_unit_test(a_short_prompt_is_not_sent_behind_a_long_one),
