--- a/apps/corianderwalk/entry_kept.c
+++ b/apps/corianderwalk/entry_kept.c
@@ -65,6 +65,7 @@
 	relay->http_status = HTTP_STATUS_OK;
 	relay->is_stream = 1;
 	g_string_assign(relay->response_fields, kept->fields->str);
+	g_string_truncate(relay->response_body, 0);
 	if (relay->event_parser)
 		cw_events_clear(relay->event_parser);
 	else
