gate: only an answer of status 200 is kept

Cause: a stream of another successful status was kept and delivered as 200; the instance forwards only streams of 200 event by event. Change: call_kept_may_begin() asks for 200. Measured: an_answer_of_another_status_is_not_kept fails without the change and passes with it (test_call_kept, address sanitizer).

--- a/packages/gate/src/call_kept.c
+++ b/packages/gate/src/call_kept.c
@@ -14,8 +14,8 @@
 #define PATIENCE_MIN_MS	      2000 /* a caller waits so long at least for a first event, */
 #define PATIENCE_OBJECTIVES   4	   /* or the route's objective times this, */
 #define PATIENCE_PAUSES	      8	   /* or the route's pause times this */
-#define SUCCESS_MAX_STATUS    299
-#define EXCHANGE_TIME_LEFT_MS 20 /* too short for another attempt */
+#define STATUS_OK	      200  /* the only status of a stream that is forwarded by events */
+#define EXCHANGE_TIME_LEFT_MS 20   /* too short for another attempt */
 
 static int64_t due_ms(const struct cw_call *call, int confidence);
 static int64_t latest_start_ms(const struct cw_call *call);
@@ -82,7 +82,7 @@
 {
 	return call->gate->policy->keep_answer > 0 && call->service &&
 	       call->service->tokens_per_event > 0 && answer->is_event_stream &&
-	       answer->status <= SUCCESS_MAX_STATUS && !call->is_resumed && !call->is_via_peer;
+	       answer->status == STATUS_OK && !call->is_resumed && !call->is_via_peer;
 }
 
 int call_kept_is_too_late(const struct cw_call *call, int confidence, int64_t now_ms)
--- a/tests/unit/test_call_kept.c
+++ b/tests/unit/test_call_kept.c
@@ -211,6 +211,22 @@
 	fixture_close(&fixture);
 }
 
+/* Guards against a stream of a status other than 200 that is delivered as one of 200. */
+static void an_answer_of_another_status_is_not_kept(void **state)
+{
+	struct cw_response_head head = stream_head(30);
+	struct fixture fixture;
+
+	open_fixture(&fixture);
+	fixture_open_call(&fixture, "/chat/x");
+	head.status = 206;
+	cw_call_handle_head(fixture.call, &head, FIXTURE_NOW_MS + 10, &fixture.step);
+	assert_int_equal(fixture.step.kind, CW_STEP_SEND);
+	assert_false(fixture.step.keeps_answer);
+	assert_int_equal(count_running(&fixture), 1);
+	fixture_close(&fixture);
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -222,6 +238,7 @@
 		cmocka_unit_test(a_complete_answer_outlasts_its_request),
 		cmocka_unit_test(both_runs_end_with_the_request),
 		cmocka_unit_test(an_answer_is_kept_only_while_it_can_serve),
+		cmocka_unit_test(an_answer_of_another_status_is_not_kept),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
