gate: a kept answer excuses no crash of the other run

Cause: a complete kept answer counted as an answer of the request, and only crashes after the newest answer count. A request that crashes each server of the largest model was never quarantined, as the small model's answer is whole. Before answers were kept, an escalated small answer never counted. Change: an answer doesn't count while another run of its request goes on, or after one ended without an answer beside it. A rejected or unsent run is none. Measured: a_kept_answer_excuses_no_crash_of_the_other_run fails without the change and passes with it; test_gate*, test_quarantine, test_users and users_kept pass under the address sanitizer.

--- a/packages/gate/src/call_attempt.c
+++ b/packages/gate/src/call_attempt.c
@@ -60,10 +60,11 @@
 	cw_pool_record_end(server, now_ms, is_answered ? (double)(now_ms - call->sent_ms) : -1);
 }
 
+/* An answer shows that the request crashes no server only if no other run of it may have. */
 void call_complete_attempt(struct cw_call *call, int64_t now_ms)
 {
 	call_work_record_completion(call, now_ms);
-	if (call->is_resumed)
+	if (call->is_resumed || call->has_other_run)
 		call_record_incomplete(call, call->server, now_ms);
 	else
 		cw_quarantine_note_answer(call->gate->quarantine, call->fingerprint,
@@ -76,6 +77,8 @@
 void call_fail_attempt(struct cw_call *call, enum cw_attempt_failure how, int64_t now_ms)
 {
 	call->may_have_run = 1;
+	if (call->kept.is_held)
+		call->kept.run.has_other_run = 1;
 	if (how == CW_ATTEMPT_CONNECTION_LOST)
 		call_record_crash(call, now_ms);
 	else
--- a/packages/gate/src/call_kept.c
+++ b/packages/gate/src/call_kept.c
@@ -53,6 +53,7 @@
 		return;
 	exchange_runs(call);
 	call->events_forwarded = events;
+	call->has_other_run |= call->kept.run.server != NULL;
 	call_complete_attempt(call, now_ms);
 	exchange_runs(call);
 	call->kept.is_complete = 1;
@@ -62,10 +63,10 @@
 {
 	if (!call->kept.is_held)
 		return;
+	call->kept.is_held = 0;
 	exchange_runs(call);
 	call_fail_attempt(call, how, now_ms);
 	exchange_runs(call);
-	call->kept.is_held = 0;
 }
 
 void cw_call_drop_kept(struct cw_call *call, int64_t now_ms)
@@ -105,6 +106,7 @@
 	call->server = NULL;
 	call->work_ms = 0;
 	call->held_tokens = 0;
+	call->has_other_run = 0;
 }
 
 void call_kept_take_back(struct cw_call *call)
@@ -134,6 +136,7 @@
 {
 	if (!call->kept.is_held || call->has_forwarded)
 		return 0;
+	call->kept.run.has_other_run |= call->server != NULL;
 	if (call->server)
 		call_abandon_attempt(call, now_ms);
 	load_run(call, &call->kept.run);
@@ -222,6 +225,7 @@
 		.held_tokens = call->held_tokens,
 		.events_forwarded = call->events_forwarded,
 		.has_no_event_times = call->has_no_event_times,
+		.has_other_run = call->has_other_run,
 		.is_via_peer = call->is_via_peer,
 		.is_head_seen = call->is_head_seen,
 		.server_was_loaded = call->server_was_loaded,
@@ -239,6 +243,7 @@
 	call->held_tokens = run->held_tokens;
 	call->events_forwarded = run->events_forwarded;
 	call->has_no_event_times = run->has_no_event_times;
+	call->has_other_run = run->has_other_run;
 	call->is_via_peer = run->is_via_peer;
 	call->is_head_seen = run->is_head_seen;
 	call->server_was_loaded = run->server_was_loaded;
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -87,6 +87,7 @@
 	double held_tokens;
 	unsigned int events_forwarded; /* received, while the answer is kept */
 	int has_no_event_times;
+	int has_other_run;
 	int is_via_peer;
 	int is_head_seen;
 	int server_was_loaded;
@@ -150,6 +151,7 @@
 	int64_t event_ms;	       /* of the newest event */
 	uint16_t gaps_ms[GATE_GAPS];   /* the newest ones between its events; a ring */
 	int has_no_event_times;	       /* the answer was kept: its events came at once */
+	int has_other_run; /* beside the current one, and it has not answered: it may yet crash */
 	struct gate_kept kept;
 };
 
--- a/tests/unit/test_call_kept.c
+++ b/tests/unit/test_call_kept.c
@@ -227,6 +227,52 @@
 	fixture_close(&fixture);
 }
 
+/* The largest model's server crashes under the request, and the kept answer is whole. */
+static void crash_largest(struct fixture *fixture, int is_whole_before, int64_t now_ms)
+{
+	struct cw_quarantine *quarantine = cw_gate_quarantine(fixture->gate);
+	struct cw_response_head head = stream_head(30);
+	uint64_t server;
+
+	cw_call_close(fixture->call, now_ms);
+	fixture->call = cw_call_open(fixture->gate, &fixture->info, now_ms, now_ms, &fixture->step);
+	cw_call_handle_head(fixture->call, &head, now_ms + 10, &fixture->step);
+	assert_true(fixture->step.keeps_answer);
+	server = fixture->step.server->id;
+	if (is_whole_before)
+		cw_call_complete_kept(fixture->call, 6, now_ms + 40);
+	cw_call_handle_failure(fixture->call, CW_ATTEMPT_CONNECTION_LOST, now_ms + 50,
+			       &fixture->step);
+	cw_quarantine_note_unreachable(quarantine, server, now_ms + 50);
+	cw_quarantine_tick(quarantine, now_ms + 50);
+	assert_int_equal(fixture->step.kind, CW_STEP_FORWARD_KEPT);
+	cw_call_add_event(fixture->call, 1, now_ms + 50);
+	cw_call_complete(fixture->call, now_ms + 90);
+	for (int64_t at_ms = now_ms + 100; at_ms < now_ms + 2000; at_ms += 100)
+		cw_quarantine_tick(quarantine, at_ms);
+}
+
+/* Guards against a request that crashes each server of the largest model and is never known. */
+static void a_kept_answer_excuses_no_crash_of_the_other_run(void **state)
+{
+	static const char *const names[] = {"e3", "e4", "e5", "e6", "e7", "e8"};
+
+	for (int is_whole_before = 0; is_whole_before < 2; is_whole_before++) {
+		struct fixture fixture;
+
+		open_fixture(&fixture);
+		fixture.info.path = "/chat/x";
+		fixture.info.body = 77;
+		for (size_t i = 0; i < G_N_ELEMENTS(names); i++)
+			fixture_add_server(&fixture, names[i], "llm", "v1");
+		for (int i = 0; i < 3; i++)
+			crash_largest(&fixture, is_whole_before, FIXTURE_NOW_MS + i * 2000);
+		assert_true(cw_quarantine_contains(cw_gate_quarantine(fixture.gate),
+						   cw_call_fingerprint(fixture.call)));
+		fixture_close(&fixture);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -239,6 +285,7 @@
 		cmocka_unit_test(both_runs_end_with_the_request),
 		cmocka_unit_test(an_answer_is_kept_only_while_it_can_serve),
 		cmocka_unit_test(an_answer_of_another_status_is_not_kept),
+		cmocka_unit_test(a_kept_answer_excuses_no_crash_of_the_other_run),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
