--- a/packages/gate/src/gate.c
+++ b/packages/gate/src/gate.c
@@ -179,20 +179,20 @@
  * are rejected for 8 s. So there is less room for them as slots are taken, before any request is
  * rejected; in a smaller burst that lowers the share of rejected callers from 0.049 to none.
  */
-double gate_slot_headroom(struct cw_gate *gate, const char *service, int64_t now_ms)
+double gate_slot_scarcity(struct cw_gate *gate, const char *service, int64_t now_ms)
 {
 	const struct cw_policy *policy = gate->policy;
 	double taken = gate_slot_occupancy(gate, service, now_ms);
 	double span = policy->escalate_none_taken - policy->escalate_less_taken;
 
-	return 1 - CLAMP((taken - policy->escalate_less_taken) / MAX(span, 0.01), 0, 1);
+	return (taken - policy->escalate_less_taken) / MAX(span, 0.01);
 }
 
 /* The part of all demand that there is room for: escalations first, then what servers accept. */
 double cw_gate_room(struct cw_gate *gate, const char *service, int64_t now_ms)
 {
 	double rejected = gate_rejected_fraction(gate, service, now_ms);
-	double headroom = gate_slot_headroom(gate, service, now_ms);
+	double headroom = 1 - CLAMP(gate_slot_scarcity(gate, service, now_ms), 0, 1);
 
 	return rejected > gate->policy->full_part ? MIN(headroom, 1 - rejected) : headroom;
 }
