--- a/packages/gate/src/call_kept.c
+++ b/packages/gate/src/call_kept.c
@@ -14,8 +14,8 @@
 #define PATIENCE_MIN_MS	    2000 /* a caller waits so long at least for a first event, */
 #define PATIENCE_OBJECTIVES 4	 /* or the route's objective times this, */
 #define PATIENCE_PAUSES	    8	 /* or the route's pause times this */
-#define SUCCESS_MAX_STATUS  299
-#define TIME_LEFT_MIN_MS    20 /* too short for another attempt */
+#define STATUS_OK	    200	 /* the only status of a stream that is forwarded by events */
+#define TIME_LEFT_MIN_MS    20	 /* too short for another attempt */
 
 static int64_t due_ms(const struct cw_call *call, int confidence);
 static int64_t latest_start_ms(const struct cw_call *call);
@@ -53,6 +53,7 @@
 		return;
 	exchange_runs(call);
 	call->events_forwarded = events;
+	call->has_other_run |= call->kept.run.server != NULL;
 	call_complete_attempt(call, now_ms);
 	exchange_runs(call);
 	call->kept.is_complete = 1;
@@ -62,10 +63,10 @@
 {
 	if (!call->kept.is_held)
 		return;
+	call->kept.is_held = 0;
 	exchange_runs(call);
 	call_fail_attempt(call, how, now_ms);
 	exchange_runs(call);
-	call->kept.is_held = 0;
 }
 
 void cw_call_drop_kept(struct cw_call *call, int64_t now_ms)
@@ -82,7 +83,7 @@
 {
 	return call->gate->policy->keep_answer > 0 && call->service &&
 	       call->service->tokens_per_event > 0 && answer->is_event_stream &&
-	       answer->status <= SUCCESS_MAX_STATUS && !call->is_resumed && !call->is_via_peer;
+	       answer->status == STATUS_OK && !call->is_resumed && !call->is_via_peer;
 }
 
 int call_kept_is_too_late(const struct cw_call *call, int confidence, int64_t now_ms)
@@ -105,6 +106,7 @@
 	call->server = NULL;
 	call->work_ms = 0;
 	call->held_tokens = 0;
+	call->has_other_run = 0;
 }
 
 void call_kept_take_back(struct cw_call *call)
@@ -134,6 +136,7 @@
 {
 	if (!call->kept.is_held || call->has_forwarded)
 		return 0;
+	call->kept.run.has_other_run |= call->server != NULL;
 	if (call->server)
 		call_abandon_attempt(call, now_ms);
 	load_run(call, &call->kept.run);
@@ -222,6 +225,7 @@
 		.held_tokens = call->held_tokens,
 		.events_forwarded = call->events_forwarded,
 		.has_no_event_times = call->has_no_event_times,
+		.has_other_run = call->has_other_run,
 		.is_via_peer = call->is_via_peer,
 		.is_head_seen = call->is_head_seen,
 		.server_was_loaded = call->server_was_loaded,
@@ -239,6 +243,7 @@
 	call->held_tokens = run->held_tokens;
 	call->events_forwarded = run->events_forwarded;
 	call->has_no_event_times = run->has_no_event_times;
+	call->has_other_run = run->has_other_run;
 	call->is_via_peer = run->is_via_peer;
 	call->is_head_seen = run->is_head_seen;
 	call->server_was_loaded = run->server_was_loaded;
