--- a/tests/unit/test_gate_share.c
+++ b/tests/unit/test_gate_share.c
@@ -35,7 +35,7 @@
 	enum cw_step_kind kind;
 
 	cw_call_close(fixture->call, now_ms);
-	strcpy(fixture->info.key, key);
+	g_strlcpy(fixture->info.key, key, sizeof(fixture->info.key));
 	fixture->info.path = "/chat/x";
 	fixture->call = cw_call_open(fixture->gate, &fixture->info, now_ms, now_ms, &fixture->step);
 	if (fixture->step.kind != CW_STEP_SEND)
@@ -93,7 +93,7 @@
 static int urgency_of(struct fixture *fixture, const char *key, int64_t now_ms)
 {
 	cw_call_close(fixture->call, now_ms);
-	strcpy(fixture->info.key, key);
+	g_strlcpy(fixture->info.key, key, sizeof(fixture->info.key));
 	fixture->call = cw_call_open(fixture->gate, &fixture->info, now_ms, now_ms, &fixture->step);
 	return fixture->step.dispatch.urgency;
 }
