--- a/packages/gossip/src/backlogs.c
+++ b/packages/gossip/src/backlogs.c
@@ -1,8 +1,6 @@
 #include "cw_gossip_backlogs.h"
 #include "gossip_internal.h"
 
-#include <string.h>
-
 #define BACKLOGS_MAGIC 0x6377303e /* identifies the layout below; other values are rejected */
 
 static bool_t code(XDR *xdr, void *target);
--- a/packages/gossip/src/shares.c
+++ b/packages/gossip/src/shares.c
@@ -2,7 +2,6 @@
 #include "gossip_internal.h"
 
 #include <math.h>
-#include <string.h>
 
 #define SHARES_MAGIC 0x63777368 /* identifies the layout below; other values are rejected */
 
