backlog: notes of prompts from 100 ms on

Change: note_min_ms 100 in place of 25: a shorter prompt delays others by less than a tenth of the shortest objective of engines.

--- a/packages/policy/src/policy.c
+++ b/packages/policy/src/policy.c
@@ -57,7 +57,7 @@
 	      "a backlog estimate that outlives the work"),
 	FIELD(unread_counted, "0 or 1", 1, 0, 1, 0,
 	      "prompts sent behind others that a slow engine has not begun"),
-	FIELD(note_min_ms, "ms of work", 25, 0, 1e9, 1e9,
+	FIELD(note_min_ms, "ms of work", 100, 0, 1e9, 1e9,
 	      "prompts that other instances send behind a long one between two rounds of gossip"),
 	FIELD(memory_part, "of the capacity", 1, 0, 1, 0, "requests preempted in full engines"),
 	FIELD(breaker_failures, "answers", 3, 1, 1e6, 1e6, "requests to a failing server"),
