--- a/review/1/case.c
+++ b/review/1/case.c
@@ -12,7 +12,8 @@
 #include <unistd.h>
 
 #define CALLERS		      4
-#define REQUESTS	      500 /* of each caller */
+#define REQUESTS	      2000 /* of each caller */
+#define PAUSE_MS	      3	   /* of a caller, after an answer */
 #define WARM_CALLERS	      24 /* at the other instance, which so has connections to the runner */
 #define RUNNERS		      2
 #define TWICE_OF_100	      3	  /* answers of the first runner that come twice */
@@ -212,6 +213,7 @@
 			fd = lab_connect(front, 0);
 			lab_reader_open(reader, fd);
 		}
+		lab_sleep_ms(PAUSE_MS);
 	}
 	free(reader);
 	count(&callers_ended, 1);
