--- a/review/standins-2/lib.sh
+++ b/review/standins-2/lib.sh
@@ -68,7 +68,7 @@
 	put keyed.op config "{\"version\":$1,\"routes\":[
 	{\"name\":\"chat\",\"host\":\"h\",\"path_prefix\":\"/chat/\",\"route_kind\":\"streaming\",\"timeout_ms\":25000,\"target_latency_ms\":3000,\"target_gap_ms\":1000,\"priority\":1,\"service\":\"llm\",\"max_attempts\":3,\"public\":false,\"sticky\":true,\"resumable\":${RESUMABLE:-false},\"sizes\":[\"m0\",\"m1\",\"m2\"]},
 	{\"name\":\"order\",\"host\":\"h\",\"path_prefix\":\"/order/\",\"route_kind\":\"non_idempotent\",\"timeout_ms\":25000,\"target_latency_ms\":300,\"priority\":2,\"service\":\"app\",\"max_attempts\":1,\"public\":false},
-	{\"name\":\"read\",\"host\":\"h\",\"path_prefix\":\"/read/\",\"route_kind\":\"idempotent\",\"timeout_ms\":800,\"target_latency_ms\":300,\"priority\":2,\"service\":\"app\",\"max_attempts\":2,\"public\":false}],
+	{\"name\":\"read\",\"host\":\"h\",\"path_prefix\":\"/read/\",\"route_kind\":\"idempotent\",\"timeout_ms\":5000,\"target_latency_ms\":300,\"priority\":2,\"service\":\"app\",\"max_attempts\":2,\"public\":false}],
 	\"services\":[{\"name\":\"llm\",\"health_path\":\"/healthz\",\"max_conns\":360,\"engine\":{\"slots\":64,\"kv_capacity\":659125,\"stride\":5,\"models\":[{\"name\":\"m0\",\"cost\":0.021},{\"name\":\"m1\",\"cost\":0.16},{\"name\":\"m2\",\"cost\":0.32}]}},
 	{\"name\":\"app\",\"health_path\":\"/healthz\",\"max_conns\":96}],
 	\"limits\":{\"max_header_bytes\":16384,\"max_body_bytes\":4194304,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000},
