gate: a request that may run once runs on one model

What callers saw: on a route with several models whose streams may not be resumed, and on a non-idempotent route with models, each request whose first answer had a low confidence ran twice, on the smallest and on the largest model.

Cause: the escalation asked for attempts, budget, time and load, not whether the request may run twice. Ruled out: a retry (no attempt_failed line between the two dispatch lines), a peer (no forward line).

Change: call_runs_once() is the one question behind escalation and retries.

--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -88,7 +88,7 @@
 			gate_count_rejected(call->gate, call->service_name, now_ms);
 		if (call_kept_deliver(call, "large_rejected", now_ms, step))
 			return;
-		call_model_fall_back(call);
+		call_model_fall_back(call, now_ms);
 		if (take_retry(call, now_ms) && dispatch_attempt(call, now_ms, step))
 			return;
 		if (call->has_forwarded) {
@@ -365,8 +365,7 @@
 		return;
 	}
 	report_route_kinds(call);
-	if (call_model_is_selectable(call) && call_model_fills_trial(call, now_ms))
-		call->model_index = call->route->model_count - 1;
+	call_model_choose_first(call, now_ms);
 	dispatch_or_wait(call, now_ms, step);
 }
 
--- a/packages/gate/src/call_attempt.c
+++ b/packages/gate/src/call_attempt.c
@@ -109,17 +109,25 @@
 }
 
 /* Whether the request may run twice is the route's setting, never inferred from a name. */
-int call_is_retriable(const struct cw_call *call)
+int call_runs_once(const struct cw_call *call)
 {
 	switch (call->route->retry_policy) {
 	case CW_RETRY_ANY:
-		return !call->has_forwarded;
+		return 0;
 	case CW_RETRY_STREAM:
-		return call->route->is_resumable;
+		return !call->route->is_resumable;
 	case CW_RETRY_NEVER:
 		break;
 	}
-	return 0;
+	return 1;
+}
+
+/* Only a stream goes on from the part that was forwarded. */
+int call_is_retriable(const struct cw_call *call)
+{
+	if (call_runs_once(call))
+		return 0;
+	return !call->has_forwarded || call->route->retry_policy == CW_RETRY_STREAM;
 }
 
 static void record_failure(struct cw_call *call, int64_t now_ms)
--- a/packages/gate/src/call_model.c
+++ b/packages/gate/src/call_model.c
@@ -9,6 +9,8 @@
 #define RAMP_START (1 / 3.0)  /* of escalate_late_part: the threshold starts to fall there */
 #define RAMP_END   (16 / 9.0) /* of escalate_late_part: 0 there, as escalations lengthen queues */
 
+static int fills_trial(const struct cw_call *call, int64_t now_ms);
+static void choose_only_model(struct cw_call *call, int64_t now_ms);
 static const char *escalation_blocker(struct cw_call *call, const struct cw_response_head *answer,
 				      int64_t now_ms, struct cw_step *step);
 static int required_confidence(struct cw_call *call, int64_t now_ms);
@@ -16,17 +18,14 @@
 static int priority_steps(const struct cw_call *call); /* below the service's most urgent */
 static double predict_first_event_ms(struct cw_call *call, int64_t now_ms);
 
-/*
- * Load pattern: a quiet hour, in which the small model's answers of 0.4 s don't fill half of one
- * engine. The largest model's answers last 3 s, so requests start with it for the second or two
- * that the trial of a new version takes.
- */
-int call_model_fills_trial(const struct cw_call *call, int64_t now_ms)
+void call_model_choose_first(struct cw_call *call, int64_t now_ms)
 {
-	struct cw_rollouts *rollouts = call->gate->rollouts;
-	struct cw_rollout_request request = call_rollout_request(call);
-
-	return call->is_output_heavy && cw_rollouts_is_trial_load(rollouts, &request, now_ms);
+	if (!call_model_is_selectable(call))
+		return;
+	if (fills_trial(call, now_ms))
+		call->model_index = call->route->model_count - 1;
+	else if (call_runs_once(call))
+		choose_only_model(call, now_ms);
 }
 
 /* The caller named no model and the route has two or more. */
@@ -40,10 +39,14 @@
  * model was dropped for the largest model, which no engine accepted, so the caller got neither. The
  * remaining attempt goes back to the small model.
  */
-void call_model_fall_back(struct cw_call *call)
+void call_model_fall_back(struct cw_call *call, int64_t now_ms)
 {
-	if (call->gate->policy->rejected_to_small > 0 && call_model_is_selectable(call) &&
-	    !call->has_forwarded)
+	if (call->gate->policy->rejected_to_small <= 0 || !call_model_is_selectable(call) ||
+	    call->has_forwarded)
+		return;
+	if (call_runs_once(call))
+		choose_only_model(call, now_ms);
+	else
 		call->model_index = 0;
 }
 
@@ -58,6 +61,38 @@
 	return !step->reason;
 }
 
+/*
+ * Load pattern: a quiet hour, in which the small model's answers of 0.4 s don't fill half of one
+ * engine. The largest model's answers last 3 s, so requests start with it for the second or two
+ * that the trial of a new version takes.
+ */
+static int fills_trial(const struct cw_call *call, int64_t now_ms)
+{
+	struct cw_rollouts *rollouts = call->gate->rollouts;
+	struct cw_rollout_request request = call_rollout_request(call);
+
+	return call->is_output_heavy && cw_rollouts_is_trial_load(rollouts, &request, now_ms);
+}
+
+/*
+ * A request that may run once can't be escalated, so its only model is chosen before it starts: the
+ * largest while it answers in time with slots free. As slots are taken, a falling part of the
+ * requests goes there, so that instances with the same view don't all change at once.
+ */
+static void choose_only_model(struct cw_call *call, int64_t now_ms)
+{
+	double part;
+
+	call->model_index = 0;
+	if (gate_rejected_fraction(call->gate, call->service_name, now_ms) >
+		    call->gate->policy->full_part ||
+	    !call_work_fits_deadline(call, now_ms))
+		return;
+	part = required_confidence(call, now_ms) / MAX(call->gate->policy->escalate_below, 1);
+	if (gate_random_fraction(call->gate) < part)
+		call->model_index = call->route->model_count - 1;
+}
+
 /* NULL: escalate. The retry budget is checked last, because the check spends from it. */
 static const char *escalation_blocker(struct cw_call *call, const struct cw_response_head *answer,
 				      int64_t now_ms, struct cw_step *step)
@@ -66,6 +101,8 @@
 		return "no_choice";
 	if (call->model_index + 1 >= call->route->model_count)
 		return "largest_model";
+	if (call_runs_once(call))
+		return "runs_once";
 	if (call_has_single_attempt(call))
 		return "quarantined";
 	if (gate_rejected_fraction(call->gate, call->service_name, now_ms) >
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -250,7 +250,8 @@
 int64_t call_idle_timeout_ms(const struct cw_call *call, int64_t now_ms);
 int64_t call_event_gap_timeout_ms(const struct cw_call *call);
 int call_may_retry(struct cw_call *call, int64_t now_ms); /* the budgets grant another attempt */
-int call_is_retriable(const struct cw_call *call);	  /* by the route's setting */
+int call_runs_once(const struct cw_call *call);		  /* by the route's setting */
+int call_is_retriable(const struct cw_call *call);	  /* by that, and by what was forwarded */
 void call_release_server(struct cw_call *call, int64_t now_ms, int is_answered);
 void call_complete_attempt(struct cw_call *call, int64_t now_ms); /* its answer is complete */
 void call_abandon_attempt(struct cw_call *call, int64_t now_ms);  /* the I/O layer cancels it */
@@ -274,12 +275,12 @@
 
 /* call_model.c: choice among the route's models */
 int call_model_is_selectable(const struct cw_call *call); /* the gate chooses among several */
-int call_model_fills_trial(const struct cw_call *call,
-			   int64_t now_ms); /* start with the largest, to load a version on trial */
+void call_model_choose_first(struct cw_call *call, int64_t now_ms); /* before its first attempt */
 int call_model_should_escalate(struct cw_call *call, const struct cw_response_head *answer,
 			       int64_t now_ms,
 			       struct cw_step *step); /* 0: step.reason says why not */
-void call_model_fall_back(struct cw_call *call);      /* to the smallest, after a rejection */
+void call_model_fall_back(struct cw_call *call,
+			  int64_t now_ms); /* after a rejection: to a smaller model */
 
 /* call_work.c: predicted cost of an attempt, and what its answer shows about the server */
 void call_work_fill_choice(struct cw_call *call, struct cw_choice *choice);
