gate: a stream that may not be resumed avoids connections that were idle

What callers saw: a server may close a kept connection at any moment. A request of a stream that may run once, sent on a connection idle for seconds, is lost with it and can't be sent again: 502.

Cause: the limit on the idle time asked for the kind of the route (non-idempotent), not for whether its requests may run twice.

Change: call_runs_once(). Measured: a_request_that_may_run_once_avoids_connections_that_were_idle red before, green after.

--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -454,9 +454,8 @@
 
 int64_t call_reuse_idle_ms(const struct cw_call *call)
 {
-	return call->route->retry_policy == CW_RETRY_NEVER
-		       ? NON_REPEATABLE_REUSE_IDLE_MS
-		       : (int64_t)call->gate->policy->reuse_idle_ms;
+	return call_runs_once(call) ? NON_REPEATABLE_REUSE_IDLE_MS
+				    : (int64_t)call->gate->policy->reuse_idle_ms;
 }
 
 /* Asks the largest model, and keeps the answer that began if it may be kept; 0: it stands. */
--- a/tests/unit/test_call_once.c
+++ b/tests/unit/test_call_once.c
@@ -3,10 +3,11 @@
 
 #include <string.h>
 
-#define SLOTS	     16
-#define DRAWS	     200
-#define QUIET_MS     6000 /* after which the load that filled the engines is forgotten */
-#define OBJECTIVE_MS 15000
+#define SLOTS	      16
+#define DRAWS	      200
+#define QUIET_MS      6000 /* after which the load that filled the engines is forgotten */
+#define OBJECTIVE_MS  15000
+#define IDLE_LIMIT_MS 1500 /* connections idle for longer may be closed by the server meanwhile */
 
 static const struct route_kind {
 	const char *name;
@@ -112,6 +113,20 @@
 	}
 }
 
+/* Guards against a request that is lost on a connection which its server had closed. */
+static void a_request_that_may_run_once_avoids_connections_that_were_idle(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(route_kinds); i++) {
+		struct fixture fixture;
+
+		open_fixture(&fixture, &route_kinds[i]);
+		fixture_open_call(&fixture, "/chat/x");
+		assert_int_equal(fixture.step.reuse_idle_ms <= IDLE_LIMIT_MS,
+				 route_kinds[i].runs_once);
+		fixture_close(&fixture);
+	}
+}
+
 /* Guards against poor answers of the small model beside free engines, and against full engines. */
 static void the_only_model_follows_the_load(void **state)
 {
@@ -168,6 +183,7 @@
 		cmocka_unit_test(the_only_model_follows_the_load),
 		cmocka_unit_test(a_rejected_request_keeps_the_largest_model_while_there_is_room),
 		cmocka_unit_test(the_model_that_a_caller_names_is_kept),
+		cmocka_unit_test(a_request_that_may_run_once_avoids_connections_that_were_idle),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
