rollout, gate: slow versions show by the gaps of their streams

What callers saw: a version of the model servers three times slower was completed during a burst and kept; up to 2,628 requests too many went to it.

Cause: each answer alone was held against four times its prediction, which load exceeds as often as slowness does, and in the first half only, as cold caches look slow in the second. The gaps of a stream were judged at its end, which for a slow version is after its trial.

Change: the mean gap of a stream's first nine events is compared with the gap that a fifth of the old version's streams stays below. The quick streams of all instances are counted; their likelihood ratio rolls a slow version back (slow_streams) and keeps a rather slow one from passing its trial.

--- a/apps/corianderwalk/entry_verdict.c
+++ b/apps/corianderwalk/entry_verdict.c
@@ -59,10 +59,11 @@
 	cw_event(
 		"feed", "rollout_verdict",
 		"service=%s target=%s state=%d reason=%s answers=%.1f bad=%.1f loaded_answers=%.1f "
-		"loaded_bad=%.1f",
+		"loaded_bad=%.1f streams=%.1f quick_streams=%.1f streams_llr=%.1f",
 		verdict->status.service, verdict->status.target, verdict->status.state,
 		verdict->reason, verdict->answers, verdict->bad, verdict->loaded_answers,
-		verdict->loaded_bad);
+		verdict->loaded_bad, verdict->streams, verdict->quick_streams,
+		verdict->streams_llr);
 }
 
 static void log_progress(struct cw_rollouts *rollouts, int64_t now_ms)
--- /dev/null
+++ b/packages/gate/src/call_gap.c
@@ -0,0 +1,63 @@
+/*
+ * Gaps between the events of streams, as evidence about a version on trial. The first events of a
+ * stream decide: a slow version's streams end only after its trial.
+ */
+#include "gate_internal.h"
+
+#include <math.h>
+
+#define SAMPLE_EVENTS	9    /* of a stream, whose mean gap is its sample */
+#define SAMPLES_MIN	5    /* of a model, before its quick gap is known */
+#define QUICK_PART	0.2  /* of the old version's streams are quicker than the quick gap */
+#define QUICK_GAIN	0.1  /* of ln(gap): how fast it is learned */
+#define QUICK_TOLERANCE 1.25 /* times the quick gap: as quick as the quick ones */
+
+static void add_sample(struct cw_call *call, double gap_ms, int64_t now_ms);
+static void learn_quick_gap(struct gate_timing *timing, double gap_log);
+
+void call_gap_record_event(struct cw_call *call, int64_t now_ms)
+{
+	if (call->has_no_event_times)
+		return;
+	if (call->events_forwarded == 1)
+		call->first_event_ms = now_ms;
+	if (call->events_forwarded == SAMPLE_EVENTS)
+		add_sample(call, (double)(now_ms - call->first_event_ms) / (SAMPLE_EVENTS - 1),
+			   now_ms);
+}
+
+void call_gap_record_completion(struct cw_call *call, double gap_ms, int64_t now_ms)
+{
+	if (call->has_no_event_times || call->events_forwarded < SAMPLE_EVENTS)
+		add_sample(call, gap_ms, now_ms);
+}
+
+/* What the server's machine reports about its pace is no fault of the version. */
+static void add_sample(struct cw_call *call, double gap_ms, int64_t now_ms)
+{
+	struct gate_timing *timing = gate_get_timing(call->gate, cw_call_model(call));
+	struct cw_rollout_answer answer = call_work_rollout_evidence(call);
+	double gap_log = log(MAX(gap_ms, 1) * call_work_unproved_pace(call, now_ms) /
+			     cw_pool_lasting_pace(call->server, now_ms));
+
+	if (timing->quick_samples >= SAMPLES_MIN)
+		cw_rollouts_record_gap(call->gate->rollouts, &answer,
+				       gap_log < timing->quick_gap_log + log(QUICK_TOLERANCE),
+				       now_ms);
+	if (!call_work_is_on_target_version(call))
+		learn_quick_gap(timing, gap_log);
+}
+
+/* The least of the first samples, then the quantile: it falls by rare steps and rises by small. */
+static void learn_quick_gap(struct gate_timing *timing, double gap_log)
+{
+	if (timing->quick_samples < SAMPLES_MIN) {
+		timing->quick_gap_log =
+			timing->quick_samples == 0 ? gap_log : MIN(timing->quick_gap_log, gap_log);
+		timing->quick_samples++;
+	} else if (gap_log > timing->quick_gap_log) {
+		timing->quick_gap_log += QUICK_GAIN * QUICK_PART;
+	} else {
+		timing->quick_gap_log -= QUICK_GAIN * (1 - QUICK_PART);
+	}
+}
--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -42,10 +42,7 @@
 static void learn_speed(const struct cw_call *call, struct gate_usual *usual, double time_ms,
 			double reported, int64_t now_ms);
 static double median_gap_ms(const struct cw_call *call);
-static double unproved_pace(const struct cw_call *call, int64_t now_ms);
-static int is_on_target_version(const struct cw_call *call);
 static void report_to_rollout(struct cw_call *call, int is_failure, int is_slow, int64_t now_ms);
-static struct cw_rollout_answer rollout_evidence(const struct cw_call *call);
 
 void call_work_fill_choice(struct cw_call *call, struct cw_choice *choice)
 {
@@ -180,7 +177,8 @@
 void call_work_record_head(struct cw_call *call, int64_t now_ms)
 {
 	double took_ms = (double)(now_ms - call->sent_ms);
-	double expected_ms = call->predicted_ms / unproved_pace(call, now_ms) + SLOW_MARGIN_MS;
+	double expected_ms =
+		call->predicted_ms / call_work_unproved_pace(call, now_ms) + SLOW_MARGIN_MS;
 	double ratio = took_ms / expected_ms;
 	int is_plain = call->info.segment_count == 0;
 	double factor = is_plain ? PLAIN_SLOW_FACTOR : SLOW_FACTOR;
@@ -191,7 +189,7 @@
 	call->head_ms = now_ms;
 	call->late_work_ms = late_work_ms(call, now_ms);
 	call->is_slow = took_ms > factor * (expected_ms + call->late_work_ms);
-	if (!is_on_target_version(call))
+	if (!call_work_is_on_target_version(call))
 		learn_timing(call, took_ms, now_ms);
 	end_prompt(call);
 	if (!is_plain)
@@ -211,7 +209,7 @@
 	if (call->info.segment_count == 0)
 		return 0;
 	return MAX(cw_pool_recent_peers_work_ms(call->server, now_ms) - call->peers_work_ms, 0) *
-	       cw_pool_pace(call->server, now_ms) / unproved_pace(call, now_ms);
+	       cw_pool_pace(call->server, now_ms) / call_work_unproved_pace(call, now_ms);
 }
 
 void call_work_record_event(struct cw_call *call, int64_t now_ms)
@@ -221,27 +219,29 @@
 			(uint16_t)CLAMP(now_ms - call->event_ms, 0, UINT16_MAX);
 	call->event_ms = now_ms;
 	call->events_forwarded++;
+	call_gap_record_event(call, now_ms);
 }
 
 /* The event gap of long streams shows slow servers long before the time to the first event. */
 void call_work_record_completion(struct cw_call *call, int64_t now_ms)
 {
 	struct gate_timing *timing = gate_get_timing(call->gate, timing_key(call));
-	struct cw_rollout_answer answer = rollout_evidence(call);
+	struct cw_rollout_answer answer = call_work_rollout_evidence(call);
 	double gap_ms;
 
 	if (call->events_forwarded < STREAM_SAMPLE_MIN_EVENTS)
 		return;
 	answer.waited_ms = now_ms - call->head_ms;
-	gap_ms = (double)answer.waited_ms / call->events_forwarded * unproved_pace(call, now_ms) /
-		 cw_pool_lasting_pace(call->server, now_ms);
+	call_gap_record_completion(call, (double)answer.waited_ms / call->events_forwarded, now_ms);
+	gap_ms = (double)answer.waited_ms / call->events_forwarded *
+		 call_work_unproved_pace(call, now_ms) / cw_pool_lasting_pace(call->server, now_ms);
 	if (timing->event_gap_ms > 0 && gap_ms > SLOW_FACTOR * timing->event_gap_ms)
 		cw_rollouts_mark_answer_slow(call->gate->rollouts, &answer, now_ms);
 	if (timing->event_gap_ms <= 0)
 		timing->event_gap_ms = gap_ms;
-	else if (!is_on_target_version(call))
+	else if (!call_work_is_on_target_version(call))
 		timing->event_gap_ms += EVENT_EWMA_GAIN * (gap_ms - timing->event_gap_ms);
-	if (!is_on_target_version(call) && !call->has_no_event_times)
+	if (!call_work_is_on_target_version(call) && !call->has_no_event_times)
 		learn_speed(call, &timing->gap, median_gap_ms(call),
 			    cw_pool_reference_pace(call->server, now_ms), now_ms);
 }
@@ -403,7 +403,7 @@
 }
 
 /* Timings are learned from the old version only, for comparison with the target of a roll-out. */
-static int is_on_target_version(const struct cw_call *call)
+int call_work_is_on_target_version(const struct cw_call *call)
 {
 	const char *target = cw_rollouts_target(call->gate->rollouts, call->service_name);
 
@@ -414,15 +414,15 @@
  * The part of the pace that a version on trial may have caused, as it served before: after it was
  * rolled back, say. It is no excuse for slow answers; what the server's machine reports is one.
  */
-static double unproved_pace(const struct cw_call *call, int64_t now_ms)
+double call_work_unproved_pace(const struct cw_call *call, int64_t now_ms)
 {
-	return is_on_target_version(call) ? cw_pool_learned_pace(call->server, now_ms)
-					  : CW_PACE_USUAL;
+	return call_work_is_on_target_version(call) ? cw_pool_learned_pace(call->server, now_ms)
+						    : CW_PACE_USUAL;
 }
 
 static void report_to_rollout(struct cw_call *call, int is_failure, int is_slow, int64_t now_ms)
 {
-	struct cw_rollout_answer answer = rollout_evidence(call);
+	struct cw_rollout_answer answer = call_work_rollout_evidence(call);
 
 	answer.is_failure = is_failure;
 	answer.is_slow = is_slow;
@@ -430,7 +430,7 @@
 	cw_rollouts_record_answer(call->gate->rollouts, &answer, now_ms);
 }
 
-static struct cw_rollout_answer rollout_evidence(const struct cw_call *call)
+struct cw_rollout_answer call_work_rollout_evidence(const struct cw_call *call)
 {
 	return (struct cw_rollout_answer){
 		.service = call->service_name,
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -31,8 +31,10 @@
 	double mean_ms;	     /* plain service: time to answer; engine: prompt work of a request */
 	double event_gap_ms; /* between two events of a stream; 0: not known */
 	unsigned int samples;
-	struct gate_usual answer; /* plain service: time to answer */
-	struct gate_usual gap;	  /* model: between two events of a stream */
+	double quick_gap_log;	    /* ln(ms): a fifth of the old version's streams is quicker */
+	unsigned int quick_samples; /* until it is known */
+	struct gate_usual answer;   /* plain service: time to answer */
+	struct gate_usual gap;	    /* model: between two events of a stream */
 };
 
 /* Load of one service in the last second or so; all counters decay exponentially. */
@@ -154,6 +156,7 @@
 	int is_head_seen;
 	int64_t head_ms;	       /* time of the response head */
 	unsigned int events_forwarded; /* by the current attempt */
+	int64_t first_event_ms;	       /* forwarded by the current attempt */
 	int64_t event_ms;	       /* of the newest event */
 	uint16_t gaps_ms[GATE_GAPS];   /* the newest ones between its events; a ring */
 	int has_no_event_times;	       /* the answer was kept: its events came at once */
@@ -300,5 +303,13 @@
 void call_work_record_completion(struct cw_call *call, int64_t now_ms); /* complete answer */
 void call_work_record_failure(struct cw_call *call, int64_t now_ms);
 void call_work_end(struct cw_call *call);
+int call_work_is_on_target_version(const struct cw_call *call); /* of a roll-out */
+double call_work_unproved_pace(const struct cw_call *call,
+			       int64_t now_ms); /* part of the server's pace that is no excuse */
+struct cw_rollout_answer call_work_rollout_evidence(const struct cw_call *call);
+
+/* call_gap.c: gaps between the events of streams, as evidence about a version */
+void call_gap_record_event(struct cw_call *call, int64_t now_ms); /* after it was counted */
+void call_gap_record_completion(struct cw_call *call, double gap_ms, int64_t now_ms);
 
 #endif
--- a/packages/rollout/include/cw_rollout.h
+++ b/packages/rollout/include/cw_rollout.h
@@ -67,6 +67,7 @@
 	/* Answers of the target at all instances, decayed; llr: log likelihood ratio. */
 	double answers, bad, llr;
 	double loaded_answers, loaded_bad, loaded_llr; /* from servers more than half full */
+	double streams, quick_streams, streams_llr;    /* by the gaps between their events */
 };
 
 /* Variant of a roll-out: the server versions that a request may be sent to. */
@@ -220,6 +221,9 @@
 	int64_t now_ms); /* the session helps to load a server of the target */
 int cw_rollouts_needs_load_trial(const struct cw_rollouts *rollouts, const char *service,
 				 int64_t now_ms); /* the target's trial under load is due */
+void cw_rollouts_record_gap(
+	struct cw_rollouts *rollouts, const struct cw_rollout_answer *answer, int is_quick,
+	int64_t now_ms); /* a stream's events; is_quick: as of the old version's quick streams */
 size_t cw_rollouts_evaluate(struct cw_rollouts *rollouts, int64_t now_ms,
 			    struct cw_rollout_verdict *verdicts,
 			    size_t max);	 /* outcomes that are not known to be published */
--- a/packages/rollout/src/evidence.c
+++ b/packages/rollout/src/evidence.c
@@ -42,8 +42,6 @@
 					  const struct cw_rollout_answer *answer);
 static struct cw_rollout_evidence *
 find_own_kind(struct rollout *rollout, const struct cw_rollout_answer *answer, int64_t now_ms);
-static struct cw_rollout_evidence *find_kind(struct cw_rollout_evidence *kinds, size_t *count,
-					     uint64_t route, int is_loaded);
 static size_t pool_evidence(struct rollout *rollout, int64_t now_ms,
 			    struct cw_rollout_evidence *kinds);
 static void add_evidence(struct cw_rollout_evidence *to, const struct cw_rollout_evidence *from,
@@ -73,12 +71,19 @@
 		find_server(rollout, answer)->in_time_ms = now_ms;
 	if (is_slow && is_repeated_wait(rollout, answer, now_ms))
 		return;
+	if (!strcmp(rollout->target, answer->software))
+		rollout->has_loaded_answer |= answer->is_loaded;
+	rollout_count_answer(rollout, kind, answer, is_bad);
+}
+
+void rollout_count_answer(const struct rollout *rollout, struct cw_rollout_evidence *kind,
+			  const struct cw_rollout_answer *answer, int is_bad)
+{
 	if (!strcmp(rollout->target, answer->software)) {
 		kind->new_answers += 1;
 		kind->new_bad += (float)is_bad;
 		kind->new_answers_long += 1;
 		kind->new_bad_long += (float)is_bad;
-		rollout->has_loaded_answer |= answer->is_loaded;
 	} else {
 		kind->old_answers += 1;
 		kind->old_bad += (float)is_bad;
@@ -270,7 +275,9 @@
 
 	is_bad |= evaluate_kinds(kinds, count, WINDOW_LONG, &all, &loaded);
 	is_bad |= rollout_comparison_is_bad(rollout, now_ms);
-	rollout->has_passed_trial |= loaded.llr < PASSED_LEVEL && rollout->loaded.llr < 0;
+	rollout->gaps = rollout_sum_gaps(kinds, count);
+	rollout->has_passed_trial |=
+		loaded.llr < PASSED_LEVEL && rollout->loaded.llr < 0 && rollout->gaps.llr <= 0;
 	return is_bad;
 }
 
@@ -290,6 +297,8 @@
 		double usual = old_rate(kinds, count, kinds[i].route);
 		struct rollout_sum kind = count_kind(&kinds[i], window);
 
+		if (rollout_is_gap_evidence(&kinds[i]))
+			continue;
 		kind.llr = rollout_log_likelihood_ratio(kind.answers, kind.bad, usual);
 		is_any_bad |= is_bad(&kind);
 		add_sum(all, &kind);
@@ -321,12 +330,13 @@
 find_own_kind(struct rollout *rollout, const struct cw_rollout_answer *answer, int64_t now_ms)
 {
 	rollout_decay_evidence(rollout, now_ms);
-	return find_kind(rollout->kinds, &rollout->kind_count, answer->route, answer->is_loaded);
+	return rollout_find_kind(rollout->kinds, &rollout->kind_count, answer->route,
+				 answer->is_loaded);
 }
 
 /* When the table is full, all further kinds share the last entry. */
-static struct cw_rollout_evidence *find_kind(struct cw_rollout_evidence *kinds, size_t *count,
-					     uint64_t route, int is_loaded)
+struct cw_rollout_evidence *rollout_find_kind(struct cw_rollout_evidence *kinds, size_t *count,
+					      uint64_t route, int is_loaded)
 {
 	for (size_t i = 0; i < *count; i++)
 		if (kinds[i].route == route && kinds[i].is_loaded == is_loaded)
@@ -356,8 +366,8 @@
 		for (size_t i = 0; i < peer->kind_count; i++) {
 			const struct cw_rollout_evidence *from = &peer->kinds[i];
 
-			add_evidence(find_kind(kinds, &count, from->route, from->is_loaded), from,
-				     factor);
+			add_evidence(rollout_find_kind(kinds, &count, from->route, from->is_loaded),
+				     from, factor);
 		}
 	}
 	return count;
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -215,6 +215,9 @@
 	verdict->loaded_answers = rollout->loaded.answers;
 	verdict->loaded_bad = rollout->loaded.bad;
 	verdict->loaded_llr = rollout->loaded.llr;
+	verdict->streams = rollout->gaps.answers;
+	verdict->quick_streams = rollout->gaps.answers - rollout->gaps.bad;
+	verdict->streams_llr = rollout->gaps.llr;
 }
 
 /*
@@ -233,6 +236,10 @@
 		rollout->reason = "bad_answers";
 		return CW_ROLLOUT_ROLLED_BACK;
 	}
+	if (rollout_are_gaps_slow(rollout)) {
+		rollout->reason = "slow_streams";
+		return CW_ROLLOUT_ROLLED_BACK;
+	}
 	if (rollout->has_passed_trial && elapsed_ms >= completion_ms(rollouts, rollout)) {
 		rollout->reason = "proved";
 		return CW_ROLLOUT_COMPLETED;
--- a/packages/rollout/src/rollout_internal.h
+++ b/packages/rollout/src/rollout_internal.h
@@ -92,6 +92,7 @@
 	const char *reason;			     /* why the state was chosen, for the log */
 	struct rollout_sum all;	   /* all instances and kinds, at the last evaluation */
 	struct rollout_sum loaded; /* the part from servers more than half full */
+	struct rollout_sum gaps;   /* streams, and those that were not quick */
 	uint64_t sent;		   /* requests of this instance to all servers */
 	uint64_t sent_target;	   /* requests of this instance to the target */
 	double sent_per_ms;	   /* recent rate of all instances */
@@ -154,6 +155,19 @@
 int rollout_has_recent_peers(const struct rollout *rollout,
 			     int64_t now_ms); /* 0: more than half of the peers are silent */
 
+struct cw_rollout_evidence *
+rollout_find_kind(struct cw_rollout_evidence *kinds, size_t *count, uint64_t route,
+		  int is_loaded); /* adds it; when the table is full, the last entry */
+
+void rollout_count_answer(const struct rollout *rollout, struct cw_rollout_evidence *kind,
+			  const struct cw_rollout_answer *answer, int is_bad);
+
+/* gaps.c: whether the target's streams go on slowly */
+int rollout_is_gap_evidence(const struct cw_rollout_evidence *kind); /* 0: of one route's answers */
+struct rollout_sum rollout_sum_gaps(const struct cw_rollout_evidence *kinds,
+				    size_t count); /* pooled; llr above 0: rather slow */
+int rollout_are_gaps_slow(const struct rollout *rollout);
+
 /* match.c: per-second comparison of the versions' failures on each route */
 void rollout_compare_answer(struct rollout *rollout, const struct cw_rollout_answer *answer);
 void rollout_compare_peer(struct rollout *rollout, const struct rollout_peer *known,
