flow: a head has a time of its own, and interim answers a number

What callers saw: a server that sends interim answers without end, or a head a few bytes at a time, kept each request until its deadline (504); the sound server beside it was never asked, and 1.8 GB were read for each.

Cause: each byte restarted the read timeout, also bytes that are no part of an answer. The same held for answers to other requests, which are dropped.

Change: until the head of the request's own answer is there, the timeout runs from the send; after 16 other heads the answer is malformed. Both are failures of the attempt as before: it goes elsewhere, and the server's breaker counts it. Peers, probes and the health checks use the same client.

--- a/packages/flow/include/cw_flow.h
+++ b/packages/flow/include/cw_flow.h
@@ -70,7 +70,7 @@
 	CW_FLOW_CONNECTION_REFUSED, /* the host refused the connection; nothing was sent */
 	CW_FLOW_CONNECTION_LOST,    /* the connection ended before the end of the answer */
 	CW_FLOW_MALFORMED,	    /* the bytes received are not an HTTP answer */
-	CW_FLOW_TIMED_OUT,	    /* no byte was received within the read timeout */
+	CW_FLOW_TIMED_OUT,	    /* no head, or no further byte, within the read timeout */
 };
 
 enum cw_probe_result {
@@ -97,7 +97,8 @@
 	int is_head;	       /* a HEAD request: its answer has no body */
 	int64_t reuse_idle_ms; /* reuses a connection idle for less than this; 0: opens a new one */
 	int64_t connect_ms;    /* longest wait for a connection */
-	int64_t read_timeout_ms; /* longest wait for the next byte; 0: no limit */
+	int64_t read_timeout_ms; /* longest wait for the whole head from the send, and then for the
+				    next byte; 0: no limit */
 	/* An answer whose field echo_name has another value belongs to an earlier request of the
 	 * connection and is dropped. NULL: no check. */
 	const char *echo_name;
--- a/packages/flow/src/client.c
+++ b/packages/flow/src/client.c
@@ -7,6 +7,7 @@
 #define IDLE_SAFETY_MARGIN_MS 400 /* closes idle connections this long before the server does */
 #define FINAL_ITERATION_MS    1	  /* runs after the next poll for input */
 #define MAX_IDLE_PER_ADDRESS  32
+#define OTHER_HEADS_MAX	      16 /* before the answer's own head: a server that sends more is broken */
 
 static int was_reset(struct connection *connection);
 static void on_sweep(uv_timer_t *timer);
@@ -291,7 +292,9 @@
 		fail_exchange(connection->exchange, CW_FLOW_CONNECTION_LOST);
 		return;
 	}
-	restart_timer(connection->exchange);
+	/* Bytes that are no answer, a few at a time, must not keep a request waiting. */
+	if (connection->exchange->has_head)
+		restart_timer(connection->exchange);
 	used = flow_fields_parse(&connection->fields, &connection->parser, &parser_settings,
 				 buffer->base, size < 0 ? 0 : (size_t)size);
 	if (!connection->exchange)
@@ -463,7 +466,7 @@
 		return -1;
 	exchange->answer->status = parser->status_code;
 	if (parser->status_code < 200)
-		return 0;
+		return ++exchange->other_heads > OTHER_HEADS_MAX ? -1 : 0;
 	keep_alive = cw_message_find(exchange->answer, "Keep-Alive");
 	keep_alive = keep_alive ? strstr(keep_alive, "timeout=") : NULL;
 	connection->idle_limit_ms = DEFAULT_IDLE_TIMEOUT_MS;
@@ -475,10 +478,14 @@
 		exchange->echo_name ? cw_message_find(exchange->answer, exchange->echo_name) : NULL;
 	exchange->is_mismatched = echoed_value && exchange->echo_value &&
 				  strcmp(echoed_value, exchange->echo_value) != 0;
-	if (exchange->is_mismatched)
+	if (exchange->is_mismatched) {
 		exchange->client->stray_count++;
-	else
+		if (++exchange->other_heads > OTHER_HEADS_MAX)
+			return -1;
+	} else {
+		exchange->has_head = 1;
 		exchange->ops->head(exchange->context, exchange->answer);
+	}
 	if (!connection->exchange)
 		return -1;
 	return exchange->is_head && !exchange->is_mismatched;
--- a/packages/flow/src/client_internal.h
+++ b/packages/flow/src/client_internal.h
@@ -54,9 +54,11 @@
 	int64_t read_timeout_ms;
 	int is_head;
 	int is_sent;
-	int is_mismatched;	 /* the answer being read belongs to another request */
-	int had_final_iteration; /* the timeout passed, and pending input is read once more */
-	int is_extended;	 /* the timeout passed once since the last byte */
+	int has_head;		  /* the head of the request's own answer was read */
+	unsigned int other_heads; /* read before it: interim answers, and those of other requests */
+	int is_mismatched;	  /* the answer being read belongs to another request */
+	int had_final_iteration;  /* the timeout passed, and pending input is read once more */
+	int is_extended;	  /* the timeout passed once since the last byte */
 };
 
 /* A connection that is opened to find out whether the server is reachable. */
--- /dev/null
+++ b/tests/runs/users_endless.sh
@@ -0,0 +1,36 @@
+# A server sends bytes without end that are no answer, beside a sound one. Guards against callers that get nothing, as
+# their requests wait for it, and against one caller after the other being sent to it.
+. tests/lib.sh
+. tests/lib_users.sh
+store_start
+config 1 k1
+runner a1 app v1
+# endless NAME FORM: a server of "app".
+endless() {
+	local host=$NET.$((100 + NEXT_HOST))
+	NEXT_HOST=$((NEXT_HOST + 1))
+	start "$1" "$BUILD/tests/standin-endless" --listen "$host:$P_R1" --form "$2"
+	wait_for "$1 listens" grep -q '^listening' "$DIR/$1.log"
+	eval "ADDR_$1=$host:$P_R1"
+	list "$1" app v1 ready
+}
+# ask_until_asked INSTANCE SERVER: reads, one after the other, until one was sent to that server; prints their statuses,
+# and whether the slowest took less than the route's time.
+ask_until_asked() {
+	local asked slowest_ms=0 began_ms took_ms number=0 statuses="$DIR/statuses"
+	asked=$(grep -c '^got' "$DIR/$2.log")
+	: >"$statuses"
+	while [ "$(grep -c '^got' "$DIR/$2.log")" = "$asked" ] && [ $number -lt 200 ]; do
+		number=$((number + 1))
+		began_ms=$(now_ms)
+		ask "$1" GET /read/1 "r$1$2$number$RANDOM" | head -n 1 >>"$statuses"
+		took_ms=$(($(now_ms) - began_ms))
+		[ $took_ms -le $slowest_ms ] || slowest_ms=$took_ms
+	done
+	echo "$(sort -u "$statuses" | tr '\n' ' ')$([ $number -lt 200 ] || echo ", the server was not asked") $([ $slowest_ms -le 1500 ] && echo "in time" || echo "late: $slowest_ms ms")"
+}
+start_instances n1
+for form in interim head; do
+	endless "a_$form" $form
+	echo "$form: $(ask_until_asked n1 "a_$form")"
+done
