http: endless interim answers are malformed, no crash of the server

What callers saw: at the own interface a server that sends interim answers without end is given up by the library's own limit, which looks like a connection that the server closed: a crash under the request. A harmless request that meets three of these is quarantined.

Cause: the limit on the bytes of all heads is reported as an error of the connection. Change: the client counts heads and gives up after 16 interim ones, as a malformed answer. A head that trickles is as before what a silent server is: the attempt's time bounds it.

--- a/packages/http/src/client.c
+++ b/packages/http/src/client.c
@@ -10,8 +10,9 @@
 #include <string.h>
 #include <strings.h>
 
-#define MAX_IDLE_HANDLES	   64	   /* idle handles kept, with their connections */
-#define MAX_CONNECTIONS_PER_HANDLE 32	   /* keep-alive connections of a handle */
+#define MAX_IDLE_HANDLES	   64 /* idle handles kept, with their connections */
+#define MAX_CONNECTIONS_PER_HANDLE 32 /* keep-alive connections of a handle */
+#define INTERIM_HEADS_MAX	   16 /* before an answer: a server that sends more is broken */
 #define RETRY_AFTER_MAX_S	   86400.0 /* a day; no caller waits for longer */
 #define STEP			   "http.call"
 
@@ -21,6 +22,7 @@
 	CURL *curl;
 	GString *body;
 	size_t received_bytes;
+	unsigned int heads; /* interim ones too */
 	int is_head_reported;
 	int is_aborted; /* by a callback of the caller */
 	int is_too_long;
@@ -208,6 +210,10 @@
 	char *line = g_strndup(data, unit * count);
 	char *value = strchr(line, ':');
 
+	if (g_str_has_prefix(line, "HTTP/") && ++transfer->heads > INTERIM_HEADS_MAX + 1) {
+		g_free(line);
+		return 0;
+	}
 	if (value) {
 		*value++ = '\0';
 		g_strstrip(value);
