--- a/tests/unit/gate_bed.c
+++ b/tests/unit/gate_bed.c
@@ -121,6 +121,20 @@
 	cw_call_handle_head(fixture->call, &head, FIXTURE_NOW_MS + 10, &fixture->step);
 }
 
+void fixture_answer_stream(struct fixture *fixture, int confidence, unsigned int running,
+			   unsigned int slots, int64_t after_ms)
+{
+	struct cw_response_head head = {.status = 200,
+					.is_signed = 1,
+					.is_event_stream = 1,
+					.confidence = confidence,
+					.has_load = 1,
+					.running = running,
+					.slots = slots};
+
+	cw_call_handle_head(fixture->call, &head, FIXTURE_NOW_MS + after_ms, &fixture->step);
+}
+
 void fixture_assert_rejected(const struct fixture *fixture, unsigned int status,
 			     enum cw_run_state run)
 {
--- a/tests/unit/gate_bed.h
+++ b/tests/unit/gate_bed.h
@@ -26,6 +26,10 @@
 void fixture_open_call(struct fixture *fixture,
 		       const char *path); /* opens a request; closes the previous one */
 void fixture_answer(struct fixture *fixture, unsigned int status, int is_signed, int is_not_run);
+void fixture_answer_stream(struct fixture *fixture, int confidence, unsigned int running,
+			   unsigned int slots,
+			   int64_t after_ms); /* a stream's head, from an engine with so many
+						 requests; after_ms: since FIXTURE_NOW_MS */
 void fixture_assert_rejected(const struct fixture *fixture, unsigned int status,
 			     enum cw_run_state run);
 
--- a/tests/unit/test_call_model.c
+++ b/tests/unit/test_call_model.c
@@ -8,13 +8,6 @@
 /* Step after a small model's answer on a route of that priority, beside one of priority 0. */
 static enum cw_step_kind step_of(int priority, unsigned int running, int confidence)
 {
-	struct cw_response_head answer = {.status = 200,
-					  .is_signed = 1,
-					  .is_event_stream = 1,
-					  .confidence = confidence,
-					  .has_load = 1,
-					  .running = running,
-					  .slots = SLOTS};
 	struct cw_config *config = fixture_make_config(6);
 	struct cw_route *other, *route;
 	struct fixture fixture;
@@ -29,7 +22,7 @@
 	cw_gate_configure(fixture.gate, config);
 	cw_config_unref(config);
 	fixture_open_call(&fixture, "/chat/x");
-	cw_call_handle_head(fixture.call, &answer, FIXTURE_NOW_MS, &fixture.step);
+	fixture_answer_stream(&fixture, confidence, running, SLOTS, 0);
 	fixture_close(&fixture);
 	return fixture.step.kind;
 }
--- a/tests/unit/test_call_once.c
+++ b/tests/unit/test_call_once.c
@@ -38,26 +38,12 @@
 	cw_config_unref(config);
 }
 
-/* A signed answer of that confidence, from an engine with so many requests. */
-static void answer(struct fixture *fixture, int confidence, unsigned int running, int64_t after_ms)
-{
-	struct cw_response_head head = {.status = 200,
-					.is_signed = 1,
-					.is_event_stream = 1,
-					.confidence = confidence,
-					.has_load = 1,
-					.running = running,
-					.slots = SLOTS};
-
-	cw_call_handle_head(fixture->call, &head, FIXTURE_NOW_MS + after_ms, &fixture->step);
-}
-
 /* The newest answers report engines with so many requests. */
 static void load_engines(struct fixture *fixture, unsigned int running)
 {
 	for (int i = 0; i < 20; i++) {
 		fixture_open_call(fixture, "/chat/x");
-		answer(fixture, 90, running, 0);
+		fixture_answer_stream(fixture, 90, running, SLOTS, 0);
 	}
 }
 
@@ -88,7 +74,7 @@
 		load_engines(&fixture, SLOTS);
 		fixture_open_call(&fixture, "/chat/x");
 		assert_string_equal(fixture.step.dispatch.model, "small");
-		answer(&fixture, 3, 0, QUIET_MS);
+		fixture_answer_stream(&fixture, 3, 0, SLOTS, QUIET_MS);
 		assert_int_equal(fixture.step.kind,
 				 route_kinds[i].runs_once ? CW_STEP_FORWARD : CW_STEP_SEND);
 		assert_int_equal(cw_call_has_kept(fixture.call), !route_kinds[i].runs_once);
@@ -170,7 +156,7 @@
 	strcpy(fixture.info.model, "small");
 	fixture_open_call(&fixture, "/chat/x");
 	assert_string_equal(fixture.step.dispatch.model, "");
-	answer(&fixture, 3, 0, 0);
+	fixture_answer_stream(&fixture, 3, 0, SLOTS, 0);
 	assert_int_equal(fixture.step.kind, CW_STEP_FORWARD);
 	fixture_close(&fixture);
 }
