tests: framing writes a whole request in one write, and outlives SIGPIPE

Cause: bash writes line by line (strace: a write for each line), so "whole" was several writes. The instance rejects the second or third line with 400 and closes; the next write ends the shell by SIGPIPE before it reads the answer. No fault of the instance: the rows by single bytes had it too, in a subshell of their own, where only the writing part ends.

Change: one write, by dd, and SIGPIPE is ignored. The rows and what they expect are as they were, and the whole request is now really sent as a whole.

--- a/tests/runs/framing.sh
+++ b/tests/runs/framing.sh
@@ -1,6 +1,7 @@
 # Requests with fields or framing that another reader may understand differently, at the own interface, as a whole and in
 # pieces of one byte. Guards against an organisation, a key or a second request that the router has not seen.
 . tests/lib.sh
+trap '' PIPE # an instance that has rejected a request may close before the last byte
 start_one_engine
 BODY='{"model":"m","messages":[{"role":"user","content":"hi"}]}'
 LENGTH=${#BODY}
@@ -10,7 +11,8 @@
 	local line
 	exec 5<>"/dev/tcp/${ADDR_e1/:/\/}"
 	if [ "$2" = whole ]; then
-		printf "$1" >&5 2>/dev/null
+		# One write: bash writes line by line, and may be ended by SIGPIPE before it reads the answer.
+		printf "$1" | dd bs=64k iflag=fullblock status=none >&5
 	else
 		printf "$1" | while IFS= read -r -N 1 -d '' byte; do printf '%s' "$byte"; done >&5 2>/dev/null
 	fi
