--- a/packages/gate/src/call_model.c
+++ b/packages/gate/src/call_model.c
@@ -75,8 +75,8 @@
 }
 
 /*
- * A request that may run once can't be escalated, so its only model is selected before it starts: the
- * largest while it answers in time with slots free. As slots are taken, a falling part of the
+ * A request that may run once can't be escalated, so its only model is selected before it starts:
+ * the largest while it answers in time with slots free. As slots are taken, a falling part of the
  * requests goes there, so that instances with the same view don't all change at once.
  */
 static void choose_only_model(struct cw_call *call, int64_t now_ms)
