gate, flow: a silent server is left only for a further attempt

Cause: the limit on silence is there so that another server can answer in time. It was applied also where none may be asked.

Change: without attempts left the limit is the caller's own time.

--- a/packages/flow/include/cw_flow.h
+++ b/packages/flow/include/cw_flow.h
@@ -86,9 +86,9 @@
 	void (*data)(void *context, const char *data, size_t size);
 	void (*end)(void *context); /* the answer is complete; the exchange is freed */
 	void (*failed)(void *context, enum cw_flow_failure failure); /* the exchange is freed */
-	int64_t (*silent)(void *context); /* the read timeout passed; returns how long to wait for
-					     the next byte from now on, once, 0: the exchange fails;
-					     NULL: it fails */
+	int64_t (*silent)(void *context); /* the read timeout passed; returns how long to wait on
+					     until it is called again, 0: the exchange fails; NULL:
+					     it fails */
 };
 
 struct cw_exchange_request {
--- a/packages/flow/src/client.c
+++ b/packages/flow/src/client.c
@@ -336,12 +336,11 @@
 {
 	int64_t wait_ms;
 
-	if (!exchange->is_sent || exchange->is_extended || !exchange->ops->silent)
+	if (!exchange->is_sent || !exchange->ops->silent)
 		return 0;
 	wait_ms = exchange->ops->silent(exchange->context);
 	if (wait_ms <= 0)
 		return 0;
-	exchange->is_extended = 1;
 	exchange->had_final_iteration = 0;
 	uv_timer_start(&exchange->timer, on_timer, (uint64_t)wait_ms, 0);
 	return 1;
@@ -423,7 +422,6 @@
 static void restart_timer(struct cw_exchange *exchange)
 {
 	exchange->had_final_iteration = 0;
-	exchange->is_extended = 0;
 	if (exchange->read_timeout_ms > 0)
 		uv_timer_start(&exchange->timer, on_timer, (uint64_t)exchange->read_timeout_ms, 0);
 	else
--- a/packages/flow/src/client_internal.h
+++ b/packages/flow/src/client_internal.h
@@ -58,7 +58,6 @@
 	unsigned int other_heads; /* read before it: interim answers, and those of other requests */
 	int is_mismatched;	  /* the answer being read belongs to another request */
 	int had_final_iteration;  /* the timeout passed, and pending input is read once more */
-	int is_extended;	  /* the timeout passed once since the last byte */
 };
 
 /* A connection that is opened to find out whether the server is reachable. */
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -209,8 +209,8 @@
 int64_t cw_call_silence_ms(const struct cw_call *call, int64_t since_ms,
 			   int64_t now_ms); /* predicted silence of its server since then */
 int64_t cw_call_extra_silence_ms(struct cw_call *call,
-				 int64_t now_ms);   /* how long to wait on for an attempt whose read
-						       timeout passed; 0: not at all */
+				 int64_t now_ms);   /* the read timeout passed: how long to wait
+						       until the next question, 0: give it up */
 double cw_call_work_ms(const struct cw_call *call); /* of the attempt's prompt, predicted */
 
 #endif
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -137,7 +137,7 @@
 	}
 	step->kind = CW_STEP_FORWARD;
 	step->read_timeout_ms = call->route->retry_policy == CW_RETRY_STREAM
-					? call_event_gap_timeout_ms(call)
+					? call_event_gap_timeout_ms(call, now_ms)
 					: call_idle_timeout_ms(call, now_ms);
 }
 
@@ -472,7 +472,7 @@
 	if (!is_kept && switch_server(call, now_ms, step))
 		return 1;
 	if (is_kept && dispatch_attempt(call, now_ms, step)) {
-		call_kept_fill_step(call, step);
+		call_kept_fill_step(call, now_ms, step);
 		return 1;
 	}
 	if (is_kept)
--- a/packages/gate/src/call_attempt.c
+++ b/packages/gate/src/call_attempt.c
@@ -3,7 +3,7 @@
 
 #define CONNECT_TIMEOUT_MAX_MS 400  /* a round trip takes 1 ms, a slow accept 300 ms */
 #define CONNECT_TIMEOUT_MIN_MS 100  /* longer than a scheduling pause of this instance */
-#define LAST_ATTEMPT_GAP_MS    4000 /* smallest event gap limit with no attempt left */
+#define SILENCE_STEP_MS	       1000 /* between two looks for a further attempt */
 
 static void record_failure(struct cw_call *call, int64_t now_ms);
 
@@ -38,26 +38,21 @@
 
 /*
  * Longest gap between two events of a stream. A stream that hangs is resumed on another server
- * while it can still be on time; with no attempt left the gap is at least LAST_ATTEMPT_GAP_MS.
+ * while it can still be on time. Without another attempt the caller decides how long it waits.
  */
-int64_t call_event_gap_timeout_ms(const struct cw_call *call)
+int64_t call_event_gap_timeout_ms(const struct cw_call *call, int64_t now_ms)
 {
 	double pause_ms = call->gate->policy->pause_part * (double)call->route->pause_ms;
 
 	if (!cw_call_may_change_server(call))
-		return MAX((int64_t)pause_ms, LAST_ATTEMPT_GAP_MS);
+		return MAX(call->deadline_ms - now_ms, 1);
 	return MAX((int64_t)pause_ms, 1);
 }
 
-/*
- * Symptom this prevents: streams that paused were cut although the retry budget was spent, and
- * their servers went on with them.
- */
+/* A server that is silent may go on, so it is left only for a further attempt. */
 int64_t cw_call_extra_silence_ms(struct cw_call *call, int64_t now_ms)
 {
-	if (!call->has_forwarded || cw_call_has_alternative(call, now_ms))
-		return 0;
-	return MAX(LAST_ATTEMPT_GAP_MS - call_event_gap_timeout_ms(call), 0);
+	return cw_call_has_alternative(call, now_ms) ? 0 : SILENCE_STEP_MS;
 }
 
 void call_release_server(struct cw_call *call, int64_t now_ms, int is_answered)
--- a/packages/gate/src/call_kept.c
+++ b/packages/gate/src/call_kept.c
@@ -115,10 +115,10 @@
 	call->kept.is_held = 0;
 }
 
-void call_kept_fill_step(const struct cw_call *call, struct cw_step *step)
+void call_kept_fill_step(const struct cw_call *call, int64_t now_ms, struct cw_step *step)
 {
 	step->keeps_answer = 1;
-	step->kept_timeout_ms = call_event_gap_timeout_ms(call);
+	step->kept_timeout_ms = call_event_gap_timeout_ms(call, now_ms);
 }
 
 int call_kept_is_enough(const struct cw_call *call)
@@ -145,7 +145,7 @@
 	step->kind = CW_STEP_FORWARD_KEPT;
 	step->reason = why;
 	step->kept_confidence = call->kept.confidence;
-	step->read_timeout_ms = call_event_gap_timeout_ms(call);
+	step->read_timeout_ms = call_event_gap_timeout_ms(call, now_ms);
 	return 1;
 }
 
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -251,7 +251,7 @@
 /* call_attempt.c: an attempt's timeouts and its end */
 int64_t call_connect_timeout_ms(const struct cw_call *call);
 int64_t call_idle_timeout_ms(const struct cw_call *call, int64_t now_ms);
-int64_t call_event_gap_timeout_ms(const struct cw_call *call);
+int64_t call_event_gap_timeout_ms(const struct cw_call *call, int64_t now_ms);
 int call_may_retry(struct cw_call *call, int64_t now_ms); /* the budgets grant another attempt */
 int call_runs_once(const struct cw_call *call);		  /* by the route's setting */
 int call_is_retriable(const struct cw_call *call);	  /* by that, and by what was forwarded */
@@ -268,7 +268,7 @@
 void call_kept_begin(struct cw_call *call, int confidence,
 		     int64_t now_ms);		/* puts the current attempt aside */
 void call_kept_take_back(struct cw_call *call); /* the largest model can't be asked */
-void call_kept_fill_step(const struct cw_call *call,
+void call_kept_fill_step(const struct cw_call *call, int64_t now_ms,
 			 struct cw_step *step);	     /* of the send to the largest model */
 int call_kept_is_enough(const struct cw_call *call); /* trusted where the larger one is late */
 int call_kept_is_complete(const struct cw_call *call);
