flow, entry: an answer is over when its bytes are written

Cause: a request counted as over when its last byte was queued. Closing idle connections, the second that a last answer's connection stays open, the limit of an idle connection, and the end of the process dropped what was queued. Ruled out: a kill (`stopped code=0` 2.5 s after `stopping`, and `ended outcome=answered` of all six before both).

Change: queued bytes are counted, of callers and of peers; a connection with such bytes is not idle, and a stop waits for them within its time.

--- a/apps/corianderwalk/entry.c
+++ b/apps/corianderwalk/entry.c
@@ -29,6 +29,8 @@
 static int may_reuse(void *client, const char *address, int64_t reuse_idle_ms);
 static void log_policy(const struct cw_policy *policy);
 static void open_gate(struct entry *entry);
+static int is_busy(const struct entry *entry);
+static size_t unwritten_bytes(const struct entry *entry);
 static void close_all(struct entry *entry);
 
 static const struct cw_listener_ops caller_ops = {on_request, relay_handle_disconnect, relay_resume,
@@ -283,12 +285,28 @@
 	if (since_stop_ms >= STOP_ACCEPT_MS)
 		cw_listener_close(entry->caller_listener);
 	if (since_stop_ms < entry->settings.stop_grace_ms - STOP_MARGIN_MS &&
-	    (since_stop_ms < STOP_ACCEPT_MS || entry->relay_count > 0 ||
-	     forwards_count(entry->forwards) > 0 || now_ms - entry->last_request_ms < STOP_IDLE_MS))
+	    (since_stop_ms < STOP_ACCEPT_MS || is_busy(entry) ||
+	     now_ms - entry->last_request_ms < STOP_IDLE_MS))
 		return;
+	if (is_busy(entry))
+		cw_warn("entry", "stop_cuts_answers", "running=%zu unwritten_bytes=%zu",
+			entry->relay_count, unwritten_bytes(entry));
 	uv_stop(&entry->loop);
 }
 
+/* An answer is not over before its bytes are written. */
+static int is_busy(const struct entry *entry)
+{
+	return entry->relay_count > 0 || forwards_count(entry->forwards) > 0 ||
+	       unwritten_bytes(entry) > 0;
+}
+
+static size_t unwritten_bytes(const struct entry *entry)
+{
+	return cw_listener_unwritten_bytes(entry->caller_listener) +
+	       feed_unwritten_bytes(entry->feed);
+}
+
 static void close_all(struct entry *entry)
 {
 	relay_abort_all(entry);
--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -112,6 +112,7 @@
 /* entry_feed.c: state read from the shared store */
 struct feed *feed_create(struct entry *entry, struct cw_error *error); /* NULL: see error */
 void feed_destroy(struct feed *feed);
+size_t feed_unwritten_bytes(const struct feed *feed); /* of answers to peers */
 void feed_set_body_limit(struct feed *feed, size_t bytes,
 			 size_t held_bytes);   /* of a request that a peer sends; of all of them */
 int feed_is_complete(const struct feed *feed); /* configuration and server list were read once */
--- a/apps/corianderwalk/entry_feed.c
+++ b/apps/corianderwalk/entry_feed.c
@@ -37,6 +37,11 @@
 	share_set_body_limit(feed->share, bytes, held_bytes);
 }
 
+size_t feed_unwritten_bytes(const struct feed *feed)
+{
+	return share_unwritten_bytes(feed->share);
+}
+
 static void schedule_first_reads(struct feed *feed)
 {
 	const struct cw_up_settings *settings = &feed->entry->settings;
--- a/apps/corianderwalk/entry_share.c
+++ b/apps/corianderwalk/entry_share.c
@@ -140,6 +140,11 @@
 	cw_listener_set_limits(share->listener, &limits);
 }
 
+size_t share_unwritten_bytes(const struct share *share)
+{
+	return cw_listener_unwritten_bytes(share->listener);
+}
+
 void share_fetch_config(struct share *share, const char *peer)
 {
 	start_fetch(&share->config, peer);
--- a/packages/flow/include/cw_flow.h
+++ b/packages/flow/include/cw_flow.h
@@ -47,7 +47,9 @@
 	struct cw_listener *listener); /* accepts no more connections; closes idle ones */
 size_t cw_listener_count_connections(const struct cw_listener *listener);
 size_t cw_listener_held_bytes(const struct cw_listener *listener); /* see cw_flow_limits */
-void cw_listener_destroy(struct cw_listener *listener);		   /* closes its connections */
+size_t cw_listener_unwritten_bytes(
+	const struct cw_listener *listener);		/* of answers, also of complete ones */
+void cw_listener_destroy(struct cw_listener *listener); /* closes its connections */
 
 void cw_caller_set_request(struct cw_caller *caller,
 			   void *request); /* passed to disconnected and writable */
--- a/packages/flow/src/listener.c
+++ b/packages/flow/src/listener.c
@@ -20,6 +20,9 @@
 
 static void on_connection(uv_stream_t *server, int status);
 static void on_sweep(uv_timer_t *timer);
+static void sweep_caller(struct cw_caller *caller, uint64_t now_ms);
+static int is_stalled(struct cw_caller *caller, uint64_t now_ms);
+static void start_lingering(struct cw_caller *caller);
 static void on_handle_closed(uv_handle_t *handle);
 static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer);
 static void on_written(uv_write_t *write, int status);
@@ -90,12 +93,21 @@
 	while (caller) {
 		struct cw_caller *next = TAILQ_NEXT(caller, link);
 
-		if (caller->state == CALLER_READING && !caller->has_request_bytes)
-			close_caller(caller);
+		if (caller->state == CALLER_READING && !caller->has_request_bytes) {
+			if (caller->unwritten_bytes == 0)
+				close_caller(caller);
+			else
+				start_lingering(caller);
+		}
 		caller = next;
 	}
 }
 
+size_t cw_listener_unwritten_bytes(const struct cw_listener *listener)
+{
+	return listener->unwritten_bytes;
+}
+
 size_t cw_listener_held_bytes(const struct cw_listener *listener)
 {
 	return listener->held_bytes;
@@ -227,23 +239,45 @@
 
 	while (caller) {
 		struct cw_caller *next = TAILQ_NEXT(caller, link);
-		int64_t elapsed_ms = (int64_t)(now_ms - caller->state_since_ms);
 
-		if (caller->state == CALLER_LINGERING && elapsed_ms > LINGER_TIMEOUT_MS) {
-			close_caller(caller);
-		} else if (caller->state == CALLER_READING && caller->has_request_bytes &&
-			   elapsed_ms > listener->limits.header_ms) {
-			caller->reject_status = HTTP_STATUS_REQUEST_TIMEOUT;
-			caller->reject_reason = "the request was not read in time";
-			reject_request(caller);
-		} else if (caller->state == CALLER_READING && !caller->has_request_bytes &&
-			   elapsed_ms > listener->limits.idle_ms) {
-			close_caller(caller);
-		}
+		sweep_caller(caller, now_ms);
 		caller = next;
 	}
 }
 
+static void sweep_caller(struct cw_caller *caller, uint64_t now_ms)
+{
+	const struct cw_flow_limits *limits = &caller->listener->limits;
+	int64_t elapsed_ms = (int64_t)(now_ms - caller->state_since_ms);
+
+	if (caller->unwritten_bytes > 0) {
+		/* A request that is being answered has a time limit of its own. */
+		if (is_stalled(caller, now_ms) && !caller->request)
+			close_caller(caller);
+	} else if (caller->state == CALLER_LINGERING && elapsed_ms > LINGER_TIMEOUT_MS) {
+		close_caller(caller);
+	} else if (caller->state == CALLER_READING && caller->has_request_bytes &&
+		   elapsed_ms > limits->header_ms) {
+		caller->reject_status = HTTP_STATUS_REQUEST_TIMEOUT;
+		caller->reject_reason = "the request was not read in time";
+		reject_request(caller);
+	} else if (caller->state == CALLER_READING && !caller->has_request_bytes &&
+		   elapsed_ms > limits->idle_ms) {
+		close_caller(caller);
+	}
+}
+
+/* The caller has read nothing for as long as a connection may be idle. */
+static int is_stalled(struct cw_caller *caller, uint64_t now_ms)
+{
+	size_t waiting = uv_stream_get_write_queue_size((uv_stream_t *)&caller->tcp);
+
+	if (waiting != caller->swept_bytes)
+		caller->progress_ms = now_ms;
+	caller->swept_bytes = waiting;
+	return (int64_t)(now_ms - caller->progress_ms) > caller->listener->limits.idle_ms;
+}
+
 static void on_handle_closed(uv_handle_t *handle)
 {
 	struct cw_listener *listener = handle->data;
@@ -337,6 +371,7 @@
 	write->request.data = write;
 	caller->out = g_string_sized_new(512);
 	caller->unwritten_bytes += write->bytes->len;
+	caller->listener->unwritten_bytes += write->bytes->len;
 	buffer = uv_buf_init(write->bytes->str, (unsigned int)write->bytes->len);
 	uv_write(&write->request, (uv_stream_t *)&caller->tcp, &buffer, 1, on_written);
 }
@@ -347,6 +382,7 @@
 	struct cw_caller *caller = write->caller;
 
 	caller->unwritten_bytes -= write->bytes->len;
+	caller->listener->unwritten_bytes -= write->bytes->len;
 	g_string_free(write->bytes, TRUE);
 	g_free(write);
 	if (caller->state == CALLER_CLOSED)
@@ -357,6 +393,9 @@
 	}
 	if (caller->unwritten_bytes > 0)
 		return;
+	caller->swept_bytes = 0;
+	if (caller->state != CALLER_ANSWERING && !caller->has_request_bytes)
+		caller->state_since_ms = uv_now(caller->listener->loop);
 	if (caller->closes_after_write) {
 		close_caller(caller);
 	} else if (caller->is_source_paused && caller->request &&
@@ -377,11 +416,7 @@
 	cw_message_clear(caller->message);
 	caller_release(caller);
 	if (!caller->keep_alive) {
-		uv_shutdown_t *request = g_new0(uv_shutdown_t, 1);
-
-		caller->state = CALLER_LINGERING;
-		if (uv_shutdown(request, (uv_stream_t *)&caller->tcp, on_shutdown))
-			g_free(request);
+		start_lingering(caller);
 		return;
 	}
 	caller->state = CALLER_READING;
@@ -398,6 +433,16 @@
 	g_string_free(pipelined, TRUE);
 }
 
+/* What is unwritten is written first. */
+static void start_lingering(struct cw_caller *caller)
+{
+	uv_shutdown_t *request = g_new0(uv_shutdown_t, 1);
+
+	caller->state = CALLER_LINGERING;
+	if (uv_shutdown(request, (uv_stream_t *)&caller->tcp, on_shutdown))
+		g_free(request);
+}
+
 static void on_shutdown(uv_shutdown_t *request, int status)
 {
 	g_free(request);
--- a/packages/flow/src/listener_internal.h
+++ b/packages/flow/src/listener_internal.h
@@ -25,7 +25,8 @@
 	int is_destroyed;
 	int open_handles; /* handles to close before the memory is freed */
 	size_t connection_count;
-	size_t held_bytes; /* reserved by its callers */
+	size_t held_bytes;	/* reserved by its callers */
+	size_t unwritten_bytes; /* of all its callers */
 	TAILQ_HEAD(, cw_caller) callers;
 };
 
@@ -40,9 +41,12 @@
 	GString *out;
 	enum caller_state state;
 	void *request;
-	uint64_t state_since_ms; /* start of the state or first byte of the request */
+	uint64_t state_since_ms; /* start of the state, first byte of the request, or last byte
+				    written of an answer */
 	size_t held_bytes;	 /* reserved for the body of the request */
 	size_t unwritten_bytes;	 /* queued in libuv, not yet written to the socket */
+	size_t swept_bytes;	 /* of these, at the last sweep */
+	uint64_t progress_ms;	 /* when a sweep last saw that bytes had been written */
 	unsigned int reject_status;
 	const char *reject_reason;
 	int has_request_bytes;
--- a/tests/standins/endless.c
+++ b/tests/standins/endless.c
@@ -1,7 +1,8 @@
 /*
- * A backend server that reads each request and then sends bytes that never end an answer.
- * Options: --listen IP:PORT, --form interim (answers with status 102), head (8 bytes of a head each
- * 200 ms), body (a body of 4 MB at 2 MB a second). Prints "listening", then "got" for a request.
+ * A backend server that reads each request and then sends bytes that never end an answer, or a long
+ * one. Options: --listen IP:PORT, --form interim (answers with status 102), head (8 bytes of a head
+ * each 200 ms), body (a body of 4 MB at 2 MB a second), long (a body of 2 MB at once). Prints
+ * "listening", then "got" for a request.
  */
 #include <argtable2.h>
 #include <arpa/inet.h>
@@ -12,9 +13,10 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
-#define HEAD	    "HTTP/1.1 200 OK\r\nServer-Seal: a.b\r\nContent-Length: 3932160\r\n"
+#define HEAD	    "HTTP/1.1 200 OK\r\nServer-Seal: a.b\r\nContent-Length: "
 #define BODY_PIECE  65536
 #define BODY_PIECES 60
+#define LONG_PIECES 32
 
 /* What is sent again and again, and the time between. */
 struct form {
@@ -29,7 +31,8 @@
 static const struct form forms[] = {
 	{"interim", "", "HTTP/1.1 102 Processing\r\n\r\n", BODY_PIECE, 0, 0},
 	{"head", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n", 8, 200000, 0},
-	{"body", HEAD, "x", BODY_PIECE, 32000, BODY_PIECES},
+	{"body", HEAD "3932160\r\n\r\n", "x", BODY_PIECE, 32000, BODY_PIECES},
+	{"long", HEAD "2097152\r\n\r\n", "x", BODY_PIECE, 0, LONG_PIECES},
 };
 
 static const struct form *form;
@@ -63,8 +66,6 @@
 	for (size_t i = 0; i < form->piece; i++)
 		piece[i] = form->repeat[i % repeat];
 	if (read_request(fd) && send(fd, form->first, strlen(form->first), MSG_NOSIGNAL) >= 0) {
-		if (!strcmp(form->name, "body"))
-			send(fd, "\r\n", 2, MSG_NOSIGNAL);
 		for (long i = 0; !form->count || i < form->count; i++) {
 			if (send(fd, piece, form->piece, MSG_NOSIGNAL) <= 0)
 				break;
@@ -112,7 +113,8 @@
 int main(int argc, char **argv)
 {
 	struct arg_str *listen_option = arg_str1(NULL, "listen", "IP:PORT", "address");
-	struct arg_str *form_option = arg_str1(NULL, "form", "interim|head|body", "what is sent");
+	struct arg_str *form_option =
+		arg_str1(NULL, "form", "interim|head|body|long", "what is sent");
 	struct arg_end *end = arg_end(4);
 	void *table[] = {listen_option, form_option, end};
 	int listener;
