flow: a peer that reads late is not taken for a dead one

What callers saw: a caller that reads nothing for more than 3 s gets a reset in the middle of its answer.

Cause: TCP_USER_TIMEOUT, which finds hosts that are gone. The kernel counts a window that stays closed as unacknowledged bytes, although its probes are answered.

Change: callers' connections have no such timeout; the kernel is asked twice a second whether their host has acknowledged anything for 3 s though bytes or probes were repeated.

--- a/packages/flow/src/client.c
+++ b/packages/flow/src/client.c
@@ -4,8 +4,9 @@
 #include <sys/queue.h>
 #include <sys/socket.h>
 
-#define IDLE_SAFETY_MARGIN_MS 400 /* closes idle connections this long before the server does */
-#define FINAL_ITERATION_MS    1	  /* runs after the next poll for input */
+#define IDLE_SAFETY_MARGIN_MS 400   /* closes idle connections this long before the server does */
+#define FINAL_ITERATION_MS    1	    /* runs after the next poll for input */
+#define SMALL_REQUEST_BYTES   32768 /* fits into any host's buffers, whenever its server reads */
 #define MAX_IDLE_PER_ADDRESS  32
 #define OTHER_HEADS_MAX	      16 /* before the answer's own head: a server that sends more is broken */
 
@@ -229,6 +230,10 @@
 
 	connection->exchange->is_sent = 1;
 	connection->is_writing = 1;
+	if (connection->bytes->len > SMALL_REQUEST_BYTES) {
+		connection->may_stall = 1;
+		flow_limit_unacknowledged(&connection->tcp, 0);
+	}
 	restart_timer(connection->exchange);
 	if (uv_write(&connection->write, (uv_stream_t *)&connection->tcp, &buffer, 1, on_written))
 		connection->is_writing = 0;
@@ -254,6 +259,7 @@
 	}
 	connection->is_connected = 1;
 	flow_tune_socket(&connection->tcp);
+	flow_limit_unacknowledged(&connection->tcp, FLOW_USER_TIMEOUT_MS);
 	uv_read_start((uv_stream_t *)&connection->tcp, flow_provide_buffer, on_read);
 	if (connection->probe)
 		flow_probe_report(connection->probe, CW_PROBE_OPENED);
@@ -399,6 +405,9 @@
 	connection->exchange = NULL;
 	exchange->connection = NULL;
 	free_exchange(exchange);
+	if (connection->may_stall)
+		flow_limit_unacknowledged(&connection->tcp, FLOW_USER_TIMEOUT_MS);
+	connection->may_stall = 0;
 	if (has_extra_bytes || !connection->is_reusable || connection->is_writing ||
 	    address->idle_count >= MAX_IDLE_PER_ADDRESS) {
 		flow_close_connection(connection);
--- a/packages/flow/src/client_internal.h
+++ b/packages/flow/src/client_internal.h
@@ -28,6 +28,7 @@
 	int64_t idle_limit_ms;
 	int is_connected;
 	int is_writing;
+	int may_stall;		/* the server may leave a part of the request unread for long */
 	int is_answer_complete; /* the end of the answer was parsed */
 	int is_reusable;
 	int is_closed;
--- a/packages/flow/src/flow_internal.h
+++ b/packages/flow/src/flow_internal.h
@@ -4,8 +4,10 @@
 
 #include "cw_flow.h"
 
+#include <netinet/tcp.h>
+
 #define FLOW_READ_BUFFER_BYTES	  (64 * 1024) /* one buffer per loop: reads are handled at once */
-#define FLOW_USER_TIMEOUT_MS	  3000 /* TCP_USER_TIMEOUT: three packet losses of 1 s each */
+#define FLOW_USER_TIMEOUT_MS	  3000 /* without an acknowledgement: three losses of 1 s each */
 #define FLOW_KEEPALIVE_IDLE_S	  1 /* keepalive probes tell a network partition from a busy server */
 #define FLOW_KEEPALIVE_INTERVAL_S 1
 #define FLOW_KEEPALIVE_PROBES	  2
@@ -29,6 +31,9 @@
 int flow_fields_end(struct flow_fields *fields,
 		    struct cw_message *message); /* of the header section; 0: a name is no token */
 void flow_provide_buffer(uv_handle_t *handle, size_t suggested, uv_buf_t *buffer);
-void flow_tune_socket(uv_tcp_t *tcp); /* sets TCP_NODELAY, keepalive and TCP_USER_TIMEOUT */
+void flow_tune_socket(uv_tcp_t *tcp);			     /* sets TCP_NODELAY and keepalive */
+void flow_limit_unacknowledged(uv_tcp_t *tcp, int limit_ms); /* TCP_USER_TIMEOUT; 0: no limit */
+int flow_is_peer_silent(uv_tcp_t *tcp); /* its host does not acknowledge; 0 also if not known */
+int flow_shows_silence(const struct tcp_info *info);
 
 #endif
--- a/packages/flow/src/listener.c
+++ b/packages/flow/src/listener.c
@@ -249,8 +249,12 @@
 {
 	const struct cw_flow_limits *limits = &caller->listener->limits;
 	int64_t elapsed_ms = (int64_t)(now_ms - caller->state_since_ms);
+	int is_used = caller->state == CALLER_ANSWERING || caller->unwritten_bytes > 0 ||
+		      elapsed_ms < 2 * FLOW_USER_TIMEOUT_MS;
 
-	if (caller->unwritten_bytes > 0) {
+	if (is_used && flow_is_peer_silent(&caller->tcp)) {
+		handle_disconnect(caller);
+	} else if (caller->unwritten_bytes > 0) {
 		/* A request that is being answered has a time limit of its own. */
 		if (is_stalled(caller, now_ms) && !caller->request)
 			close_caller(caller);
--- a/packages/flow/src/socket.c
+++ b/packages/flow/src/socket.c
@@ -73,12 +73,10 @@
 /*
  * A connection can go dead without a reset (network partition, power loss of the remote machine),
  * and an answer on such a connection never arrives. Keepalive probes and the timeout of
- * unacknowledged bytes end the connection within FLOW_USER_TIMEOUT_MS, while a peer that is only
- * slow stays connected.
+ * unacknowledged bytes end the connection within FLOW_USER_TIMEOUT_MS.
  */
 void flow_tune_socket(uv_tcp_t *tcp)
 {
-	int user_timeout = FLOW_USER_TIMEOUT_MS;
 	int on = 1;
 	int idle = FLOW_KEEPALIVE_IDLE_S;
 	int interval = FLOW_KEEPALIVE_INTERVAL_S;
@@ -92,5 +90,35 @@
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &idle, sizeof(idle));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &interval, sizeof(interval));
 	setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &probes, sizeof(probes));
-	setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &user_timeout, sizeof(user_timeout));
+}
+
+/*
+ * The kernel counts a window that stays closed as unacknowledged bytes, although the peer answers
+ * its probes: with this timeout a peer that reads nothing for a while looks dead.
+ */
+void flow_limit_unacknowledged(uv_tcp_t *tcp, int limit_ms)
+{
+	uv_os_fd_t fd;
+
+	if (!uv_fileno((uv_handle_t *)tcp, &fd))
+		setsockopt(fd, IPPROTO_TCP, TCP_USER_TIMEOUT, &limit_ms, sizeof(limit_ms));
+}
+
+int flow_is_peer_silent(uv_tcp_t *tcp)
+{
+	struct tcp_info info;
+	socklen_t size = sizeof(info);
+	uv_os_fd_t fd;
+
+	if (uv_fileno((uv_handle_t *)tcp, &fd) ||
+	    getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size))
+		return 0;
+	return flow_shows_silence(&info);
+}
+
+/* One probe of a closed window may be on its way. */
+int flow_shows_silence(const struct tcp_info *info)
+{
+	return info->tcpi_last_ack_recv > FLOW_USER_TIMEOUT_MS &&
+	       (info->tcpi_retransmits > 0 || info->tcpi_probes > 1);
 }
--- a/tests/runs/users_stop_slow.sh
+++ b/tests/runs/users_stop_slow.sh
@@ -35,3 +35,4 @@
 began_ms=$(now_ms)
 stop n2
 [ $(($(now_ms) - began_ms)) -lt 8000 ] && echo "in time" || echo "late"
+grep -o 'event=stop_cuts_answers running=0' "$DIR/n2.log"
--- a/tests/standins/endless.c
+++ b/tests/standins/endless.c
@@ -1,7 +1,8 @@
 /*
- * A backend server that reads each request and then sends bytes that never end an answer, or a long
- * one. Options: --listen IP:PORT, --form interim (answers with status 102), head (8 bytes of a head
- * each 200 ms), body (a body of 4 MB at 2 MB a second), long (a body of 2 MB at once). Prints
+ * A backend server that reads each request, late or at once, and then sends bytes that never end an
+ * answer, or a long one. Options: --listen IP:PORT, --form interim (answers with status 102), head
+ * (8 bytes of a head each 200 ms), body (a body of 4 MB at 2 MB a second), long (a body of 2 MB at
+ * once), late (reads what follows the head 5 s late, up to the length of the request). Prints
  * "listening", then "got" for a request.
  */
 #include <argtable2.h>
@@ -17,6 +18,8 @@
 #define BODY_PIECE  65536
 #define BODY_PIECES 60
 #define LONG_PIECES 32
+#define LATE_S	    5
+#define LATE_BUFFER 4096
 
 /* What is sent again and again, and the time between. */
 struct form {
@@ -32,11 +35,14 @@
 	{"interim", "", "HTTP/1.1 102 Processing\r\n\r\n", BODY_PIECE, 0, 0},
 	{"head", "HTTP/1.1 200 OK\r\n", "X-A: b\r\n", 8, 200000, 0},
 	{"body", HEAD "3932160\r\n\r\n", "x", BODY_PIECE, 32000, BODY_PIECES},
+	{"late", HEAD "1\r\n\r\n", "x", 1, 0, 1},
 	{"long", HEAD "2097152\r\n\r\n", "x", BODY_PIECE, 0, LONG_PIECES},
 };
 
 static const struct form *form;
 
+static void read_late(int fd, const char *bytes, size_t size);
+
 static int read_request(int fd)
 {
 	char bytes[16384];
@@ -54,9 +60,29 @@
 	}
 	printf("got\n");
 	fflush(stdout);
+	if (!strcmp(form->name, "late"))
+		read_late(fd, bytes, size);
 	return 1;
 }
 
+static void read_late(int fd, const char *bytes, size_t size)
+{
+	const char *length = strcasestr(bytes, "\r\nContent-Length:");
+	size_t whole = (size_t)(strstr(bytes, "\r\n\r\n") + 4 - bytes);
+	char more[4096];
+
+	if (length)
+		whole += strtoul(strchr(length, ':') + 1, NULL, 10);
+	sleep(LATE_S);
+	while (size < whole) {
+		ssize_t received = read(fd, more, sizeof(more));
+
+		if (received <= 0)
+			return;
+		size += (size_t)received;
+	}
+}
+
 static void *serve(void *context)
 {
 	int fd = (int)(long)context;
@@ -83,11 +109,14 @@
 	char *colon = strchr(ip, ':');
 	int listener = socket(AF_INET, SOCK_STREAM, 0);
 	int one = 1;
+	int buffer = LATE_BUFFER;
 
 	if (!colon)
 		return -1;
 	*colon = '\0';
 	setsockopt(listener, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (form && !strcmp(form->name, "late"))
+		setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &buffer, sizeof(buffer));
 	socket_address.sin_port = htons((unsigned short)strtoul(colon + 1, NULL, 10));
 	inet_pton(AF_INET, ip, &socket_address.sin_addr);
 	free(ip);
@@ -114,7 +143,7 @@
 {
 	struct arg_str *listen_option = arg_str1(NULL, "listen", "IP:PORT", "address");
 	struct arg_str *form_option =
-		arg_str1(NULL, "form", "interim|head|body|long", "what is sent");
+		arg_str1(NULL, "form", "interim|head|body|long|late", "what is sent");
 	struct arg_end *end = arg_end(4);
 	void *table[] = {listen_option, form_option, end};
 	int listener;
