relay, flow: what callers have not read shares one bound with held answers

Cause: a complete answer was queued for its caller whole and counted nowhere.

Change: held answers and unwritten bytes share a fifth of the memory. Beyond it a body is passed on as it comes, in place of not reading its server: with slow readers that would serve one request after the other. From then on no other attempt can replace it.

--- a/apps/corianderwalk/entry.c
+++ b/apps/corianderwalk/entry.c
@@ -11,7 +11,9 @@
 #define EXIT_LISTEN_FAILED  3
 #define TICK_MS		    100 /* housekeeping; a silent server is probed within this time */
 #define BODIES_PART	    0.2 /* of the memory, for callers' bodies; held twice while they are sent */
-#define LOG_FLUSH_TICKS	    3	 /* ticks between two flushes of the log */
+#define ANSWERS_PART	    0.2			/* of the memory, for answers */
+#define MEMORY_BYTES	    (256 * 1024 * 1024) /* unless the settings state it */
+#define LOG_FLUSH_TICKS	    3			/* ticks between two flushes of the log */
 #define STOP_ACCEPT_MS	    2500 /* after SIGTERM: two failed readiness calls 1 s apart, and slack */
 #define STOP_IDLE_MS	    300	 /* without a request, before the process ends */
 #define STOP_MARGIN_MS	    600	 /* before the platform kills the process */
@@ -122,6 +124,7 @@
 		.header_ms = config_limits->header_ms,
 		.idle_ms = config_limits->idle_ms,
 		.held_bytes = (size_t)((double)entry->settings.memory_bytes * BODIES_PART),
+		.unwritten_bytes = entry_answers_limit(entry),
 	};
 
 	cw_listener_set_limits(entry->caller_listener, &limits);
@@ -129,6 +132,13 @@
 			    limits.held_bytes / 2);
 }
 
+size_t entry_answers_limit(const struct entry *entry)
+{
+	int64_t memory_bytes = entry->settings.memory_bytes;
+
+	return (size_t)((double)(memory_bytes > 0 ? memory_bytes : MEMORY_BYTES) * ANSWERS_PART);
+}
+
 static void open_gate(struct entry *entry)
 {
 	const struct cw_up_settings *settings = &entry->settings;
--- a/apps/corianderwalk/entry.h
+++ b/apps/corianderwalk/entry.h
@@ -42,7 +42,6 @@
 	size_t relay_count;
 	size_t kept_bytes;	   /* of all answers in hand */
 	size_t answer_bytes;	   /* of all answers that are held until they are complete */
-	size_t held_back_count;	   /* requests whose servers are not read meanwhile */
 	int64_t stop_requested_ms; /* 0: no stop requested */
 	int64_t last_request_ms;
 	int64_t contact_sought_ms; /* entry_reach.c: servers were probed for a contact */
@@ -80,6 +79,8 @@
 /* entry_kept.c: smaller models' answers, kept while the largest model is asked */
 void kept_update_gauges(const struct entry *entry);
 void bodies_update_gauges(const struct entry *entry);
+size_t entry_answers_limit(
+	const struct entry *entry); /* bytes: of answers, held and not yet read by callers */
 
 /* entry_reach.c: whether backend servers can be reached */
 void reach_note_contact(struct entry *entry,
--- a/apps/corianderwalk/entry_bodies.c
+++ b/apps/corianderwalk/entry_bodies.c
@@ -1,99 +1,77 @@
 /*
  * Bodies of answers that are not streamed. Each is held until it is complete, so that another
- * attempt may replace it, and all of them together are bounded: beyond the bound servers are not
- * read, but for the oldest request's, so that one after the other becomes complete.
+ * attempt may replace it. All of them, and what callers have not read yet, are bounded together:
+ * beyond the bound a body is passed on as it comes, as fast as its caller reads.
  */
 #include "cw_counters.h"
 #include "cw_timeline.h"
 #include "entry_relay.h"
 
-#define HELD_PART    0.2  /* of the instance's memory: callers' bodies take as much */
-#define RESUME_PART  0.75 /* of the bound: below it all servers are read again */
-#define BODY_MAX     (4 * 1024 * 1024)
-#define MEMORY_BYTES (256 * 1024 * 1024) /* unless the settings state it */
+#define BODY_MAX (4 * 1024 * 1024)
 
-static void read_on(struct entry *entry);
-static size_t max_held_bytes(const struct entry *entry);
-static struct relay *find_oldest(const struct entry *entry);
-static void set_held_back(struct relay *relay, int is_held_back);
+static size_t held_bytes(const struct entry *entry);
+static void pass_on(struct relay *relay);
+static void forget_held(struct relay *relay);
 
 int bodies_add(struct relay *relay, const char *data, size_t size)
 {
 	struct entry *entry = relay->entry;
 
+	relay->body_bytes += size;
+	if (relay->body_bytes > BODY_MAX)
+		return 0;
+	if (relay->is_head_sent) {
+		relay_send_to_caller(relay, data, size);
+		return 1;
+	}
 	g_string_append_len(relay->response_body, data, (gssize)size);
 	entry->answer_bytes += size;
-	if (relay->response_body->len > BODY_MAX)
-		return 0;
-	if (entry->answer_bytes > max_held_bytes(entry) && relay != find_oldest(entry))
-		set_held_back(relay, 1);
+	if (held_bytes(entry) > entry_answers_limit(entry))
+		pass_on(relay);
 	return 1;
 }
 
 void bodies_drop(struct relay *relay)
 {
-	struct entry *entry = relay->entry;
-
-	if (relay->is_held_back)
-		entry->held_back_count--;
-	relay->is_held_back = 0;
-	if (relay->response_body->len == 0)
-		return;
-	entry->answer_bytes -= relay->response_body->len;
-	/* A large buffer is given back, not only emptied. */
-	g_string_free(relay->response_body, TRUE);
-	relay->response_body = g_string_sized_new(0);
-	if (entry->held_back_count > 0)
-		read_on(entry);
+	relay->body_bytes = 0;
+	forget_held(relay);
 }
 
 void bodies_update_gauges(const struct entry *entry)
 {
 	cw_gauge_set("held_answer_bytes", "", entry->answer_bytes);
+	cw_gauge_set("unwritten_answer_bytes", "",
+		     cw_listener_unwritten_bytes(entry->caller_listener));
 }
 
-static void read_on(struct entry *entry)
-{
-	size_t resume_bytes = (size_t)((double)max_held_bytes(entry) * RESUME_PART);
-	const struct relay *oldest = find_oldest(entry);
-	struct relay *relay;
-
-	TAILQ_FOREACH(relay, &entry->relays, link)
-		if (relay == oldest || entry->answer_bytes <= resume_bytes)
-			set_held_back(relay, 0);
-}
-
-static size_t max_held_bytes(const struct entry *entry)
+static size_t held_bytes(const struct entry *entry)
 {
-	int64_t memory_bytes = entry->settings.memory_bytes;
-
-	return (size_t)((double)(memory_bytes > 0 ? memory_bytes : MEMORY_BYTES) * HELD_PART);
+	return entry->answer_bytes + cw_listener_unwritten_bytes(entry->caller_listener);
 }
 
-static struct relay *find_oldest(const struct entry *entry)
+/* From now on no other attempt can replace the answer. Its length may not be known: in chunks. */
+static void pass_on(struct relay *relay)
 {
-	struct relay *relay;
+	struct entry *entry = relay->entry;
+	GString *body = relay->response_body;
 
-	TAILQ_FOREACH(relay, &entry->relays, link)
-		if (relay->response_body->len > 0)
-			return relay;
-	return NULL;
+	cw_counter_add("answers_passed_on", "", 1);
+	cw_event("gate", "answer_passed_on",
+		 "request=%s server=%s bytes=%zu held=%zu unwritten=%zu", relay->request_info.id,
+		 relay->step.server->name, body->len, entry->answer_bytes,
+		 cw_listener_unwritten_bytes(entry->caller_listener));
+	cw_call_begin_body(relay->call, entry_now_ms(entry));
+	relay_begin_answer(relay, CW_FLOW_CHUNKED);
+	relay_send_to_caller(relay, body->str, body->len);
+	forget_held(relay);
 }
 
-static void set_held_back(struct relay *relay, int is_held_back)
+static void forget_held(struct relay *relay)
 {
-	if (relay->is_held_back == is_held_back || !relay->exchange)
-		return;
-	relay->is_held_back = is_held_back;
-	if (is_held_back)
-		relay->entry->held_back_count++;
-	else
-		relay->entry->held_back_count--;
-	cw_exchange_pause(relay->exchange, is_held_back);
-	if (!is_held_back)
+	if (relay->response_body->len == 0)
 		return;
-	cw_counter_add("answers_held_back", "", 1);
-	cw_event("gate", "answer_held_back", "request=%s server=%s bytes=%zu held=%zu",
-		 relay->request_info.id, relay->step.server->name, relay->response_body->len,
-		 relay->entry->answer_bytes);
+	relay->entry->answer_bytes -= relay->response_body->len;
+	/* A large buffer is given back, not only emptied. */
+	g_string_free(relay->response_body, TRUE);
+	relay->response_body = g_string_sized_new(0);
 }
--- a/apps/corianderwalk/entry_relay.c
+++ b/apps/corianderwalk/entry_relay.c
@@ -22,7 +22,6 @@
 static void record_data_received(struct relay *relay);
 static void reject(struct relay *relay, const struct cw_step *step);
 static void forward_events(struct relay *relay);
-static void send_head(struct relay *relay, int64_t length);
 static void finish(struct relay *relay, const char *outcome);
 static void reject_bad_request(struct cw_caller *caller, const struct cw_error *error);
 
@@ -369,17 +368,29 @@
 	}
 	if (!out)
 		return;
-	if (relay->kept && !cw_call_has_kept(relay->call))
-		kept_drop(relay, "large_began");
 	if (!relay->is_head_sent)
-		send_head(relay, CW_FLOW_CHUNKED);
-	if (cw_caller_send_body(relay->caller, out->str, out->len) && relay->exchange) {
-		relay->is_paused = 1;
-		cw_exchange_pause(relay->exchange, 1);
-	}
+		relay_begin_answer(relay, CW_FLOW_CHUNKED);
+	relay_send_to_caller(relay, out->str, out->len);
 	g_string_free(out, TRUE);
 }
 
+void relay_begin_answer(struct relay *relay, int64_t length)
+{
+	if (relay->kept && !cw_call_has_kept(relay->call))
+		kept_drop(relay, "large_began");
+	relay->is_head_sent = 1;
+	relay->first_byte_ms = entry_now_ms(relay->entry);
+	cw_caller_send_head(relay->caller, relay->http_status, relay->response_fields->str, length);
+}
+
+void relay_send_to_caller(struct relay *relay, const char *data, size_t size)
+{
+	if (!cw_caller_send_body(relay->caller, data, size) || !relay->exchange)
+		return;
+	relay->is_paused = 1;
+	cw_exchange_pause(relay->exchange, 1);
+}
+
 static void on_end(void *context)
 {
 	struct relay *relay = context;
@@ -399,8 +410,8 @@
 				  relay->http_status == HTTP_STATUS_NO_CONTENT ||
 				  relay->http_status == HTTP_STATUS_NOT_MODIFIED;
 
-		send_head(relay,
-			  has_no_body ? CW_FLOW_NO_BODY : (int64_t)relay->response_body->len);
+		relay_begin_answer(relay, has_no_body ? CW_FLOW_NO_BODY
+						      : (int64_t)relay->response_body->len);
 		cw_caller_send_body(relay->caller, relay->response_body->str,
 				    relay->response_body->len);
 	}
@@ -473,13 +484,6 @@
 	relay_end_forward(relay, 0);
 }
 
-static void send_head(struct relay *relay, int64_t length)
-{
-	relay->is_head_sent = 1;
-	relay->first_byte_ms = entry_now_ms(relay->entry);
-	cw_caller_send_head(relay->caller, relay->http_status, relay->response_fields->str, length);
-}
-
 static void reject(struct relay *relay, const struct cw_step *step)
 {
 	GString *fields = g_string_sized_new(64);
--- a/apps/corianderwalk/entry_relay.h
+++ b/apps/corianderwalk/entry_relay.h
@@ -31,9 +31,9 @@
 	GString *response_body;
 	unsigned int http_status;
 	int is_stream;
-	int is_head_sent; /* to the caller */
-	int is_paused;	  /* the server is not read until the caller has read more */
-	int is_held_back; /* it is not read until other answers are complete */
+	int is_head_sent;  /* to the caller */
+	int is_paused;	   /* the server is not read until the caller has read more */
+	size_t body_bytes; /* of the attempt's answer, if it is not streamed */
 	int64_t opened_ms;
 	int64_t sent_ms;	  /* when the current attempt was sent */
 	int64_t first_byte_ms;	  /* when the first byte was sent to the caller, -1: not yet */
@@ -48,6 +48,9 @@
 void relay_start_timer(struct relay *relay); /* to the deadline, or the kept answer's due time */
 void relay_forward_data(struct relay *relay, const char *data,
 			size_t size); /* of the answer that goes to the caller */
+void relay_begin_answer(struct relay *relay, int64_t length); /* sends the head to the caller */
+void relay_send_to_caller(struct relay *relay, const char *data,
+			  size_t size); /* the server is not read while the caller does not read */
 
 /* entry_kept.c: the answer in hand */
 void kept_begin(struct relay *relay, const struct cw_message *answer,
--- a/packages/flow/include/cw_flow.h
+++ b/packages/flow/include/cw_flow.h
@@ -25,9 +25,11 @@
 struct cw_flow_limits {
 	size_t header_bytes; /* names, values and the target together */
 	size_t body_bytes;
-	int64_t header_ms; /* from the first byte of a request to its end, body included */
-	int64_t idle_ms;   /* between two requests on a connection */
-	size_t held_bytes; /* bodies of all requests that are read or answered; 0: any */
+	int64_t header_ms;	/* from the first byte of a request to its end, body included */
+	int64_t idle_ms;	/* between two requests on a connection */
+	size_t held_bytes;	/* bodies of all requests that are read or answered; 0: any */
+	size_t unwritten_bytes; /* of all answers; above, each unwritten byte of a caller pauses its
+				   source; 0: any */
 };
 
 struct cw_listener_ops {
--- a/packages/flow/src/listener.c
+++ b/packages/flow/src/listener.c
@@ -23,6 +23,8 @@
 static void sweep_caller(struct cw_caller *caller, uint64_t now_ms);
 static int is_stalled(struct cw_caller *caller, uint64_t now_ms);
 static void start_lingering(struct cw_caller *caller);
+static size_t max_unwritten_bytes(const struct cw_listener *listener);
+static void free_large_buffer(struct cw_caller *caller, size_t kept_bytes);
 static void on_handle_closed(uv_handle_t *handle);
 static void on_read(uv_stream_t *stream, ssize_t size, const uv_buf_t *buffer);
 static void on_written(uv_write_t *write, int status);
@@ -175,7 +177,7 @@
 	if (caller->is_chunked)
 		g_string_append(caller->out, "\r\n");
 	caller_flush(caller);
-	caller->is_source_paused = caller->unwritten_bytes > CW_FLOW_WRITE_HIGH_WATERMARK;
+	caller->is_source_paused = caller->unwritten_bytes > max_unwritten_bytes(caller->listener);
 	return caller->is_source_paused;
 }
 
@@ -350,6 +352,14 @@
 	cw_caller_end_answer(caller);
 }
 
+/* Of one caller, before its source is paused. */
+static size_t max_unwritten_bytes(const struct cw_listener *listener)
+{
+	size_t limit = listener->limits.unwritten_bytes;
+
+	return limit > 0 && listener->unwritten_bytes > limit ? 0 : CW_FLOW_WRITE_HIGH_WATERMARK;
+}
+
 void caller_flush(struct cw_caller *caller)
 {
 	struct caller_write *write;
@@ -367,8 +377,10 @@
 	}
 	if (sent > 0)
 		g_string_erase(caller->out, 0, sent);
-	if (caller->out->len == 0)
+	if (caller->out->len == 0) {
+		free_large_buffer(caller, FLOW_READ_BUFFER_BYTES);
 		return;
+	}
 	write = g_new0(struct caller_write, 1);
 	write->caller = caller;
 	write->bytes = caller->out;
@@ -380,6 +392,14 @@
 	uv_write(&write->request, (uv_stream_t *)&caller->tcp, &buffer, 1, on_written);
 }
 
+static void free_large_buffer(struct cw_caller *caller, size_t kept_bytes)
+{
+	if (caller->out->allocated_len <= kept_bytes)
+		return;
+	g_string_free(caller->out, TRUE);
+	caller->out = g_string_sized_new(512);
+}
+
 static void on_written(uv_write_t *request, int status)
 {
 	struct caller_write *write = request->data;
@@ -424,10 +444,7 @@
 		return;
 	}
 	caller->state = CALLER_READING;
-	if (caller->out->allocated_len > KEPT_BUFFER_BYTES) {
-		g_string_free(caller->out, TRUE);
-		caller->out = g_string_sized_new(512);
-	}
+	free_large_buffer(caller, KEPT_BUFFER_BYTES);
 	if (caller->is_parsing || caller->pipelined->len == 0)
 		return;
 	pipelined = caller->pipelined;
--- a/packages/gate/include/cw_gate.h
+++ b/packages/gate/include/cw_gate.h
@@ -160,6 +160,8 @@
 			int64_t event); /* 0: the caller already has the event */
 void cw_call_add_event(struct cw_call *call, int64_t event,
 		       int64_t now_ms); /* the event was forwarded */
+void cw_call_begin_body(struct cw_call *call,
+			int64_t now_ms); /* the caller gets a part of an answer that is no stream */
 void cw_call_handle_failure(struct cw_call *call, enum cw_attempt_failure how, int64_t now_ms,
 			    struct cw_step *step);
 
--- a/packages/gate/src/call.c
+++ b/packages/gate/src/call.c
@@ -166,6 +166,14 @@
 		call->last_event = event;
 }
 
+/* The rest of such an answer can come from its own run only. */
+void cw_call_begin_body(struct cw_call *call, int64_t now_ms)
+{
+	call_kept_drop(call, now_ms);
+	call->has_forwarded = 1;
+	call->is_body_forwarded = 1;
+}
+
 void cw_call_handle_failure(struct cw_call *call, enum cw_attempt_failure how, int64_t now_ms,
 			    struct cw_step *step)
 {
--- a/packages/gate/src/call_attempt.c
+++ b/packages/gate/src/call_attempt.c
@@ -120,7 +120,7 @@
 /* Only a stream goes on from the part that was forwarded. */
 int call_is_retriable(const struct cw_call *call)
 {
-	if (call_runs_once(call))
+	if (call_runs_once(call) || call->is_body_forwarded)
 		return 0;
 	return !call->has_forwarded || call->route->retry_policy == CW_RETRY_STREAM;
 }
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -131,11 +131,12 @@
 	unsigned int connect_failures; /* attempts that could not connect; no byte was sent */
 	int is_waiting;
 	int may_have_run;
-	int is_via_peer;   /* the attempt in progress is sent by a peer */
-	int has_forwarded; /* a part of the answer went to the caller */
-	int is_resumed;	   /* the answer consists of more than one run */
-	int goes_first;	   /* more urgent by a step; see call_share_goes_first() */
-	int is_trial;	   /* trial run of a quarantined request: a single attempt */
+	int is_via_peer;       /* the attempt in progress is sent by a peer */
+	int has_forwarded;     /* a part of the answer went to the caller */
+	int is_body_forwarded; /* that answer is no stream */
+	int is_resumed;	       /* the answer consists of more than one run */
+	int goes_first;	       /* more urgent by a step; see call_share_goes_first() */
+	int is_trial;	       /* trial run of a quarantined request: a single attempt */
 	int64_t last_event;
 	size_t model_index; /* among the route's models, when it has any */
 	uint64_t session;
--- a/tests/unit/test_call_once.c
+++ b/tests/unit/test_call_once.c
@@ -161,6 +161,24 @@
 	fixture_close(&fixture);
 }
 
+/* Guards against an answer that is made of two runs, as the caller got a part of a body already. */
+static void a_body_that_was_begun_is_not_continued_by_another_run(void **state)
+{
+	for (size_t i = 0; i < G_N_ELEMENTS(route_kinds); i++) {
+		struct fixture fixture;
+
+		open_fixture(&fixture, &route_kinds[i]);
+		fixture_open_call(&fixture, "/chat/x");
+		fixture_answer(&fixture, 200, 1, 0);
+		cw_call_begin_body(fixture.call, FIXTURE_NOW_MS + 10);
+		assert_false(cw_call_may_change_server(fixture.call));
+		cw_call_handle_failure(fixture.call, CW_ATTEMPT_CONNECTION_LOST,
+				       FIXTURE_NOW_MS + 20, &fixture.step);
+		assert_int_equal(fixture.step.kind, CW_STEP_ABORT);
+		fixture_close(&fixture);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -170,6 +188,7 @@
 		cmocka_unit_test(a_rejected_request_keeps_the_largest_model_while_there_is_room),
 		cmocka_unit_test(the_model_that_a_caller_names_is_kept),
 		cmocka_unit_test(a_request_that_may_run_once_avoids_connections_that_were_idle),
+		cmocka_unit_test(a_body_that_was_begun_is_not_continued_by_another_run),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
--- a/tests/unit/test_flow.c
+++ b/tests/unit/test_flow.c
@@ -396,7 +396,7 @@
 
 static void a_body_over_the_limit_is_rejected_by_its_length(void **state)
 {
-	struct cw_flow_limits limits = {1024, 100, 1000, 1000, 0};
+	struct cw_flow_limits limits = {1024, 100, 1000, 1000, 0, 0};
 	struct listener_fixture fixture;
 
 	listener_fixture_open(&fixture);
