rollout, gate: a version that was rolled back stays so under the next order

Cause: the next order replaced the state of the roll-out, and "old version" meant any but the new target. Ruled out: an outcome that is not known everywhere, sessions that return (`arm=old` at all instances, also of sessions that ran on v1).

--- a/packages/gate/src/call_choice.c
+++ b/packages/gate/src/call_choice.c
@@ -107,6 +107,9 @@
 		.organisation_regions =
 			call->organisation ? &call->organisation->home_regions : NULL,
 	};
+	for (size_t i = 0; i < CW_POOL_MAX_WITHDRAWN; i++)
+		choice->withdrawn_software[i] =
+			cw_rollouts_withdrawn(gate->rollouts, call->service_name, i);
 	call_work_fill_choice(call, choice);
 }
 
--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -405,9 +405,12 @@
 /* Timings are learned from the old version only, for comparison with the target of a roll-out. */
 int call_work_is_on_target_version(const struct cw_call *call)
 {
-	const char *target = cw_rollouts_target(call->gate->rollouts, call->service_name);
+	const struct cw_rollouts *rollouts = call->gate->rollouts;
+	const char *target = cw_rollouts_target(rollouts, call->service_name);
+	const char *software = call->server->software;
 
-	return target && !strcmp(target, call->server->software);
+	return (target && !strcmp(target, software)) ||
+	       cw_rollouts_is_withdrawn(rollouts, call->service_name, software);
 }
 
 /*
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -304,7 +304,8 @@
 void call_work_record_completion(struct cw_call *call, int64_t now_ms); /* complete answer */
 void call_work_record_failure(struct cw_call *call, int64_t now_ms);
 void call_work_end(struct cw_call *call);
-int call_work_is_on_target_version(const struct cw_call *call); /* of a roll-out */
+int call_work_is_on_target_version(
+	const struct cw_call *call); /* of a roll-out, or of one that was rolled back */
 double call_work_unproved_pace(const struct cw_call *call,
 			       int64_t now_ms); /* part of the server's pace that is no excuse */
 struct cw_rollout_answer call_work_rollout_evidence(const struct cw_call *call);
--- a/packages/pool/include/cw_pool.h
+++ b/packages/pool/include/cw_pool.h
@@ -167,6 +167,8 @@
 
 TAILQ_HEAD(cw_server_list, cw_server);
 
+#define CW_POOL_MAX_WITHDRAWN 4 /* software versions of a service that a choice excludes */
+
 struct cw_choice {
 	const char *service;
 	uint64_t version; /* cw_pool_version_hash() of model and version; 0: none required */
@@ -182,7 +184,8 @@
 	double server_share;	       /* part of the candidates that may be used, 0 to 1; 0: all */
 	const char *excluded_software; /* excluded software version; NULL: none */
 	const char *pending_software;  /* excluded too, its roll-out is not known yet; NULL: none */
-	double fill_part;	       /* part of one server's slots to fill first; 0: off */
+	const char *withdrawn_software[CW_POOL_MAX_WITHDRAWN]; /* excluded too; NULL: no more */
+	double fill_part; /* part of one server's slots to fill first; 0: off */
 	int64_t now_ms;
 	uint64_t random;
 	double prompt_tokens;	 /* size of the prompt; 0 for a service without models */
--- a/packages/pool/src/candidates.c
+++ b/packages/pool/src/candidates.c
@@ -206,6 +206,9 @@
 		return 0;
 	if (choice->required_software && strcmp(server->software, choice->required_software) != 0)
 		return 0;
+	for (size_t i = 0; i < CW_POOL_MAX_WITHDRAWN; i++)
+		if (runs_software(server, choice->withdrawn_software[i]))
+			return 0;
 	return !runs_software(server, choice->excluded_software) &&
 	       !runs_software(server, choice->pending_software);
 }
--- a/packages/rollout/include/cw_rollout.h
+++ b/packages/rollout/include/cw_rollout.h
@@ -20,10 +20,11 @@
 #include <stddef.h>
 #include <stdint.h>
 
-#define CW_ROLLOUT_MAX_KINDS	12 /* kinds of answers of one service, by route and server load */
-#define CW_ROLLOUT_MAX_SESSIONS 96 /* per announcement: about 5 s of a tenth of all sessions */
-#define CW_ROLLOUT_MAX_ROUTES	16 /* routes of one service that are tracked */
-#define CW_ROLLOUT_NEVER	INT64_MAX
+#define CW_ROLLOUT_MAX_KINDS	 12 /* kinds of answers of one service, by route and server load */
+#define CW_ROLLOUT_MAX_SESSIONS	 96 /* per announcement: about 5 s of a tenth of all sessions */
+#define CW_ROLLOUT_MAX_ROUTES	 16 /* routes of one service that are tracked */
+#define CW_ROLLOUT_MAX_WITHDRAWN 4  /* versions of a service that stay withdrawn */
+#define CW_ROLLOUT_NEVER	 INT64_MAX
 
 /* Load that a route's requests usually cause; bits of a set. */
 enum cw_rollout_load_kind {
@@ -187,6 +188,12 @@
 int cw_rollouts_is_retired(
 	const struct cw_rollouts *rollouts, const char *service,
 	const char *software); /* replaced: servers with it may stop at any time */
+const char *
+cw_rollouts_withdrawn(const struct cw_rollouts *rollouts, const char *service,
+		      size_t index); /* rolled back under an earlier order and not ordered again;
+					index: below CW_ROLLOUT_MAX_WITHDRAWN; NULL: none */
+int cw_rollouts_is_withdrawn(const struct cw_rollouts *rollouts, const char *service,
+			     const char *software); /* one of these */
 const char *cw_rollouts_target(const struct cw_rollouts *rollouts,
 			       const char *service); /* NULL: no roll-out */
 enum cw_rollout_variant cw_rollouts_choose_variant(struct cw_rollouts *rollouts,
--- a/packages/rollout/src/evidence.c
+++ b/packages/rollout/src/evidence.c
@@ -61,7 +61,7 @@
 	int is_slow;
 	int is_bad;
 
-	if (!rollout)
+	if (!rollout || rollout_is_withdrawn(rollout, answer->software))
 		return;
 	is_slow = !answer->is_failure && answer->is_slow && is_slowness_counted(rollout, now_ms);
 	is_bad = answer->is_failure || is_slow;
@@ -99,7 +99,8 @@
 	struct cw_rollout_evidence *kind;
 	int is_target;
 
-	if (!rollout || !is_slowness_counted(rollout, now_ms))
+	if (!rollout || !is_slowness_counted(rollout, now_ms) ||
+	    rollout_is_withdrawn(rollout, answer->software))
 		return;
 	kind = find_own_kind(rollout, answer, now_ms);
 	is_target = !strcmp(rollout->target, answer->software);
--- a/packages/rollout/src/gaps.c
+++ b/packages/rollout/src/gaps.c
@@ -26,7 +26,8 @@
 	struct rollout *rollout = rollout_find(rollouts, answer->service);
 	struct cw_rollout_evidence *kind;
 
-	if (!rollout || rollout->state != CW_ROLLOUT_RUNNING || rollout->has_passed_trial)
+	if (!rollout || rollout->state != CW_ROLLOUT_RUNNING || rollout->has_passed_trial ||
+	    rollout_is_withdrawn(rollout, answer->software))
 		return;
 	rollout_decay_evidence(rollout, now_ms);
 	kind = rollout_find_kind(rollout->kinds, &rollout->kind_count, ALL_ROUTES, 0);
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -13,6 +13,8 @@
 static void start(struct rollout *rollout, const struct cw_rollout_order *order,
 		  struct cw_position position, int64_t started_ms, int64_t now_ms);
 static void adopt_position(struct rollout *rollout, struct cw_position position);
+static int is_outcome_of_last_order(const struct rollout *rollout,
+				    const struct cw_rollout_announcement *update);
 static int is_same_order(const struct rollout *rollout, const char *target,
 			 struct cw_position position);
 static void set_target(struct rollout *rollout, const char *target);
@@ -86,8 +88,12 @@
 		rollout = add(rollouts, status->service);
 		set_target(rollout, status->target);
 	}
-	if (strcmp(rollout->target, status->target) != 0)
+	if (strcmp(rollout->target, status->target) != 0) {
+		/* A starting instance may read the next order before the status of the last one. */
+		if (status->state == CW_ROLLOUT_ROLLED_BACK)
+			rollout_withdraw(rollout, status->target);
 		return 0;
+	}
 	is_changed = rollout->state != status->state || !rollout->is_written;
 	rollout->state = status->state;
 	rollout->is_written = 1;
@@ -336,8 +342,11 @@
 			adopt_position(rollout, update->position);
 		else if (cw_position_compare(update->position, rollout->position) < 0 ||
 			 (!cw_position_is_same_era(update->position, rollout->position) &&
-			  now_ms < rollouts->settled_ms))
+			  now_ms < rollouts->settled_ms)) {
+			if (is_outcome_of_last_order(rollout, update))
+				rollout_withdraw(rollout, update->target);
 			return 0;
+		}
 	}
 	if (!rollout)
 		rollout = add(rollouts, update->service);
@@ -361,6 +370,15 @@
 	return rollout->state != before;
 }
 
+/* The peer has not learned of the order that is in force here. */
+static int is_outcome_of_last_order(const struct rollout *rollout,
+				    const struct cw_rollout_announcement *update)
+{
+	return update->state == CW_ROLLOUT_ROLLED_BACK &&
+	       cw_position_is_same_era(update->position, rollout->position) &&
+	       strcmp(update->target, rollout->target) != 0;
+}
+
 struct rollout *rollout_find(const struct cw_rollouts *rollouts, const char *service)
 {
 	struct rollout *rollout;
@@ -415,6 +433,9 @@
 static void start(struct rollout *rollout, const struct cw_rollout_order *order,
 		  struct cw_position position, int64_t started_ms, int64_t now_ms)
 {
+	if (rollout->state == CW_ROLLOUT_ROLLED_BACK)
+		rollout_withdraw(rollout, rollout->target);
+	rollout_restore(rollout, order->target);
 	set_target(rollout, order->target);
 	rollout->position = position;
 	rollout->earlier = (struct cw_position){0};
--- a/packages/rollout/src/rollout_internal.h
+++ b/packages/rollout/src/rollout_internal.h
@@ -108,6 +108,9 @@
 	int64_t decayed_ms;	  /* time to which the kinds' counts are decayed */
 	GHashTable *peers;	  /* instance -> struct rollout_peer */
 	GHashTable *old_sessions; /* on the old version as peers announced: hash -> time */
+	/* Targets of earlier orders that were rolled back, the newest last. */
+	size_t withdrawn_count;
+	char withdrawn[CW_ROLLOUT_MAX_WITHDRAWN][CW_NAME_MAX];
 };
 
 struct cw_rollouts {
@@ -168,6 +171,11 @@
 				    size_t count); /* pooled; llr above 0: rather slow */
 int rollout_are_gaps_slow(const struct rollout *rollout);
 
+/* withdrawn.c: versions that earlier roll-outs rolled back */
+void rollout_withdraw(struct rollout *rollout, const char *software);
+void rollout_restore(struct rollout *rollout, const char *software); /* it is ordered again */
+int rollout_is_withdrawn(const struct rollout *rollout, const char *software);
+
 /* match.c: per-second comparison of the versions' failures on each route */
 void rollout_compare_answer(struct rollout *rollout, const struct cw_rollout_answer *answer);
 void rollout_compare_peer(struct rollout *rollout, const struct rollout_peer *known,
