--- a/tests/runs/users_endless.sh
+++ b/tests/runs/users_endless.sh
@@ -2,6 +2,7 @@
 # their requests wait for it, and against one caller after the other being sent to it.
 . tests/lib.sh
 . tests/lib_users.sh
+. tests/lib_cut.sh
 store_start
 config 1 k1
 runner a1 app v1
@@ -29,8 +30,16 @@
 	done
 	echo "$(sort -u "$statuses" | tr '\n' ' ')$([ $number -lt 200 ] || echo ", the server was not asked") $([ $slowest_ms -le 1500 ] && echo "in time" || echo "late: $slowest_ms ms")"
 }
-start_instances n1
+start_instances n1 n2
 for form in interim head; do
 	endless "a_$form" $form
 	echo "$form: $(ask_until_asked n1 "a_$form")"
 done
+echo "-- through a peer"
+set_links hang n1
+is_partitioned() { ask n1 GET /read/1 "seen-$RANDOM" >/dev/null; [ "$(metric n1 partitioned)" = 1 ]; }
+wait_for "n1 knows that it is partitioned" is_partitioned
+for form in interim head; do
+	endless "p_$form" $form
+	echo "$form: $(ask_until_asked n1 "p_$form")"
+done
