tests: users_drain times its requests, not the processes that send them

Cause: 40 requests had to take less than 4 s, counted with some 160 processes of the shell. With 64 and 96 busy processes beside it (address sanitizer) this took 5,114 and 6,525 ms while the slowest rejection took 0 ms at the instance; with none, 12 and 24 it took 645, 1,564 and 1,957 ms. The check was wrong: it depends on what else the machine does.

Change: the same bound, 4 s for 40 requests, on the sum of the requests' own times as curl measures them; all 40 must be among them. As strict on the instance: a rejection that waits shows in it as before.

--- a/tests/lib_users.sh
+++ b/tests/lib_users.sh
@@ -71,14 +71,16 @@
 metric() { eval "local host=\$HOST_$1"; curl -s "http://$host:$P_METRICS/metrics" | sed -n "s/^corianderwalk_$2 //p"; }
 has_config() { grep -q "event=configured version=$2 " "$DIR/$1.log"; }
 
-# ask ENTRY METHOD PATH ID [CURL ARGS...]: sends a request; prints the HTTP status, then the body.
+# ask ENTRY METHOD PATH ID [CURL ARGS...]: sends a request; prints the HTTP status, then the body. With TIMES set, the
+# seconds from its begin to the answer's end are appended to that file.
 ask() {
 	local entry=$1 method=$2 path=$3 id=$4
 	shift 4
 	eval "local host=\$HOST_$entry"
 	local answer="$DIR/answer.$BASHPID"
-	curl -s -m 15 -X "$method" -w '\n%{http_code}\n' -H 'Host: h' -H "Attempt-Id: $id" -H 'Deadline-Ms: 10000' \
-		-H "Authorization: Token ${KEY:-k1}" "$@" "http://$host:$P_FRONT$path" >"$answer"
+	curl -s -m 15 -X "$method" -w '\n%{http_code}\n%{stderr}%{time_total}\n' -H 'Host: h' -H "Attempt-Id: $id" \
+		-H 'Deadline-Ms: 10000' -H "Authorization: Token ${KEY:-k1}" "$@" "http://$host:$P_FRONT$path" >"$answer" \
+		2>>"${TIMES:-/dev/null}"
 	tail -n 1 "$answer"
 	sed '$d' "$answer"
 }
--- a/tests/runs/users_drain.sh
+++ b/tests/runs/users_drain.sh
@@ -41,9 +41,11 @@
 echo "-- z2 is drained too: requests are rejected at once, not run"
 put keyed.op evacuate/z2 "{}"
 wait_for "z2 drained everywhere" is_logged domain_drained z2 1
-BEGAN_MS=$(date +%s%3N)
+TIMES=$DIR/times
 check_use
-[ $(($(date +%s%3N) - BEGAN_MS)) -lt 4000 ] && echo "at once"
+TIMES=
+# The requests' own time: that of the processes which send them depends on what else the machine does.
+awk '{ n++; sum += $1 } END { if (n == 40 && sum < 4) print "at once"; else print n " requests took " sum " s" }' "$DIR/times"
 echo "-- z1 is restored, drained and restored"
 put keyed.op evacuate/z1 ""
 put keyed.op evacuate/z1 "{}"
