rollout, gate: quick streams of both versions are compared side by side

Cause: the gap that counts as quick was learned all the time, and grew with the load of the old version during the burst until slow streams were quick; and a fixed part of a good version's streams was expected to be quick, however full the servers.

Timings are learned from a completed version again, as the next one is compared with it. docs/design/0023.

--- a/packages/gate/src/call_work.c
+++ b/packages/gate/src/call_work.c
@@ -189,7 +189,7 @@
 	call->head_ms = now_ms;
 	call->late_work_ms = late_work_ms(call, now_ms);
 	call->is_slow = took_ms > factor * (expected_ms + call->late_work_ms);
-	if (!call_work_is_on_target_version(call))
+	if (!call_work_is_on_unproved_version(call))
 		learn_timing(call, took_ms, now_ms);
 	end_prompt(call);
 	if (!is_plain)
@@ -239,9 +239,9 @@
 		cw_rollouts_mark_answer_slow(call->gate->rollouts, &answer, now_ms);
 	if (timing->event_gap_ms <= 0)
 		timing->event_gap_ms = gap_ms;
-	else if (!call_work_is_on_target_version(call))
+	else if (!call_work_is_on_unproved_version(call))
 		timing->event_gap_ms += EVENT_EWMA_GAIN * (gap_ms - timing->event_gap_ms);
-	if (!call_work_is_on_target_version(call) && !call->has_no_event_times)
+	if (!call_work_is_on_unproved_version(call) && !call->has_no_event_times)
 		learn_speed(call, &timing->gap, median_gap_ms(call),
 			    cw_pool_reference_pace(call->server, now_ms), now_ms);
 }
@@ -402,15 +402,17 @@
 	return sorted[middle];
 }
 
-/* Timings are learned from the old version only, for comparison with the target of a roll-out. */
-int call_work_is_on_target_version(const struct cw_call *call)
+/* Timings are learned from other versions only, for comparison with the target of a roll-out. */
+int call_work_is_on_unproved_version(const struct cw_call *call)
 {
 	const struct cw_rollouts *rollouts = call->gate->rollouts;
 	const char *target = cw_rollouts_target(rollouts, call->service_name);
 	const char *software = call->server->software;
 
-	return (target && !strcmp(target, software)) ||
-	       cw_rollouts_is_withdrawn(rollouts, call->service_name, software);
+	if (cw_rollouts_is_withdrawn(rollouts, call->service_name, software))
+		return 1;
+	return target && !strcmp(target, software) &&
+	       !cw_rollouts_is_completed(rollouts, call->service_name);
 }
 
 /*
@@ -419,8 +421,8 @@
  */
 double call_work_unproved_pace(const struct cw_call *call, int64_t now_ms)
 {
-	return call_work_is_on_target_version(call) ? cw_pool_learned_pace(call->server, now_ms)
-						    : CW_PACE_USUAL;
+	return call_work_is_on_unproved_version(call) ? cw_pool_learned_pace(call->server, now_ms)
+						      : CW_PACE_USUAL;
 }
 
 static void report_to_rollout(struct cw_call *call, int is_failure, int is_slow, int64_t now_ms)
--- a/packages/gate/src/gate_internal.h
+++ b/packages/gate/src/gate_internal.h
@@ -32,6 +32,7 @@
 	double event_gap_ms; /* between two events of a stream; 0: not known */
 	unsigned int samples;
 	double quick_gap_log;	    /* ln(ms): a fifth of the old version's streams is quicker */
+	double quick_limit_log;	    /* the same before the roll-out; falls with it meanwhile */
 	unsigned int quick_samples; /* until it is known */
 	struct gate_usual answer;   /* plain service: time to answer */
 	struct gate_usual gap;	    /* model: between two events of a stream */
@@ -304,8 +305,8 @@
 void call_work_record_completion(struct cw_call *call, int64_t now_ms); /* complete answer */
 void call_work_record_failure(struct cw_call *call, int64_t now_ms);
 void call_work_end(struct cw_call *call);
-int call_work_is_on_target_version(
-	const struct cw_call *call); /* of a roll-out, or of one that was rolled back */
+int call_work_is_on_unproved_version(
+	const struct cw_call *call); /* target of a roll-out that is not completed */
 double call_work_unproved_pace(const struct cw_call *call,
 			       int64_t now_ms); /* part of the server's pace that is no excuse */
 struct cw_rollout_answer call_work_rollout_evidence(const struct cw_call *call);
--- a/packages/rollout/include/cw_rollout.h
+++ b/packages/rollout/include/cw_rollout.h
@@ -183,6 +183,8 @@
 	struct cw_rollouts *rollouts,
 	const struct cw_rollout_status *status);	     /* from the store; 1: changed */
 int cw_rollouts_has_any(const struct cw_rollouts *rollouts); /* 1: a roll-out is known */
+int cw_rollouts_is_running(const struct cw_rollouts *rollouts, const char *service);
+int cw_rollouts_is_completed(const struct cw_rollouts *rollouts, const char *service);
 int cw_rollouts_is_rolled_back(const struct cw_rollouts *rollouts,
 			       const char *service); /* the roll-out was rolled back */
 int cw_rollouts_is_retired(
--- a/packages/rollout/src/rollout.c
+++ b/packages/rollout/src/rollout.c
@@ -9,6 +9,8 @@
 #define COMPLETION_LATEST 0.955
 #define WRITE_TURN_MS	  250 /* a write takes 4 ms, and its announcement 150 ms at most */
 
+static int is_in_state(const struct cw_rollouts *rollouts, const char *service,
+		       enum cw_rollout_state state);
 static struct rollout *add(struct cw_rollouts *rollouts, const char *service);
 static void start(struct rollout *rollout, const struct cw_rollout_order *order,
 		  struct cw_position position, int64_t started_ms, int64_t now_ms);
@@ -114,11 +116,19 @@
 	return !TAILQ_EMPTY(&rollouts->list);
 }
 
-int cw_rollouts_is_rolled_back(const struct cw_rollouts *rollouts, const char *service)
+int cw_rollouts_is_running(const struct cw_rollouts *rollouts, const char *service)
 {
-	const struct rollout *rollout = rollout_find(rollouts, service);
+	return is_in_state(rollouts, service, CW_ROLLOUT_RUNNING);
+}
 
-	return rollout && rollout->state == CW_ROLLOUT_ROLLED_BACK;
+int cw_rollouts_is_completed(const struct cw_rollouts *rollouts, const char *service)
+{
+	return is_in_state(rollouts, service, CW_ROLLOUT_COMPLETED);
+}
+
+int cw_rollouts_is_rolled_back(const struct cw_rollouts *rollouts, const char *service)
+{
+	return is_in_state(rollouts, service, CW_ROLLOUT_ROLLED_BACK);
 }
 
 /*
@@ -389,6 +399,14 @@
 	return NULL;
 }
 
+static int is_in_state(const struct cw_rollouts *rollouts, const char *service,
+		       enum cw_rollout_state state)
+{
+	const struct rollout *rollout = rollout_find(rollouts, service);
+
+	return rollout && rollout->state == state;
+}
+
 static struct rollout *add(struct cw_rollouts *rollouts, const char *service)
 {
 	struct rollout *rollout = g_new0(struct rollout, 1);
--- a/tests/unit/test_rollout_gaps.c
+++ b/tests/unit/test_rollout_gaps.c
@@ -96,6 +96,26 @@
 		cw_rollouts_destroy(instances[i]);
 }
 
+/* Guards against a rollback of a good version while hardly any stream is quick, of either version.
+ */
+static void quick_streams_of_the_old_version_are_the_measure(void **state)
+{
+	static const struct {
+		int old_quick;
+		enum cw_rollout_state state;
+	} rows[] = {{0, CW_ROLLOUT_RUNNING}, {4, CW_ROLLOUT_RUNNING}, {40, CW_ROLLOUT_ROLLED_BACK}};
+
+	for (size_t i = 0; i < sizeof(rows) / sizeof(*rows); i++) {
+		struct cw_rollouts *rollouts = rollout_fixture_start(0);
+
+		record_streams(rollouts, &old_stream, rows[i].old_quick, 200 - rows[i].old_quick,
+			       4000);
+		record_streams(rollouts, &new_stream, 0, 60, 5000);
+		assert_int_equal(evaluate(rollouts, 5000), rows[i].state);
+		cw_rollouts_destroy(rollouts);
+	}
+}
+
 int main(void)
 {
 	const struct CMUnitTest tests[] = {
@@ -104,6 +124,7 @@
 		cmocka_unit_test(a_version_that_is_rather_slow_does_not_pass_its_trial),
 		cmocka_unit_test(streams_after_the_trial_decide_nothing),
 		cmocka_unit_test(streams_of_all_instances_decide_together),
+		cmocka_unit_test(quick_streams_of_the_old_version_are_the_measure),
 	};
 
 	return cmocka_run_group_tests(tests, NULL, NULL);
