--- a/tests/lib_users.sh
+++ b/tests/lib_users.sh
@@ -27,6 +27,15 @@
 	eval "ADDR_$name=$host:$P_R1"
 	list "$name" "$service" "$version" ready
 }
+# endless NAME SERVICE FORM: starts a server that answers in that form (standin-endless), and lists it.
+endless() {
+	local host=$NET.$((100 + NEXT_HOST))
+	NEXT_HOST=$((NEXT_HOST + 1))
+	start "$1" "$BUILD/tests/standin-endless" --listen "$host:$P_R1" --form "$3"
+	wait_for "$1 listens" grep -q '^listening' "$DIR/$1.log"
+	eval "ADDR_$1=$host:$P_R1"
+	list "$1" "$2" v1 ready
+}
 list() { # NAME SERVICE VERSION STATE: writes an entry, in failure domain ZONE, cold for COLD_MS
 	eval "local address=\$ADDR_$1"
 	put keyed.servers "$1" "{\"service\":\"$2\",\"address\":\"$address\",\"zone\":\"${ZONE:-z1}\",\"version\":\"$3\",\"slots\":64,\"state\":\"$4\",\"cold_left_ms\":${COLD_MS:-0},\"seq\":1}"
--- a/tests/runs/users_endless.sh
+++ b/tests/runs/users_endless.sh
@@ -6,15 +6,6 @@
 store_start
 config 1 k1
 runner a1 app v1
-# endless NAME FORM: a server of "app".
-endless() {
-	local host=$NET.$((100 + NEXT_HOST))
-	NEXT_HOST=$((NEXT_HOST + 1))
-	start "$1" "$BUILD/tests/standin-endless" --listen "$host:$P_R1" --form "$2"
-	wait_for "$1 listens" grep -q '^listening' "$DIR/$1.log"
-	eval "ADDR_$1=$host:$P_R1"
-	list "$1" app v1 ready
-}
 # ask_until_asked INSTANCE SERVER: reads, one after the other, until one was sent to that server; prints their statuses,
 # and whether the slowest took less than the route's time.
 ask_until_asked() {
@@ -32,7 +23,7 @@
 }
 start_instances n1 n2
 for form in interim head; do
-	endless "a_$form" $form
+	endless "a_$form" app $form
 	echo "$form: $(ask_until_asked n1 "a_$form")"
 done
 echo "-- through a peer"
@@ -40,6 +31,6 @@
 is_partitioned() { ask n1 GET /read/1 "seen-$RANDOM" >/dev/null; [ "$(metric n1 partitioned)" = 1 ]; }
 wait_for "n1 knows that it is partitioned" is_partitioned
 for form in interim head; do
-	endless "p_$form" $form
+	endless "p_$form" app $form
 	echo "$form: $(ask_until_asked n1 "p_$form")"
 done
--- a/tests/runs/users_reads_late.sh
+++ b/tests/runs/users_reads_late.sh
@@ -4,15 +4,8 @@
 . tests/lib_users.sh
 store_start
 config 1 k1 ',{"name":"long","host":"h","path_prefix":"/long/","route_kind":"non_idempotent","timeout_ms":20000,"target_latency_ms":300,"priority":2,"service":"app","max_attempts":1,"public":false},{"name":"photo","host":"h","path_prefix":"/photo/","route_kind":"non_idempotent","timeout_ms":20000,"target_latency_ms":300,"priority":2,"service":"photos","max_attempts":1,"public":false}'
-for form in long late; do
-	HOST=$NET.$((100 + NEXT_HOST))
-	NEXT_HOST=$((NEXT_HOST + 1))
-	start "$form" "$BUILD/tests/standin-endless" --listen "$HOST:$P_R1" --form $form
-	wait_for "it listens" grep -q '^listening' "$DIR/$form.log"
-	eval "ADDR_$form=$HOST:$P_R1"
-done
-list long app v1 ready
-list late photos v1 ready
+endless long app long
+endless late photos late
 entry n1
 wait_for "ready" ready n1
 echo "-- callers that read nothing for 5 s once the head has come"
--- a/tests/runs/users_reads_slowly.sh
+++ b/tests/runs/users_reads_slowly.sh
@@ -8,11 +8,7 @@
 BOUND_BYTES=$((200 * 1024 * 1024 / 5 + ANSWER_BYTES + CALLERS * 65536))
 store_start
 config 1 k1 ',{"name":"long","host":"h","path_prefix":"/long/","route_kind":"idempotent","timeout_ms":20000,"target_latency_ms":15000,"priority":2,"service":"app","max_attempts":2,"public":false}'
-HOST=$NET.101
-start long "$BUILD/tests/standin-endless" --listen "$HOST:$P_R1" --form long
-wait_for "it listens" grep -q '^listening' "$DIR/long.log"
-ADDR_long=$HOST:$P_R1
-list long app v1 ready
+endless long app long
 entry n1
 wait_for "ready" ready n1
 start callers "$BUILD/tests/slow-callers" --to "$HOST_n1:$P_FRONT" --path /long/ --count $CALLERS --rate 400000
--- a/tests/runs/users_stop_slow.sh
+++ b/tests/runs/users_stop_slow.sh
@@ -4,11 +4,7 @@
 . tests/lib_users.sh
 store_start
 config 1 k1 ',{"name":"long","host":"h","path_prefix":"/long/","route_kind":"non_idempotent","timeout_ms":20000,"target_latency_ms":300,"priority":2,"service":"app","max_attempts":1,"public":false}'
-HOST=$NET.101
-start long "$BUILD/tests/standin-endless" --listen "$HOST:$P_R1" --form long
-wait_for "it listens" grep -q '^listening' "$DIR/long.log"
-ADDR_long=$HOST:$P_R1
-list long app v1 ready
+endless long app long
 # read_slowly INSTANCE COUNT ARGS...: callers, each reading 320,000 bytes a second; sets CALLERS. The answers take 6.6 s.
 read_slowly() {
 	local instance=$1 count=$2
