rollout: a part of a good version's streams is quick, whatever the old version's are

Cause: in that burst 2 in 100 of the old version's streams are quick, and no more was expected of a good version. Its servers are never fuller than the old version's: in 42 records of good versions it has 5 in 100 or more after 30 streams.

Change: 0.08 at least are expected, and 0.07 of that of a slow version, so that few quick streams clear a good one sooner.

--- a/packages/rollout/src/gaps.c
+++ b/packages/rollout/src/gaps.c
@@ -11,11 +11,12 @@
 #include <string.h>
 
 #define ALL_ROUTES	0    /* as route of the entry: no route has this hash */
-#define QUICK_IF_GOOD	0.15 /* most that is expected of a good version's streams */
-#define SLOW_PART	0.13 /* of the quick streams of a good version: so many has a slow one */
+#define QUICK_MOST	0.15 /* expected at most of a good version's streams, */
+#define QUICK_LEAST	0.08 /* and at least: its servers are no fuller than the old version's */
+#define SLOW_PART	0.07 /* of the quick streams of a good version: so many has a slow one */
 #define PRIOR_QUICK	1.0  /* streams of the old version that are taken as seen before any, */
 #define PRIOR_STREAMS	7.0  /* of so many */
-#define GAPS_SLOW_LEVEL 5.0  /* log likelihood ratio: 39 streams, none of them quick */
+#define GAPS_SLOW_LEVEL 5.0  /* log likelihood ratio: 33 to 64 streams, none of them quick */
 
 static double expected_part(double old_quick, double old_streams);
 
@@ -68,7 +69,9 @@
 /* Of a good version's streams that are quick, by those of the old version. */
 static double expected_part(double old_quick, double old_streams)
 {
-	return MIN((old_quick + PRIOR_QUICK) / (old_streams + PRIOR_STREAMS), QUICK_IF_GOOD);
+	double part = (old_quick + PRIOR_QUICK) / (old_streams + PRIOR_STREAMS);
+
+	return CLAMP(part, QUICK_LEAST, QUICK_MOST);
 }
 
 int rollout_are_gaps_slow(const struct rollout *rollout)
--- a/tests/unit/test_rollout_gaps.c
+++ b/tests/unit/test_rollout_gaps.c
@@ -102,15 +102,21 @@
 {
 	static const struct {
 		int old_quick;
+		int new_streams;
 		enum cw_rollout_state state;
-	} rows[] = {{0, CW_ROLLOUT_RUNNING}, {4, CW_ROLLOUT_RUNNING}, {40, CW_ROLLOUT_ROLLED_BACK}};
+	} rows[] = {
+		{0, 50, CW_ROLLOUT_RUNNING},
+		{4, 50, CW_ROLLOUT_RUNNING},
+		{40, 50, CW_ROLLOUT_ROLLED_BACK},
+		{0, 100, CW_ROLLOUT_ROLLED_BACK},
+	};
 
 	for (size_t i = 0; i < sizeof(rows) / sizeof(*rows); i++) {
 		struct cw_rollouts *rollouts = rollout_fixture_start(0);
 
 		record_streams(rollouts, &old_stream, rows[i].old_quick, 200 - rows[i].old_quick,
 			       4000);
-		record_streams(rollouts, &new_stream, 0, 60, 5000);
+		record_streams(rollouts, &new_stream, 0, rows[i].new_streams, 5000);
 		assert_int_equal(evaluate(rollouts, 5000), rows[i].state);
 		cw_rollouts_destroy(rollouts);
 	}
