--- a/tests/tools/slow_callers.c
+++ b/tests/tools/slow_callers.c
@@ -44,6 +44,20 @@
 	return now.tv_sec * 1000 + now.tv_nsec / 1000000;
 }
 
+static int parse_address(const char *text, struct sockaddr_in *address)
+{
+	char ip[64] = "";
+	const char *colon = strchr(text, ':');
+
+	if (!colon || (size_t)(colon - text) >= sizeof(ip))
+		return 0;
+	memcpy(ip, text, (size_t)(colon - text));
+	memset(address, 0, sizeof(*address));
+	address->sin_family = AF_INET;
+	address->sin_port = htons((unsigned short)strtoul(colon + 1, NULL, 10));
+	return inet_pton(AF_INET, ip, &address->sin_addr) == 1;
+}
+
 static int open_connection(const struct sockaddr_in *address)
 {
 	int segment = SEGMENT_BYTES;
@@ -176,23 +190,20 @@
 	struct arg_int *limit = arg_int0(NULL, "limit-ms", "MS", "for all answers (25000)");
 	struct arg_end *end = arg_end(4);
 	void *table[] = {to, path, method, count, rate, pause, limit, end};
-	struct sockaddr_in address = {.sin_family = AF_INET};
+	struct sockaddr_in address;
 	struct caller *callers;
-	char ip[64];
-	int port;
 
 	pause->ival[0] = 0;
 	limit->ival[0] = 25000;
 	method->sval[0] = "GET";
-	if (arg_parse(argc, argv, table) > 0 ||
-	    sscanf(to->sval[0], "%63[0-9.]:%d", ip, &port) != 2) {
+	if (arg_parse(argc, argv, table) > 0 || !parse_address(to->sval[0], &address)) {
 		arg_print_errors(stderr, end, "slow-callers");
 		return 2;
 	}
-	inet_pton(AF_INET, ip, &address.sin_addr);
-	address.sin_port = htons((unsigned short)port);
 	callers = calloc((size_t)count->ival[0], sizeof(*callers));
-	for (int i = 0; callers && i < count->ival[0]; i++) {
+	if (!callers)
+		return 2;
+	for (int i = 0; i < count->ival[0]; i++) {
 		callers[i].fd = open_connection(&address);
 		if (callers[i].fd < 0 ||
 		    !send_request(callers[i].fd, method->sval[0], path->sval[0], i))
--- a/tests/unit/test_gate_gaps.c
+++ b/tests/unit/test_gate_gaps.c
@@ -69,7 +69,7 @@
 	int64_t now_ms = FIXTURE_NOW_MS;
 
 	for (int i = 0; i < BEFORE && scenario->before.quick_ms > 0; i++)
-		play_stream(&fixture, &scenario->before, NULL, 0, i, now_ms);
+		play_stream(&fixture, &scenario->before, &scenario->before, 0, i, now_ms);
 	fixture_add_server(&fixture, "e3", "llm", "v2");
 	cw_rollouts_apply_order(rollouts, &order, (struct cw_position){.offset = 1}, now_ms);
 	for (int i = 0; i < STREAMS && verdict.status.state == CW_ROLLOUT_RUNNING; i++) {
@@ -141,7 +141,7 @@
 	struct cw_rollouts *rollouts = open_fixture(&fixture);
 
 	for (int i = 0; i < BEFORE; i++)
-		play_stream(&fixture, &quick, NULL, 0, i, FIXTURE_NOW_MS);
+		play_stream(&fixture, &quick, &quick, 0, i, FIXTURE_NOW_MS);
 	fixture_add_server(&fixture, "e3", "llm", "v2");
 	cw_rollouts_apply_status(rollouts, &completed);
 	cw_pool_find_name(cw_gate_pool(fixture.gate), "e1")->is_leaving = 1;
